--- /dev/null
+++ b/budget/holder.go
@@ -0,0 +1,171 @@
+package budget
+
+import (
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+
+	recordv1 "lavenderpin.dev/lavenderpin/api/record/v1"
+	"lavenderpin.dev/lavenderpin/result"
+)
+
+// Holder is one incarnation's own side of its shares. Reserve and Finish take no
+// lock that requests share; they are safe for concurrent use.
+type Holder struct {
+	incarnation string
+	clock       clockwork.Clock
+	start       time.Time
+	// right is until when the incarnation may spend, in nanoseconds after start.
+	right  atomic.Int64
+	shares sync.Map // budget name -> *localShare
+	open   openSet
+
+	mu      sync.Mutex
+	settled []*recordv1.Settlement
+}
+
+// localShare is what the node may still reserve of one budget, in tokens.
+type localShare struct {
+	available atomic.Int64
+	// used counts tokens finished, for sizing policies.
+	used atomic.Int64
+}
+
+// NewHolder returns a holder without shares and without a right to spend.
+func NewHolder(incarnation string, clock clockwork.Clock) *Holder {
+	return &Holder{incarnation: incarnation, clock: clock, start: clock.Now()}
+}
+
+// Incarnation returns the incarnation whose shares these are.
+func (h *Holder) Incarnation() string { return h.incarnation }
+
+// ExtendRight lets the incarnation spend until the given moment. The moment must
+// lie a full term after the append of the accepted heartbeat began, never after
+// its answer came: whoever closes the incarnation counts from when it read it.
+func (h *Holder) ExtendRight(until time.Time) {
+	nanos := int64(until.Sub(h.start))
+	for {
+		held := h.right.Load()
+		if nanos <= held || h.right.CompareAndSwap(held, nanos) {
+			return
+		}
+	}
+}
+
+// RightLeft returns how long the incarnation may still spend; negative when the
+// right has lapsed.
+func (h *Holder) RightLeft() time.Duration {
+	return time.Duration(h.right.Load()) - h.clock.Since(h.start)
+}
+
+// RevokeRight ends the right at once, for an incarnation that learned that it is closed.
+func (h *Holder) RevokeRight() { h.right.Store(-1) }
+
+func (h *Holder) share(budget string) *localShare {
+	if held, ok := h.shares.Load(budget); ok {
+		return held.(*localShare)
+	}
+	held, _ := h.shares.LoadOrStore(budget, &localShare{})
+	return held.(*localShare)
+}
+
+// Credit adds tokens that the log granted or moved to this incarnation.
+func (h *Holder) Credit(budget string, tokens uint64) {
+	h.share(budget).available.Add(int64(tokens))
+}
+
+// Debit takes up to tokens out of the unreserved part, to return or move them
+// through the log; it returns how many it took.
+func (h *Holder) Debit(budget string, tokens uint64) uint64 {
+	return h.share(budget).take(tokens, true)
+}
+
+// Available returns the tokens of a budget that this node may still reserve.
+func (h *Holder) Available(budget string) uint64 {
+	return uint64(max(0, h.share(budget).available.Load()))
+}
+
+// Used returns the tokens of a budget finished on this node so far.
+func (h *Holder) Used(budget string) uint64 { return uint64(h.share(budget).used.Load()) }
+
+// Budgets returns the names of the budgets that this node holds or held a share of.
+func (h *Holder) Budgets() []string {
+	var names []string
+	h.shares.Range(func(name, _ any) bool {
+		names = append(names, name.(string))
+		return true
+	})
+	return names
+}
+
+// Reserve takes a request's worst case out of the share. It fails with
+// SpendRightLapsed, or with BudgetSpent when the share is too small: the caller
+// decides whether the fleet can cover it elsewhere.
+func (h *Holder) Reserve(budget string, tokens uint64) (*Reservation, error) {
+	if h.RightLeft() <= 0 {
+		return nil, result.New(result.SpendRightLapsed, "the right to spend has lapsed")
+	}
+	share := h.share(budget)
+	if share.take(tokens, false) == 0 && tokens > 0 {
+		return nil, result.New(result.BudgetSpent, "the share holds less than %d tokens", tokens)
+	}
+	return h.open.add(h, share, budget, tokens), nil
+}
+
+// ReservePart is Reserve for as many tokens as the share has, at most tokens.
+func (h *Holder) ReservePart(budget string, tokens uint64) (*Reservation, error) {
+	if h.RightLeft() <= 0 {
+		return nil, result.New(result.SpendRightLapsed, "the right to spend has lapsed")
+	}
+	share := h.share(budget)
+	taken := share.take(tokens, true)
+	if taken == 0 {
+		return nil, result.New(result.BudgetSpent, "the share is empty")
+	}
+	return h.open.add(h, share, budget, taken), nil
+}
+
+// take removes tokens from the unreserved part: all, or with partly set as many
+// as there are.
+func (s *localShare) take(tokens uint64, partly bool) uint64 {
+	for {
+		held := s.available.Load()
+		taken := min(int64(tokens), held)
+		if taken <= 0 || (!partly && taken < int64(tokens)) {
+			return 0
+		}
+		if s.available.CompareAndSwap(held, held-taken) {
+			return uint64(taken)
+		}
+	}
+}
+
+// Settlements returns the settlements finished since the last call, as a log
+// entry; nil when nothing changed.
+//
+// The oldest open counter is read before the settlements are taken: a request
+// leaves the open set only after its settlement is queued, so whatever lies below
+// that counter is in this entry or an earlier one. In the other order the fold
+// would pass a settlement over as already known, and the request would go unbilled.
+func (h *Holder) Settlements() *recordv1.SettlementBatch {
+	oldest := h.open.oldest()
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if len(h.settled) == 0 {
+		return nil
+	}
+	batch := &recordv1.SettlementBatch{Incarnation: h.incarnation, Settlements: h.settled, OldestOpen: oldest}
+	h.settled = nil
+	return batch
+}
+
+// Open returns how many reservations are neither finished nor cancelled.
+func (h *Holder) Open() int { return h.open.len() }
+
+func (h *Holder) queue(s *recordv1.Settlement) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.settled = append(h.settled, s)
+}
--- /dev/null
+++ b/budget/ledger.go
@@ -0,0 +1,255 @@
+package budget
+
+import (
+	"sort"
+	"sync"
+
+	recordv1 "lavenderpin.dev/lavenderpin/api/record/v1"
+	"lavenderpin.dev/lavenderpin/fold"
+	"lavenderpin.dev/lavenderpin/result"
+)
+
+// Ledger folds prepaid budgets, shares, incarnations and settlements. One
+// goroutine applies; the reading methods are safe for concurrent use.
+type Ledger struct {
+	mu           sync.RWMutex
+	lines        map[string]*Line
+	incarnations map[string]*Incarnation
+	topUps       map[string]fold.Verdict
+	// excess counts tokens settled beyond an incarnation's share. It is 0 unless
+	// a node spent what it didn't own; the checkers assert that.
+	excess uint64
+}
+
+// NewLedger returns an empty ledger.
+func NewLedger() *Ledger {
+	l := &Ledger{}
+	l.reset()
+	return l
+}
+
+func (l *Ledger) reset() {
+	l.lines = map[string]*Line{}
+	l.incarnations = map[string]*Incarnation{}
+	l.topUps = map[string]fold.Verdict{}
+	l.excess = 0
+}
+
+// Name implements fold.Part.
+func (l *Ledger) Name() string { return "ledger" }
+
+// Apply implements fold.Part.
+func (l *Ledger) Apply(at fold.Position, entry *recordv1.Entry) (fold.Verdict, bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	switch body := entry.GetBody().(type) {
+	case *recordv1.Entry_TopUp:
+		return l.topUp(at, body.TopUp), true
+	case *recordv1.Entry_Heartbeat:
+		return l.heartbeat(at, body.Heartbeat), true
+	case *recordv1.Entry_Close:
+		return l.close(at, body.Close), true
+	case *recordv1.Entry_ShareClaim:
+		return l.claim(at, body.ShareClaim), true
+	case *recordv1.Entry_ShareReturn:
+		return l.giveBack(at, body.ShareReturn), true
+	case *recordv1.Entry_ShareMove:
+		return l.move(at, body.ShareMove), true
+	case *recordv1.Entry_Settlements:
+		return l.settle(at, body.Settlements), true
+	case *recordv1.Entry_RecoveryDone:
+		return l.recoveryDone(at, body.RecoveryDone), true
+	}
+	return fold.Verdict{}, false
+}
+
+func (l *Ledger) line(budget string) *Line {
+	line := l.lines[budget]
+	if line == nil {
+		line = &Line{Budget: budget, Shares: map[string]*Share{}}
+		l.lines[budget] = line
+	}
+	return line
+}
+
+// open returns the writer's incarnation when it may act, else nil.
+func (l *Ledger) open(incarnation string) *Incarnation {
+	i := l.incarnations[incarnation]
+	if i == nil || i.Closed {
+		return nil
+	}
+	return i
+}
+
+func (l *Ledger) topUp(at fold.Position, entry *recordv1.TopUpEntry) fold.Verdict {
+	id := entry.GetTopUp().GetId()
+	if verdict, seen := l.topUps[id]; seen {
+		return verdict
+	}
+	line := l.line(entry.GetTopUp().GetBudget())
+	line.Prepaid += entry.GetTopUp().GetTokens()
+	line.Pool += entry.GetTopUp().GetTokens()
+	verdict := fold.Verdict{Offset: at.Offset, Version: at.Offset, Tokens: entry.GetTopUp().GetTokens()}
+	l.topUps[id] = verdict
+	return verdict
+}
+
+func (l *Ledger) heartbeat(at fold.Position, beat *recordv1.NodeHeartbeat) fold.Verdict {
+	held := l.incarnations[at.Writer]
+	switch {
+	case held == nil && beat.GetNumber() == 1:
+		l.closePredecessor(beat.GetNode())
+		held = &Incarnation{Settled: map[uint64]bool{}}
+		l.incarnations[at.Writer] = held
+	case held == nil || held.Closed:
+		return fold.Refuse(at, result.IncarnationClosed, "the incarnation is closed")
+	}
+	held.Node = beat.GetNode()
+	held.Heartbeat = beat.GetNumber()
+	held.RightMS = beat.GetRightMs()
+	held.Draining = beat.GetDraining()
+	return fold.Accept(at)
+}
+
+// closePredecessor closes an open incarnation at the address that a new one
+// announces. Only one process can hold the address, so the old one is gone; were
+// it left open, its shares would stay frozen until its right to spend ran out.
+func (l *Ledger) closePredecessor(node *recordv1.NodeInfo) {
+	for _, i := range l.incarnations {
+		if !i.Closed && i.Node.GetPeerAddress() == node.GetPeerAddress() {
+			i.Closed = true
+			i.Reason = "replaced at its address"
+		}
+	}
+}
+
+func (l *Ledger) close(at fold.Position, entry *recordv1.IncarnationClose) fold.Verdict {
+	i := l.open(entry.GetIncarnation())
+	if i == nil {
+		return fold.Refuse(at, result.IncarnationClosed, "the incarnation isn't open")
+	}
+	own := at.Writer == entry.GetIncarnation()
+	if !own && entry.GetLastHeartbeat() != i.Heartbeat {
+		return fold.Refuse(at, result.StaleEntry, "a newer heartbeat came first")
+	}
+	i.Closed = true
+	i.Reason = entry.GetReason()
+	if own {
+		l.release(entry.GetIncarnation())
+	}
+	return fold.Accept(at)
+}
+
+func (l *Ledger) claim(at fold.Position, entry *recordv1.ShareClaim) fold.Verdict {
+	if l.open(at.Writer) == nil {
+		return fold.Refuse(at, result.IncarnationClosed, "the incarnation isn't open")
+	}
+	line := l.line(entry.GetBudget())
+	tokens := min(entry.GetTokens(), line.Pool)
+	if tokens == 0 {
+		return fold.Refuse(at, result.BudgetSpent, "the pool is empty")
+	}
+	line.Pool -= tokens
+	line.share(at.Writer).Granted += tokens
+	return fold.Verdict{Offset: at.Offset, Tokens: tokens}
+}
+
+func (l *Ledger) giveBack(at fold.Position, entry *recordv1.ShareReturn) fold.Verdict {
+	if l.open(at.Writer) == nil {
+		return fold.Refuse(at, result.IncarnationClosed, "the incarnation isn't open")
+	}
+	line := l.line(entry.GetBudget())
+	share := line.share(at.Writer)
+	tokens := min(entry.GetTokens(), share.Left())
+	share.Granted -= tokens
+	line.Pool += tokens
+	return fold.Verdict{Offset: at.Offset, Tokens: tokens}
+}
+
+// move needs both ends open. Were it allowed towards a closed incarnation, the
+// tokens would be released with that incarnation and spent by nobody's leave.
+func (l *Ledger) move(at fold.Position, entry *recordv1.ShareMove) fold.Verdict {
+	if l.open(at.Writer) == nil || l.open(entry.GetTo()) == nil {
+		return fold.Refuse(at, result.IncarnationClosed, "giver or receiver isn't open")
+	}
+	line := l.line(entry.GetBudget())
+	giver := line.share(at.Writer)
+	if giver.Left() < entry.GetTokens() {
+		return fold.Refuse(at, result.BudgetSpent, "the giver's share is smaller")
+	}
+	giver.Granted -= entry.GetTokens()
+	line.share(entry.GetTo()).Granted += entry.GetTokens()
+	return fold.Verdict{Offset: at.Offset, Tokens: entry.GetTokens()}
+}
+
+// recoveryDone returns what is left of a closed incarnation's shares to the pool.
+func (l *Ledger) recoveryDone(at fold.Position, entry *recordv1.RecoveryDone) fold.Verdict {
+	i := l.incarnations[entry.GetIncarnation()]
+	if i == nil || !i.Closed || l.open(at.Writer) == nil {
+		return fold.Refuse(at, result.IncarnationClosed, "nothing to recover")
+	}
+	return fold.Verdict{Offset: at.Offset, Tokens: l.release(entry.GetIncarnation())}
+}
+
+func (l *Ledger) release(incarnation string) uint64 {
+	released := uint64(0)
+	for _, line := range l.lines {
+		share := line.Shares[incarnation]
+		if share == nil {
+			continue
+		}
+		line.Pool += share.Left()
+		released += share.Left()
+		delete(line.Shares, incarnation)
+	}
+	delete(l.incarnations, incarnation)
+	return released
+}
+
+// Budget returns a copy of one budget's state; zero for an unknown budget.
+func (l *Ledger) Budget(name string) Line {
+	l.mu.RLock()
+	defer l.mu.RUnlock()
+	if line := l.lines[name]; line != nil {
+		return line.clone()
+	}
+	return Line{Budget: name}
+}
+
+// Budgets returns a copy of all budgets' states, sorted by name.
+func (l *Ledger) Budgets() []Line {
+	l.mu.RLock()
+	defer l.mu.RUnlock()
+	lines := make([]Line, 0, len(l.lines))
+	for _, line := range l.lines {
+		lines = append(lines, line.clone())
+	}
+	sort.Slice(lines, func(i, j int) bool { return lines[i].Budget < lines[j].Budget })
+	return lines
+}
+
+// Incarnations returns a copy of the incarnations that aren't released yet.
+func (l *Ledger) Incarnations() map[string]Incarnation {
+	l.mu.RLock()
+	defer l.mu.RUnlock()
+	all := make(map[string]Incarnation, len(l.incarnations))
+	for id, i := range l.incarnations {
+		all[id] = Incarnation{Node: i.Node, Heartbeat: i.Heartbeat, RightMS: i.RightMS,
+			Draining: i.Draining, Closed: i.Closed, Reason: i.Reason, OldestOpen: i.OldestOpen}
+	}
+	return all
+}
+
+// IsOpen tells whether an incarnation may claim and spend.
+func (l *Ledger) IsOpen(incarnation string) bool {
+	l.mu.RLock()
+	defer l.mu.RUnlock()
+	return l.open(incarnation) != nil
+}
+
+// Excess returns the tokens settled beyond an incarnation's share.
+func (l *Ledger) Excess() uint64 {
+	l.mu.RLock()
+	defer l.mu.RUnlock()
+	return l.excess
+}
--- /dev/null
+++ b/budget/reservation.go
@@ -0,0 +1,38 @@
+package budget
+
+import (
+	"sync/atomic"
+
+	recordv1 "lavenderpin.dev/lavenderpin/api/record/v1"
+)
+
+// Reservation is the worst case of one request, taken out of the node's share.
+type Reservation struct {
+	ID     RequestID
+	Budget string
+	// Tokens is the worst case reserved.
+	Tokens uint64
+
+	holder *Holder
+	share  *localShare
+	shard  *openShard
+	ended  atomic.Bool
+}
+
+// Finish bills the tokens used, at most those reserved, and gives the rest back.
+// Only the first call of Finish or Cancel counts.
+func (r *Reservation) Finish(used uint64) {
+	if !r.ended.CompareAndSwap(false, true) {
+		return
+	}
+	used = min(used, r.Tokens)
+	r.share.available.Add(int64(r.Tokens - used))
+	r.share.used.Add(int64(used))
+	if used > 0 {
+		r.holder.queue(&recordv1.Settlement{Request: r.ID.String(), Budget: r.Budget, Tokens: used})
+	}
+	r.shard.remove(r.ID.Counter)
+}
+
+// Cancel gives everything back; nothing is billed.
+func (r *Reservation) Cancel() { r.Finish(0) }
--- /dev/null
+++ b/cmd/lavenderctl/change.go
@@ -0,0 +1,114 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+
+	"github.com/google/uuid"
+	"github.com/juju/errors"
+	"google.golang.org/protobuf/proto"
+
+	operatorv1 "lavenderpin.dev/lavenderpin/api/operator/v1"
+	"lavenderpin.dev/lavenderpin/config"
+	"lavenderpin.dev/lavenderpin/fleetfile"
+)
+
+type applyCmd struct {
+	File  string `short:"f" help:"Fleet file (protojson of operator.v1.Fleet)." type:"existingfile" required:""`
+	Check bool   `help:"Only check the file."`
+}
+
+// Run applies the file.
+func (c *applyCmd) Run(ctx context.Context, root *cli) error {
+	data, err := os.ReadFile(c.File)
+	if err != nil {
+		return errors.Trace(err)
+	}
+	file, err := fleetfile.Parse(data)
+	if err != nil {
+		return err
+	}
+	if c.Check {
+		fmt.Printf("%s holds %d resources and %d top-ups, all well-formed\n", c.File, len(file.Resources), len(file.TopUps))
+		return nil
+	}
+	return root.call(ctx, func(conn *connection) error {
+		outcome, err := fleetfile.Apply(conn.ctx, conn.client, file)
+		for _, key := range outcome.Changed {
+			fmt.Printf("%s at version %d\n", key, outcome.Version)
+		}
+		fmt.Printf("%d changed, %d top-ups in force\n", len(outcome.Changed), outcome.TopUps)
+		return err
+	})
+}
+
+type topUpCmd struct {
+	Budget string `arg:"" help:"Budget."`
+	Tokens uint64 `arg:"" help:"Tokens to add."`
+	ID     string `help:"Id that makes a repeated call harmless; made up when empty."`
+}
+
+// Run adds the tokens.
+func (c *topUpCmd) Run(ctx context.Context, root *cli) error {
+	if c.ID == "" {
+		c.ID = uuid.NewString()
+	}
+	return root.call(ctx, func(conn *connection) error {
+		topUp := &operatorv1.TopUp{Id: c.ID, Budget: c.Budget, Tokens: c.Tokens}
+		answer, err := conn.client.TopUp(conn.ctx, &operatorv1.TopUpRequest{TopUp: topUp})
+		if err != nil {
+			return errors.Annotatef(err, "top-up %s; the same --id may be sent again", c.ID)
+		}
+		fmt.Printf("top-up %s in force at %d\n", c.ID, answer.GetVersion())
+		return nil
+	})
+}
+
+type deleteCmd struct {
+	Kind string `arg:"" help:"account, budget, service, upstream or operator_token."`
+	Name string `arg:"" help:"Name of the resource."`
+}
+
+// Run deletes the resource at the version it has now.
+func (c *deleteCmd) Run(ctx context.Context, root *cli) error {
+	key := config.Key{Kind: config.Kind(c.Kind), Name: c.Name}
+	return root.change(ctx, key, func(change *operatorv1.Change) { change.Delete = true })
+}
+
+type drainCmd struct {
+	Upstream string `arg:"" help:"Upstream."`
+	Undo     bool   `help:"Put it back into service."`
+}
+
+// Run drains the upstream.
+func (c *drainCmd) Run(ctx context.Context, root *cli) error {
+	key := config.Key{Kind: config.KindUpstream, Name: c.Upstream}
+	return root.change(ctx, key, func(change *operatorv1.Change) {
+		change.GetResource().GetUpstream().Draining = !c.Undo
+	})
+}
+
+// change reads a resource, edits it and sends it against the version read.
+func (c *cli) change(ctx context.Context, key config.Key, edit func(*operatorv1.Change)) error {
+	return c.call(ctx, func(conn *connection) error {
+		list, err := conn.client.List(conn.ctx, &operatorv1.ListRequest{})
+		if err != nil {
+			return errors.Trace(err)
+		}
+		for _, held := range list.GetResources() {
+			if heldKey, _ := config.KeyOf(held.GetResource()); heldKey != key {
+				continue
+			}
+			change := &operatorv1.Change{BaseVersion: held.GetVersion(), Resource: proto.Clone(held.GetResource()).(*operatorv1.Resource)}
+			edit(change)
+			answer, err := conn.client.Apply(conn.ctx, &operatorv1.ApplyRequest{ChangeId: uuid.NewString(), Changes: []*operatorv1.Change{change}})
+			if err != nil {
+				return errors.Trace(err)
+			}
+			fmt.Printf("%s changed at version %d\n", key, answer.GetVersion())
+			return nil
+		}
+		return errors.NotFoundf("%s", key)
+	})
+}
--- /dev/null
+++ b/cmd/lavenderctl/keys.go
@@ -0,0 +1,77 @@
+package main
+
+import (
+	"fmt"
+	"os"
+	"path/filepath"
+	"time"
+
+	"github.com/juju/errors"
+
+	"lavenderpin.dev/lavenderpin/config"
+	"lavenderpin.dev/lavenderpin/tlskeys"
+)
+
+const secretMode = 0o600
+
+type keysCmd struct {
+	Authority authorityCmd `cmd:"" help:"Make a fleet's authority."`
+	Issue     issueCmd     `cmd:"" help:"Make a node's certificate."`
+	Hash      hashCmd      `cmd:"" help:"Print the stored form of a key or token."`
+}
+
+type authorityCmd struct {
+	Out      string        `help:"Folder for authority.pem and authority.key." type:"existingdir" required:""`
+	Validity time.Duration `help:"How long it is valid." default:"43800h"`
+}
+
+// Run makes the authority.
+func (c *authorityCmd) Run() error {
+	pair, err := tlskeys.NewAuthority(time.Now(), c.Validity)
+	if err != nil {
+		return errors.Trace(err)
+	}
+	return writePair(c.Out, "authority", pair)
+}
+
+type issueCmd struct {
+	Dir      string        `help:"Folder with authority.pem and authority.key." type:"existingdir" required:""`
+	Name     string        `help:"Name of the files to write." required:""`
+	Validity time.Duration `help:"How long it is valid." default:"8760h"`
+}
+
+// Run makes the certificate.
+func (c *issueCmd) Run() error {
+	var authority tlskeys.Pair
+	var err error
+	if authority.Cert, err = os.ReadFile(filepath.Join(c.Dir, "authority.pem")); err != nil {
+		return errors.Trace(err)
+	}
+	if authority.Key, err = os.ReadFile(filepath.Join(c.Dir, "authority.key")); err != nil {
+		return errors.Trace(err)
+	}
+	pair, err := authority.Issue(time.Now(), c.Validity)
+	if err != nil {
+		return errors.Trace(err)
+	}
+	return writePair(c.Dir, c.Name, pair)
+}
+
+func writePair(dir, name string, pair tlskeys.Pair) error {
+	for suffix, data := range map[string][]byte{".pem": pair.Cert, ".key": pair.Key} {
+		if err := os.WriteFile(filepath.Join(dir, name+suffix), data, secretMode); err != nil {
+			return errors.Trace(err)
+		}
+	}
+	return nil
+}
+
+type hashCmd struct {
+	Secret string `arg:"" help:"Key or token."`
+}
+
+// Run prints the sum.
+func (c *hashCmd) Run() error {
+	fmt.Println(config.HashKey(c.Secret))
+	return nil
+}
--- /dev/null
+++ b/cmd/lavenderctl/main.go
@@ -0,0 +1,74 @@
+// Command lavenderctl is the operators' tool: it speaks to any node of the fleet.
+package main
+
+import (
+	"context"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/alecthomas/kong"
+	"github.com/juju/errors"
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/credentials/insecure"
+	"google.golang.org/grpc/metadata"
+
+	operatorv1 "lavenderpin.dev/lavenderpin/api/operator/v1"
+)
+
+type cli struct {
+	Address string        `help:"IP:port of any node's operator API." env:"LAVENDERCTL_ADDRESS" default:"127.0.0.1:7003"`
+	Token   string        `help:"Operator token." env:"LAVENDERCTL_TOKEN"`
+	Timeout time.Duration `help:"Longest time for one call." env:"LAVENDERCTL_TIMEOUT" default:"15s"`
+
+	Apply    applyCmd    `cmd:"" help:"Make the fleet hold what a declarative file says."`
+	TopUp    topUpCmd    `cmd:"" name:"topup" help:"Add prepaid tokens to a budget."`
+	Delete   deleteCmd   `cmd:"" help:"Delete a resource."`
+	Drain    drainCmd    `cmd:"" help:"Take an upstream out of service, or back in with --undo."`
+	List     listCmd     `cmd:"" help:"List the resources in force."`
+	Watch    watchCmd    `cmd:"" help:"Show resources as they take effect."`
+	Budgets  budgetsCmd  `cmd:"" help:"Show budgets: prepaid, spent, pool and shares."`
+	Nodes    nodesCmd    `cmd:"" help:"Show the fleet as a node sees it."`
+	Timeline timelineCmd `cmd:"" help:"Show the events of all nodes in causal order."`
+	Explain  explainCmd  `cmd:"" help:"Tell one request's story."`
+	Keys     keysCmd     `cmd:"" help:"Make keys for the fleet's mutual TLS."`
+}
+
+// connection reaches the operator API with the operator's token.
+type connection struct {
+	ctx    context.Context
+	client operatorv1.OperatorServiceClient
+	close  func()
+}
+
+func (c *cli) connect(ctx context.Context) (*connection, error) {
+	conn, err := grpc.NewClient("passthrough:///"+c.Address, grpc.WithTransportCredentials(insecure.NewCredentials()))
+	if err != nil {
+		return nil, errors.Trace(err)
+	}
+	ctx = metadata.AppendToOutgoingContext(ctx, "authorization", "Bearer "+c.Token)
+	return &connection{ctx: ctx, client: operatorv1.NewOperatorServiceClient(conn), close: func() { _ = conn.Close() }}, nil
+}
+
+// call runs one unary call within the time limit.
+func (c *cli) call(ctx context.Context, do func(*connection) error) error {
+	ctx, cancel := context.WithTimeout(ctx, c.Timeout)
+	defer cancel()
+	conn, err := c.connect(ctx)
+	if err != nil {
+		return err
+	}
+	defer conn.close()
+	return do(conn)
+}
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	var c cli
+	k := kong.Parse(&c, kong.Name("lavenderctl"),
+		kong.Description("Operate a lavenderpin fleet. Any node takes any command."),
+		kong.UsageOnError(), kong.BindTo(ctx, (*context.Context)(nil)), kong.Bind(&c))
+	k.FatalIfErrorf(k.Run())
+}
--- /dev/null
+++ b/cmd/lavenderpin/serve.go
@@ -0,0 +1,86 @@
+package main
+
+import (
+	"context"
+	"os"
+	"time"
+
+	"github.com/juju/errors"
+
+	"lavenderpin.dev/lavenderpin/daemon"
+	"lavenderpin.dev/lavenderpin/node"
+	"lavenderpin.dev/lavenderpin/platform/remote"
+	"lavenderpin.dev/lavenderpin/tlskeys"
+)
+
+type serveCmd struct {
+	Region     string `help:"Region of this instance." env:"LAVENDERPIN_REGION" required:""`
+	DataCentre string `help:"Data centre of this instance." env:"LAVENDERPIN_DATA_CENTRE" required:""`
+	HTTP       string `help:"IP:port for callers." env:"LAVENDERPIN_HTTP" required:""`
+	Operator   string `help:"IP:port for operators (gRPC)." env:"LAVENDERPIN_OPERATOR" required:""`
+	Peer       string `help:"IP:port for other nodes (QUIC over UDP)." env:"LAVENDERPIN_PEER" required:""`
+	Admin      string `help:"IP:port for figures (expvar); none when empty." env:"LAVENDERPIN_ADMIN"`
+	Platform   string `help:"IP:port of the platform's services." env:"LAVENDERPIN_PLATFORM" required:""`
+
+	Authority string `help:"PEM file of the fleet's authority." env:"LAVENDERPIN_AUTHORITY" type:"existingfile" required:""`
+	Cert      string `help:"PEM file of this node's certificate." env:"LAVENDERPIN_CERT" type:"existingfile" required:""`
+	Key       string `help:"PEM file of this node's key." env:"LAVENDERPIN_KEY" type:"existingfile" required:""`
+
+	BootstrapTokenHash string        `help:"Hash of an operator token (lavenderctl keys hash) that works until a stored one exists." env:"LAVENDERPIN_BOOTSTRAP_TOKEN_HASH"`
+	Heartbeat          time.Duration `help:"Time between heartbeats in the log." default:"5s" env:"LAVENDERPIN_HEARTBEAT"`
+	SpendRight         time.Duration `help:"How long the node may spend after its last heartbeat in the log: the longest store outage or region cut that it rides out, and the longest time that a crash freezes its shares." default:"30m" env:"LAVENDERPIN_SPEND_RIGHT"`
+	ClaimChunk         uint64        `help:"Least tokens claimed from a budget at a time." default:"20000" env:"LAVENDERPIN_CLAIM_CHUNK"`
+	AddressLifetime    time.Duration `help:"How long callers may keep an address handed out." default:"10s" env:"LAVENDERPIN_ADDRESS_LIFETIME"`
+	DrainTimeout       time.Duration `help:"Longest graceful stop." default:"5m" env:"LAVENDERPIN_DRAIN_TIMEOUT"`
+}
+
+// Run serves until a signal ends ctx.
+func (c *serveCmd) Run(ctx context.Context) error {
+	settings := node.DefaultSettings()
+	settings.Region = c.Region
+	settings.DataCentre = c.DataCentre
+	settings.HTTPAddress = c.HTTP
+	settings.OperatorAddress = c.Operator
+	settings.PeerAddress = c.Peer
+	settings.HeartbeatInterval = c.Heartbeat
+	settings.SpendRight = c.SpendRight
+	settings.ClaimChunk = c.ClaimChunk
+	settings.AddressLifetime = c.AddressLifetime
+	settings.BootstrapTokenSHA256 = c.BootstrapTokenHash
+	if err := settings.Validate(); err != nil {
+		return errors.Trace(err)
+	}
+	authority, pair, err := c.keys()
+	if err != nil {
+		return errors.Trace(err)
+	}
+	peerTLS, err := tlskeys.Config(authority, pair)
+	if err != nil {
+		return errors.Trace(err)
+	}
+	client, err := remote.Dial(c.Platform)
+	if err != nil {
+		return errors.Trace(err)
+	}
+	defer func() { _ = client.Close() }()
+	d, err := daemon.New(daemon.Config{
+		Settings: settings, Log: client, Instances: client, Weights: client, PeerTLS: peerTLS,
+		Logger: newLogger(), Admin: c.Admin, DrainTimeout: c.DrainTimeout,
+	})
+	if err != nil {
+		return errors.Trace(err)
+	}
+	return d.Run(ctx)
+}
+
+func (c *serveCmd) keys() ([]byte, tlskeys.Pair, error) {
+	var contents [3][]byte
+	for i, file := range []string{c.Authority, c.Cert, c.Key} {
+		data, err := os.ReadFile(file)
+		if err != nil {
+			return nil, tlskeys.Pair{}, errors.Trace(err)
+		}
+		contents[i] = data
+	}
+	return contents[0], tlskeys.Pair{Cert: contents[1], Key: contents[2]}, nil
+}
--- /dev/null
+++ b/cmd/lavenderstub/main.go
@@ -0,0 +1,96 @@
+// Command lavenderstub runs one stand-in as a process: the platform, an engine or a
+// plain service.
+package main
+
+import (
+	"context"
+	"net"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/alecthomas/kong"
+	"github.com/cloudwego/hertz/pkg/common/hlog"
+	"github.com/jonboulle/clockwork"
+	"github.com/juju/errors"
+	"google.golang.org/grpc"
+
+	"lavenderpin.dev/lavenderpin/internal/standin"
+)
+
+type cli struct {
+	Platform platformCmd `cmd:"" help:"Run log, instance list and weight store."`
+	Engine   engineCmd   `cmd:"" help:"Run a model engine."`
+	Service  serviceCmd  `cmd:"" help:"Run a plain service."`
+}
+
+type platformCmd struct {
+	Listen string        `help:"IP:port to serve on." required:""`
+	Delay  time.Duration `help:"Time that each call to the log takes at least."`
+	Keep   int           `help:"Records that each stream keeps; 0 for all."`
+}
+
+// Run serves until a signal ends ctx.
+func (c *platformCmd) Run(ctx context.Context) error {
+	listener, err := net.Listen("tcp", c.Listen)
+	if err != nil {
+		return errors.Trace(err)
+	}
+	log := standin.NewLog()
+	log.SetDelay(c.Delay)
+	log.Keep(c.Keep)
+	p := &standin.Platform{Log: log, Instances: standin.NewInstances(), Weights: standin.NewWeights(clockwork.NewRealClock(), time.Second)}
+	server := grpc.NewServer()
+	p.Register(server)
+	stop := context.AfterFunc(ctx, server.Stop)
+	defer stop()
+	return errors.Trace(server.Serve(listener))
+}
+
+type engineCmd struct {
+	Listen    string        `help:"IP:port to serve on." required:""`
+	TokenTime time.Duration `help:"Time between two tokens." default:"10ms"`
+	CutAfter  int           `help:"End each stream after so many tokens without its terminal marker; 0 never."`
+	Cross     int           `help:"Answer every nth request under another id; 0 never."`
+}
+
+// Run serves until a signal ends ctx.
+func (c *engineCmd) Run(ctx context.Context) error {
+	listener, err := net.Listen("tcp", c.Listen)
+	if err != nil {
+		return errors.Trace(err)
+	}
+	engine := standin.NewEngine(listener, standin.EngineOptions{TokenTime: c.TokenTime, CutAfter: c.CutAfter, Cross: c.Cross})
+	stop := context.AfterFunc(ctx, engine.Close)
+	defer stop()
+	return errors.Trace(engine.Run())
+}
+
+type serviceCmd struct {
+	Listen string        `help:"IP:port to serve on." required:""`
+	Delay  time.Duration `help:"Time that each call takes."`
+}
+
+// Run serves until a signal ends ctx.
+func (c *serviceCmd) Run(ctx context.Context) error {
+	listener, err := net.Listen("tcp", c.Listen)
+	if err != nil {
+		return errors.Trace(err)
+	}
+	service := standin.NewService(listener, c.Delay)
+	stop := context.AfterFunc(ctx, service.Close)
+	defer stop()
+	return errors.Trace(service.Run())
+}
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	hlog.SetLevel(hlog.LevelError) // the HTTP library would log every connection
+	var c cli
+	k := kong.Parse(&c, kong.Name("lavenderstub"),
+		kong.Description("Stand-ins for what surrounds a lavenderpin fleet. For tests and measurements only."),
+		kong.UsageOnError(), kong.BindTo(ctx, (*context.Context)(nil)))
+	k.FatalIfErrorf(k.Run())
+}
--- /dev/null
+++ b/daemon/daemon.go
@@ -0,0 +1,169 @@
+package daemon
+
+import (
+	"context"
+	"crypto/tls"
+	"expvar"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
+	"github.com/google/uuid"
+	"github.com/jonboulle/clockwork"
+	"github.com/juju/errors"
+	"google.golang.org/grpc"
+
+	fleetv1 "lavenderpin.dev/lavenderpin/api/fleet/v1"
+	"lavenderpin.dev/lavenderpin/httpapi"
+	"lavenderpin.dev/lavenderpin/node"
+	"lavenderpin.dev/lavenderpin/operator"
+	"lavenderpin.dev/lavenderpin/peer"
+	"lavenderpin.dev/lavenderpin/platform"
+	"lavenderpin.dev/lavenderpin/upstream"
+)
+
+// Config is what a daemon needs beside the node's own settings.
+type Config struct {
+	Settings  node.Settings
+	Log       platform.Log
+	Instances platform.Instances
+	Weights   platform.Weights
+	PeerTLS   *tls.Config
+	Logger    log.Logger
+	// Admin is the address for figures (expvar); empty for none.
+	Admin string
+	// DrainTimeout bounds a graceful stop.
+	DrainTimeout time.Duration
+}
+
+// Daemon is a running process's node with its listeners.
+type Daemon struct {
+	config    Config
+	current   atomic.Pointer[node.Node]
+	http      *httpapi.Server
+	grpc      *grpc.Server
+	peers     *peer.QUIC
+	upstreams *upstream.HTTPClient
+	operators net.Listener
+	admin     *http.Server
+}
+
+// New opens the listeners; Run serves on them.
+func New(config Config) (*Daemon, error) {
+	d := &Daemon{config: config}
+	if err := config.Settings.Validate(); err != nil {
+		return nil, errors.Trace(err)
+	}
+	socket, err := net.ListenPacket("udp", config.Settings.PeerAddress)
+	if err != nil {
+		return nil, errors.Annotate(err, "peer address")
+	}
+	d.peers = peer.NewQUIC(socket, config.PeerTLS)
+	callers, err := net.Listen("tcp", config.Settings.HTTPAddress)
+	if err != nil {
+		return nil, errors.Annotate(err, "HTTP address")
+	}
+	d.operators, err = net.Listen("tcp", config.Settings.OperatorAddress)
+	if err != nil {
+		return nil, errors.Annotate(err, "operator address")
+	}
+	d.upstreams, err = upstream.NewHTTPClient()
+	if err != nil {
+		return nil, errors.Trace(err)
+	}
+	if err := d.newIncarnation(); err != nil {
+		return nil, errors.Trace(err)
+	}
+	d.http = httpapi.New(callers, func() httpapi.Node { return d.Node() })
+	d.grpc = grpc.NewServer()
+	operator.New(d.Node).Register(d.grpc)
+	return d, nil
+}
+
+// Node returns the current incarnation.
+func (d *Daemon) Node() *node.Node { return d.current.Load() }
+
+func (d *Daemon) newIncarnation() error {
+	n, err := node.New(d.config.Settings, node.Deps{
+		Clock: clockwork.NewRealClock(), Log: d.config.Log, Instances: d.config.Instances, Weights: d.config.Weights,
+		Peers: d.peers, Upstreams: d.upstreams, Logger: d.config.Logger, NewIncarnation: uuid.NewString,
+	})
+	if err != nil {
+		return errors.Trace(err)
+	}
+	d.current.Store(n)
+	return nil
+}
+
+// Run serves until ctx ends, then stops gracefully: it cuts off no request.
+func (d *Daemon) Run(ctx context.Context) error {
+	serving, stop := context.WithCancel(context.Background())
+	defer stop()
+	var wait sync.WaitGroup
+	defer wait.Wait()
+	defer stop()
+	wait.Go(func() { _ = d.peers.Serve(serving, d.handlePeer) })
+	wait.Go(func() { _ = d.http.Run() })
+	wait.Go(func() { _ = d.grpc.Serve(d.operators) })
+	d.serveAdmin(&wait)
+	wait.Go(func() { d.incarnations(serving) })
+	<-ctx.Done()
+	d.shutdown()
+	return nil
+}
+
+// incarnations runs nodes one after the other: when the fleet closes one, a new
+// one starts in its place, so that nobody has to be called for it.
+func (d *Daemon) incarnations(ctx context.Context) {
+	for ctx.Err() == nil {
+		if err := d.Node().Run(ctx); !errors.Is(err, node.ErrClosed) {
+			return
+		}
+		if err := d.newIncarnation(); err != nil {
+			_ = level.Error(d.config.Logger).Log("msg", "no new incarnation", "err", err)
+			return
+		}
+	}
+}
+
+func (d *Daemon) handlePeer(ctx context.Context, r *fleetv1.Request) *fleetv1.Response {
+	return d.Node().HandlePeer(ctx, r)
+}
+
+func (d *Daemon) serveAdmin(wait *sync.WaitGroup) {
+	if d.config.Admin == "" {
+		return
+	}
+	expvar.Publish("lavenderpin", expvar.Func(func() any { return metricsOf(d.Node()) }))
+	mux := http.NewServeMux()
+	mux.Handle("/debug/vars", expvar.Handler())
+	d.admin = &http.Server{Addr: d.config.Admin, Handler: mux, ReadHeaderTimeout: time.Second}
+	wait.Go(func() { _ = d.admin.ListenAndServe() })
+}
+
+func metricsOf(n *node.Node) map[string]any {
+	figures := map[string]any{}
+	n.Metrics().Do(func(kv expvar.KeyValue) {
+		if f, ok := kv.Value.(expvar.Func); ok {
+			figures[kv.Key] = f.Value()
+		}
+	})
+	return figures
+}
+
+func (d *Daemon) shutdown() {
+	ctx, cancel := context.WithTimeout(context.Background(), d.config.DrainTimeout)
+	defer cancel()
+	d.Node().Drain(ctx)
+	_ = d.http.Shutdown(ctx)
+	d.grpc.GracefulStop()
+	_ = d.peers.Close()
+	d.upstreams.Close()
+	if d.admin != nil {
+		_ = d.admin.Close()
+	}
+}
--- /dev/null
+++ b/devfleet/fleet.go
@@ -0,0 +1,202 @@
+package devfleet
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/juju/errors"
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/credentials/insecure"
+
+	operatorv1 "lavenderpin.dev/lavenderpin/api/operator/v1"
+	"lavenderpin.dev/lavenderpin/config"
+	"lavenderpin.dev/lavenderpin/daemon"
+	"lavenderpin.dev/lavenderpin/internal/standin"
+	"lavenderpin.dev/lavenderpin/node"
+	"lavenderpin.dev/lavenderpin/tlskeys"
+
+	"github.com/jonboulle/clockwork"
+)
+
+const (
+	// OperatorToken works on every node of a development fleet.
+	OperatorToken = "dev-operator"
+	keyValidity   = 365 * 24 * time.Hour
+	startTimeout  = 20 * time.Second
+	startPoll     = 20 * time.Millisecond
+	// devAddressLifetime keeps the stop of a development fleet short.
+	devAddressLifetime = 200 * time.Millisecond
+)
+
+// Place is where a node or an upstream stands.
+type Place struct{ Region, DataCentre string }
+
+// Options describes the fleet wanted.
+type Options struct {
+	Nodes   []Place
+	Engines []Place
+	Plain   []Place
+	Engine  standin.EngineOptions
+	// PlainDelay is how long each call of a plain service takes.
+	PlainDelay time.Duration
+	Logger     log.Logger
+	// Adjust changes a node's settings before it starts; may be nil.
+	Adjust func(*node.Settings)
+}
+
+// Fleet is a running development fleet.
+type Fleet struct {
+	Log       *standin.Log
+	Instances *standin.Instances
+	Daemons   []*daemon.Daemon
+	Engines   []*standin.Engine
+	Plain     []*standin.Service
+
+	EngineUpstreams []*operatorv1.Upstream
+	PlainUpstreams  []*operatorv1.Upstream
+
+	stops     []context.CancelFunc
+	nodes     sync.WaitGroup
+	upstreams sync.WaitGroup
+}
+
+// Start starts a fleet; Stop ends it.
+func Start(options Options) (*Fleet, error) {
+	f := &Fleet{Log: standin.NewLog(), Instances: standin.NewInstances()}
+	if err := f.startUpstreams(options); err != nil {
+		f.Stop()
+		return nil, errors.Trace(err)
+	}
+	authority, err := tlskeys.NewAuthority(time.Now(), keyValidity)
+	if err != nil {
+		return nil, errors.Trace(err)
+	}
+	for _, place := range options.Nodes {
+		if err := f.startNode(options, authority, place); err != nil {
+			f.Stop()
+			return nil, errors.Trace(err)
+		}
+	}
+	if err := f.awaitServing(); err != nil {
+		f.Stop()
+		return nil, errors.Trace(err)
+	}
+	return f, nil
+}
+
+func (f *Fleet) startUpstreams(options Options) error {
+	for i, place := range options.Engines {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			return errors.Trace(err)
+		}
+		engine := standin.NewEngine(listener, options.Engine)
+		f.Engines = append(f.Engines, engine)
+		f.EngineUpstreams = append(f.EngineUpstreams, declare(fmt.Sprintf("engine-%d", i), "chat", listener, place))
+		f.upstreams.Go(func() { _ = engine.Run() })
+	}
+	for i, place := range options.Plain {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			return errors.Trace(err)
+		}
+		service := standin.NewService(listener, options.PlainDelay)
+		f.Plain = append(f.Plain, service)
+		f.PlainUpstreams = append(f.PlainUpstreams, declare(fmt.Sprintf("plain-%d", i), "orders", listener, place))
+		f.upstreams.Go(func() { _ = service.Run() })
+	}
+	return nil
+}
+
+func declare(name, service string, listener net.Listener, place Place) *operatorv1.Upstream {
+	return &operatorv1.Upstream{Name: name, Service: service, Address: listener.Addr().String(),
+		Region: place.Region, DataCentre: place.DataCentre}
+}
+
+func (f *Fleet) startNode(options Options, authority tlskeys.Pair, place Place) error {
+	pair, err := authority.Issue(time.Now(), keyValidity)
+	if err != nil {
+		return errors.Trace(err)
+	}
+	peerTLS, err := tlskeys.Config(authority.Cert, pair)
+	if err != nil {
+		return errors.Trace(err)
+	}
+	settings := node.DefaultSettings()
+	settings.Region, settings.DataCentre = place.Region, place.DataCentre
+	settings.BootstrapTokenSHA256 = config.HashKey(OperatorToken)
+	for _, address := range []*string{&settings.PeerAddress, &settings.HTTPAddress, &settings.OperatorAddress} {
+		if *address, err = freeAddress(); err != nil {
+			return errors.Trace(err)
+		}
+	}
+	settings.AddressLifetime = devAddressLifetime
+	if options.Adjust != nil {
+		options.Adjust(&settings)
+	}
+	logger := options.Logger
+	if logger == nil {
+		logger = log.NewNopLogger()
+	}
+	d, err := daemon.New(daemon.Config{
+		Settings: settings, Log: f.Log, Instances: f.Instances,
+		Weights: standin.NewWeights(clockwork.NewRealClock(), time.Second),
+		PeerTLS: peerTLS, Logger: logger, DrainTimeout: time.Minute,
+	})
+	if err != nil {
+		return errors.Trace(err)
+	}
+	ctx, stop := context.WithCancel(context.Background())
+	f.Daemons = append(f.Daemons, d)
+	f.stops = append(f.stops, stop)
+	f.nodes.Go(func() { _ = d.Run(ctx) })
+	return nil
+}
+
+// freeAddress returns a loopback address whose TCP port was free a moment ago.
+func freeAddress() (string, error) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return "", errors.Trace(err)
+	}
+	defer func() { _ = listener.Close() }()
+	return listener.Addr().String(), nil
+}
+
+func (f *Fleet) awaitServing() error {
+	deadline := time.Now().Add(startTimeout)
+	for _, d := range f.Daemons {
+		for d.Node().State() != node.StateServing {
+			if time.Now().After(deadline) {
+				return errors.Errorf("node %s is still %s", d.Node().Incarnation(), d.Node().State())
+			}
+			time.Sleep(startPoll)
+		}
+	}
+	return nil
+}
+
+// Operator returns a connection to the operator API of a node.
+func (f *Fleet) Operator(i int) (*grpc.ClientConn, error) {
+	address := f.Daemons[i].Node().Settings().OperatorAddress
+	return grpc.NewClient("passthrough:///"+address, grpc.WithTransportCredentials(insecure.NewCredentials()))
+}
+
+// Stop ends all nodes gracefully and the stand-ins after them.
+func (f *Fleet) Stop() {
+	for _, stop := range f.stops {
+		stop()
+	}
+	f.nodes.Wait()
+	for _, engine := range f.Engines {
+		engine.Close()
+	}
+	for _, service := range f.Plain {
+		service.Close()
+	}
+	f.upstreams.Wait()
+}
--- /dev/null
+++ b/fold/engine.go
@@ -0,0 +1,68 @@
+package fold
+
+import (
+	recordv1 "lavenderpin.dev/lavenderpin/api/record/v1"
+	"lavenderpin.dev/lavenderpin/result"
+)
+
+// Engine applies batches to its parts in offset order. It isn't safe for
+// concurrent use: one goroutine folds, readers use the views the parts publish.
+type Engine struct {
+	parts   []Part
+	offset  uint64
+	lastSeq map[string]uint64
+}
+
+// NewEngine returns an engine at offset 0 over empty parts.
+func NewEngine(parts ...Part) *Engine {
+	return &Engine{parts: parts, lastSeq: map[string]uint64{}}
+}
+
+// Offset returns the offset of the last batch applied.
+func (e *Engine) Offset() uint64 { return e.offset }
+
+// LastSeq returns the last sequence folded for a writer.
+func (e *Engine) LastSeq(writer string) uint64 { return e.lastSeq[writer] }
+
+// Apply folds one batch and returns a verdict per entry. It returns nil for an
+// offset that was applied before: state never goes backwards, even when a peer
+// relays old records.
+//
+// A batch whose sequence isn't above the writer's last one is void as a whole.
+// Without this, a batch appended twice because the answer to the first append was
+// lost would take effect twice, which would show as money granted twice.
+func (e *Engine) Apply(offset uint64, batch *recordv1.Batch) []Verdict {
+	if offset <= e.offset {
+		return nil
+	}
+	e.offset = offset
+	at := Position{Offset: offset, Writer: batch.GetWriter()}
+	if batch.GetSeq() <= e.lastSeq[at.Writer] {
+		return e.void(at, batch)
+	}
+	e.lastSeq[at.Writer] = batch.GetSeq()
+	verdicts := make([]Verdict, 0, len(batch.GetEntries()))
+	for _, entry := range batch.GetEntries() {
+		verdicts = append(verdicts, e.applyEntry(at, entry))
+	}
+	return verdicts
+}
+
+func (e *Engine) void(at Position, batch *recordv1.Batch) []Verdict {
+	verdicts := make([]Verdict, len(batch.GetEntries()))
+	for i := range verdicts {
+		verdicts[i] = Refuse(at, result.StaleEntry, "the writer's sequence had passed")
+	}
+	return verdicts
+}
+
+func (e *Engine) applyEntry(at Position, entry *recordv1.Entry) Verdict {
+	for _, part := range e.parts {
+		if verdict, mine := part.Apply(at, entry); mine {
+			return verdict
+		}
+	}
+	// An entry of a newer version of the program, or one that only informs
+	// (snapshot chunks): no part of this version acts on it.
+	return Accept(at)
+}
--- /dev/null
+++ b/httpapi/doc.go
@@ -0,0 +1,7 @@
+// Package httpapi is how callers speak to a node over HTTP.
+//
+//	GET  /v1/addresses         which nodes to use, and for how long
+//	POST /v1/chat/completions  a completion, whole or as an event stream
+//	ANY  /s/{service}/...      a call of a plain service
+//	GET  /healthz              whether the node serves
+package httpapi
--- /dev/null
+++ b/httpapi/server.go
@@ -0,0 +1,136 @@
+package httpapi
+
+import (
+	"context"
+	"net"
+	"strings"
+	"time"
+
+	"github.com/cloudwego/hertz/pkg/app"
+	"github.com/cloudwego/hertz/pkg/app/server"
+
+	"lavenderpin.dev/lavenderpin/event"
+	"lavenderpin.dev/lavenderpin/membership"
+	"lavenderpin.dev/lavenderpin/request"
+	"lavenderpin.dev/lavenderpin/result"
+)
+
+// Node is what the API needs of a node.
+type Node interface {
+	Requests() *request.Server
+	Addresses() ([]membership.Address, time.Duration)
+	Events() *event.Recorder
+	Serving() error
+}
+
+// Server serves callers over HTTP.
+type Server struct {
+	node  func() Node
+	hertz *server.Hertz
+}
+
+// New returns a server on the listener. node is asked for each request, since a
+// daemon replaces its node when the fleet closes the incarnation.
+func New(listener net.Listener, node func() Node) *Server {
+	s := &Server{node: node}
+	s.hertz = server.New(
+		server.WithListener(listener),
+		server.WithMaxRequestBodySize(request.MaxBody),
+		server.WithSenseClientDisconnection(true),
+		server.WithDisablePrintRoute(true),
+		server.WithExitWaitTime(time.Second),
+	)
+	s.hertz.Use(s.recoverPanic)
+	s.hertz.GET("/healthz", s.health)
+	s.hertz.GET("/v1/addresses", s.addresses)
+	s.hertz.POST("/v1/chat/completions", s.chat)
+	s.hertz.Any("/s/:service/*path", s.call)
+	return s
+}
+
+// Run serves until Shutdown.
+func (s *Server) Run() error { return s.hertz.Run() }
+
+// Shutdown stops taking connections and waits for those that run.
+func (s *Server) Shutdown(ctx context.Context) error { return s.hertz.Shutdown(ctx) }
+
+// recoverPanic keeps a defect in one request from ending the node, which would cut
+// every other answer on it.
+func (s *Server) recoverPanic(ctx context.Context, c *app.RequestContext) {
+	defer func() {
+		if defect := recover(); defect != nil {
+			s.node().Events().Record(event.PanicRecovered, "path", string(c.Path()), "why", defect)
+			writeError(c, result.New(result.InternalError, "a defect in this node"))
+		}
+	}()
+	c.Next(ctx)
+}
+
+func (s *Server) health(_ context.Context, c *app.RequestContext) {
+	if err := s.node().Serving(); err != nil {
+		writeError(c, err)
+		return
+	}
+	c.String(200, "serving\n")
+}
+
+func (s *Server) addresses(_ context.Context, c *app.RequestContext) {
+	list, lifetime := s.node().Addresses()
+	s.node().Events().Record(event.AddressesHandedOut, "count", len(list))
+	c.JSON(200, map[string]any{"addresses": list, "ttl_seconds": lifetime.Seconds()})
+}
+
+func (s *Server) chat(ctx context.Context, c *app.RequestContext) {
+	if err := s.node().Serving(); err != nil {
+		writeError(c, err)
+		return
+	}
+	body := c.Request.Body()
+	call := request.ChatCall{Key: bearer(c), Body: append([]byte(nil), body...)}
+	sink := newChatSink(c, wantsStream(body))
+	sink.finish(s.node().Requests().Chat(ctx, call, sink))
+}
+
+func (s *Server) call(ctx context.Context, c *app.RequestContext) {
+	if err := s.node().Serving(); err != nil {
+		writeError(c, err)
+		return
+	}
+	answer, err := s.node().Requests().Call(ctx, request.ServiceCall{
+		Key: bearer(c), Service: c.Param("service"), Method: string(c.Method()), Path: callPath(c),
+		Headers: callHeaders(c), Body: append([]byte(nil), c.Request.Body()...),
+		IdempotencyKey: string(c.GetHeader("Idempotency-Key")),
+	})
+	if err != nil {
+		writeError(c, err)
+		return
+	}
+	c.Data(answer.Status, answer.ContentType, answer.Body)
+}
+
+func callPath(c *app.RequestContext) string {
+	path := "/" + strings.TrimPrefix(c.Param("path"), "/")
+	if query := string(c.Request.URI().QueryString()); query != "" {
+		path += "?" + query
+	}
+	return path
+}
+
+// callHeaders returns the headers that a plain service gets to see.
+func callHeaders(c *app.RequestContext) map[string]string {
+	headers := map[string]string{}
+	for _, name := range []string{"Content-Type", "Accept"} {
+		if value := string(c.GetHeader(name)); value != "" {
+			headers[name] = value
+		}
+	}
+	return headers
+}
+
+func bearer(c *app.RequestContext) string {
+	key, found := strings.CutPrefix(string(c.GetHeader("Authorization")), "Bearer ")
+	if !found {
+		return ""
+	}
+	return key
+}
--- /dev/null
+++ b/internal/standin/server.go
@@ -0,0 +1,22 @@
+package standin
+
+import (
+	"net"
+	"time"
+
+	"github.com/cloudwego/hertz/pkg/app/server"
+	"github.com/cloudwego/hertz/pkg/network/standard"
+)
+
+const maxBody = 8 << 20
+
+func newServer(listener net.Listener) *server.Hertz {
+	return server.New(
+		server.WithListener(listener),
+		server.WithTransport(standard.NewTransporter),
+		server.WithMaxRequestBodySize(maxBody),
+		server.WithDisablePrintRoute(true),
+		server.WithExitWaitTime(100*time.Millisecond),
+		server.WithDisableDefaultDate(true),
+	)
+}
--- /dev/null
+++ b/journal/ticket.go
@@ -0,0 +1,53 @@
+package journal
+
+import (
+	"context"
+	"sync/atomic"
+
+	recordv1 "lavenderpin.dev/lavenderpin/api/record/v1"
+	"lavenderpin.dev/lavenderpin/fold"
+	"lavenderpin.dev/lavenderpin/result"
+)
+
+// Ticket follows one submitted entry to its verdict.
+type Ticket struct {
+	entry   *recordv1.Entry
+	verdict chan fold.Verdict
+	state   atomic.Int32
+}
+
+const (
+	ticketWaiting int32 = iota
+	ticketSent
+	ticketWithdrawn
+)
+
+func newTicket(entry *recordv1.Entry) *Ticket {
+	return &Ticket{entry: entry, verdict: make(chan fold.Verdict, 1)}
+}
+
+// Withdraw takes the entry back; true means that it never left this node, so that
+// "nothing was changed" is the truth. False means that it may take effect yet.
+func (t *Ticket) Withdraw() bool {
+	return t.state.CompareAndSwap(ticketWaiting, ticketWithdrawn) || t.state.Load() == ticketWithdrawn
+}
+
+// send claims the entry for a batch; false when it was withdrawn.
+func (t *Ticket) send() bool { return t.state.CompareAndSwap(ticketWaiting, ticketSent) }
+
+// Done delivers the verdict once.
+func (t *Ticket) Done() <-chan fold.Verdict { return t.verdict }
+
+// Wait returns the verdict. When ctx ends first it fails with LogUnavailable if
+// the entry never left this node, and with ChangeOutcomeOpen otherwise.
+func (t *Ticket) Wait(ctx context.Context) (fold.Verdict, error) {
+	select {
+	case verdict := <-t.verdict:
+		return verdict, nil
+	case <-ctx.Done():
+	}
+	if t.Withdraw() {
+		return fold.Verdict{}, result.New(result.LogUnavailable, "the log took no append; nothing was changed")
+	}
+	return fold.Verdict{}, result.New(result.ChangeOutcomeOpen, "the log has not shown the entry yet")
+}
--- /dev/null
+++ b/journal/writer.go
@@ -0,0 +1,196 @@
+package journal
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cenkalti/backoff/v5"
+	"github.com/jonboulle/clockwork"
+	"google.golang.org/protobuf/proto"
+
+	recordv1 "lavenderpin.dev/lavenderpin/api/record/v1"
+	"lavenderpin.dev/lavenderpin/event"
+	"lavenderpin.dev/lavenderpin/fold"
+	"lavenderpin.dev/lavenderpin/platform"
+)
+
+const (
+	// maxBatchEntries bounds one append.
+	maxBatchEntries = 2048
+	// appendTimeout is how long one append may take before it is tried again.
+	appendTimeout = 5 * time.Second
+	maxBackoff    = 2 * time.Second
+)
+
+// Writer appends the entries of one incarnation, one batch at a time. All methods
+// are safe for concurrent use.
+type Writer struct {
+	log    platform.Log
+	stream string
+	writer string
+	clock  clockwork.Clock
+	hlc    *event.HLC
+	gather time.Duration
+
+	wake    chan struct{}
+	folded  chan struct{}
+	sources []func() []*recordv1.Entry
+
+	mu      sync.Mutex
+	waiting []*Ticket
+	seq     uint64
+	pending map[uint64][]*Ticket
+	read    uint64
+
+	appends atomic.Uint64
+	failing atomic.Bool
+}
+
+// NewWriter returns a writer that appends to a stream as an incarnation and
+// gathers entries for the given time before each append.
+func NewWriter(log platform.Log, stream, incarnation string, clock clockwork.Clock, hlc *event.HLC, gather time.Duration) *Writer {
+	return &Writer{
+		log: log, stream: stream, writer: incarnation, clock: clock, hlc: hlc, gather: gather,
+		wake: make(chan struct{}, 1), folded: make(chan struct{}, 1), pending: map[uint64][]*Ticket{},
+	}
+}
+
+// AddSource registers a function that contributes entries whenever a batch is
+// built. It must be called before Run.
+func (w *Writer) AddSource(source func() []*recordv1.Entry) { w.sources = append(w.sources, source) }
+
+// Submit queues an entry.
+func (w *Writer) Submit(entry *recordv1.Entry) *Ticket {
+	ticket := newTicket(entry)
+	w.mu.Lock()
+	w.waiting = append(w.waiting, ticket)
+	w.mu.Unlock()
+	w.Wake()
+	return ticket
+}
+
+// Wake makes the writer build a batch soon, for sources that have something.
+func (w *Writer) Wake() {
+	select {
+	case w.wake <- struct{}{}:
+	default:
+	}
+}
+
+// Appends returns how many appends were tried.
+func (w *Writer) Appends() uint64 { return w.appends.Load() }
+
+// Failing tells whether the last append failed.
+func (w *Writer) Failing() bool { return w.failing.Load() }
+
+// Run appends batches until ctx ends.
+func (w *Writer) Run(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-w.wake:
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-w.clock.After(w.gather):
+		}
+		if batch := w.build(); batch != nil {
+			w.appendUntilKnown(ctx, batch)
+		}
+	}
+}
+
+func (w *Writer) build() *recordv1.Batch {
+	w.mu.Lock()
+	tickets := w.waiting
+	w.waiting = nil
+	if len(tickets) > maxBatchEntries {
+		w.waiting = append(w.waiting, tickets[maxBatchEntries:]...)
+		tickets = tickets[:maxBatchEntries]
+	}
+	again := len(w.waiting) > 0
+	w.mu.Unlock()
+	if again {
+		w.Wake()
+	}
+
+	var sent []*Ticket
+	var entries []*recordv1.Entry
+	for _, t := range tickets {
+		if t.send() {
+			sent = append(sent, t)
+			entries = append(entries, t.entry)
+		}
+	}
+	for _, source := range w.sources {
+		entries = append(entries, source()...)
+	}
+	if len(entries) == 0 {
+		return nil
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.seq++
+	w.pending[w.seq] = sent
+	return &recordv1.Batch{Writer: w.writer, Seq: w.seq, Hlc: uint64(w.hlc.Now()), Entries: entries}
+}
+
+// appendUntilKnown appends the batch until an append is answered or the batch was
+// read back. An append whose answer is lost may have taken effect; appending it
+// again under the same sequence is harmless, since the fold voids the second.
+// Going on to the next sequence before this one is known would be harmful: the
+// fold would void this batch, and its settlements would go unbilled.
+func (w *Writer) appendUntilKnown(ctx context.Context, batch *recordv1.Batch) {
+	data, err := proto.Marshal(batch)
+	if err != nil {
+		panic(err) // generated messages always marshal
+	}
+	pause := backoff.NewExponentialBackOff()
+	pause.InitialInterval = 50 * time.Millisecond
+	pause.MaxInterval = maxBackoff
+	for ctx.Err() == nil && !w.wasRead(batch.GetSeq()) {
+		w.appends.Add(1)
+		attempt, cancel := context.WithTimeout(ctx, appendTimeout)
+		_, err := w.log.Append(attempt, w.stream, data)
+		cancel()
+		w.failing.Store(err != nil)
+		if err == nil {
+			return
+		}
+		select {
+		case <-ctx.Done():
+		case <-w.folded:
+		case <-w.clock.After(pause.NextBackOff()):
+		}
+	}
+}
+
+func (w *Writer) wasRead(seq uint64) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.read >= seq
+}
+
+// Folded delivers the verdicts of a batch that the Follower folded. Batches of
+// other writers and void repetitions are passed over.
+func (w *Writer) Folded(batch *recordv1.Batch, verdicts []fold.Verdict) {
+	if batch.GetWriter() != w.writer {
+		return
+	}
+	w.mu.Lock()
+	tickets := w.pending[batch.GetSeq()]
+	delete(w.pending, batch.GetSeq())
+	w.read = max(w.read, batch.GetSeq())
+	w.mu.Unlock()
+	for i, ticket := range tickets {
+		ticket.verdict <- verdicts[i]
+	}
+	select {
+	case w.folded <- struct{}{}:
+	default:
+	}
+}
--- /dev/null
+++ b/node/heartbeat.go
@@ -0,0 +1,59 @@
+package node
+
+import (
+	"context"
+
+	recordv1 "lavenderpin.dev/lavenderpin/api/record/v1"
+	"lavenderpin.dev/lavenderpin/event"
+	"lavenderpin.dev/lavenderpin/result"
+)
+
+// heartbeats renews the node's right to spend through the log. The next heartbeat
+// waits for the verdict on the one before, so that an outage leaves one in the
+// queue and not thousands.
+func (n *Node) heartbeats(ctx context.Context) {
+	for number := uint64(1); ctx.Err() == nil; number++ {
+		started := n.deps.Clock.Now()
+		ticket := n.writer.Submit(&recordv1.Entry{Body: &recordv1.Entry_Heartbeat{Heartbeat: &recordv1.NodeHeartbeat{
+			Node: n.info, Number: number, RightMs: uint64(n.settings.SpendRight.Milliseconds()),
+			Draining: n.State() == StateDraining,
+		}}})
+		select {
+		case <-ctx.Done():
+			return
+		case verdict := <-ticket.Done():
+			if verdict.Code == result.IncarnationClosed {
+				n.close()
+				return
+			}
+			// Counted from before the append: whoever closes this incarnation
+			// counts from when it read the heartbeat, which is later.
+			n.holder.ExtendRight(started.Add(n.settings.SpendRight))
+			if number == 1 {
+				n.events.Record(event.IncarnationOpened, "incarnation", n.Incarnation(), "offset", verdict.Offset)
+				n.ready()
+			}
+		}
+		select {
+		case <-ctx.Done():
+		case <-n.deps.Clock.After(n.settings.HeartbeatInterval):
+		}
+	}
+}
+
+// ready lets the node serve: its first heartbeat is folded, so it holds the
+// configuration up to there.
+func (n *Node) ready() {
+	if n.State() == StateStarting {
+		n.fire(triggerReady)
+	}
+}
+
+// settlements contributes what was settled since the last batch.
+func (n *Node) settlements() []*recordv1.Entry {
+	batch := n.holder.Settlements()
+	if batch == nil {
+		return nil
+	}
+	return []*recordv1.Entry{{Body: &recordv1.Entry_Settlements{Settlements: batch}}}
+}
--- /dev/null
+++ b/node/lifecycle.go
@@ -0,0 +1,66 @@
+package node
+
+import (
+	"context"
+
+	"github.com/qmuntal/stateless"
+
+	"lavenderpin.dev/lavenderpin/event"
+)
+
+// State is a state of a node's life.
+type State string
+
+// The states of a node's life.
+const (
+	StateStarting State = "starting"
+	StateServing  State = "serving"
+	StateDraining State = "draining"
+	StateStopped  State = "stopped"
+	StateClosed   State = "closed"
+)
+
+type trigger string
+
+const (
+	triggerReady trigger = "ready"
+	triggerDrain trigger = "drain"
+	triggerStop  trigger = "stop"
+	triggerClose trigger = "close"
+)
+
+// newLifecycle returns the state machine of a node. A node that learned that the
+// fleet closed its incarnation never serves again; the daemon starts a new one.
+func newLifecycle(events *event.Recorder) *stateless.StateMachine {
+	m := stateless.NewStateMachine(StateStarting)
+	record := func(number event.Number) stateless.ActionFunc {
+		return func(context.Context, ...any) error {
+			events.Record(number)
+			return nil
+		}
+	}
+	m.Configure(StateStarting).
+		Permit(triggerReady, StateServing).
+		Permit(triggerDrain, StateDraining).
+		Permit(triggerClose, StateClosed).
+		Permit(triggerStop, StateStopped)
+	m.Configure(StateServing).
+		OnEntry(record(event.NodeServing)).
+		Permit(triggerDrain, StateDraining).
+		Permit(triggerClose, StateClosed).
+		Permit(triggerStop, StateStopped)
+	m.Configure(StateDraining).
+		OnEntry(record(event.NodeDraining)).
+		Permit(triggerClose, StateClosed).
+		Permit(triggerStop, StateStopped).
+		Ignore(triggerReady).
+		Ignore(triggerDrain)
+	m.Configure(StateClosed).
+		OnEntry(record(event.NodeClosed)).
+		Permit(triggerStop, StateStopped).
+		Ignore(triggerReady).Ignore(triggerDrain).Ignore(triggerClose)
+	m.Configure(StateStopped).
+		OnEntry(record(event.NodeStopped)).
+		Ignore(triggerReady).Ignore(triggerDrain).Ignore(triggerClose).Ignore(triggerStop)
+	return m
+}
--- /dev/null
+++ b/node/metrics.go
@@ -0,0 +1,17 @@
+package node
+
+import "expvar"
+
+// newMetrics returns the node's map of figures, read when asked.
+func (n *Node) newMetrics() *expvar.Map {
+	m := new(expvar.Map).Init()
+	m.Set("incarnation", expvar.Func(func() any { return n.Incarnation() }))
+	m.Set("state", expvar.Func(func() any { return n.State() }))
+	m.Set("config_offset", expvar.Func(func() any { return n.Offset() }))
+	m.Set("requests_in_flight", expvar.Func(func() any { return n.requests.InFlight() }))
+	m.Set("log_appends", expvar.Func(func() any { return n.writer.Appends() }))
+	m.Set("spend_right_left_ms", expvar.Func(func() any { return n.holder.RightLeft().Milliseconds() }))
+	m.Set("open_reservations", expvar.Func(func() any { return n.holder.Open() }))
+	m.Set("excess_tokens", expvar.Func(func() any { return n.ledger.Excess() }))
+	return m
+}
--- /dev/null
+++ b/node/node.go
@@ -0,0 +1,213 @@
+package node
+
+import (
+	"context"
+	"expvar"
+	"sync"
+	"time"
+
+	"github.com/juju/errors"
+	"github.com/qmuntal/stateless"
+
+	fleetv1 "lavenderpin.dev/lavenderpin/api/fleet/v1"
+	operatorv1 "lavenderpin.dev/lavenderpin/api/operator/v1"
+	recordv1 "lavenderpin.dev/lavenderpin/api/record/v1"
+	"lavenderpin.dev/lavenderpin/budget"
+	"lavenderpin.dev/lavenderpin/config"
+	"lavenderpin.dev/lavenderpin/event"
+	"lavenderpin.dev/lavenderpin/fold"
+	"lavenderpin.dev/lavenderpin/journal"
+	"lavenderpin.dev/lavenderpin/membership"
+	"lavenderpin.dev/lavenderpin/request"
+	"lavenderpin.dev/lavenderpin/routing"
+)
+
+// ErrClosed tells that the fleet closed the node's incarnation. The daemon starts
+// a new one in its place.
+var ErrClosed = errors.New("the fleet closed this incarnation")
+
+// Node is one incarnation of a node.
+type Node struct {
+	settings Settings
+	deps     Deps
+	info     *recordv1.NodeInfo
+
+	events    *event.Recorder
+	lifecycle *stateless.StateMachine
+	config    *config.State
+	watchers  *watchers
+	ledger    *budget.Ledger
+	holder    *budget.Holder
+	reserver  *budget.Reserver
+	writer    *journal.Writer
+	follower  *journal.Follower
+	members   *membership.Members
+	requests  *request.Server
+	metrics   *expvar.Map
+
+	closed chan struct{}
+	once   sync.Once
+}
+
+// New assembles a node; Run brings it to life.
+func New(settings Settings, deps Deps) (*Node, error) {
+	if err := settings.Validate(); err != nil {
+		return nil, errors.Trace(err)
+	}
+	n := &Node{settings: settings, deps: deps, watchers: newWatchers(), closed: make(chan struct{})}
+	n.info = &recordv1.NodeInfo{
+		Incarnation:     deps.NewIncarnation(),
+		PeerAddress:     settings.PeerAddress,
+		HttpAddress:     settings.HTTPAddress,
+		OperatorAddress: settings.OperatorAddress,
+		Region:          settings.Region,
+		DataCentre:      settings.DataCentre,
+	}
+	hlc := event.NewHLC(deps.Clock)
+	n.events = event.NewRecorder(hlc, n.info.GetIncarnation(), settings.EventMemory, deps.Logger)
+	n.lifecycle = newLifecycle(n.events)
+	n.config = config.NewState(n.configInForce)
+	n.ledger = budget.NewLedger()
+	n.holder = budget.NewHolder(n.info.GetIncarnation(), deps.Clock)
+	n.writer = journal.NewWriter(deps.Log, settings.Stream, n.info.GetIncarnation(), deps.Clock, hlc, settings.Gather)
+	n.writer.AddSource(n.settlements)
+	n.reserver = budget.NewReserver(n.holder, n.ledger, n.writer, n.events, settings.ClaimChunk)
+	engine := fold.NewEngine(n.config, n.ledger)
+	n.follower = journal.NewFollower(deps.Log, settings.Stream, deps.Clock, engine, n.folded)
+	n.members = membership.NewMembers(n.info, deps.Clock, deps.Peers, n.events, n.openNodes, n.view)
+	n.requests = &request.Server{
+		Config: n.config.View, Reserver: n.reserver, Picker: &routing.LeastInFlight{},
+		Client: deps.Upstreams, Events: n.events, Clock: deps.Clock, Region: settings.Region,
+	}
+	n.metrics = n.newMetrics()
+	return n, nil
+}
+
+// Incarnation returns the node's name, which no other run ever has.
+func (n *Node) Incarnation() string { return n.info.GetIncarnation() }
+
+// Info returns how others reach the node.
+func (n *Node) Info() *recordv1.NodeInfo { return n.info }
+
+// Requests returns the server that runs callers' requests.
+func (n *Node) Requests() *request.Server { return n.requests }
+
+// Events returns the node's event recorder.
+func (n *Node) Events() *event.Recorder { return n.events }
+
+// Ledger returns the budgets as this node folds them.
+func (n *Node) Ledger() *budget.Ledger { return n.ledger }
+
+// Config returns the configuration in force on this node.
+func (n *Node) Config() *config.View { return n.config.View() }
+
+// Offset returns the highest log offset that this node has folded.
+func (n *Node) Offset() uint64 { return n.follower.Offset() }
+
+// Metrics returns the node's map; only daemons publish it.
+func (n *Node) Metrics() *expvar.Map { return n.metrics }
+
+// Settings returns what the node was told.
+func (n *Node) Settings() Settings { return n.settings }
+
+// Journal returns the node's writer to the log.
+func (n *Node) Journal() *journal.Writer { return n.writer }
+
+// State returns where the node is in its life.
+func (n *Node) State() State { return n.lifecycle.MustState().(State) }
+
+// Run lives until ctx ends, which is an abrupt end, or until the fleet closes the
+// incarnation, which fails with ErrClosed.
+func (n *Node) Run(ctx context.Context) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	n.events.Record(event.NodeStarting, "region", n.settings.Region, "data_centre", n.settings.DataCentre)
+	var wait sync.WaitGroup
+	for _, loop := range []func(context.Context){n.writer.Run, n.follower.Run, n.heartbeats, n.members.Run, n.flushSettlements} {
+		wait.Go(func() { loop(ctx) })
+	}
+	defer wait.Wait()
+	defer cancel()
+	select {
+	case <-ctx.Done():
+		return nil
+	case <-n.closed:
+		return ErrClosed
+	}
+}
+
+// folded is told of each batch in offset order, in the folding goroutine.
+func (n *Node) folded(_ uint64, batch *recordv1.Batch, verdicts []fold.Verdict) {
+	n.events.Clock().Observe(event.Stamp(batch.GetHlc()))
+	n.reserver.Folded(batch, verdicts)
+	n.recordFolded(batch, verdicts)
+	n.writer.Folded(batch, verdicts)
+}
+
+func (n *Node) recordFolded(batch *recordv1.Batch, verdicts []fold.Verdict) {
+	for i, verdict := range verdicts {
+		switch body := batch.GetEntries()[i].GetBody().(type) {
+		case *recordv1.Entry_TopUp:
+			n.events.Record(event.TopUpInForce, "top_up", body.TopUp.GetTopUp().GetId(), "budget", body.TopUp.GetTopUp().GetBudget(),
+				"tokens", body.TopUp.GetTopUp().GetTokens(), "operator", body.TopUp.GetOperator(), "offset", verdict.Offset)
+		case *recordv1.Entry_Config:
+			number := event.ConfigAccepted
+			if !verdict.OK() {
+				number = event.ConfigRefused
+			}
+			n.events.Record(number, "change", body.Config.GetChangeId(), "operator", body.Config.GetOperator(), "offset", verdict.Offset)
+		case *recordv1.Entry_Close:
+			if verdict.OK() {
+				n.events.Record(event.IncarnationClosed, "incarnation", body.Close.GetIncarnation(), "why", body.Close.GetReason())
+			}
+		}
+	}
+}
+
+func (n *Node) configInForce(r *operatorv1.VersionedResource) {
+	key, _ := config.KeyOf(r.GetResource())
+	n.events.Record(event.ConfigInForce, "resource", key, "version", r.GetVersion())
+	n.watchers.tell(r)
+}
+
+func (n *Node) fire(t trigger) {
+	if err := n.lifecycle.Fire(t); err != nil {
+		n.events.Record(event.PanicRecovered, "why", err)
+	}
+}
+
+// close ends the node after it learned that the log holds it closed.
+func (n *Node) close() {
+	n.holder.RevokeRight()
+	n.once.Do(func() {
+		n.fire(triggerClose)
+		close(n.closed)
+	})
+}
+
+// openNodes lists the nodes that the log holds open.
+func (n *Node) openNodes() []*recordv1.NodeInfo {
+	var nodes []*recordv1.NodeInfo
+	for _, i := range n.ledger.Incarnations() {
+		if !i.Closed {
+			nodes = append(nodes, i.Node)
+		}
+	}
+	return nodes
+}
+
+// view describes this node to others.
+func (n *Node) view() *fleetv1.PeerView {
+	return &fleetv1.PeerView{
+		Node:         n.info,
+		Draining:     n.State() != StateServing,
+		InFlight:     uint32(n.requests.InFlight()),
+		ConfigOffset: n.Offset(),
+	}
+}
+
+// Addresses returns the nodes that callers should use, and for how long.
+func (n *Node) Addresses() ([]membership.Address, time.Duration) {
+	serves := n.State() == StateServing
+	return n.members.Addresses(serves, uint32(n.requests.InFlight())), n.settings.AddressLifetime
+}
--- /dev/null
+++ b/node/peers.go
@@ -0,0 +1,41 @@
+package node
+
+import (
+	"context"
+
+	fleetv1 "lavenderpin.dev/lavenderpin/api/fleet/v1"
+	operatorv1 "lavenderpin.dev/lavenderpin/api/operator/v1"
+	"lavenderpin.dev/lavenderpin/event"
+	"lavenderpin.dev/lavenderpin/result"
+)
+
+// HandlePeer answers another node; it is a peer.Handler.
+func (n *Node) HandlePeer(_ context.Context, r *fleetv1.Request) *fleetv1.Response {
+	n.events.Clock().Observe(event.Stamp(r.GetHlc()))
+	response := &fleetv1.Response{}
+	switch body := r.GetBody().(type) {
+	case *fleetv1.Request_Ping:
+		for _, view := range body.Ping.GetViews() {
+			n.members.Heard(view)
+		}
+		response.Body = &fleetv1.Response_Pong{Pong: &fleetv1.Pong{Views: []*fleetv1.PeerView{n.view()}}}
+	case *fleetv1.Request_EventsGather:
+		response.Body = &fleetv1.Response_Events{Events: n.localEvents(body.EventsGather.GetId())}
+	default:
+		response.Code = uint32(result.MalformedRequest)
+		response.Message = "this node doesn't know the request"
+	}
+	response.Hlc = uint64(n.events.Clock().Now())
+	return response
+}
+
+func (n *Node) localEvents(id string) *operatorv1.EventsResponse {
+	events, dropped := n.events.Since(id)
+	answer := &operatorv1.EventsResponse{Dropped: dropped}
+	for _, e := range events {
+		answer.Events = append(answer.Events, &operatorv1.Event{
+			Hlc: uint64(e.Stamp), Node: e.Node, Number: uint32(e.Number), Name: e.Number.Kind().Name, Fields: e.Fields,
+		})
+	}
+	return answer
+}
--- /dev/null
+++ b/node/settings.go
@@ -0,0 +1,80 @@
+package node
+
+import (
+	"net"
+	"strings"
+	"time"
+
+	"github.com/juju/errors"
+)
+
+// Settings are what one node is told about itself.
+type Settings struct {
+	Region     string
+	DataCentre string
+	// The addresses, IP and port, at which others reach this node.
+	PeerAddress     string
+	HTTPAddress     string
+	OperatorAddress string
+	// Stream is the log stream that the fleet folds.
+	Stream string
+	// HeartbeatInterval is the time between two heartbeats in the log.
+	HeartbeatInterval time.Duration
+	// SpendRight is how long the node may spend after its last heartbeat in the log.
+	SpendRight time.Duration
+	// Gather is how long entries are gathered before each append.
+	Gather time.Duration
+	// ClaimChunk is the least number of tokens claimed from a budget's pool at a time.
+	ClaimChunk uint64
+	// AddressLifetime is how long callers may keep an address handed out. A draining
+	// node serves at least this long after it stopped being handed out.
+	AddressLifetime time.Duration
+	// EventMemory is how many events are kept for the time line.
+	EventMemory int
+	// BootstrapTokenSHA256 admits an operator before any operator token exists.
+	BootstrapTokenSHA256 string
+}
+
+// DefaultSettings returns settings with all durations and sizes filled in.
+func DefaultSettings() Settings {
+	return Settings{
+		Stream:            "fleet",
+		HeartbeatInterval: 5 * time.Second,
+		SpendRight:        30 * time.Minute,
+		Gather:            20 * time.Millisecond,
+		ClaimChunk:        20_000,
+		AddressLifetime:   10 * time.Second,
+		EventMemory:       20_000,
+	}
+}
+
+// Validate returns all mistakes at once.
+func (s Settings) Validate() error {
+	var mistakes []string
+	require := func(ok bool, text string) {
+		if !ok {
+			mistakes = append(mistakes, text)
+		}
+	}
+	require(s.Region != "", "region is empty")
+	require(s.DataCentre != "", "data centre is empty")
+	require(s.Stream != "", "stream is empty")
+	require(isIPPort(s.PeerAddress), "peer address isn't IP:port")
+	require(isIPPort(s.HTTPAddress), "HTTP address isn't IP:port")
+	require(isIPPort(s.OperatorAddress), "operator address isn't IP:port")
+	require(s.HeartbeatInterval > 0, "heartbeat interval isn't positive")
+	require(s.SpendRight > 2*s.HeartbeatInterval, "spend right isn't above two heartbeat intervals")
+	require(s.Gather >= 0, "gather time is negative")
+	require(s.ClaimChunk > 0, "claim chunk is zero")
+	require(s.AddressLifetime > 0, "address lifetime isn't positive")
+	require(s.EventMemory > 0, "event memory is zero")
+	if len(mistakes) > 0 {
+		return errors.Errorf("settings: %s", strings.Join(mistakes, "; "))
+	}
+	return nil
+}
+
+func isIPPort(address string) bool {
+	host, port, err := net.SplitHostPort(address)
+	return err == nil && net.ParseIP(host) != nil && port != ""
+}
--- /dev/null
+++ b/node/timeline.go
@@ -0,0 +1,41 @@
+package node
+
+import (
+	"context"
+	"sort"
+	"time"
+
+	fleetv1 "lavenderpin.dev/lavenderpin/api/fleet/v1"
+	operatorv1 "lavenderpin.dev/lavenderpin/api/operator/v1"
+	"lavenderpin.dev/lavenderpin/event"
+)
+
+const gatherTimeout = 2 * time.Second
+
+// Timeline returns the events that carry id, of this node or of all that it
+// reaches, in the order of the hybrid logical clock.
+func (n *Node) Timeline(ctx context.Context, id string, fleet bool) *operatorv1.EventsResponse {
+	all := n.localEvents(id)
+	if fleet {
+		for _, member := range n.members.All() {
+			n.gather(ctx, member.Node.GetPeerAddress(), id, all)
+		}
+	}
+	sort.SliceStable(all.Events, func(i, j int) bool { return all.Events[i].GetHlc() < all.Events[j].GetHlc() })
+	return all
+}
+
+func (n *Node) gather(ctx context.Context, address, id string, into *operatorv1.EventsResponse) {
+	ctx, cancel := context.WithTimeout(ctx, gatherTimeout)
+	defer cancel()
+	answer, err := n.deps.Peers.Call(ctx, address, &fleetv1.Request{
+		From: n.Incarnation(), Hlc: uint64(n.events.Clock().Now()),
+		Body: &fleetv1.Request_EventsGather{EventsGather: &fleetv1.EventsGather{Id: id}},
+	})
+	if err != nil {
+		return
+	}
+	n.events.Clock().Observe(event.Stamp(answer.GetHlc()))
+	into.Events = append(into.Events, answer.GetEvents().GetEvents()...)
+	into.Dropped += answer.GetEvents().GetDropped()
+}
--- /dev/null
+++ b/request/server.go
@@ -0,0 +1,68 @@
+package request
+
+import (
+	"context"
+	"sync/atomic"
+
+	"github.com/jonboulle/clockwork"
+
+	operatorv1 "lavenderpin.dev/lavenderpin/api/operator/v1"
+	"lavenderpin.dev/lavenderpin/budget"
+	"lavenderpin.dev/lavenderpin/config"
+	"lavenderpin.dev/lavenderpin/event"
+	"lavenderpin.dev/lavenderpin/result"
+	"lavenderpin.dev/lavenderpin/routing"
+	"lavenderpin.dev/lavenderpin/upstream"
+)
+
+// Reserver covers a request's worst case; budget.Reserver is one.
+type Reserver interface {
+	Reserve(ctx context.Context, budget string, tokens uint64) (budget.Grant, error)
+}
+
+// Server runs requests on one node. It is safe for concurrent use.
+type Server struct {
+	Config   func() *config.View
+	Reserver Reserver
+	Picker   routing.Picker
+	Client   upstream.Client
+	Events   *event.Recorder
+	Clock    clockwork.Clock
+	Region   string
+
+	inFlight atomic.Int64
+}
+
+// InFlight returns how many requests run now.
+func (s *Server) InFlight() int64 { return s.inFlight.Load() }
+
+// authenticate finds the client account of a caller's key.
+func (s *Server) authenticate(view *config.View, key string) (*operatorv1.Account, error) {
+	account := view.AccountByKey(key)
+	if key == "" || account == nil {
+		return nil, result.New(result.UnknownKey, "the key belongs to no client account")
+	}
+	return account, nil
+}
+
+// reserve finds the budget of an account for a service and reserves tokens of it.
+func (s *Server) reserve(ctx context.Context, view *config.View, account, service string, tokens uint64) (budget.Grant, error) {
+	name := view.Budget(account, service)
+	if name == "" {
+		return nil, result.New(result.NoBudget, "account %s has no budget for service %s", account, service)
+	}
+	grant, err := s.Reserver.Reserve(ctx, name, tokens)
+	if err != nil {
+		return nil, err
+	}
+	s.Events.Record(event.RequestAdmitted, "request", grant.Request(), "account", account, "budget", name, "tokens", tokens)
+	return grant, nil
+}
+
+// refused records a refusal and passes it on.
+func (s *Server) refused(account string, err error) error {
+	if err != nil {
+		s.Events.Record(event.RequestRefused, "account", account, "code", uint32(result.CodeOf(err)), "why", result.From(err).Message)
+	}
+	return err
+}
--- /dev/null
+++ b/result/error.go
@@ -0,0 +1,53 @@
+package result
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/juju/errors"
+)
+
+// Error is a result code with what a person needs to act on it.
+type Error struct {
+	Code    Code
+	Message string
+	// RetryAfter is when to come back; zero when a retry can't help or at once will do.
+	RetryAfter time.Duration
+}
+
+// Error returns number, name and message.
+func (e *Error) Error() string {
+	return fmt.Sprintf("%d %s: %s", uint32(e.Code), e.Code, e.Message)
+}
+
+// New returns an Error with a formatted message.
+func New(code Code, format string, args ...any) *Error {
+	return &Error{Code: code, Message: fmt.Sprintf(format, args...)}
+}
+
+// After returns the same error with the time after which a retry can help.
+func (e *Error) After(d time.Duration) *Error {
+	later := *e
+	later.RetryAfter = d
+	return &later
+}
+
+// From finds the Error within err; any other error reads as InternalError.
+func From(err error) *Error {
+	if err == nil {
+		return nil
+	}
+	var known *Error
+	if errors.As(err, &known) {
+		return known
+	}
+	return New(InternalError, "%v", err)
+}
+
+// CodeOf returns the code within err, OK for nil.
+func CodeOf(err error) Code {
+	if err == nil {
+		return OK
+	}
+	return From(err).Code
+}
--- /dev/null
+++ b/routing/doc.go
@@ -0,0 +1,2 @@
+// Package routing chooses the upstream for a request.
+package routing
--- /dev/null
+++ b/upstream/client.go
@@ -0,0 +1,70 @@
+package upstream
+
+import (
+	"context"
+
+	operatorv1 "lavenderpin.dev/lavenderpin/api/operator/v1"
+)
+
+// ChatRequest is one completion asked of an engine.
+type ChatRequest struct {
+	// ID is echoed by the engine with every chunk.
+	ID string
+	// Body is the OpenAI-style request body, with streaming and usage switched on.
+	Body []byte
+	// Priority orders requests within an engine: higher goes first.
+	Priority int
+}
+
+// ChatStream is an answer in progress. Close must be called once.
+type ChatStream interface {
+	// Next returns the next chunk; io.EOF after an answer that ended whole.
+	Next() (Chunk, error)
+	Close()
+}
+
+// Chunk is one piece of an answer.
+type Chunk struct {
+	// Data is the chunk as the engine sent it.
+	Data []byte
+	// Content is the text within.
+	Content string
+	// FinishReason is set on the last chunk with content.
+	FinishReason string
+	// Usage is set on the chunk that reports it.
+	Usage *Usage
+}
+
+// Usage is what an engine counted for one request, in tokens.
+type Usage struct {
+	PromptTokens     uint64 `json:"prompt_tokens"`
+	CompletionTokens uint64 `json:"completion_tokens"`
+}
+
+// Total returns prompt and completion together.
+func (u Usage) Total() uint64 { return u.PromptTokens + u.CompletionTokens }
+
+// CallRequest is one call of a plain service.
+type CallRequest struct {
+	ID      string
+	Method  string
+	Path    string
+	Headers map[string]string
+	Body    []byte
+}
+
+// CallAnswer is a plain service's whole answer.
+type CallAnswer struct {
+	Status      int
+	ContentType string
+	Body        []byte
+}
+
+// Client asks upstreams. Errors are result errors: NoUpstream when nothing was
+// sent, UpstreamFailed or OutcomeUnknown when something may have run.
+type Client interface {
+	Chat(ctx context.Context, to *operatorv1.Upstream, r ChatRequest) (ChatStream, error)
+	Call(ctx context.Context, to *operatorv1.Upstream, r CallRequest) (CallAnswer, error)
+	// Cancel tells an engine to stop a request.
+	Cancel(ctx context.Context, to *operatorv1.Upstream, id string) error
+}
--- /dev/null
+++ b/upstream/http.go
@@ -0,0 +1,140 @@
+package upstream
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"time"
+
+	"github.com/cloudwego/hertz/pkg/app/client"
+	"github.com/cloudwego/hertz/pkg/network/standard"
+	"github.com/cloudwego/hertz/pkg/protocol"
+	"github.com/cloudwego/hertz/pkg/protocol/sse"
+	"github.com/juju/errors"
+
+	operatorv1 "lavenderpin.dev/lavenderpin/api/operator/v1"
+	"lavenderpin.dev/lavenderpin/result"
+)
+
+const (
+	dialTimeout = 2 * time.Second
+	// readTimeout bounds the silence within an answer: an engine that hangs is
+	// given up on, whatever its connection says.
+	readTimeout    = 30 * time.Second
+	maxConnections = 4096
+	idleConnection = 30 * time.Second
+)
+
+// Header names that upstreams must echo or understand.
+const (
+	HeaderRequestID = "X-Request-Id"
+	HeaderPriority  = "X-Priority"
+)
+
+// HTTPClient implements Client.
+type HTTPClient struct {
+	client *client.Client
+}
+
+var _ Client = (*HTTPClient)(nil)
+
+// NewHTTPClient returns a client with its own connection pool.
+func NewHTTPClient() (*HTTPClient, error) {
+	c, err := client.NewClient(
+		client.WithDialTimeout(dialTimeout),
+		client.WithClientReadTimeout(readTimeout),
+		client.WithMaxConnsPerHost(maxConnections),
+		client.WithMaxIdleConnDuration(idleConnection),
+		client.WithResponseBodyStream(true),
+		client.WithDialer(standard.NewDialer()),
+	)
+	if err != nil {
+		return nil, errors.Annotate(err, "upstream client")
+	}
+	return &HTTPClient{client: c}, nil
+}
+
+// Close drops idle connections.
+func (c *HTTPClient) Close() { c.client.CloseIdleConnections() }
+
+// Chat implements Client.
+func (c *HTTPClient) Chat(ctx context.Context, to *operatorv1.Upstream, r ChatRequest) (ChatStream, error) {
+	request, response := protocol.AcquireRequest(), protocol.AcquireResponse()
+	defer protocol.ReleaseRequest(request)
+	request.SetMethod("POST")
+	request.SetRequestURI("http://" + to.GetAddress() + "/v1/chat/completions")
+	request.Header.SetContentTypeBytes([]byte("application/json"))
+	request.Header.Set(HeaderRequestID, r.ID)
+	request.Header.Set(HeaderPriority, fmt.Sprint(r.Priority))
+	request.SetBody(r.Body)
+	if err := c.client.Do(ctx, request, response); err != nil {
+		protocol.ReleaseResponse(response)
+		return nil, sendError(to, err)
+	}
+	if status := response.StatusCode(); status != 200 {
+		body := string(response.Body())
+		protocol.ReleaseResponse(response)
+		return nil, result.New(result.UpstreamFailed, "%s answered %d: %s", to.GetName(), status, clip(body))
+	}
+	reader, err := sse.NewReader(response)
+	if err != nil {
+		protocol.ReleaseResponse(response)
+		return nil, result.New(result.UpstreamFailed, "%s sent no event stream: %v", to.GetName(), err)
+	}
+	return &httpStream{upstream: to.GetName(), id: r.ID, response: response, reader: reader}, nil
+}
+
+// Call implements Client.
+func (c *HTTPClient) Call(ctx context.Context, to *operatorv1.Upstream, r CallRequest) (CallAnswer, error) {
+	request, response := protocol.AcquireRequest(), protocol.AcquireResponse()
+	defer protocol.ReleaseRequest(request)
+	defer protocol.ReleaseResponse(response)
+	request.SetMethod(r.Method)
+	request.SetRequestURI("http://" + to.GetAddress() + r.Path)
+	for name, value := range r.Headers {
+		request.Header.Set(name, value)
+	}
+	request.Header.Set(HeaderRequestID, r.ID)
+	request.SetBody(r.Body)
+	if err := c.client.Do(ctx, request, response); err != nil {
+		return CallAnswer{}, sendError(to, err)
+	}
+	body, err := response.BodyE()
+	if err != nil {
+		return CallAnswer{}, result.New(result.AnswerCut, "%s: %v", to.GetName(), err)
+	}
+	if echoed := response.Header.Get(HeaderRequestID); echoed != r.ID {
+		return CallAnswer{}, result.New(result.AnswerCrossed, "%s answered for %q", to.GetName(), echoed)
+	}
+	return CallAnswer{
+		Status:      response.StatusCode(),
+		ContentType: string(response.Header.ContentType()),
+		Body:        append([]byte(nil), body...),
+	}, nil
+}
+
+// Cancel implements Client.
+func (c *HTTPClient) Cancel(ctx context.Context, to *operatorv1.Upstream, id string) error {
+	_, err := c.Call(ctx, to, CallRequest{ID: id, Method: "POST", Path: "/v1/cancel"})
+	return err
+}
+
+// sendError tells apart an upstream that was never reached from one that may have
+// got the request. A refused or timed-out dial proves that nothing ran; any later
+// error proves nothing.
+func sendError(to *operatorv1.Upstream, err error) error {
+	var op *net.OpError
+	if errors.As(err, &op) && op.Op == "dial" {
+		return result.New(result.NoUpstream, "%s can't be reached: %v", to.GetName(), err)
+	}
+	return result.New(result.UpstreamFailed, "%s: %v", to.GetName(), err)
+}
+
+const clipLength = 200
+
+func clip(text string) string {
+	if len(text) > clipLength {
+		return text[:clipLength]
+	}
+	return text
+}
