--- a/budget/reserver.go
+++ b/budget/reserver.go
@@ -4,6 +4,8 @@
 	"context"
 	"time"
 
+	"github.com/jonboulle/clockwork"
+
 	recordv1 "lavenderpin.dev/lavenderpin/api/record/v1"
 	"lavenderpin.dev/lavenderpin/event"
 	"lavenderpin.dev/lavenderpin/fold"
@@ -22,6 +24,12 @@
 // Grant is a reservation that covers a request, wherever its tokens are held.
 type Grant interface {
 	Request() RequestID
+	// Dispatch must be called right before the request is sent to an upstream. It
+	// fails when the right to spend has lapsed since the reservation; nothing may
+	// be sent then.
+	Dispatch(ctx context.Context, upstream string) error
+	// Progress notes the tokens delivered to the caller so far.
+	Progress(delivered uint64)
 	// Finish bills the tokens used and gives the rest back; only the first call counts.
 	Finish(used uint64)
 }
@@ -29,6 +37,17 @@
 // Request implements Grant.
 func (r *Reservation) Request() RequestID { return r.ID }
 
+// Dispatch implements Grant.
+func (r *Reservation) Dispatch(context.Context, string) error {
+	if r.holder.RightLeft() <= 0 {
+		return result.New(result.SpendRightLapsed, "the right to spend has lapsed")
+	}
+	return nil
+}
+
+// Progress implements Grant.
+func (r *Reservation) Progress(uint64) {}
+
 // Reserver covers requests: out of the node's share, else out of the pool.
 type Reserver struct {
 	holder  *Holder
@@ -68,7 +87,7 @@
 	if r.ledger.Budget(budget).Pool == 0 {
 		return result.New(result.BudgetSpent, "budget %s has nothing left for this request", budget)
 	}
-	ctx, cancel := context.WithTimeout(ctx, claimWait)
+	ctx, cancel := clockwork.WithTimeout(ctx, r.holder.clock, claimWait)
 	defer cancel()
 	ticket := r.journal.Submit(&recordv1.Entry{Body: &recordv1.Entry_ShareClaim{
 		ShareClaim: &recordv1.ShareClaim{Budget: budget, Tokens: max(tokens, r.Chunk)},
--- /dev/null
+++ b/event/log.go
@@ -0,0 +1,22 @@
+package event
+
+// Events of the log, configuration and operators.
+const (
+	LogUnreachable  Number = 201
+	LogReachable    Number = 202
+	ConfigAccepted  Number = 203
+	ConfigRefused   Number = 204
+	ConfigInForce   Number = 205
+	OperatorRefused Number = 206
+	BatchVoid       Number = 207
+)
+
+var logKinds = map[Number]Kind{
+	LogUnreachable:  {"LogUnreachable", "The platform's log stopped answering this node."},
+	LogReachable:    {"LogReachable", "The platform's log answers this node again."},
+	ConfigAccepted:  {"ConfigAccepted", "An operator's change won and was read back."},
+	ConfigRefused:   {"ConfigRefused", "An operator's change lost against another or broke a rule."},
+	ConfigInForce:   {"ConfigInForce", "A change took effect on this node."},
+	OperatorRefused: {"OperatorRefused", "An operator call was refused for its token or role."},
+	BatchVoid:       {"BatchVoid", "A batch was void because its sequence had passed."},
+}
--- /dev/null
+++ b/event/node.go
@@ -0,0 +1,20 @@
+package event
+
+// Events of a node's life.
+const (
+	NodeStarting   Number = 101
+	NodeServing    Number = 102
+	NodeDraining   Number = 103
+	NodeStopped    Number = 104
+	NodeClosed     Number = 105
+	PanicRecovered Number = 106
+)
+
+var nodeKinds = map[Number]Kind{
+	NodeStarting:   {"NodeStarting", "A node incarnation starts and reads the log."},
+	NodeServing:    {"NodeServing", "The node holds the configuration and takes requests."},
+	NodeDraining:   {"NodeDraining", "The node takes no new addresses and finishes what it has."},
+	NodeStopped:    {"NodeStopped", "The node settled everything and ended."},
+	NodeClosed:     {"NodeClosed", "The node learned that the fleet closed its incarnation."},
+	PanicRecovered: {"PanicRecovered", "A request hit a defect; the node goes on."},
+}
--- a/internal/standin/engine.go
+++ b/internal/standin/engine.go
@@ -33,14 +33,23 @@
 	mu        sync.Mutex
 	cancelled map[string]bool
 	served    map[string]int
+	counted   map[string]engineUsage
+}
+
+// engineUsage is what the engine answers about one request.
+type engineUsage struct {
+	State            string `json:"state"`
+	PromptTokens     int    `json:"prompt_tokens"`
+	CompletionTokens int    `json:"completion_tokens"`
 }
 
 // NewEngine returns an engine that serves on the listener once Run is called.
 func NewEngine(listener net.Listener, options EngineOptions) *Engine {
-	e := &Engine{options: options, cancelled: map[string]bool{}, served: map[string]int{}}
+	e := &Engine{options: options, cancelled: map[string]bool{}, served: map[string]int{}, counted: map[string]engineUsage{}}
 	e.server = newServer(listener)
 	e.server.POST("/v1/chat/completions", e.chat)
 	e.server.POST("/v1/cancel", e.cancel)
+	e.server.GET("/v1/usage", e.usage)
 	return e
 }
 
@@ -100,6 +109,7 @@
 	defer func() { _ = w.Close() }()
 	answer, promptTokens := r.words()
 	sent := 0
+	e.count(id, "running", promptTokens, sent)
 	for _, word := range answer {
 		if e.isCancelled(id) {
 			break
@@ -112,12 +122,33 @@
 			return
 		}
 		sent++
+		e.count(id, "running", promptTokens, sent)
 	}
+	e.count(id, "finished", promptTokens, sent)
 	_ = w.WriteEvent("", "", chunkJSON(answerID, r.Model, "", "stop"))
 	_ = w.WriteEvent("", "", usageJSON(answerID, r.Model, promptTokens, sent))
 	_ = w.WriteEvent("", "", []byte("[DONE]"))
 }
 
+// usage tells what the engine counted for the request named in the header.
+func (e *Engine) usage(_ context.Context, c *app.RequestContext) {
+	id := string(c.GetHeader("X-Request-Id"))
+	e.mu.Lock()
+	counted, known := e.counted[id]
+	e.mu.Unlock()
+	if !known {
+		counted.State = "unknown"
+	}
+	c.Header("X-Request-Id", id)
+	c.JSON(200, counted)
+}
+
+func (e *Engine) count(id, state string, prompt, completion int) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.counted[id] = engineUsage{State: state, PromptTokens: prompt, CompletionTokens: completion}
+}
+
 func (e *Engine) cancel(_ context.Context, c *app.RequestContext) {
 	id := string(c.GetHeader("X-Request-Id"))
 	e.mu.Lock()
--- a/journal/follower.go
+++ b/journal/follower.go
@@ -78,7 +78,7 @@
 
 // Step reads once and folds what came.
 func (f *Follower) Step(ctx context.Context, wait time.Duration) error {
-	attempt, cancel := context.WithTimeout(ctx, wait+appendTimeout)
+	attempt, cancel := clockwork.WithTimeout(ctx, f.clock, wait+appendTimeout)
 	defer cancel()
 	slice, err := f.log.Read(attempt, f.stream, f.engine.Offset()+1, readMax, wait)
 	if err != nil {
--- a/journal/writer.go
+++ b/journal/writer.go
@@ -154,7 +154,7 @@
 	pause.MaxInterval = maxBackoff
 	for ctx.Err() == nil && !w.wasRead(batch.GetSeq()) {
 		w.appends.Add(1)
-		attempt, cancel := context.WithTimeout(ctx, appendTimeout)
+		attempt, cancel := clockwork.WithTimeout(ctx, w.clock, appendTimeout)
 		_, err := w.log.Append(attempt, w.stream, data)
 		cancel()
 		w.failing.Store(err != nil)
--- a/membership/members.go
+++ b/membership/members.go
@@ -102,7 +102,7 @@
 }
 
 func (m *Members) ping(ctx context.Context, node *recordv1.NodeInfo) {
-	ctx, cancel := context.WithTimeout(ctx, pingTimeout)
+	ctx, cancel := clockwork.WithTimeout(ctx, m.clock, pingTimeout)
 	defer cancel()
 	answer, err := m.caller.Call(ctx, node.GetPeerAddress(), &fleetv1.Request{
 		From: m.self.GetIncarnation(),
--- a/node/timeline.go
+++ b/node/timeline.go
@@ -5,6 +5,8 @@
 	"sort"
 	"time"
 
+	"github.com/jonboulle/clockwork"
+
 	fleetv1 "lavenderpin.dev/lavenderpin/api/fleet/v1"
 	operatorv1 "lavenderpin.dev/lavenderpin/api/operator/v1"
 	"lavenderpin.dev/lavenderpin/event"
@@ -26,7 +28,7 @@
 }
 
 func (n *Node) gather(ctx context.Context, address, id string, into *operatorv1.EventsResponse) {
-	ctx, cancel := context.WithTimeout(ctx, gatherTimeout)
+	ctx, cancel := clockwork.WithTimeout(ctx, n.deps.Clock, gatherTimeout)
 	defer cancel()
 	answer, err := n.deps.Peers.Call(ctx, address, &fleetv1.Request{
 		From: n.Incarnation(), Hlc: uint64(n.events.Clock().Now()),
--- a/request/call.go
+++ b/request/call.go
@@ -5,6 +5,7 @@
 	"strings"
 
 	operatorv1 "lavenderpin.dev/lavenderpin/api/operator/v1"
+	"lavenderpin.dev/lavenderpin/budget"
 	"lavenderpin.dev/lavenderpin/event"
 	"lavenderpin.dev/lavenderpin/result"
 	"lavenderpin.dev/lavenderpin/routing"
@@ -45,7 +46,7 @@
 	if err != nil {
 		return upstream.CallAnswer{}, s.refused(account.GetName(), err)
 	}
-	answer, err := s.callAttempts(ctx, service, rule, upstream.CallRequest{
+	answer, err := s.callAttempts(ctx, grant, service, rule, upstream.CallRequest{
 		ID: grant.Request().String(), Method: call.Method, Path: call.Path, Headers: call.Headers, Body: call.Body,
 	})
 	if err != nil {
@@ -58,7 +59,7 @@
 	return answer, nil
 }
 
-func (s *Server) callAttempts(ctx context.Context, service *operatorv1.Service, rule *operatorv1.Call, r upstream.CallRequest) (upstream.CallAnswer, error) {
+func (s *Server) callAttempts(ctx context.Context, grant budget.Grant, service *operatorv1.Service, rule *operatorv1.Call, r upstream.CallRequest) (upstream.CallAnswer, error) {
 	tried := map[string]bool{}
 	var last error
 	for range maxAttempts {
@@ -68,6 +69,10 @@
 			return upstream.CallAnswer{}, firstError(last, err)
 		}
 		s.Events.Record(event.RequestDispatched, "request", r.ID, "upstream", pick.Upstream.GetName())
+		if err := grant.Dispatch(ctx, pick.Upstream.GetName()); err != nil {
+			pick.Done(err)
+			return upstream.CallAnswer{}, err
+		}
 		answer, err := s.Client.Call(ctx, pick.Upstream, r)
 		pick.Done(err)
 		if err == nil {
--- a/request/chat.go
+++ b/request/chat.go
@@ -5,6 +5,8 @@
 	"io"
 	"time"
 
+	"github.com/jonboulle/clockwork"
+
 	operatorv1 "lavenderpin.dev/lavenderpin/api/operator/v1"
 	"lavenderpin.dev/lavenderpin/budget"
 	"lavenderpin.dev/lavenderpin/event"
@@ -118,6 +120,9 @@
 func (r *chatRun) attempt(ctx context.Context, to *operatorv1.Upstream) error {
 	id := r.grant.Request()
 	r.server.Events.Record(event.RequestDispatched, "request", id, "upstream", to.GetName())
+	if err := r.grant.Dispatch(ctx, to.GetName()); err != nil {
+		return err
+	}
 	stream, err := r.server.Client.Chat(ctx, to, upstream.ChatRequest{ID: id.String(), Body: r.body})
 	if err != nil {
 		return err
@@ -157,6 +162,7 @@
 	}
 	if chunk.Content != "" {
 		r.delivered++
+		r.grant.Progress(r.delivered)
 	}
 	return nil
 }
@@ -164,7 +170,7 @@
 // cancel stops the engine's work on the request. Without it an engine would go on
 // generating for nobody, which shows as slots in use without answers.
 func (r *chatRun) cancel(to *operatorv1.Upstream) {
-	ctx, done := context.WithTimeout(context.Background(), cancelTimeout)
+	ctx, done := clockwork.WithTimeout(context.Background(), r.server.Clock, cancelTimeout)
 	defer done()
 	_ = r.server.Client.Cancel(ctx, to, r.grant.Request().String())
 }
--- a/result/code.go
+++ b/result/code.go
@@ -1,51 +1,18 @@
 package result
 
-import "google.golang.org/grpc/codes"
+import (
+	"maps"
 
-// Code is a numbered result. Thousands group them by whose turn it is to act:
-// 1 the caller, 2 the budget, 3 operators, 4 upstreams, 5 the fleet itself.
-type Code uint32
+	"google.golang.org/grpc/codes"
+)
 
-// The result codes. Numbers are never reused.
-const (
-	OK Code = 0
+// Code is a numbered result. Numbers are never reused. Thousands
+// group them, and each group has a file of its own: 1 the caller, 2 the budget,
+// 3 operators, 4 upstreams, 5 the fleet itself.
+type Code uint32
 
-	MalformedRequest   Code = 1001
-	UnknownKey         Code = 1002
-	UnknownService     Code = 1003
-	BodyTooLarge       Code = 1004
-	TokensOutOfRange   Code = 1005
-	CallerGone         Code = 1006
-	KeyReused          Code = 1007
-	CallInProgress     Code = 1008
-	AlreadyRan         Code = 1009
-	InvalidCursor      Code = 1010
-	NoBudget           Code = 2001
-	BudgetSpent        Code = 2002
-	BudgetUnreachable  Code = 2003
-	SpendRightLapsed   Code = 2004
-	VersionConflict    Code = 3001
-	InvalidResource    Code = 3002
-	NotAuthorized      Code = 3003
-	UnknownResource    Code = 3004
-	ChangeOutcomeOpen  Code = 3101
-	LogUnavailable     Code = 3102
-	NoUpstream         Code = 4001
-	UpstreamFailed     Code = 4002
-	AnswerCut          Code = 4003
-	AnswerCrossed      Code = 4004
-	OutcomeUnknown     Code = 4005
-	Overloaded         Code = 4006
-	DeadlineExceeded   Code = 4007
-	NotServing         Code = 5001
-	Draining           Code = 5002
-	IncarnationClosed  Code = 5003
-	InternalError      Code = 5004
-	NotHolder          Code = 5005
-	PeerUnreachable    Code = 5006
-	StaleEntry         Code = 5007
-	WeightsRateLimited Code = 5008
-)
+// OK tells that the request was served.
+const OK Code = 0
 
 // Info describes a code for the table in the docs and for both APIs.
 type Info struct {
@@ -74,10 +41,4 @@
 func (c Code) String() string { return c.Info().Name }
 
 // All returns every known code.
-func All() map[Code]Info {
-	all := make(map[Code]Info, len(table))
-	for code, info := range table {
-		all[code] = info
-	}
-	return all
-}
+func All() map[Code]Info { return maps.Clone(table) }
--- a/result/table.go
+++ b/result/table.go
@@ -1,42 +1,20 @@
 package result
 
-import "google.golang.org/grpc/codes"
+import (
+	"maps"
 
-var table = map[Code]Info{
-	OK:                 {"OK", 200, codes.OK, false, false, "The request was served."},
-	MalformedRequest:   {"MalformedRequest", 400, codes.InvalidArgument, false, true, "The request can't be understood; the message names the place."},
-	UnknownKey:         {"UnknownKey", 401, codes.Unauthenticated, false, true, "The key belongs to no client account."},
-	UnknownService:     {"UnknownService", 404, codes.NotFound, false, true, "No service has this model or path."},
-	BodyTooLarge:       {"BodyTooLarge", 413, codes.InvalidArgument, false, true, "The request body is over the limit."},
-	TokensOutOfRange:   {"TokensOutOfRange", 400, codes.InvalidArgument, false, true, "max_tokens is negative or above what the service allows."},
-	CallerGone:         {"CallerGone", 499, codes.Canceled, true, false, "The caller left before the answer was complete."},
-	KeyReused:          {"KeyReused", 422, codes.InvalidArgument, false, true, "The idempotency key was used before with another request."},
-	CallInProgress:     {"CallInProgress", 409, codes.Aborted, true, false, "A call with this idempotency key is running; ask again later."},
-	AlreadyRan:         {"AlreadyRan", 409, codes.AlreadyExists, false, false, "A call with this idempotency key ran before and its answer is no longer held."},
-	InvalidCursor:      {"InvalidCursor", 400, codes.InvalidArgument, false, true, "The Last-Event-ID is not a cursor of this fleet or has expired."},
-	NoBudget:           {"NoBudget", 402, codes.FailedPrecondition, false, true, "The account has no budget for this service."},
-	BudgetSpent:        {"BudgetSpent", 402, codes.ResourceExhausted, false, true, "What is left of the budget can't cover the request's worst case."},
-	BudgetUnreachable:  {"BudgetUnreachable", 503, codes.Unavailable, true, true, "The tokens left of the budget are held where this node can't reach now."},
-	SpendRightLapsed:   {"SpendRightLapsed", 503, codes.Unavailable, true, true, "This node could not renew its right to spend; another node may serve."},
-	VersionConflict:    {"VersionConflict", 409, codes.Aborted, false, true, "Another change came first; the message names the current version."},
-	InvalidResource:    {"InvalidResource", 400, codes.InvalidArgument, false, true, "The resource breaks a rule; the message names field and rule."},
-	NotAuthorized:      {"NotAuthorized", 403, codes.PermissionDenied, false, true, "The operator token lacks the role for this call."},
-	UnknownResource:    {"UnknownResource", 404, codes.NotFound, false, true, "A resource that the call names does not exist."},
-	ChangeOutcomeOpen:  {"ChangeOutcomeOpen", 504, codes.DeadlineExceeded, true, false, "The change may or may not take effect; send the same change id again to learn."},
-	LogUnavailable:     {"LogUnavailable", 503, codes.Unavailable, true, true, "The platform's log does not answer; nothing was changed."},
-	NoUpstream:         {"NoUpstream", 503, codes.Unavailable, true, true, "No upstream of the service is in reach and healthy."},
-	UpstreamFailed:     {"UpstreamFailed", 502, codes.Unavailable, true, false, "The upstream failed the request and no retry was allowed or left."},
-	AnswerCut:          {"AnswerCut", 502, codes.Unavailable, true, false, "The upstream's answer ended before its terminal marker."},
-	AnswerCrossed:      {"AnswerCrossed", 502, codes.Unavailable, true, false, "The upstream answered for another request; nothing of it was passed on."},
-	OutcomeUnknown:     {"OutcomeUnknown", 502, codes.Unknown, false, false, "A non-idempotent call was sent and its outcome is not known; it will not be run again."},
-	Overloaded:         {"Overloaded", 429, codes.ResourceExhausted, true, true, "The queue for this service is full; come back after the given time."},
-	DeadlineExceeded:   {"DeadlineExceeded", 504, codes.DeadlineExceeded, true, false, "The request's deadline passed before it was complete."},
-	NotServing:         {"NotServing", 503, codes.Unavailable, true, true, "The node is starting and holds no configuration yet."},
-	Draining:           {"Draining", 503, codes.Unavailable, true, true, "The node is leaving; use another address."},
-	IncarnationClosed:  {"IncarnationClosed", 503, codes.Unavailable, true, true, "The fleet closed this node's incarnation; it will restart itself."},
-	InternalError:      {"InternalError", 500, codes.Internal, true, false, "A defect; the event log of the node tells more."},
-	NotHolder:          {"NotHolder", 409, codes.FailedPrecondition, true, true, "The lease is held by another node or the epoch is old."},
-	PeerUnreachable:    {"PeerUnreachable", 503, codes.Unavailable, true, false, "Another node that is needed does not answer."},
-	StaleEntry:         {"StaleEntry", 409, codes.Aborted, false, true, "A log entry was void: its sequence had passed."},
-	WeightsRateLimited: {"WeightsRateLimited", 503, codes.Unavailable, true, true, "The weight store admits no fetch yet."},
+	"google.golang.org/grpc/codes"
+)
+
+var table = merge(
+	map[Code]Info{OK: {"OK", 200, codes.OK, false, false, "The request was served."}},
+	callerInfos, budgetInfos, operatorInfos, upstreamInfos, fleetInfos,
+)
+
+func merge(groups ...map[Code]Info) map[Code]Info {
+	all := map[Code]Info{}
+	for _, group := range groups {
+		maps.Copy(all, group)
+	}
+	return all
 }
--- /dev/null
+++ b/result/upstream.go
@@ -0,0 +1,24 @@
+package result
+
+import "google.golang.org/grpc/codes"
+
+// Codes about upstreams and admission.
+const (
+	NoUpstream       Code = 4001
+	UpstreamFailed   Code = 4002
+	AnswerCut        Code = 4003
+	AnswerCrossed    Code = 4004
+	OutcomeUnknown   Code = 4005
+	Overloaded       Code = 4006
+	DeadlineExceeded Code = 4007
+)
+
+var upstreamInfos = map[Code]Info{
+	NoUpstream:       {"NoUpstream", 503, codes.Unavailable, true, true, "No upstream of the service is in reach and healthy."},
+	UpstreamFailed:   {"UpstreamFailed", 502, codes.Unavailable, true, false, "The upstream failed the request and no retry was allowed or left."},
+	AnswerCut:        {"AnswerCut", 502, codes.Unavailable, true, false, "The upstream's answer ended before its terminal marker."},
+	AnswerCrossed:    {"AnswerCrossed", 502, codes.Unavailable, true, false, "The upstream answered for another request; nothing of it was passed on."},
+	OutcomeUnknown:   {"OutcomeUnknown", 502, codes.Unknown, false, false, "A non-idempotent call was sent and its outcome is not known; it will not be run again."},
+	Overloaded:       {"Overloaded", 429, codes.ResourceExhausted, true, true, "The queue for this service is full; come back after the given time."},
+	DeadlineExceeded: {"DeadlineExceeded", 504, codes.DeadlineExceeded, true, false, "The request's deadline passed before it was complete."},
+}
--- a/upstream/client.go
+++ b/upstream/client.go
@@ -44,6 +44,23 @@
 // Total returns prompt and completion together.
 func (u Usage) Total() uint64 { return u.PromptTokens + u.CompletionTokens }
 
+// UsageState is what an engine knows of a request.
+type UsageState string
+
+// The states of a request at an engine.
+const (
+	// UsageUnknown: the engine never saw the request, or has forgotten it.
+	UsageUnknown  UsageState = "unknown"
+	UsageRunning  UsageState = "running"
+	UsageFinished UsageState = "finished"
+)
+
+// UsageReport is an engine's answer about one request.
+type UsageReport struct {
+	State UsageState `json:"state"`
+	Usage
+}
+
 // CallRequest is one call of a plain service.
 type CallRequest struct {
 	ID      string
@@ -65,6 +82,9 @@
 type Client interface {
 	Chat(ctx context.Context, to *operatorv1.Upstream, r ChatRequest) (ChatStream, error)
 	Call(ctx context.Context, to *operatorv1.Upstream, r CallRequest) (CallAnswer, error)
+	// Usage asks an engine what it counted for a request, after the node that ran
+	// it died. An engine remembers finished requests for a while.
+	Usage(ctx context.Context, to *operatorv1.Upstream, id string) (UsageReport, error)
 	// Cancel tells an engine to stop a request.
 	Cancel(ctx context.Context, to *operatorv1.Upstream, id string) error
 }
--- a/upstream/http.go
+++ b/upstream/http.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"net"
 	"time"
@@ -119,6 +120,19 @@
 	return err
 }
 
+// Usage implements Client.
+func (c *HTTPClient) Usage(ctx context.Context, to *operatorv1.Upstream, id string) (UsageReport, error) {
+	answer, err := c.Call(ctx, to, CallRequest{ID: id, Method: "GET", Path: "/v1/usage"})
+	if err != nil {
+		return UsageReport{}, err
+	}
+	var report UsageReport
+	if err := json.Unmarshal(answer.Body, &report); err != nil {
+		return UsageReport{}, result.New(result.UpstreamFailed, "%s: usage: %v", to.GetName(), err)
+	}
+	return report, nil
+}
+
 // sendError tells apart an upstream that was never reached from one that may have
 // got the request. A refused or timed-out dial proves that nothing ran; any later
 // error proves nothing.
