Leases folded from the log

A claim names the epoch and the last renewal it saw; the fold lets the first valid one win. A holder acts until nine tenths of the term after it began to append, a claimer waits eleven tenths from when it folded the last renewal. Ruled out: trusting the answer to an append (lost answers test), and reading the platform's instance list as proof of death (it lags).

--- a/cmd/lavenderpin/serve.go
+++ b/cmd/lavenderpin/serve.go
@@ -29,6 +29,7 @@
 	BootstrapTokenHash string        `help:"Hash of an operator token (lavenderctl keys hash) that works until a stored one exists." env:"LAVENDERPIN_BOOTSTRAP_TOKEN_HASH"`
 	Heartbeat          time.Duration `help:"Time between heartbeats in the log." default:"5s" env:"LAVENDERPIN_HEARTBEAT"`
 	SpendRight         time.Duration `help:"How long the node may spend after its last heartbeat in the log: the longest store outage or region cut that it rides out, and the longest time that a crash freezes its shares." default:"30m" env:"LAVENDERPIN_SPEND_RIGHT"`
+	LeaseTerm          time.Duration `help:"How long a lease for a singular job lasts without renewal." default:"15s" env:"LAVENDERPIN_LEASE_TERM"`
 	ClaimChunk         uint64        `help:"Least tokens claimed from a budget at a time." default:"20000" env:"LAVENDERPIN_CLAIM_CHUNK"`
 	AddressLifetime    time.Duration `help:"How long callers may keep an address handed out." default:"10s" env:"LAVENDERPIN_ADDRESS_LIFETIME"`
 	DrainTimeout       time.Duration `help:"Longest graceful stop." default:"5m" env:"LAVENDERPIN_DRAIN_TIMEOUT"`
@@ -44,6 +45,7 @@
 	settings.PeerAddress = c.Peer
 	settings.HeartbeatInterval = c.Heartbeat
 	settings.SpendRight = c.SpendRight
+	settings.LeaseTerm = c.LeaseTerm
 	settings.ClaimChunk = c.ClaimChunk
 	settings.AddressLifetime = c.AddressLifetime
 	settings.BootstrapTokenSHA256 = c.BootstrapTokenHash
--- a/node/drain.go
+++ b/node/drain.go
@@ -34,6 +34,7 @@
 // handBack closes the node's own incarnation, which releases its shares. The
 // batch that carries it also carries all settlements that are left, in front.
 func (n *Node) handBack(ctx context.Context) {
+	n.leases.ReleaseAll()
 	n.holder.RevokeRight()
 	if entries := n.settlements(); entries != nil {
 		if _, err := n.writer.Submit(entries[0]).Wait(ctx); err != nil {
--- a/node/node.go
+++ b/node/node.go
@@ -17,6 +17,7 @@
 	"lavenderpin.dev/lavenderpin/event"
 	"lavenderpin.dev/lavenderpin/fold"
 	"lavenderpin.dev/lavenderpin/journal"
+	"lavenderpin.dev/lavenderpin/lease"
 	"lavenderpin.dev/lavenderpin/membership"
 	"lavenderpin.dev/lavenderpin/request"
 	"lavenderpin.dev/lavenderpin/routing"
@@ -32,18 +33,20 @@
 	deps     Deps
 	info     *recordv1.NodeInfo
 
-	events    *event.Recorder
-	lifecycle *stateless.StateMachine
-	config    *config.State
-	watchers  *watchers
-	ledger    *budget.Ledger
-	holder    *budget.Holder
-	reserver  *budget.Reserver
-	writer    *journal.Writer
-	follower  *journal.Follower
-	members   *membership.Members
-	requests  *request.Server
-	metrics   *expvar.Map
+	events     *event.Recorder
+	lifecycle  *stateless.StateMachine
+	config     *config.State
+	watchers   *watchers
+	ledger     *budget.Ledger
+	holder     *budget.Holder
+	reserver   *budget.Reserver
+	writer     *journal.Writer
+	follower   *journal.Follower
+	leaseTable *lease.Table
+	leases     *lease.Keeper
+	members    *membership.Members
+	requests   *request.Server
+	metrics    *expvar.Map
 
 	closed chan struct{}
 	once   sync.Once
@@ -72,7 +75,9 @@
 	n.writer = journal.NewWriter(deps.Log, settings.Stream, n.info.GetIncarnation(), deps.Clock, hlc, settings.Gather)
 	n.writer.AddSource(n.settlements)
 	n.reserver = budget.NewReserver(n.holder, n.ledger, n.writer, n.events, settings.ClaimChunk)
-	engine := fold.NewEngine(n.config, n.ledger)
+	n.leaseTable = lease.NewTable()
+	n.leases = lease.NewKeeper(n.info.GetIncarnation(), settings.LeaseTerm, n.leaseTable, n.writer, deps.Clock, n.events)
+	engine := fold.NewEngine(n.config, n.ledger, n.leaseTable)
 	n.follower = journal.NewFollower(deps.Log, settings.Stream, deps.Clock, engine, n.folded)
 	n.members = membership.NewMembers(n.info, deps.Clock, deps.Peers, n.events, n.openNodes, n.view)
 	n.requests = &request.Server{
@@ -110,6 +115,9 @@
 // Settings returns what the node was told.
 func (n *Node) Settings() Settings { return n.settings }
 
+// Leases returns the leases that this node holds or wants.
+func (n *Node) Leases() lease.Lessor { return n.leases }
+
 // Journal returns the node's writer to the log.
 func (n *Node) Journal() *journal.Writer { return n.writer }
 
@@ -123,7 +131,7 @@
 	defer cancel()
 	n.events.Record(event.NodeStarting, "region", n.settings.Region, "data_centre", n.settings.DataCentre)
 	var wait sync.WaitGroup
-	for _, loop := range []func(context.Context){n.writer.Run, n.follower.Run, n.heartbeats, n.members.Run, n.flushSettlements} {
+	for _, loop := range []func(context.Context){n.writer.Run, n.follower.Run, n.heartbeats, n.members.Run, n.leases.Run, n.flushSettlements} {
 		wait.Go(func() { loop(ctx) })
 	}
 	defer wait.Wait()
--- a/node/settings.go
+++ b/node/settings.go
@@ -22,6 +22,8 @@
 	HeartbeatInterval time.Duration
 	// SpendRight is how long the node may spend after its last heartbeat in the log.
 	SpendRight time.Duration
+	// LeaseTerm is how long a lease lasts without renewal.
+	LeaseTerm time.Duration
 	// Gather is how long entries are gathered before each append.
 	Gather time.Duration
 	// ClaimChunk is the least number of tokens claimed from a budget's pool at a time.
@@ -41,6 +43,7 @@
 		Stream:            "fleet",
 		HeartbeatInterval: 5 * time.Second,
 		SpendRight:        30 * time.Minute,
+		LeaseTerm:         15 * time.Second,
 		Gather:            20 * time.Millisecond,
 		ClaimChunk:        20_000,
 		AddressLifetime:   10 * time.Second,
@@ -64,6 +67,7 @@
 	require(isIPPort(s.OperatorAddress), "operator address isn't IP:port")
 	require(s.HeartbeatInterval > 0, "heartbeat interval isn't positive")
 	require(s.SpendRight > 2*s.HeartbeatInterval, "spend right isn't above two heartbeat intervals")
+	require(s.LeaseTerm >= time.Second, "lease term is under a second")
 	require(s.Gather >= 0, "gather time is negative")
 	require(s.ClaimChunk > 0, "claim chunk is zero")
 	require(s.AddressLifetime > 0, "address lifetime isn't positive")
