Engine orders under a lease

The holder of the lease plans from lagging reports and sends whole desired sets with the lease's epoch as fencing number; engines that ignore it are left alone for a quiet time after a takeover. Cause found on the way: counting a region's last copy by engines instead of by what would remain kept an old version for ever beside the new one on the same engine. Ruled out: orders as differences (a lost one leaves the engine in an unknown state). Not prevented, see docs/design/06: a stop between the look at the lease and the send, for engines that ignore fencing numbers.

--- a/cmd/lavenderstub/main.go
+++ b/cmd/lavenderstub/main.go
@@ -53,6 +53,8 @@
 	TokenTime time.Duration `help:"Time between two tokens." default:"10ms"`
 	CutAfter  int           `help:"End each stream after so many tokens without its terminal marker; 0 never."`
 	Cross     int           `help:"Answer every nth request under another id; 0 never."`
+
+	IgnoreFencing bool `help:"Take orders with an old fencing number."`
 }
 
 // Run serves until a signal ends ctx.
@@ -61,7 +63,7 @@
 	if err != nil {
 		return errors.Trace(err)
 	}
-	engine := standin.NewEngine(listener, standin.EngineOptions{TokenTime: c.TokenTime, CutAfter: c.CutAfter, Cross: c.Cross})
+	engine := standin.NewEngine(listener, standin.EngineOptions{TokenTime: c.TokenTime, CutAfter: c.CutAfter, Cross: c.Cross, IgnoreFencing: c.IgnoreFencing})
 	stop := context.AfterFunc(ctx, engine.Close)
 	defer stop()
 	return errors.Trace(engine.Run())
--- a/config/view.go
+++ b/config/view.go
@@ -131,3 +131,14 @@
 
 // HasBudget tells whether a budget of that name exists.
 func (v *View) HasBudget(name string) bool { return v.budgetNames[name] }
+
+// Services returns all services, sorted by name.
+func (v *View) Services() []*operatorv1.Service {
+	var all []*operatorv1.Service
+	for _, held := range v.all {
+		if service := held.GetResource().GetService(); service != nil {
+			all = append(all, service)
+		}
+	}
+	return all
+}
--- a/event/fleet.go
+++ b/event/fleet.go
@@ -8,9 +8,12 @@
 	LeaseTaken         Number = 604
 	LeaseLost          Number = 605
 	AddressesHandedOut Number = 606
+	// OrderGiven is the first of the numbers for engine orders.
+	OrderGiven Number = 640
 )
 
 var fleetKinds = map[Number]Kind{
+	OrderGiven:         {"OrderGiven", "The holder of the lease gave an engine an order; code 0 means that it was taken."},
 	PeerJoined:         {"PeerJoined", "Another node answers."},
 	PeerSuspect:        {"PeerSuspect", "Another node stopped answering."},
 	PeerGone:           {"PeerGone", "Another node is taken as gone for routing."},
--- a/internal/standin/engine.go
+++ b/internal/standin/engine.go
@@ -23,6 +23,8 @@
 	CutAfter int
 	// Cross makes every nth request answer under another id; 0 never.
 	Cross int
+	// IgnoreFencing makes the engine take orders with an old fencing number.
+	IgnoreFencing bool
 }
 
 // Engine is a stand-in model engine: it echoes the prompt's words.
@@ -34,6 +36,7 @@
 	cancelled map[string]bool
 	served    map[string]int
 	counted   map[string]engineUsage
+	models    engineModels
 }
 
 // engineUsage is what the engine answers about one request.
@@ -50,6 +53,8 @@
 	e.server.POST("/v1/chat/completions", e.chat)
 	e.server.POST("/v1/cancel", e.cancel)
 	e.server.GET("/v1/usage", e.usage)
+	e.server.GET("/v1/models", e.reportModels)
+	e.server.POST("/v1/models", e.order)
 	return e
 }
 
--- /dev/null
+++ b/internal/standin/enginemodels.go
@@ -0,0 +1,60 @@
+package standin
+
+import (
+	"context"
+	"encoding/json"
+
+	"github.com/cloudwego/hertz/pkg/app"
+)
+
+// engineCapacity is how many models an engine holds.
+const engineCapacity = 4
+
+// engineModel is one model as the engine reports it.
+type engineModel struct {
+	Name     string   `json:"name"`
+	Version  string   `json:"version"`
+	Adapters []string `json:"adapters,omitempty"`
+}
+
+// engineModels is what the engine holds, guarded by Engine.mu. The stand-in serves
+// every model whatever it holds: orders are judged by what it reports.
+type engineModels struct {
+	Models   []engineModel `json:"models"`
+	Capacity int           `json:"capacity"`
+	Fencing  uint64        `json:"fencing"`
+}
+
+type engineOrder struct {
+	Fencing uint64        `json:"fencing"`
+	Models  []engineModel `json:"models"`
+}
+
+func (e *Engine) reportModels(_ context.Context, c *app.RequestContext) {
+	e.mu.Lock()
+	report := e.models
+	e.mu.Unlock()
+	report.Capacity = engineCapacity
+	c.Header("X-Request-Id", string(c.GetHeader("X-Request-Id")))
+	c.JSON(200, report)
+}
+
+// order takes an order. Unless the engine ignores fencing numbers, it refuses one
+// whose number is lower than the highest it has seen.
+func (e *Engine) order(_ context.Context, c *app.RequestContext) {
+	c.Header("X-Request-Id", string(c.GetHeader("X-Request-Id")))
+	var order engineOrder
+	if err := json.Unmarshal(c.Request.Body(), &order); err != nil {
+		c.String(400, err.Error())
+		return
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if !e.options.IgnoreFencing && order.Fencing < e.models.Fencing {
+		c.String(409, "old fencing number")
+		return
+	}
+	e.models.Fencing = order.Fencing
+	e.models.Models = order.Models
+	c.String(200, "taken")
+}
--- a/node/node.go
+++ b/node/node.go
@@ -131,7 +131,7 @@
 	defer cancel()
 	n.events.Record(event.NodeStarting, "region", n.settings.Region, "data_centre", n.settings.DataCentre)
 	var wait sync.WaitGroup
-	for _, loop := range []func(context.Context){n.writer.Run, n.follower.Run, n.heartbeats, n.members.Run, n.leases.Run, n.flushSettlements} {
+	for _, loop := range []func(context.Context){n.writer.Run, n.follower.Run, n.heartbeats, n.members.Run, n.leases.Run, n.flushSettlements, n.orders().Run} {
 		wait.Go(func() { loop(ctx) })
 	}
 	defer wait.Wait()
