Keys rotate without a restart; operators over TLS, every call audited

Node keys are read anew from their files and used for the next handshake, in both roles; half-written files leave the held keys in force. The operator API is served over TLS by default.

--- a/cmd/lavenderctl/main.go
+++ b/cmd/lavenderctl/main.go
@@ -11,16 +11,20 @@
 	"github.com/alecthomas/kong"
 	"github.com/juju/errors"
 	"google.golang.org/grpc"
+	"google.golang.org/grpc/credentials"
 	"google.golang.org/grpc/credentials/insecure"
 	"google.golang.org/grpc/metadata"
 
 	operatorv1 "lavenderpin.dev/lavenderpin/api/operator/v1"
+	"lavenderpin.dev/lavenderpin/tlskeys"
 )
 
 type cli struct {
-	Address string        `help:"IP:port of any node's operator API." env:"LAVENDERCTL_ADDRESS" default:"127.0.0.1:7003"`
-	Token   string        `help:"Operator token." env:"LAVENDERCTL_TOKEN"`
-	Timeout time.Duration `help:"Longest time for one call." env:"LAVENDERCTL_TIMEOUT" default:"15s"`
+	Address   string        `help:"IP:port of any node's operator API." env:"LAVENDERCTL_ADDRESS" default:"127.0.0.1:7003"`
+	Token     string        `help:"Operator token." env:"LAVENDERCTL_TOKEN"`
+	Authority string        `help:"PEM file of the fleet's authority, to check the node by." env:"LAVENDERCTL_AUTHORITY" type:"existingfile"`
+	Plaintext bool          `help:"Speak without TLS, for trials on one machine." env:"LAVENDERCTL_PLAINTEXT"`
+	Timeout   time.Duration `help:"Longest time for one call." env:"LAVENDERCTL_TIMEOUT" default:"15s"`
 
 	Apply    applyCmd    `cmd:"" help:"Make the fleet hold what a declarative file says."`
 	TopUp    topUpCmd    `cmd:"" name:"topup" help:"Add prepaid tokens to a budget."`
@@ -43,7 +47,11 @@
 }
 
 func (c *cli) connect(ctx context.Context) (*connection, error) {
-	conn, err := grpc.NewClient("passthrough:///"+c.Address, grpc.WithTransportCredentials(insecure.NewCredentials()))
+	creds, err := c.credentials()
+	if err != nil {
+		return nil, err
+	}
+	conn, err := grpc.NewClient("passthrough:///"+c.Address, grpc.WithTransportCredentials(creds))
 	if err != nil {
 		return nil, errors.Trace(err)
 	}
@@ -51,6 +59,17 @@
 	return &connection{ctx: ctx, client: operatorv1.NewOperatorServiceClient(conn), close: func() { _ = conn.Close() }}, nil
 }
 
+func (c *cli) credentials() (credentials.TransportCredentials, error) {
+	if c.Plaintext {
+		return insecure.NewCredentials(), nil
+	}
+	if c.Authority == "" {
+		return nil, errors.New("--authority is needed to check the node, or --plaintext")
+	}
+	creds, err := credentials.NewClientTLSFromFile(c.Authority, tlskeys.ServerName)
+	return creds, errors.Annotate(err, "authority")
+}
+
 // call runs one unary call within the time limit.
 func (c *cli) call(ctx context.Context, do func(*connection) error) error {
 	ctx, cancel := context.WithTimeout(ctx, c.Timeout)
--- a/cmd/lavenderpin/dev.go
+++ b/cmd/lavenderpin/dev.go
@@ -44,7 +44,7 @@
 	fmt.Printf("A fleet of %d nodes serves. Try:\n\n", len(fleet.Daemons))
 	fmt.Printf("curl -sN http://%s/v1/chat/completions -H 'Authorization: Bearer %s' -d '%s'\n\n", address, devfleet.AccountKey,
 		`{"model":"`+devfleet.Model+`","stream":true,"max_tokens":32,"messages":[{"role":"user","content":"which price looks wrong in this basket"}]}`)
-	fmt.Printf("lavenderctl --address %s --token %s budgets\n\n", fleet.Daemons[0].Node().Settings().OperatorAddress, devfleet.OperatorToken)
+	fmt.Printf("lavenderctl --plaintext --address %s --token %s budgets\n\n", fleet.Daemons[0].Node().Settings().OperatorAddress, devfleet.OperatorToken)
 	fmt.Println("Ctrl-C stops it.")
 	<-ctx.Done()
 	return nil
--- a/cmd/lavenderpin/serve.go
+++ b/cmd/lavenderpin/serve.go
@@ -2,9 +2,10 @@
 
 import (
 	"context"
-	"os"
+	"crypto/tls"
 	"time"
 
+	"github.com/jonboulle/clockwork"
 	"github.com/juju/errors"
 
 	"lavenderpin.dev/lavenderpin/daemon"
@@ -26,6 +27,7 @@
 	Cert      string `help:"PEM file of this node's certificate." env:"LAVENDERPIN_CERT" type:"existingfile" required:""`
 	Key       string `help:"PEM file of this node's key." env:"LAVENDERPIN_KEY" type:"existingfile" required:""`
 
+	OperatorPlaintext  bool          `help:"Serve operators without TLS, for trials on one machine." env:"LAVENDERPIN_OPERATOR_PLAINTEXT"`
 	BootstrapTokenHash string        `help:"Hash of an operator token (lavenderctl keys hash) that works until a stored one exists." env:"LAVENDERPIN_BOOTSTRAP_TOKEN_HASH"`
 	Heartbeat          time.Duration `help:"Time between heartbeats in the log." default:"5s" env:"LAVENDERPIN_HEARTBEAT"`
 	SpendRight         time.Duration `help:"How long the node may spend after its last heartbeat in the log: the longest store outage or region cut that it rides out, and the longest time that a crash freezes its shares." default:"30m" env:"LAVENDERPIN_SPEND_RIGHT"`
@@ -52,22 +54,21 @@
 	if err := settings.Validate(); err != nil {
 		return errors.Trace(err)
 	}
-	authority, pair, err := c.keys()
-	if err != nil {
-		return errors.Trace(err)
-	}
-	peerTLS, err := tlskeys.Config(authority, pair)
+	logger := newLogger()
+	files := tlskeys.Files{Authority: c.Authority, Cert: c.Cert, Key: c.Key}
+	keys, err := tlskeys.NewStore(files, clockwork.NewRealClock(), logger)
 	if err != nil {
 		return errors.Trace(err)
 	}
+	go keys.Run(ctx)
 	client, err := remote.Dial(c.Platform)
 	if err != nil {
 		return errors.Trace(err)
 	}
 	defer func() { _ = client.Close() }()
 	d, err := daemon.New(daemon.Config{
-		Settings: settings, Log: client, Instances: client, Weights: client, PeerTLS: peerTLS,
-		Logger: newLogger(), Admin: c.Admin, DrainTimeout: c.DrainTimeout,
+		Settings: settings, Log: client, Instances: client, Weights: client, PeerTLS: keys.TLS(),
+		OperatorTLS: c.operatorTLS(keys), Logger: logger, Admin: c.Admin, DrainTimeout: c.DrainTimeout,
 	})
 	if err != nil {
 		return errors.Trace(err)
@@ -75,14 +76,9 @@
 	return d.Run(ctx)
 }
 
-func (c *serveCmd) keys() ([]byte, tlskeys.Pair, error) {
-	var contents [3][]byte
-	for i, file := range []string{c.Authority, c.Cert, c.Key} {
-		data, err := os.ReadFile(file)
-		if err != nil {
-			return nil, tlskeys.Pair{}, errors.Trace(err)
-		}
-		contents[i] = data
+func (c *serveCmd) operatorTLS(keys *tlskeys.Store) *tls.Config {
+	if c.OperatorPlaintext {
+		return nil
 	}
-	return contents[0], tlskeys.Pair{Cert: contents[1], Key: contents[2]}, nil
+	return keys.ServerTLS()
 }
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -16,6 +16,7 @@
 	"github.com/jonboulle/clockwork"
 	"github.com/juju/errors"
 	"google.golang.org/grpc"
+	"google.golang.org/grpc/credentials"
 
 	fleetv1 "lavenderpin.dev/lavenderpin/api/fleet/v1"
 	"lavenderpin.dev/lavenderpin/httpapi"
@@ -33,7 +34,9 @@
 	Instances platform.Instances
 	Weights   platform.Weights
 	PeerTLS   *tls.Config
-	Logger    log.Logger
+	// OperatorTLS serves operators over TLS; nil serves them in the clear.
+	OperatorTLS *tls.Config
+	Logger      log.Logger
 	// Admin is the address for figures (expvar); empty for none.
 	Admin string
 	// DrainTimeout bounds a graceful stop.
@@ -79,11 +82,20 @@
 		return nil, errors.Trace(err)
 	}
 	d.http = httpapi.New(callers, func() httpapi.Node { return d.Node() })
-	d.grpc = grpc.NewServer()
-	operator.New(d.Node).Register(d.grpc)
+	d.grpc = newOperatorServer(operator.New(d.Node), config.OperatorTLS)
 	return d, nil
 }
 
+func newOperatorServer(api *operator.Server, config *tls.Config) *grpc.Server {
+	options := []grpc.ServerOption{grpc.UnaryInterceptor(api.Intercept), grpc.StreamInterceptor(api.InterceptStream)}
+	if config != nil {
+		options = append(options, grpc.Creds(credentials.NewTLS(config)))
+	}
+	server := grpc.NewServer(options...)
+	api.Register(server)
+	return server
+}
+
 // Node returns the current incarnation.
 func (d *Daemon) Node() *node.Node { return d.current.Load() }
 
--- a/event/log.go
+++ b/event/log.go
@@ -9,9 +9,12 @@
 	ConfigInForce   Number = 205
 	OperatorRefused Number = 206
 	BatchVoid       Number = 207
+	// OperatorCalled is the first of the audit events.
+	OperatorCalled Number = 240
 )
 
 var logKinds = map[Number]Kind{
+	OperatorCalled:  {"OperatorCalled", "An operator called this node; outcome and reason tell whether it was accepted."},
 	LogUnreachable:  {"LogUnreachable", "The platform's log stopped answering this node."},
 	LogReachable:    {"LogReachable", "The platform's log answers this node again."},
 	ConfigAccepted:  {"ConfigAccepted", "An operator's change won and was read back."},
