Change a configuration view in place of rebuilding it

Cause: each change rebuilt every index. Ruled out: rebuilding only on a timer (a change would wait for it), a lock around one set of maps (the request path reads them). Change: copy-on-write trees that share what didn't change; accounts and budgets packed. Two resources that ask for the same key, model or account-and-service are now refused by the fold; before, the order of names decided.

Also: a heartbeat that the fold refused no longer extends the right to spend.

--- a/config/snapshot.go
+++ b/config/snapshot.go
@@ -14,10 +14,16 @@
 // savedState is the snapshot form of State.
 type savedState struct {
 	Offset    uint64
-	Resources [][]byte
+	Resources []savedResource
 	Verdicts  []savedVerdict
 }
 
+type savedResource struct {
+	Version uint64
+	// Packed is the marshalled operator.v1.Resource.
+	Packed []byte
+}
+
 type savedVerdict struct {
 	ID      string
 	Verdict fold.Verdict
@@ -25,38 +31,37 @@
 
 // Snapshot implements fold.Part.
 func (s *State) Snapshot() ([]byte, error) {
-	saved := savedState{Offset: s.View().Offset}
-	for _, key := range sortedKeys(s.resources) {
-		data, err := proto.Marshal(s.resources[key])
-		if err != nil {
-			return nil, errors.Annotatef(err, "resource %s", key)
-		}
-		saved.Resources = append(saved.Resources, data)
-	}
+	view := s.View()
+	saved := savedState{Offset: view.Offset}
+	view.resources.Scan(func(_ string, held stored) bool {
+		saved.Resources = append(saved.Resources, savedResource{held.version, []byte(held.packed)})
+		return true
+	})
 	for _, id := range s.order {
 		saved.Verdicts = append(saved.Verdicts, savedVerdict{id, s.verdicts[id]})
 	}
 	return json.Marshal(saved)
 }
 
-// Restore implements fold.Part.
+// Restore implements fold.Part. It leaves the state as it was when data is broken.
 func (s *State) Restore(data []byte) error {
 	var saved savedState
 	if err := json.Unmarshal(data, &saved); err != nil {
 		return errors.Annotate(err, "configuration snapshot")
 	}
-	s.reset()
-	for _, raw := range saved.Resources {
-		held := &operatorv1.VersionedResource{}
-		if err := proto.Unmarshal(raw, held); err != nil {
+	view := emptyView()
+	view.Offset = saved.Offset
+	for _, r := range saved.Resources {
+		resource := &operatorv1.Resource{}
+		if err := proto.Unmarshal(r.Packed, resource); err != nil {
 			return errors.Annotate(err, "resource in snapshot")
 		}
-		key, _ := KeyOf(held.GetResource())
-		s.resources[key] = held
+		view.put(r.Version, &operatorv1.Change{Resource: resource})
 	}
+	s.reset()
 	for _, v := range saved.Verdicts {
 		s.remember(v.ID, v.Verdict)
 	}
-	s.view.Store(buildView(saved.Offset, s.resources))
+	s.view.Store(view)
 	return nil
 }
--- a/config/state.go
+++ b/config/state.go
@@ -4,8 +4,6 @@
 	"fmt"
 	"sync/atomic"
 
-	"google.golang.org/protobuf/proto"
-
 	operatorv1 "lavenderpin.dev/lavenderpin/api/operator/v1"
 	recordv1 "lavenderpin.dev/lavenderpin/api/record/v1"
 	"lavenderpin.dev/lavenderpin/fold"
@@ -18,11 +16,10 @@
 
 // State is the folded configuration. One goroutine applies; View is safe for all.
 type State struct {
-	resources map[Key]*operatorv1.VersionedResource
-	verdicts  map[string]fold.Verdict
-	order     []string
-	view      atomic.Pointer[View]
-	notify    func(*operatorv1.VersionedResource)
+	verdicts map[string]fold.Verdict
+	order    []string
+	view     atomic.Pointer[View]
+	notify   func(*operatorv1.VersionedResource)
 }
 
 // NewState returns an empty configuration. notify, when not nil, is called in
@@ -34,7 +31,6 @@
 }
 
 func (s *State) reset() {
-	s.resources = map[Key]*operatorv1.VersionedResource{}
 	s.verdicts = map[string]fold.Verdict{}
 	s.order = nil
 	s.view.Store(emptyView())
@@ -68,10 +64,12 @@
 			return verdict
 		}
 	}
-	for _, c := range change.GetChanges() {
-		s.set(at, c)
+	next, conflict := s.View().edit(at.Offset, change.GetChanges())
+	if conflict != "" {
+		return fold.Refuse(at, result.InvalidResource, conflict)
 	}
-	s.view.Store(buildView(at.Offset, s.resources))
+	s.view.Store(next)
+	s.tell(at, change.GetChanges())
 	return fold.Verdict{Offset: at.Offset, Version: at.Offset}
 }
 
@@ -90,29 +88,18 @@
 	return fold.Accept(at)
 }
 
-// currentVersion is 0 for a resource that doesn't exist or was deleted.
+// currentVersion is 0 for a resource that doesn't exist.
 func (s *State) currentVersion(key Key) uint64 {
-	held := s.resources[key]
-	if held == nil || held.GetDeleted() {
-		return 0
-	}
-	return held.GetVersion()
+	held, _ := s.View().resources.Get(key.String())
+	return held.version
 }
 
-func (s *State) set(at fold.Position, c *operatorv1.Change) {
-	key, _ := KeyOf(c.GetResource())
-	held := &operatorv1.VersionedResource{
-		Version:  at.Offset,
-		Resource: proto.Clone(c.GetResource()).(*operatorv1.Resource),
-		Deleted:  c.GetDelete(),
-	}
-	if c.GetDelete() {
-		delete(s.resources, key)
-	} else {
-		s.resources[key] = held
+func (s *State) tell(at fold.Position, changes []*operatorv1.Change) {
+	if s.notify == nil {
+		return
 	}
-	if s.notify != nil {
-		s.notify(held)
+	for _, c := range changes {
+		s.notify(&operatorv1.VersionedResource{Version: at.Offset, Resource: c.GetResource(), Deleted: c.GetDelete()})
 	}
 }
 
--- a/node/heartbeat.go
+++ b/node/heartbeat.go
@@ -26,6 +26,9 @@
 				n.close()
 				return
 			}
+			if !verdict.OK() {
+				continue
+			}
 			// Counted from before the append: whoever closes this incarnation
 			// counts from when it read the heartbeat, which is later.
 			n.holder.ExtendRight(started.Add(n.settings.SpendRight))
