--- a/fold/engine.go
+++ b/fold/engine.go
@@ -10,25 +10,26 @@
 type Engine struct {
 	parts   []Part
 	offset  uint64
-	lastSeq map[string]uint64
+	writers writers
 }
 
 // NewEngine returns an engine at offset 0 over empty parts.
 func NewEngine(parts ...Part) *Engine {
-	return &Engine{parts: parts, lastSeq: map[string]uint64{}}
+	return &Engine{parts: parts, writers: newWriters()}
 }
 
 // Offset returns the offset of the last batch applied.
 func (e *Engine) Offset() uint64 { return e.offset }
 
 // LastSeq returns the last sequence folded for a writer.
-func (e *Engine) LastSeq(writer string) uint64 { return e.lastSeq[writer] }
+func (e *Engine) LastSeq(writer string) uint64 { return e.writers.held[writer].seq }
 
 // Apply folds one batch and returns a verdict per entry. It returns nil for an
 // offset that was applied before: state never goes backwards, even when a peer
 // relays old records.
 //
-// A batch whose sequence isn't above the writer's last one is void as a whole.
+// A batch whose sequence isn't above the writer's last one is void as a whole, as
+// is one of an unknown writer that isn't its first.
 // Without this, a batch appended twice because the answer to the first append was
 // lost would take effect twice, which would show as money granted twice.
 func (e *Engine) Apply(offset uint64, batch *recordv1.Batch) []Verdict {
@@ -37,10 +38,9 @@
 	}
 	e.offset = offset
 	at := Position{Offset: offset, Writer: batch.GetWriter()}
-	if batch.GetSeq() <= e.lastSeq[at.Writer] {
+	if !e.writers.admit(at.Writer, batch.GetSeq(), offset) {
 		return e.void(at, batch)
 	}
-	e.lastSeq[at.Writer] = batch.GetSeq()
 	verdicts := make([]Verdict, 0, len(batch.GetEntries()))
 	for _, entry := range batch.GetEntries() {
 		verdicts = append(verdicts, e.applyEntry(at, entry))
--- /dev/null
+++ b/journal/recent.go
@@ -0,0 +1,81 @@
+package journal
+
+import (
+	"sync"
+
+	"lavenderpin.dev/lavenderpin/platform"
+)
+
+const (
+	// recentRecords and recentBytes bound what a node keeps for others. One that
+	// lags further reads the log itself.
+	recentRecords = 4096
+	recentBytes   = 8 << 20
+)
+
+// Recent holds the records that a follower folded last, so that other nodes can
+// read them from this one. It is safe for concurrent use.
+type Recent struct {
+	mu      sync.Mutex
+	records []platform.Record
+	bytes   int
+	next    uint64
+	grown   chan struct{}
+}
+
+func newRecent(next uint64) *Recent {
+	return &Recent{next: next, grown: make(chan struct{})}
+}
+
+// add takes the record that was folded after those held.
+func (r *Recent) add(record platform.Record) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.records = append(r.records, record)
+	r.bytes += len(record.Data)
+	for len(r.records) > recentRecords || r.bytes > recentBytes {
+		r.bytes -= len(r.records[0].Data)
+		r.records[0].Data = nil
+		r.records = r.records[1:]
+	}
+	r.move(record.Offset + 1)
+}
+
+// restart forgets all records: those held aren't followed by the next one.
+func (r *Recent) restart(next uint64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.records = nil
+	r.bytes = 0
+	r.move(next)
+}
+
+func (r *Recent) move(next uint64) {
+	r.next = next
+	close(r.grown)
+	r.grown = make(chan struct{})
+}
+
+// Read returns up to max records from an offset on without waiting; grown is
+// closed once there are more. It fails with platform.ErrAgedOut when from isn't
+// held any more.
+func (r *Recent) Read(from uint64, max int) (slice platform.Slice, grown <-chan struct{}, err error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	slice = platform.Slice{Oldest: r.next, Next: r.next}
+	if len(r.records) > 0 {
+		slice.Oldest = r.records[0].Offset
+	}
+	if from < slice.Oldest {
+		return slice, nil, platform.ErrAgedOut
+	}
+	for i := len(r.records); i > 0 && r.records[i-1].Offset >= from; i-- {
+		slice.Records = r.records[i-1:]
+	}
+	if len(slice.Records) > max {
+		slice.Records = slice.Records[:max]
+	}
+	// The ring is cut and appended to later; its records never change.
+	slice.Records = append([]platform.Record(nil), slice.Records...)
+	return slice, r.grown, nil
+}
--- a/journal/writer.go
+++ b/journal/writer.go
@@ -14,6 +14,7 @@
 	"lavenderpin.dev/lavenderpin/event"
 	"lavenderpin.dev/lavenderpin/fold"
 	"lavenderpin.dev/lavenderpin/platform"
+	"lavenderpin.dev/lavenderpin/result"
 )
 
 const (
@@ -194,3 +195,22 @@
 	default:
 	}
 }
+
+// Restored is told that the state was restored as of the writer's sequence seq. What
+// became of the entries up to there can't be learnt from the log any more, so their
+// tickets say that the outcome is open.
+func (w *Writer) Restored(seq uint64) {
+	w.mu.Lock()
+	var open []*Ticket
+	for sent, tickets := range w.pending {
+		if sent <= seq {
+			open = append(open, tickets...)
+			delete(w.pending, sent)
+		}
+	}
+	w.read = max(w.read, seq)
+	w.mu.Unlock()
+	for _, ticket := range open {
+		ticket.verdict <- fold.Verdict{Code: result.ChangeOutcomeOpen, Message: "the log no longer shows the entry"}
+	}
+}
