--- a/cmd/lavenderpin/serve.go
+++ b/cmd/lavenderpin/serve.go
@@ -28,6 +28,7 @@
 	Key       string `help:"PEM file of this node's key." env:"LAVENDERPIN_KEY" type:"existingfile" required:""`
 
 	OperatorPlaintext  bool          `help:"Serve operators without TLS, for trials on one machine." env:"LAVENDERPIN_OPERATOR_PLAINTEXT"`
+	TokenSecret        string        `help:"Secret of at least 32 bytes, the same on all nodes: it signs tickets and the event ids with which callers resume a stream. Without it both are good at one node alone." env:"LAVENDERPIN_TOKEN_SECRET"`
 	BootstrapTokenHash string        `help:"Hash of an operator token (lavenderctl keys hash) that works until a stored one exists." env:"LAVENDERPIN_BOOTSTRAP_TOKEN_HASH"`
 	Heartbeat          time.Duration `help:"Time between heartbeats in the log." default:"5s" env:"LAVENDERPIN_HEARTBEAT"`
 	SpendRight         time.Duration `help:"How long the node may spend after its last heartbeat in the log: the longest store outage or region cut that it rides out, and the longest time that a crash freezes its shares." default:"30m" env:"LAVENDERPIN_SPEND_RIGHT"`
@@ -50,6 +51,7 @@
 	settings.LeaseTerm = c.LeaseTerm
 	settings.ClaimChunk = c.ClaimChunk
 	settings.AddressLifetime = c.AddressLifetime
+	settings.TokenSecret = []byte(c.TokenSecret)
 	settings.BootstrapTokenSHA256 = c.BootstrapTokenHash
 	if err := settings.Validate(); err != nil {
 		return errors.Trace(err)
--- a/devfleet/fleet.go
+++ b/devfleet/fleet.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/rand"
 	"fmt"
 	"net"
 	"sync"
@@ -17,6 +18,7 @@
 	"lavenderpin.dev/lavenderpin/daemon"
 	"lavenderpin.dev/lavenderpin/internal/standin"
 	"lavenderpin.dev/lavenderpin/node"
+	"lavenderpin.dev/lavenderpin/signed"
 	"lavenderpin.dev/lavenderpin/tlskeys"
 
 	"github.com/jonboulle/clockwork"
@@ -59,6 +61,7 @@
 	EngineUpstreams []*operatorv1.Upstream
 	PlainUpstreams  []*operatorv1.Upstream
 
+	secret    []byte
 	stops     []context.CancelFunc
 	nodes     sync.WaitGroup
 	upstreams sync.WaitGroup
@@ -66,7 +69,8 @@
 
 // Start starts a fleet; Stop ends it.
 func Start(options Options) (*Fleet, error) {
-	f := &Fleet{Log: standin.NewLog(), Instances: standin.NewInstances()}
+	f := &Fleet{Log: standin.NewLog(), Instances: standin.NewInstances(), secret: make([]byte, signed.MinSecret)}
+	_, _ = rand.Read(f.secret)
 	if err := f.startUpstreams(options); err != nil {
 		f.Stop()
 		return nil, errors.Trace(err)
@@ -128,6 +132,7 @@
 	}
 	settings := node.DefaultSettings()
 	settings.Region, settings.DataCentre = place.Region, place.DataCentre
+	settings.TokenSecret = f.secret
 	settings.BootstrapTokenSHA256 = config.HashKey(OperatorToken)
 	for _, address := range []*string{&settings.PeerAddress, &settings.HTTPAddress, &settings.OperatorAddress} {
 		if *address, err = freeAddress(); err != nil {
--- a/event/request.go
+++ b/event/request.go
@@ -9,6 +9,13 @@
 	RequestFailed     Number = 405
 	RequestSettled    Number = 406
 	CallerLeft        Number = 407
+	CallClaimed       Number = 410
+	CallForwarded     Number = 411
+	StreamResumed     Number = 412
+	StreamMoved       Number = 413
+	AttemptRetried    Number = 414
+	RetryDenied       Number = 415
+	AnswerRerun       Number = 416
 )
 
 var requestKinds = map[Number]Kind{
@@ -19,4 +26,11 @@
 	RequestFailed:     {"RequestFailed", "A request failed after it was sent."},
 	RequestSettled:    {"RequestSettled", "The settlement of a request is in the log."},
 	CallerLeft:        {"CallerLeft", "The caller left before the answer was complete."},
+	CallClaimed:       {"CallClaimed", "The log gave this node the idempotency key of a call."},
+	CallForwarded:     {"CallForwarded", "A call was passed on to the node that owns its key or ticket."},
+	StreamResumed:     {"StreamResumed", "A caller reads on at this node from a stream that another began."},
+	StreamMoved:       {"StreamMoved", "The caller of a stream reads on at another node; this one still settles."},
+	AttemptRetried:    {"AttemptRetried", "A request is sent again to another upstream."},
+	RetryDenied:       {"RetryDenied", "A request is not sent again: the node's retry budget is spent."},
+	AnswerRerun:       {"AnswerRerun", "An engine was lost within an answer; another one repeats it from the start."},
 }
--- a/httpapi/chatsink.go
+++ b/httpapi/chatsink.go
@@ -44,10 +44,19 @@
 	}
 }
 
+// Streams implements request.Sink.
+func (s *chatSink) Streams() bool { return s.stream }
+
+// Restart implements request.Sink.
+func (s *chatSink) Restart() {
+	s.text.Reset()
+	s.reason, s.usage = "", upstream.Usage{}
+}
+
 // Chunk implements request.Sink.
-func (s *chatSink) Chunk(chunk upstream.Chunk) error {
+func (s *chatSink) Chunk(cursor string, chunk upstream.Chunk) error {
 	if s.stream {
-		return s.writer.WriteEvent("", "", chunk.Data)
+		return s.writer.WriteEvent(cursor, "", chunk.Data)
 	}
 	s.text.WriteString(chunk.Content)
 	if chunk.FinishReason != "" {
--- a/httpapi/error.go
+++ b/httpapi/error.go
@@ -27,7 +27,7 @@
 	known := result.From(err)
 	info := known.Code.Info()
 	return errorAnswer{errorBody{
-		Code: uint32(known.Code), Name: info.Name, Message: known.Message, NotRun: info.NotRun,
+		Code: uint32(known.Code), Name: info.Name, Message: known.Message, NotRun: known.NotRun(),
 		Retry: info.Retry, RetryAfterMS: known.RetryAfter.Milliseconds(),
 	}}
 }
--- a/httpapi/server.go
+++ b/httpapi/server.go
@@ -44,6 +44,8 @@
 	s.hertz.GET("/healthz", s.health)
 	s.hertz.GET("/v1/addresses", s.addresses)
 	s.hertz.POST("/v1/chat/completions", s.chat)
+	s.hertz.GET("/v1/streams", s.resume)
+	s.hertz.POST("/v1/tickets", s.ticket)
 	s.hertz.Any("/s/:service/*path", s.call)
 	return s
 }
@@ -81,50 +83,55 @@
 }
 
 func (s *Server) chat(ctx context.Context, c *app.RequestContext) {
+	if len(c.GetHeader(headerLastEventID)) > 0 {
+		s.resume(ctx, c)
+		return
+	}
 	if err := s.node().Serving(); err != nil {
 		writeError(c, err)
 		return
 	}
-	body := c.Request.Body()
-	call := request.ChatCall{Key: bearer(c), Body: append([]byte(nil), body...)}
+	timeout, err := callerTimeout(c)
+	if err != nil {
+		writeError(c, err)
+		return
+	}
+	body := append([]byte(nil), c.Request.Body()...)
+	call := request.ChatCall{Key: bearer(c), Body: body, Timeout: timeout}
 	sink := newChatSink(c, wantsStream(body))
 	sink.finish(s.node().Requests().Chat(ctx, call, sink))
 }
 
-func (s *Server) call(ctx context.Context, c *app.RequestContext) {
+// resume reads on from a stream for a caller that brings the last event id it got.
+func (s *Server) resume(ctx context.Context, c *app.RequestContext) {
 	if err := s.node().Serving(); err != nil {
 		writeError(c, err)
 		return
 	}
-	answer, err := s.node().Requests().Call(ctx, request.ServiceCall{
-		Key: bearer(c), Service: c.Param("service"), Method: string(c.Method()), Path: callPath(c),
-		Headers: callHeaders(c), Body: append([]byte(nil), c.Request.Body()...),
-		IdempotencyKey: string(c.GetHeader("Idempotency-Key")),
-	})
+	call := request.ResumeCall{Key: bearer(c), Cursor: string(c.GetHeader(headerLastEventID))}
+	sink := newChatSink(c, true)
+	sink.finish(s.node().Requests().ResumeChat(ctx, call, sink))
+}
+
+func (s *Server) call(ctx context.Context, c *app.RequestContext) {
+	call, err := serviceCall(c)
 	if err != nil {
 		writeError(c, err)
 		return
 	}
-	c.Data(answer.Status, answer.ContentType, answer.Body)
-}
-
-func callPath(c *app.RequestContext) string {
-	path := "/" + strings.TrimPrefix(c.Param("path"), "/")
-	if query := string(c.Request.URI().QueryString()); query != "" {
-		path += "?" + query
-	}
-	return path
-}
-
-// callHeaders returns the headers that a plain service gets to see.
-func callHeaders(c *app.RequestContext) map[string]string {
-	headers := map[string]string{}
-	for _, name := range []string{"Content-Type", "Accept"} {
-		if value := string(c.GetHeader(name)); value != "" {
-			headers[name] = value
+	if err := s.node().Serving(); err != nil {
+		if call.IdempotencyKey != "" || call.Ticket != "" {
+			err = result.From(err).Doubt() // an earlier try may have run elsewhere
 		}
+		writeError(c, err)
+		return
+	}
+	answer, err := s.node().Requests().Call(ctx, call)
+	if err != nil {
+		writeError(c, err)
+		return
 	}
-	return headers
+	c.Data(answer.Status, answer.ContentType, answer.Body)
 }
 
 func bearer(c *app.RequestContext) string {
--- /dev/null
+++ b/httpapi/servicecall.go
@@ -0,0 +1,81 @@
+package httpapi
+
+import (
+	"bytes"
+	"strconv"
+	"time"
+
+	"github.com/cloudwego/hertz/pkg/app"
+
+	"lavenderpin.dev/lavenderpin/request"
+	"lavenderpin.dev/lavenderpin/result"
+)
+
+// Header names that callers send.
+const (
+	headerIdempotencyKey = "Idempotency-Key"
+	headerTicket         = "X-Call-Ticket"
+	headerTimeout        = "X-Request-Timeout-Ms"
+	headerLastEventID    = "Last-Event-ID"
+)
+
+const servicePrefix = "/s/"
+
+// serviceCall reads a call of a plain service.
+func serviceCall(c *app.RequestContext) (request.ServiceCall, error) {
+	timeout, err := callerTimeout(c)
+	if err != nil {
+		return request.ServiceCall{}, err
+	}
+	path, err := callPath(c)
+	if err != nil {
+		return request.ServiceCall{}, err
+	}
+	return request.ServiceCall{
+		Key: bearer(c), Service: c.Param("service"), Method: string(c.Method()), Path: path,
+		Headers: callHeaders(c), Body: append([]byte(nil), c.Request.Body()...),
+		IdempotencyKey: string(c.GetHeader(headerIdempotencyKey)), Ticket: string(c.GetHeader(headerTicket)),
+		Timeout: timeout,
+	}, nil
+}
+
+// callPath returns what stands behind the service's name, as the caller sent it. The
+// router works on a path with its dot segments resolved; where that names another
+// service than the caller wrote, the call is refused.
+func callPath(c *app.RequestContext) (string, error) {
+	original := c.Request.URI().PathOriginal()
+	rest, found := bytes.CutPrefix(original, []byte(servicePrefix))
+	service, path, _ := bytes.Cut(rest, []byte("/"))
+	if !found || string(service) != c.Param("service") {
+		return "", result.New(result.InvalidPath, "the path isn't in its plain form")
+	}
+	whole := "/" + string(path)
+	if query := c.Request.URI().QueryString(); len(query) > 0 {
+		whole += "?" + string(query)
+	}
+	return whole, nil
+}
+
+// callHeaders returns the headers that a plain service gets to see.
+func callHeaders(c *app.RequestContext) map[string]string {
+	headers := map[string]string{}
+	for _, name := range []string{"Content-Type", "Accept"} {
+		if value := string(c.GetHeader(name)); value != "" {
+			headers[name] = value
+		}
+	}
+	return headers
+}
+
+// callerTimeout reads the caller's deadline; 0 for none.
+func callerTimeout(c *app.RequestContext) (time.Duration, error) {
+	text := string(c.GetHeader(headerTimeout))
+	if text == "" {
+		return 0, nil
+	}
+	ms, err := strconv.ParseUint(text, 10, 32)
+	if err != nil || ms == 0 {
+		return 0, result.New(result.MalformedRequest, "%s isn't a number of milliseconds", headerTimeout)
+	}
+	return time.Duration(ms) * time.Millisecond, nil
+}
--- /dev/null
+++ b/idempotency/runner.go
@@ -0,0 +1,350 @@
+package idempotency
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+
+	recordv1 "lavenderpin.dev/lavenderpin/api/record/v1"
+	"lavenderpin.dev/lavenderpin/event"
+	"lavenderpin.dev/lavenderpin/fold"
+	"lavenderpin.dev/lavenderpin/journal"
+	"lavenderpin.dev/lavenderpin/result"
+)
+
+const (
+	// claimWait bounds how long a call waits for its claim to be read back.
+	claimWait = 2 * time.Second
+	// comeBack is when a caller should ask again about a call that runs.
+	comeBack = time.Second
+	// maxAnswers bounds the answers held, in bytes.
+	maxAnswers = 64 << 20
+	// startOver bounds how often a call begins anew after its claim was given up.
+	startOver = 3
+)
+
+// Submitter queues an entry for the log; journal.Writer is one.
+type Submitter interface {
+	Submit(entry *recordv1.Entry) *journal.Ticket
+}
+
+// Options is what a Runner works with.
+type Options struct {
+	// Incarnation of this node.
+	Incarnation string
+	Claims      *Claims
+	Journal     Submitter
+	// Open tells whether an incarnation may still run calls.
+	Open   func(incarnation string) bool
+	Clock  clockwork.Clock
+	Events *event.Recorder
+}
+
+// Runner runs calls at most once. It is safe for concurrent use.
+type Runner struct {
+	Options
+	stopped chan struct{}
+	once    sync.Once
+	active  sync.WaitGroup
+
+	mu      sync.Mutex
+	held    map[ID]*heldCall
+	tickets map[uint64]*heldCall
+	prune   int
+	answers answerQueue
+}
+
+// NewRunner returns a runner that holds nothing.
+func NewRunner(options Options) *Runner {
+	return &Runner{Options: options, stopped: make(chan struct{}),
+		held: map[ID]*heldCall{}, tickets: map[uint64]*heldCall{}, prune: minPrune, answers: answerQueue{limit: maxAnswers}}
+}
+
+// Stop ends the waits for claims that the log hasn't shown. Calls that run go on.
+func (r *Runner) Stop() { r.once.Do(func() { close(r.stopped) }) }
+
+// Wait returns once no call runs.
+func (r *Runner) Wait() { r.active.Wait() }
+
+// Do runs a call under its key, or returns what became of it. forward is nil when
+// another node sent the call here: two nodes that each hold the other for the owner
+// would otherwise pass it to and fro.
+func (r *Runner) Do(ctx context.Context, call Call, run RunFunc, forward ForwardFunc) (Answer, error) {
+	for range startOver {
+		held, err := r.join(call)
+		if err != nil {
+			return Answer{}, err
+		}
+		if held == nil {
+			return r.elsewhere(ctx, call, forward)
+		}
+		answer, again, err := r.await(ctx, held, run)
+		if !again {
+			return answer, err
+		}
+	}
+	return Answer{}, result.New(result.CallInProgress, "the key is being claimed").After(comeBack)
+}
+
+// join finds the call among those held, or claims it; nil when another node owns it.
+func (r *Runner) join(call Call) (*heldCall, error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if held := r.held[call.ID]; held != nil {
+		if held.call.Digest != call.Digest {
+			return nil, reused(call.ID.Key)
+		}
+		held.waiters++
+		return held, nil
+	}
+	if _, claimed := r.Claims.Get(call.ID); claimed {
+		return nil, nil
+	}
+	held := newHeldCall(call, claiming)
+	held.waiters = 1
+	held.claim = r.Journal.Submit(&recordv1.Entry{Body: &recordv1.Entry_CallClaim{
+		CallClaim: &recordv1.CallClaim{Account: call.ID.Account, Key: call.ID.Key, Digest: call.Digest[:]},
+	}})
+	r.held[call.ID] = held
+	go r.awaitClaim(held)
+	return held, nil
+}
+
+func reused(key string) error {
+	return result.New(result.KeyReused, "key %q was used with another request", key)
+}
+
+// awaitClaim takes the verdict on a claim, however late the log shows it.
+func (r *Runner) awaitClaim(held *heldCall) {
+	select {
+	case verdict := <-held.claim.Done():
+		r.claimed(held, verdict)
+	case <-r.stopped:
+	}
+}
+
+func (r *Runner) claimed(held *heldCall, verdict fold.Verdict) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if held.phase != claiming {
+		return
+	}
+	if !verdict.OK() {
+		held.err = verdict.Err()
+		r.drop(held, lost)
+		return
+	}
+	r.Events.Record(event.CallClaimed, "account", held.call.ID.Account, "key", held.call.ID.Key, "offset", verdict.Offset)
+	held.move(free)
+	if held.waiters == 0 {
+		// Every caller was told that its try did not run. Kept, the claim would
+		// block the key until this node ends and make its outcome unknown then.
+		r.release(held)
+	}
+}
+
+func (r *Runner) drop(held *heldCall, to phase) {
+	if r.held[held.call.ID] == held {
+		delete(r.held, held.call.ID)
+	}
+	held.move(to)
+}
+
+// release gives the claim of a call that certainly did not run up. The call stays
+// held until the log shows it: a claim made before would lose against the old one.
+func (r *Runner) release(held *heldCall) {
+	held.move(claiming)
+	ticket := r.Journal.Submit(outcome(held.call.ID, recordv1.CallEnd_CALL_END_NOT_RUN, Answer{}))
+	go func() {
+		select {
+		case <-ticket.Done():
+		case <-r.stopped:
+		}
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		r.drop(held, lost)
+	}()
+}
+
+func outcome(id ID, end recordv1.CallEnd, answer Answer) *recordv1.Entry {
+	return &recordv1.Entry{Body: &recordv1.Entry_CallOutcome{CallOutcome: &recordv1.CallOutcome{
+		Account: id.Account, Key: id.Key, Status: uint32(answer.Status), End: end,
+	}}}
+}
+
+// await waits for a held call to end, and runs it when it is free. again tells that
+// the claim was lost or given up and that the caller should start over.
+func (r *Runner) await(ctx context.Context, held *heldCall, run RunFunc) (answer Answer, again bool, err error) {
+	claimOver := r.Clock.After(claimWait)
+	for {
+		r.mu.Lock()
+		switch held.phase {
+		case ended:
+			defer r.mu.Unlock()
+			held.waiters--
+			return held.answer, false, held.err
+		case lost:
+			defer r.mu.Unlock()
+			held.waiters--
+			return Answer{}, !refusesForGood(held.err), held.err
+		case free:
+			if ctx.Err() == nil {
+				r.start(ctx, held, run)
+			}
+		}
+		changed, waitsForClaim := held.changed, held.phase == claiming
+		r.mu.Unlock()
+		var claimTimeout <-chan time.Time
+		if waitsForClaim {
+			claimTimeout = claimOver
+		}
+		select {
+		case <-changed:
+		case <-claimTimeout:
+			return Answer{}, false, r.leave(held)
+		case <-ctx.Done():
+			return Answer{}, false, r.leave(held)
+		}
+	}
+}
+
+// refusesForGood tells that a lost claim is worth no second look.
+func refusesForGood(err error) bool {
+	code := result.CodeOf(err)
+	return code == result.KeyReused || code == result.KeysExhausted
+}
+
+// leave ends a caller's wait. A try that ends before the claim was read back has not
+// run and never will, but an earlier try with the key may have run at a node whose
+// claim this one hasn't seen: the code doesn't say "not run".
+func (r *Runner) leave(held *heldCall) error {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	held.waiters--
+	switch held.phase {
+	case claiming:
+		if held.waiters == 0 && held.claim != nil && held.claim.Withdraw() {
+			r.drop(held, lost)
+		}
+		return result.New(result.KeyNotClaimed, "the log doesn't confirm the key; this try was not run, an earlier one with the key may have been").After(comeBack)
+	case ended:
+		return held.err
+	case free:
+		if held.waiters == 0 {
+			r.release(held)
+		}
+		return result.New(result.CallerGone, "the caller left before the call was run")
+	}
+	return result.New(result.CallInProgress, "the call runs; ask again with the same key or ticket").After(comeBack)
+}
+
+// start runs a free call apart from its caller: a caller that leaves must find the
+// answer when it comes back, and the call can't be unsent.
+func (r *Runner) start(ctx context.Context, held *heldCall, run RunFunc) {
+	held.move(running)
+	r.active.Add(1)
+	go func() {
+		defer r.active.Done()
+		answer, err := r.guard(context.WithoutCancel(ctx), run)
+		r.finish(held, answer, err)
+	}()
+}
+
+// guard turns a panic into an unknown outcome. Unrecovered it would end the node,
+// and with it every other call and stream.
+func (r *Runner) guard(ctx context.Context, run RunFunc) (answer Answer, err error) {
+	defer func() {
+		if defect := recover(); defect != nil {
+			r.Events.Record(event.PanicRecovered, "why", fmt.Sprint(defect))
+			err = result.New(result.OutcomeUnknown, "a defect in this node")
+		}
+	}()
+	return run(ctx)
+}
+
+func (r *Runner) finish(held *heldCall, answer Answer, err error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	held.answer, held.err = answer, err
+	isTicket := held.expires != 0
+	switch {
+	case err == nil:
+		r.keep(held, recordv1.CallEnd_CALL_END_RAN)
+	case !result.From(err).NotRun():
+		r.keep(held, recordv1.CallEnd_CALL_END_UNKNOWN)
+	case isTicket:
+		// Not run: the ticket may be used again.
+		r.tickets[ticketNumber(held)] = newTicketCall(held.call, held.expires)
+		held.move(ended)
+	default:
+		r.endNotRun(held)
+	}
+}
+
+// endNotRun answers the waiting callers with the refusal and frees the key.
+func (r *Runner) endNotRun(held *heldCall) {
+	successor := newHeldCall(held.call, claiming)
+	r.held[held.call.ID] = successor
+	held.move(ended)
+	r.release(successor)
+}
+
+// keep holds the end of a call for its caller's retries.
+func (r *Runner) keep(held *heldCall, end recordv1.CallEnd) {
+	held.move(ended)
+	if held.expires != 0 {
+		r.remember(held)
+		return
+	}
+	ticket := r.Journal.Submit(outcome(held.call.ID, end, held.answer))
+	go r.awaitOutcome(held, ticket)
+}
+
+// awaitOutcome lets an answer be forgotten once the log holds the outcome: until
+// then this node's memory is the only place that knows it.
+func (r *Runner) awaitOutcome(held *heldCall, ticket *journal.Ticket) {
+	select {
+	case <-ticket.Done():
+	case <-r.stopped:
+		return
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.remember(held)
+}
+
+// remember takes an answer into the bounded memory. What leaves it for that stays
+// known as run: by the log for a key, by its entry for a ticket.
+func (r *Runner) remember(held *heldCall) {
+	for _, old := range r.answers.add(held) {
+		if old.expires == 0 {
+			delete(r.held, old.call.ID)
+			continue
+		}
+		if old.err == nil {
+			old.err = result.New(result.AlreadyRan, "the call ran and was answered with status %d; its answer is no longer held", old.answer.Status)
+		}
+		old.answer = Answer{}
+	}
+}
+
+// elsewhere answers for a call that this node doesn't hold.
+func (r *Runner) elsewhere(ctx context.Context, call Call, forward ForwardFunc) (Answer, error) {
+	claim, known := r.Claims.Get(call.ID)
+	switch {
+	case !known:
+		return Answer{}, result.New(result.CallInProgress, "the key is being given up").After(comeBack)
+	case claim.Digest != string(call.Digest[:]):
+		return Answer{}, reused(call.ID.Key)
+	case claim.Owner != r.Incarnation && r.Open(claim.Owner) && forward != nil:
+		return forward(ctx, claim.Owner)
+	case claim.Owner != r.Incarnation && r.Open(claim.Owner):
+		return Answer{}, result.New(result.CallInProgress, "another node owns the key").After(comeBack)
+	case claim.End == recordv1.CallEnd_CALL_END_RAN:
+		return Answer{}, result.New(result.AlreadyRan, "the call ran and was answered with status %d; its answer is no longer held", claim.Status)
+	}
+	return Answer{}, result.New(result.OutcomeUnknown, "the node that may have run the call is gone; it will not be run again")
+}
--- /dev/null
+++ b/idempotency/snapshot.go
@@ -0,0 +1,58 @@
+package idempotency
+
+import (
+	"encoding/json"
+	"sort"
+
+	"github.com/juju/errors"
+)
+
+// savedClaim is the snapshot form of one claim.
+type savedClaim struct {
+	ID    ID
+	Claim Claim
+	// Digest is binary, which JSON keeps whole only as bytes.
+	Digest []byte
+}
+
+// Snapshot implements fold.Part.
+func (c *Claims) Snapshot() ([]byte, error) {
+	c.mu.RLock()
+	defer c.mu.RUnlock()
+	saved := make([]savedClaim, 0, len(c.claims))
+	for id, claim := range c.claims {
+		digest := []byte(claim.Digest)
+		claim.Digest = ""
+		saved = append(saved, savedClaim{id, claim, digest})
+	}
+	sort.Slice(saved, func(i, j int) bool { return saved[i].less(saved[j]) })
+	return json.Marshal(saved)
+}
+
+// less orders by offset, and within a batch by name, so that all nodes write the
+// same snapshot.
+func (s savedClaim) less(other savedClaim) bool {
+	if s.Claim.Offset != other.Claim.Offset {
+		return s.Claim.Offset < other.Claim.Offset
+	}
+	if s.ID.Account != other.ID.Account {
+		return s.ID.Account < other.ID.Account
+	}
+	return s.ID.Key < other.ID.Key
+}
+
+// Restore implements fold.Part.
+func (c *Claims) Restore(data []byte) error {
+	var saved []savedClaim
+	if err := json.Unmarshal(data, &saved); err != nil {
+		return errors.Annotate(err, "claims snapshot")
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.claims, c.order, c.held = map[ID]Claim{}, nil, map[string]int{}
+	for _, s := range saved {
+		s.Claim.Digest = string(s.Digest)
+		c.put(s.ID, s.Claim)
+	}
+	return nil
+}
--- a/internal/standin/engine.go
+++ b/internal/standin/engine.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"net"
+	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -19,12 +20,21 @@
 type EngineOptions struct {
 	// TokenTime is the time between two tokens.
 	TokenTime time.Duration
-	// CutAfter ends each stream after so many tokens without a terminal marker; 0 never.
+	// CutAfter ends each connection's stream after so many tokens without a terminal
+	// marker; 0 never. The engine goes on with the request.
 	CutAfter int
 	// Cross makes every nth request answer under another id; 0 never.
 	Cross int
 	// IgnoreFencing makes the engine take orders with an old fencing number.
 	IgnoreFencing bool
+	// Duplicate sends every nth chunk of a stream twice; 0 never.
+	Duplicate int
+	// Swap sends every nth chunk of a stream after the one that follows it; 0 never.
+	Swap int
+	// Forget makes the engine keep no stream for readers that come later.
+	Forget bool
+	// Vary puts this text before each word, so that engines answer differently.
+	Vary string
 }
 
 // Engine is a stand-in model engine: it echoes the prompt's words.
@@ -37,6 +47,9 @@
 	served    map[string]int
 	counted   map[string]engineUsage
 	models    engineModels
+	streams   map[string]*engineStream
+	// streamIDs lists the streams kept, the oldest first.
+	streamIDs []string
 }
 
 // engineUsage is what the engine answers about one request.
@@ -48,13 +61,15 @@
 
 // NewEngine returns an engine that serves on the listener once Run is called.
 func NewEngine(listener net.Listener, options EngineOptions) *Engine {
-	e := &Engine{options: options, cancelled: map[string]bool{}, served: map[string]int{}, counted: map[string]engineUsage{}}
+	e := &Engine{options: options, cancelled: map[string]bool{}, served: map[string]int{},
+		counted: map[string]engineUsage{}, streams: map[string]*engineStream{}}
 	e.server = newServer(listener)
 	e.server.POST("/v1/chat/completions", e.chat)
 	e.server.POST("/v1/cancel", e.cancel)
 	e.server.GET("/v1/usage", e.usage)
 	e.server.GET("/v1/models", e.reportModels)
 	e.server.POST("/v1/models", e.order)
+	e.server.GET("/v1/streams/:id", e.resume)
 	return e
 }
 
@@ -95,7 +110,7 @@
 	return answer, promptTokens
 }
 
-func (e *Engine) chat(ctx context.Context, c *app.RequestContext) {
+func (e *Engine) chat(_ context.Context, c *app.RequestContext) {
 	id := string(c.GetHeader("X-Request-Id"))
 	var r engineRequest
 	if err := json.Unmarshal(c.Request.Body(), &r); err != nil {
@@ -103,36 +118,123 @@
 		return
 	}
 	n := e.requests.Add(1)
-	e.mu.Lock()
-	e.served[id]++
-	e.mu.Unlock()
+	stream := e.keep(id)
 	answerID := id
 	if e.options.Cross > 0 && n%int64(e.options.Cross) == 0 {
 		answerID = "crossed-" + id
 	}
+	go e.generate(id, answerID, &r, stream)
+	e.send(c, stream, 0)
+}
+
+func (e *Engine) keep(id string) *engineStream {
+	stream := newEngineStream()
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.served[id]++
+	e.streams[id] = stream
+	e.streamIDs = append(e.streamIDs, id)
+	if len(e.streamIDs) > keptStreams {
+		delete(e.streams, e.streamIDs[0])
+		e.streamIDs = e.streamIDs[1:]
+	}
+	return stream
+}
+
+// generate writes the answer into the stream, at the engine's pace.
+func (e *Engine) generate(id, answerID string, r *engineRequest, stream *engineStream) {
+	answer, promptTokens := r.words()
+	e.count(id, "running", promptTokens, 0)
+	for i, word := range answer {
+		time.Sleep(e.options.TokenTime)
+		if e.isCancelled(id) {
+			e.count(id, "finished", promptTokens, i)
+			stream.end(true)
+			return
+		}
+		e.count(id, "running", promptTokens, i+1)
+		stream.write(chunkJSON(answerID, r.Model, e.options.Vary+word+" ", ""))
+	}
+	e.count(id, "finished", promptTokens, len(answer))
+	stream.write(chunkJSON(answerID, r.Model, "", "stop"))
+	stream.write(usageJSON(answerID, r.Model, promptTokens, len(answer)))
+	stream.write([]byte("[DONE]"))
+	stream.end(false)
+}
+
+// send passes a stream on from a number on, with each event's number as its id.
+func (e *Engine) send(c *app.RequestContext, stream *engineStream, from int) {
 	w := sse.NewWriter(c)
 	defer func() { _ = w.Close() }()
-	answer, promptTokens := r.words()
 	sent := 0
-	e.count(id, "running", promptTokens, sent)
-	for _, word := range answer {
-		if e.isCancelled(id) {
-			break
+	for {
+		events, ended, grown := stream.read(from)
+		for _, data := range events {
+			if e.options.CutAfter > 0 && sent >= e.options.CutAfter {
+				return
+			}
+			if e.write(w, stream, from, data) != nil {
+				return
+			}
+			from++
+			sent++
 		}
-		if e.options.CutAfter > 0 && sent >= e.options.CutAfter {
+		if ended && len(events) == 0 {
 			return
 		}
-		time.Sleep(e.options.TokenTime)
-		if w.WriteEvent("", "", chunkJSON(answerID, r.Model, word+" ", "")) != nil {
-			return
+		if len(events) == 0 {
+			<-grown
+		}
+	}
+}
+
+// write sends one event, with the faults that are switched on.
+func (e *Engine) write(w *sse.Writer, stream *engineStream, number int, data []byte) error {
+	if e.options.Swap > 0 && number%e.options.Swap == e.options.Swap-1 {
+		if following := awaitEvent(stream, number+1); following != nil {
+			if err := w.WriteEvent(strconv.Itoa(number+1), "", following); err != nil {
+				return err
+			}
 		}
-		sent++
-		e.count(id, "running", promptTokens, sent)
 	}
-	e.count(id, "finished", promptTokens, sent)
-	_ = w.WriteEvent("", "", chunkJSON(answerID, r.Model, "", "stop"))
-	_ = w.WriteEvent("", "", usageJSON(answerID, r.Model, promptTokens, sent))
-	_ = w.WriteEvent("", "", []byte("[DONE]"))
+	if e.options.Duplicate > 0 && number%e.options.Duplicate == 0 {
+		if err := w.WriteEvent(strconv.Itoa(number), "", data); err != nil {
+			return err
+		}
+	}
+	return w.WriteEvent(strconv.Itoa(number), "", data)
+}
+
+// awaitEvent returns one event of a stream, nil when the stream ends before it.
+func awaitEvent(stream *engineStream, number int) []byte {
+	for {
+		events, ended, grown := stream.read(number)
+		if len(events) > 0 {
+			return events[0]
+		}
+		if ended {
+			return nil
+		}
+		<-grown
+	}
+}
+
+// resume sends a kept stream again from a number on.
+func (e *Engine) resume(_ context.Context, c *app.RequestContext) {
+	e.mu.Lock()
+	stream := e.streams[c.Param("id")]
+	e.mu.Unlock()
+	from, err := strconv.Atoi(c.Query("from"))
+	switch {
+	case err != nil || from < 0:
+		c.String(400, "from isn't a number")
+	case stream == nil || e.options.Forget:
+		c.String(404, "no such stream")
+	case stream.gone(from):
+		c.String(410, "the request was cancelled")
+	default:
+		e.send(c, stream, from)
+	}
 }
 
 // usage tells what the engine counted for the request named in the header.
--- a/internal/standin/service.go
+++ b/internal/standin/service.go
@@ -18,6 +18,7 @@
 
 	mu   sync.Mutex
 	runs map[string]int
+	lose int
 }
 
 // NewService returns a service that serves on the listener once Run is called and
@@ -46,12 +47,33 @@
 	return runs
 }
 
+// LoseAnswers makes the next n calls run and then end their connection unanswered.
+func (s *Service) LoseAnswers(n int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.lose = n
+}
+
+func (s *Service) loses() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.lose == 0 {
+		return false
+	}
+	s.lose--
+	return true
+}
+
 func (s *Service) call(_ context.Context, c *app.RequestContext) {
 	body := c.Request.Body()
 	s.mu.Lock()
 	s.runs[string(body)]++
 	s.mu.Unlock()
 	time.Sleep(s.delay)
+	if s.loses() {
+		_ = c.GetConn().Close()
+		return
+	}
 	c.Header("X-Request-Id", string(c.GetHeader("X-Request-Id")))
 	c.Data(200, "application/json", append([]byte(nil), body...))
 }
--- a/node/node.go
+++ b/node/node.go
@@ -16,6 +16,7 @@
 	"lavenderpin.dev/lavenderpin/config"
 	"lavenderpin.dev/lavenderpin/event"
 	"lavenderpin.dev/lavenderpin/fold"
+	"lavenderpin.dev/lavenderpin/idempotency"
 	"lavenderpin.dev/lavenderpin/journal"
 	"lavenderpin.dev/lavenderpin/lease"
 	"lavenderpin.dev/lavenderpin/membership"
@@ -46,6 +47,7 @@
 	leases     *lease.Keeper
 	members    *membership.Members
 	requests   *request.Server
+	claims     *idempotency.Claims
 	metrics    *expvar.Map
 
 	closed chan struct{}
@@ -77,13 +79,15 @@
 	n.reserver = budget.NewReserver(n.holder, n.ledger, n.writer, n.events, settings.ClaimChunk)
 	n.leaseTable = lease.NewTable()
 	n.leases = lease.NewKeeper(n.info.GetIncarnation(), settings.LeaseTerm, n.leaseTable, n.writer, deps.Clock, n.events)
-	engine := fold.NewEngine(n.config, n.ledger, n.leaseTable)
+	n.claims = idempotency.NewClaims()
+	engine := fold.NewEngine(n.config, n.ledger, n.leaseTable, n.claims)
 	n.follower = journal.NewFollower(deps.Log, settings.Stream, deps.Clock, engine, n.folded)
 	n.members = membership.NewMembers(n.info, deps.Clock, deps.Peers, n.events, n.openNodes, n.view)
 	n.requests = &request.Server{
 		Config: n.config.View, Reserver: n.reserver, Picker: &routing.LeastInFlight{},
 		Client: deps.Upstreams, Events: n.events, Clock: deps.Clock, Region: settings.Region,
 	}
+	n.nameRequests()
 	n.metrics = n.newMetrics()
 	return n, nil
 }
@@ -136,6 +140,7 @@
 	}
 	defer wait.Wait()
 	defer cancel()
+	defer n.requests.Runner.Stop()
 	select {
 	case <-ctx.Done():
 		return nil
--- a/node/peers.go
+++ b/node/peers.go
@@ -10,7 +10,7 @@
 )
 
 // HandlePeer answers another node; it is a peer.Handler.
-func (n *Node) HandlePeer(_ context.Context, r *fleetv1.Request) *fleetv1.Response {
+func (n *Node) HandlePeer(ctx context.Context, r *fleetv1.Request) *fleetv1.Response {
 	n.events.Clock().Observe(event.Stamp(r.GetHlc()))
 	response := &fleetv1.Response{}
 	switch body := r.GetBody().(type) {
@@ -21,6 +21,10 @@
 		response.Body = &fleetv1.Response_Pong{Pong: &fleetv1.Pong{Views: []*fleetv1.PeerView{n.view()}}}
 	case *fleetv1.Request_EventsGather:
 		response.Body = &fleetv1.Response_Events{Events: n.localEvents(body.EventsGather.GetId())}
+	case *fleetv1.Request_CallForward:
+		response = n.handleForward(ctx, body.CallForward)
+	case *fleetv1.Request_StreamMove:
+		response = n.handleMove(body.StreamMove)
 	default:
 		response.Code = uint32(result.MalformedRequest)
 		response.Message = "this node doesn't know the request"
--- a/node/settings.go
+++ b/node/settings.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"github.com/juju/errors"
+
+	"lavenderpin.dev/lavenderpin/signed"
 )
 
 // Settings are what one node is told about itself.
@@ -33,6 +35,10 @@
 	AddressLifetime time.Duration
 	// EventMemory is how many events are kept for the time line.
 	EventMemory int
+	// TokenSecret signs tickets and stream cursors, the same on all nodes of the
+	// fleet. Empty: each node draws its own, and a ticket or a cursor is good at the
+	// node that made it alone.
+	TokenSecret []byte
 	// BootstrapTokenSHA256 admits an operator before any operator token exists.
 	BootstrapTokenSHA256 string
 }
@@ -71,6 +77,7 @@
 	require(s.Gather >= 0, "gather time is negative")
 	require(s.ClaimChunk > 0, "claim chunk is zero")
 	require(s.AddressLifetime > 0, "address lifetime isn't positive")
+	require(len(s.TokenSecret) == 0 || len(s.TokenSecret) >= signed.MinSecret, "token secret is shorter than 32 bytes")
 	require(s.EventMemory > 0, "event memory is zero")
 	if len(mistakes) > 0 {
 		return errors.Errorf("settings: %s", strings.Join(mistakes, "; "))
--- a/request/call.go
+++ b/request/call.go
@@ -2,10 +2,11 @@
 
 import (
 	"context"
-	"strings"
+	"time"
 
 	operatorv1 "lavenderpin.dev/lavenderpin/api/operator/v1"
 	"lavenderpin.dev/lavenderpin/budget"
+	"lavenderpin.dev/lavenderpin/config"
 	"lavenderpin.dev/lavenderpin/event"
 	"lavenderpin.dev/lavenderpin/result"
 	"lavenderpin.dev/lavenderpin/routing"
@@ -17,92 +18,166 @@
 	Key     string
 	Service string
 	Method  string
-	// Path below the service, from its first slash on.
+	// Path below the service as the caller sent it, escaped, from its first slash
+	// on; a query may follow.
 	Path    string
 	Headers map[string]string
 	Body    []byte
-	// IdempotencyKey makes a non-idempotent call run at most once however often
-	// the caller sends it.
+	// IdempotencyKey or Ticket makes the call run at most once however often the
+	// caller sends it. Only one of them may be given.
 	IdempotencyKey string
+	Ticket         string
+	// Timeout is the caller's deadline from now; 0 for none.
+	Timeout time.Duration
 }
 
+// named tells that the caller can send the call again without a second run.
+func (c ServiceCall) named() bool { return c.IdempotencyKey != "" || c.Ticket != "" }
+
 // Call runs a call of a plain service. An idempotent call may be tried again at
 // another upstream; any other is sent once, and when its outcome is not known the
-// error says so.
+// error says so. docs/design/03-at-most-once.md tells what each answer means.
 func (s *Server) Call(ctx context.Context, call ServiceCall) (upstream.CallAnswer, error) {
 	s.inFlight.Add(1)
 	defer s.inFlight.Add(-1)
+	s.retries.earn()
+	ctx, cancel := s.withTimeout(ctx, call.Timeout)
+	defer cancel()
+	prepared, err := s.checkCall(call)
+	if err != nil {
+		return upstream.CallAnswer{}, call.doubt(err)
+	}
+	if call.named() {
+		return s.callOnce(ctx, prepared, s.forwardTo(prepared))
+	}
+	return s.runCall(ctx, prepared)
+}
+
+// doubt takes the "not run" out of a refusal that looked at this try alone: an
+// earlier try under the same name may have run.
+func (c ServiceCall) doubt(err error) error {
+	if !c.named() {
+		return err
+	}
+	return result.From(err).Doubt()
+}
+
+func (s *Server) checkCall(call ServiceCall) (*preparedCall, error) {
 	view := s.Config()
 	account, err := s.authenticate(view, call.Key)
 	if err != nil {
-		return upstream.CallAnswer{}, s.refused("", err)
+		return nil, s.refused("", err)
 	}
+	prepared, err := prepareCall(view, account, call)
+	if err != nil {
+		return nil, s.refused(account.GetName(), err)
+	}
+	return prepared, nil
+}
+
+// preparedCall is a call that was checked.
+type preparedCall struct {
+	call    ServiceCall
+	account *operatorv1.Account
+	service *operatorv1.Service
+	rule    *operatorv1.Call
+}
+
+func prepareCall(view *config.View, account *operatorv1.Account, call ServiceCall) (*preparedCall, error) {
 	service := view.Service(call.Service)
 	if service == nil || service.GetKind() != operatorv1.ServiceKind_SERVICE_KIND_PLAIN {
-		return upstream.CallAnswer{}, s.refused(account.GetName(), result.New(result.UnknownService, "no plain service %q", call.Service))
+		return nil, result.New(result.UnknownService, "no plain service %q", call.Service)
 	}
-	rule := matchCall(service, call.Method, call.Path)
-	grant, err := s.reserve(ctx, view, account.GetName(), service.GetName(), rule.GetTokens())
+	path, err := cleanPath(call.Path)
 	if err != nil {
-		return upstream.CallAnswer{}, s.refused(account.GetName(), err)
+		return nil, err
 	}
-	answer, err := s.callAttempts(ctx, grant, service, rule, upstream.CallRequest{
-		ID: grant.Request().String(), Method: call.Method, Path: call.Path, Headers: call.Headers, Body: call.Body,
-	})
+	return &preparedCall{call: call, account: account, service: service, rule: matchCall(service, call.Method, path)}, nil
+}
+
+// runCall admits, reserves, sends and settles a call.
+func (s *Server) runCall(ctx context.Context, p *preparedCall) (upstream.CallAnswer, error) {
+	account := p.account.GetName()
+	release, err := s.admit(ctx, askOf(p.account, p.service, p.rule.GetTokens()))
+	if err != nil {
+		return upstream.CallAnswer{}, s.refused(account, err)
+	}
+	defer release()
+	grant, err := s.reserve(ctx, s.Config(), account, p.service.GetName(), p.rule.GetTokens())
+	if err != nil {
+		return upstream.CallAnswer{}, s.refused(account, err)
+	}
+	// Finishing twice is harmless: after a panic, this gives the tokens back.
+	defer grant.Finish(0)
+	answer, err := s.callAttempts(ctx, grant, p)
 	if err != nil {
 		grant.Finish(0)
 		s.Events.Record(event.RequestFailed, "request", grant.Request(), "code", uint32(result.CodeOf(err)), "why", err)
 		return answer, err
 	}
-	grant.Finish(rule.GetTokens())
-	s.Events.Record(event.RequestFinished, "request", grant.Request(), "tokens", rule.GetTokens())
+	grant.Finish(p.rule.GetTokens())
+	s.Events.Record(event.RequestFinished, "request", grant.Request(), "tokens", p.rule.GetTokens())
 	return answer, nil
 }
 
-func (s *Server) callAttempts(ctx context.Context, grant budget.Grant, service *operatorv1.Service, rule *operatorv1.Call, r upstream.CallRequest) (upstream.CallAnswer, error) {
+func (s *Server) callAttempts(ctx context.Context, grant budget.Grant, p *preparedCall) (upstream.CallAnswer, error) {
 	tried := map[string]bool{}
+	pause := newPause()
 	var last error
-	for range maxAttempts {
-		ask := routing.Ask{Service: service.GetName(), Region: s.Region, Tried: tried}
-		pick, err := s.Picker.Pick(ask, s.Config().Upstreams(service.GetName()))
+	for n := range maxAttempts {
+		if n > 0 && !s.mayRetry(ctx, grant.Request().String(), pause) {
+			break
+		}
+		ask := routing.Ask{Service: p.service.GetName(), Region: s.Region, Tried: tried}
+		pick, err := s.Picker.Pick(ask, s.Config().Upstreams(p.service.GetName()))
 		if err != nil {
 			return upstream.CallAnswer{}, firstError(last, err)
 		}
-		s.Events.Record(event.RequestDispatched, "request", r.ID, "upstream", pick.Upstream.GetName())
-		if err := grant.Dispatch(ctx, pick.Upstream.GetName()); err != nil {
-			pick.Done(err)
-			return upstream.CallAnswer{}, err
-		}
-		answer, err := s.Client.Call(ctx, pick.Upstream, r)
+		answer, err := s.callAttempt(ctx, grant, p, pick.Upstream)
 		pick.Done(err)
 		if err == nil {
 			return answer, nil
 		}
 		last = err
 		tried[pick.Upstream.GetName()] = true
-		if ctx.Err() != nil {
+		if !mayCallAgain(err, p.rule) {
 			break
 		}
-		// Only a proof that nothing was sent allows another try of a call that
-		// must not run twice; a caller would otherwise find two work orders.
-		if !rule.GetIdempotent() && result.CodeOf(err) != result.NoUpstream {
-			return answer, result.New(result.OutcomeUnknown, "%s", result.From(err).Message)
-		}
 	}
 	return upstream.CallAnswer{}, last
 }
 
-// matchCall returns the declaration with the longest matching path. A call that
-// none matches is taken as not idempotent and free.
-func matchCall(service *operatorv1.Service, method, path string) *operatorv1.Call {
-	best := &operatorv1.Call{}
-	for _, rule := range service.GetCalls() {
-		if rule.GetMethod() != "" && rule.GetMethod() != method {
-			continue
-		}
-		if strings.HasPrefix(path, rule.GetPath()) && len(rule.GetPath()) >= len(best.GetPath()) {
-			best = rule
-		}
+// callAttempt sends a call to one upstream.
+func (s *Server) callAttempt(ctx context.Context, grant budget.Grant, p *preparedCall, to *operatorv1.Upstream) (upstream.CallAnswer, error) {
+	if err := grant.Dispatch(ctx, to.GetName()); err != nil {
+		return upstream.CallAnswer{}, err
+	}
+	id := grant.Request().String()
+	s.Events.Record(event.RequestDispatched, "request", id, "upstream", to.GetName())
+	answer, err := s.Client.Call(ctx, to, upstream.CallRequest{
+		ID: id, Method: p.call.Method, Path: p.call.Path, Headers: p.call.Headers, Body: p.call.Body,
+	})
+	switch {
+	case err == nil || result.CodeOf(err) == result.NoUpstream:
+		return answer, err
+	case !p.rule.GetIdempotent():
+		// It may have run: a caller that takes this for a refusal would file the
+		// work order again.
+		return answer, result.New(result.OutcomeUnknown, "%s", result.From(err).Message)
+	case ctx.Err() != nil:
+		return answer, leftError(ctx)
+	}
+	return answer, err
+}
+
+// mayCallAgain tells that a call may be sent to another upstream: when nothing was
+// sent, or when the call is declared idempotent.
+func mayCallAgain(err error, rule *operatorv1.Call) bool {
+	switch result.CodeOf(err) {
+	case result.NoUpstream:
+		return true
+	case result.UpstreamFailed, result.AnswerCut, result.AnswerCrossed:
+		return rule.GetIdempotent()
 	}
-	return best
+	return false
 }
--- /dev/null
+++ b/request/callonce.go
@@ -0,0 +1,148 @@
+package request
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/binary"
+
+	fleetv1 "lavenderpin.dev/lavenderpin/api/fleet/v1"
+	"lavenderpin.dev/lavenderpin/event"
+	"lavenderpin.dev/lavenderpin/idempotency"
+	"lavenderpin.dev/lavenderpin/result"
+	"lavenderpin.dev/lavenderpin/upstream"
+)
+
+const (
+	// TicketPurpose is what tickets are signed for.
+	TicketPurpose = "call-ticket"
+	// maxKey bounds an idempotency key, in bytes.
+	maxKey = 255
+)
+
+// NewTicket hands a ticket out to a caller.
+func (s *Server) NewTicket(key string) (text string, ticket *fleetv1.CallTicket, err error) {
+	account, err := s.authenticate(s.Config(), key)
+	if err != nil {
+		return "", nil, s.refused("", err)
+	}
+	if s.Tickets == nil || s.Runner == nil {
+		return "", nil, result.New(result.InternalError, "this node hands out no tickets")
+	}
+	ticket = s.Runner.NewTicket(account.GetName(), s.PeerAddress)
+	return s.Tickets.Seal(ticket), ticket, nil
+}
+
+// forwardFunc passes a call on to the incarnation that alone may run it.
+type forwardFunc func(ctx context.Context, incarnation, address string) (idempotency.Answer, error)
+
+// callOnce runs a call that its caller named by a key or a ticket.
+func (s *Server) callOnce(ctx context.Context, p *preparedCall, forward forwardFunc) (upstream.CallAnswer, error) {
+	if err := s.checkName(p.call); err != nil {
+		return upstream.CallAnswer{}, s.refused(p.account.GetName(), err)
+	}
+	run := func(ctx context.Context) (idempotency.Answer, error) {
+		s.inFlight.Add(1) // outlives the caller; a graceful stop waits for it
+		defer s.inFlight.Add(-1)
+		answer, err := s.runCall(ctx, p)
+		return idempotency.Answer(answer), err
+	}
+	var answer idempotency.Answer
+	var err error
+	if p.call.Ticket != "" {
+		answer, err = s.onTicket(ctx, p, run, forward)
+	} else {
+		answer, err = s.underKey(ctx, p, run, forward)
+	}
+	return upstream.CallAnswer(answer), err
+}
+
+func (s *Server) checkName(call ServiceCall) error {
+	switch {
+	case s.Runner == nil:
+		return result.New(result.InternalError, "this node runs no named calls")
+	case call.Ticket != "" && call.IdempotencyKey != "":
+		return result.New(result.InvalidKey, "a call has a key or a ticket, not both")
+	case len(call.IdempotencyKey) > maxKey:
+		return result.New(result.InvalidKey, "the key is longer than %d bytes", maxKey)
+	}
+	for _, c := range []byte(call.IdempotencyKey) {
+		if c < ' ' || c > '~' {
+			return result.New(result.InvalidKey, "the key holds something else than printable ASCII")
+		}
+	}
+	return nil
+}
+
+func (s *Server) underKey(ctx context.Context, p *preparedCall, run idempotency.RunFunc, forward forwardFunc) (idempotency.Answer, error) {
+	named := idempotency.Call{
+		ID:     idempotency.ID{Account: p.account.GetName(), Key: p.call.IdempotencyKey},
+		Digest: digestOf(p.call),
+	}
+	if forward == nil {
+		return s.Runner.Do(ctx, named, run, nil)
+	}
+	return s.Runner.Do(ctx, named, run, func(ctx context.Context, owner string) (idempotency.Answer, error) {
+		return forward(ctx, owner, "")
+	})
+}
+
+func (s *Server) onTicket(ctx context.Context, p *preparedCall, run idempotency.RunFunc, forward forwardFunc) (idempotency.Answer, error) {
+	ticket := &fleetv1.CallTicket{}
+	if s.Tickets == nil || s.Tickets.Open(p.call.Ticket, ticket) != nil || ticket.GetAccount() != p.account.GetName() {
+		return idempotency.Answer{}, result.New(result.InvalidTicket, "the ticket is not one of this account")
+	}
+	if forward == nil {
+		return s.Runner.DoTicket(ctx, ticket, digestOf(p.call), run, nil)
+	}
+	return s.Runner.DoTicket(ctx, ticket, digestOf(p.call), run, func(ctx context.Context, owner string) (idempotency.Answer, error) {
+		return forward(ctx, owner, ticket.GetPeerAddress())
+	})
+}
+
+// digestOf returns the digest of what a call asks for. Each part is preceded by its
+// length, so that no two calls read alike.
+func digestOf(call ServiceCall) idempotency.Digest {
+	hash := sha256.New()
+	for _, part := range [][]byte{[]byte(call.Method), []byte(call.Service), []byte(call.Path), call.Body} {
+		var length [8]byte
+		binary.BigEndian.PutUint64(length[:], uint64(len(part)))
+		hash.Write(length[:])
+		hash.Write(part)
+	}
+	return idempotency.Digest(hash.Sum(nil))
+}
+
+// forwardTo returns the function that passes a call on; nil without peers.
+func (s *Server) forwardTo(p *preparedCall) forwardFunc {
+	if s.Peers == nil {
+		return nil
+	}
+	return func(ctx context.Context, incarnation, address string) (idempotency.Answer, error) {
+		s.Events.Record(event.CallForwarded, "account", p.account.GetName(), "key", p.call.IdempotencyKey, "to", incarnation)
+		answer, err := s.Peers.Forward(ctx, incarnation, address, &fleetv1.CallForward{
+			Account: p.account.GetName(), Service: p.call.Service, Method: p.call.Method, Path: p.call.Path,
+			Headers: p.call.Headers, Body: p.call.Body, Key: p.call.IdempotencyKey, Ticket: p.call.Ticket,
+		})
+		return idempotency.Answer(answer), err
+	}
+}
+
+// Forwarded runs a call that another node passed on; that node has authenticated
+// the caller.
+func (s *Server) Forwarded(ctx context.Context, f *fleetv1.CallForward) (upstream.CallAnswer, error) {
+	s.inFlight.Add(1)
+	defer s.inFlight.Add(-1)
+	view := s.Config()
+	account := view.Account(f.GetAccount())
+	if account == nil {
+		return upstream.CallAnswer{}, result.New(result.UnknownKey, "no account %q on this node yet", f.GetAccount()).Doubt()
+	}
+	prepared, err := prepareCall(view, account, ServiceCall{
+		Service: f.GetService(), Method: f.GetMethod(), Path: f.GetPath(), Headers: f.GetHeaders(), Body: f.GetBody(),
+		IdempotencyKey: f.GetKey(), Ticket: f.GetTicket(),
+	})
+	if err != nil {
+		return upstream.CallAnswer{}, result.From(err).Doubt()
+	}
+	return s.callOnce(ctx, prepared, nil)
+}
--- /dev/null
+++ b/request/resume.go
@@ -0,0 +1,167 @@
+package request
+
+import (
+	"context"
+	"io"
+
+	"github.com/jonboulle/clockwork"
+
+	fleetv1 "lavenderpin.dev/lavenderpin/api/fleet/v1"
+	operatorv1 "lavenderpin.dev/lavenderpin/api/operator/v1"
+	"lavenderpin.dev/lavenderpin/budget"
+	"lavenderpin.dev/lavenderpin/config"
+	"lavenderpin.dev/lavenderpin/event"
+	"lavenderpin.dev/lavenderpin/result"
+	"lavenderpin.dev/lavenderpin/upstream"
+)
+
+// ResumeCall is a caller that brings back the last event id it got.
+type ResumeCall struct {
+	Key    string
+	Cursor string
+}
+
+// resumeRun reads on from a stream that another node began. It holds no
+// reservation and settles nothing: the node that began the request stays
+// accountable, or whoever recovers for it, from the engine's own count. Were this
+// node to bill too, the request would be billed twice.
+type resumeRun struct {
+	server *Server
+	cursor *fleetv1.StreamCursor
+	to     *operatorv1.Upstream
+	id     budget.RequestID
+	sink   Sink
+
+	started  bool
+	position uint64
+	cursors  cursorMaker
+}
+
+// ResumeChat passes the missing chunks of a stream to the sink. A nil error means
+// that the answer ended whole.
+func (s *Server) ResumeChat(ctx context.Context, call ResumeCall, sink Sink) error {
+	s.inFlight.Add(1)
+	defer s.inFlight.Add(-1)
+	view := s.Config()
+	account, err := s.authenticate(view, call.Key)
+	if err != nil {
+		return s.refused("", err)
+	}
+	cursor, err := s.openCursor(account.GetName(), call.Cursor)
+	if err != nil {
+		return s.refused(account.GetName(), err)
+	}
+	run, err := s.newResumeRun(view, cursor, sink)
+	if err != nil {
+		return s.refused(account.GetName(), err)
+	}
+	s.moveHere(ctx, cursor)
+	err = run.run(ctx)
+	if err != nil && ctx.Err() != nil {
+		run.cancel()
+		return leftError(ctx)
+	}
+	return err
+}
+
+func (s *Server) newResumeRun(view *config.View, cursor *fleetv1.StreamCursor, sink Sink) (*resumeRun, error) {
+	id, ok := budget.ParseRequestID(cursor.GetRequest())
+	if !ok {
+		return nil, result.New(result.InvalidCursor, "the event id names no request")
+	}
+	for _, to := range view.Upstreams(cursor.GetService()) {
+		if to.GetName() == cursor.GetUpstream() && s.Resumer != nil {
+			run := &resumeRun{server: s, cursor: cursor, to: to, id: id, sink: sink, position: cursor.GetNext()}
+			run.cursors = cursorMaker{signer: s.Cursors, cursor: fleetv1.StreamCursor{
+				Request: cursor.GetRequest(), PeerAddress: cursor.GetPeerAddress(), Service: cursor.GetService(),
+				Upstream: cursor.GetUpstream(), Account: cursor.GetAccount(), Usage: cursor.GetUsage(),
+			}}
+			return run, nil
+		}
+	}
+	return nil, result.New(result.StreamLost, "engine %s is no longer declared", cursor.GetUpstream())
+}
+
+// moveHere tells the accountable node that the caller reads on here, so that it
+// doesn't take a closed connection for a caller that left. It isn't waited for: the
+// node may be dead.
+func (s *Server) moveHere(ctx context.Context, cursor *fleetv1.StreamCursor) {
+	if cursor.GetPeerAddress() == s.PeerAddress {
+		s.MoveStream(cursor.GetRequest())
+		return
+	}
+	if s.Peers != nil {
+		go s.Peers.MoveStream(context.WithoutCancel(ctx), cursor.GetPeerAddress(), cursor.GetRequest())
+	}
+}
+
+func (r *resumeRun) run(ctx context.Context) error {
+	r.server.Events.Record(event.StreamResumed, "request", r.cursor.GetRequest(), "upstream", r.to.GetName(), "from", r.position)
+	pause := newPause()
+	var last error
+	for n := range maxResumes {
+		if n > 0 && !r.server.sleep(ctx, pause.NextBackOff()) {
+			return last
+		}
+		if last = r.once(ctx); last == nil || !worthResuming(last) {
+			return last
+		}
+	}
+	return last
+}
+
+func worthResuming(err error) bool {
+	switch result.CodeOf(err) {
+	case result.AnswerCut, result.AnswerCrossed, result.UpstreamFailed, result.NoUpstream:
+		return true
+	}
+	return false
+}
+
+func (r *resumeRun) once(ctx context.Context) error {
+	stream, err := r.server.Resumer.Resume(ctx, r.to, r.cursor.GetRequest(), r.position)
+	if err != nil {
+		return err
+	}
+	defer stream.Close()
+	for {
+		chunk, err := stream.Next()
+		if err == io.EOF {
+			r.start()
+			return nil
+		}
+		if err != nil {
+			return err
+		}
+		chunk.Number = r.position
+		if err := r.pass(ctx, chunk); err != nil {
+			return err
+		}
+		r.position++
+	}
+}
+
+func (r *resumeRun) start() {
+	if !r.started {
+		r.started = true
+		r.sink.Start(r.id, "")
+	}
+}
+
+func (r *resumeRun) pass(ctx context.Context, chunk upstream.Chunk) error {
+	if ctx.Err() != nil {
+		return leftError(ctx)
+	}
+	r.start()
+	if err := r.sink.Chunk(r.cursors.after(chunk, r.server.Clock.Now()), chunk); err != nil {
+		r.cancel()
+		return result.New(result.CallerGone, "the caller left: %v", err)
+	}
+	return nil
+}
+
+func (r *resumeRun) cancel() {
+	ctx, done := clockwork.WithTimeout(context.Background(), r.server.Clock, cancelTimeout)
+	defer done()
+	_ = r.server.Client.Cancel(ctx, r.to, r.cursor.GetRequest())
+}
--- a/request/server.go
+++ b/request/server.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"sync/atomic"
 
 	"github.com/jonboulle/clockwork"
@@ -10,8 +11,10 @@
 	"lavenderpin.dev/lavenderpin/budget"
 	"lavenderpin.dev/lavenderpin/config"
 	"lavenderpin.dev/lavenderpin/event"
+	"lavenderpin.dev/lavenderpin/idempotency"
 	"lavenderpin.dev/lavenderpin/result"
 	"lavenderpin.dev/lavenderpin/routing"
+	"lavenderpin.dev/lavenderpin/signed"
 	"lavenderpin.dev/lavenderpin/upstream"
 )
 
@@ -29,8 +32,26 @@
 	Events   *event.Recorder
 	Clock    clockwork.Clock
 	Region   string
+	// PeerAddress is where other nodes reach this one.
+	PeerAddress string
+
+	// Admission may be nil: every request runs at once then.
+	Admission Admission
+	// Resumer may be nil: streams aren't resumed then.
+	Resumer upstream.Resumer
+	// Cursors signs event ids; nil for none.
+	Cursors *signed.Signer
+	// Tickets signs tickets; nil for none.
+	Tickets *signed.Signer
+	// Runner runs calls at most once; nil refuses keys and tickets.
+	Runner *idempotency.Runner
+	// Peers reaches other nodes; may be nil.
+	Peers Peers
 
 	inFlight atomic.Int64
+	retries  retryBudget
+	// streams holds the completions that run, by request id.
+	streams sync.Map
 }
 
 // InFlight returns how many requests run now.
--- a/result/caller.go
+++ b/result/caller.go
@@ -14,6 +14,12 @@
 	CallInProgress   Code = 1008
 	AlreadyRan       Code = 1009
 	InvalidCursor    Code = 1010
+	KeysExhausted    Code = 1011
+	KeyNotClaimed    Code = 1012
+	InvalidTicket    Code = 1013
+	TicketExpired    Code = 1014
+	InvalidKey       Code = 1015
+	InvalidPath      Code = 1016
 )
 
 var callerInfos = map[Code]Info{
@@ -27,4 +33,10 @@
 	CallInProgress:   {"CallInProgress", 409, codes.Aborted, true, false, "A call with this idempotency key is running; ask again later."},
 	AlreadyRan:       {"AlreadyRan", 409, codes.AlreadyExists, false, false, "A call with this idempotency key ran before and its answer is no longer held."},
 	InvalidCursor:    {"InvalidCursor", 400, codes.InvalidArgument, false, true, "The Last-Event-ID is not a cursor of this fleet or has expired."},
+	KeysExhausted:    {"KeysExhausted", 429, codes.ResourceExhausted, true, true, "The account holds as many idempotency keys as the fleet remembers; come back later or use a ticket."},
+	KeyNotClaimed:    {"KeyNotClaimed", 503, codes.Unavailable, true, false, "The log doesn't confirm the idempotency key. This try was not run and won't be; an earlier try with the key may have been."},
+	InvalidTicket:    {"InvalidTicket", 400, codes.InvalidArgument, false, true, "The ticket was not issued by this fleet to this account."},
+	TicketExpired:    {"TicketExpired", 410, codes.FailedPrecondition, false, false, "The ticket has expired; whether it was used before is no longer known."},
+	InvalidKey:       {"InvalidKey", 400, codes.InvalidArgument, false, true, "The idempotency key is too long, holds control characters or stands beside a ticket."},
+	InvalidPath:      {"InvalidPath", 400, codes.InvalidArgument, false, true, "The path holds dot segments, control characters or broken escapes."},
 }
--- a/result/error.go
+++ b/result/error.go
@@ -13,6 +13,19 @@
 	Message string
 	// RetryAfter is when to come back; zero when a retry can't help or at once will do.
 	RetryAfter time.Duration
+	// MayHaveRun is set on a refusal of one try whose call may have run in an
+	// earlier one: the code's "not run" isn't true of the call then.
+	MayHaveRun bool
+}
+
+// NotRun tells that the request certainly did not run at an upstream.
+func (e *Error) NotRun() bool { return e.Code.Info().NotRun && !e.MayHaveRun }
+
+// Doubt returns the error without the claim that nothing ran.
+func (e *Error) Doubt() *Error {
+	doubted := *e
+	doubted.MayHaveRun = true
+	return &doubted
 }
 
 // Error returns number, name and message.
--- a/result/upstream.go
+++ b/result/upstream.go
@@ -11,6 +11,8 @@
 	OutcomeUnknown   Code = 4005
 	Overloaded       Code = 4006
 	DeadlineExceeded Code = 4007
+	StreamLost       Code = 4010
+	AnswerDiffers    Code = 4011
 )
 
 var upstreamInfos = map[Code]Info{
@@ -21,4 +23,6 @@
 	OutcomeUnknown:   {"OutcomeUnknown", 502, codes.Unknown, false, false, "A non-idempotent call was sent and its outcome is not known; it will not be run again."},
 	Overloaded:       {"Overloaded", 429, codes.ResourceExhausted, true, true, "The queue for this service is full; come back after the given time."},
 	DeadlineExceeded: {"DeadlineExceeded", 504, codes.DeadlineExceeded, true, false, "The request's deadline passed before it was complete."},
+	StreamLost:       {"StreamLost", 502, codes.DataLoss, false, false, "The engine no longer holds the rest of the stream; send a new request."},
+	AnswerDiffers:    {"AnswerDiffers", 502, codes.Aborted, false, false, "The engine was lost within the answer, and another one answers differently; send a new request."},
 }
--- a/upstream/client.go
+++ b/upstream/client.go
@@ -25,6 +25,8 @@
 
 // Chunk is one piece of an answer.
 type Chunk struct {
+	// Number of the chunk within the engine's stream, from 0.
+	Number uint64
 	// Data is the chunk as the engine sent it.
 	Data []byte
 	// Content is the text within.
--- a/upstream/http.go
+++ b/upstream/http.go
@@ -1,22 +1,25 @@
 package upstream
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
-	"fmt"
 	"net"
+	"strconv"
 	"time"
 
 	"github.com/cloudwego/hertz/pkg/app/client"
+	hertzerrors "github.com/cloudwego/hertz/pkg/common/errors"
 	"github.com/cloudwego/hertz/pkg/network/standard"
 	"github.com/cloudwego/hertz/pkg/protocol"
-	"github.com/cloudwego/hertz/pkg/protocol/sse"
 	"github.com/juju/errors"
 
 	operatorv1 "lavenderpin.dev/lavenderpin/api/operator/v1"
 	"lavenderpin.dev/lavenderpin/result"
 )
 
+const statusOK = 200
+
 const (
 	dialTimeout = 2 * time.Second
 	// readTimeout bounds the silence within an answer: an engine that hangs is
@@ -60,46 +63,87 @@
 
 // Chat implements Client.
 func (c *HTTPClient) Chat(ctx context.Context, to *operatorv1.Upstream, r ChatRequest) (ChatStream, error) {
-	request, response := protocol.AcquireRequest(), protocol.AcquireResponse()
-	defer protocol.ReleaseRequest(request)
+	request := protocol.AcquireRequest()
 	request.SetMethod("POST")
 	request.SetRequestURI("http://" + to.GetAddress() + "/v1/chat/completions")
 	request.Header.SetContentTypeBytes([]byte("application/json"))
 	request.Header.Set(HeaderRequestID, r.ID)
-	request.Header.Set(HeaderPriority, fmt.Sprint(r.Priority))
+	request.Header.Set(HeaderPriority, strconv.Itoa(r.Priority))
 	request.SetBody(r.Body)
-	if err := c.client.Do(ctx, request, response); err != nil {
-		protocol.ReleaseResponse(response)
+	return c.stream(ctx, to, request, r.ID, 0)
+}
+
+// stream sends a request that an event stream answers; it takes the request over.
+func (c *HTTPClient) stream(ctx context.Context, to *operatorv1.Upstream, request *protocol.Request, id string, from uint64) (ChatStream, error) {
+	response, err := c.send(ctx, request)
+	if err != nil {
 		return nil, sendError(to, err)
 	}
-	if status := response.StatusCode(); status != 200 {
+	switch status := response.StatusCode(); status {
+	case statusOK:
+		return newHTTPStream(ctx, to.GetName(), id, from, response)
+	case statusNotFound, statusGone:
+		protocol.ReleaseResponse(response)
+		return nil, result.New(result.StreamLost, "%s doesn't hold the stream", to.GetName())
+	default:
 		body := string(response.Body())
 		protocol.ReleaseResponse(response)
 		return nil, result.New(result.UpstreamFailed, "%s answered %d: %s", to.GetName(), status, clip(body))
 	}
-	reader, err := sse.NewReader(response)
-	if err != nil {
-		protocol.ReleaseResponse(response)
-		return nil, result.New(result.UpstreamFailed, "%s sent no event stream: %v", to.GetName(), err)
+}
+
+// send sends a request and returns as soon as the answer's head is there or ctx
+// ends. The library heeds no context once it has begun, so a caller that leaves
+// would hold its tokens until an engine that hangs is given up on.
+func (c *HTTPClient) send(ctx context.Context, request *protocol.Request) (*protocol.Response, error) {
+	sent := make(chan sentResult, 1)
+	go func() {
+		response := protocol.AcquireResponse()
+		err := c.client.Do(ctx, request, response)
+		protocol.ReleaseRequest(request)
+		if err != nil {
+			protocol.ReleaseResponse(response)
+			response = nil
+		}
+		sent <- sentResult{response, err}
+	}()
+	select {
+	case done := <-sent:
+		return done.response, done.err
+	case <-ctx.Done():
+		go func() {
+			if late := <-sent; late.response != nil {
+				_ = late.response.CloseBodyStream()
+				protocol.ReleaseResponse(late.response)
+			}
+		}()
+		return nil, errors.Trace(ctx.Err())
 	}
-	return &httpStream{upstream: to.GetName(), id: r.ID, response: response, reader: reader}, nil
+}
+
+type sentResult struct {
+	response *protocol.Response
+	err      error
 }
 
 // Call implements Client.
 func (c *HTTPClient) Call(ctx context.Context, to *operatorv1.Upstream, r CallRequest) (CallAnswer, error) {
-	request, response := protocol.AcquireRequest(), protocol.AcquireResponse()
-	defer protocol.ReleaseRequest(request)
-	defer protocol.ReleaseResponse(response)
+	request := protocol.AcquireRequest()
 	request.SetMethod(r.Method)
 	request.SetRequestURI("http://" + to.GetAddress() + r.Path)
 	for name, value := range r.Headers {
 		request.Header.Set(name, value)
 	}
 	request.Header.Set(HeaderRequestID, r.ID)
-	request.SetBody(r.Body)
-	if err := c.client.Do(ctx, request, response); err != nil {
+	// The library sends PUT and DELETE again by itself when a kept connection turns
+	// out closed, though the upstream may have run the first one: a work order would
+	// be filed twice. It never repeats a body that is a stream.
+	request.SetBodyStream(bytes.NewReader(r.Body), len(r.Body))
+	response, err := c.send(ctx, request)
+	if err != nil {
 		return CallAnswer{}, sendError(to, err)
 	}
+	defer protocol.ReleaseResponse(response)
 	body, err := response.BodyE()
 	if err != nil {
 		return CallAnswer{}, result.New(result.AnswerCut, "%s: %v", to.GetName(), err)
@@ -137,6 +181,9 @@
 // got the request. A refused or timed-out dial proves that nothing ran; any later
 // error proves nothing.
 func sendError(to *operatorv1.Upstream, err error) error {
+	if errors.Is(err, hertzerrors.ErrNoFreeConns) {
+		return result.New(result.NoUpstream, "%s has no connection left", to.GetName())
+	}
 	var op *net.OpError
 	if errors.As(err, &op) && op.Op == "dial" {
 		return result.New(result.NoUpstream, "%s can't be reached: %v", to.GetName(), err)
--- /dev/null
+++ b/upstream/resume.go
@@ -0,0 +1,33 @@
+package upstream
+
+import (
+	"context"
+	"fmt"
+
+	"github.com/cloudwego/hertz/pkg/protocol"
+
+	operatorv1 "lavenderpin.dev/lavenderpin/api/operator/v1"
+)
+
+// Resumer reads on from streams that engines keep for a while.
+type Resumer interface {
+	// Resume returns the stream of a request from the chunk with number from on. It
+	// fails with StreamLost when the engine no longer holds it or has cancelled it.
+	Resume(ctx context.Context, to *operatorv1.Upstream, id string, from uint64) (ChatStream, error)
+}
+
+var _ Resumer = (*HTTPClient)(nil)
+
+const (
+	statusNotFound = 404
+	statusGone     = 410
+)
+
+// Resume implements Resumer.
+func (c *HTTPClient) Resume(ctx context.Context, to *operatorv1.Upstream, id string, from uint64) (ChatStream, error) {
+	request := protocol.AcquireRequest()
+	request.SetMethod("GET")
+	request.SetRequestURI(fmt.Sprintf("http://%s/v1/streams/%s?from=%d", to.GetAddress(), id, from))
+	request.Header.Set(HeaderRequestID, id)
+	return c.stream(ctx, to, request, id, from)
+}
