--- /dev/null
+++ b/internal/enginemodel/report.go
@@ -0,0 +1,69 @@
+package enginemodel
+
+import "time"
+
+// Report is what an engine says of its load.
+type Report struct {
+	// Age of the sample when the report arrives.
+	Age     time.Duration
+	Running int
+	Waiting int
+	// PendingTokens are prompt tokens accepted and not yet prefilled.
+	PendingTokens int
+	// MemoryUsed is the share of KV memory that running sequences use.
+	MemoryUsed float64
+}
+
+// CacheEvent tells that a block was stored in or dropped from the prefix cache.
+type CacheEvent struct {
+	Sequence uint64
+	Hash     uint64
+	Stored   bool
+}
+
+// Listener is told of an engine's reports and cache events.
+type Listener interface {
+	Load(engine string, report Report)
+	CacheEvents(engine string, events []CacheEvent)
+}
+
+// publish starts the engine's periodic reports to the listeners.
+func (e *Engine) publish() {
+	e.sim.After(e.params.ReportEvery, e.reportLoad)
+	e.sim.After(e.params.EventEvery, e.reportEvents)
+}
+
+func (e *Engine) reportLoad() {
+	e.sim.After(e.params.ReportEvery, e.reportLoad)
+	if e.faults.Dead || e.faults.Hang {
+		return
+	}
+	report := e.Load()
+	for _, l := range e.listeners {
+		lag := e.lag(e.params.ReportLag)
+		e.sim.After(lag, func() {
+			late := report
+			late.Age = lag
+			l.Load(e.Name, late)
+		})
+	}
+}
+
+func (e *Engine) reportEvents() {
+	e.sim.After(e.params.EventEvery, e.reportEvents)
+	events := e.events
+	e.events = nil
+	if len(events) == 0 {
+		return
+	}
+	for _, l := range e.listeners {
+		if e.random.Float64() < e.params.EventLoss {
+			continue
+		}
+		e.sim.After(e.lag(e.params.EventLag), func() { l.CacheEvents(e.Name, events) })
+	}
+}
+
+func (e *Engine) lag(bound time.Duration) time.Duration {
+	return bound/2 + time.Duration(e.random.Int64N(int64(bound/2)+1))
+}
