--- /dev/null
+++ b/routing/health/doc.go
@@ -0,0 +1,2 @@
+// Package health judges upstreams by how their answers went, without asking them.
+package health
--- a/routing/picker.go
+++ b/routing/picker.go
@@ -1,80 +1,58 @@
 package routing
 
 import (
-	"math/rand/v2"
-	"sync"
-	"sync/atomic"
+	"time"
 
 	operatorv1 "lavenderpin.dev/lavenderpin/api/operator/v1"
-	"lavenderpin.dev/lavenderpin/result"
 )
 
 // Ask describes the request that an upstream is wanted for.
 type Ask struct {
 	Service string
 	Model   string
+	// Version and Adapter, when set, restrict the choice to engines that report them.
+	Version string
+	Adapter string
 	// Region of the node that asks.
 	Region string
+	// Account and Team share capacity fairly in admission.
+	Account string
+	Team    string
+	// Weight is the account's relative share; 0 means 1.
+	Weight uint32
+	// Priority orders an account's requests: higher goes first.
+	Priority int
+	// PromptTokens and AnswerTokens are estimates; 0 is taken as unknown.
+	PromptTokens int
+	AnswerTokens int
+	// Prefix holds the chained hash of each whole block of the prompt.
+	Prefix []uint64
+	// Deadline for the first token; zero for none.
+	Deadline time.Time
 	// Tried holds the names of upstreams that failed this request already.
 	Tried map[string]bool
 }
 
-// Pick is an upstream chosen. Done must be called once when the request leaves it.
+// Pick is an upstream chosen. Done must be called exactly once when the request
+// leaves it.
 type Pick struct {
 	Upstream *operatorv1.Upstream
 	Done     func(err error)
-}
 
-// Picker chooses an upstream among candidates; it fails with NoUpstream.
-type Picker interface {
-	Pick(ask Ask, candidates []*operatorv1.Upstream) (Pick, error)
+	ticket     *ticket
+	generation uint64
 }
 
-// LeastInFlight picks, of two random candidates of the nearest region, the one
-// with fewer requests of this node in flight.
-type LeastInFlight struct {
-	inFlight sync.Map // upstream name -> *atomic.Int64
-}
-
-var _ Picker = (*LeastInFlight)(nil)
-
-// Pick implements Picker.
-func (p *LeastInFlight) Pick(ask Ask, candidates []*operatorv1.Upstream) (Pick, error) {
-	usable := nearest(ask, candidates)
-	if len(usable) == 0 {
-		return Pick{}, result.New(result.NoUpstream, "no upstream of %s is left to try", ask.Service)
-	}
-	chosen := usable[rand.IntN(len(usable))]
-	other := usable[rand.IntN(len(usable))]
-	if p.counter(other).Load() < p.counter(chosen).Load() {
-		chosen = other
+// FirstToken tells that the upstream has begun to answer. Callers that never say so
+// are judged by Done alone.
+func (p Pick) FirstToken() {
+	if p.ticket != nil {
+		p.ticket.firstToken(p.generation)
 	}
-	counter := p.counter(chosen)
-	counter.Add(1)
-	return Pick{Upstream: chosen, Done: func(error) { counter.Add(-1) }}, nil
 }
 
-func (p *LeastInFlight) counter(u *operatorv1.Upstream) *atomic.Int64 {
-	held, _ := p.inFlight.LoadOrStore(u.GetName(), &atomic.Int64{})
-	return held.(*atomic.Int64)
-}
-
-// nearest keeps the candidates that may take the request, those of the asking
-// region if there are any.
-func nearest(ask Ask, candidates []*operatorv1.Upstream) []*operatorv1.Upstream {
-	var local, remote []*operatorv1.Upstream
-	for _, u := range candidates {
-		if u.GetDraining() || ask.Tried[u.GetName()] {
-			continue
-		}
-		if u.GetRegion() == ask.Region {
-			local = append(local, u)
-		} else {
-			remote = append(remote, u)
-		}
-	}
-	if len(local) > 0 {
-		return local
-	}
-	return remote
+// Picker chooses an upstream among candidates; it fails with NoUpstream. The
+// candidates of a service must be the same slice until its configuration changes.
+type Picker interface {
+	Pick(ask Ask, candidates []*operatorv1.Upstream) (Pick, error)
 }
--- /dev/null
+++ b/routing/score/doc.go
@@ -0,0 +1,3 @@
+// Package score predicts when an upstream would answer: pure functions over what a
+// node knows of it.
+package score
--- /dev/null
+++ b/routing/score/load.go
@@ -0,0 +1,34 @@
+package score
+
+import (
+	"math"
+	"time"
+)
+
+// Load is what a node knows of an upstream's load. Own counts are exact and of now;
+// reported ones are those of the latest report.
+type Load struct {
+	Own float64
+	// OwnThen is the node's own count at the time of the report's sample.
+	OwnThen  float64
+	Reported float64
+	// Mean of the foreign load over the service's upstreams.
+	Mean float64
+	// Age of the report's sample; negative for no report.
+	Age time.Duration
+}
+
+// Estimate returns own load plus that of other nodes. What a report says of other
+// nodes fades towards the mean as it ages, with the time constant fade: an old report
+// of an idle engine would draw every node to it, seen as bursts of waiting requests
+// on one engine after another.
+func (l Load) Estimate(fade time.Duration) float64 {
+	if l.Age < 0 {
+		return l.Own + l.Mean
+	}
+	trust := math.Exp(-float64(l.Age) / float64(fade))
+	return l.Own + trust*l.Foreign() + (1-trust)*l.Mean
+}
+
+// Foreign returns the part of the reported load that wasn't this node's own.
+func (l Load) Foreign() float64 { return max(0, l.Reported-l.OwnThen) }
--- /dev/null
+++ b/routing/score/predict.go
@@ -0,0 +1,42 @@
+package score
+
+import "time"
+
+// Costs are the constants that a prediction needs. They need be right only in
+// proportion: each upstream's own pace is learned.
+type Costs struct {
+	// PerPromptToken is the time to prefill one prompt token.
+	PerPromptToken time.Duration
+	// PerRunning is the time that each running request adds.
+	PerRunning time.Duration
+	// Base is the time to a first token on an idle engine, without prefill.
+	Base time.Duration
+}
+
+// DefaultCosts returns assumed costs of one engine.
+func DefaultCosts() Costs {
+	return Costs{PerPromptToken: 150 * time.Microsecond, PerRunning: 4 * time.Millisecond, Base: 25 * time.Millisecond}
+}
+
+// Upstream is the state of one upstream as far as a prediction looks at it.
+type Upstream struct {
+	// Requests in progress and Pending prompt tokens, both estimated.
+	Requests float64
+	Pending  float64
+	Slots    float64
+	// Service is the mean time of a request.
+	Service time.Duration
+	// Pace is how many times slower than its peers the upstream proved to be.
+	Pace float64
+}
+
+// FirstToken predicts the time to the first token of a prompt of which uncached
+// tokens must be prefilled.
+func (c Costs) FirstToken(u Upstream, uncached float64) time.Duration {
+	work := float64(c.Base) + (u.Pending+uncached)*float64(c.PerPromptToken) + u.Requests*float64(c.PerRunning)
+	wait := 0.0
+	if over := u.Requests + 1 - u.Slots; over > 0 {
+		wait = over / u.Slots * float64(u.Service)
+	}
+	return time.Duration(u.Pace*work + wait)
+}
--- /dev/null
+++ b/routing/table.go
@@ -0,0 +1,66 @@
+package routing
+
+import (
+	"sync/atomic"
+
+	operatorv1 "lavenderpin.dev/lavenderpin/api/operator/v1"
+)
+
+// table is an immutable picture of a service's upstreams, replaced as a whole when
+// the configuration changes.
+type table struct {
+	candidates []*operatorv1.Upstream
+	// entries has the order of candidates.
+	entries []entry
+	byName  map[string]*target
+	regions map[string]*regionLoad
+}
+
+// entry is what a pick reads of every upstream; kept small, so that a pass over
+// hundreds stays within the processor's caches.
+type entry struct {
+	target   *target
+	region   *regionLoad
+	holder   int
+	draining bool
+}
+
+// of tells whether the table was made from these candidates. It compares identity:
+// the configuration hands out the same slice until it changes, and the table keeps
+// that slice alive, so its address can't be reused.
+func (t *table) of(candidates []*operatorv1.Upstream) bool {
+	if len(t.candidates) != len(candidates) {
+		return false
+	}
+	return len(candidates) == 0 || &t.candidates[0] == &candidates[0]
+}
+
+// service is what the balancer keeps of one service.
+type service struct {
+	table atomic.Pointer[table]
+}
+
+// regionLoad is the mean load by other nodes over a region's upstreams that report.
+type regionLoad struct {
+	requests average
+	pending  average
+}
+
+// updateMeans averages the load that the latest reports ascribe to other nodes.
+func (s *service) updateMeans(region *regionLoad) {
+	requests, pending, known := 0.0, 0.0, 0.0
+	for _, e := range s.table.Load().entries {
+		if e.region != region {
+			continue
+		}
+		if r, p, ok := e.target.foreign(); ok {
+			requests += r
+			pending += p
+			known++
+		}
+	}
+	if known > 0 {
+		region.requests.store(requests / known)
+		region.pending.store(pending / known)
+	}
+}
