Compare policies side by side over the engine model

lavenderbench experiment routing runs the real picker and admission core on six model nodes and ten model engines against random, round robin, least reported load and cache only, each with and without our admission in front.

--- /dev/null
+++ b/admission/controller.go
@@ -0,0 +1,127 @@
+package admission
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+
+	"lavenderpin.dev/lavenderpin/result"
+	"lavenderpin.dev/lavenderpin/routing"
+)
+
+const (
+	expireEvery  = 50 * time.Millisecond
+	observeEvery = 500 * time.Millisecond
+)
+
+// Pressure tells what a service's upstreams say of themselves: requests that wait
+// there, and slots; zero slots when nothing is known.
+type Pressure func(service string) (waiting, slots float64)
+
+// Controller admits the requests of one node, service by service. It is safe for
+// concurrent use.
+type Controller struct {
+	clock    clockwork.Clock
+	settings func(service string) Settings
+	pressure Pressure
+
+	mu    sync.Mutex
+	cores map[string]*Core
+}
+
+// NewController returns a controller; settings is asked once for each service.
+func NewController(clock clockwork.Clock, settings func(service string) Settings, pressure Pressure) *Controller {
+	return &Controller{clock: clock, settings: settings, pressure: pressure, cores: map[string]*Core{}}
+}
+
+// Admit waits until the request may be sent. release must be called once when the
+// request has left its upstream; err is Overloaded, or CallerGone when ctx ended
+// first. Either way nothing was sent.
+func (c *Controller) Admit(ctx context.Context, ask routing.Ask) (release func(), err error) {
+	verdict := make(chan error, 1)
+	core, item := c.offer(ask, verdict)
+	select {
+	case err = <-verdict:
+	case <-ctx.Done():
+		if c.leave(core, item) {
+			return nil, result.New(result.CallerGone, "the caller left while its request waited")
+		}
+		err = <-verdict
+	}
+	if err != nil {
+		return nil, err
+	}
+	var once sync.Once
+	return func() { once.Do(func() { c.release(core, item) }) }, nil
+}
+
+func (c *Controller) offer(ask routing.Ask, verdict chan<- error) (*Core, *Item) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	core := c.cores[ask.Service]
+	if core == nil {
+		core = NewCore(c.settings(ask.Service))
+		c.cores[ask.Service] = core
+	}
+	return core, core.Offer(c.clock.Now(), ask, func(err error) { verdict <- err })
+}
+
+func (c *Controller) leave(core *Core, i *Item) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return core.Leave(i)
+}
+
+func (c *Controller) release(core *Core, i *Item) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	core.Release(c.clock.Now(), i)
+}
+
+// Run refuses those that waited too long and follows the upstreams' own queues, until
+// ctx ends.
+func (c *Controller) Run(ctx context.Context) {
+	expire, observe := c.clock.NewTicker(expireEvery), c.clock.NewTicker(observeEvery)
+	defer expire.Stop()
+	defer observe.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-expire.Chan():
+			c.each(func(_ string, core *Core) { core.Expire(c.clock.Now()) })
+		case <-observe.Chan():
+			c.each(func(service string, core *Core) {
+				waiting, slots := c.pressure(service)
+				core.Observe(c.clock.Now(), waiting, slots)
+			})
+		}
+	}
+}
+
+func (c *Controller) each(do func(service string, core *Core)) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for service, core := range c.cores {
+		do(service, core)
+	}
+}
+
+// Status is what operators see of one service's admission.
+type Status struct {
+	Counts
+	Limit    int
+	InFlight int
+	Waiting  int
+}
+
+// Status returns the state of each service's admission.
+func (c *Controller) Status() map[string]Status {
+	all := map[string]Status{}
+	c.each(func(service string, core *Core) {
+		all[service] = Status{Counts: core.Counts(), Limit: core.Limit(), InFlight: core.InFlight(), Waiting: core.Waiting()}
+	})
+	return all
+}
--- /dev/null
+++ b/admission/core.go
@@ -0,0 +1,201 @@
+package admission
+
+import (
+	"time"
+
+	"lavenderpin.dev/lavenderpin/result"
+	"lavenderpin.dev/lavenderpin/routing"
+)
+
+const (
+	// leastRetryAfter and mostRetryAfter bound when a refused caller is told to come
+	// back.
+	leastRetryAfter = 500 * time.Millisecond
+	mostRetryAfter  = 30 * time.Second
+	// Share of the limit above which it counts as in use.
+	limitInUse = 0.9
+)
+
+// Core decides for one service on one node. It isn't safe for concurrent use. Every
+// offered item is told its verdict exactly once: nil when admitted, a result error
+// when refused.
+type Core struct {
+	settings Settings
+	queue    fairQueue
+	limiter  limiter
+	drain    drainRate
+	inFlight int
+	counts   Counts
+}
+
+// Counts are totals since the start.
+type Counts struct {
+	Admitted uint64
+	Refused  uint64
+	// Expired are those of Refused that had waited in vain.
+	Expired uint64
+	// Evicted are those of Refused that made room for others.
+	Evicted uint64
+}
+
+// NewCore returns a core without any requests.
+func NewCore(settings Settings) *Core {
+	return &Core{settings: settings, limiter: newLimiter(settings)}
+}
+
+// Counts returns the totals.
+func (c *Core) Counts() Counts { return c.counts }
+
+// Limit returns how many requests may be at the upstreams together.
+func (c *Core) Limit() int { return c.limiter.value() }
+
+// InFlight returns how many requests are at the upstreams.
+func (c *Core) InFlight() int { return c.inFlight }
+
+// Waiting returns how many requests wait.
+func (c *Core) Waiting() int { return c.queue.length }
+
+// Offer asks for a request's admission. decide is called once with the verdict,
+// perhaps before Offer returns, and must not call the core.
+func (c *Core) Offer(now time.Time, ask routing.Ask, decide func(err error)) *Item {
+	i := &Item{Ask: ask, arrived: now, decide: decide, cost: c.cost(&ask)}
+	i.account = c.queue.account(ask.Team, ask.Account, float64(max(1, ask.Weight)))
+	if c.queue.length == 0 && c.inFlight < c.Limit() {
+		c.queue.charge(i)
+		c.admit(i)
+		return i
+	}
+	if err := c.reject(i, now); err != nil {
+		c.refuse(i, err)
+		return i
+	}
+	i.state = stateWaiting
+	c.queue.push(i)
+	c.serve(now)
+	return i
+}
+
+func (c *Core) cost(ask *routing.Ask) float64 {
+	if tokens := ask.PromptTokens + ask.AnswerTokens; tokens > 0 {
+		return float64(tokens)
+	}
+	return c.settings.DefaultTokens
+}
+
+// reject returns why the request must be refused at once, nil if it may wait.
+func (c *Core) reject(i *Item, now time.Time) error {
+	if d := i.Ask.Deadline; !d.IsZero() && !d.After(now) {
+		return result.New(result.Overloaded, "the deadline for the first token has passed").After(leastRetryAfter)
+	}
+	wait := c.expectedWait(i, now)
+	allowed := i.lastMoment(c.settings.MaxWait).Sub(now)
+	if wait > allowed {
+		return overloaded(i, wait-allowed)
+	}
+	if len(i.account.waiting) >= c.settings.MaxAccountQueue {
+		return overloaded(i, wait)
+	}
+	if c.queue.length < c.settings.MaxQueue {
+		return nil
+	}
+	return c.makeRoom(i, wait)
+}
+
+// makeRoom refuses the newest request of the account with most waiting for its share.
+// Without it one account's flood would fill the queue and all others would be refused.
+func (c *Core) makeRoom(i *Item, wait time.Duration) error {
+	heaviest := c.queue.heaviest()
+	if heaviest == nil || heaviest == i.account {
+		return overloaded(i, wait)
+	}
+	victim := heaviest.last()
+	c.queue.remove(victim)
+	c.counts.Evicted++
+	c.refuse(victim, overloaded(victim, wait))
+	return nil
+}
+
+func overloaded(i *Item, after time.Duration) error {
+	after = min(max(after, leastRetryAfter), mostRetryAfter)
+	return result.New(result.Overloaded, "service %s can't begin the request in time", i.Ask.Service).After(after)
+}
+
+// expectedWait returns how long the account's turn would take to come, from what it
+// has waiting and its share of the drain rate. Nothing measured yet means no wait.
+func (c *Core) expectedWait(i *Item, now time.Time) time.Duration {
+	rate := c.drain.perSecond(now)
+	if rate <= 0 {
+		return 0
+	}
+	ahead := min(i.account.backlog/c.queue.share(i.account), c.queue.backlog)
+	return time.Duration(ahead / rate * float64(time.Second))
+}
+
+// Release tells that an admitted request has left the upstreams.
+func (c *Core) Release(now time.Time, i *Item) {
+	if i.state != stateAdmitted {
+		return
+	}
+	i.state = stateOver
+	c.inFlight--
+	c.drain.ended(i.cost, now)
+	c.serve(now)
+}
+
+// Leave takes out a waiting request whose caller has left; it is not told anything.
+// False if the verdict came first.
+func (c *Core) Leave(i *Item) bool {
+	if i.state != stateWaiting {
+		return false
+	}
+	c.queue.remove(i)
+	i.state = stateOver
+	return true
+}
+
+// Observe takes in the upstreams' own queues: requests that wait there, and slots.
+// It is called at a steady interval.
+func (c *Core) Observe(now time.Time, waiting, slots float64) {
+	if slots <= 0 {
+		return
+	}
+	inUse := c.queue.length > 0 || float64(c.inFlight) >= limitInUse*c.limiter.limit
+	c.limiter.observe(waiting/slots, c.settings.WaitingShare, inUse)
+	c.serve(now)
+}
+
+// Expire refuses those that have waited too long. It is called often enough that a
+// caller is told soon after.
+func (c *Core) Expire(now time.Time) {
+	c.queue.each(func(i *Item) {
+		if i.lastMoment(c.settings.MaxWait).After(now) {
+			return
+		}
+		c.queue.remove(i)
+		c.counts.Expired++
+		c.refuse(i, overloaded(i, c.expectedWait(i, now)))
+	})
+}
+
+func (c *Core) serve(now time.Time) {
+	for c.inFlight < c.Limit() && c.queue.length > 0 {
+		i := c.queue.pop()
+		if !i.lastMoment(c.settings.MaxWait).After(now) {
+			c.counts.Expired++
+			c.refuse(i, overloaded(i, 0))
+			continue
+		}
+		c.admit(i)
+	}
+}
+
+func (c *Core) admit(i *Item) {
+	c.inFlight++
+	c.counts.Admitted++
+	i.answer(stateAdmitted, nil)
+}
+
+func (c *Core) refuse(i *Item, err error) {
+	c.counts.Refused++
+	i.answer(stateOver, err)
+}
--- /dev/null
+++ b/cmd/lavenderbench/experiment.go
@@ -0,0 +1,38 @@
+package main
+
+import (
+	"os"
+	"path/filepath"
+
+	"github.com/juju/errors"
+
+	"lavenderpin.dev/lavenderpin/internal/experiment/routing"
+)
+
+type experimentCmd struct {
+	Routing routingCmd `cmd:"" help:"Upstream choice and admission, side by side with baselines."`
+}
+
+type routingCmd struct {
+	Seed uint64 `help:"Seed of arrivals, engines and picks." default:"1"`
+	Out  string `help:"Directory for the report." type:"path" required:""`
+}
+
+// Run writes the report.
+func (c *routingCmd) Run() error {
+	if err := os.MkdirAll(c.Out, 0o755); err != nil {
+		return errors.Trace(err)
+	}
+	report := routing.NewReport(c.Seed)
+	table, err := os.Create(filepath.Join(c.Out, "routing.md"))
+	if err != nil {
+		return errors.Trace(err)
+	}
+	if err := report.WriteMarkdown(table); err != nil {
+		return errors.Trace(err)
+	}
+	if err := table.Close(); err != nil {
+		return errors.Trace(err)
+	}
+	return errors.Trace(report.WriteFiles(c.Out))
+}
--- /dev/null
+++ b/cmd/lavenderbench/main.go
@@ -0,0 +1,25 @@
+// Command lavenderbench puts load on a fleet and runs experiments.
+package main
+
+import (
+	"context"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/alecthomas/kong"
+)
+
+type cli struct {
+	Experiment experimentCmd `cmd:"" help:"Compare policies over models, in model time."`
+}
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	var c cli
+	k := kong.Parse(&c, kong.Name("lavenderbench"),
+		kong.Description("Load and experiments for a lavenderpin fleet."),
+		kong.UsageOnError(), kong.BindTo(ctx, (*context.Context)(nil)))
+	k.FatalIfErrorf(k.Run())
+}
--- /dev/null
+++ b/internal/experiment/routing/fleet.go
@@ -0,0 +1,92 @@
+package routing
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+
+	operatorv1 "lavenderpin.dev/lavenderpin/api/operator/v1"
+	"lavenderpin.dev/lavenderpin/internal/enginemodel"
+)
+
+const (
+	serviceName = "chat"
+	near        = "north"
+	far         = "south"
+)
+
+// The sizes of the smaller of the brief's deployments.
+const (
+	nearEngines = 6
+	farEngines  = 4
+	nearNodes   = 4
+	farNodes    = 2
+	// nearShare of the requests come in at the near region.
+	nearShare = 0.6
+	localHop  = 1500 * time.Microsecond
+)
+
+var modelStart = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+// fleet is one run's model of engines, nodes and the link.
+type fleet struct {
+	sim       *enginemodel.Simulator
+	clock     *clockwork.FakeClock
+	random    *rand.Rand
+	engines   []*enginemodel.Engine
+	byName    map[string]*enginemodel.Engine
+	regions   map[string]string
+	upstreams []*operatorv1.Upstream
+	nodes     []*node
+	link      *link
+	tally     *tally
+}
+
+func newFleet(policy Policy, scenario Scenario) *fleet {
+	f := &fleet{
+		sim:     enginemodel.NewSimulator(modelStart),
+		clock:   clockwork.NewFakeClockAt(modelStart),
+		random:  rand.New(rand.NewPCG(scenario.Seed, 7)),
+		byName:  map[string]*enginemodel.Engine{},
+		regions: map[string]string{},
+		tally:   newTally(scenario),
+	}
+	f.sim.Moved = func(by time.Duration) { f.clock.Advance(by) }
+	f.link = newLink(f.sim)
+	f.addNodes(policy, near, nearNodes, nearEngines)
+	f.addNodes(policy, far, farNodes, farEngines)
+	f.addEngines(scenario, near, nearEngines)
+	f.addEngines(scenario, far, farEngines)
+	return f
+}
+
+func (f *fleet) addNodes(policy Policy, region string, n, engines int) {
+	for i := range n {
+		f.nodes = append(f.nodes, newNode(f, policy, region, i, engines*enginemodel.DefaultParams().Slots/n))
+	}
+}
+
+func (f *fleet) addEngines(scenario Scenario, region string, n int) {
+	params := enginemodel.DefaultParams()
+	for i := range n {
+		name := fmt.Sprintf("%s-%d", region, i)
+		var listeners []enginemodel.Listener
+		for _, node := range f.nodes {
+			listeners = append(listeners, node.listen(region))
+		}
+		e := enginemodel.NewEngine(name, params, f.sim, scenario.Seed*1000+uint64(len(f.engines)), listeners...)
+		f.engines = append(f.engines, e)
+		f.byName[name], f.regions[name] = e, region
+		f.upstreams = append(f.upstreams, &operatorv1.Upstream{Name: name, Service: serviceName, Region: region, Slots: uint32(params.Slots)})
+	}
+}
+
+// nodesOf returns the nodes of a region, which its callers use.
+func (f *fleet) nodesOf(region string) []*node {
+	if region == near {
+		return f.nodes[:nearNodes]
+	}
+	return f.nodes[nearNodes:]
+}
