Compare two of the engines that hold most of a prompt

Cause: of several engines that hold a prompt equally only one was looked at, however busy.

Change: two random ones of the deepest holders are compared with two random engines.

--- a/internal/experiment/routing/capacity.go
+++ b/internal/experiment/routing/capacity.go
@@ -1,18 +1,24 @@
 package routing
 
-import "time"
+import (
+	"fmt"
+	"time"
+)
 
-// saturation is the rate offered to measure capacity, far above what the engines can
-// serve.
-const saturation = 120.0
+// saturations are rates offered to measure capacity, all above what the engines can
+// serve. Far above it a policy can serve less, as more prompts compete for the caches.
+var saturations = []float64{55, 65, 75, 90, 120}
 
-// Capacity returns the requests per second that the engines complete when they always
-// have work: the most that any policy got out of them with deadlines dropped.
+// Capacity returns the most requests per second that the engines completed with any
+// policy at any of the rates, deadlines dropped so that nothing is given up on.
 func Capacity(seed uint64) (perSecond float64, runs []Result) {
-	s := Scenario{Name: "saturation", Load: 1, Seed: seed, Warmup: 30 * time.Second, Length: 60 * time.Second, Unbounded: true}
-	for _, r := range all(Policies(), []Scenario{s}, saturation) {
-		runs = append(runs, r)
-		perSecond = max(perSecond, r.Completed)
+	for _, rate := range saturations {
+		s := Scenario{Name: fmt.Sprintf("saturation at %.0f/s", rate), Load: 1, Seed: seed,
+			Warmup: 30 * time.Second, Length: length, Unbounded: true}
+		for _, r := range all(Policies(), []Scenario{s}, rate) {
+			runs = append(runs, r)
+			perSecond = max(perSecond, r.Completed)
+		}
 	}
 	return perSecond, runs
 }
--- a/routing/choice.go
+++ b/routing/choice.go
@@ -91,25 +91,33 @@
 	first := int(c.roll() >> 33)
 	for n := range candidates {
 		i := candidates[(first+n)%len(candidates)]
-		if took := c.predict(c.table.entries[i].target); at < 0 || took < expected {
-			at, expected = i, took
+		t := c.table.entries[i].target
+		u := c.state(t)
+		cost := c.balancer.settings.Costs.FirstToken(u, c.uncached(t)) + c.balancer.settings.Costs.Burden(u, c.uncached(t))
+		if at < 0 || cost < expected {
+			at, expected = i, cost
 		}
 	}
 	return at, expected
 }
 
+// predict returns when the first token is expected from an upstream.
 func (c *choice) predict(t *target) time.Duration {
+	return c.balancer.settings.Costs.FirstToken(c.state(t), c.uncached(t))
+}
+
+// state returns what is known of an upstream, for scoring.
+func (c *choice) state(t *target) score.Upstream {
 	settings := &c.balancer.settings
 	r := t.report.Load()
 	requests := t.requestLoad(r, t.region.requests.load(), c.now).Estimate(settings.Fade)
-	requests += c.spare(t)
-	return settings.Costs.FirstToken(score.Upstream{
-		Requests: requests,
+	return score.Upstream{
+		Requests: requests + c.spare(t),
 		Pending:  t.pendingLoad(r, t.region.pending.load(), c.now).Estimate(settings.Fade),
 		Slots:    t.slots,
 		Service:  time.Duration(t.service.load() * float64(time.Second)),
 		Pace:     t.currentPace(c.now),
-	}, c.uncached(t))
+	}
 }
 
 // spare returns requests that a new upstream is taken to have, falling to none. Its
--- a/routing/sample.go
+++ b/routing/sample.go
@@ -1,51 +1,70 @@
 package routing
 
+// deepChoices is how many of the upstreams that hold most of the prompt are compared.
+const deepChoices = 2
+
 // sample keeps a few upstreams of many, chosen at random by the smallest rolls, and
-// the one that holds most of the prompt.
+// two of those that hold most of the prompt.
 type sample struct {
-	rolls [maxChoices]uint64
-	at    [maxChoices + 1]int
-	count int
-	worst int
-
-	deepest   int
-	deepestAt int
-	tie       uint64
+	random lottery
+	deep   lottery
+	depth  int
+	at     [maxChoices + deepChoices]int
 }
 
 // wants tells whether an upstream would enter the sample.
 func (s *sample) wants(roll uint64, depth, choices int) bool {
-	return s.count < min(choices, maxChoices) || roll < s.rolls[s.worst] || s.isDeeper(roll, depth)
+	return s.random.wants(roll, choices) || s.isDeep(roll, depth)
 }
 
-func (s *sample) isDeeper(roll uint64, depth int) bool {
-	return depth > 0 && (depth > s.deepest || (depth == s.deepest && roll < s.tie))
+func (s *sample) isDeep(roll uint64, depth int) bool {
+	return depth > s.depth || (depth > 0 && depth == s.depth && s.deep.wants(roll, deepChoices))
 }
 
 func (s *sample) offer(at int, roll uint64, depth, choices int) {
-	if s.isDeeper(roll, depth) {
-		s.deepest, s.deepestAt, s.tie = depth, at, roll
-	}
-	switch {
-	case s.count < min(choices, maxChoices):
-		s.rolls[s.count], s.at[s.count] = roll, at
-		s.count++
-	case roll < s.rolls[s.worst]:
-		s.rolls[s.worst], s.at[s.worst] = roll, at
-	}
-	for i := range s.count {
-		if s.rolls[i] > s.rolls[s.worst] {
-			s.worst = i
+	if s.isDeep(roll, depth) {
+		if depth > s.depth {
+			s.deep.count = 0
 		}
+		s.depth = depth
+		s.deep.offer(at, roll, deepChoices)
 	}
+	s.random.offer(at, roll, choices)
 }
 
-// candidates returns the sampled indexes, the one with most of the prompt included.
+// candidates returns the sampled indexes; one may occur twice.
 func (s *sample) candidates() []int {
-	n := s.count
-	if s.deepest > 0 {
-		s.at[n] = s.deepestAt
-		n++
-	}
+	n := copy(s.at[:], s.random.at[:s.random.count])
+	n += copy(s.at[n:], s.deep.at[:s.deep.count])
 	return s.at[:n]
 }
+
+// lottery keeps the few with the smallest rolls.
+type lottery struct {
+	rolls [maxChoices]uint64
+	at    [maxChoices]int
+	count int
+	worst int
+}
+
+func (l *lottery) wants(roll uint64, choices int) bool {
+	return l.count < min(choices, maxChoices) || roll < l.rolls[l.worst]
+}
+
+func (l *lottery) offer(at int, roll uint64, choices int) {
+	switch {
+	case l.count < min(choices, maxChoices):
+		l.rolls[l.count], l.at[l.count] = roll, at
+		l.count++
+	case roll < l.rolls[l.worst]:
+		l.rolls[l.worst], l.at[l.worst] = roll, at
+	default:
+		return
+	}
+	l.worst = 0
+	for i := 1; i < l.count; i++ {
+		if l.rolls[i] > l.rolls[l.worst] {
+			l.worst = i
+		}
+	}
+}
--- a/routing/score/predict.go
+++ b/routing/score/predict.go
@@ -7,6 +7,9 @@
 type Costs struct {
 	// PerPromptToken is the time to prefill one prompt token.
 	PerPromptToken time.Duration
+	// UncachedWeight is how much more than its own time an uncached prompt token counts:
+	// its prefill also delays every request that runs there.
+	UncachedWeight float64
 	// PerRunning is the time that each running request adds.
 	PerRunning time.Duration
 	// Base is the time to a first token on an idle engine, without prefill.
@@ -15,7 +18,7 @@
 
 // DefaultCosts returns assumed costs of one engine.
 func DefaultCosts() Costs {
-	return Costs{PerPromptToken: 150 * time.Microsecond, PerRunning: 4 * time.Millisecond, Base: 25 * time.Millisecond}
+	return Costs{PerPromptToken: 150 * time.Microsecond, UncachedWeight: 0, PerRunning: 4 * time.Millisecond, Base: 25 * time.Millisecond}
 }
 
 // Upstream is the state of one upstream as far as a prediction looks at it.
@@ -40,3 +43,8 @@
 	}
 	return time.Duration(u.Pace*work + wait)
 }
+
+// Burden returns what taking the prompt costs others on the upstream.
+func (c Costs) Burden(u Upstream, uncached float64) time.Duration {
+	return time.Duration(c.UncachedWeight * u.Pace * uncached * float64(c.PerPromptToken))
+}
