Count an uncached prompt token for more than its own time

Cause: cache hits fell from 82% to 75% under load. The score weighed a miss by its own prefill only, though the prefill also delays every request that runs on the engine.

--- a/routing/score/predict.go
+++ b/routing/score/predict.go
@@ -18,7 +18,7 @@
 
 // DefaultCosts returns assumed costs of one engine.
 func DefaultCosts() Costs {
-	return Costs{PerPromptToken: 150 * time.Microsecond, UncachedWeight: 0, PerRunning: 4 * time.Millisecond, Base: 25 * time.Millisecond}
+	return Costs{PerPromptToken: 150 * time.Microsecond, UncachedWeight: 4, PerRunning: 4 * time.Millisecond, Base: 25 * time.Millisecond}
 }
 
 // Upstream is the state of one upstream as far as a prediction looks at it.
