Prove whole streams, resuming and bad input

Streams, over real stand-in engines and the HTTP client: a connection that breaks every second chunk is read on at the same engine; doubled and swapped chunks are put in order; an engine lost within an answer is replaced by another whose answer is matched chunk by chunk, and one that differs ends with AnswerDiffers; a caller whose node died gets exactly the missing chunks elsewhere, and that node bills nothing; a caller that moves while its node lives is billed once by that node.

--- /dev/null
+++ b/request/bench_test.go
@@ -0,0 +1,198 @@
+package request
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/jonboulle/clockwork"
+	"github.com/matryer/is"
+
+	operatorv1 "lavenderpin.dev/lavenderpin/api/operator/v1"
+	recordv1 "lavenderpin.dev/lavenderpin/api/record/v1"
+	"lavenderpin.dev/lavenderpin/budget"
+	"lavenderpin.dev/lavenderpin/config"
+	"lavenderpin.dev/lavenderpin/event"
+	"lavenderpin.dev/lavenderpin/fold"
+	"lavenderpin.dev/lavenderpin/internal/standin"
+	"lavenderpin.dev/lavenderpin/routing"
+	"lavenderpin.dev/lavenderpin/signed"
+	"lavenderpin.dev/lavenderpin/upstream"
+)
+
+const (
+	testKey    = "key"
+	otherKey   = "other-key"
+	testModel  = "model"
+	testTokens = 100_000
+)
+
+// site is engines and plain services with a configuration that declares them.
+type site struct {
+	t       testing.TB
+	config  *config.State
+	client  *upstream.HTTPClient
+	secret  []byte
+	engines []*standin.Engine
+	changes []*operatorv1.Change
+}
+
+func newSite(t testing.TB, engines ...standin.EngineOptions) *site {
+	is := is.New(t)
+	client, err := upstream.NewHTTPClient()
+	is.NoErr(err)
+	t.Cleanup(client.Close)
+	s := &site{t: t, config: config.NewState(nil), client: client, secret: make([]byte, signed.MinSecret)}
+	s.declare(&operatorv1.Resource{Kind: &operatorv1.Resource_Account{Account: &operatorv1.Account{Name: "account", KeySha256: []string{config.HashKey(testKey)}}}})
+	s.declare(&operatorv1.Resource{Kind: &operatorv1.Resource_Account{Account: &operatorv1.Account{Name: "other", KeySha256: []string{config.HashKey(otherKey)}}}})
+	s.declare(&operatorv1.Resource{Kind: &operatorv1.Resource_Service{Service: &operatorv1.Service{Name: "chat",
+		Kind: operatorv1.ServiceKind_SERVICE_KIND_ENGINE, Models: []string{testModel}}}})
+	s.declare(&operatorv1.Resource{Kind: &operatorv1.Resource_Service{Service: &operatorv1.Service{Name: "orders",
+		Kind: operatorv1.ServiceKind_SERVICE_KIND_PLAIN, Calls: []*operatorv1.Call{
+			{Method: "GET", Path: "/", Idempotent: true, Tokens: 1},
+			{Method: "POST", Path: "/", Tokens: 5},
+			{Method: "PUT", Path: "/", Tokens: 5},
+		}}}})
+	s.declare(&operatorv1.Resource{Kind: &operatorv1.Resource_Budget{Budget: &operatorv1.Budget{Name: "budget", Account: "account", Services: []string{"chat", "orders"}}}})
+	for i, options := range engines {
+		s.startEngine(fmt.Sprint("engine-", i), options)
+	}
+	s.apply()
+	return s
+}
+
+func (s *site) startEngine(name string, options standin.EngineOptions) {
+	listener := s.listen()
+	engine := standin.NewEngine(listener, options)
+	s.engines = append(s.engines, engine)
+	go func() { _ = engine.Run() }()
+	s.t.Cleanup(engine.Close)
+	s.declareUpstream(name, "chat", listener.Addr().String())
+}
+
+func (s *site) listen() net.Listener {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	is.New(s.t).NoErr(err)
+	return listener
+}
+
+func (s *site) declareUpstream(name, service, address string) {
+	s.declare(&operatorv1.Resource{Kind: &operatorv1.Resource_Upstream{Upstream: &operatorv1.Upstream{Name: name, Service: service, Address: address, Region: "r"}}})
+}
+
+func (s *site) declare(r *operatorv1.Resource) {
+	s.changes = append(s.changes, &operatorv1.Change{AnyVersion: true, Resource: r})
+}
+
+func (s *site) apply() {
+	verdict, _ := s.config.Apply(fold.Position{Offset: 1}, &recordv1.Entry{Body: &recordv1.Entry_Config{Config: &recordv1.ConfigChange{Changes: s.changes}}})
+	is.New(s.t).NoErr(verdict.Err())
+}
+
+// testServer is one node's request server with its share of the budget.
+type testServer struct {
+	*Server
+	holder *budget.Holder
+}
+
+func (s *site) newServer(name string) *testServer {
+	clock := clockwork.NewRealClock()
+	holder := budget.NewHolder(name, clock)
+	holder.ExtendRight(clock.Now().Add(time.Hour))
+	holder.Credit("budget", testTokens)
+	return &testServer{holder: holder, Server: &Server{
+		Config: s.config.View, Reserver: holderReserver{holder}, Picker: inOrder{}, Client: s.client, Resumer: s.client,
+		Events: event.NewRecorder(event.NewHLC(clock), name, 1000, log.NewNopLogger()), Clock: clock, Region: "r",
+		PeerAddress: name, Cursors: signed.NewSigner(s.secret, CursorPurpose),
+	}}
+}
+
+type holderReserver struct{ holder *budget.Holder }
+
+func (h holderReserver) Reserve(_ context.Context, name string, tokens uint64) (budget.Grant, error) {
+	reservation, err := h.holder.Reserve(name, tokens)
+	if err != nil {
+		return nil, err
+	}
+	return reservation, nil
+}
+
+// inOrder picks the first upstream by name that wasn't tried.
+type inOrder struct{}
+
+func (inOrder) Pick(ask routing.Ask, candidates []*operatorv1.Upstream) (routing.Pick, error) {
+	for _, c := range candidates {
+		if !ask.Tried[c.GetName()] {
+			return routing.Pick{Upstream: c, Done: func(error) {}}, nil
+		}
+	}
+	return (&routing.LeastInFlight{}).Pick(ask, nil)
+}
+
+// settled returns what was billed, in tokens, and checks that nothing stays reserved.
+func (s *testServer) settled(t testing.TB) uint64 {
+	is := is.New(t)
+	is.Equal(s.holder.Open(), 0)                                               // nothing reserved left behind
+	is.Equal(s.holder.Available("budget"), testTokens-s.holder.Used("budget")) // the rest is given back
+	return s.holder.Used("budget")
+}
+
+// testSink is a caller.
+type testSink struct {
+	stream bool
+	// atChunk, when set, is called with each chunk's number before it is taken.
+	atChunk func(n int) error
+
+	mu      sync.Mutex
+	started int
+	cursors []string
+	words   []string
+	usage   *upstream.Usage
+}
+
+func (s *testSink) Start(budget.RequestID, string) { s.started++ }
+func (s *testSink) Streams() bool                  { return s.stream }
+func (s *testSink) Restart()                       { s.words, s.cursors, s.usage = nil, nil, nil }
+
+func (s *testSink) Chunk(cursor string, chunk upstream.Chunk) error {
+	if s.atChunk != nil {
+		if err := s.atChunk(len(s.cursors)); err != nil {
+			return err
+		}
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.cursors = append(s.cursors, cursor)
+	if chunk.Content != "" {
+		s.words = append(s.words, strings.TrimSpace(chunk.Content))
+	}
+	if chunk.Usage != nil {
+		s.usage = chunk.Usage
+	}
+	return nil
+}
+
+func (s *testSink) text() string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return strings.Join(s.words, " ")
+}
+
+// prompt returns a chat request whose answer are n different words.
+func prompt(n int) (body []byte, answer string) {
+	var words []string
+	for i := range n {
+		words = append(words, fmt.Sprint("word", i))
+	}
+	answer = strings.Join(words, " ")
+	return fmt.Appendf(nil, `{"model":%q,"stream":true,"max_tokens":%d,"messages":[{"role":"user","content":%q}]}`, testModel, n, answer), answer
+}
+
+func chatCall(body []byte) ChatCall { return ChatCall{Key: testKey, Body: body} }
+
+func chunkNumber(n uint64) upstream.Chunk { return upstream.Chunk{Number: n} }
--- a/request/chatrun.go
+++ b/request/chatrun.go
@@ -123,14 +123,27 @@
 		return err
 	}
 	position, err := r.consume(ctx, stream, 0)
+	return r.readOn(ctx, position, err)
+}
+
+// readOn asks the engine for the rest of a stream that broke off, as long as that
+// brings the answer on.
+func (r *chatRun) readOn(ctx context.Context, position uint64, err error) error {
 	pause := newPause()
-	for resumes := 0; err != nil && resumes < maxResumes && position > 0 && r.mayResume(err); resumes++ {
+	for tries := 0; err != nil && tries < maxResumes && position > 0 && r.mayResume(err); tries++ {
 		if !r.server.sleep(ctx, pause.NextBackOff()) {
 			return err
 		}
-		stream, err = r.server.Resumer.Resume(ctx, to, id.String(), position)
-		if err == nil {
-			position, err = r.consume(ctx, stream, position)
+		var stream upstream.ChatStream
+		stream, err = r.server.Resumer.Resume(ctx, r.to, r.grant.Request().String(), position)
+		if err != nil {
+			continue
+		}
+		before := position
+		position, err = r.consume(ctx, stream, position)
+		if position > before {
+			tries = 0
+			pause.Reset()
 		}
 	}
 	return err
--- a/request/resume.go
+++ b/request/resume.go
@@ -98,18 +98,20 @@
 func (r *resumeRun) run(ctx context.Context) error {
 	r.server.Events.Record(event.StreamResumed, "request", r.cursor.GetRequest(), "upstream", r.to.GetName(), "from", r.position)
 	pause := newPause()
-	var last error
-	for n := range maxResumes {
-		if n > 0 && !r.server.sleep(ctx, pause.NextBackOff()) {
-			return last
+	for tries := 0; ; tries++ {
+		before := r.position
+		err := r.once(ctx)
+		if r.position > before {
+			tries = 0
+			pause.Reset()
 		}
-		if last = r.once(ctx); last == nil || !worthResuming(last) {
-			return last
+		if err == nil || tries == maxResumes || !worthResuming(err) || !r.server.sleep(ctx, pause.NextBackOff()) {
+			return err
 		}
 	}
-	return last
 }
 
+// worthResuming tells that the engine may send the rest when it is asked again.
 func worthResuming(err error) bool {
 	switch result.CodeOf(err) {
 	case result.AnswerCut, result.AnswerCrossed, result.UpstreamFailed, result.NoUpstream:
--- a/signed/signer.go
+++ b/signed/signer.go
@@ -27,7 +27,8 @@
 // purpose.
 var ErrInvalid = errors.New("not signed by this fleet")
 
-var encoding = base64.RawURLEncoding
+// encoding is strict: each content has one text only.
+var encoding = base64.RawURLEncoding.Strict()
 
 // Signer makes and checks the texts of one purpose. It is safe for concurrent use.
 type Signer struct {
