Never let the HTTP library repeat a call; numbered answers for every bad input

Cause: hertz sends PUT and DELETE again by itself when a kept connection turns out closed before the answer, though the upstream may have run the first one. Shown by TestClosedConnectionDoesNotRepeatAPut: 3 runs for 2 calls. Ruled out: a body stream (the library drops the stream after writing and then repeats with an empty body: still 3 runs) and a retry setting (it isn't asked on that path). Change: calls that must not be sent twice use a connection of their own. Given up: one round trip for each such call.

A body over the limit and an unknown path had no numbered answer: TestBadInputOverHTTP got none for both before; bodies are now read as streams with our own bound.

Admission and the retry budget come from admission/; attempts wait with full jitter. The development fleet asks for a free UDP port where it needs one: a run of the tests side by side failed to bind.

--- a/devfleet/fleet.go
+++ b/devfleet/fleet.go
@@ -134,11 +134,14 @@
 	settings.Region, settings.DataCentre = place.Region, place.DataCentre
 	settings.TokenSecret = f.secret
 	settings.BootstrapTokenSHA256 = config.HashKey(OperatorToken)
-	for _, address := range []*string{&settings.PeerAddress, &settings.HTTPAddress, &settings.OperatorAddress} {
+	for _, address := range []*string{&settings.HTTPAddress, &settings.OperatorAddress} {
 		if *address, err = freeAddress(); err != nil {
 			return errors.Trace(err)
 		}
 	}
+	if settings.PeerAddress, err = freePeerAddress(); err != nil {
+		return errors.Trace(err)
+	}
 	settings.AddressLifetime = devAddressLifetime
 	if options.Adjust != nil {
 		options.Adjust(&settings)
@@ -172,6 +175,16 @@
 	return listener.Addr().String(), nil
 }
 
+// freePeerAddress returns a loopback address whose UDP port was free a moment ago.
+func freePeerAddress() (string, error) {
+	socket, err := net.ListenPacket("udp", "127.0.0.1:0")
+	if err != nil {
+		return "", errors.Trace(err)
+	}
+	defer func() { _ = socket.Close() }()
+	return socket.LocalAddr().String(), nil
+}
+
 func (f *Fleet) awaitServing() error {
 	deadline := time.Now().Add(startTimeout)
 	for _, d := range f.Daemons {
--- a/httpapi/server.go
+++ b/httpapi/server.go
@@ -35,7 +35,7 @@
 	s := &Server{node: node}
 	s.hertz = server.New(
 		server.WithListener(listener),
-		server.WithMaxRequestBodySize(request.MaxBody),
+		server.WithStreamBody(true),
 		server.WithSenseClientDisconnection(true),
 		server.WithDisablePrintRoute(true),
 		server.WithExitWaitTime(time.Second),
@@ -47,6 +47,9 @@
 	s.hertz.GET("/v1/streams", s.resume)
 	s.hertz.POST("/v1/tickets", s.ticket)
 	s.hertz.Any("/s/:service/*path", s.call)
+	s.hertz.NoRoute(func(_ context.Context, c *app.RequestContext) {
+		writeError(c, result.New(result.UnknownService, "no such path"))
+	})
 	return s
 }
 
@@ -96,7 +99,11 @@
 		writeError(c, err)
 		return
 	}
-	body := append([]byte(nil), c.Request.Body()...)
+	body, err := readBody(c)
+	if err != nil {
+		writeError(c, err)
+		return
+	}
 	call := request.ChatCall{Key: bearer(c), Body: body, Timeout: timeout}
 	sink := newChatSink(c, wantsStream(body))
 	sink.finish(s.node().Requests().Chat(ctx, call, sink))
--- /dev/null
+++ b/httpapi/server_test.go
@@ -0,0 +1,220 @@
+package httpapi_test
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/cloudwego/hertz/pkg/common/hlog"
+	"github.com/matryer/is"
+
+	"lavenderpin.dev/lavenderpin/devfleet"
+	"lavenderpin.dev/lavenderpin/internal/standin"
+	"lavenderpin.dev/lavenderpin/request"
+	"lavenderpin.dev/lavenderpin/result"
+)
+
+const chatPath = "/v1/chat/completions"
+
+func TestMain(m *testing.M) {
+	hlog.SetLevel(hlog.LevelFatal) // the HTTP library would log every connection
+	os.Exit(m.Run())
+}
+
+func startFleet(t *testing.T, options devfleet.Options) *devfleet.Fleet {
+	is := is.New(t)
+	here := devfleet.Place{Region: "gulf-maine", DataCentre: "casco"}
+	options.Nodes = []devfleet.Place{here, here, here}
+	options.Engines = []devfleet.Place{here}
+	options.Plain = []devfleet.Place{here}
+	fleet, err := devfleet.Start(options)
+	is.NoErr(err)
+	t.Cleanup(fleet.Stop)
+	is.NoErr(fleet.Apply(context.Background(), fleet.Sample()))
+	for _, d := range fleet.Daemons {
+		for d.Node().Ledger().Budget("dev-budget").Prepaid == 0 {
+			time.Sleep(time.Millisecond)
+		}
+	}
+	return fleet
+}
+
+func address(fleet *devfleet.Fleet, i int) string {
+	return fleet.Daemons[i].Node().Settings().HTTPAddress
+}
+
+// answer is what a caller got.
+type answer struct {
+	status int
+	header http.Header
+	body   string
+	code   result.Code
+	notRun bool
+}
+
+func send(t *testing.T, method, url string, header map[string]string, body string) answer {
+	t.Helper()
+	is := is.New(t)
+	r, err := http.NewRequest(method, url, bytes.NewBufferString(body))
+	is.NoErr(err)
+	r.Header.Set("Authorization", "Bearer "+devfleet.AccountKey)
+	for name, value := range header {
+		r.Header.Set(name, value)
+	}
+	response, err := http.DefaultClient.Do(r)
+	is.NoErr(err)
+	defer func() { _ = response.Body.Close() }()
+	text, err := io.ReadAll(response.Body)
+	is.NoErr(err)
+	a := answer{status: response.StatusCode, header: response.Header, body: string(text)}
+	var failure struct {
+		Error struct {
+			Code   result.Code
+			NotRun bool `json:"not_run"`
+		}
+	}
+	if json.Unmarshal(text, &failure) == nil {
+		a.code, a.notRun = failure.Error.Code, failure.Error.NotRun
+	}
+	return a
+}
+
+func TestNamedCallsOverHTTP(t *testing.T) {
+	// A crew files work orders and sends each one again to every node, by key and by
+	// ticket. All three nodes must give the first answer and bill one call.
+	is := is.New(t)
+	fleet := startFleet(t, devfleet.Options{})
+	ticket := send(t, "POST", "http://"+address(fleet, 1)+"/v1/tickets", nil, "")
+	is.Equal(ticket.status, 200)
+	var held struct{ Ticket string }
+	is.NoErr(json.Unmarshal([]byte(ticket.body), &held))
+	for name, header := range map[string]map[string]string{
+		"by key":    {"Idempotency-Key": "order-1"},
+		"by ticket": {"X-Call-Ticket": held.Ticket},
+	} {
+		for i := range fleet.Daemons {
+			got := send(t, "POST", "http://"+address(fleet, i)+"/s/orders/work", header, name)
+			is.Equal(got.status, 200)
+			is.Equal(got.body, name)
+		}
+		is.Equal(fleet.Plain[0].Runs()[name], 1)
+	}
+	for _, d := range fleet.Daemons {
+		for d.Node().Ledger().Budget("dev-budget").Spent < 10 {
+			time.Sleep(time.Millisecond)
+		}
+		is.Equal(d.Node().Ledger().Budget("dev-budget").Spent, uint64(10))
+	}
+	other := send(t, "POST", "http://"+address(fleet, 2)+"/s/orders/work", map[string]string{"Idempotency-Key": "order-1"}, "another")
+	is.Equal(other.code, result.KeyReused)
+}
+
+func TestBadInputOverHTTP(t *testing.T) {
+	// Callers send what no program of theirs should: each gets a numbered error, and
+	// nothing stays reserved or is billed.
+	is := is.New(t)
+	fleet := startFleet(t, devfleet.Options{})
+	base := "http://" + address(fleet, 0)
+	small := `{"model":"` + devfleet.Model + `","messages":[{"role":"user","content":"x"}]}`
+	for name, c := range map[string]struct {
+		method, path string
+		header       map[string]string
+		body         string
+		code         result.Code
+	}{
+		"body too large":   {"POST", chatPath, nil, strings.Repeat("x", request.MaxBody+1), result.BodyTooLarge},
+		"twice the key":    {"POST", chatPath, nil, `{"model":"a","model":"b","messages":[{"content":"x"}]}`, result.MalformedRequest},
+		"timeout of words": {"POST", chatPath, map[string]string{"X-Request-Timeout-Ms": "soon"}, small, result.MalformedRequest},
+		"no cursor":        {"GET", "/v1/streams", nil, "", result.InvalidCursor},
+		"forged cursor":    {"POST", chatPath, map[string]string{"Last-Event-ID": "AAAA.AAAA"}, small, result.InvalidCursor},
+		"forged ticket":    {"POST", "/s/orders/work", map[string]string{"X-Call-Ticket": "AAAA.AAAA"}, "", result.InvalidTicket},
+		"long key":         {"POST", "/s/orders/work", map[string]string{"Idempotency-Key": strings.Repeat("k", 256)}, "", result.InvalidKey},
+		"key and ticket":   {"POST", "/s/orders/work", map[string]string{"Idempotency-Key": "k", "X-Call-Ticket": "t"}, "", result.InvalidKey},
+		"escaped dots":     {"POST", "/s/orders/a/%2e%2e/b", nil, "", result.InvalidPath},
+		"smuggled header":  {"POST", "/s/orders/a%0d%0aX-Request-Id:%201", nil, "", result.InvalidPath},
+		"no such path":     {"POST", "/v2/nothing", nil, "", result.UnknownService},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			got := send(t, c.method, base+c.path, c.header, c.body)
+			is.Equal(got.code, c.code)
+			is.Equal(got.status, c.code.Info().HTTP)
+		})
+	}
+	is.Equal(len(fleet.Plain[0].Runs()), 0)
+	assertNothingOpen(t, fleet)
+}
+
+func assertNothingOpen(t *testing.T, fleet *devfleet.Fleet) {
+	t.Helper()
+	is := is.New(t)
+	open := fleet.Daemons[0].Node().Metrics().Get("open_reservations").String()
+	is.Equal(open, "0") // nothing reserved left behind
+	is.Equal(fleet.Daemons[0].Node().Ledger().Budget("dev-budget").Spent, uint64(0))
+}
+
+func TestHalfSentBodyAndClosedConnections(t *testing.T) {
+	// Callers on bad lines send half a request and vanish, or hang up within the
+	// answer. The engine must stop, and every reserved token must come back.
+	is := is.New(t)
+	fleet := startFleet(t, devfleet.Options{Engine: standin.EngineOptions{TokenTime: time.Millisecond}})
+	half, err := net.Dial("tcp", address(fleet, 0))
+	is.NoErr(err)
+	_, err = half.Write([]byte("POST " + chatPath + " HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer " + devfleet.AccountKey + "\r\nContent-Length: 1000\r\n\r\n{\"model\":"))
+	is.NoErr(err)
+	is.NoErr(half.Close())
+
+	caller, err := net.Dial("tcp", address(fleet, 0))
+	is.NoErr(err)
+	body := `{"model":"` + devfleet.Model + `","stream":true,"max_tokens":4000,"messages":[{"role":"user","content":"` + strings.Repeat("x ", 4000) + `"}]}`
+	r, err := http.NewRequest("POST", "http://"+address(fleet, 0)+chatPath, strings.NewReader(body))
+	is.NoErr(err)
+	r.Header.Set("Authorization", "Bearer "+devfleet.AccountKey)
+	is.NoErr(r.Write(caller))
+	reader := bufio.NewReader(caller)
+	for {
+		line, err := reader.ReadString('\n')
+		is.NoErr(err)
+		if strings.HasPrefix(line, "data:") {
+			break
+		}
+	}
+	is.NoErr(caller.Close())
+	ledger := fleet.Daemons[0].Node().Ledger()
+	for ledger.Budget("dev-budget").Spent == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	spent := ledger.Budget("dev-budget").Spent
+	is.True(spent > 4000 && spent < 8000) // the prompt and a part of the answer
+	is.Equal(fleet.Daemons[0].Node().Metrics().Get("open_reservations").String(), "0")
+}
+
+func TestResumeOverHTTP(t *testing.T) {
+	// A caller brings the event id of its third chunk to another node and must get the
+	// rest and the end marker.
+	is := is.New(t)
+	fleet := startFleet(t, devfleet.Options{})
+	body := `{"model":"` + devfleet.Model + `","stream":true,"messages":[{"role":"user","content":"a b c d e f"}]}`
+	whole := send(t, "POST", "http://"+address(fleet, 0)+chatPath, nil, body)
+	is.Equal(whole.status, 200)
+	events := strings.Split(strings.TrimSpace(whole.body), "\n\n")
+	is.Equal(len(events), 9) // six words, the end, the usage, the marker
+	id, _, _ := strings.Cut(strings.TrimPrefix(events[2], "id: "), "\n")
+	rest := send(t, "GET", "http://"+address(fleet, 2)+"/v1/streams", map[string]string{"Last-Event-ID": id}, "")
+	is.Equal(rest.status, 200)
+	missing := strings.Split(strings.TrimSpace(rest.body), "\n\n")
+	is.Equal(len(missing), 6)
+	for i := range missing {
+		_, got, _ := strings.Cut(missing[i], "data: ")
+		_, want, _ := strings.Cut(events[3+i], "data: ")
+		is.Equal(got, want)
+	}
+}
--- a/httpapi/servicecall.go
+++ b/httpapi/servicecall.go
@@ -31,9 +31,13 @@
 	if err != nil {
 		return request.ServiceCall{}, err
 	}
+	body, err := readBody(c)
+	if err != nil {
+		return request.ServiceCall{}, err
+	}
 	return request.ServiceCall{
 		Key: bearer(c), Service: c.Param("service"), Method: string(c.Method()), Path: path,
-		Headers: callHeaders(c), Body: append([]byte(nil), c.Request.Body()...),
+		Headers: callHeaders(c), Body: body,
 		IdempotencyKey: string(c.GetHeader(headerIdempotencyKey)), Ticket: string(c.GetHeader(headerTicket)),
 		Timeout: timeout,
 	}, nil
--- a/node/resume.go
+++ b/node/resume.go
@@ -3,6 +3,7 @@
 import (
 	"crypto/rand"
 
+	"lavenderpin.dev/lavenderpin/admission"
 	"lavenderpin.dev/lavenderpin/request"
 	"lavenderpin.dev/lavenderpin/signed"
 	"lavenderpin.dev/lavenderpin/upstream"
@@ -21,6 +22,9 @@
 	n.requests.Tickets = signed.NewSigner(secret, request.TicketPurpose)
 	n.requests.Runner = n.newRunner()
 	n.requests.Peers = nodePeers{n}
+	if n.requests.Retries == nil {
+		n.requests.Retries = admission.NewRetryBudget()
+	}
 	if resumer, ok := n.deps.Upstreams.(upstream.Resumer); ok {
 		n.requests.Resumer = resumer
 	}
--- a/request/call.go
+++ b/request/call.go
@@ -9,7 +9,6 @@
 	"lavenderpin.dev/lavenderpin/config"
 	"lavenderpin.dev/lavenderpin/event"
 	"lavenderpin.dev/lavenderpin/result"
-	"lavenderpin.dev/lavenderpin/routing"
 	"lavenderpin.dev/lavenderpin/upstream"
 )
 
@@ -40,7 +39,7 @@
 func (s *Server) Call(ctx context.Context, call ServiceCall) (upstream.CallAnswer, error) {
 	s.inFlight.Add(1)
 	defer s.inFlight.Add(-1)
-	s.retries.earn()
+	s.firstAttempt()
 	ctx, cancel := s.withTimeout(ctx, call.Timeout)
 	defer cancel()
 	prepared, err := s.checkCall(call)
@@ -98,7 +97,7 @@
 // runCall admits, reserves, sends and settles a call.
 func (s *Server) runCall(ctx context.Context, p *preparedCall) (upstream.CallAnswer, error) {
 	account := p.account.GetName()
-	release, err := s.admit(ctx, askOf(p.account, p.service, p.rule.GetTokens()))
+	release, err := s.admit(ctx, s.askOf(ctx, p.account, p.service))
 	if err != nil {
 		return upstream.CallAnswer{}, s.refused(account, err)
 	}
@@ -121,14 +120,14 @@
 }
 
 func (s *Server) callAttempts(ctx context.Context, grant budget.Grant, p *preparedCall) (upstream.CallAnswer, error) {
-	tried := map[string]bool{}
+	ask := s.askOf(ctx, p.account, p.service)
+	ask.Tried = map[string]bool{}
 	pause := newPause()
 	var last error
 	for n := range maxAttempts {
 		if n > 0 && !s.mayRetry(ctx, grant.Request().String(), pause) {
 			break
 		}
-		ask := routing.Ask{Service: p.service.GetName(), Region: s.Region, Tried: tried}
 		pick, err := s.Picker.Pick(ask, s.Config().Upstreams(p.service.GetName()))
 		if err != nil {
 			return upstream.CallAnswer{}, firstError(last, err)
@@ -139,7 +138,7 @@
 			return answer, nil
 		}
 		last = err
-		tried[pick.Upstream.GetName()] = true
+		ask.Tried[pick.Upstream.GetName()] = true
 		if !mayCallAgain(err, p.rule) {
 			break
 		}
@@ -156,6 +155,7 @@
 	s.Events.Record(event.RequestDispatched, "request", id, "upstream", to.GetName())
 	answer, err := s.Client.Call(ctx, to, upstream.CallRequest{
 		ID: id, Method: p.call.Method, Path: p.call.Path, Headers: p.call.Headers, Body: p.call.Body,
+		Once: !p.rule.GetIdempotent(),
 	})
 	switch {
 	case err == nil || result.CodeOf(err) == result.NoUpstream:
--- /dev/null
+++ b/request/call_test.go
@@ -0,0 +1,144 @@
+package request
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"lavenderpin.dev/lavenderpin/internal/standin"
+	"lavenderpin.dev/lavenderpin/result"
+)
+
+// newPlainSite is a site with so many instances of the plain service.
+func newPlainSite(t *testing.T, instances int) (*site, []*standin.Service) {
+	s := newSite(t)
+	var services []*standin.Service
+	for i := range instances {
+		listener := s.listen()
+		service := standin.NewService(listener, 0)
+		services = append(services, service)
+		go func() { _ = service.Run() }()
+		t.Cleanup(service.Close)
+		s.declareUpstream("plain-"+string(rune('0'+i)), "orders", listener.Addr().String())
+	}
+	s.apply()
+	return s, services
+}
+
+func order(method, body string) ServiceCall {
+	return ServiceCall{Key: testKey, Service: "orders", Method: method, Path: "/work", Body: []byte(body)}
+}
+
+func TestLostAnswerIsNotRunAgain(t *testing.T) {
+	// A service files a work order and its answer is lost. Sent to the next instance,
+	// the order would be filed twice; called "not run", the caller would file it again.
+	is := is.New(t)
+	s, services := newPlainSite(t, 2)
+	n := s.newServer("a")
+	services[0].LoseAnswers(1)
+	_, err := n.Call(context.Background(), order("POST", "order"))
+	is.Equal(result.CodeOf(err), result.OutcomeUnknown)
+	is.True(!result.From(err).NotRun())
+	is.Equal(services[0].Runs()["order"], 1)
+	is.Equal(services[1].Runs()["order"], 0)
+	is.Equal(n.settled(t), uint64(0)) // no answer, nothing billed
+}
+
+func TestIdempotentCallIsTriedElsewhere(t *testing.T) {
+	// The same loss within a read: the next instance answers, and it is billed once.
+	is := is.New(t)
+	s, services := newPlainSite(t, 2)
+	n := s.newServer("a")
+	services[0].LoseAnswers(1)
+	answer, err := n.Call(context.Background(), order("GET", "quote"))
+	is.NoErr(err)
+	is.Equal(string(answer.Body), "quote")
+	is.Equal(n.settled(t), uint64(1))
+}
+
+func TestUnreachedInstanceIsNoRun(t *testing.T) {
+	// An instance is gone and its port is closed, which proves that nothing ran there:
+	// the order goes to the next one, or is truly "not run" when there is none.
+	is := is.New(t)
+	closed := newSite(t).listen()
+	is.NoErr(closed.Close())
+	s, _ := newPlainSite(t, 1)
+	s.declareUpstream("a-closed", "orders", closed.Addr().String()) // tried first
+	s.apply()
+	n := s.newServer("a")
+	answer, err := n.Call(context.Background(), order("POST", "order"))
+	is.NoErr(err)
+	is.Equal(string(answer.Body), "order")
+	is.Equal(n.settled(t), uint64(5))
+	s.declareUpstream("plain-0", "orders", closed.Addr().String())
+	s.apply()
+	_, err = n.Call(context.Background(), order("POST", "other"))
+	is.Equal(result.CodeOf(err), result.NoUpstream)
+	is.True(result.From(err).NotRun())
+	is.Equal(n.settled(t), uint64(5))
+}
+
+func TestClosedConnectionDoesNotRepeatAPut(t *testing.T) {
+	// A service takes a PUT over a kept connection, files the order and closes the
+	// connection without an answer. The HTTP library would send the PUT again by
+	// itself, and the order would be filed twice.
+	is := is.New(t)
+	var runs atomic.Int64
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	server := &http.Server{ReadHeaderTimeout: time.Minute, Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if runs.Add(1) > 1 {
+			conn, _, _ := w.(http.Hijacker).Hijack()
+			_ = conn.Close()
+			return
+		}
+		w.Header().Set("X-Request-Id", r.Header.Get("X-Request-Id"))
+		_, _ = w.Write([]byte("filed"))
+	})}
+	go func() { _ = server.Serve(listener) }()
+	t.Cleanup(func() { _ = server.Close() })
+	s := newSite(t)
+	s.declareUpstream("plain", "orders", listener.Addr().String())
+	s.apply()
+	n := s.newServer("a")
+	_, err = n.Call(context.Background(), order("PUT", "one"))
+	is.NoErr(err)
+	_, err = n.Call(context.Background(), order("PUT", "two"))
+	is.Equal(result.CodeOf(err), result.OutcomeUnknown)
+	is.Equal(runs.Load(), int64(2))
+}
+
+type noRetries struct{}
+
+func (noRetries) FirstAttempt()  {}
+func (noRetries) TryRetry() bool { return false }
+
+func TestSpentRetryBudgetEndsAtTheFirstFailure(t *testing.T) {
+	// A service is sick and every request fails. Retried without a bound, its load
+	// would triple just when it can bear least.
+	is := is.New(t)
+	s, services := newPlainSite(t, 2)
+	n := s.newServer("a")
+	n.Retries = noRetries{}
+	services[0].LoseAnswers(1)
+	_, err := n.Call(context.Background(), order("GET", "quote"))
+	is.Equal(result.CodeOf(err), result.UpstreamFailed)
+	is.Equal(services[1].Runs()["quote"], 0)
+	n.settled(t)
+}
+
+func TestDotSegmentsNeverReachAService(t *testing.T) {
+	is := is.New(t)
+	s, services := newPlainSite(t, 1)
+	n := s.newServer("a")
+	call := order("GET", "x")
+	call.Path = "/quotes/%2e%2e/work"
+	_, err := n.Call(context.Background(), call)
+	is.Equal(result.CodeOf(err), result.InvalidPath)
+	is.Equal(len(services[0].Runs()), 0)
+}
--- a/request/chat.go
+++ b/request/chat.go
@@ -4,7 +4,6 @@
 	"context"
 	"time"
 
-	operatorv1 "lavenderpin.dev/lavenderpin/api/operator/v1"
 	"lavenderpin.dev/lavenderpin/result"
 )
 
@@ -30,7 +29,7 @@
 func (s *Server) Chat(ctx context.Context, call ChatCall, sink Sink) error {
 	s.inFlight.Add(1)
 	defer s.inFlight.Add(-1)
-	s.retries.earn()
+	s.firstAttempt()
 	ctx, cancel := s.withTimeout(ctx, call.Timeout)
 	defer cancel()
 	run, release, err := s.admitChat(ctx, call, sink)
@@ -73,7 +72,10 @@
 		return nil, result.New(result.MalformedRequest, "%v", err)
 	}
 	tokens := body.promptBound() + limit
-	release, err := s.admit(ctx, askOf(run.account, run.service, tokens))
+	run.ask = s.askOf(ctx, run.account, run.service)
+	run.ask.Model = run.model
+	run.ask.PromptTokens, run.ask.AnswerTokens = int(body.promptBound()/bytesPerToken), int(limit)
+	release, err := s.admit(ctx, run.ask)
 	if err != nil {
 		return nil, err
 	}
@@ -85,11 +87,6 @@
 	return release, nil
 }
 
-func askOf(account *operatorv1.Account, service *operatorv1.Service, tokens uint64) Ask {
-	return Ask{Account: account.GetName(), Team: account.GetTeam(), Weight: account.GetWeight(),
-		Service: service.GetName(), Tokens: tokens}
-}
-
 func firstError(errs ...error) error {
 	for _, err := range errs {
 		if err != nil {
--- a/request/chatrun.go
+++ b/request/chatrun.go
@@ -22,6 +22,7 @@
 	account *operatorv1.Account
 	service *operatorv1.Service
 	model   string
+	ask     routing.Ask
 	body    []byte
 	grant   budget.Grant
 	sink    Sink
@@ -31,6 +32,8 @@
 	usage   upstream.Usage
 	// to is the upstream that runs the completion now; nil before the first.
 	to *operatorv1.Upstream
+	// firstToken tells routing that the upstream has begun to answer; nil once told.
+	firstToken func()
 	// passed holds a hash of each chunk that reached the caller, by its number.
 	passed []uint64
 	// delivered counts the chunks with content among them.
@@ -74,19 +77,18 @@
 
 // attempts tries engines until one answers whole.
 func (r *chatRun) attempts(ctx context.Context) error {
-	tried := map[string]bool{}
+	r.ask.Tried = map[string]bool{}
 	pause := newPause()
 	var last error
 	for n := range maxAttempts {
 		if n > 0 && !r.server.mayRetry(ctx, r.grant.Request().String(), pause) {
 			return last
 		}
-		ask := routing.Ask{Service: r.service.GetName(), Model: r.model, Region: r.server.Region, Tried: tried}
-		pick, err := r.server.Picker.Pick(ask, r.server.Config().Upstreams(r.service.GetName()))
+		pick, err := r.server.Picker.Pick(r.ask, r.server.Config().Upstreams(r.service.GetName()))
 		if err != nil {
 			return firstError(last, err)
 		}
-		last = r.attempt(ctx, pick.Upstream)
+		last = r.attempt(ctx, pick)
 		if last != nil && ctx.Err() != nil {
 			last = result.New(result.CallerGone, "the request was given up")
 		}
@@ -94,7 +96,7 @@
 		if last == nil || !worthAnother(last) {
 			return last
 		}
-		tried[pick.Upstream.GetName()] = true
+		r.ask.Tried[pick.Upstream.GetName()] = true
 		go r.cancel(pick.Upstream)
 	}
 	return last
@@ -111,13 +113,13 @@
 
 // attempt lets one engine answer. When its stream breaks off, the engine is asked
 // for the rest first: that costs it nothing, while another would start anew.
-func (r *chatRun) attempt(ctx context.Context, to *operatorv1.Upstream) error {
-	id := r.grant.Request()
+func (r *chatRun) attempt(ctx context.Context, pick routing.Pick) error {
+	id, to := r.grant.Request(), pick.Upstream
 	if err := r.grant.Dispatch(ctx, to.GetName()); err != nil {
 		return err
 	}
 	r.server.Events.Record(event.RequestDispatched, "request", id, "upstream", to.GetName())
-	r.begin(to)
+	r.begin(pick)
 	stream, err := r.server.Client.Chat(ctx, to, upstream.ChatRequest{ID: id.String(), Body: r.body})
 	if err != nil {
 		return err
@@ -159,7 +161,8 @@
 
 // begin prepares for the answer of an engine. An answer that hasn't reached the
 // caller yet begins anew; one that has is matched against what it got.
-func (r *chatRun) begin(to *operatorv1.Upstream) {
+func (r *chatRun) begin(pick routing.Pick) {
+	to := pick.Upstream
 	if r.started && !r.sink.Streams() {
 		r.sink.Restart()
 		r.passed = r.passed[:0]
@@ -168,7 +171,7 @@
 	if len(r.passed) > 0 {
 		r.server.Events.Record(event.AnswerRerun, "request", r.grant.Request(), "upstream", to.GetName(), "matched", len(r.passed))
 	}
-	r.to = to
+	r.to, r.firstToken = to, pick.FirstToken
 	r.cursors = cursorMaker{signer: r.server.Cursors, cursor: fleetv1.StreamCursor{
 		Request: r.grant.Request().String(), PeerAddress: r.server.PeerAddress,
 		Service: r.service.GetName(), Upstream: to.GetName(), Account: r.account.GetName(),
@@ -213,6 +216,10 @@
 	if ctx.Err() != nil {
 		return result.New(result.CallerGone, "the request was given up")
 	}
+	if r.firstToken != nil {
+		r.firstToken()
+		r.firstToken = nil
+	}
 	if chunk.Usage != nil {
 		r.usage = *chunk.Usage
 	}
--- a/request/retry.go
+++ b/request/retry.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"sync/atomic"
 	"time"
 
 	"github.com/cenkalti/backoff/v5"
@@ -11,46 +10,19 @@
 )
 
 const (
-	// Every request earns a tenth of a retry, so that retries add at most a tenth to
-	// the load that a node puts on upstreams. Without a bound, a slow service gets
-	// several times its load just when it can't bear it.
-	retryCost   = 10
-	retryIncome = 1
-	// retryBurst is how many retries a quiet node may do at once.
-	retryBurst = 10
 	// firstPause and longestPause bound the wait before a retry, which is drawn
 	// evenly between zero and twice the interval (full jitter).
 	firstPause   = 25 * time.Millisecond
 	longestPause = 500 * time.Millisecond
 )
 
-// retryBudget bounds a node's retries in proportion to its requests. The zero value
-// is full.
-type retryBudget struct {
-	spent atomic.Int64
-}
-
-// earn is told of each request.
-func (b *retryBudget) earn() {
-	for {
-		spent := b.spent.Load()
-		if spent == 0 || b.spent.CompareAndSwap(spent, max(0, spent-retryIncome)) {
-			return
-		}
-	}
-}
-
-// take spends one retry; false when none is left.
-func (b *retryBudget) take() bool {
-	for {
-		spent := b.spent.Load()
-		if spent+retryCost > retryBurst*retryCost {
-			return false
-		}
-		if b.spent.CompareAndSwap(spent, spent+retryCost) {
-			return true
-		}
-	}
+// RetryBudget bounds a node's retries in proportion to its requests;
+// admission.RetryBudget is one.
+type RetryBudget interface {
+	// FirstAttempt is told of each request.
+	FirstAttempt()
+	// TryRetry takes one retry out; false if there is none.
+	TryRetry() bool
 }
 
 func newPause() *backoff.ExponentialBackOff {
@@ -62,13 +34,20 @@
 	return pause
 }
 
+// firstAttempt pays for a share of a retry.
+func (s *Server) firstAttempt() {
+	if s.Retries != nil {
+		s.Retries.FirstAttempt()
+	}
+}
+
 // mayRetry takes a retry out of the node's budget and waits before it; false when
 // the request isn't to be sent again.
 func (s *Server) mayRetry(ctx context.Context, request string, pause *backoff.ExponentialBackOff) bool {
 	if ctx.Err() != nil {
 		return false
 	}
-	if !s.retries.take() {
+	if s.Retries != nil && !s.Retries.TryRetry() {
 		s.Events.Record(event.RetryDenied, "request", request)
 		return false
 	}
--- a/request/server.go
+++ b/request/server.go
@@ -37,6 +37,8 @@
 
 	// Admission may be nil: every request runs at once then.
 	Admission Admission
+	// Retries may be nil: attempts are bounded per request alone then.
+	Retries RetryBudget
 	// Resumer may be nil: streams aren't resumed then.
 	Resumer upstream.Resumer
 	// Cursors signs event ids; nil for none.
@@ -49,7 +51,6 @@
 	Peers Peers
 
 	inFlight atomic.Int64
-	retries  retryBudget
 	// streams holds the completions that run, by request id.
 	streams sync.Map
 }
--- a/upstream/client.go
+++ b/upstream/client.go
@@ -70,6 +70,8 @@
 	Path    string
 	Headers map[string]string
 	Body    []byte
+	// Once is set for a call that must not be sent twice.
+	Once bool
 }
 
 // CallAnswer is a plain service's whole answer.
--- a/upstream/http.go
+++ b/upstream/http.go
@@ -1,7 +1,6 @@
 package upstream
 
 import (
-	"bytes"
 	"context"
 	"encoding/json"
 	"net"
@@ -9,6 +8,7 @@
 	"time"
 
 	"github.com/cloudwego/hertz/pkg/app/client"
+	"github.com/cloudwego/hertz/pkg/common/config"
 	hertzerrors "github.com/cloudwego/hertz/pkg/common/errors"
 	"github.com/cloudwego/hertz/pkg/network/standard"
 	"github.com/cloudwego/hertz/pkg/protocol"
@@ -38,24 +38,37 @@
 // HTTPClient implements Client.
 type HTTPClient struct {
 	client *client.Client
+	// once opens a connection for each call. The library sends PUT and DELETE again
+	// by itself when a kept connection turns out closed, though the upstream may have
+	// run the first one: a work order would be filed twice. And a POST on a kept
+	// connection that the upstream had closed unused would end as "outcome unknown".
+	once *client.Client
 }
 
 var _ Client = (*HTTPClient)(nil)
 
 // NewHTTPClient returns a client with its own connection pool.
 func NewHTTPClient() (*HTTPClient, error) {
-	c, err := client.NewClient(
+	kept, err := newClient()
+	if err != nil {
+		return nil, errors.Annotate(err, "upstream client")
+	}
+	once, err := newClient(client.WithKeepAlive(false))
+	if err != nil {
+		return nil, errors.Annotate(err, "upstream client")
+	}
+	return &HTTPClient{client: kept, once: once}, nil
+}
+
+func newClient(more ...config.ClientOption) (*client.Client, error) {
+	return client.NewClient(append([]config.ClientOption{
 		client.WithDialTimeout(dialTimeout),
 		client.WithClientReadTimeout(readTimeout),
 		client.WithMaxConnsPerHost(maxConnections),
 		client.WithMaxIdleConnDuration(idleConnection),
 		client.WithResponseBodyStream(true),
 		client.WithDialer(standard.NewDialer()),
-	)
-	if err != nil {
-		return nil, errors.Annotate(err, "upstream client")
-	}
-	return &HTTPClient{client: c}, nil
+	}, more...)...)
 }
 
 // Close drops idle connections.
@@ -75,7 +88,7 @@
 
 // stream sends a request that an event stream answers; it takes the request over.
 func (c *HTTPClient) stream(ctx context.Context, to *operatorv1.Upstream, request *protocol.Request, id string, from uint64) (ChatStream, error) {
-	response, err := c.send(ctx, request)
+	response, err := send(ctx, c.client, request)
 	if err != nil {
 		return nil, sendError(to, err)
 	}
@@ -95,11 +108,11 @@
 // send sends a request and returns as soon as the answer's head is there or ctx
 // ends. The library heeds no context once it has begun, so a caller that leaves
 // would hold its tokens until an engine that hangs is given up on.
-func (c *HTTPClient) send(ctx context.Context, request *protocol.Request) (*protocol.Response, error) {
+func send(ctx context.Context, by *client.Client, request *protocol.Request) (*protocol.Response, error) {
 	sent := make(chan sentResult, 1)
 	go func() {
 		response := protocol.AcquireResponse()
-		err := c.client.Do(ctx, request, response)
+		err := by.Do(ctx, request, response)
 		protocol.ReleaseRequest(request)
 		if err != nil {
 			protocol.ReleaseResponse(response)
@@ -135,11 +148,12 @@
 		request.Header.Set(name, value)
 	}
 	request.Header.Set(HeaderRequestID, r.ID)
-	// The library sends PUT and DELETE again by itself when a kept connection turns
-	// out closed, though the upstream may have run the first one: a work order would
-	// be filed twice. It never repeats a body that is a stream.
-	request.SetBodyStream(bytes.NewReader(r.Body), len(r.Body))
-	response, err := c.send(ctx, request)
+	request.SetBody(r.Body)
+	by := c.client
+	if r.Once {
+		by = c.once
+	}
+	response, err := send(ctx, by, request)
 	if err != nil {
 		return CallAnswer{}, sendError(to, err)
 	}
