--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -27,6 +27,9 @@
 	"lavenderpin.dev/lavenderpin/upstream"
 )
 
+// incarnationPoll is how soon after its end the next incarnation is looked for.
+const incarnationPoll = 50 * time.Millisecond
+
 // Config is what a daemon needs beside the node's own settings.
 type Config struct {
 	Settings  node.Settings
@@ -47,6 +50,7 @@
 type Daemon struct {
 	config    Config
 	current   atomic.Pointer[node.Node]
+	stopping  atomic.Bool
 	http      *httpapi.Server
 	grpc      *grpc.Server
 	peers     *peer.QUIC
@@ -123,16 +127,37 @@
 	wait.Go(func() { _ = d.grpc.Serve(d.operators) })
 	d.serveAdmin(&wait)
 	wait.Go(func() { d.incarnations(serving) })
-	<-ctx.Done()
+	d.untilLeaving(ctx)
+	d.stopping.Store(true)
 	d.shutdown()
 	return nil
 }
 
+// untilLeaving returns when ctx ends, or when the node has drained because operators
+// asked for it. A node that handed itself back isn't replaced by a new incarnation.
+func (d *Daemon) untilLeaving(ctx context.Context) {
+	for {
+		n := d.Node()
+		select {
+		case <-ctx.Done():
+			return
+		case <-n.Drained():
+			return
+		case <-n.Closed():
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(incarnationPoll):
+		}
+	}
+}
+
 // incarnations runs nodes one after the other: when the fleet closes one, a new
 // one starts in its place, so that nobody has to be called for it.
 func (d *Daemon) incarnations(ctx context.Context) {
 	for ctx.Err() == nil {
-		if err := d.Node().Run(ctx); !errors.Is(err, node.ErrClosed) {
+		if err := d.Node().Run(ctx); !errors.Is(err, node.ErrClosed) || d.stopping.Load() {
 			return
 		}
 		if err := d.newIncarnation(); err != nil {
--- a/devfleet/fleet.go
+++ b/devfleet/fleet.go
@@ -62,7 +62,10 @@
 	PlainUpstreams  []*operatorv1.Upstream
 
 	secret    []byte
+	options   Options
+	authority tlskeys.Pair
 	stops     []context.CancelFunc
+	ended     []chan struct{}
 	nodes     sync.WaitGroup
 	upstreams sync.WaitGroup
 }
@@ -79,8 +82,9 @@
 	if err != nil {
 		return nil, errors.Trace(err)
 	}
+	f.options, f.authority = options, authority
 	for _, place := range options.Nodes {
-		if err := f.startNode(options, authority, place); err != nil {
+		if err := f.startNode(place); err != nil {
 			f.Stop()
 			return nil, errors.Trace(err)
 		}
@@ -121,7 +125,8 @@
 		Region: place.Region, DataCentre: place.DataCentre}
 }
 
-func (f *Fleet) startNode(options Options, authority tlskeys.Pair, place Place) error {
+func (f *Fleet) startNode(place Place) error {
+	options, authority := f.options, f.authority
 	pair, err := authority.Issue(time.Now(), keyValidity)
 	if err != nil {
 		return errors.Trace(err)
@@ -158,7 +163,12 @@
 	ctx, stop := context.WithCancel(context.Background())
 	f.Daemons = append(f.Daemons, d)
 	f.stops = append(f.stops, stop)
-	f.nodes.Go(func() { _ = d.Run(ctx) })
+	ended := make(chan struct{})
+	f.ended = append(f.ended, ended)
+	f.nodes.Go(func() {
+		defer close(ended)
+		_ = d.Run(ctx)
+	})
 	return nil
 }
 
@@ -182,6 +192,23 @@
 			time.Sleep(startPoll)
 		}
 	}
+	return f.awaitAddresses(deadline)
+}
+
+// awaitAddresses waits until every node hands out the addresses of all.
+func (f *Fleet) awaitAddresses(deadline time.Time) error {
+	for _, d := range f.Daemons {
+		for {
+			list, _ := d.Node().Addresses("")
+			if len(list) == len(f.Daemons) {
+				break
+			}
+			if time.Now().After(deadline) {
+				return errors.Errorf("node %s hands out %d of %d addresses", d.Node().Incarnation(), len(list), len(f.Daemons))
+			}
+			time.Sleep(startPoll)
+		}
+	}
 	return nil
 }
 
--- a/httpapi/server.go
+++ b/httpapi/server.go
@@ -18,9 +18,11 @@
 // Node is what the API needs of a node.
 type Node interface {
 	Requests() *request.Server
-	Addresses() ([]membership.Address, time.Duration)
+	Addresses(key string) ([]membership.Address, time.Duration)
 	Events() *event.Recorder
 	Serving() error
+	// Leaving tells that the node drains.
+	Leaving() bool
 }
 
 // Server serves callers over HTTP.
@@ -40,7 +42,7 @@
 		server.WithDisablePrintRoute(true),
 		server.WithExitWaitTime(time.Second),
 	)
-	s.hertz.Use(s.recoverPanic)
+	s.hertz.Use(s.recoverPanic, s.closeWhenLeaving)
 	s.hertz.GET("/healthz", s.health)
 	s.hertz.GET("/v1/addresses", s.addresses)
 	s.hertz.POST("/v1/chat/completions", s.chat)
@@ -68,6 +70,16 @@
 	c.Next(ctx)
 }
 
+// closeWhenLeaving ends each connection with its answer while the node drains. A
+// caller that keeps a connection open would otherwise send its next request just as
+// the listener closes, and be cut.
+func (s *Server) closeWhenLeaving(ctx context.Context, c *app.RequestContext) {
+	if s.node().Leaving() {
+		c.SetConnectionClose()
+	}
+	c.Next(ctx)
+}
+
 func (s *Server) health(_ context.Context, c *app.RequestContext) {
 	if err := s.node().Serving(); err != nil {
 		writeError(c, err)
@@ -77,7 +89,7 @@
 }
 
 func (s *Server) addresses(_ context.Context, c *app.RequestContext) {
-	list, lifetime := s.node().Addresses()
+	list, lifetime := s.node().Addresses(bearer(c))
 	s.node().Events().Record(event.AddressesHandedOut, "count", len(list))
 	c.JSON(200, map[string]any{"addresses": list, "ttl_seconds": lifetime.Seconds()})
 }
--- a/membership/members.go
+++ b/membership/members.go
@@ -2,36 +2,32 @@
 
 import (
 	"context"
-	"sort"
 	"sync"
 	"time"
 
 	"github.com/jonboulle/clockwork"
+	"github.com/juju/errors"
+	"golang.org/x/sync/errgroup"
 
 	fleetv1 "lavenderpin.dev/lavenderpin/api/fleet/v1"
 	recordv1 "lavenderpin.dev/lavenderpin/api/record/v1"
 	"lavenderpin.dev/lavenderpin/event"
 	"lavenderpin.dev/lavenderpin/peer"
+	"lavenderpin.dev/lavenderpin/result"
 )
 
 const (
-	pingInterval = time.Second
-	pingTimeout  = time.Second
-	// suspectAfter is how long a silent node still gets addresses handed out.
-	suspectAfter = 3 * time.Second
+	pingTimeout = 500 * time.Millisecond
+	// viaTimeout bounds an indirect ping, and helpers is how many are asked for one.
+	viaTimeout = time.Second
+	helpers    = 2
+	// pushPause is the least time between two pushes of news to all neighbours.
+	pushPause = 100 * time.Millisecond
+	// announceTimeout and announceAtOnce bound the announcement of a drain.
+	announceTimeout = 2 * time.Second
+	announceAtOnce  = 32
 )
 
-// Member is what this node knows of another one.
-type Member struct {
-	Node     *recordv1.NodeInfo
-	Draining bool
-	// Suspect is set once the node has been silent for suspectAfter.
-	Suspect  bool
-	InFlight uint32
-
-	heard time.Time
-}
-
 // Members pings the other nodes and keeps what they answer. It is safe for
 // concurrent use.
 type Members struct {
@@ -42,118 +38,287 @@
 	// known lists the nodes that the log holds open.
 	known func() []*recordv1.NodeInfo
 	view  func() *fleetv1.PeerView
+	// listed returns peer addresses from the platform's list.
+	listed func() []string
+	urgent chan struct{}
+	wake   chan struct{}
 
-	mu      sync.Mutex
-	members map[string]*Member
+	mu    sync.Mutex
+	table *Table
+	turn  int
 }
 
 // NewMembers returns an empty table. known lists the incarnations that the log
 // holds open, view describes this node to others.
 func NewMembers(self *recordv1.NodeInfo, clock clockwork.Clock, caller peer.Caller, events *event.Recorder,
 	known func() []*recordv1.NodeInfo, view func() *fleetv1.PeerView) *Members {
-	return &Members{self: self, clock: clock, caller: caller, events: events, known: known, view: view, members: map[string]*Member{}}
+	return &Members{self: self, clock: clock, caller: caller, events: events, known: known, view: view,
+		listed: func() []string { return nil }, urgent: make(chan struct{}, 1), wake: make(chan struct{}, 1), table: NewTable(self)}
 }
 
-// Run pings all members every interval until ctx ends.
+// Listed registers where to learn of nodes that the log doesn't show, as while it is
+// down. It must be called before Run.
+func (m *Members) Listed(listed func() []string) { m.listed = listed }
+
+// Run pings a member every period until ctx ends.
 func (m *Members) Run(ctx context.Context) {
-	ticker := m.clock.NewTicker(pingInterval)
+	var wait sync.WaitGroup
+	defer wait.Wait()
+	wait.Go(func() { m.pushes(ctx) })
+	ticker := m.clock.NewTicker(period)
 	defer ticker.Stop()
 	for {
-		m.round(ctx)
+		m.round(ctx, &wait)
 		select {
 		case <-ctx.Done():
 			return
 		case <-ticker.Chan():
+		case <-m.wake:
 		}
 	}
 }
 
-func (m *Members) round(ctx context.Context) {
-	nodes := m.known()
-	m.keep(nodes)
-	var wait sync.WaitGroup
-	for _, node := range nodes {
-		if node.GetIncarnation() == m.self.GetIncarnation() {
-			continue
-		}
-		wait.Go(func() { m.ping(ctx, node) })
+// Wake begins the next period at once, for when the log opened a node.
+func (m *Members) Wake() {
+	select {
+	case m.wake <- struct{}{}:
+	default:
 	}
-	wait.Wait()
-	m.suspect()
 }
 
-// keep drops members that the log no longer holds open.
-func (m *Members) keep(nodes []*recordv1.NodeInfo) {
+func (m *Members) round(ctx context.Context, wait *sync.WaitGroup) {
+	known := m.known()
 	m.mu.Lock()
-	defer m.mu.Unlock()
-	held := map[string]bool{}
-	for _, node := range nodes {
-		held[node.GetIncarnation()] = true
-		if m.members[node.GetIncarnation()] == nil && node.GetIncarnation() != m.self.GetIncarnation() {
-			m.members[node.GetIncarnation()] = &Member{Node: node, Suspect: true}
+	target := m.table.Step(m.clock.Now(), known)
+	stranger := m.stranger()
+	grown := m.table.Grown()
+	m.mu.Unlock()
+	m.record()
+	m.push(grown)
+	if target != nil {
+		wait.Go(func() { m.probe(ctx, target) })
+	}
+	if stranger != "" {
+		wait.Go(func() { _ = m.ping(ctx, stranger, pingTimeout) })
+	}
+}
+
+// stranger returns in turn an address of the platform's list that no member holds.
+func (m *Members) stranger() string {
+	var strangers []string
+	for _, address := range m.listed() {
+		if address != m.self.GetPeerAddress() && !m.table.Knows(address) {
+			strangers = append(strangers, address)
 		}
 	}
-	for incarnation := range m.members {
-		if !held[incarnation] {
-			delete(m.members, incarnation)
-			m.events.Record(event.PeerGone, "peer", incarnation)
+	if len(strangers) == 0 {
+		return ""
+	}
+	m.turn++
+	return strangers[m.turn%len(strangers)]
+}
+
+// probe pings a member, and asks others to try when it doesn't answer: a cut between
+// two nodes alone must take neither out of the addresses.
+func (m *Members) probe(ctx context.Context, target *recordv1.NodeInfo) {
+	started := m.clock.Now()
+	if m.ping(ctx, target.GetPeerAddress(), pingTimeout) == nil || ctx.Err() != nil {
+		return
+	}
+	m.mu.Lock()
+	asked := m.table.Helpers(target.GetIncarnation(), helpers)
+	m.mu.Unlock()
+	for _, helper := range asked {
+		if m.pingVia(ctx, helper, target) == nil {
+			return
 		}
 	}
+	if ctx.Err() != nil {
+		return
+	}
+	m.mu.Lock()
+	news := m.table.Failed(m.clock.Now(), started, target.GetIncarnation())
+	m.mu.Unlock()
+	m.record()
+	m.push(news)
 }
 
-func (m *Members) ping(ctx context.Context, node *recordv1.NodeInfo) {
-	ctx, cancel := clockwork.WithTimeout(ctx, m.clock, pingTimeout)
+func (m *Members) ping(ctx context.Context, address string, limit time.Duration) error {
+	ping := &fleetv1.Request{Body: &fleetv1.Request_Ping{Ping: &fleetv1.Ping{Views: m.say(false)}}}
+	return m.call(ctx, address, limit, ping)
+}
+
+func (m *Members) pingVia(ctx context.Context, helper, target *recordv1.NodeInfo) error {
+	return m.call(ctx, helper.GetPeerAddress(), viaTimeout, &fleetv1.Request{Body: &fleetv1.Request_PingVia{
+		PingVia: &fleetv1.PingVia{PeerAddress: target.GetPeerAddress(), Views: m.say(false)},
+	}})
+}
+
+func (m *Members) call(ctx context.Context, address string, limit time.Duration, request *fleetv1.Request) error {
+	ctx, cancel := clockwork.WithTimeout(ctx, m.clock, limit)
 	defer cancel()
-	answer, err := m.caller.Call(ctx, node.GetPeerAddress(), &fleetv1.Request{
-		From: m.self.GetIncarnation(),
-		Hlc:  uint64(m.events.Clock().Now()),
-		Body: &fleetv1.Request_Ping{Ping: &fleetv1.Ping{Views: []*fleetv1.PeerView{m.view()}}},
-	})
+	request.From = m.self.GetIncarnation()
+	request.Hlc = uint64(m.events.Clock().Now())
+	answer, err := m.caller.Call(ctx, address, request)
 	if err != nil {
-		return
+		return errors.Trace(err)
 	}
 	m.events.Clock().Observe(event.Stamp(answer.GetHlc()))
-	for _, view := range answer.GetPong().GetViews() {
-		m.Heard(view)
+	if answer.GetCode() != 0 {
+		return result.New(result.Code(answer.GetCode()), "%s", answer.GetMessage())
 	}
+	m.Heard(answer.GetPong().GetViews())
+	return nil
 }
 
-// Heard takes in what a member said of itself.
-func (m *Members) Heard(view *fleetv1.PeerView) {
+// say returns the views of the next message, this node's own first.
+func (m *Members) say(introduce bool) []*fleetv1.PeerView {
+	own := m.view()
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	member := m.members[view.GetNode().GetIncarnation()]
-	if member == nil {
+	own.Beat = m.table.Beat()
+	if introduce {
+		return append([]*fleetv1.PeerView{own}, m.table.Introduction()...)
+	}
+	return append([]*fleetv1.PeerView{own}, m.table.Views()...)
+}
+
+// Heard takes in a message; its first view is the sender's own.
+func (m *Members) Heard(views []*fleetv1.PeerView) {
+	if len(views) == 0 {
 		return
 	}
-	if member.Suspect {
-		m.events.Record(event.PeerJoined, "peer", view.GetNode().GetIncarnation())
+	m.mu.Lock()
+	news := m.table.Heard(m.clock.Now(), views[0].GetNode().GetIncarnation(), views)
+	m.mu.Unlock()
+	m.record()
+	m.push(news)
+}
+
+// Answer takes in a ping and returns the answer's views.
+func (m *Members) Answer(views []*fleetv1.PeerView) []*fleetv1.PeerView {
+	newcomer := false
+	if len(views) > 0 {
+		m.mu.Lock()
+		newcomer = m.table.Newcomer(views[0].GetNode().GetIncarnation())
+		m.mu.Unlock()
 	}
-	member.Suspect = false
-	member.Draining = view.GetDraining()
-	member.InFlight = view.GetInFlight()
-	member.heard = m.clock.Now()
+	m.Heard(views)
+	return m.say(newcomer)
 }
 
-func (m *Members) suspect() {
+// Via pings a member for another one.
+func (m *Members) Via(ctx context.Context, r *fleetv1.PingVia) ([]*fleetv1.PeerView, error) {
+	m.Heard(r.GetViews())
+	ctx, cancel := clockwork.WithTimeout(ctx, m.clock, pingTimeout)
+	defer cancel()
+	answer, err := m.caller.Call(ctx, r.GetPeerAddress(), &fleetv1.Request{
+		From: m.self.GetIncarnation(), Hlc: uint64(m.events.Clock().Now()),
+		Body: &fleetv1.Request_Ping{Ping: &fleetv1.Ping{Views: m.say(false)}},
+	})
+	if err != nil {
+		return nil, result.New(result.PeerUnreachable, "%v", err)
+	}
+	m.Heard(answer.GetPong().GetViews())
+	return answer.GetPong().GetViews(), nil
+}
+
+func (m *Members) push(news bool) {
+	if !news {
+		return
+	}
+	select {
+	case m.urgent <- struct{}{}:
+	default:
+	}
+}
+
+// pushes passes news to all neighbours at once rather than at the next pings.
+func (m *Members) pushes(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-m.urgent:
+		}
+		m.mu.Lock()
+		neighbours := m.table.Neighbours()
+		m.mu.Unlock()
+		m.pingAll(ctx, neighbours, pingTimeout)
+		select {
+		case <-ctx.Done():
+			return
+		case <-m.clock.After(pushPause):
+		}
+	}
+}
+
+// pingAll returns how many did not answer.
+func (m *Members) pingAll(ctx context.Context, nodes []*recordv1.NodeInfo, limit time.Duration) int {
+	var group errgroup.Group
+	group.SetLimit(announceAtOnce)
+	silent := make(chan struct{}, len(nodes))
+	for _, node := range nodes {
+		group.Go(func() error {
+			if m.ping(ctx, node.GetPeerAddress(), limit) != nil {
+				silent <- struct{}{}
+			}
+			return nil
+		})
+	}
+	_ = group.Wait()
+	return len(silent)
+}
+
+// Announce tells every member at once what this node's view says now, so that none
+// hands its address out any more. It returns how many did not answer.
+func (m *Members) Announce(ctx context.Context) int {
 	m.mu.Lock()
-	defer m.mu.Unlock()
-	for incarnation, member := range m.members {
-		if !member.Suspect && m.clock.Since(member.heard) > suspectAfter {
-			member.Suspect = true
-			m.events.Record(event.PeerSuspect, "peer", incarnation)
+	m.table.Raise()
+	m.mu.Unlock()
+	silent, told := m.tell(ctx)
+	m.events.Record(event.DrainAnnounced, "told", told, "silent", silent)
+	return silent
+}
+
+// Serves passes on, by way of the neighbours, that this node begins to serve.
+func (m *Members) Serves() {
+	m.mu.Lock()
+	m.table.Raise()
+	m.mu.Unlock()
+	m.push(true)
+}
+
+func (m *Members) tell(ctx context.Context) (silent, told int) {
+	m.mu.Lock()
+	var nodes []*recordv1.NodeInfo
+	for _, member := range m.table.All() {
+		if !member.Suspect {
+			nodes = append(nodes, member.Node)
 		}
 	}
+	m.mu.Unlock()
+	silent = m.pingAll(ctx, nodes, announceTimeout)
+	return silent, len(nodes) - silent
+}
+
+var changeEvents = map[ChangeKind]event.Number{
+	Joined: event.PeerJoined, Suspected: event.PeerSuspect, Gone: event.PeerGone,
+	Replaced: event.PeerReplaced, Stalled: event.ProcessStalled,
+}
+
+func (m *Members) record() {
+	m.mu.Lock()
+	changes := m.table.Changes()
+	m.mu.Unlock()
+	for _, c := range changes {
+		m.events.Record(changeEvents[c.Kind], "peer", c.Incarnation)
+	}
 }
 
 // All returns the other nodes, sorted by incarnation.
 func (m *Members) All() []Member {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	all := make([]Member, 0, len(m.members))
-	for _, member := range m.members {
-		all = append(all, *member)
-	}
-	sort.Slice(all, func(i, j int) bool { return all[i].Node.GetIncarnation() < all[j].Node.GetIncarnation() })
-	return all
+	return m.table.All()
 }
--- a/node/heartbeat.go
+++ b/node/heartbeat.go
@@ -5,7 +5,6 @@
 
 	recordv1 "lavenderpin.dev/lavenderpin/api/record/v1"
 	"lavenderpin.dev/lavenderpin/event"
-	"lavenderpin.dev/lavenderpin/result"
 )
 
 // heartbeats renews the node's right to spend through the log. The next heartbeat
@@ -22,7 +21,7 @@
 		case <-ctx.Done():
 			return
 		case verdict := <-ticket.Done():
-			if verdict.Code == result.IncarnationClosed {
+			if !n.opened(verdict) {
 				n.close()
 				return
 			}
@@ -39,16 +38,17 @@
 		}
 		select {
 		case <-ctx.Done():
-		case <-n.deps.Clock.After(n.settings.HeartbeatInterval):
+		case <-n.deps.Clock.After(n.heartbeatInterval()):
 		}
 	}
 }
 
-// ready lets the node serve: its first heartbeat is folded, so it holds the
-// configuration up to there.
+// ready lets the node serve, unless operators drained it: its first heartbeat is
+// folded, so it holds the configuration up to there.
 func (n *Node) ready() {
-	if n.State() == StateStarting {
+	if n.State() == StateStarting && !n.drainOrdered() {
 		n.fire(triggerReady)
+		n.members.Serves()
 	}
 }
 
--- a/node/node.go
+++ b/node/node.go
@@ -4,12 +4,11 @@
 	"context"
 	"expvar"
 	"sync"
-	"time"
 
 	"github.com/juju/errors"
 	"github.com/qmuntal/stateless"
+	"google.golang.org/protobuf/proto"
 
-	fleetv1 "lavenderpin.dev/lavenderpin/api/fleet/v1"
 	operatorv1 "lavenderpin.dev/lavenderpin/api/operator/v1"
 	recordv1 "lavenderpin.dev/lavenderpin/api/record/v1"
 	"lavenderpin.dev/lavenderpin/budget"
@@ -20,8 +19,10 @@
 	"lavenderpin.dev/lavenderpin/journal"
 	"lavenderpin.dev/lavenderpin/lease"
 	"lavenderpin.dev/lavenderpin/membership"
+	"lavenderpin.dev/lavenderpin/relay"
 	"lavenderpin.dev/lavenderpin/request"
 	"lavenderpin.dev/lavenderpin/routing"
+	"lavenderpin.dev/lavenderpin/snapshot"
 )
 
 // ErrClosed tells that the fleet closed the node's incarnation. The daemon starts
@@ -46,12 +47,17 @@
 	leaseTable *lease.Table
 	leases     *lease.Keeper
 	members    *membership.Members
+	instances  *membership.Instances
+	relay      *relay.Server
+	snapshots  *snapshot.Tracker
 	requests   *request.Server
 	claims     *idempotency.Claims
 	metrics    *expvar.Map
 
-	closed chan struct{}
-	once   sync.Once
+	closed  chan struct{}
+	once    sync.Once
+	drained chan struct{}
+	drains  sync.Once
 }
 
 // New assembles a node; Run brings it to life.
@@ -59,7 +65,7 @@
 	if err := settings.Validate(); err != nil {
 		return nil, errors.Trace(err)
 	}
-	n := &Node{settings: settings, deps: deps, watchers: newWatchers(), closed: make(chan struct{})}
+	n := &Node{settings: settings, deps: deps, watchers: newWatchers(), closed: make(chan struct{}), drained: make(chan struct{})}
 	n.info = &recordv1.NodeInfo{
 		Incarnation:     deps.NewIncarnation(),
 		PeerAddress:     settings.PeerAddress,
@@ -81,11 +87,12 @@
 	n.leases = lease.NewKeeper(n.info.GetIncarnation(), settings.LeaseTerm, n.leaseTable, n.writer, deps.Clock, n.events)
 	n.claims = idempotency.NewClaims()
 	engine := fold.NewEngine(n.config, n.ledger, n.leaseTable, n.claims)
-	n.follower = journal.NewFollower(deps.Log, settings.Stream, deps.Clock, engine, n.folded)
-	n.members = membership.NewMembers(n.info, deps.Clock, deps.Peers, n.events, n.openNodes, n.view)
+	n.newMembership()
+	n.newFollower(engine)
 	n.requests = &request.Server{
 		Config: n.config.View, Reserver: n.reserver, Picker: &routing.LeastInFlight{},
 		Client: deps.Upstreams, Events: n.events, Clock: deps.Clock, Region: settings.Region,
+		Staying: n.staying,
 	}
 	n.nameRequests()
 	n.metrics = n.newMetrics()
@@ -128,6 +135,9 @@
 // State returns where the node is in its life.
 func (n *Node) State() State { return n.lifecycle.MustState().(State) }
 
+// Closed is closed once the fleet closed the incarnation.
+func (n *Node) Closed() <-chan struct{} { return n.closed }
+
 // Run lives until ctx ends, which is an abrupt end, or until the fleet closes the
 // incarnation, which fails with ErrClosed.
 func (n *Node) Run(ctx context.Context) error {
@@ -135,7 +145,8 @@
 	defer cancel()
 	n.events.Record(event.NodeStarting, "region", n.settings.Region, "data_centre", n.settings.DataCentre)
 	var wait sync.WaitGroup
-	for _, loop := range []func(context.Context){n.writer.Run, n.follower.Run, n.heartbeats, n.members.Run, n.leases.Run, n.flushSettlements, n.orders().Run} {
+	for _, loop := range []func(context.Context){n.writer.Run, n.follower.Run, n.heartbeats, n.members.Run, n.leases.Run, n.flushSettlements, n.orders().Run,
+		n.instances.Run, n.writeSnapshots, n.followDrainOrder, n.serveWithoutLog} {
 		wait.Go(func() { loop(ctx) })
 	}
 	defer wait.Wait()
@@ -151,6 +162,7 @@
 
 // folded is told of each batch in offset order, in the folding goroutine.
 func (n *Node) folded(_ uint64, batch *recordv1.Batch, verdicts []fold.Verdict) {
+	n.snapshots.Folded(batch, proto.Size(batch))
 	n.events.Clock().Observe(event.Stamp(batch.GetHlc()))
 	n.reserver.Folded(batch, verdicts)
 	n.recordFolded(batch, verdicts)
@@ -169,6 +181,10 @@
 				number = event.ConfigRefused
 			}
 			n.events.Record(number, "change", body.Config.GetChangeId(), "operator", body.Config.GetOperator(), "offset", verdict.Offset)
+		case *recordv1.Entry_Heartbeat:
+			if body.Heartbeat.GetNumber() == firstHeartbeat {
+				n.members.Wake()
+			}
 		case *recordv1.Entry_Close:
 			if verdict.OK() {
 				n.events.Record(event.IncarnationClosed, "incarnation", body.Close.GetIncarnation(), "why", body.Close.GetReason())
@@ -189,38 +205,15 @@
 	}
 }
 
-// close ends the node after it learned that the log holds it closed.
+// close ends the node after it learned that the log holds it closed. One that
+// handed itself back has ended already.
 func (n *Node) close() {
+	if n.State() == StateStopped {
+		return
+	}
 	n.holder.RevokeRight()
 	n.once.Do(func() {
 		n.fire(triggerClose)
 		close(n.closed)
 	})
 }
-
-// openNodes lists the nodes that the log holds open.
-func (n *Node) openNodes() []*recordv1.NodeInfo {
-	var nodes []*recordv1.NodeInfo
-	for _, i := range n.ledger.Incarnations() {
-		if !i.Closed {
-			nodes = append(nodes, i.Node)
-		}
-	}
-	return nodes
-}
-
-// view describes this node to others.
-func (n *Node) view() *fleetv1.PeerView {
-	return &fleetv1.PeerView{
-		Node:         n.info,
-		Draining:     n.State() != StateServing,
-		InFlight:     uint32(n.requests.InFlight()),
-		ConfigOffset: n.Offset(),
-	}
-}
-
-// Addresses returns the nodes that callers should use, and for how long.
-func (n *Node) Addresses() ([]membership.Address, time.Duration) {
-	serves := n.State() == StateServing
-	return n.members.Addresses(serves, uint32(n.requests.InFlight())), n.settings.AddressLifetime
-}
--- a/node/peers.go
+++ b/node/peers.go
@@ -15,10 +15,11 @@
 	response := &fleetv1.Response{}
 	switch body := r.GetBody().(type) {
 	case *fleetv1.Request_Ping:
-		for _, view := range body.Ping.GetViews() {
-			n.members.Heard(view)
-		}
-		response.Body = &fleetv1.Response_Pong{Pong: &fleetv1.Pong{Views: []*fleetv1.PeerView{n.view()}}}
+		response.Body = &fleetv1.Response_Pong{Pong: &fleetv1.Pong{Views: n.members.Answer(body.Ping.GetViews())}}
+	case *fleetv1.Request_PingVia:
+		n.answerPingVia(ctx, body.PingVia, response)
+	case *fleetv1.Request_LogRead:
+		n.answerLogRead(ctx, body.LogRead, response)
 	case *fleetv1.Request_EventsGather:
 		response.Body = &fleetv1.Response_Events{Events: n.localEvents(body.EventsGather.GetId())}
 	case *fleetv1.Request_CallForward:
--- a/node/settings.go
+++ b/node/settings.go
@@ -8,6 +8,7 @@
 	"github.com/juju/errors"
 
 	"lavenderpin.dev/lavenderpin/signed"
+	"lavenderpin.dev/lavenderpin/snapshot"
 )
 
 // Settings are what one node is told about itself.
@@ -33,6 +34,8 @@
 	// AddressLifetime is how long callers may keep an address handed out. A draining
 	// node serves at least this long after it stopped being handed out.
 	AddressLifetime time.Duration
+	// Snapshots tells when the folded state is written to the log again.
+	Snapshots snapshot.Policy
 	// EventMemory is how many events are kept for the time line.
 	EventMemory int
 	// TokenSecret signs tickets and stream cursors, the same on all nodes of the
@@ -53,6 +56,7 @@
 		Gather:            20 * time.Millisecond,
 		ClaimChunk:        20_000,
 		AddressLifetime:   10 * time.Second,
+		Snapshots:         snapshot.DefaultPolicy(),
 		EventMemory:       20_000,
 	}
 }
@@ -78,6 +82,7 @@
 	require(s.ClaimChunk > 0, "claim chunk is zero")
 	require(s.AddressLifetime > 0, "address lifetime isn't positive")
 	require(len(s.TokenSecret) == 0 || len(s.TokenSecret) >= signed.MinSecret, "token secret is shorter than 32 bytes")
+	require(s.Snapshots.Records > 0 && s.Snapshots.Bytes > 0 && s.Snapshots.Age > 0, "snapshot policy isn't positive")
 	require(s.EventMemory > 0, "event memory is zero")
 	if len(mistakes) > 0 {
 		return errors.Errorf("settings: %s", strings.Join(mistakes, "; "))
--- a/node/status.go
+++ b/node/status.go
@@ -66,6 +66,9 @@
 	case StateServing, StateDraining:
 		return nil
 	case StateStarting:
+		if n.drainOrdered() {
+			return errDrained()
+		}
 		return result.New(result.NotServing, "the node holds no configuration yet").After(time.Second)
 	default:
 		return result.New(result.IncarnationClosed, "the node is being replaced").After(time.Second)
--- a/peer/quic.go
+++ b/peer/quic.go
@@ -16,10 +16,12 @@
 )
 
 const (
-	alpn         = "lavenderpin-fleet-1"
-	maxMessage   = 16 << 20
-	idleTimeout  = 10 * time.Second
-	keepAlive    = 3 * time.Second
+	alpn       = "lavenderpin-fleet-1"
+	maxMessage = 16 << 20
+	// idleTimeout outlasts the time between two pings of the same neighbour. There
+	// are no keep-alives: those of a connection to every other node would by
+	// themselves take more than a node may spend on control in a large fleet.
+	idleTimeout  = 30 * time.Second
 	maxStreams   = 10_000
 	dialDeadline = 2 * time.Second
 )
@@ -46,7 +48,6 @@
 func quicConfig() *quic.Config {
 	return &quic.Config{
 		MaxIdleTimeout:        idleTimeout,
-		KeepAlivePeriod:       keepAlive,
 		MaxIncomingStreams:    maxStreams,
 		MaxIncomingUniStreams: -1,
 		HandshakeIdleTimeout:  dialDeadline,
--- /dev/null
+++ b/relay/source.go
@@ -0,0 +1,201 @@
+package relay
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/juju/errors"
+
+	fleetv1 "lavenderpin.dev/lavenderpin/api/fleet/v1"
+	recordv1 "lavenderpin.dev/lavenderpin/api/record/v1"
+	"lavenderpin.dev/lavenderpin/event"
+	"lavenderpin.dev/lavenderpin/fold"
+	"lavenderpin.dev/lavenderpin/journal"
+	"lavenderpin.dev/lavenderpin/peer"
+	"lavenderpin.dev/lavenderpin/platform"
+	"lavenderpin.dev/lavenderpin/result"
+	"lavenderpin.dev/lavenderpin/snapshot"
+)
+
+const (
+	// answerTime is what a peer may take beyond the wait it was asked for.
+	answerTime = 500 * time.Millisecond
+	// maxAge is how long ago the log may last have answered a chain of readers. It
+	// covers one idle wait at the log and one at each hop.
+	maxAge = 3 * time.Second
+	// avoidPeer is for how long a node reads the log itself after its peer failed it.
+	avoidPeer = 5 * time.Second
+	// avoidLog is how long after a failure the log is left alone when a peer answers.
+	avoidLog = time.Second
+	// logTime is what the log may take beyond the wait it was asked for.
+	logTime = 3 * time.Second
+	// stateTime bounds the transfer of a whole state from a peer.
+	stateTime = 20 * time.Second
+	// firstOffset is asked for by a node that has folded nothing yet.
+	firstOffset = 1
+	// maxAsked is how many peers are asked while the log is out of reach.
+	maxAsked = 3
+)
+
+// Source reads from a peer, from the log, or while the log is out of reach from
+// whichever peer knows most. It implements journal.Source.
+type Source struct {
+	Self   Peer
+	Log    journal.Source
+	Caller peer.Caller
+	Clock  clockwork.Clock
+	Events *event.Recorder
+	// Peers returns the other nodes that answer now.
+	Peers func() []Peer
+
+	mu        sync.Mutex
+	peerAfter time.Time
+	logAfter  time.Time
+}
+
+var _ journal.Source = (*Source)(nil)
+
+// Read implements journal.Source.
+func (s *Source) Read(ctx context.Context, from uint64, max int, wait time.Duration) (journal.Slice, error) {
+	if reader, ok := s.reader(); ok {
+		slice, err := s.fromPeer(ctx, reader, from, max, wait)
+		if err == nil && slice.Age <= maxAge {
+			return slice, nil
+		}
+		if !errors.Is(err, platform.ErrAgedOut) {
+			s.avoid(reader, slice.Age, err)
+		}
+	}
+	slice, err := s.fromLog(ctx, from, max, wait)
+	if err == nil || errors.Is(err, platform.ErrAgedOut) {
+		return slice, err
+	}
+	return s.fromAny(ctx, from, max, wait, err)
+}
+
+func (s *Source) reader() (Peer, bool) {
+	s.mu.Lock()
+	avoided := s.Clock.Now().Before(s.peerAfter)
+	s.mu.Unlock()
+	if avoided {
+		return Peer{}, false
+	}
+	var ready []Peer
+	for _, p := range s.Peers() {
+		if p.Offset > 0 {
+			ready = append(ready, p)
+		}
+	}
+	return readsFrom(s.Self, ready)
+}
+
+// avoid makes this node read the log itself for a while. A peer that is cut from the
+// log, or that waits for this very node, would otherwise hold every change back.
+func (s *Source) avoid(reader Peer, age time.Duration, err error) {
+	s.mu.Lock()
+	s.peerAfter = s.Clock.Now().Add(avoidPeer)
+	s.mu.Unlock()
+	s.Events.Record(event.RelayFailed, "peer", reader.Incarnation, "age", age, "why", err)
+}
+
+func (s *Source) fromLog(ctx context.Context, from uint64, max int, wait time.Duration) (journal.Slice, error) {
+	s.mu.Lock()
+	avoided := s.Clock.Now().Before(s.logAfter)
+	s.mu.Unlock()
+	if avoided {
+		return journal.Slice{}, errors.New("the log failed a moment ago")
+	}
+	ctx, cancel := clockwork.WithTimeout(ctx, s.Clock, wait+logTime)
+	defer cancel()
+	slice, err := s.Log.Read(ctx, from, max, wait)
+	if err != nil && !errors.Is(err, platform.ErrAgedOut) {
+		s.mu.Lock()
+		s.logAfter = s.Clock.Now().Add(avoidLog)
+		s.mu.Unlock()
+	}
+	return slice, err
+}
+
+// fromAny asks the peers that know most. It is the way of a node that starts, or is
+// cut off, while the log is out of reach.
+func (s *Source) fromAny(ctx context.Context, from uint64, max int, wait time.Duration, cause error) (journal.Slice, error) {
+	for _, p := range byOffset(s.Peers()) {
+		slice, err := s.fromPeer(ctx, p, from, max, wait)
+		if err == nil && slice.Next >= from {
+			return slice, nil
+		}
+		// A node that has folded something waits for the log to fill the gap: taking
+		// the peer's whole state would end its incarnation for nothing.
+		if errors.Is(err, platform.ErrAgedOut) && from == firstOffset {
+			return slice, err
+		}
+	}
+	return journal.Slice{}, cause
+}
+
+func (s *Source) fromPeer(ctx context.Context, p Peer, from uint64, max int, wait time.Duration) (journal.Slice, error) {
+	answer, err := s.ask(ctx, p, wait+answerTime, &fleetv1.LogRead{
+		From: from, MaxRecords: uint32(max), WaitMs: uint32(wait.Milliseconds()),
+	})
+	if err != nil {
+		return journal.Slice{}, err
+	}
+	slice := journal.Slice{Age: time.Duration(answer.GetAgeMs()) * time.Millisecond}
+	slice.Oldest, slice.Next = answer.GetOldest(), answer.GetNext()
+	for _, r := range answer.GetRecords() {
+		slice.Records = append(slice.Records, platform.Record{Offset: r.GetOffset(), Data: r.GetData()})
+	}
+	return slice, nil
+}
+
+func (s *Source) ask(ctx context.Context, p Peer, limit time.Duration, read *fleetv1.LogRead) (*fleetv1.LogSlice, error) {
+	ctx, cancel := clockwork.WithTimeout(ctx, s.Clock, limit)
+	defer cancel()
+	answer, err := s.Caller.Call(ctx, p.Address, &fleetv1.Request{
+		From: s.Self.Incarnation, Hlc: uint64(s.Events.Clock().Now()),
+		Body: &fleetv1.Request_LogRead{LogRead: read},
+	})
+	if err != nil {
+		return nil, errors.Trace(err)
+	}
+	s.Events.Clock().Observe(event.Stamp(answer.GetHlc()))
+	switch result.Code(answer.GetCode()) {
+	case result.OK:
+		return answer.GetLogSlice(), nil
+	case result.RecordsAgedOut:
+		return nil, errors.Trace(platform.ErrAgedOut)
+	}
+	return nil, result.New(result.Code(answer.GetCode()), "%s", answer.GetMessage())
+}
+
+// State implements journal.Source: a snapshot in the log, or else the state of the
+// peer that knows most.
+func (s *Source) State(ctx context.Context, ahead uint64) (*recordv1.FoldState, error) {
+	state, cause := s.Log.State(ctx, ahead)
+	if cause == nil {
+		return state, nil
+	}
+	for _, p := range byOffset(s.Peers()) {
+		if state, err := s.stateOf(ctx, p, ahead); err == nil {
+			return state, nil
+		}
+	}
+	return nil, cause
+}
+
+func (s *Source) stateOf(ctx context.Context, p Peer, ahead uint64) (*recordv1.FoldState, error) {
+	answer, err := s.ask(ctx, p, stateTime, &fleetv1.LogRead{From: ahead + 1, WantState: true})
+	if err != nil {
+		return nil, errors.Trace(err)
+	}
+	state, err := snapshot.Open(answer.GetState())
+	if err != nil {
+		return nil, errors.Trace(err)
+	}
+	if state.GetOffset() <= ahead {
+		return nil, errors.Trace(fold.ErrBackwards)
+	}
+	return state, nil
+}
--- a/request/call.go
+++ b/request/call.go
@@ -129,7 +129,7 @@
 			break
 		}
 		ask := routing.Ask{Service: p.service.GetName(), Region: s.Region, Tried: tried}
-		pick, err := s.Picker.Pick(ask, s.Config().Upstreams(p.service.GetName()))
+		pick, err := s.Picker.Pick(ask, s.upstreams(p.service.GetName()))
 		if err != nil {
 			return upstream.CallAnswer{}, firstError(last, err)
 		}
--- a/request/chatrun.go
+++ b/request/chatrun.go
@@ -82,7 +82,7 @@
 			return last
 		}
 		ask := routing.Ask{Service: r.service.GetName(), Model: r.model, Region: r.server.Region, Tried: tried}
-		pick, err := r.server.Picker.Pick(ask, r.server.Config().Upstreams(r.service.GetName()))
+		pick, err := r.server.Picker.Pick(ask, r.server.upstreams(r.service.GetName()))
 		if err != nil {
 			return firstError(last, err)
 		}
--- a/result/fleet.go
+++ b/result/fleet.go
@@ -12,6 +12,8 @@
 	PeerUnreachable    Code = 5006
 	StaleEntry         Code = 5007
 	WeightsRateLimited Code = 5008
+	RecordsAgedOut     Code = 5010
+	NodeDrained        Code = 5011
 )
 
 var fleetInfos = map[Code]Info{
@@ -22,5 +24,7 @@
 	NotHolder:          {"NotHolder", 409, codes.FailedPrecondition, true, true, "The lease is held by another node or the epoch is old."},
 	PeerUnreachable:    {"PeerUnreachable", 503, codes.Unavailable, true, false, "Another node that is needed does not answer."},
 	StaleEntry:         {"StaleEntry", 409, codes.Aborted, false, true, "A log entry was void: its sequence had passed."},
+	RecordsAgedOut:     {"RecordsAgedOut", 410, codes.OutOfRange, true, true, "The records asked for are no longer held."},
+	NodeDrained:        {"NodeDrained", 503, codes.Unavailable, true, true, "Operators drained this node; use another address."},
 	WeightsRateLimited: {"WeightsRateLimited", 503, codes.Unavailable, true, true, "The weight store admits no fetch yet."},
 }
