--- a/request/call.go
+++ b/request/call.go
@@ -128,7 +128,7 @@
 		if n > 0 && !s.mayRetry(ctx, grant.Request().String(), pause) {
 			break
 		}
-		pick, err := s.Picker.Pick(ask, s.Config().Upstreams(p.service.GetName()))
+		pick, err := s.Picker.Pick(ask, s.upstreams(p.service.GetName()))
 		if err != nil {
 			return upstream.CallAnswer{}, firstError(last, err)
 		}
--- a/request/chatrun.go
+++ b/request/chatrun.go
@@ -84,7 +84,7 @@
 		if n > 0 && !r.server.mayRetry(ctx, r.grant.Request().String(), pause) {
 			return last
 		}
-		pick, err := r.server.Picker.Pick(r.ask, r.server.Config().Upstreams(r.service.GetName()))
+		pick, err := r.server.Picker.Pick(r.ask, r.server.upstreams(r.service.GetName()))
 		if err != nil {
 			return firstError(last, err)
 		}
