--- a/idempotency/claims.go
+++ b/idempotency/claims.go
@@ -9,46 +9,55 @@
 	"lavenderpin.dev/lavenderpin/result"
 )
 
-const (
-	// KeepOffsets is how far the log moves on before a claim is forgotten. The log
-	// takes several hundred appends a second, so a claim is kept for at least half
-	// a day and for weeks in quiet running. A key must not be sent again after that.
-	KeepOffsets = 20_000_000
-	// MaxPerAccount bounds the claims held for one account. When it is reached new
-	// claims are refused: forgetting a young claim instead would let its call run
-	// a second time.
-	MaxPerAccount = 100_000
-)
+// Limits bound the claims held. All nodes of a fleet must use the same ones, or
+// their folds differ.
+type Limits struct {
+	// KeepOffsets is how far the log moves on before a claim is forgotten.
+	KeepOffsets uint64
+	// MinOffsets is how far it moves on at the least, also when the account is full.
+	MinOffsets uint64
+	// PerAccount is how many claims of one account are held beyond MinOffsets. When
+	// so many are younger, new ones are refused: forgetting a young claim instead
+	// would let its call run a second time.
+	PerAccount int
+}
+
+// DefaultLimits keep a claim for at least eight minutes at four hundred appends a
+// second and for days in quiet running. A key must not be sent again after that.
+// Offsets are counted and not time, since a node whose clock runs ahead would make
+// the whole fleet forget too early.
+func DefaultLimits() Limits {
+	return Limits{KeepOffsets: 2_000_000, MinOffsets: 200_000, PerAccount: 200_000}
+}
 
 // Claims folds the claims of calls. One goroutine applies; Get is safe for
 // concurrent use.
 type Claims struct {
-	keep       uint64
-	perAccount int
+	limits Limits
+
+	mu       sync.RWMutex
+	claims   map[ID]Claim
+	accounts map[string]*accountClaims
+}
 
-	mu     sync.RWMutex
-	claims map[ID]Claim
-	// order holds the claims by offset, the oldest first, for forgetting. A claim
-	// that was given up leaves a stale element behind.
+// accountClaims lists the claims of one account by offset, the oldest first. A claim
+// that was given up leaves a stale element behind.
+type accountClaims struct {
 	order []placed
-	held  map[string]int
+	held  int
 }
 
 // placed is where a claim stands in the log.
 type placed struct {
-	ID     ID
+	Key    string
 	Offset uint64
 }
 
 var _ fold.Part = (*Claims)(nil)
 
-// NewClaims returns an empty part with the usual bounds.
-func NewClaims() *Claims { return NewClaimsBounded(KeepOffsets, MaxPerAccount) }
-
-// NewClaimsBounded returns an empty part with bounds of its own. All nodes of a
-// fleet must use the same ones, or their folds differ.
-func NewClaimsBounded(keepOffsets uint64, perAccount int) *Claims {
-	return &Claims{keep: keepOffsets, perAccount: perAccount, claims: map[ID]Claim{}, held: map[string]int{}}
+// NewClaims returns an empty part.
+func NewClaims(limits Limits) *Claims {
+	return &Claims{limits: limits, claims: map[ID]Claim{}, accounts: map[string]*accountClaims{}}
 }
 
 // Name implements fold.Part.
@@ -85,12 +94,13 @@
 }
 
 func (c *Claims) claim(at fold.Position, entry *recordv1.CallClaim) fold.Verdict {
-	c.forget(at.Offset)
 	id := ID{entry.GetAccount(), entry.GetKey()}
+	account := c.account(id.Account)
+	c.forget(id.Account, account, at.Offset)
 	if held, taken := c.claims[id]; taken {
 		return fold.Refuse(at, held.refusal(entry.GetDigest()), "the key is claimed already")
 	}
-	if c.held[id.Account] >= c.perAccount {
+	if account.held >= c.limits.PerAccount {
 		return fold.Refuse(at, result.KeysExhausted, "the account holds too many keys")
 	}
 	c.put(id, Claim{Owner: at.Writer, Digest: string(entry.GetDigest()), Offset: at.Offset})
@@ -99,8 +109,18 @@
 
 func (c *Claims) put(id ID, claim Claim) {
 	c.claims[id] = claim
-	c.order = append(c.order, placed{id, claim.Offset})
-	c.held[id.Account]++
+	account := c.account(id.Account)
+	account.order = append(account.order, placed{id.Key, claim.Offset})
+	account.held++
+}
+
+func (c *Claims) account(name string) *accountClaims {
+	account := c.accounts[name]
+	if account == nil {
+		account = &accountClaims{}
+		c.accounts[name] = account
+	}
+	return account
 }
 
 // refusal returns the code for a second claim of the key.
@@ -133,20 +153,25 @@
 
 func (c *Claims) remove(id ID) {
 	delete(c.claims, id)
-	c.held[id.Account]--
-	if c.held[id.Account] <= 0 {
-		delete(c.held, id.Account)
-	}
+	c.accounts[id.Account].held--
 }
 
-// forget drops the claims that the log has left far behind. It depends on offsets
-// alone, so every node forgets the same ones at the same place.
-func (c *Claims) forget(offset uint64) {
-	for len(c.order) > 0 && c.order[0].Offset+c.keep < offset {
-		oldest := c.order[0]
-		c.order = c.order[1:]
-		if held, known := c.claims[oldest.ID]; known && held.Offset == oldest.Offset {
-			c.remove(oldest.ID)
+// forget drops the claims of an account that the log has left far behind, and the
+// oldest of a full one. It depends on the entries alone, so every node forgets the
+// same ones at the same place.
+func (c *Claims) forget(name string, account *accountClaims, offset uint64) {
+	for len(account.order) > 0 {
+		oldest := account.order[0]
+		held, known := c.claims[ID{name, oldest.Key}]
+		stale := !known || held.Offset != oldest.Offset
+		full := account.held >= c.limits.PerAccount
+		old := oldest.Offset+c.limits.KeepOffsets < offset || (full && oldest.Offset+c.limits.MinOffsets < offset)
+		if !stale && !old {
+			return
+		}
+		account.order = account.order[1:]
+		if !stale {
+			c.remove(ID{name, oldest.Key})
 		}
 	}
 }
--- a/idempotency/snapshot.go
+++ b/idempotency/snapshot.go
@@ -49,7 +49,7 @@
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.claims, c.order, c.held = map[ID]Claim{}, nil, map[string]int{}
+	c.claims, c.accounts = map[ID]Claim{}, map[string]*accountClaims{}
 	for _, s := range saved {
 		s.Claim.Digest = string(s.Digest)
 		c.put(s.ID, s.Claim)
--- a/node/node.go
+++ b/node/node.go
@@ -79,7 +79,7 @@
 	n.reserver = budget.NewReserver(n.holder, n.ledger, n.writer, n.events, settings.ClaimChunk)
 	n.leaseTable = lease.NewTable()
 	n.leases = lease.NewKeeper(n.info.GetIncarnation(), settings.LeaseTerm, n.leaseTable, n.writer, deps.Clock, n.events)
-	n.claims = idempotency.NewClaims()
+	n.claims = idempotency.NewClaims(idempotency.DefaultLimits())
 	engine := fold.NewEngine(n.config, n.ledger, n.leaseTable, n.claims)
 	n.follower = journal.NewFollower(deps.Log, settings.Stream, deps.Clock, engine, n.folded)
 	n.members = membership.NewMembers(n.info, deps.Clock, deps.Peers, n.events, n.openNodes, n.view)
--- a/upstream/http.go
+++ b/upstream/http.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"io"
 	"net"
 	"strconv"
 	"time"
@@ -18,7 +19,14 @@
 	"lavenderpin.dev/lavenderpin/result"
 )
 
-const statusOK = 200
+// Statuses that tell what to do.
+const (
+	statusOK            = 200
+	statusBadRequest    = 400
+	statusNotFound      = 404
+	statusGone          = 410
+	statusUnprocessable = 422
+)
 
 const (
 	dialTimeout = 2 * time.Second
@@ -27,6 +35,8 @@
 	readTimeout    = 30 * time.Second
 	maxConnections = 4096
 	idleConnection = 30 * time.Second
+	// maxAnswer bounds the answer of a plain service, in bytes.
+	maxAnswer = 8 << 20
 )
 
 // Header names that upstreams must echo or understand.
@@ -98,6 +108,10 @@
 	case statusNotFound, statusGone:
 		protocol.ReleaseResponse(response)
 		return nil, result.New(result.StreamLost, "%s doesn't hold the stream", to.GetName())
+	case statusBadRequest, statusUnprocessable:
+		body := string(response.Body())
+		protocol.ReleaseResponse(response)
+		return nil, result.New(result.MalformedRequest, "%s refused the request: %s", to.GetName(), clip(body))
 	default:
 		body := string(response.Body())
 		protocol.ReleaseResponse(response)
@@ -158,7 +172,7 @@
 		return CallAnswer{}, sendError(to, err)
 	}
 	defer protocol.ReleaseResponse(response)
-	body, err := response.BodyE()
+	body, err := readAnswer(response)
 	if err != nil {
 		return CallAnswer{}, result.New(result.AnswerCut, "%s: %v", to.GetName(), err)
 	}
@@ -168,10 +182,24 @@
 	return CallAnswer{
 		Status:      response.StatusCode(),
 		ContentType: string(response.Header.ContentType()),
-		Body:        append([]byte(nil), body...),
+		Body:        body,
 	}, nil
 }
 
+// readAnswer reads a whole answer of bounded size: it is held in memory and passed
+// between nodes.
+func readAnswer(response *protocol.Response) ([]byte, error) {
+	if !response.IsBodyStream() {
+		return append([]byte(nil), response.Body()...), nil
+	}
+	defer func() { _ = response.CloseBodyStream() }()
+	body, err := io.ReadAll(io.LimitReader(response.BodyStream(), maxAnswer+1))
+	if err == nil && len(body) > maxAnswer {
+		err = errors.Errorf("the answer has more than %d bytes", maxAnswer)
+	}
+	return body, err
+}
+
 // Cancel implements Client.
 func (c *HTTPClient) Cancel(ctx context.Context, to *operatorv1.Upstream, id string) error {
 	_, err := c.Call(ctx, to, CallRequest{ID: id, Method: "POST", Path: "/v1/cancel"})
--- a/upstream/resume.go
+++ b/upstream/resume.go
@@ -18,11 +18,6 @@
 
 var _ Resumer = (*HTTPClient)(nil)
 
-const (
-	statusNotFound = 404
-	statusGone     = 410
-)
-
 // Resume implements Resumer.
 func (c *HTTPClient) Resume(ctx context.Context, to *operatorv1.Upstream, id string, from uint64) (ChatStream, error) {
 	request := protocol.AcquireRequest()
