Bill a completion with a key once, however often it is sent

Weighed: dedupe by key in the fold of settlements (both tries run, the engines' work is paid by nobody, and a refused settlement must be explained), forwarding to an owner of the key's range (ownership needs agreement and moves), and the claim of the plain calls: one run, its answer recorded in the owner's memory, retries read along or replay it. The claim is taken: nothing new to agree on. Given up: a completion with a key waits for the log, and is refused as KeyNotClaimed while the log is out of reach; one without a key isn't touched by that. It goes on when its caller leaves.

--- a/httpapi/server.go
+++ b/httpapi/server.go
@@ -90,7 +90,11 @@
 		s.resume(ctx, c)
 		return
 	}
+	key := string(c.GetHeader(headerIdempotencyKey))
 	if err := s.node().Serving(); err != nil {
+		if key != "" {
+			err = result.From(err).Doubt() // an earlier try may have run elsewhere
+		}
 		writeError(c, err)
 		return
 	}
@@ -104,7 +108,7 @@
 		writeError(c, err)
 		return
 	}
-	call := request.ChatCall{Key: bearer(c), Body: body, Timeout: timeout}
+	call := request.ChatCall{Key: bearer(c), Body: body, Timeout: timeout, IdempotencyKey: key}
 	sink := newChatSink(c, wantsStream(body))
 	sink.finish(s.node().Requests().Chat(ctx, call, sink))
 }
--- a/httpapi/server_test.go
+++ b/httpapi/server_test.go
@@ -218,3 +218,44 @@
 		is.Equal(got, want)
 	}
 }
+
+func TestNamedCompletionIsBilledOnce(t *testing.T) {
+	// An analyst's program sends a summary's request, times out and sends it again to
+	// the other nodes, during the first try and after it. Run each time, the account
+	// would pay for the same summary several times.
+	is := is.New(t)
+	fleet := startFleet(t, devfleet.Options{Engine: standin.EngineOptions{TokenTime: 5 * time.Millisecond}})
+	header := map[string]string{"Idempotency-Key": "summary-1"}
+	body := `{"model":"` + devfleet.Model + `","stream":true,"messages":[{"role":"user","content":"a b c d e f g h i j k l m n o p q r s t"}]}`
+	answers := make(chan string, len(fleet.Daemons))
+	for i := range fleet.Daemons {
+		go func() { answers <- dataOf(send(t, "POST", "http://"+address(fleet, i)+chatPath, header, body).body) }()
+	}
+	first := <-answers
+	is.True(strings.HasSuffix(first, "[DONE]"))
+	is.Equal(strings.Count(first, "\n"), 22) // twenty words, the end, the usage, the marker
+	is.Equal(<-answers, first)
+	is.Equal(<-answers, first)
+	late := send(t, "POST", "http://"+address(fleet, 1)+chatPath, header, body)
+	is.Equal(dataOf(late.body), first)
+	is.Equal(len(fleet.Engines[0].Served()), 1)
+	other := send(t, "POST", "http://"+address(fleet, 2)+chatPath, header, strings.Replace(body, "a b", "b a", 1))
+	is.Equal(other.code, result.KeyReused)
+	for _, d := range fleet.Daemons {
+		for d.Node().Ledger().Budget("dev-budget").Spent < 40 {
+			time.Sleep(time.Millisecond)
+		}
+		is.Equal(d.Node().Ledger().Budget("dev-budget").Spent, uint64(40))
+	}
+}
+
+// dataOf returns the data lines of an event stream.
+func dataOf(stream string) string {
+	var lines []string
+	for _, line := range strings.Split(stream, "\n") {
+		if data, found := strings.CutPrefix(line, "data: "); found {
+			lines = append(lines, data)
+		}
+	}
+	return strings.Join(lines, "\n")
+}
--- a/request/callonce.go
+++ b/request/callonce.go
@@ -137,6 +137,9 @@
 	if account == nil {
 		return upstream.CallAnswer{}, result.New(result.UnknownKey, "no account %q on this node yet", f.GetAccount()).Doubt()
 	}
+	if f.GetService() == "" {
+		return s.forwardedChat(ctx, account, f)
+	}
 	prepared, err := prepareCall(view, account, ServiceCall{
 		Service: f.GetService(), Method: f.GetMethod(), Path: f.GetPath(), Headers: f.GetHeaders(), Body: f.GetBody(),
 		IdempotencyKey: f.GetKey(), Ticket: f.GetTicket(),
--- a/request/chat.go
+++ b/request/chat.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	operatorv1 "lavenderpin.dev/lavenderpin/api/operator/v1"
 	"lavenderpin.dev/lavenderpin/result"
 )
 
@@ -21,6 +22,9 @@
 	Body []byte
 	// Timeout is the caller's deadline from now; 0 for none.
 	Timeout time.Duration
+	// IdempotencyKey, when given, makes the completion run and be billed once however
+	// often the caller sends it.
+	IdempotencyKey string
 }
 
 // Chat runs a completion and passes the answer to the sink. A nil error means
@@ -32,34 +36,38 @@
 	s.firstAttempt()
 	ctx, cancel := s.withTimeout(ctx, call.Timeout)
 	defer cancel()
-	run, release, err := s.admitChat(ctx, call, sink)
+	if call.IdempotencyKey != "" {
+		return s.chatOnce(ctx, call, sink)
+	}
+	account, err := s.authenticate(s.Config(), call.Key)
 	if err != nil {
-		return err
+		return s.refused("", err)
 	}
-	defer release()
-	return run.run(ctx)
+	return s.runChat(ctx, account, call.Body, sink)
 }
 
-func (s *Server) admitChat(ctx context.Context, call ChatCall, sink Sink) (*chatRun, func(), error) {
-	view := s.Config()
-	account, err := s.authenticate(view, call.Key)
+// runChat admits, covers, sends and settles a completion.
+func (s *Server) runChat(ctx context.Context, account *operatorv1.Account, body []byte, sink Sink) error {
+	run, release, err := s.admitChat(ctx, account, body, sink)
 	if err != nil {
-		return nil, nil, s.refused("", err)
+		return s.refused(account.GetName(), err)
 	}
-	body, err := parseChat(call.Body)
+	defer release()
+	return run.run(ctx)
+}
+
+func (s *Server) admitChat(ctx context.Context, account *operatorv1.Account, raw []byte, sink Sink) (*chatRun, func(), error) {
+	body, err := parseChat(raw)
 	if err != nil {
-		return nil, nil, s.refused(account.GetName(), err)
+		return nil, nil, err
 	}
-	service := view.ServiceByModel(body.Model)
+	service := s.Config().ServiceByModel(body.Model)
 	if service == nil {
-		return nil, nil, s.refused(account.GetName(), result.New(result.UnknownService, "no service has model %q", body.Model))
+		return nil, nil, result.New(result.UnknownService, "no service has model %q", body.Model)
 	}
 	run := &chatRun{server: s, account: account, service: service, model: body.Model, sink: sink}
 	release, err := s.coverChat(ctx, run, body)
-	if err != nil {
-		return nil, nil, s.refused(account.GetName(), err)
-	}
-	return run, release, nil
+	return run, release, err
 }
 
 // coverChat admits a run and reserves its worst case.
--- a/request/chatrun.go
+++ b/request/chatrun.go
@@ -44,8 +44,10 @@
 // run sends the completion, passes the answer on and settles.
 func (r *chatRun) run(caller context.Context) error {
 	id := r.grant.Request().String()
-	r.server.streams.Store(id, r)
-	defer r.server.streams.Delete(id)
+	if !r.kept() {
+		r.server.streams.Store(id, r)
+		defer r.server.streams.Delete(id)
+	}
 	ctx, stop := context.WithCancel(context.WithoutCancel(caller))
 	defer stop()
 	defer context.AfterFunc(caller, func() {
@@ -75,6 +77,12 @@
 	return err
 }
 
+// kept tells that the answer is recorded for retries by key: it goes on whoever reads.
+func (r *chatRun) kept() bool {
+	_, kept := r.sink.(*recording)
+	return kept
+}
+
 // attempts tries engines until one answers whole.
 func (r *chatRun) attempts(ctx context.Context) error {
 	r.ask.Tried = map[string]bool{}
@@ -174,7 +182,7 @@
 	r.to, r.firstToken = to, pick.FirstToken
 	r.cursors = cursorMaker{signer: r.server.Cursors, cursor: fleetv1.StreamCursor{
 		Request: r.grant.Request().String(), PeerAddress: r.server.PeerAddress,
-		Service: r.service.GetName(), Upstream: to.GetName(), Account: r.account.GetName(),
+		Service: r.service.GetName(), Upstream: to.GetName(), Account: r.account.GetName(), Kept: r.kept(),
 	}}
 }
 
--- a/request/resume.go
+++ b/request/resume.go
@@ -74,7 +74,7 @@
 			run := &resumeRun{server: s, cursor: cursor, to: to, id: id, sink: sink, position: cursor.GetNext()}
 			run.cursors = cursorMaker{signer: s.Cursors, cursor: fleetv1.StreamCursor{
 				Request: cursor.GetRequest(), PeerAddress: cursor.GetPeerAddress(), Service: cursor.GetService(),
-				Upstream: cursor.GetUpstream(), Account: cursor.GetAccount(), Usage: cursor.GetUsage(),
+				Upstream: cursor.GetUpstream(), Account: cursor.GetAccount(), Usage: cursor.GetUsage(), Kept: cursor.GetKept(),
 			}}
 			return run, nil
 		}
@@ -162,7 +162,12 @@
 	return nil
 }
 
+// cancel stops the engine when the caller left here too, unless the answer is kept
+// for a retry by key.
 func (r *resumeRun) cancel() {
+	if r.cursor.GetKept() {
+		return
+	}
 	ctx, done := clockwork.WithTimeout(context.Background(), r.server.Clock, cancelTimeout)
 	defer done()
 	_ = r.server.Client.Cancel(ctx, r.to, r.cursor.GetRequest())
