--- /dev/null
+++ b/internal/experiment/atmostonce/ticket.go
@@ -0,0 +1,19 @@
+package atmostonce
+
+import (
+	"context"
+
+	fleetv1 "lavenderpin.dev/lavenderpin/api/fleet/v1"
+	"lavenderpin.dev/lavenderpin/idempotency"
+)
+
+func (n *node) byTicket(ticket *fleetv1.CallTicket, name string) (idempotency.Answer, error) {
+	digest := idempotency.Digest{1}
+	return n.runner.DoTicket(context.Background(), ticket, digest, n.run(name), func(ctx context.Context, owner string) (idempotency.Answer, error) {
+		peer := n.world.node(owner)
+		answer, err := peer.attend(func() (idempotency.Answer, error) {
+			return peer.runner.DoTicket(ctx, ticket, digest, peer.run(name), nil)
+		})
+		return n.world.forwarded(owner, answer, err)
+	})
+}
