--- a/signed/signer.go
+++ b/signed/signer.go
@@ -32,7 +32,13 @@
 
 // Signer makes and checks the texts of one purpose. It is safe for concurrent use.
 type Signer struct {
-	macs sync.Pool
+	workers sync.Pool
+}
+
+// worker holds what one text needs, to be used again.
+type worker struct {
+	mac                hash.Hash
+	content, text, sum []byte
 }
 
 // NewSigner returns a signer. A text made for one purpose is invalid for another,
@@ -41,20 +47,22 @@
 	outer := hmac.New(sha256.New, secret)
 	outer.Write([]byte(purpose))
 	key := outer.Sum(nil)
-	return &Signer{macs: sync.Pool{New: func() any { return hmac.New(sha256.New, key) }}}
+	return &Signer{workers: sync.Pool{New: func() any { return &worker{mac: hmac.New(sha256.New, key)} }}}
 }
 
 // Seal returns the message as a signed text.
 func (s *Signer) Seal(message proto.Message) string {
-	content, err := proto.Marshal(message)
+	w := s.workers.Get().(*worker)
+	defer s.workers.Put(w)
+	var err error
+	w.content, err = proto.MarshalOptions{}.MarshalAppend(w.content[:0], message)
 	if err != nil {
 		panic(err) // generated messages always marshal
 	}
-	text := make([]byte, 0, encoding.EncodedLen(len(content))+1+encoding.EncodedLen(sumBytes))
-	text = encoding.AppendEncode(text, content)
-	text = append(text, separator)
-	text = encoding.AppendEncode(text, s.sum(content))
-	return string(text)
+	w.text = encoding.AppendEncode(w.text[:0], w.content)
+	w.text = append(w.text, separator)
+	w.text = encoding.AppendEncode(w.text, w.sign(w.content))
+	return string(w.text)
 }
 
 // Open reads a text that Seal made into the message, or fails with ErrInvalid.
@@ -68,7 +76,7 @@
 		return errors.Trace(ErrInvalid)
 	}
 	sum, err := encoding.DecodeString(tail)
-	if err != nil || !hmac.Equal(sum, s.sum(content)) {
+	if err != nil || !s.isSigned(content, sum) {
 		return errors.Trace(ErrInvalid)
 	}
 	if proto.Unmarshal(content, into) != nil {
@@ -77,10 +85,16 @@
 	return nil
 }
 
-func (s *Signer) sum(content []byte) []byte {
-	mac := s.macs.Get().(hash.Hash)
-	defer s.macs.Put(mac)
-	mac.Reset()
-	mac.Write(content)
-	return mac.Sum(nil)[:sumBytes]
+func (s *Signer) isSigned(content, sum []byte) bool {
+	w := s.workers.Get().(*worker)
+	defer s.workers.Put(w)
+	return hmac.Equal(sum, w.sign(content))
+}
+
+// sign returns the HMAC of a content, valid until the worker's next use.
+func (w *worker) sign(content []byte) []byte {
+	w.mac.Reset()
+	w.mac.Write(content)
+	w.sum = w.mac.Sum(w.sum[:0])
+	return w.sum[:sumBytes]
 }
