--- a/node/calls.go
+++ b/node/calls.go
@@ -116,3 +116,15 @@
 		Moved: n.requests.MoveStream(move.GetRequest()),
 	}}}
 }
+
+// recoverPeer keeps a defect in one exchange from ending the node, which would cut
+// every answer on it.
+func (n *Node) recoverPeer(response **fleetv1.Response) {
+	defect := recover()
+	if defect == nil {
+		return
+	}
+	n.events.Record(event.PanicRecovered, "why", defect)
+	*response = &fleetv1.Response{Code: uint32(result.InternalError), Message: "a defect in this node",
+		Body: &fleetv1.Response_CallForwarded{CallForwarded: &fleetv1.CallForwarded{Ran: true}}}
+}
--- a/node/peers.go
+++ b/node/peers.go
@@ -10,9 +10,10 @@
 )
 
 // HandlePeer answers another node; it is a peer.Handler.
-func (n *Node) HandlePeer(ctx context.Context, r *fleetv1.Request) *fleetv1.Response {
+func (n *Node) HandlePeer(ctx context.Context, r *fleetv1.Request) (response *fleetv1.Response) {
+	defer n.recoverPeer(&response)
 	n.events.Clock().Observe(event.Stamp(r.GetHlc()))
-	response := &fleetv1.Response{}
+	response = &fleetv1.Response{}
 	switch body := r.GetBody().(type) {
 	case *fleetv1.Request_Ping:
 		for _, view := range body.Ping.GetViews() {
