--- a/node/node.go
+++ b/node/node.go
@@ -85,7 +85,7 @@
 	n.reserver = budget.NewReserver(n.holder, n.ledger, n.writer, n.events, settings.ClaimChunk)
 	n.leaseTable = lease.NewTable()
 	n.leases = lease.NewKeeper(n.info.GetIncarnation(), settings.LeaseTerm, n.leaseTable, n.writer, deps.Clock, n.events)
-	n.claims = idempotency.NewClaims()
+	n.claims = idempotency.NewClaims(idempotency.DefaultLimits())
 	engine := fold.NewEngine(n.config, n.ledger, n.leaseTable, n.claims)
 	n.newMembership()
 	n.newFollower(engine)
