Read the beat before the state that it announces

A node that began to serve between the two sent 'not serving' under the new beat, and equal beats never change a view: 1 of 6 starts of 7 nodes (trial) left one address out for ever. Seen as 'hands out 6 of 7 addresses' after 20 s.

--- a/membership/members.go
+++ b/membership/members.go
@@ -173,10 +173,15 @@
 
 // say returns the views of the next message, this node's own first.
 func (m *Members) say(introduce bool) []*fleetv1.PeerView {
+	// The beat is read first: were it read after the state, a change in between
+	// would send the old state under the new beat, and the new one would never count.
+	m.mu.Lock()
+	beat := m.table.Beat()
+	m.mu.Unlock()
 	own := m.view()
+	own.Beat = beat
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	own.Beat = m.table.Beat()
 	if introduce {
 		return append([]*fleetv1.PeerView{own}, m.table.Introduction()...)
 	}
