--- a/membership/member.go
+++ b/membership/member.go
@@ -20,6 +20,8 @@
 	ConfigOffset uint64
 
 	beat uint64
+	// private marks a suspicion of a node that may itself be cut off.
+	private bool
 	// heard is when the node itself answered last.
 	heard time.Time
 	// flaps counts returns from suspicion, settles is when the last one is trusted.
--- a/membership/table.go
+++ b/membership/table.go
@@ -18,6 +18,8 @@
 	stall = 3 * period
 	// trustDirect is how long an own answer outweighs what others suspect.
 	trustDirect = 3 * time.Second
+	// isolatedAfter is how long without any answer a node takes itself as cut off.
+	isolatedAfter = 6 * time.Second
 	// forgetAfter is how long a silent member is kept that the log doesn't hold open.
 	forgetAfter = 10 * time.Minute
 	// firstFlap is the number of returns from which on a member has to settle.
@@ -91,6 +93,7 @@
 	t.wake(now)
 	t.keep(now, open)
 	t.settle(now)
+	t.isolate(now)
 	neighbours := t.Neighbours()
 	if len(neighbours) == 0 {
 		return nil
@@ -105,6 +108,7 @@
 func (t *Table) wake(now time.Time) {
 	if !t.stepped.IsZero() && now.Sub(t.stepped) > stall {
 		t.woke = now
+		t.answered = t.answered.Add(now.Sub(t.stepped))
 		t.note(Stalled, t.self.GetIncarnation())
 		for _, m := range t.members {
 			m.heard = m.heard.Add(now.Sub(t.stepped))
@@ -120,8 +124,11 @@
 	t.open = make(map[string]bool, len(open))
 	for _, node := range open {
 		incarnation := node.GetIncarnation()
+		if node.GetPeerAddress() == t.self.GetPeerAddress() {
+			continue
+		}
 		t.open[incarnation] = true
-		if t.members[incarnation] == nil && incarnation != t.self.GetIncarnation() && !t.ended[incarnation] {
+		if t.members[incarnation] == nil && !t.ended[incarnation] {
 			t.add(now, node)
 			t.grown = true
 		}
@@ -159,6 +166,31 @@
 	return m
 }
 
+// isolate suspects everybody while nobody answers: only the neighbours are pinged,
+// and of the others nothing is known any more. It is this node that is cut off, so
+// the suspicion is kept private.
+func (t *Table) isolate(now time.Time) {
+	if !t.alone(now) {
+		return
+	}
+	for _, m := range t.members {
+		if !m.Suspect {
+			t.suspect(m)
+			t.keepPrivate(m)
+		}
+	}
+}
+
+// alone tells that no member has answered for a while.
+func (t *Table) alone(now time.Time) bool { return now.Sub(t.answered) > isolatedAfter }
+
+// keepPrivate holds a suspicion back from others. Were it passed on once this node is
+// back, it would take the whole fleet out of the addresses.
+func (t *Table) keepPrivate(m *Member) {
+	m.private = true
+	m.news = 0
+}
+
 func (t *Table) settle(now time.Time) {
 	for _, m := range t.members {
 		m.Settling = now.Before(m.settles)
@@ -237,7 +269,7 @@
 func (t *Table) direct(now time.Time, view *fleetv1.PeerView) bool {
 	m := t.members[view.GetNode().GetIncarnation()]
 	if m == nil {
-		if view.GetNode().GetPeerAddress() == "" || t.ended[view.GetNode().GetIncarnation()] {
+		if !t.admits(view.GetNode()) {
 			return false
 		}
 		m = t.add(now, view.GetNode())
@@ -276,7 +308,7 @@
 	case view.GetSuspect() && !m.Suspect && now.Sub(m.heard) > trustDirect:
 		t.suspect(m)
 		urgent = true
-	case !view.GetSuspect() && m.Suspect && view.GetBeat() > m.beat:
+	case !view.GetSuspect() && m.Suspect && (view.GetBeat() > m.beat || m.private):
 		t.returned(now, m)
 		urgent = true
 	}
@@ -300,13 +332,24 @@
 // unheardOf tells whether a node that only others know of may be entered: its
 // address must be free, since hearsay doesn't tell which of two came later.
 func (t *Table) unheardOf(node *recordv1.NodeInfo) bool {
-	return node.GetPeerAddress() != "" && !t.ended[node.GetIncarnation()] && !t.Knows(node.GetPeerAddress())
+	return t.admits(node) && !t.Knows(node.GetPeerAddress())
+}
+
+// admits tells whether a node can be another one than this, and hasn't ended.
+func (t *Table) admits(node *recordv1.NodeInfo) bool {
+	address := node.GetPeerAddress()
+	return address != "" && address != t.self.GetPeerAddress() && !t.ended[node.GetIncarnation()]
 }
 
 // returned ends a suspicion. A member that keeps coming and going is left out for
 // longer each time; its callers would be refused every time it goes.
 func (t *Table) returned(now time.Time, m *Member) {
 	m.Suspect = false
+	t.note(Joined, m.Node.GetIncarnation())
+	if m.private {
+		m.private = false
+		return
+	}
 	m.flaps++
 	if m.flaps > firstFlap {
 		m.settles = now.Add(min(time.Second<<min(m.flaps, 10), maxSettle))
@@ -314,7 +357,6 @@
 	} else {
 		m.settles = now
 	}
-	t.note(Joined, m.Node.GetIncarnation())
 }
 
 // Failed takes in that a member answered neither this node nor the helpers, in an
@@ -329,10 +371,9 @@
 		return false
 	}
 	t.suspect(m)
-	// A node that hears from nobody is itself cut off. It doesn't pass its suspicion
-	// on, or it would take the whole fleet out of the addresses once it is back.
+	// While nobody else answers either, this node itself may be cut off.
 	if now.Sub(t.answered) > trustDirect {
-		m.news = 0
+		t.keepPrivate(m)
 		return false
 	}
 	return true
@@ -362,7 +403,7 @@
 	for range min(maxFill, len(ring)) {
 		t.fill++
 		m := t.members[ring[t.fill%len(ring)].GetIncarnation()]
-		if m.Suspect {
+		if m.private || m.beat == 0 {
 			continue
 		}
 		view := m.view()
