--- a/budget/holder.go
+++ b/budget/holder.go
@@ -11,21 +11,28 @@
 	"lavenderpin.dev/lavenderpin/result"
 )
 
+// rightRetry is when a caller may try again that met a node without a right to spend.
+const rightRetry = 5 * time.Second
+
 // Holder is one incarnation's own side of its shares. Reserve and Finish take no
 // lock that requests share; they are safe for concurrent use.
 type Holder struct {
 	incarnation string
 	clock       clockwork.Clock
-	start       time.Time
-	// right is until when the incarnation may spend, in nanoseconds after start.
-	right  atomic.Int64
-	shares sync.Map // budget name -> *localShare
-	open   openSet
-
-	mu      sync.Mutex
-	settled []*recordv1.Settlement
+	right       *spendRight
+	shares      sync.Map // budget name -> *localShare
+	open        openSet
+	settled     settledQueue
 }
 
+// maxUnsettled bounds the settlements that wait for the log, about 60 MB. A log
+// that is down for hours would otherwise let them grow until the node dies, and
+// with it what they say. Beyond the bound the node refuses with SettlementBacklog.
+const maxUnsettled = 500_000
+
+// maxSettlementsPerBatch bounds one log entry.
+const maxSettlementsPerBatch = 5_000
+
 // localShare is what the node may still reserve of one budget, in tokens.
 type localShare struct {
 	available atomic.Int64
@@ -35,7 +42,7 @@
 
 // NewHolder returns a holder without shares and without a right to spend.
 func NewHolder(incarnation string, clock clockwork.Clock) *Holder {
-	return &Holder{incarnation: incarnation, clock: clock, start: clock.Now()}
+	return &Holder{incarnation: incarnation, clock: clock, right: newSpendRight(clock)}
 }
 
 // Incarnation returns the incarnation whose shares these are.
@@ -44,24 +51,33 @@
 // ExtendRight lets the incarnation spend until the given moment. The moment must
 // lie a full term after the append of the accepted heartbeat began, never after
 // its answer came: whoever closes the incarnation counts from when it read it.
-func (h *Holder) ExtendRight(until time.Time) {
-	nanos := int64(until.Sub(h.start))
-	for {
-		held := h.right.Load()
-		if nanos <= held || h.right.CompareAndSwap(held, nanos) {
-			return
-		}
-	}
-}
+func (h *Holder) ExtendRight(until time.Time) { h.right.extend(until) }
 
-// RightLeft returns how long the incarnation may still spend; negative when the
+// RightLeft returns how long the incarnation may still spend; not positive when the
 // right has lapsed.
-func (h *Holder) RightLeft() time.Duration {
-	return time.Duration(h.right.Load()) - h.clock.Since(h.start)
+func (h *Holder) RightLeft() time.Duration { return h.right.left() }
+
+// RevokeRight ends the right for good, for an incarnation that learned that it is closed.
+func (h *Holder) RevokeRight() { h.right.revoke() }
+
+// checkRight fails when nothing more may be spent.
+func (h *Holder) checkRight() error {
+	if h.RightLeft() <= 0 {
+		return result.New(result.SpendRightLapsed, "the right to spend has lapsed").After(rightRetry)
+	}
+	return nil
 }
 
-// RevokeRight ends the right at once, for an incarnation that learned that it is closed.
-func (h *Holder) RevokeRight() { h.right.Store(-1) }
+// admit fails when nothing more may be reserved.
+func (h *Holder) admit() error {
+	if err := h.checkRight(); err != nil {
+		return err
+	}
+	if h.settled.len() >= maxUnsettled {
+		return result.New(result.SettlementBacklog, "%d settlements wait for the log", maxUnsettled).After(rightRetry)
+	}
+	return nil
+}
 
 func (h *Holder) share(budget string) *localShare {
 	if held, ok := h.shares.Load(budget); ok {
@@ -104,8 +120,8 @@
 // SpendRightLapsed, or with BudgetSpent when the share is too small: the caller
 // decides whether the fleet can cover it elsewhere.
 func (h *Holder) Reserve(budget string, tokens uint64) (*Reservation, error) {
-	if h.RightLeft() <= 0 {
-		return nil, result.New(result.SpendRightLapsed, "the right to spend has lapsed")
+	if err := h.admit(); err != nil {
+		return nil, err
 	}
 	share := h.share(budget)
 	if share.take(tokens, false) == 0 && tokens > 0 {
@@ -116,8 +132,8 @@
 
 // ReservePart is Reserve for as many tokens as the share has, at most tokens.
 func (h *Holder) ReservePart(budget string, tokens uint64) (*Reservation, error) {
-	if h.RightLeft() <= 0 {
-		return nil, result.New(result.SpendRightLapsed, "the right to spend has lapsed")
+	if err := h.admit(); err != nil {
+		return nil, err
 	}
 	share := h.share(budget)
 	taken := share.take(tokens, true)
@@ -142,30 +158,35 @@
 	}
 }
 
+// ReserveNothing opens a request whose tokens other nodes reserve, to give it an id.
+func (h *Holder) ReserveNothing(budget string) (*Reservation, error) {
+	if err := h.admit(); err != nil {
+		return nil, err
+	}
+	return h.open.add(h, h.share(budget), budget, 0), nil
+}
+
 // Settlements returns the settlements finished since the last call, as a log
-// entry; nil when nothing changed.
+// entry; nil when nothing changed. A long queue is returned in several calls.
 //
 // The oldest open counter is read before the settlements are taken: a request
 // leaves the open set only after its settlement is queued, so whatever lies below
 // that counter is in this entry or an earlier one. In the other order the fold
 // would pass a settlement over as already known, and the request would go unbilled.
+// For the same reason a settlement left for the next call counts as open.
 func (h *Holder) Settlements() *recordv1.SettlementBatch {
 	oldest := h.open.oldest()
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	if len(h.settled) == 0 {
+	taken, oldestLeft := h.settled.take(maxSettlementsPerBatch)
+	if len(taken) == 0 {
 		return nil
 	}
-	batch := &recordv1.SettlementBatch{Incarnation: h.incarnation, Settlements: h.settled, OldestOpen: oldest}
-	h.settled = nil
-	return batch
+	return &recordv1.SettlementBatch{
+		Incarnation: h.incarnation, Settlements: taken, OldestOpen: min(oldest, oldestLeft),
+	}
 }
 
+// Unsettled returns how many settlements wait to be taken.
+func (h *Holder) Unsettled() int { return h.settled.len() }
+
 // Open returns how many reservations are neither finished nor cancelled.
 func (h *Holder) Open() int { return h.open.len() }
-
-func (h *Holder) queue(s *recordv1.Settlement) {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	h.settled = append(h.settled, s)
-}
--- a/budget/incarnation.go
+++ b/budget/incarnation.go
@@ -2,6 +2,7 @@
 
 import (
 	recordv1 "lavenderpin.dev/lavenderpin/api/record/v1"
+	"lavenderpin.dev/lavenderpin/fold"
 )
 
 // Incarnation is the folded state of one run of a node.
@@ -15,6 +16,12 @@
 	Draining bool
 	Closed   bool
 	Reason   string
+	// Opened and ClosedAt are the log offsets of the first heartbeat and of the close.
+	Opened   uint64
+	ClosedAt uint64
+	// Replaced is set once a later incarnation opened at the same peer address: the
+	// process is gone, and with it what it remembered for others.
+	Replaced bool
 
 	// OldestOpen is the counter below which every request is settled or void.
 	OldestOpen uint64
@@ -22,6 +29,15 @@
 	Settled map[uint64]bool
 }
 
+// ReasonReplaced is why an incarnation was closed whose address another one took.
+const ReasonReplaced = "replaced at its address"
+
+func (i *Incarnation) close(at fold.Position, reason string) {
+	i.Closed = true
+	i.ClosedAt = at.Offset
+	i.Reason = reason
+}
+
 func (i *Incarnation) forgetBelow(oldest uint64) {
 	if oldest <= i.OldestOpen {
 		return
--- a/budget/ledger.go
+++ b/budget/ledger.go
@@ -15,7 +15,7 @@
 	mu           sync.RWMutex
 	lines        map[string]*Line
 	incarnations map[string]*Incarnation
-	topUps       map[string]fold.Verdict
+	topUps       map[string]foldedTopUp
 	// excess counts tokens settled beyond an incarnation's share. It is 0 unless
 	// a node spent what it didn't own; the checkers assert that.
 	excess uint64
@@ -31,7 +31,7 @@
 func (l *Ledger) reset() {
 	l.lines = map[string]*Line{}
 	l.incarnations = map[string]*Incarnation{}
-	l.topUps = map[string]fold.Verdict{}
+	l.topUps = map[string]foldedTopUp{}
 	l.excess = 0
 }
 
@@ -81,25 +81,12 @@
 	return i
 }
 
-func (l *Ledger) topUp(at fold.Position, entry *recordv1.TopUpEntry) fold.Verdict {
-	id := entry.GetTopUp().GetId()
-	if verdict, seen := l.topUps[id]; seen {
-		return verdict
-	}
-	line := l.line(entry.GetTopUp().GetBudget())
-	line.Prepaid += entry.GetTopUp().GetTokens()
-	line.Pool += entry.GetTopUp().GetTokens()
-	verdict := fold.Verdict{Offset: at.Offset, Version: at.Offset, Tokens: entry.GetTopUp().GetTokens()}
-	l.topUps[id] = verdict
-	return verdict
-}
-
 func (l *Ledger) heartbeat(at fold.Position, beat *recordv1.NodeHeartbeat) fold.Verdict {
 	held := l.incarnations[at.Writer]
 	switch {
 	case held == nil && beat.GetNumber() == 1:
-		l.closePredecessor(beat.GetNode())
-		held = &Incarnation{Settled: map[uint64]bool{}}
+		l.closePredecessor(at, beat.GetNode())
+		held = &Incarnation{Opened: at.Offset, Settled: map[uint64]bool{}}
 		l.incarnations[at.Writer] = held
 	case held == nil || held.Closed:
 		return fold.Refuse(at, result.IncarnationClosed, "the incarnation is closed")
@@ -114,11 +101,14 @@
 // closePredecessor closes an open incarnation at the address that a new one
 // announces. Only one process can hold the address, so the old one is gone; were
 // it left open, its shares would stay frozen until its right to spend ran out.
-func (l *Ledger) closePredecessor(node *recordv1.NodeInfo) {
+func (l *Ledger) closePredecessor(at fold.Position, node *recordv1.NodeInfo) {
 	for _, i := range l.incarnations {
-		if !i.Closed && i.Node.GetPeerAddress() == node.GetPeerAddress() {
-			i.Closed = true
-			i.Reason = "replaced at its address"
+		if i.Node.GetPeerAddress() != node.GetPeerAddress() {
+			continue
+		}
+		i.Replaced = true
+		if !i.Closed {
+			i.close(at, ReasonReplaced)
 		}
 	}
 }
@@ -132,8 +122,7 @@
 	if !own && entry.GetLastHeartbeat() != i.Heartbeat {
 		return fold.Refuse(at, result.StaleEntry, "a newer heartbeat came first")
 	}
-	i.Closed = true
-	i.Reason = entry.GetReason()
+	i.close(at, entry.GetReason())
 	if own {
 		l.release(entry.GetIncarnation())
 	}
@@ -160,10 +149,12 @@
 	}
 	line := l.line(entry.GetBudget())
 	share := line.share(at.Writer)
-	tokens := min(entry.GetTokens(), share.Left())
-	share.Granted -= tokens
-	line.Pool += tokens
-	return fold.Verdict{Offset: at.Offset, Tokens: tokens}
+	if share.Left() < entry.GetTokens() {
+		return fold.Refuse(at, result.BudgetSpent, "the share is smaller")
+	}
+	share.Granted -= entry.GetTokens()
+	line.Pool += entry.GetTokens()
+	return fold.Verdict{Offset: at.Offset, Tokens: entry.GetTokens()}
 }
 
 // move needs both ends open. Were it allowed towards a closed incarnation, the
@@ -182,28 +173,39 @@
 	return fold.Verdict{Offset: at.Offset, Tokens: entry.GetTokens()}
 }
 
-// recoveryDone returns what is left of a closed incarnation's shares to the pool.
+// recoveryDone ends a closed incarnation. What is left of its shares goes back to
+// the pool or, when nobody could tell what it spent, is written off. The
+// incarnation itself may end its own, once it has settled everything.
 func (l *Ledger) recoveryDone(at fold.Position, entry *recordv1.RecoveryDone) fold.Verdict {
+	own := at.Writer == entry.GetIncarnation()
 	i := l.incarnations[entry.GetIncarnation()]
-	if i == nil || !i.Closed || l.open(at.Writer) == nil {
+	if i == nil || !i.Closed || (!own && l.open(at.Writer) == nil) {
 		return fold.Refuse(at, result.IncarnationClosed, "nothing to recover")
 	}
+	if entry.GetLost() {
+		return fold.Verdict{Offset: at.Offset, Tokens: l.end(entry.GetIncarnation(), (*Line).writeOff)}
+	}
 	return fold.Verdict{Offset: at.Offset, Tokens: l.release(entry.GetIncarnation())}
 }
 
 func (l *Ledger) release(incarnation string) uint64 {
-	released := uint64(0)
+	return l.end(incarnation, (*Line).release)
+}
+
+// end forgets an incarnation and disposes of what is left of its shares.
+func (l *Ledger) end(incarnation string, dispose func(*Line, uint64)) uint64 {
+	total := uint64(0)
 	for _, line := range l.lines {
 		share := line.Shares[incarnation]
 		if share == nil {
 			continue
 		}
-		line.Pool += share.Left()
-		released += share.Left()
+		dispose(line, share.Left())
+		total += share.Left()
 		delete(line.Shares, incarnation)
 	}
 	delete(l.incarnations, incarnation)
-	return released
+	return total
 }
 
 // Budget returns a copy of one budget's state; zero for an unknown budget.
@@ -228,14 +230,16 @@
 	return lines
 }
 
-// Incarnations returns a copy of the incarnations that aren't released yet.
+// Incarnations returns a copy of the incarnations that aren't released yet, without
+// their lists of settled requests.
 func (l *Ledger) Incarnations() map[string]Incarnation {
 	l.mu.RLock()
 	defer l.mu.RUnlock()
 	all := make(map[string]Incarnation, len(l.incarnations))
 	for id, i := range l.incarnations {
-		all[id] = Incarnation{Node: i.Node, Heartbeat: i.Heartbeat, RightMS: i.RightMS,
-			Draining: i.Draining, Closed: i.Closed, Reason: i.Reason, OldestOpen: i.OldestOpen}
+		copied := *i
+		copied.Settled = nil
+		all[id] = copied
 	}
 	return all
 }
@@ -247,6 +251,27 @@
 	return l.open(incarnation) != nil
 }
 
+// Known tells whether an incarnation is open, or closed and not yet released.
+func (l *Ledger) Known(incarnation string) bool {
+	l.mu.RLock()
+	defer l.mu.RUnlock()
+	return l.incarnations[incarnation] != nil
+}
+
+// Incarnation returns one incarnation without its list of settled requests; false
+// when it isn't known or is released.
+func (l *Ledger) Incarnation(incarnation string) (Incarnation, bool) {
+	l.mu.RLock()
+	defer l.mu.RUnlock()
+	i := l.incarnations[incarnation]
+	if i == nil {
+		return Incarnation{}, false
+	}
+	copied := *i
+	copied.Settled = nil
+	return copied, true
+}
+
 // Excess returns the tokens settled beyond an incarnation's share.
 func (l *Ledger) Excess() uint64 {
 	l.mu.RLock()
--- a/budget/line.go
+++ b/budget/line.go
@@ -10,8 +10,39 @@
 	Spent uint64
 	// Shares is what incarnations hold, by incarnation.
 	Shares map[string]*Share
+	// Lost is what was written off: no node could tell whether it was spent.
+	Lost uint64
+	// TopUps counts the top-ups folded.
+	TopUps uint64
 }
 
+// Remaining is what isn't settled yet: the pool and what incarnations hold.
+func (l *Line) Remaining() uint64 {
+	left := l.Pool
+	for _, share := range l.Shares {
+		left += share.Left()
+	}
+	return left
+}
+
+// Conserved tells whether every token prepaid is in exactly one place: the pool, a
+// share, spent by an incarnation since released, or written off.
+func (l *Line) Conserved() bool {
+	held, spentByHolders := uint64(0), uint64(0)
+	for _, share := range l.Shares {
+		if share.Spent > share.Granted {
+			return false
+		}
+		held += share.Granted
+		spentByHolders += share.Spent
+	}
+	return l.Spent >= spentByHolders && l.Prepaid == l.Pool+held+(l.Spent-spentByHolders)+l.Lost
+}
+
+func (l *Line) release(tokens uint64) { l.Pool += tokens }
+
+func (l *Line) writeOff(tokens uint64) { l.Lost += tokens }
+
 // Share is the folded state of one incarnation's part of a budget, in tokens.
 type Share struct {
 	Granted uint64
--- a/budget/reservation.go
+++ b/budget/reservation.go
@@ -1,10 +1,6 @@
 package budget
 
-import (
-	"sync/atomic"
-
-	recordv1 "lavenderpin.dev/lavenderpin/api/record/v1"
-)
+import "sync/atomic"
 
 // Reservation is the worst case of one request, taken out of the node's share.
 type Reservation struct {
@@ -21,17 +17,21 @@
 
 // Finish bills the tokens used, at most those reserved, and gives the rest back.
 // Only the first call of Finish or Cancel counts.
-func (r *Reservation) Finish(used uint64) {
+func (r *Reservation) Finish(used uint64) { r.finish(used) }
+
+// finish tells whether this call ended the reservation.
+func (r *Reservation) finish(used uint64) bool {
 	if !r.ended.CompareAndSwap(false, true) {
-		return
+		return false
 	}
 	used = min(used, r.Tokens)
 	r.share.available.Add(int64(r.Tokens - used))
 	r.share.used.Add(int64(used))
 	if used > 0 {
-		r.holder.queue(&recordv1.Settlement{Request: r.ID.String(), Budget: r.Budget, Tokens: used})
+		r.holder.settled.add(r.ID, r.Budget, used)
 	}
 	r.shard.remove(r.ID.Counter)
+	return true
 }
 
 // Cancel gives everything back; nothing is billed.
--- a/budget/snapshot.go
+++ b/budget/snapshot.go
@@ -4,15 +4,13 @@
 	"encoding/json"
 
 	"github.com/juju/errors"
-
-	"lavenderpin.dev/lavenderpin/fold"
 )
 
 // savedLedger is the snapshot form of Ledger.
 type savedLedger struct {
 	Lines        map[string]*Line
 	Incarnations map[string]*Incarnation
-	TopUps       map[string]fold.Verdict
+	TopUps       map[string]foldedTopUp
 	Excess       uint64
 }
 
@@ -38,8 +36,8 @@
 	for id, i := range saved.Incarnations {
 		l.incarnations[id] = i
 	}
-	for id, verdict := range saved.TopUps {
-		l.topUps[id] = verdict
+	for key, topUp := range saved.TopUps {
+		l.topUps[key] = topUp
 	}
 	l.excess = saved.Excess
 	return nil
--- a/cmd/lavenderpin/serve.go
+++ b/cmd/lavenderpin/serve.go
@@ -8,6 +8,7 @@
 	"github.com/jonboulle/clockwork"
 	"github.com/juju/errors"
 
+	"lavenderpin.dev/lavenderpin/budget"
 	"lavenderpin.dev/lavenderpin/daemon"
 	"lavenderpin.dev/lavenderpin/node"
 	"lavenderpin.dev/lavenderpin/platform/remote"
@@ -31,8 +32,9 @@
 	TokenSecret        string        `help:"Secret of at least 32 bytes, the same on all nodes: it signs tickets and the event ids with which callers resume a stream. Without it both are good at one node alone." env:"LAVENDERPIN_TOKEN_SECRET"`
 	BootstrapTokenHash string        `help:"Hash of an operator token (lavenderctl keys hash) that works until a stored one exists." env:"LAVENDERPIN_BOOTSTRAP_TOKEN_HASH"`
 	Heartbeat          time.Duration `help:"Time between heartbeats in the log." default:"5s" env:"LAVENDERPIN_HEARTBEAT"`
-	SpendRight         time.Duration `help:"How long the node may spend after its last heartbeat in the log: the longest store outage or region cut that it rides out, and the longest time that a crash freezes its shares." default:"30m" env:"LAVENDERPIN_SPEND_RIGHT"`
 	LeaseTerm          time.Duration `help:"How long a lease for a singular job lasts without renewal." default:"15s" env:"LAVENDERPIN_LEASE_TERM"`
+	BudgetPolicy       string        `help:"endurance: few false refusals in cuts and outages. thrift: little money frozen by crashes, no spend that only one node knows of." default:"endurance" enum:"endurance,thrift" env:"LAVENDERPIN_BUDGET_POLICY"`
+	SpendRight         time.Duration `help:"How long the node may spend after its last heartbeat in the log: the longest store outage or region cut that it rides out, and the longest time that a crash freezes its shares. 0 takes the budget policy's." default:"0s" env:"LAVENDERPIN_SPEND_RIGHT"`
 	ClaimChunk         uint64        `help:"Least tokens claimed from a budget at a time." default:"20000" env:"LAVENDERPIN_CLAIM_CHUNK"`
 	AddressLifetime    time.Duration `help:"How long callers may keep an address handed out." default:"10s" env:"LAVENDERPIN_ADDRESS_LIFETIME"`
 	DrainTimeout       time.Duration `help:"Longest graceful stop." default:"5m" env:"LAVENDERPIN_DRAIN_TIMEOUT"`
@@ -47,8 +49,10 @@
 	settings.OperatorAddress = c.Operator
 	settings.PeerAddress = c.Peer
 	settings.HeartbeatInterval = c.Heartbeat
-	settings.SpendRight = c.SpendRight
 	settings.LeaseTerm = c.LeaseTerm
+	if err := c.setPolicy(&settings); err != nil {
+		return errors.Trace(err)
+	}
 	settings.ClaimChunk = c.ClaimChunk
 	settings.AddressLifetime = c.AddressLifetime
 	settings.TokenSecret = []byte(c.TokenSecret)
@@ -78,6 +82,19 @@
 	return d.Run(ctx)
 }
 
+func (c *serveCmd) setPolicy(settings *node.Settings) error {
+	policy, err := budget.PolicyNamed(c.BudgetPolicy)
+	if err != nil {
+		return errors.Trace(err)
+	}
+	settings.Policy = policy
+	settings.SpendRight = policy.SpendRight
+	if c.SpendRight > 0 {
+		settings.SpendRight = c.SpendRight
+	}
+	return nil
+}
+
 func (c *serveCmd) operatorTLS(keys *tlskeys.Store) *tls.Config {
 	if c.OperatorPlaintext {
 		return nil
--- a/node/drain.go
+++ b/node/drain.go
@@ -31,16 +31,16 @@
 	}
 }
 
-// handBack closes the node's own incarnation, which releases its shares. The
-// batch that carries it also carries all settlements that are left, in front.
+// handBack closes the node's own incarnation, which releases its shares. All that
+// it settled goes ahead, in batches of their own: entries of one batch come in front
+// of the settlements that join it, and the close would void those.
 func (n *Node) handBack(ctx context.Context) {
 	n.leases.ReleaseAll()
 	n.holder.RevokeRight()
-	if entries := n.settlements(); entries != nil {
-		if _, err := n.writer.Submit(entries[0]).Wait(ctx); err != nil {
-			return
-		}
+	if !n.flushAll(ctx) {
+		return
 	}
+	n.passOnWitnessed(ctx)
 	_, _ = n.writer.Submit(&recordv1.Entry{Body: &recordv1.Entry_Close{Close: &recordv1.IncarnationClose{
 		Incarnation: n.Incarnation(), Reason: "stopped",
 	}}}).Wait(ctx)
--- a/node/heartbeat.go
+++ b/node/heartbeat.go
@@ -23,7 +23,7 @@
 			return
 		case verdict := <-ticket.Done():
 			if verdict.Code == result.IncarnationClosed {
-				n.close()
+				n.close(ctx)
 				return
 			}
 			if !verdict.OK() {
--- a/node/node.go
+++ b/node/node.go
@@ -40,7 +40,7 @@
 	watchers   *watchers
 	ledger     *budget.Ledger
 	holder     *budget.Holder
-	reserver   *budget.Reserver
+	budgets    budgets
 	writer     *journal.Writer
 	follower   *journal.Follower
 	leaseTable *lease.Table
@@ -76,15 +76,15 @@
 	n.holder = budget.NewHolder(n.info.GetIncarnation(), deps.Clock)
 	n.writer = journal.NewWriter(deps.Log, settings.Stream, n.info.GetIncarnation(), deps.Clock, hlc, settings.Gather)
 	n.writer.AddSource(n.settlements)
-	n.reserver = budget.NewReserver(n.holder, n.ledger, n.writer, n.events, settings.ClaimChunk)
 	n.leaseTable = lease.NewTable()
 	n.leases = lease.NewKeeper(n.info.GetIncarnation(), settings.LeaseTerm, n.leaseTable, n.writer, deps.Clock, n.events)
 	n.claims = idempotency.NewClaims()
 	engine := fold.NewEngine(n.config, n.ledger, n.leaseTable, n.claims)
 	n.follower = journal.NewFollower(deps.Log, settings.Stream, deps.Clock, engine, n.folded)
 	n.members = membership.NewMembers(n.info, deps.Clock, deps.Peers, n.events, n.openNodes, n.view)
+	n.budgets = n.newBudgets()
 	n.requests = &request.Server{
-		Config: n.config.View, Reserver: n.reserver, Picker: &routing.LeastInFlight{},
+		Config: n.config.View, Reserver: n.budgets.reserver, Picker: &routing.LeastInFlight{},
 		Client: deps.Upstreams, Events: n.events, Clock: deps.Clock, Region: settings.Region,
 	}
 	n.nameRequests()
@@ -135,7 +135,7 @@
 	defer cancel()
 	n.events.Record(event.NodeStarting, "region", n.settings.Region, "data_centre", n.settings.DataCentre)
 	var wait sync.WaitGroup
-	for _, loop := range []func(context.Context){n.writer.Run, n.follower.Run, n.heartbeats, n.members.Run, n.leases.Run, n.flushSettlements, n.orders().Run} {
+	for _, loop := range []func(context.Context){n.writer.Run, n.follower.Run, n.heartbeats, n.members.Run, n.leases.Run, n.flushSettlements, n.orders().Run, n.budgets.run} {
 		wait.Go(func() { loop(ctx) })
 	}
 	defer wait.Wait()
@@ -152,7 +152,7 @@
 // folded is told of each batch in offset order, in the folding goroutine.
 func (n *Node) folded(_ uint64, batch *recordv1.Batch, verdicts []fold.Verdict) {
 	n.events.Clock().Observe(event.Stamp(batch.GetHlc()))
-	n.reserver.Folded(batch, verdicts)
+	n.budgets.folded(batch, verdicts)
 	n.recordFolded(batch, verdicts)
 	n.writer.Folded(batch, verdicts)
 }
@@ -190,10 +190,11 @@
 }
 
 // close ends the node after it learned that the log holds it closed.
-func (n *Node) close() {
+func (n *Node) close(ctx context.Context) {
 	n.holder.RevokeRight()
 	n.once.Do(func() {
 		n.fire(triggerClose)
+		n.settleClosed(ctx)
 		close(n.closed)
 	})
 }
--- a/node/peers.go
+++ b/node/peers.go
@@ -26,8 +26,10 @@
 	case *fleetv1.Request_StreamMove:
 		response = n.handleMove(body.StreamMove)
 	default:
-		response.Code = uint32(result.MalformedRequest)
-		response.Message = "this node doesn't know the request"
+		if !n.handleBudgets(r, response) {
+			response.Code = uint32(result.MalformedRequest)
+			response.Message = "this node doesn't know the request"
+		}
 	}
 	response.Hlc = uint64(n.events.Clock().Now())
 	return response
--- /dev/null
+++ b/node/recovery.go
@@ -0,0 +1,121 @@
+package node
+
+import (
+	"context"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/juju/errors"
+
+	operatorv1 "lavenderpin.dev/lavenderpin/api/operator/v1"
+	recordv1 "lavenderpin.dev/lavenderpin/api/record/v1"
+	"lavenderpin.dev/lavenderpin/recovery"
+	"lavenderpin.dev/lavenderpin/upstream"
+)
+
+const (
+	// closedFinish bounds how long a closed node waits for its requests to end and
+	// for what it knows to reach the log, before a new incarnation takes its place.
+	closedFinish = 2 * time.Minute
+	// closedLinger is how long a closed node goes on answering what it remembers for
+	// others: nodes cut off together are closed together, and each may be the other's
+	// witness.
+	closedLinger = 20 * time.Second
+	// engineTimeout bounds one question of recovery to an engine.
+	engineTimeout = 2 * time.Second
+)
+
+func (n *Node) newRecoverer(b budgets) *recovery.Recoverer {
+	return recovery.New(recovery.Config{
+		Incarnation: n.Incarnation(), Clock: n.deps.Clock, Ledger: n.ledger, Lender: b.lender, Journal: n.writer,
+		Caller: n.deps.Peers, Events: n.events, Watcher: b.watcher, Memory: b.memory, Teller: b.teller,
+		Engines: n.engines(), Suspect: n.isSuspect, LostAfter: n.settings.Policy.LostAfter,
+	})
+}
+
+func (n *Node) isSuspect(incarnation string) bool {
+	for _, member := range n.members.All() {
+		if member.Node.GetIncarnation() == incarnation {
+			return member.Suspect
+		}
+	}
+	return true
+}
+
+// settleClosed lets a closed node put into the log what it alone knows for sure:
+// what its requests used. It then releases its own shares, which ends the recovery
+// by others. Did it stop at once, others would settle from what they were told.
+func (n *Node) settleClosed(ctx context.Context) {
+	n.wait(ctx, func() bool { return n.holder.Open() == 0 && n.budgets.borrower.Parts() == 0 }, closedFinish)
+	finish, cancel := context.WithCancel(ctx)
+	defer cancel()
+	go func() {
+		n.wait(finish, func() bool { return false }, closedFinish)
+		cancel()
+	}()
+	if n.holder.Open() == 0 && n.flushAll(finish) {
+		_, _ = n.writer.Submit(&recordv1.Entry{Body: &recordv1.Entry_RecoveryDone{RecoveryDone: &recordv1.RecoveryDone{
+			Incarnation: n.Incarnation(),
+		}}}).Wait(finish)
+	}
+	n.wait(ctx, func() bool { return n.budgets.memory.Len() == 0 }, closedLinger)
+}
+
+// flushAll returns true once every settlement is folded.
+func (n *Node) flushAll(ctx context.Context) bool {
+	for {
+		entries := n.settlements()
+		if entries == nil {
+			return ctx.Err() == nil
+		}
+		if _, err := n.writer.Submit(entries[0]).Wait(ctx); err != nil {
+			return false
+		}
+	}
+}
+
+// engines adapts the upstream client to what recovery asks.
+func (n *Node) engines() recovery.Engines { return namedEngines{n} }
+
+type namedEngines struct{ node *Node }
+
+func (e namedEngines) find(name string) *operatorv1.Upstream {
+	for _, r := range e.node.Config().All() {
+		if u := r.GetResource().GetUpstream(); u.GetName() == name && u != nil {
+			return u
+		}
+	}
+	return nil
+}
+
+// Counts implements recovery.Engines.
+func (e namedEngines) Counts(name string) bool {
+	found := e.find(name)
+	if found == nil {
+		return false
+	}
+	service := e.node.Config().Service(found.GetService())
+	return service.GetKind() != operatorv1.ServiceKind_SERVICE_KIND_PLAIN
+}
+
+// Usage implements recovery.Engines.
+func (e namedEngines) Usage(ctx context.Context, name, request string) (upstream.UsageReport, error) {
+	found := e.find(name)
+	if found == nil {
+		return upstream.UsageReport{}, errors.NotFoundf("upstream %s", name)
+	}
+	ctx, cancel := clockwork.WithTimeout(ctx, e.node.deps.Clock, engineTimeout)
+	defer cancel()
+	return e.node.deps.Upstreams.Usage(ctx, found, request)
+}
+
+// Cancel implements recovery.Engines.
+func (e namedEngines) Cancel(ctx context.Context, name, request string) error {
+	found := e.find(name)
+	if found == nil {
+		return errors.NotFoundf("upstream %s", name)
+	}
+	ctx, cancel := clockwork.WithTimeout(ctx, e.node.deps.Clock, engineTimeout)
+	defer cancel()
+	return e.node.deps.Upstreams.Cancel(ctx, found, request)
+}
--- a/node/settings.go
+++ b/node/settings.go
@@ -7,6 +7,7 @@
 
 	"github.com/juju/errors"
 
+	"lavenderpin.dev/lavenderpin/budget"
 	"lavenderpin.dev/lavenderpin/signed"
 )
 
@@ -22,6 +23,8 @@
 	Stream string
 	// HeartbeatInterval is the time between two heartbeats in the log.
 	HeartbeatInterval time.Duration
+	// Policy weighs refusals against money out of use.
+	Policy budget.Policy
 	// SpendRight is how long the node may spend after its last heartbeat in the log.
 	SpendRight time.Duration
 	// LeaseTerm is how long a lease lasts without renewal.
@@ -48,8 +51,9 @@
 	return Settings{
 		Stream:            "fleet",
 		HeartbeatInterval: 5 * time.Second,
-		SpendRight:        30 * time.Minute,
 		LeaseTerm:         15 * time.Second,
+		Policy:            budget.Endurance,
+		SpendRight:        budget.Endurance.SpendRight,
 		Gather:            20 * time.Millisecond,
 		ClaimChunk:        20_000,
 		AddressLifetime:   10 * time.Second,
@@ -71,6 +75,7 @@
 	require(isIPPort(s.PeerAddress), "peer address isn't IP:port")
 	require(isIPPort(s.HTTPAddress), "HTTP address isn't IP:port")
 	require(isIPPort(s.OperatorAddress), "operator address isn't IP:port")
+	require(s.Policy.Name != "", "budget policy is empty")
 	require(s.HeartbeatInterval > 0, "heartbeat interval isn't positive")
 	require(s.SpendRight > 2*s.HeartbeatInterval, "spend right isn't above two heartbeat intervals")
 	require(s.LeaseTerm >= time.Second, "lease term is under a second")
--- /dev/null
+++ b/recovery/inquiry.go
@@ -0,0 +1,173 @@
+package recovery
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+
+	fleetv1 "lavenderpin.dev/lavenderpin/api/fleet/v1"
+	"lavenderpin.dev/lavenderpin/event"
+	"lavenderpin.dev/lavenderpin/result"
+)
+
+const (
+	queryTimeout = time.Second
+	// maxResolving bounds how many engines are asked at a time.
+	maxResolving = 32
+)
+
+// inquiry finds out about the requests billed to one incarnation: who was told of
+// them, and what each is billed.
+type inquiry struct {
+	r       *Recoverer
+	subject string
+	started time.Time
+	// silence is how long the subject had been silent when the inquiry began.
+	silence time.Duration
+
+	// unasked holds the peer addresses of nodes that may know something, by incarnation.
+	unasked map[string]string
+	// gone is set when a node that may have known something surely ended.
+	gone     bool
+	found    map[string]*fleetv1.OpenRequest
+	outcomes map[string]outcome
+}
+
+// newInquiry asks all nodes that were open at an offset of the log; a node that
+// opened later can't have been told.
+func (r *Recoverer) newInquiry(subject string, offset uint64) *inquiry {
+	q := &inquiry{
+		r: r, subject: subject, started: r.c.Clock.Now(), silence: r.c.Watcher.Silence(subject),
+		unasked: map[string]string{}, found: map[string]*fleetv1.OpenRequest{}, outcomes: map[string]outcome{},
+	}
+	for id, i := range r.c.Ledger.Incarnations() {
+		if id != subject && i.Opened < offset {
+			q.unasked[id] = i.Node.GetPeerAddress()
+		}
+	}
+	return q
+}
+
+func (q *inquiry) age() time.Duration { return q.r.c.Clock.Since(q.started) }
+
+// answered tells whether all nodes have answered that can.
+func (q *inquiry) answered() bool { return len(q.unasked) == 0 }
+
+// overdue tells whether the inquiry ends without the answers that are missing.
+func (q *inquiry) overdue() bool { return q.age() > q.r.c.LostAfter }
+
+// ask asks the nodes that haven't answered yet. An answer is final: the subject's
+// right has run out, so nothing that it tells anybody later is dispatched.
+func (q *inquiry) ask(ctx context.Context) {
+	var wait sync.WaitGroup
+	var mu sync.Mutex
+	for id, address := range q.unasked {
+		wait.Go(func() {
+			open, state := q.askOne(ctx, id, address)
+			mu.Lock()
+			defer mu.Unlock()
+			q.take(id, open, state)
+		})
+	}
+	wait.Wait()
+}
+
+type answerState int
+
+const (
+	noAnswer answerState = iota
+	answeredNow
+	nodeGone
+)
+
+func (q *inquiry) take(id string, open []*fleetv1.OpenRequest, state answerState) {
+	if state == noAnswer {
+		return
+	}
+	delete(q.unasked, id)
+	q.gone = q.gone || state == nodeGone
+	for _, o := range open {
+		if held := q.found[o.GetRequest()]; !held.GetFinished() {
+			q.found[o.GetRequest()] = o
+		}
+	}
+}
+
+func (q *inquiry) askOne(ctx context.Context, id, address string) ([]*fleetv1.OpenRequest, answerState) {
+	if id == q.r.c.Incarnation {
+		return q.r.Report(q.subject), answeredNow
+	}
+	held, known := q.r.c.Ledger.Incarnation(id)
+	if !known {
+		// It stopped gracefully, having passed on what it remembered, or was itself
+		// recovered, having been asked in its time.
+		return nil, answeredNow
+	}
+	if held.Replaced {
+		return nil, nodeGone
+	}
+	ctx, cancel := clockwork.WithTimeout(ctx, q.r.c.Clock, queryTimeout)
+	defer cancel()
+	response, err := q.r.c.Caller.Call(ctx, address, &fleetv1.Request{
+		From: q.r.c.Incarnation, Hlc: uint64(q.r.c.Events.Clock().Now()),
+		Body: &fleetv1.Request_WitnessQuery{WitnessQuery: &fleetv1.WitnessQuery{Incarnation: q.subject, Witness: id}},
+	})
+	switch {
+	case err != nil:
+		return nil, noAnswer
+	case result.Code(response.GetCode()) == result.IncarnationClosed:
+		return nil, nodeGone
+	case response.GetCode() != uint32(result.OK):
+		return nil, noAnswer
+	}
+	return response.GetWitnessReport().GetOpen(), answeredNow
+}
+
+// resolve decides on the requests found; true once all are decided.
+func (q *inquiry) resolve(ctx context.Context, wanted func(request string) bool) bool {
+	var wait sync.WaitGroup
+	var mu sync.Mutex
+	turns := make(chan struct{}, maxResolving)
+	waited := q.age()
+	if q.overdue() {
+		waited = max(waited, EngineWait)
+	}
+	for request, open := range q.found {
+		if q.outcomes[request].from != undecided || !wanted(request) {
+			continue
+		}
+		turns <- struct{}{}
+		wait.Go(func() {
+			defer func() { <-turns }()
+			decided := outcomeOf(ctx, q.r.c.Engines, open, waited)
+			mu.Lock()
+			defer mu.Unlock()
+			q.decide(request, open, decided)
+		})
+	}
+	wait.Wait()
+	for request := range q.found {
+		if q.outcomes[request].from == undecided && wanted(request) {
+			return false
+		}
+	}
+	return true
+}
+
+func (q *inquiry) decide(request string, open *fleetv1.OpenRequest, decided outcome) {
+	if decided.from == undecided {
+		return
+	}
+	q.outcomes[request] = decided
+	q.r.c.Events.Record(event.RequestRecovered, "request", request, "budget", open.GetBudget(),
+		"tokens", decided.tokens, "reserved", open.GetReserved(), "from", string(decided.from))
+}
+
+// lost tells whether what is left of the subject's shares may have been spent by
+// requests that nobody knows of any more. A subject that was heard in the log until
+// shortly before it ended had at most its last moments unsettled.
+func (q *inquiry) lost() bool {
+	return !q.answered() || q.gone && q.silence > unloggedTolerance
+}
--- /dev/null
+++ b/witness/memory.go
@@ -0,0 +1,175 @@
+package witness
+
+import (
+	"sync"
+
+	"google.golang.org/protobuf/proto"
+
+	fleetv1 "lavenderpin.dev/lavenderpin/api/fleet/v1"
+	recordv1 "lavenderpin.dev/lavenderpin/api/record/v1"
+	"lavenderpin.dev/lavenderpin/budget"
+	"lavenderpin.dev/lavenderpin/fold"
+	"lavenderpin.dev/lavenderpin/result"
+)
+
+// maxRemembered bounds what a node remembers for others, about 150 MB. A full
+// memory refuses, and the sender turns to another node.
+const maxRemembered = 500_000
+
+// Memory is what other nodes told this one of their open requests, by the
+// incarnation that a request is billed to. It is safe for concurrent use.
+type Memory struct {
+	mu      sync.Mutex
+	entries map[string]map[string]*fleetv1.OpenRequest
+	count   int
+}
+
+// NewMemory returns an empty memory.
+func NewMemory() *Memory {
+	return &Memory{entries: map[string]map[string]*fleetv1.OpenRequest{}}
+}
+
+// Remember takes in what a node said of its requests.
+func (m *Memory) Remember(said *fleetv1.Witness) error {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, request := range said.GetForget() {
+		m.forget(request)
+	}
+	if m.count+len(said.GetOpen()) > maxRemembered {
+		return result.New(result.NoWitness, "the witness's memory is full")
+	}
+	for _, open := range said.GetOpen() {
+		m.put(open)
+	}
+	return nil
+}
+
+// put keeps the first word that a request has finished: messages can overtake each
+// other, and an older "open" must not undo it.
+func (m *Memory) put(open *fleetv1.OpenRequest) {
+	id, ok := budget.ParseRequestID(open.GetRequest())
+	if !ok {
+		return
+	}
+	held := m.entries[id.Incarnation]
+	if held == nil {
+		held = map[string]*fleetv1.OpenRequest{}
+		m.entries[id.Incarnation] = held
+	}
+	before := held[open.GetRequest()]
+	if before == nil {
+		m.count++
+	}
+	if !before.GetFinished() {
+		held[open.GetRequest()] = open
+	}
+}
+
+func (m *Memory) forget(request string) {
+	id, ok := budget.ParseRequestID(request)
+	if !ok || m.entries[id.Incarnation][request] == nil {
+		return
+	}
+	delete(m.entries[id.Incarnation], request)
+	m.count--
+	if len(m.entries[id.Incarnation]) == 0 {
+		delete(m.entries, id.Incarnation)
+	}
+}
+
+// Report returns what is remembered of requests billed to an incarnation.
+func (m *Memory) Report(incarnation string) []*fleetv1.OpenRequest {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	var open []*fleetv1.OpenRequest
+	for _, held := range m.entries[incarnation] {
+		open = append(open, proto.CloneOf(held))
+	}
+	return open
+}
+
+// Incarnations returns for which incarnations something is remembered.
+func (m *Memory) Incarnations() []string {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	var all []string
+	for incarnation := range m.entries {
+		all = append(all, incarnation)
+	}
+	return all
+}
+
+// All returns everything that is remembered.
+func (m *Memory) All() []*fleetv1.OpenRequest {
+	var all []*fleetv1.OpenRequest
+	for _, incarnation := range m.Incarnations() {
+		all = append(all, m.Report(incarnation)...)
+	}
+	return all
+}
+
+// Len returns how many requests are remembered.
+func (m *Memory) Len() int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.count
+}
+
+// Folded forgets what the log shows to be settled.
+func (m *Memory) Folded(batch *recordv1.Batch, verdicts []fold.Verdict) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for i, verdict := range verdicts {
+		if !verdict.OK() {
+			continue
+		}
+		switch body := batch.GetEntries()[i].GetBody().(type) {
+		case *recordv1.Entry_Settlements:
+			for _, s := range body.Settlements.GetSettlements() {
+				m.forget(s.GetRequest())
+			}
+			if body.Settlements.GetIncarnation() == batch.GetWriter() {
+				m.forgetBelow(batch.GetWriter(), body.Settlements.GetOldestOpen())
+			}
+		case *recordv1.Entry_RecoveryDone:
+			m.forgetAll(body.RecoveryDone.GetIncarnation())
+		case *recordv1.Entry_Close:
+			if body.Close.GetIncarnation() == batch.GetWriter() {
+				m.forgetAll(batch.GetWriter())
+			}
+		}
+	}
+}
+
+// forgetBelow forgets requests that were billed nothing: they never show in the
+// log, except by the counter below which nothing is open.
+func (m *Memory) forgetBelow(incarnation string, oldestOpen uint64) {
+	for request := range m.entries[incarnation] {
+		if id, ok := budget.ParseRequestID(request); ok && id.Counter < oldestOpen {
+			m.forget(request)
+		}
+	}
+}
+
+// Counted notes what an engine says of a request whose node is silent, before the
+// engine forgets it.
+func (m *Memory) Counted(request string, used uint64) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	id, ok := budget.ParseRequestID(request)
+	if !ok {
+		return
+	}
+	if held := m.entries[id.Incarnation][request]; held != nil && !held.GetFinished() {
+		counted := proto.CloneOf(held)
+		counted.Finished = true
+		counted.Used = used
+		m.entries[id.Incarnation][request] = counted
+	}
+}
+
+func (m *Memory) forgetAll(incarnation string) {
+	m.count -= len(m.entries[incarnation])
+	delete(m.entries, incarnation)
+}
