--- a/budget/policy.go
+++ b/budget/policy.go
@@ -15,10 +15,16 @@
 	// the longest cut or outage that it rides out, and how long a crash freezes its
 	// shares before recovery begins.
 	SpendRight time.Duration
-	// Horizon is for how long ahead of its use a node holds tokens.
+	// Window is over which time use is averaged.
+	Window time.Duration
+	// Horizon is for how long ahead of its use a node holds tokens. They are what it
+	// can spend while the log is out of reach, and what its crash freezes.
 	Horizon time.Duration
 	// Idle is how long tokens beyond that stay before they are returned.
 	Idle time.Duration
+	// ReturnScarce makes nodes without use return what they hold of a budget that runs
+	// short. A crash then freezes less of it; in an outage the pool is out of reach.
+	ReturnScarce bool
 	// WitnessRequired refuses requests that no other node could be told of.
 	WitnessRequired bool
 	// LostAfter is how long recovery waits for nodes that may know what a closed
@@ -28,14 +34,14 @@
 
 // Endurance keeps serving through long cuts and outages: few false refusals.
 var Endurance = Policy{
-	Name: "endurance", SpendRight: 4 * time.Hour, Horizon: 10 * time.Minute, Idle: 30 * time.Minute,
+	Name: "endurance", SpendRight: 4 * time.Hour, Window: 5 * time.Minute, Horizon: 4 * time.Hour, Idle: 4 * time.Hour,
 	LostAfter: 24 * time.Hour,
 }
 
 // Thrift keeps little money frozen and spends nothing that only one node knows of.
 var Thrift = Policy{
-	Name: "thrift", SpendRight: 15 * time.Minute, Horizon: time.Minute, Idle: 5 * time.Minute,
-	WitnessRequired: true, LostAfter: 24 * time.Hour,
+	Name: "thrift", SpendRight: 15 * time.Minute, Window: time.Minute, Horizon: 2 * time.Minute, Idle: 5 * time.Minute,
+	ReturnScarce: true, WitnessRequired: true, LostAfter: 24 * time.Hour,
 }
 
 // Policies returns all policies by name.
--- a/budget/reserver.go
+++ b/budget/reserver.go
@@ -63,6 +63,8 @@
 	LogReachable func() bool
 	// Witness is told of each request before dispatch; nil tells nobody.
 	Witness Witness
+	// Stopped is closed when the node ends; nil means never.
+	Stopped <-chan struct{}
 }
 
 // Reserver covers requests: out of the node's share, else out of the pool, else by
@@ -150,8 +152,11 @@
 		ShareClaim: &recordv1.ShareClaim{Budget: budget, Tokens: tokens},
 	}})
 	go func() {
-		verdict := <-ticket.Done()
+		verdict, ok := r.verdict(ticket)
 		pending.err = verdict.Err()
+		if !ok {
+			pending.err = result.New(result.LogUnavailable, "the node has stopped")
+		}
 		r.mu.Lock()
 		delete(r.claims, budget)
 		r.mu.Unlock()
@@ -160,6 +165,16 @@
 	return pending
 }
 
+// verdict waits for the log; false when the node ends first.
+func (r *Reserver) verdict(ticket *journal.Ticket) (fold.Verdict, bool) {
+	select {
+	case verdict := <-ticket.Done():
+		return verdict, true
+	case <-r.c.Stopped:
+		return fold.Verdict{}, false
+	}
+}
+
 // borrow covers the request by the own share and by parts that peers reserve.
 func (r *Reserver) borrow(ctx context.Context, budget string, tokens uint64) (Grant, error) {
 	var try borrowTry
--- a/budget/sizer.go
+++ b/budget/sizer.go
@@ -136,7 +136,9 @@
 		r.c.Holder.Credit(budget, tokens)
 		return
 	}
-	r.moved(<-ticket.Done(), budget, tokens, done)
+	if verdict, ok := r.verdict(ticket); ok {
+		r.moved(verdict, budget, tokens, done)
+	}
 }
 
 func (r *Reserver) moved(verdict fold.Verdict, budget string, tokens uint64, done event.Number) {
--- a/budget/sizing.go
+++ b/budget/sizing.go
@@ -38,9 +38,9 @@
 
 // SizingState is what sizing remembers of one budget between two steps.
 type SizingState struct {
-	// Rate is the use in tokens per second, averaged over the horizon.
+	// Rate is the use in tokens per second, averaged over the window.
 	Rate float64
-	// Largest is the largest lack seen lately; it fades over the horizon.
+	// Largest is the largest lack seen lately; it fades over the window.
 	Largest float64
 
 	used        uint64
@@ -52,8 +52,9 @@
 //
 // The node holds what it uses in the policy's horizon. It claims when half of that
 // is gone and returns what is beyond twice that for longer than the policy's idle
-// time. While the budget is scarce it holds nothing ahead and returns what lies
-// idle: the last tokens are of use only where they can be claimed for a request.
+// time. While the budget is scarce it claims nothing ahead, as the last tokens are of
+// most use where they can be claimed for a request, and by some policies returns
+// what lies idle.
 func SizeShare(policy Policy, state *SizingState, seen BudgetDemand, now time.Time) SizingAction {
 	state.observe(policy, seen, now)
 	action := SizingAction{Budget: seen.Budget}
@@ -67,9 +68,9 @@
 		action.Claim = min(target-seen.Available, max(1, seen.Pool/claimPart))
 	case seen.Lacked > 0 && seen.Pool == 0 && !scarce:
 		action.Ask = max(target, seen.Lacked)
-	case scarce && state.Rate == 0 && seen.Lacked == 0:
+	case scarce && policy.ReturnScarce && state.Rate == 0 && seen.Lacked == 0:
 		action.Return = seen.Available
-	case seen.Available > 2*target+minClaim:
+	case !scarce && seen.Available > 2*target+minClaim:
 		if state.excessSince.IsZero() {
 			state.excessSince = now
 		}
@@ -89,12 +90,12 @@
 	}
 	elapsed := now.Sub(s.last).Seconds()
 	if elapsed > 0 {
-		keep := math.Exp(-elapsed / policy.Horizon.Seconds())
+		keep := math.Exp(-elapsed / policy.Window.Seconds())
 		s.Rate = s.Rate*keep + float64(seen.Used-s.used)/elapsed*(1-keep)
 		s.Largest *= keep
 	}
 	s.Largest = max(s.Largest, float64(seen.Lacked))
-	if s.Rate*policy.Horizon.Seconds() < 1 {
+	if s.Rate*policy.Window.Seconds() < 1 {
 		s.Rate = 0
 	}
 	if s.Largest < 1 {
--- a/node/budgets.go
+++ b/node/budgets.go
@@ -28,19 +28,22 @@
 	teller    *witness.Teller
 	watcher   *recovery.Watcher
 	recoverer *recovery.Recoverer
+	stopped   chan struct{}
 }
 
 func (n *Node) newBudgets() budgets {
 	b := budgets{
 		lender:   budget.NewLender(n.holder, n.ledger, n.events),
 		borrower: budget.NewBorrower(n.Incarnation(), n.deps.Clock, n.deps.Peers, n.ledger, n.events),
+		stopped:  make(chan struct{}),
 		memory:   witness.NewMemory(),
 		teller:   n.newTeller(),
-		watcher:  recovery.NewWatcher(n.Incarnation(), n.deps.Clock, n.ledger),
+		watcher:  recovery.NewWatcher(n.Incarnation(), n.deps.Clock, n.ledger, n.logReachable),
 	}
 	b.reserver = budget.NewReserver(budget.ReserverConfig{
 		Holder: n.holder, Ledger: n.ledger, Journal: n.writer, Events: n.events, Chunk: n.settings.ClaimChunk,
 		Borrower: b.borrower, Peers: n.budgetPeers, LogReachable: n.logReachable, Witness: b.teller,
+		Stopped: b.stopped,
 	})
 	b.sizer = budget.NewSizer(n.settings.Policy, b.reserver)
 	b.recoverer = n.newRecoverer(b)
@@ -53,6 +56,7 @@
 		wait.Go(func() { loop(ctx) })
 	}
 	wait.Wait()
+	close(b.stopped)
 }
 
 func (b *budgets) folded(batch *recordv1.Batch, verdicts []fold.Verdict) {
--- a/recovery/inquiry.go
+++ b/recovery/inquiry.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"maps"
 	"sync"
 	"time"
 
 	"github.com/jonboulle/clockwork"
+	"golang.org/x/sync/errgroup"
 
 	fleetv1 "lavenderpin.dev/lavenderpin/api/fleet/v1"
 	"lavenderpin.dev/lavenderpin/event"
@@ -63,7 +65,7 @@
 func (q *inquiry) ask(ctx context.Context) {
 	var wait sync.WaitGroup
 	var mu sync.Mutex
-	for id, address := range q.unasked {
+	for id, address := range maps.Clone(q.unasked) {
 		wait.Go(func() {
 			open, state := q.askOne(ctx, id, address)
 			mu.Lock()
@@ -127,33 +129,34 @@
 
 // resolve decides on the requests found; true once all are decided.
 func (q *inquiry) resolve(ctx context.Context, wanted func(request string) bool) bool {
-	var wait sync.WaitGroup
-	var mu sync.Mutex
-	turns := make(chan struct{}, maxResolving)
 	waited := q.age()
 	if q.overdue() {
 		waited = max(waited, EngineWait)
 	}
-	for request, open := range q.found {
-		if q.outcomes[request].from != undecided || !wanted(request) {
-			continue
-		}
-		turns <- struct{}{}
-		wait.Go(func() {
-			defer func() { <-turns }()
+	var group errgroup.Group
+	group.SetLimit(maxResolving)
+	var mu sync.Mutex
+	for _, open := range q.undecided(wanted) {
+		group.Go(func() error {
 			decided := outcomeOf(ctx, q.r.c.Engines, open, waited)
 			mu.Lock()
 			defer mu.Unlock()
-			q.decide(request, open, decided)
+			q.decide(open.GetRequest(), open, decided)
+			return nil
 		})
 	}
-	wait.Wait()
-	for request := range q.found {
+	_ = group.Wait()
+	return len(q.undecided(wanted)) == 0
+}
+
+func (q *inquiry) undecided(wanted func(request string) bool) []*fleetv1.OpenRequest {
+	var open []*fleetv1.OpenRequest
+	for request, o := range q.found {
 		if q.outcomes[request].from == undecided && wanted(request) {
-			return false
+			open = append(open, o)
 		}
 	}
-	return true
+	return open
 }
 
 func (q *inquiry) decide(request string, open *fleetv1.OpenRequest, decided outcome) {
--- a/recovery/recoverer.go
+++ b/recovery/recoverer.go
@@ -57,6 +57,7 @@
 	cases map[string]*recoveryCase
 	// orphans holds an inquiry for each borrower that is gone.
 	orphans map[string]*inquiry
+	closes  []*journal.Ticket
 }
 
 // recoveryCase is the recovery of one closed incarnation by this node.
@@ -89,15 +90,26 @@
 
 // Step does what is due now.
 func (r *Recoverer) Step(ctx context.Context) {
-	for _, due := range r.c.Watcher.Due() {
-		r.c.Events.Record(event.ClosingSilent, "incarnation", due.GetIncarnation(), "heartbeat", due.GetLastHeartbeat())
-		r.c.Journal.Submit(&recordv1.Entry{Body: &recordv1.Entry_Close{Close: due}})
-	}
+	r.closeSilent()
 	r.recoverClosed(ctx)
 	r.resolveOrphans(ctx)
 	r.countSilent(ctx)
 }
 
+// closeSilent asks the log to close silent incarnations. A close that hasn't left
+// this node by the next step is withdrawn: it would come out of an outage ahead of
+// the heartbeat that it waited for.
+func (r *Recoverer) closeSilent() {
+	for _, ticket := range r.closes {
+		ticket.Withdraw()
+	}
+	r.closes = nil
+	for _, due := range r.c.Watcher.Due() {
+		r.c.Events.Record(event.ClosingSilent, "incarnation", due.GetIncarnation(), "heartbeat", due.GetLastHeartbeat())
+		r.closes = append(r.closes, r.c.Journal.Submit(&recordv1.Entry{Body: &recordv1.Entry_Close{Close: due}}))
+	}
+}
+
 // Report returns what this node knows of requests billed to an incarnation: what
 // others told it, and the parts that it borrowed there itself.
 func (r *Recoverer) Report(incarnation string) []*fleetv1.OpenRequest {
--- a/recovery/watcher.go
+++ b/recovery/watcher.go
@@ -20,6 +20,10 @@
 	driftLeast = 2 * time.Second
 	// closeRepeat is the time after which a close that the log didn't take is asked again.
 	closeRepeat = 30 * time.Second
+	// logGrace is how long the log must have answered without a break before a node
+	// counts as silent. After an outage longer than the right, all nodes would
+	// otherwise close each other before their heartbeats come through.
+	logGrace = time.Minute
 )
 
 // Watcher notes when this node folded each incarnation's last heartbeat. It is
@@ -33,9 +37,13 @@
 	clock  clockwork.Clock
 	ledger *budget.Ledger
 	self   string
+	// reachable tells whether the log answers.
+	reachable func() bool
 
 	mu    sync.Mutex
 	heard map[string]heard
+	// answering is since when the log answers without a break; zero when it doesn't.
+	answering time.Time
 }
 
 type heard struct {
@@ -48,8 +56,8 @@
 }
 
 // NewWatcher returns a watcher for the node of an incarnation.
-func NewWatcher(self string, clock clockwork.Clock, ledger *budget.Ledger) *Watcher {
-	return &Watcher{self: self, clock: clock, ledger: ledger, heard: map[string]heard{}}
+func NewWatcher(self string, clock clockwork.Clock, ledger *budget.Ledger, reachable func() bool) *Watcher {
+	return &Watcher{self: self, clock: clock, ledger: ledger, reachable: reachable, heard: map[string]heard{}}
 }
 
 // Folded notes heartbeats; it must be called with each batch.
@@ -84,6 +92,9 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.keep(incarnations)
+	if !w.steady(now) {
+		return nil
+	}
 	var due []*recordv1.IncarnationClose
 	for id, i := range incarnations {
 		if id == w.self || i.Closed {
@@ -103,6 +114,18 @@
 	return due
 }
 
+// steady tells whether the log has answered for logGrace.
+func (w *Watcher) steady(now time.Time) bool {
+	if !w.reachable() {
+		w.answering = time.Time{}
+		return false
+	}
+	if w.answering.IsZero() {
+		w.answering = now
+	}
+	return now.Sub(w.answering) >= logGrace
+}
+
 // term is how long an incarnation is waited for after its last heartbeat was folded.
 func term(rightMS uint64) time.Duration {
 	right := time.Duration(rightMS) * time.Millisecond
