--- a/budget/sizing.go
+++ b/budget/sizing.go
@@ -65,7 +65,7 @@
 	}
 	switch {
 	case seen.Available < target/2 && seen.Pool > 0:
-		action.Claim = min(target-seen.Available, max(1, seen.Pool/claimPart))
+		action.Claim = claimSize(target-seen.Available, seen.Pool)
 	case seen.Lacked > 0 && seen.Pool == 0 && !scarce:
 		action.Ask = max(target, seen.Lacked)
 	case scarce && policy.ReturnScarce && state.Rate == 0 && seen.Lacked == 0:
@@ -83,6 +83,14 @@
 	return action
 }
 
+// claimSize leaves the pool's last tokens to requests, which claim what they need.
+func claimSize(wanted, pool uint64) uint64 {
+	if pool < claimPart*minClaim {
+		return 0
+	}
+	return min(wanted, pool/claimPart)
+}
+
 // observe updates the averages. Rates that have all but faded read as zero.
 func (s *SizingState) observe(policy Policy, seen BudgetDemand, now time.Time) {
 	if s.last.IsZero() {
--- a/node/testfleet_test.go
+++ b/node/testfleet_test.go
@@ -109,8 +109,8 @@
 
 func (f *testFleet) await(done func() bool) {
 	for started := time.Now(); !done(); time.Sleep(100 * time.Millisecond) {
-		if time.Since(started) > 72*time.Hour {
-			f.t.Fatal("waited three days in vain")
+		if time.Since(started) > 30*time.Hour {
+			f.t.Fatal("waited thirty hours in vain")
 		}
 	}
 }
--- a/recovery/inquiry.go
+++ b/recovery/inquiry.go
@@ -45,7 +45,8 @@
 		unasked: map[string]string{}, found: map[string]*fleetv1.OpenRequest{}, outcomes: map[string]outcome{},
 	}
 	for id, i := range r.c.Ledger.Incarnations() {
-		if id != subject && i.Opened < offset {
+		// A lender asks itself too: it may be the witness of the node that borrowed.
+		if (id != subject || id == r.c.Incarnation) && i.Opened < offset {
 			q.unasked[id] = i.Node.GetPeerAddress()
 		}
 	}
