--- /dev/null
+++ b/budget/right_test.go
@@ -0,0 +1,65 @@
+package budget
+
+import (
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/matryer/is"
+
+	"lavenderpin.dev/lavenderpin/result"
+)
+
+// suspendedClock is the clock of a machine whose monotonic time stood still while
+// it was suspended, or whose wall clock was set back.
+type suspendedClock struct {
+	*clockwork.FakeClock
+	missed, setBack time.Duration
+}
+
+func (c *suspendedClock) Since(t time.Time) time.Duration {
+	return c.FakeClock.Since(t) - c.missed
+}
+
+func (c *suspendedClock) Now() time.Time { return c.FakeClock.Now().Add(-c.setBack) }
+
+func newSuspendedHolder() (*Holder, *suspendedClock) {
+	clock := &suspendedClock{FakeClock: clockwork.NewFakeClock()}
+	h := NewHolder("n", clock)
+	h.ExtendRight(clock.Now().Add(time.Hour))
+	h.Credit("b", 100)
+	return h, clock
+}
+
+// An instance is suspended for two hours and resumed; its monotonic clock counted
+// none of it. The fleet has given its share to others, so spending it again would
+// put the account above its budget.
+func TestRightEndsWhileSuspended(t *testing.T) {
+	is := is.New(t)
+	h, clock := newSuspendedHolder()
+	clock.Advance(2 * time.Hour)
+	clock.missed = 2 * time.Hour
+	_, err := h.Reserve("b", 1)
+	is.Equal(result.CodeOf(err), result.SpendRightLapsed)
+}
+
+// Somebody sets the wall clock back by a day. The right must end all the same.
+func TestRightEndsThoughTheWallClockWasSetBack(t *testing.T) {
+	is := is.New(t)
+	h, clock := newSuspendedHolder()
+	clock.setBack = 24 * time.Hour
+	clock.Advance(2 * time.Hour)
+	_, err := h.Reserve("b", 1)
+	is.Equal(result.CodeOf(err), result.SpendRightLapsed)
+}
+
+// A node learns that it is closed, and then the verdict on an older heartbeat comes
+// in. That must not bring its right back.
+func TestRevokedRightStaysRevoked(t *testing.T) {
+	is := is.New(t)
+	h, clock := newSuspendedHolder()
+	h.RevokeRight()
+	h.ExtendRight(clock.Now().Add(2 * time.Hour))
+	_, err := h.Reserve("b", 1)
+	is.Equal(result.CodeOf(err), result.SpendRightLapsed)
+}
--- /dev/null
+++ b/witness/memory_test.go
@@ -0,0 +1,43 @@
+package witness
+
+import (
+	"testing"
+
+	"github.com/matryer/is"
+
+	fleetv1 "lavenderpin.dev/lavenderpin/api/fleet/v1"
+	recordv1 "lavenderpin.dev/lavenderpin/api/record/v1"
+	"lavenderpin.dev/lavenderpin/fold"
+)
+
+func openRequest(id string) *fleetv1.OpenRequest { return &fleetv1.OpenRequest{Request: id} }
+
+// A message that a request is open arrives after the one that it has finished. The
+// request must stay finished, or an engine that has forgotten it would be asked.
+func TestFinishedStaysFinished(t *testing.T) {
+	is := is.New(t)
+	m := NewMemory()
+	is.NoErr(m.Remember(&fleetv1.Witness{Open: []*fleetv1.OpenRequest{{Request: "n.1", Finished: true, Used: 7}}}))
+	is.NoErr(m.Remember(&fleetv1.Witness{Open: []*fleetv1.OpenRequest{openRequest("n.1")}}))
+	is.Equal(m.Report("n")[0].GetUsed(), uint64(7))
+}
+
+// A witness serves for months. What is settled, cancelled or released must leave its
+// memory, or it would refuse one day, and every node with it.
+func TestMemoryIsBounded(t *testing.T) {
+	is := is.New(t)
+	m := NewMemory()
+	is.NoErr(m.Remember(&fleetv1.Witness{Open: []*fleetv1.OpenRequest{
+		openRequest("n.1"), openRequest("n.2"), openRequest("n.3"), openRequest("n.4"), openRequest("o.1"),
+	}}))
+	settled := &recordv1.SettlementBatch{Incarnation: "n", OldestOpen: 3, Settlements: []*recordv1.Settlement{{Request: "n.3"}}}
+	m.Folded(&recordv1.Batch{Writer: "n", Entries: []*recordv1.Entry{
+		{Body: &recordv1.Entry_Settlements{Settlements: settled}},
+	}}, []fold.Verdict{{}})
+	is.Equal(m.Len(), 2) // n.4 and o.1
+	is.NoErr(m.Remember(&fleetv1.Witness{Forget: []string{"n.4"}}))
+	m.Folded(&recordv1.Batch{Writer: "n", Entries: []*recordv1.Entry{
+		{Body: &recordv1.Entry_RecoveryDone{RecoveryDone: &recordv1.RecoveryDone{Incarnation: "o"}}},
+	}}, []fold.Verdict{{}})
+	is.Equal(m.Len(), 0)
+}
