--- a/recovery/watcher.go
+++ b/recovery/watcher.go
@@ -92,9 +92,7 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.keep(incarnations)
-	if !w.steady(now) {
-		return nil
-	}
+	steady := w.steady(now)
 	var due []*recordv1.IncarnationClose
 	for id, i := range incarnations {
 		if id == w.self || i.Closed {
@@ -105,7 +103,7 @@
 			// Restored from a snapshot: the heartbeat was folded elsewhere, some time before.
 			h.number, h.at = i.Heartbeat, now
 		}
-		if now.Sub(h.at) > term(i.RightMS) && now.Sub(h.asked) > closeRepeat {
+		if steady && now.Sub(h.at) > term(i.RightMS) && now.Sub(h.asked) > closeRepeat {
 			h.asked = now
 			due = append(due, &recordv1.IncarnationClose{Incarnation: id, LastHeartbeat: h.number, Reason: "silent beyond its right to spend"})
 		}
