Refuse what neither another node nor the log would know of

A node cut off from all others and from the log could spend for its whole term what nobody learns of if it dies; recovery released its share after asking the others.

--- a/budget/policy.go
+++ b/budget/policy.go
@@ -25,7 +25,8 @@
 	// ReturnScarce makes nodes without use return what they hold of a budget that runs
 	// short. A crash then freezes less of it; in an outage the pool is out of reach.
 	ReturnScarce bool
-	// WitnessRequired refuses requests that no other node could be told of.
+	// WitnessRequired refuses requests that no other node could be told of, even while
+	// the log is in reach. Without the log they are always refused.
 	WitnessRequired bool
 	// LostAfter is how long recovery waits for nodes that may know what a closed
 	// incarnation spent, before it writes off the rest.
--- /dev/null
+++ b/node/twofaults_test.go
@@ -0,0 +1,85 @@
+package node
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"lavenderpin.dev/lavenderpin/result"
+)
+
+// The regions are cut apart for longer than the right lasts, and in the middle a
+// node crashes on the side without the log. The fleet closes the whole far side.
+// When the link is back, what the dead node spent is known only to a node that is
+// itself closed; it must tell before it is replaced, or the account is billed too
+// little and can spend the same tokens again.
+func TestCrashBehindACut(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := startFleet(t, testPolicy, near, near, far, far, far)
+		f.topUp(25_000)
+		f.drawFor(5*time.Minute, 0, 1, 2, 3, 4)
+		f.net.setCut(true)
+		f.drawFor(5*time.Minute, 0, 1, 2, 3, 4)
+		f.crash(2)
+		f.drawFor(time.Hour, 0, 1, 3, 4)
+		f.net.setCut(false)
+		for _, i := range []int{3, 4} {
+			<-f.nodes[i].done // closed, it ends once it has told what it knows
+			f.nodes[i] = f.start(i, far)
+		}
+		f.awaitReleased(0, 2)
+		f.awaitBilled(0)
+		is.Equal(f.checkLedger(0).Lost, uint64(0))
+		f.await(func() bool { return f.nodes[3].State() == StateServing })
+		is.NoErr(f.request(3, 100, 10))
+	})
+}
+
+// Every call of the store takes three seconds, for two hours, and answers get lost.
+// Requests must go on, nobody may be closed, and all must be billed in the end.
+func TestStoreSlowForHours(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := startFleet(t, testPolicy, near, near, far)
+		f.topUp(400_000)
+		f.drawFor(10*time.Minute, 0, 1, 2)
+		f.log.SetDelay(3 * time.Second)
+		f.log.LoseAnswers(40)
+		refused := f.drawFor(2*time.Hour, 0, 1, 2)
+		f.log.SetDelay(0)
+		is.Equal(refused[result.SpendRightLapsed], 0)
+		is.True(refused[result.BudgetUnreachable] <= 3) // the first requests, before the shares had grown
+		for _, n := range f.nodes {
+			is.Equal(n.State(), StateServing)
+		}
+		f.awaitBilled(0)
+	})
+}
+
+// A node is cut off from all others while it runs a request. It settles what it
+// knows once it is back, or the fleet has asked the engine before; either way the
+// request is billed once. A request that it could tell nobody of is refused: the
+// fleet would never learn of it if the node died.
+func TestNodeCutOffFromAll(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := startFleet(t, testPolicy, near, near, far)
+		f.topUp(50_000)
+		is.NoErr(f.request(1, 300, 100))
+		grant := f.dispatch(1)
+		address := f.nodes[1].settings.PeerAddress
+		f.net.silence(address)
+		time.Sleep(10 * time.Second)
+		f.engines.run(grant.Request().String(), 120)
+		grant.Finish(120)
+		is.Equal(result.CodeOf(f.request(1, 300, 120)), result.NoWitness)
+		f.await(func() bool { return !f.nodes[0].Ledger().IsOpen(f.nodes[1].Incarnation()) })
+		f.net.serve(address, near, f.nodes[1].Node)
+		f.awaitBilled(0)
+		<-f.nodes[1].done
+		is.Equal(f.nodes[1].State(), StateClosed)
+	})
+}
--- a/node/witness.go
+++ b/node/witness.go
@@ -13,7 +13,8 @@
 func (n *Node) newTeller() *witness.Teller {
 	return witness.NewTeller(witness.Config{
 		Incarnation: n.Incarnation(), Clock: n.deps.Clock, Caller: n.deps.Peers, Events: n.events,
-		Candidates: n.witnesses, Alone: n.alone, Required: n.settings.Policy.WitnessRequired,
+		Candidates: n.witnesses, Alone: n.alone,
+		LogReachable: n.logReachable, Required: n.settings.Policy.WitnessRequired,
 	})
 }
 
--- a/witness/teller.go
+++ b/witness/teller.go
@@ -49,7 +49,10 @@
 	// Alone tells whether the log holds no other node open. A fleet of one node has
 	// no witness and dispatches without.
 	Alone func() bool
-	// Required refuses to dispatch what nobody could be told of.
+	// LogReachable tells whether settlements reach the log at once.
+	LogReachable func() bool
+	// Required refuses to dispatch what nobody could be told of, even while the log is
+	// in reach.
 	Required bool
 }
 
@@ -82,7 +85,8 @@
 }
 
 // Tell implements budget.Witness. It fails with NoWitness when nobody could be told
-// and the policy requires that.
+// and the policy requires that, or the log is out of reach too: the node could then
+// spend for hours what the fleet would never learn of if it died.
 func (t *Teller) Tell(ctx context.Context, open ...*fleetv1.OpenRequest) error {
 	done := t.queue(open)
 	if t.c.Alone() {
@@ -91,7 +95,7 @@
 	if err := t.wait(ctx, done); err == nil {
 		return nil
 	}
-	if t.c.Required {
+	if t.c.Required || !t.c.LogReachable() {
 		return result.New(result.NoWitness, "no other node could be told of the request").After(retryInterval)
 	}
 	t.c.Events.Record(event.Unwitnessed, "request", open[0].GetRequest())
