--- a/internal/experiment/routing/policy.go
+++ b/internal/experiment/routing/policy.go
@@ -56,7 +56,6 @@
 			s := admission.DefaultSettings(slots)
 			s.WaitingShare = greedyWaitingShare
 			s.MaxWait = greedyMaxWait
-			s.StandingWait = greedyMaxWait
 			return s
 		}}
 }
--- a/node/heartbeat.go
+++ b/node/heartbeat.go
@@ -22,7 +22,7 @@
 			return
 		case verdict := <-ticket.Done():
 			if !n.opened(verdict) {
-				n.close()
+				n.close(ctx)
 				return
 			}
 			if !verdict.OK() {
--- a/node/node.go
+++ b/node/node.go
@@ -41,7 +41,7 @@
 	watchers   *watchers
 	ledger     *budget.Ledger
 	holder     *budget.Holder
-	reserver   *budget.Reserver
+	budgets    budgets
 	writer     *journal.Writer
 	follower   *journal.Follower
 	leaseTable *lease.Table
@@ -54,10 +54,13 @@
 	claims     *idempotency.Claims
 	metrics    *expvar.Map
 
-	closed  chan struct{}
-	once    sync.Once
-	drained chan struct{}
-	drains  sync.Once
+	closed chan struct{}
+	// outrun is closed when the state was restored under a node that served.
+	outrun     chan struct{}
+	outrunOnce sync.Once
+	once       sync.Once
+	drained    chan struct{}
+	drains     sync.Once
 }
 
 // New assembles a node; Run brings it to life.
@@ -65,7 +68,7 @@
 	if err := settings.Validate(); err != nil {
 		return nil, errors.Trace(err)
 	}
-	n := &Node{settings: settings, deps: deps, watchers: newWatchers(), closed: make(chan struct{}), drained: make(chan struct{})}
+	n := &Node{settings: settings, deps: deps, watchers: newWatchers(), closed: make(chan struct{}), outrun: make(chan struct{}), drained: make(chan struct{})}
 	n.info = &recordv1.NodeInfo{
 		Incarnation:     deps.NewIncarnation(),
 		PeerAddress:     settings.PeerAddress,
@@ -82,15 +85,15 @@
 	n.holder = budget.NewHolder(n.info.GetIncarnation(), deps.Clock)
 	n.writer = journal.NewWriter(deps.Log, settings.Stream, n.info.GetIncarnation(), deps.Clock, hlc, settings.Gather)
 	n.writer.AddSource(n.settlements)
-	n.reserver = budget.NewReserver(n.holder, n.ledger, n.writer, n.events, settings.ClaimChunk)
 	n.leaseTable = lease.NewTable()
 	n.leases = lease.NewKeeper(n.info.GetIncarnation(), settings.LeaseTerm, n.leaseTable, n.writer, deps.Clock, n.events)
 	n.claims = idempotency.NewClaims(idempotency.DefaultLimits())
 	engine := fold.NewEngine(n.config, n.ledger, n.leaseTable, n.claims)
 	n.newMembership()
 	n.newFollower(engine)
+	n.budgets = n.newBudgets()
 	n.requests = &request.Server{
-		Config: n.config.View, Reserver: n.reserver, Picker: &routing.LeastInFlight{},
+		Config: n.config.View, Reserver: n.budgets.reserver, Picker: &routing.LeastInFlight{},
 		Client: deps.Upstreams, Events: n.events, Clock: deps.Clock, Region: settings.Region,
 		Staying: n.staying,
 	}
@@ -146,7 +149,7 @@
 	n.events.Record(event.NodeStarting, "region", n.settings.Region, "data_centre", n.settings.DataCentre)
 	var wait sync.WaitGroup
 	for _, loop := range []func(context.Context){n.writer.Run, n.follower.Run, n.heartbeats, n.members.Run, n.leases.Run, n.flushSettlements, n.orders().Run,
-		n.instances.Run, n.writeSnapshots, n.followDrainOrder, n.serveWithoutLog} {
+		n.instances.Run, n.writeSnapshots, n.followDrainOrder, n.serveWithoutLog, n.budgets.run} {
 		wait.Go(func() { loop(ctx) })
 	}
 	defer wait.Wait()
@@ -155,6 +158,9 @@
 	select {
 	case <-ctx.Done():
 		return nil
+	case <-n.outrun:
+		n.close(ctx)
+		return ErrClosed
 	case <-n.closed:
 		return ErrClosed
 	}
@@ -164,7 +170,7 @@
 func (n *Node) folded(_ uint64, batch *recordv1.Batch, verdicts []fold.Verdict) {
 	n.snapshots.Folded(batch, proto.Size(batch))
 	n.events.Clock().Observe(event.Stamp(batch.GetHlc()))
-	n.reserver.Folded(batch, verdicts)
+	n.budgets.folded(batch, verdicts)
 	n.recordFolded(batch, verdicts)
 	n.writer.Folded(batch, verdicts)
 }
@@ -206,14 +212,16 @@
 }
 
 // close ends the node after it learned that the log holds it closed. One that
-// handed itself back has ended already.
-func (n *Node) close() {
+// handed itself back has ended already. It waits for the log, so it must not be
+// called in the folding goroutine.
+func (n *Node) close(ctx context.Context) {
 	if n.State() == StateStopped {
 		return
 	}
 	n.holder.RevokeRight()
 	n.once.Do(func() {
 		n.fire(triggerClose)
+		n.settleClosed(ctx)
 		close(n.closed)
 	})
 }
--- a/node/relay.go
+++ b/node/relay.go
@@ -70,7 +70,8 @@
 	n.events.Record(event.StateRestored, "offset", offset)
 	n.snapshots.Restored(offset)
 	if n.State() != StateStarting {
-		n.close()
+		n.holder.RevokeRight()
+		n.outrunOnce.Do(func() { close(n.outrun) })
 		return
 	}
 	n.writer.Restored(n.follower.LastSeq(n.Incarnation()))
--- a/request/bench_test.go
+++ b/request/bench_test.go
@@ -20,6 +20,7 @@
 	"lavenderpin.dev/lavenderpin/event"
 	"lavenderpin.dev/lavenderpin/fold"
 	"lavenderpin.dev/lavenderpin/internal/standin"
+	"lavenderpin.dev/lavenderpin/result"
 	"lavenderpin.dev/lavenderpin/routing"
 	"lavenderpin.dev/lavenderpin/signed"
 	"lavenderpin.dev/lavenderpin/upstream"
@@ -119,9 +120,26 @@
 	if err != nil {
 		return nil, err
 	}
-	return reservation, nil
+	return holderGrant{reservation, h.holder}, nil
 }
 
+// holderGrant is a grant out of the node's own share, without a witness.
+type holderGrant struct {
+	*budget.Reservation
+	holder *budget.Holder
+}
+
+func (g holderGrant) Request() budget.RequestID { return g.ID }
+
+func (g holderGrant) Dispatch(context.Context, string) error {
+	if g.holder.RightLeft() <= 0 {
+		return result.New(result.SpendRightLapsed, "the right to spend has lapsed")
+	}
+	return nil
+}
+
+func (g holderGrant) Progress(uint64) {}
+
 // inOrder picks the first upstream by name that wasn't tried.
 type inOrder struct{}
 
