--- a/budget/policy.go
+++ b/budget/policy.go
@@ -35,7 +35,7 @@
 
 // Endurance keeps serving through long cuts and outages: few false refusals.
 var Endurance = Policy{
-	Name: "endurance", SpendRight: 4 * time.Hour, Window: 5 * time.Minute, Horizon: 4 * time.Hour, Idle: 4 * time.Hour,
+	Name: "endurance", SpendRight: 2 * time.Hour, Window: 5 * time.Minute, Horizon: 2 * time.Hour, Idle: 2 * time.Hour,
 	LostAfter: 24 * time.Hour,
 }
 
--- a/cmd/lavenderbench/experiment.go
+++ b/cmd/lavenderbench/experiment.go
@@ -11,6 +11,7 @@
 
 type experimentCmd struct {
 	Routing routingCmd `cmd:"" help:"Upstream choice and admission, side by side with baselines."`
+	Budgets budgetsCmd `cmd:"" help:"Ways of holding prepaid budgets, side by side with baselines."`
 }
 
 type routingCmd struct {
