--- a/node/metrics.go
+++ b/node/metrics.go
@@ -12,6 +12,9 @@
 	m.Set("log_appends", expvar.Func(func() any { return n.writer.Appends() }))
 	m.Set("spend_right_left_ms", expvar.Func(func() any { return n.holder.RightLeft().Milliseconds() }))
 	m.Set("open_reservations", expvar.Func(func() any { return n.holder.Open() }))
+	m.Set("unsettled", expvar.Func(func() any { return n.holder.Unsettled() }))
+	m.Set("witnessed_for_others", expvar.Func(func() any { return n.budgets.memory.Len() }))
+	m.Set("parts_borrowed", expvar.Func(func() any { return n.budgets.borrower.Parts() }))
 	m.Set("excess_tokens", expvar.Func(func() any { return n.ledger.Excess() }))
 	return m
 }
