--- a/budget/reserver.go
+++ b/budget/reserver.go
@@ -65,6 +65,8 @@
 	Witness Witness
 	// Stopped is closed when the node ends; nil means never.
 	Stopped <-chan struct{}
+	// Jitter returns a random duration below d; nil takes the program's source.
+	Jitter func(d time.Duration) time.Duration
 }
 
 // Reserver covers requests: out of the node's share, else out of the pool, else by
@@ -91,6 +93,9 @@
 	if config.Peers == nil {
 		config.Peers = func() []Peer { return nil }
 	}
+	if config.Jitter == nil {
+		config.Jitter = rand.N[time.Duration]
+	}
 	return &Reserver{c: config, claims: map[string]*pendingClaim{}}
 }
 
@@ -201,7 +206,7 @@
 func (r *Reserver) pause(ctx context.Context) {
 	select {
 	case <-ctx.Done():
-	case <-r.c.Holder.clock.After(borrowPause + rand.N(borrowPause)):
+	case <-r.c.Holder.clock.After(borrowPause + r.c.Jitter(borrowPause)):
 	}
 }
 
