--- a/httpapi/server_test.go
+++ b/httpapi/server_test.go
@@ -259,3 +259,35 @@
 	}
 	return strings.Join(lines, "\n")
 }
+
+func TestNamedCompletionOutlivesItsCaller(t *testing.T) {
+	// A program on a bad line loses its connection within a summary and asks again at
+	// another node. The summary must have gone on, be whole, and be billed once.
+	is := is.New(t)
+	fleet := startFleet(t, devfleet.Options{Engine: standin.EngineOptions{TokenTime: 5 * time.Millisecond}})
+	body := `{"model":"` + devfleet.Model + `","stream":true,"messages":[{"role":"user","content":"a b c d e f g h i j k l m n o p q r s t"}]}`
+	caller, err := net.Dial("tcp", address(fleet, 0))
+	is.NoErr(err)
+	r, err := http.NewRequest("POST", "http://"+address(fleet, 0)+chatPath, strings.NewReader(body))
+	is.NoErr(err)
+	r.Header.Set("Authorization", "Bearer "+devfleet.AccountKey)
+	r.Header.Set("Idempotency-Key", "summary-2")
+	is.NoErr(r.Write(caller))
+	reader := bufio.NewReader(caller)
+	for {
+		line, err := reader.ReadString('\n')
+		is.NoErr(err)
+		if strings.HasPrefix(line, "data:") {
+			break
+		}
+	}
+	is.NoErr(caller.Close())
+	again := send(t, "POST", "http://"+address(fleet, 2)+chatPath, map[string]string{"Idempotency-Key": "summary-2"}, body)
+	is.Equal(again.status, 200)
+	is.Equal(len(strings.Split(dataOf(again.body), "\n")), 23)
+	is.Equal(len(fleet.Engines[0].Served()), 1)
+	for fleet.Daemons[0].Node().Ledger().Budget("dev-budget").Spent == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	is.Equal(fleet.Daemons[0].Node().Ledger().Budget("dev-budget").Spent, uint64(40))
+}
