--- a/request/admission.go
+++ b/request/admission.go
@@ -3,13 +3,9 @@
 import (
 	"context"
 
-	operatorv1 "lavenderpin.dev/lavenderpin/api/operator/v1"
 	"lavenderpin.dev/lavenderpin/routing"
 )
 
-// bytesPerToken is a rough size of a token in a prompt, for estimates alone.
-const bytesPerToken = 4
-
 // Admission decides whether and when a request runs; admission.Controller is one. It
 // fails with Overloaded and a time to come back, or with ctx's end.
 type Admission interface {
@@ -29,11 +25,3 @@
 	}
 	return release, err
 }
-
-// askOf describes a request of an account to admission and routing.
-func (s *Server) askOf(ctx context.Context, account *operatorv1.Account, service *operatorv1.Service) routing.Ask {
-	ask := routing.Ask{Service: service.GetName(), Region: s.Region,
-		Account: account.GetName(), Team: account.GetTeam(), Weight: account.GetWeight()}
-	ask.Deadline, _ = ctx.Deadline()
-	return ask
-}
--- a/request/chatrun.go
+++ b/request/chatrun.go
@@ -22,7 +22,6 @@
 	account *operatorv1.Account
 	service *operatorv1.Service
 	model   string
-	ask     routing.Ask
 	body    []byte
 	grant   budget.Grant
 	sink    Sink
@@ -30,10 +29,11 @@
 
 	started bool
 	usage   upstream.Usage
+	// prompt is what the picker needs to know of the prompt.
+	prompt routing.Ask
+	pick   routing.Pick
 	// to is the upstream that runs the completion now; nil before the first.
 	to *operatorv1.Upstream
-	// firstToken tells routing that the upstream has begun to answer; nil once told.
-	firstToken func()
 	// passed holds a hash of each chunk that reached the caller, by its number.
 	passed []uint64
 	// delivered counts the chunks with content among them.
@@ -85,26 +85,31 @@
 
 // attempts tries engines until one answers whole.
 func (r *chatRun) attempts(ctx context.Context) error {
-	r.ask.Tried = map[string]bool{}
+	tried := map[string]bool{}
 	pause := newPause()
 	var last error
 	for n := range maxAttempts {
 		if n > 0 && !r.server.mayRetry(ctx, r.grant.Request().String(), pause) {
 			return last
 		}
-		pick, err := r.server.Picker.Pick(r.ask, r.server.upstreams(r.service.GetName()))
+		pick, err := r.server.Picker.Pick(r.ask(tried), r.server.upstreams(r.service.GetName()))
 		if err != nil {
 			return firstError(last, err)
 		}
-		last = r.attempt(ctx, pick)
-		if last != nil && ctx.Err() != nil {
-			last = result.New(result.CallerGone, "the request was given up")
+		r.pick = pick
+		err = r.attempt(ctx, pick.Upstream)
+		if err != nil && ctx.Err() != nil {
+			err = result.New(result.CallerGone, "the request was given up")
 		}
-		pick.Done(last)
-		if last == nil || !worthAnother(last) {
+		pick.Done(err)
+		if err == nil {
+			return nil
+		}
+		last = ofBoth(last, err)
+		if !worthAnother(err) {
 			return last
 		}
-		r.ask.Tried[pick.Upstream.GetName()] = true
+		tried[pick.Upstream.GetName()] = true
 		go r.cancel(pick.Upstream)
 	}
 	return last
@@ -121,13 +126,13 @@
 
 // attempt lets one engine answer. When its stream breaks off, the engine is asked
 // for the rest first: that costs it nothing, while another would start anew.
-func (r *chatRun) attempt(ctx context.Context, pick routing.Pick) error {
-	id, to := r.grant.Request(), pick.Upstream
+func (r *chatRun) attempt(ctx context.Context, to *operatorv1.Upstream) error {
+	id := r.grant.Request()
 	if err := r.grant.Dispatch(ctx, to.GetName()); err != nil {
 		return err
 	}
 	r.server.Events.Record(event.RequestDispatched, "request", id, "upstream", to.GetName())
-	r.begin(pick)
+	r.begin(to)
 	stream, err := r.server.Client.Chat(ctx, to, upstream.ChatRequest{ID: id.String(), Body: r.body})
 	if err != nil {
 		return err
@@ -169,8 +174,7 @@
 
 // begin prepares for the answer of an engine. An answer that hasn't reached the
 // caller yet begins anew; one that has is matched against what it got.
-func (r *chatRun) begin(pick routing.Pick) {
-	to := pick.Upstream
+func (r *chatRun) begin(to *operatorv1.Upstream) {
 	if r.started && !r.sink.Streams() {
 		r.sink.Restart()
 		r.passed = r.passed[:0]
@@ -179,7 +183,7 @@
 	if len(r.passed) > 0 {
 		r.server.Events.Record(event.AnswerRerun, "request", r.grant.Request(), "upstream", to.GetName(), "matched", len(r.passed))
 	}
-	r.to, r.firstToken = to, pick.FirstToken
+	r.to = to
 	r.cursors = cursorMaker{signer: r.server.Cursors, cursor: fleetv1.StreamCursor{
 		Request: r.grant.Request().String(), PeerAddress: r.server.PeerAddress,
 		Service: r.service.GetName(), Upstream: to.GetName(), Account: r.account.GetName(), Kept: r.kept(),
@@ -199,6 +203,7 @@
 			r.server.Events.Record(event.AnswerRejected, "request", r.grant.Request(), "upstream", r.to.GetName(), "why", err)
 			return position, err
 		}
+		r.pick.FirstToken()
 		chunk.Number = position
 		if err := r.take(ctx, chunk); err != nil {
 			return position, err
@@ -224,10 +229,6 @@
 	if ctx.Err() != nil {
 		return result.New(result.CallerGone, "the request was given up")
 	}
-	if r.firstToken != nil {
-		r.firstToken()
-		r.firstToken = nil
-	}
 	if chunk.Usage != nil {
 		r.usage = *chunk.Usage
 	}
--- a/request/pass_bench_test.go
+++ b/request/pass_bench_test.go
@@ -5,7 +5,6 @@
 	"testing"
 
 	"lavenderpin.dev/lavenderpin/internal/standin"
-	"lavenderpin.dev/lavenderpin/routing"
 	"lavenderpin.dev/lavenderpin/upstream"
 )
 
@@ -24,7 +23,7 @@
 	}
 	run := &chatRun{server: n.Server, account: s.config.View().Account("account"), service: s.config.View().Service("chat"),
 		grant: grant, sink: &discard{testSink{stream: true}}}
-	run.begin(routing.Pick{Upstream: s.config.View().Upstreams("chat")[0]})
+	run.begin(s.config.View().Upstreams("chat")[0])
 	words := make([]string, 256)
 	for i := range words {
 		words[i] = fmt.Sprint("word", i)
--- a/request/stream_test.go
+++ b/request/stream_test.go
@@ -260,3 +260,32 @@
 	is.Equal(n.settled(t), uint64(0))
 	is.Equal(n.InFlight(), int64(0))
 }
+
+func TestRefusalIsTrueOfAllAttempts(t *testing.T) {
+	// The first engine takes a request and hangs up, the second can't be reached. Told
+	// "not run" for the second's sake, a caller would think that nobody worked on it.
+	is := is.New(t)
+	s := newSite(t)
+	hangsUp, closed := s.listen(), s.listen()
+	is.NoErr(closed.Close())
+	t.Cleanup(func() { _ = hangsUp.Close() })
+	go func() {
+		for {
+			conn, err := hangsUp.Accept()
+			if err != nil {
+				return
+			}
+			_, _ = conn.Read(make([]byte, 1))
+			_ = conn.Close()
+		}
+	}()
+	s.declareUpstream("engine-0", "chat", hangsUp.Addr().String())
+	s.declareUpstream("engine-1", "chat", closed.Addr().String())
+	s.apply()
+	n := s.newServer("a")
+	body, _ := prompt(3)
+	err := n.Chat(context.Background(), chatCall(body), &testSink{})
+	is.Equal(result.CodeOf(err), result.UpstreamFailed)
+	is.True(!result.From(err).NotRun())
+	is.Equal(n.settled(t), uint64(0))
+}
