--- a/httpapi/error.go
+++ b/httpapi/error.go
@@ -3,6 +3,7 @@
 import (
 	"math"
 	"strconv"
+	"time"
 
 	"github.com/cloudwego/hertz/pkg/app"
 
@@ -28,19 +29,29 @@
 	info := known.Code.Info()
 	return errorAnswer{errorBody{
 		Code: uint32(known.Code), Name: info.Name, Message: known.Message, NotRun: known.NotRun(),
-		Retry: info.Retry, RetryAfterMS: known.RetryAfter.Milliseconds(),
+		Retry: info.Retry, RetryAfterMS: retryAfter(known).Milliseconds(),
 	}}
 }
 
-// defaultRetrySeconds is sent where a retry can help and nothing better is known.
-const defaultRetrySeconds = 1
+// defaultRetry is sent where a retry can help and nothing better is known.
+const defaultRetry = time.Second
+
+// retryAfter returns when to come back; zero where a retry can't help.
+func retryAfter(err *result.Error) time.Duration {
+	if !err.Code.Info().Retry {
+		return 0
+	}
+	if err.RetryAfter <= 0 {
+		return defaultRetry
+	}
+	return err.RetryAfter
+}
 
 func writeError(c *app.RequestContext, err error) {
 	known := result.From(err)
 	info := known.Code.Info()
-	if info.Retry {
-		seconds := max(defaultRetrySeconds, int(math.Ceil(known.RetryAfter.Seconds())))
-		c.Header("Retry-After", strconv.Itoa(seconds))
+	if wait := retryAfter(known); wait > 0 {
+		c.Header("Retry-After", strconv.Itoa(int(math.Ceil(wait.Seconds()))))
 	}
 	c.JSON(info.HTTP, toErrorAnswer(err))
 }
--- a/request/bench_test.go
+++ b/request/bench_test.go
@@ -30,7 +30,7 @@
 	testKey    = "key"
 	otherKey   = "other-key"
 	testModel  = "model"
-	testTokens = 100_000
+	testTokens = 1_000_000
 )
 
 // site is engines and plain services with a configuration that declares them.
--- a/request/stream_test.go
+++ b/request/stream_test.go
@@ -6,6 +6,7 @@
 	"testing"
 	"time"
 
+	"github.com/jonboulle/clockwork"
 	"github.com/matryer/is"
 
 	"lavenderpin.dev/lavenderpin/internal/standin"
@@ -194,6 +195,9 @@
 		is.Equal(result.CodeOf(err), result.InvalidCursor)
 	}
 	is.NoErr(n.ResumeChat(context.Background(), ResumeCall{Key: testKey, Cursor: good}, &testSink{stream: true}))
+	n.Clock = clockwork.NewFakeClockAt(time.Now().Add(2 * cursorLifetime))
+	err = n.ResumeChat(context.Background(), ResumeCall{Key: testKey, Cursor: good}, &testSink{stream: true})
+	is.Equal(result.CodeOf(err), result.InvalidCursor)
 }
 
 func TestEngineForgotTheStream(t *testing.T) {
