Leave nothing behind for claims withdrawn in an outage

Cause: a withdrawn claim gets no verdict, and its goroutine waited for one until the node ended. TestOutageLeavesNothingBehind fails without the change (200 goroutines).

--- a/idempotency/runner.go
+++ b/idempotency/runner.go
@@ -111,7 +111,7 @@
 		CallClaim: &recordv1.CallClaim{Account: call.ID.Account, Key: call.ID.Key, Digest: call.Digest[:]},
 	}})
 	r.held[call.ID] = held
-	go r.awaitClaim(held)
+	go r.awaitClaim(held, held.changed)
 	return held, nil
 }
 
@@ -119,11 +119,14 @@
 	return result.New(result.KeyReused, "key %q was used with another request", key)
 }
 
-// awaitClaim takes the verdict on a claim, however late the log shows it.
-func (r *Runner) awaitClaim(held *heldCall) {
+// awaitClaim takes the verdict on a claim, however late the log shows it. A claim that
+// was withdrawn gets none; waited for, each call of a long outage would leave a
+// goroutine behind.
+func (r *Runner) awaitClaim(held *heldCall, withdrawn <-chan struct{}) {
 	select {
 	case verdict := <-held.claim.Done():
 		r.claimed(held, verdict)
+	case <-withdrawn:
 	case <-r.stopped:
 	}
 }
--- a/idempotency/runner_test.go
+++ b/idempotency/runner_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"fmt"
+	"runtime"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -235,3 +237,24 @@
 		is.Equal(f.service.count("one"), 1)
 	})
 }
+
+func TestOutageLeavesNothingBehind(t *testing.T) {
+	// Callers keep sending keys through hours of an outage. Each leaves again; were its
+	// claim held on to, the node would run out of memory before the log is back.
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newTestFleet("a")
+		defer f.stop()
+		f.log.SetDown(true)
+		_, err := f.node("a").call(context.Background(), "first") // its claim is on its way
+		is.Equal(result.CodeOf(err), result.KeyNotClaimed)
+		before := runtime.NumGoroutine()
+		for i := range 200 {
+			_, err := f.node("a").call(context.Background(), fmt.Sprint(i))
+			is.Equal(result.CodeOf(err), result.KeyNotClaimed)
+		}
+		synctest.Wait()
+		is.True(runtime.NumGoroutine() < before+50)
+		is.Equal(len(f.node("a").runner.held), 1)
+	})
+}
