Give a silent engine up after one silence

Cause: a stream that timed out was read on at the same engine, which hangs, three times: four silences of 30 s before another engine was asked. Change: silence has a code of its own (UpstreamSilent, 4012), after which another engine runs the request; a resumed reader is told so by number. TestEngineGoesSilent: the silent engine isn't asked for the rest.

--- a/internal/standin/engine.go
+++ b/internal/standin/engine.go
@@ -33,15 +33,21 @@
 	Swap int
 	// Forget makes the engine keep no stream for readers that come later.
 	Forget bool
+	// HangAfter makes the engine go silent after so many tokens; 0 never.
+	HangAfter int
 	// Vary puts this text before each word, so that engines answer differently.
 	Vary string
 }
 
+// hangPoll is how often a hanging engine looks whether it was cancelled.
+const hangPoll = time.Millisecond
+
 // Engine is a stand-in model engine: it echoes the prompt's words.
 type Engine struct {
 	options   EngineOptions
 	server    *server.Hertz
 	requests  atomic.Int64
+	resumed   atomic.Int64
 	mu        sync.Mutex
 	cancelled map[string]bool
 	served    map[string]int
@@ -90,6 +96,9 @@
 	return served
 }
 
+// Resumed returns how often the engine was asked for the rest of a stream.
+func (e *Engine) Resumed() int64 { return e.resumed.Load() }
+
 type engineRequest struct {
 	Model     string `json:"model"`
 	MaxTokens int    `json:"max_tokens"`
@@ -147,6 +156,9 @@
 	e.count(id, "running", promptTokens, 0)
 	for i, word := range answer {
 		time.Sleep(e.options.TokenTime)
+		for e.options.HangAfter > 0 && i >= e.options.HangAfter && !e.isCancelled(id) {
+			time.Sleep(hangPoll)
+		}
 		if e.isCancelled(id) {
 			e.count(id, "finished", promptTokens, i)
 			stream.end(true)
@@ -221,6 +233,7 @@
 
 // resume sends a kept stream again from a number on.
 func (e *Engine) resume(_ context.Context, c *app.RequestContext) {
+	e.resumed.Add(1)
 	e.mu.Lock()
 	stream := e.streams[c.Param("id")]
 	e.mu.Unlock()
--- a/request/bench_test.go
+++ b/request/bench_test.go
@@ -27,10 +27,12 @@
 )
 
 const (
-	testKey    = "key"
-	otherKey   = "other-key"
-	testModel  = "model"
-	testTokens = 1_000_000
+	testKey   = "key"
+	otherKey  = "other-key"
+	testModel = "model"
+	// testSilence is long beside what a busy machine delays a chunk by.
+	testSilence = 3 * time.Second
+	testTokens  = 1_000_000
 )
 
 // site is engines and plain services with a configuration that declares them.
@@ -45,7 +47,7 @@
 
 func newSite(t testing.TB, engines ...standin.EngineOptions) *site {
 	is := is.New(t)
-	client, err := upstream.NewHTTPClient()
+	client, err := upstream.NewHTTPClientWithSilence(testSilence)
 	is.NoErr(err)
 	t.Cleanup(client.Close)
 	s := &site{t: t, config: config.NewState(nil), client: client, secret: make([]byte, signed.MinSecret)}
--- a/request/chatrun.go
+++ b/request/chatrun.go
@@ -118,7 +118,8 @@
 // worthAnother tells that another engine may answer.
 func worthAnother(err error) bool {
 	switch result.CodeOf(err) {
-	case result.NoUpstream, result.UpstreamFailed, result.AnswerCut, result.AnswerCrossed, result.StreamLost:
+	case result.NoUpstream, result.UpstreamFailed, result.AnswerCut, result.AnswerCrossed, result.StreamLost,
+		result.UpstreamSilent:
 		return true
 	}
 	return false
--- a/request/stream_test.go
+++ b/request/stream_test.go
@@ -58,6 +58,20 @@
 	is.Equal(n.settled(t), uint64(20)) // one answer's tokens
 }
 
+func TestEngineGoesSilent(t *testing.T) {
+	// An engine hangs within an answer while its connection stays open. It must be
+	// given up on after one silence, and another engine bring the rest.
+	is := is.New(t)
+	s := newSite(t, standin.EngineOptions{HangAfter: 3}, standin.EngineOptions{})
+	n := s.newServer("a")
+	body, answer := prompt(10)
+	sink := &testSink{stream: true}
+	is.NoErr(n.Chat(context.Background(), chatCall(body), sink))
+	is.Equal(sink.text(), answer)
+	is.Equal(n.settled(t), uint64(20))
+	is.Equal(s.engines[0].Resumed(), int64(0)) // not asked for the rest
+}
+
 func TestOtherEngineAnswersDifferently(t *testing.T) {
 	// An engine dies within an answer, and the next one words it differently. Joined,
 	// the halves would read as one answer that no engine gave: the stream must end
--- a/result/upstream.go
+++ b/result/upstream.go
@@ -13,6 +13,7 @@
 	DeadlineExceeded Code = 4007
 	StreamLost       Code = 4010
 	AnswerDiffers    Code = 4011
+	UpstreamSilent   Code = 4012
 )
 
 var upstreamInfos = map[Code]Info{
@@ -25,4 +26,5 @@
 	DeadlineExceeded: {"DeadlineExceeded", 504, codes.DeadlineExceeded, true, false, "The request's deadline passed before it was complete."},
 	StreamLost:       {"StreamLost", 502, codes.DataLoss, false, false, "The engine no longer holds the rest of the stream; send a new request."},
 	AnswerDiffers:    {"AnswerDiffers", 502, codes.Aborted, false, false, "The engine was lost within the answer, and another one answers differently; send a new request."},
+	UpstreamSilent:   {"UpstreamSilent", 504, codes.Unavailable, true, false, "The engine went silent within an answer and was given up on."},
 }
--- a/upstream/http.go
+++ b/upstream/http.go
@@ -58,12 +58,16 @@
 var _ Client = (*HTTPClient)(nil)
 
 // NewHTTPClient returns a client with its own connection pool.
-func NewHTTPClient() (*HTTPClient, error) {
-	kept, err := newClient()
+func NewHTTPClient() (*HTTPClient, error) { return NewHTTPClientWithSilence(readTimeout) }
+
+// NewHTTPClientWithSilence returns a client that gives an upstream up after it was
+// silent for so long within an answer.
+func NewHTTPClientWithSilence(silence time.Duration) (*HTTPClient, error) {
+	kept, err := newClient(client.WithClientReadTimeout(silence))
 	if err != nil {
 		return nil, errors.Annotate(err, "upstream client")
 	}
-	once, err := newClient(client.WithKeepAlive(false))
+	once, err := newClient(client.WithClientReadTimeout(silence), client.WithKeepAlive(false))
 	if err != nil {
 		return nil, errors.Annotate(err, "upstream client")
 	}
@@ -73,7 +77,6 @@
 func newClient(more ...config.ClientOption) (*client.Client, error) {
 	return client.NewClient(append([]config.ClientOption{
 		client.WithDialTimeout(dialTimeout),
-		client.WithClientReadTimeout(readTimeout),
 		client.WithMaxConnsPerHost(maxConnections),
 		client.WithMaxIdleConnDuration(idleConnection),
 		client.WithResponseBodyStream(true),
--- a/upstream/stream.go
+++ b/upstream/stream.go
@@ -3,11 +3,14 @@
 import (
 	"context"
 	"io"
+	"net"
 	"strconv"
 
 	"github.com/bytedance/sonic"
+	hertzerrors "github.com/cloudwego/hertz/pkg/common/errors"
 	"github.com/cloudwego/hertz/pkg/protocol"
 	"github.com/cloudwego/hertz/pkg/protocol/sse"
+	"github.com/juju/errors"
 
 	"lavenderpin.dev/lavenderpin/result"
 )
@@ -109,7 +112,7 @@
 func (s *httpStream) step() error {
 	var event sse.Event
 	if err := s.reader.Read(&event); err != nil {
-		return result.New(result.AnswerCut, "%s ended the stream early: %v", s.upstream, err)
+		return s.readError(err)
 	}
 	chunk, err := s.parse(event.Data)
 	if err != nil {
@@ -124,6 +127,16 @@
 	return s.pass(ready)
 }
 
+// readError tells an engine that went silent from a stream that broke off: asked for
+// the rest, a silent engine would make its caller wait as long once more.
+func (s *httpStream) readError(err error) error {
+	var timeout net.Error
+	if errors.Is(err, hertzerrors.ErrTimeout) || (errors.As(err, &timeout) && timeout.Timeout()) {
+		return result.New(result.UpstreamSilent, "%s went silent within an answer", s.upstream)
+	}
+	return result.New(result.AnswerCut, "%s ended the stream early: %v", s.upstream, err)
+}
+
 func (s *httpStream) pass(ready []Chunk) error {
 	for _, chunk := range ready {
 		if string(chunk.Data) == doneMarker {
