--- a/idempotency/runner.go
+++ b/idempotency/runner.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/jonboulle/clockwork"
@@ -48,7 +49,7 @@
 	Options
 	stopped chan struct{}
 	once    sync.Once
-	active  sync.WaitGroup
+	active  atomic.Int64
 
 	mu      sync.Mutex
 	held    map[ID]*heldCall
@@ -66,8 +67,9 @@
 // Stop ends the waits for claims that the log hasn't shown. Calls that run go on.
 func (r *Runner) Stop() { r.once.Do(func() { close(r.stopped) }) }
 
-// Wait returns once no call runs.
-func (r *Runner) Wait() { r.active.Wait() }
+// Active returns how many calls run. A call counts until its outcome is on its way to
+// the log: a graceful stop that ended before would leave it unknown.
+func (r *Runner) Active() int64 { return r.active.Load() }
 
 // Do runs a call under its key, or returns what became of it. forward is nil when
 // another node sent the call here: two nodes that each hold the other for the owner
@@ -109,7 +111,7 @@
 		CallClaim: &recordv1.CallClaim{Account: call.ID.Account, Key: call.ID.Key, Digest: call.Digest[:]},
 	}})
 	r.held[call.ID] = held
-	go r.awaitClaim(held)
+	go r.awaitClaim(held, held.changed)
 	return held, nil
 }
 
@@ -117,11 +119,14 @@
 	return result.New(result.KeyReused, "key %q was used with another request", key)
 }
 
-// awaitClaim takes the verdict on a claim, however late the log shows it.
-func (r *Runner) awaitClaim(held *heldCall) {
+// awaitClaim takes the verdict on a claim, however late the log shows it. A claim that
+// was withdrawn gets none; waited for, each call of a long outage would leave a
+// goroutine behind.
+func (r *Runner) awaitClaim(held *heldCall, withdrawn <-chan struct{}) {
 	select {
 	case verdict := <-held.claim.Done():
 		r.claimed(held, verdict)
+	case <-withdrawn:
 	case <-r.stopped:
 	}
 }
@@ -204,9 +209,11 @@
 		select {
 		case <-changed:
 		case <-claimTimeout:
-			return Answer{}, false, r.leave(held)
+			answer, err = r.leave(held)
+			return answer, false, err
 		case <-ctx.Done():
-			return Answer{}, false, r.leave(held)
+			answer, err = r.leave(held)
+			return answer, false, err
 		}
 	}
 }
@@ -220,7 +227,7 @@
 // leave ends a caller's wait. A try that ends before the claim was read back has not
 // run and never will, but an earlier try with the key may have run at a node whose
 // claim this one hasn't seen: the code doesn't say "not run".
-func (r *Runner) leave(held *heldCall) error {
+func (r *Runner) leave(held *heldCall) (Answer, error) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	held.waiters--
@@ -229,16 +236,17 @@
 		if held.waiters == 0 && held.claim != nil && held.claim.Withdraw() {
 			r.drop(held, lost)
 		}
-		return result.New(result.KeyNotClaimed, "the log doesn't confirm the key; this try was not run, an earlier one with the key may have been").After(comeBack)
+		return Answer{}, result.New(result.KeyNotClaimed, "the log doesn't confirm the key; this try was not run, an earlier one with the key may have been").After(comeBack)
 	case ended:
-		return held.err
+		return held.answer, held.err
 	case free:
-		if held.waiters == 0 {
+		// A ticket stays as it is: nothing is claimed for it in the log.
+		if held.waiters == 0 && !held.isTicket() {
 			r.release(held)
 		}
-		return result.New(result.CallerGone, "the caller left before the call was run")
+		return Answer{}, result.New(result.CallerGone, "the caller left before the call was run")
 	}
-	return result.New(result.CallInProgress, "the call runs; ask again with the same key or ticket").After(comeBack)
+	return Answer{}, result.New(result.CallInProgress, "the call runs; ask again with the same key or ticket").After(comeBack)
 }
 
 // start runs a free call apart from its caller: a caller that leaves must find the
@@ -247,7 +255,7 @@
 	held.move(running)
 	r.active.Add(1)
 	go func() {
-		defer r.active.Done()
+		defer r.active.Add(-1)
 		answer, err := r.guard(context.WithoutCancel(ctx), run)
 		r.finish(held, answer, err)
 	}()
@@ -269,13 +277,12 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	held.answer, held.err = answer, err
-	isTicket := held.expires != 0
 	switch {
 	case err == nil:
 		r.keep(held, recordv1.CallEnd_CALL_END_RAN)
 	case !result.From(err).NotRun():
 		r.keep(held, recordv1.CallEnd_CALL_END_UNKNOWN)
-	case isTicket:
+	case held.isTicket():
 		// Not run: the ticket may be used again.
 		r.tickets[ticketNumber(held)] = newTicketCall(held.call, held.expires)
 		held.move(ended)
@@ -295,7 +302,7 @@
 // keep holds the end of a call for its caller's retries.
 func (r *Runner) keep(held *heldCall, end recordv1.CallEnd) {
 	held.move(ended)
-	if held.expires != 0 {
+	if held.isTicket() {
 		r.remember(held)
 		return
 	}
@@ -320,7 +327,7 @@
 // known as run: by the log for a key, by its entry for a ticket.
 func (r *Runner) remember(held *heldCall) {
 	for _, old := range r.answers.add(held) {
-		if old.expires == 0 {
+		if !old.isTicket() {
 			delete(r.held, old.call.ID)
 			continue
 		}
--- a/request/stream_test.go
+++ b/request/stream_test.go
@@ -6,6 +6,7 @@
 	"testing"
 	"time"
 
+	"github.com/jonboulle/clockwork"
 	"github.com/matryer/is"
 
 	"lavenderpin.dev/lavenderpin/internal/standin"
@@ -57,6 +58,20 @@
 	is.Equal(n.settled(t), uint64(20)) // one answer's tokens
 }
 
+func TestEngineGoesSilent(t *testing.T) {
+	// An engine hangs within an answer while its connection stays open. It must be
+	// given up on after one silence, and another engine bring the rest.
+	is := is.New(t)
+	s := newSite(t, standin.EngineOptions{HangAfter: 3}, standin.EngineOptions{})
+	n := s.newServer("a")
+	body, answer := prompt(10)
+	sink := &testSink{stream: true}
+	is.NoErr(n.Chat(context.Background(), chatCall(body), sink))
+	is.Equal(sink.text(), answer)
+	is.Equal(n.settled(t), uint64(20))
+	is.Equal(s.engines[0].Resumed(), int64(0)) // not asked for the rest
+}
+
 func TestOtherEngineAnswersDifferently(t *testing.T) {
 	// An engine dies within an answer, and the next one words it differently. Joined,
 	// the halves would read as one answer that no engine gave: the stream must end
@@ -194,6 +209,9 @@
 		is.Equal(result.CodeOf(err), result.InvalidCursor)
 	}
 	is.NoErr(n.ResumeChat(context.Background(), ResumeCall{Key: testKey, Cursor: good}, &testSink{stream: true}))
+	n.Clock = clockwork.NewFakeClockAt(time.Now().Add(2 * cursorLifetime))
+	err = n.ResumeChat(context.Background(), ResumeCall{Key: testKey, Cursor: good}, &testSink{stream: true})
+	is.Equal(result.CodeOf(err), result.InvalidCursor)
 }
 
 func TestEngineForgotTheStream(t *testing.T) {
@@ -260,3 +278,32 @@
 	is.Equal(n.settled(t), uint64(0))
 	is.Equal(n.InFlight(), int64(0))
 }
+
+func TestRefusalIsTrueOfAllAttempts(t *testing.T) {
+	// The first engine takes a request and hangs up, the second can't be reached. Told
+	// "not run" for the second's sake, a caller would think that nobody worked on it.
+	is := is.New(t)
+	s := newSite(t)
+	hangsUp, closed := s.listen(), s.listen()
+	is.NoErr(closed.Close())
+	t.Cleanup(func() { _ = hangsUp.Close() })
+	go func() {
+		for {
+			conn, err := hangsUp.Accept()
+			if err != nil {
+				return
+			}
+			_, _ = conn.Read(make([]byte, 1))
+			_ = conn.Close()
+		}
+	}()
+	s.declareUpstream("engine-0", "chat", hangsUp.Addr().String())
+	s.declareUpstream("engine-1", "chat", closed.Addr().String())
+	s.apply()
+	n := s.newServer("a")
+	body, _ := prompt(3)
+	err := n.Chat(context.Background(), chatCall(body), &testSink{})
+	is.Equal(result.CodeOf(err), result.UpstreamFailed)
+	is.True(!result.From(err).NotRun())
+	is.Equal(n.settled(t), uint64(0))
+}
