--- a/cmd/lavenderbench/experiment.go
+++ b/cmd/lavenderbench/experiment.go
@@ -11,6 +11,7 @@
 
 type experimentCmd struct {
 	Routing routingCmd `cmd:"" help:"Upstream choice and admission, side by side with baselines."`
+	Fleet   fleetCmd   `cmd:"" help:"What a fleet costs without callers, or how fast changes spread."`
 }
 
 type routingCmd struct {
--- /dev/null
+++ b/cmd/lavenderbench/fleet.go
@@ -0,0 +1,43 @@
+package main
+
+import (
+	"os"
+	"time"
+
+	"github.com/juju/errors"
+
+	"lavenderpin.dev/lavenderpin/internal/experiment/fleet"
+)
+
+type fleetCmd struct {
+	Sizes   []int         `help:"Numbers of nodes." default:"7,50,200"`
+	Rest    time.Duration `help:"Time before measuring." default:"15s"`
+	Length  time.Duration `help:"Time to measure for." default:"20s"`
+	Changes int           `help:"Changes made at each size; 0 for none." default:"0"`
+	Pause   time.Duration `help:"Time between two changes." default:"50ms"`
+}
+
+// Run prints the tables.
+func (c *fleetCmd) Run() error {
+	var costs []fleet.Cost
+	var spreads []fleet.Spread
+	for _, size := range c.Sizes {
+		if c.Changes > 0 {
+			spread, err := fleet.MeasureSpread(size, c.Changes, c.Pause)
+			if err != nil {
+				return errors.Trace(err)
+			}
+			spreads = append(spreads, spread)
+			continue
+		}
+		cost, err := fleet.MeasureCost(size, c.Rest, c.Length)
+		if err != nil {
+			return errors.Trace(err)
+		}
+		costs = append(costs, cost)
+	}
+	if c.Changes > 0 {
+		return errors.Trace(fleet.WriteSpread(os.Stdout, spreads))
+	}
+	return errors.Trace(fleet.WriteCosts(os.Stdout, costs))
+}
