--- a/node/fleet_test.go
+++ b/node/fleet_test.go
@@ -331,3 +331,31 @@
 		is.Equal(len(nodes[0].staying(engines)), 2)
 	})
 }
+
+// A node starts, its first heartbeat goes into the log, and a snapshot that holds it
+// already is what the node folds first. The verdict on the heartbeat is lost then; the
+// node must serve with the next one rather than stay "starting" for ever.
+func TestFirstHeartbeatWithinSnapshot(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newSmallFleet(t)
+		settings := DefaultSettings()
+		settings.Region, settings.DataCentre = "gulf-maine", "casco"
+		settings.PeerAddress, settings.HTTPAddress, settings.OperatorAddress = peerAddress(1), peerAddress(2), peerAddress(3)
+		other, err := New(settings, Deps{Clock: clockwork.NewRealClock(), Log: f.log, Instances: f.instances, Peers: f,
+			Logger: golog.NewNopLogger(), NewIncarnation: func() string { return "late" }})
+		is.NoErr(err)
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		go other.writer.Run(ctx)
+		go other.heartbeats(ctx)
+		time.Sleep(time.Second)
+		other.ledger.Apply(fold.Position{Offset: 1, Writer: "late"}, &recordv1.Entry{Body: &recordv1.Entry_Heartbeat{
+			Heartbeat: &recordv1.NodeHeartbeat{Number: 1, Node: other.info}}})
+		other.writer.Restored(1)
+		go other.follower.Run(ctx)
+		time.Sleep(20 * time.Second)
+		is.Equal(other.State(), StateServing)
+		is.NoErr(other.Serving())
+	})
+}
--- a/node/heartbeat.go
+++ b/node/heartbeat.go
@@ -11,6 +11,7 @@
 // waits for the verdict on the one before, so that an outage leaves one in the
 // queue and not thousands.
 func (n *Node) heartbeats(ctx context.Context) {
+	announced := false
 	for number := uint64(1); ctx.Err() == nil; number++ {
 		started := n.deps.Clock.Now()
 		ticket := n.writer.Submit(&recordv1.Entry{Body: &recordv1.Entry_Heartbeat{Heartbeat: &recordv1.NodeHeartbeat{
@@ -25,16 +26,19 @@
 				n.close(ctx)
 				return
 			}
+			// After a restored state the verdict on the first one may be lost; the
+			// next one tells, and lets the node serve.
 			if !verdict.OK() {
 				continue
 			}
 			// Counted from before the append: whoever closes this incarnation
 			// counts from when it read the heartbeat, which is later.
 			n.holder.ExtendRight(started.Add(n.settings.SpendRight))
-			if number == 1 {
+			if !announced {
 				n.events.Record(event.IncarnationOpened, "incarnation", n.Incarnation(), "offset", verdict.Offset)
-				n.ready()
+				announced = true
 			}
+			n.ready()
 		}
 		select {
 		case <-ctx.Done():
--- a/node/relay.go
+++ b/node/relay.go
@@ -69,12 +69,11 @@
 func (n *Node) restored(offset uint64) {
 	n.events.Record(event.StateRestored, "offset", offset)
 	n.snapshots.Restored(offset)
+	n.writer.Restored(n.follower.LastSeq(n.Incarnation()))
 	if n.State() != StateStarting {
 		n.holder.RevokeRight()
 		n.outrunOnce.Do(func() { close(n.outrun) })
-		return
 	}
-	n.writer.Restored(n.follower.LastSeq(n.Incarnation()))
 }
 
 // opened tells whether a verdict on the node's heartbeat lets it go on. After a
--- a/peer/quic.go
+++ b/peer/quic.go
@@ -82,15 +82,24 @@
 
 func serveStream(ctx context.Context, stream *quic.Stream, handle Handler) {
 	defer func() { _ = stream.Close() }()
-	request := &fleetv1.Request{}
-	options := protodelim.UnmarshalOptions{MaxSize: maxMessage}
-	if err := options.UnmarshalFrom(bufio.NewReader(stream), request); err != nil {
+	request, err := readRequest(bufio.NewReader(stream))
+	if err != nil {
 		stream.CancelRead(0)
 		return
 	}
 	_, _ = protodelim.MarshalTo(stream, handle(ctx, request))
 }
 
+// readRequest reads one length-delimited request.
+func readRequest(r *bufio.Reader) (*fleetv1.Request, error) {
+	request := &fleetv1.Request{}
+	options := protodelim.UnmarshalOptions{MaxSize: maxMessage}
+	if err := options.UnmarshalFrom(r, request); err != nil {
+		return nil, errors.Trace(err)
+	}
+	return request, nil
+}
+
 // Call implements Caller.
 func (q *QUIC) Call(ctx context.Context, address string, request *fleetv1.Request) (*fleetv1.Response, error) {
 	conn, err := q.conn(ctx, address)
