--- /dev/null
+++ b/internal/check/callers.go
@@ -0,0 +1,211 @@
+package check
+
+import (
+	"context"
+	"encoding/json"
+	"strings"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+
+	operatorv1 "lavenderpin.dev/lavenderpin/api/operator/v1"
+	"lavenderpin.dev/lavenderpin/budget"
+	"lavenderpin.dev/lavenderpin/config"
+	"lavenderpin.dev/lavenderpin/internal/fake"
+	"lavenderpin.dev/lavenderpin/request"
+	"lavenderpin.dev/lavenderpin/result"
+	"lavenderpin.dev/lavenderpin/upstream"
+)
+
+// callerPatience is how long a caller waits for a whole answer.
+const callerPatience = 20 * time.Second
+
+// sink is the caller's end of an answer.
+type sink struct {
+	ctx   context.Context
+	gate  *fake.Gate
+	id    string
+	text  strings.Builder
+	usage upstream.Usage
+}
+
+// Start implements request.Sink.
+func (s *sink) Start(id budget.RequestID, _ string) { s.id = id.String() }
+
+// Chunk implements request.Sink. What a paused or dead node writes doesn't arrive.
+func (s *sink) Chunk(chunk upstream.Chunk) error {
+	if err := s.gate.Enter(s.ctx); err != nil {
+		return err
+	}
+	s.text.WriteString(chunk.Content)
+	if chunk.Usage != nil {
+		s.usage = *chunk.Usage
+	}
+	return nil
+}
+
+func outcomeOf(err error) Outcome {
+	if err == nil {
+		return Outcome{}
+	}
+	return Outcome{Code: result.CodeOf(err), Message: err.Error()}
+}
+
+// ask runs a caller's request on a node as a connection would: when the node dies
+// or the caller's patience ends, no answer comes.
+func (h *Harness) ask(m *Member, gate *fake.Gate, do func(context.Context) error) (Outcome, Span) {
+	span := Span{Call: h.since()}
+	ctx, cancel := clockwork.WithTimeout(context.Background(), h.clock, callerPatience)
+	defer cancel()
+	answer := make(chan error, 1)
+	h.Go(func() {
+		err := gate.Enter(ctx)
+		if err == nil {
+			err = m.Node().Serving()
+		}
+		if err == nil {
+			err = do(ctx)
+		}
+		if gate.Enter(context.Background()) == nil {
+			answer <- err
+		}
+	})
+	outcome := Outcome{Lost: true}
+	select {
+	case err := <-answer:
+		outcome = outcomeOf(err)
+	case <-gate.Dead():
+		outcome.Message = "the node died"
+	case <-ctx.Done():
+		outcome.Message = "the caller gave up"
+	}
+	span.Return = h.since()
+	return outcome, span
+}
+
+// Chat asks a node for a completion whose whole answer is the prompt.
+func (h *Harness) Chat(m *Member, account, model, prompt string) ChatOp {
+	gate := m.Gate()
+	words := strings.Fields(prompt)
+	body, _ := json.Marshal(map[string]any{
+		"model": model, "stream": true, "max_tokens": len(words),
+		"messages": []map[string]string{{"role": "user", "content": prompt}},
+	})
+	into := &sink{gate: gate}
+	finished := make(chan struct{})
+	outcome, span := h.ask(m, gate, func(ctx context.Context) error {
+		defer close(finished)
+		into.ctx = ctx
+		return m.Node().Requests().Chat(ctx, request.ChatCall{Key: accountKey + account, Body: body}, into)
+	})
+	op := ChatOp{Span: span, Outcome: outcome, Node: m.Address(), Budget: budgetOf(account), Prompt: prompt,
+		Want: strings.Join(words, " ") + " "}
+	if outcome.Lost {
+		h.History.addChat(op)
+		return op
+	}
+	select {
+	case <-finished:
+		op.Request, op.Text, op.Tokens = into.id, into.text.String(), into.usage.Total()
+	default: // refused before the request began
+	}
+	h.History.addChat(op)
+	return op
+}
+
+// Call asks a node for a call of the plain service.
+func (h *Harness) Call(m *Member, account, method, body, key string) CallOp {
+	gate := m.Gate()
+	answers := make(chan upstream.CallAnswer, 1)
+	outcome, span := h.ask(m, gate, func(ctx context.Context) error {
+		got, err := m.Node().Requests().Call(ctx, request.ServiceCall{
+			Key: accountKey + account, Service: plainService, Method: method, Path: "/", Body: []byte(body), IdempotencyKey: key,
+		})
+		answers <- got
+		return err
+	})
+	op := CallOp{Span: span, Outcome: outcome, Node: m.Address(), Budget: budgetOf(account), Body: body, Key: key, Idempotent: method == "GET"}
+	if outcome.OK() {
+		answer := <-answers
+		op.Answer = string(answer.Body)
+	}
+	h.History.addCall(op)
+	return op
+}
+
+// TopUp adds prepaid tokens through a node.
+func (h *Harness) TopUp(m *Member, id, budget string, tokens uint64) TopUpOp {
+	outcome, span := h.ask(m, m.Gate(), func(ctx context.Context) error {
+		_, err := m.operator.TopUp(operatorContext(ctx), &operatorv1.TopUpRequest{
+			TopUp: &operatorv1.TopUp{Id: id, Budget: budget, Tokens: tokens}})
+		return err
+	})
+	op := TopUpOp{Span: span, Outcome: outcome, ID: id, Budget: budget, Tokens: tokens}
+	h.History.addTopUp(op)
+	return op
+}
+
+// Change sets the value of the resource under test through a node, against the
+// version that the node has in force.
+func (h *Harness) Change(m *Member, changeID string, value uint32) ConfigOp {
+	held := underTest(m.Node().Config())
+	next := &operatorv1.Upstream{Name: spareUpstream, Service: plainService, Address: "127.0.0.1:1", Region: RegionHome,
+		DataCentre: RegionHome + "-a", Draining: true, Slots: value}
+	versions := make(chan uint64, 1)
+	outcome, span := h.ask(m, m.Gate(), func(ctx context.Context) error {
+		answer, err := m.operator.Apply(operatorContext(ctx), &operatorv1.ApplyRequest{ChangeId: changeID, Changes: []*operatorv1.Change{{
+			BaseVersion: held.GetVersion(), Resource: &operatorv1.Resource{Kind: &operatorv1.Resource_Upstream{Upstream: next}}}}})
+		versions <- answer.GetVersion()
+		return err
+	})
+	op := ConfigOp{Span: span, Outcome: outcome, Node: m.Address(), Base: held.GetVersion(), Value: value}
+	if !outcome.Lost {
+		select {
+		case op.Version = <-versions:
+		default:
+		}
+	}
+	h.History.addConfig(op)
+	return op
+}
+
+// underTest returns the resource whose changes are watched, nil when it is absent.
+func underTest(view *config.View) *operatorv1.VersionedResource {
+	for _, r := range view.All() {
+		if r.GetResource().GetUpstream().GetName() == spareUpstream {
+			return r
+		}
+	}
+	return nil
+}
+
+// sample records what each live node has in force, until done is closed.
+func (h *Harness) sample(done <-chan struct{}) {
+	last := map[string]ConfigRead{}
+	for {
+		select {
+		case <-done:
+			return
+		case <-h.clock.After(poll):
+		}
+		for _, m := range h.Members {
+			if !m.Live() {
+				continue
+			}
+			read := h.read(m)
+			if held, ok := last[read.Incarnation]; !ok || held.Version != read.Version || held.Serving != read.Serving {
+				last[read.Incarnation] = read
+				h.History.addRead(read)
+			}
+		}
+	}
+}
+
+func (h *Harness) read(m *Member) ConfigRead {
+	n := m.Node()
+	read := ConfigRead{At: h.since(), Node: m.Address(), Incarnation: n.Incarnation(), Serving: n.Serving() == nil, Offset: n.Offset()}
+	if held := underTest(n.Config()); held != nil {
+		read.Version, read.Value = held.GetVersion(), held.GetResource().GetUpstream().GetSlots()
+	}
+	return read
+}
--- /dev/null
+++ b/internal/fake/instances.go
@@ -0,0 +1,37 @@
+package fake
+
+import (
+	"context"
+	"sync/atomic"
+
+	platformv1 "lavenderpin.dev/lavenderpin/api/platform/v1"
+	"lavenderpin.dev/lavenderpin/internal/standin"
+	"lavenderpin.dev/lavenderpin/platform"
+)
+
+// Instances is one node's view of the instance list.
+type Instances struct {
+	inner   *standin.Instances
+	network *Network
+	node    Endpoint
+	asked   atomic.Uint64
+}
+
+var _ platform.Instances = (*Instances)(nil)
+
+// NewInstances returns a node's view of a list.
+func NewInstances(inner *standin.Instances, network *Network, node Endpoint) *Instances {
+	return &Instances{inner: inner, network: network, node: node}
+}
+
+// Asked returns how often the node asked.
+func (i *Instances) Asked() uint64 { return i.asked.Load() }
+
+// List implements platform.Instances.
+func (i *Instances) List(ctx context.Context) ([]*platformv1.Instance, error) {
+	i.asked.Add(1)
+	if !i.network.Passes(i.node, LogEndpoint) || !i.network.Passes(LogEndpoint, i.node) {
+		return nil, errLost
+	}
+	return i.inner.List(ctx)
+}
--- /dev/null
+++ b/internal/fake/log.go
@@ -0,0 +1,156 @@
+package fake
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/juju/errors"
+	"google.golang.org/protobuf/proto"
+
+	recordv1 "lavenderpin.dev/lavenderpin/api/record/v1"
+	"lavenderpin.dev/lavenderpin/platform"
+)
+
+// Log is one node's view of the platform's log, with faults of its own.
+type Log struct {
+	inner   platform.Log
+	network *Network
+	node    Endpoint
+	gate    *Gate
+	clock   clockwork.Clock
+	probe   Probe
+
+	mu    sync.Mutex
+	delay time.Duration
+	lose  int
+	// onAppend and onRead let a test plant a defect in what the node writes or
+	// reads; nil otherwise.
+	onAppend func(*recordv1.Batch)
+	onRead   func(offset uint64, batch *recordv1.Batch)
+}
+
+var _ platform.Log = (*Log)(nil)
+
+// NewLog returns a node's view of a log.
+func NewLog(inner platform.Log, network *Network, node Endpoint, gate *Gate, clock clockwork.Clock, probe Probe) *Log {
+	return &Log{inner: inner, network: network, node: node, gate: gate, clock: clock, probe: probe}
+}
+
+// SetDelay makes each call of this node take at least d longer.
+func (l *Log) SetDelay(d time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.delay = d
+}
+
+// LoseAnswers makes the node's next n appends take effect and then fail.
+func (l *Log) LoseAnswers(n int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.lose = n
+}
+
+// Tamper plants defects: onAppend changes what the node writes, onRead what it reads.
+func (l *Log) Tamper(onAppend func(*recordv1.Batch), onRead func(uint64, *recordv1.Batch)) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.onAppend, l.onRead = onAppend, onRead
+}
+
+func (l *Log) takeLoss() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.lose == 0 {
+		return false
+	}
+	l.lose--
+	return true
+}
+
+func (l *Log) hooks() (time.Duration, func(*recordv1.Batch), func(uint64, *recordv1.Batch)) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.delay, l.onAppend, l.onRead
+}
+
+// reach waits for the way to the log; an error means that nothing arrived there.
+func (l *Log) reach(ctx context.Context) error {
+	if err := l.gate.Enter(ctx); err != nil {
+		return err
+	}
+	delay, _, _ := l.hooks()
+	delay += l.network.latency(l.node, LogEndpoint, 0)
+	select {
+	case <-l.clock.After(delay):
+	case <-ctx.Done():
+		return errors.Trace(ctx.Err())
+	}
+	return l.pass(ctx, l.node, LogEndpoint)
+}
+
+func (l *Log) pass(ctx context.Context, from, to Endpoint) error {
+	if l.network.Passes(from, to) {
+		return errors.Trace(l.gate.Enter(ctx))
+	}
+	select {
+	case <-ctx.Done():
+	case <-l.gate.Dead():
+	}
+	return errors.Trace(errLost)
+}
+
+// Append implements platform.Log.
+func (l *Log) Append(ctx context.Context, stream string, data []byte) (uint64, error) {
+	batch := &recordv1.Batch{}
+	_ = proto.Unmarshal(data, batch)
+	for _, step := range stepsOf(batch) {
+		l.probe(step, string(l.node))
+	}
+	if err := l.reach(ctx); err != nil {
+		return 0, err
+	}
+	if _, tamper, _ := l.hooks(); tamper != nil {
+		tamper(batch)
+		data, _ = proto.Marshal(batch)
+	}
+	offset, err := l.inner.Append(ctx, stream, data)
+	l.probe(StepAppended, string(l.node))
+	if err == nil && l.takeLoss() {
+		return 0, errors.Trace(errLost)
+	}
+	if lost := l.pass(ctx, LogEndpoint, l.node); lost != nil {
+		return 0, lost
+	}
+	return offset, errors.Trace(err)
+}
+
+// Read implements platform.Log.
+func (l *Log) Read(ctx context.Context, stream string, from uint64, max int, wait time.Duration) (platform.Slice, error) {
+	if err := l.reach(ctx); err != nil {
+		return platform.Slice{}, err
+	}
+	slice, err := l.inner.Read(ctx, stream, from, max, wait)
+	if lost := l.pass(ctx, LogEndpoint, l.node); lost != nil {
+		return platform.Slice{}, lost
+	}
+	if err != nil {
+		return platform.Slice{}, err
+	}
+	return l.tampered(slice), nil
+}
+
+func (l *Log) tampered(slice platform.Slice) platform.Slice {
+	_, _, tamper := l.hooks()
+	if tamper == nil {
+		return slice
+	}
+	for i, r := range slice.Records {
+		batch := &recordv1.Batch{}
+		_ = proto.Unmarshal(r.Data, batch)
+		tamper(r.Offset, batch)
+		slice.Records[i].Data, _ = proto.Marshal(batch)
+	}
+	return slice
+}
--- /dev/null
+++ b/internal/fake/step.go
@@ -0,0 +1,71 @@
+package fake
+
+import (
+	recordv1 "lavenderpin.dev/lavenderpin/api/record/v1"
+)
+
+// Step is a place in a node's work at which a fault can be made to strike.
+type Step string
+
+// The steps. Each names the moment right before the act, except StepAppended,
+// which lies between an append's effect and its answer.
+const (
+	StepReserve     Step = "reserve"
+	StepDispatch    Step = "dispatch"
+	StepMidStream   Step = "mid-stream"
+	StepLastToken   Step = "last token"
+	StepCall        Step = "plain call"
+	StepSettlement  Step = "settlement"
+	StepAppended    Step = "append"
+	StepShareClaim  Step = "share claim"
+	StepShareMove   Step = "share move"
+	StepCallClaim   Step = "call claim"
+	StepConfig      Step = "config change"
+	StepLease       Step = "lease takeover"
+	StepOrder       Step = "engine order"
+	StepDrain       Step = "drain"
+	StepRecovery    Step = "recovery"
+	StepSnapshot    Step = "snapshot"
+	StepPeerReserve Step = "peer reserve"
+	StepWitness     Step = "witness"
+)
+
+// Probe is told of each step that a node is about to take. It may cut, pause or
+// kill before the step goes on.
+type Probe func(step Step, node string)
+
+// stepsOf returns the steps that appending a batch takes.
+func stepsOf(batch *recordv1.Batch) []Step {
+	var steps []Step
+	seen := map[Step]bool{}
+	for _, entry := range batch.GetEntries() {
+		step, known := stepOf(entry)
+		if known && !seen[step] {
+			seen[step] = true
+			steps = append(steps, step)
+		}
+	}
+	return steps
+}
+
+func stepOf(entry *recordv1.Entry) (Step, bool) {
+	switch entry.GetBody().(type) {
+	case *recordv1.Entry_Settlements:
+		return StepSettlement, true
+	case *recordv1.Entry_ShareClaim:
+		return StepShareClaim, true
+	case *recordv1.Entry_ShareMove:
+		return StepShareMove, true
+	case *recordv1.Entry_CallClaim:
+		return StepCallClaim, true
+	case *recordv1.Entry_Config:
+		return StepConfig, true
+	case *recordv1.Entry_LeaseClaim:
+		return StepLease, true
+	case *recordv1.Entry_RecoveryDone:
+		return StepRecovery, true
+	case *recordv1.Entry_Snapshot:
+		return StepSnapshot, true
+	}
+	return "", false
+}
