--- a/internal/check/callers.go
+++ b/internal/check/callers.go
@@ -59,6 +59,7 @@
 	defer cancel()
 	answer := make(chan error, 1)
 	h.Go(func() {
+		h.probe(fake.StepReserve, m.Address())
 		err := gate.Enter(ctx)
 		if err == nil {
 			err = m.Node().Serving()
@@ -158,7 +159,7 @@
 		versions <- answer.GetVersion()
 		return err
 	})
-	op := ConfigOp{Span: span, Outcome: outcome, Node: m.Address(), Base: held.GetVersion(), Value: value}
+	op := ConfigOp{Span: span, Outcome: outcome, Node: m.Address(), ChangeID: changeID, Base: held.GetVersion(), Value: value}
 	if !outcome.Lost {
 		select {
 		case op.Version = <-versions:
--- /dev/null
+++ b/internal/check/fault.go
@@ -0,0 +1,117 @@
+package check
+
+import (
+	"fmt"
+	"time"
+
+	"lavenderpin.dev/lavenderpin/internal/fake"
+)
+
+const (
+	outage      = time.Minute
+	longCut     = 2 * time.Hour
+	restart     = 3 * time.Second
+	engineFault = 5 * time.Second
+	slowLog     = 3 * time.Second
+	lostAnswers = 3
+	keptRecords = 5
+	callRepeats = 6
+	raceRounds  = 4
+)
+
+// Fault is something of the brief that goes wrong.
+type Fault struct {
+	Name string
+	// Needs are steps without which the fleet has no answer to the fault yet.
+	Needs []fake.Step
+	// NeedsList tells that the fault concerns the instance list.
+	NeedsList bool
+	// Lasts is how long until heal; 0 for a fault that is over at once.
+	Lasts  time.Duration
+	strike func(h *Harness, m *Member)
+	heal   func(h *Harness, m *Member)
+}
+
+// Faults lists the faults of the brief in its order.
+func Faults(timing Timing) []Fault {
+	pastRight := timing.SpendRight*5/2 + time.Second
+	return []Fault{
+		{Name: "kill", Lasts: restart, strike: func(_ *Harness, m *Member) { m.Kill() }, heal: restarted},
+		{Name: "kill, replaced late", Lasts: pastRight, strike: func(_ *Harness, m *Member) { m.Kill() }, heal: restarted},
+		{Name: "pause past the right", Lasts: pastRight,
+			strike: func(_ *Harness, m *Member) { m.Gate().Pause() },
+			heal:   func(_ *Harness, m *Member) { m.Gate().Resume() }},
+		{Name: "one-way cut", Lasts: outage,
+			strike: func(h *Harness, m *Member) { h.Network.Isolate(fake.Endpoint(m.Address()), true, false) }, heal: healed},
+		{Name: "two-way cut", Lasts: outage,
+			strike: func(h *Harness, m *Member) { h.Network.Isolate(fake.Endpoint(m.Address()), true, true) }, heal: healed},
+		{Name: "region cut for hours", Lasts: longCut,
+			strike: func(h *Harness, _ *Member) { h.Network.CutRegion(RegionAway) }, heal: healed},
+		{Name: "log down", Lasts: outage,
+			strike: func(h *Harness, _ *Member) { h.Store.SetDown(true) },
+			heal:   func(h *Harness, _ *Member) { h.Store.SetDown(false) }},
+		{Name: "log slow", Lasts: outage,
+			strike: func(h *Harness, _ *Member) { h.Store.SetDelay(slowLog) },
+			heal:   func(h *Harness, _ *Member) { h.Store.SetDelay(0) }},
+		{Name: "append's answer lost", strike: func(h *Harness, _ *Member) {
+			for _, other := range h.Members {
+				other.Log().LoseAnswers(lostAnswers)
+			}
+		}},
+		{Name: "instance list lagging", NeedsList: true, Lasts: outage,
+			strike: func(h *Harness, _ *Member) { h.Instances.SetDown(true) },
+			heal:   func(h *Harness, _ *Member) { h.Instances.SetDown(false) }},
+		{Name: "records aged out", Needs: []fake.Step{fake.StepSnapshot}, Lasts: restart,
+			strike: func(h *Harness, m *Member) {
+				h.Store.Keep(keptRecords)
+				m.Kill()
+			}, heal: restarted},
+		{Name: "cache events with gaps", Needs: []fake.Step{stepCacheEvent}, strike: func(*Harness, *Member) {}},
+		{Name: "engine crosses answers", Lasts: engineFault, strike: setFaults(fake.UpstreamFaults{Cross: true}), heal: noFaults},
+		{Name: "engine cuts answers", Lasts: engineFault, strike: setFaults(fake.UpstreamFaults{CutAfter: 3}), heal: noFaults},
+		{Name: "engine ignores fencing", Needs: []fake.Step{fake.StepOrder}, strike: func(*Harness, *Member) {}},
+		{Name: "operators race", strike: race},
+		{Name: "caller retries", Needs: []fake.Step{fake.StepCallClaim}, strike: retryCalls},
+	}
+}
+
+// stepCacheEvent isn't taken by any node yet.
+const stepCacheEvent fake.Step = "cache event"
+
+func restarted(_ *Harness, m *Member) { m.Restart() }
+
+func healed(h *Harness, _ *Member) { h.Network.Heal() }
+
+func noFaults(h *Harness, _ *Member) { h.Upstreams.SetFaults(fake.UpstreamFaults{}) }
+
+func setFaults(f fake.UpstreamFaults) func(*Harness, *Member) {
+	return func(h *Harness, _ *Member) { h.Upstreams.SetFaults(f) }
+}
+
+// race lets two operators change the same resource at the same time.
+func race(h *Harness, _ *Member) {
+	for round := range raceRounds {
+		for i := range 2 {
+			id := h.nextChange()
+			h.After(time.Duration(round)*time.Second, func() { h.Change(h.Members[i], id, uint32(100+round)) })
+		}
+	}
+}
+
+func (h *Harness) nextChange() string {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.changes++
+	return fmt.Sprintf("race-%d", h.changes)
+}
+
+// retryCalls sends the same keyed call at two nodes at once, and once more later.
+func retryCalls(h *Harness, _ *Member) {
+	for i := range callRepeats {
+		body := fmt.Sprintf("retried %s-%d", h.nextChange(), i)
+		for j := range 3 {
+			m := h.Members[(i+j)%len(h.Members)]
+			h.After(time.Duration(j/2)*time.Second, func() { h.Call(m, sceneAccounts[0], "POST", body, body) })
+		}
+	}
+}
--- a/internal/check/harness.go
+++ b/internal/check/harness.go
@@ -53,6 +53,7 @@
 // package testing; inside a synctest bubble its real clock is virtual.
 type Harness struct {
 	Store     *standin.Log
+	Archive   *fake.Archive
 	Instances *standin.Instances
 	Network   *fake.Network
 	Upstreams *fake.Upstreams
@@ -80,8 +81,9 @@
 func NewHarness(clock clockwork.Clock, seed uint64) *Harness {
 	network := fake.NewNetwork(clock)
 	network.Place(fake.LogEndpoint, RegionHome)
+	store := standin.NewLog()
 	h := &Harness{
-		Store: standin.NewLog(), Instances: standin.NewInstances(), Network: network,
+		Store: store, Archive: fake.NewArchive(store), Instances: standin.NewInstances(), Network: network,
 		Upstreams: fake.NewUpstreams(clock, network, tokenTime, callTime),
 		History:   &History{}, clock: clock, began: clock.Now(),
 		rand: rand.New(rand.NewPCG(seed, seed)), seen: map[fake.Step]int{},
--- a/internal/check/history.go
+++ b/internal/check/history.go
@@ -56,7 +56,8 @@
 type ConfigOp struct {
 	Span
 	Outcome
-	Node string
+	Node     string
+	ChangeID string
 	// Base is the version it was made against, Version what the answer named.
 	Base, Version uint64
 	Value         uint32
@@ -90,6 +91,7 @@
 	Configs []ConfigOp
 	TopUps  []TopUpOp
 	Reads   []ConfigRead
+	Drained []DrainOp
 }
 
 func (h *History) addChat(op ChatOp) {
@@ -121,3 +123,9 @@
 	defer h.mu.Unlock()
 	h.Reads = append(h.Reads, r)
 }
+
+func (h *History) addDrain(op DrainOp) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.Drained = append(h.Drained, op)
+}
--- a/internal/check/member.go
+++ b/internal/check/member.go
@@ -75,7 +75,7 @@
 	m.mu.Lock()
 	m.process++
 	m.gate = fake.NewGate()
-	m.log = fake.NewLog(h.Store, h.Network, at, m.gate, h.clock, h.probe)
+	m.log = fake.NewLog(h.Archive, h.Network, at, m.gate, h.clock, h.probe)
 	m.instances = fake.NewInstances(h.Instances, h.Network, at)
 	m.done = make(chan struct{})
 	ctx, cancel := context.WithCancel(context.Background())
--- /dev/null
+++ b/internal/check/record.go
@@ -0,0 +1,84 @@
+package check
+
+import (
+	"sort"
+	"time"
+
+	"lavenderpin.dev/lavenderpin/budget"
+	"lavenderpin.dev/lavenderpin/event"
+	"lavenderpin.dev/lavenderpin/internal/fake"
+	"lavenderpin.dev/lavenderpin/platform"
+)
+
+// FinalState is what a live node had in force at the end of a history.
+type FinalState struct {
+	Node        string
+	Incarnation string
+	Serving     bool
+	Offset      uint64
+	Lines       []budget.Line
+	Version     uint64
+	// Probe is the answer to a last request of the rich account.
+	Probe Outcome
+}
+
+// Record is everything that Check judges. It is complete once a history has ended.
+type Record struct {
+	// Began is when the history began; spans count from it.
+	Began   time.Time
+	Chats   []ChatOp
+	Calls   []CallOp
+	Configs []ConfigOp
+	TopUps  []TopUpOp
+	Reads   []ConfigRead
+
+	Log         []platform.Record
+	EngineRuns  []fake.EngineRun
+	ServiceRuns []fake.ServiceRun
+	Finals      []FinalState
+	// Drained holds the addresses of members that were drained, with when.
+	Drained []DrainOp
+	Events  []event.Event
+	Dropped uint64
+	// Stuck holds members that could not be brought back to serving.
+	Stuck []string
+}
+
+// DrainOp is one planned stop.
+type DrainOp struct {
+	Span
+	Node string
+	// Undisturbed tells that no fault struck meanwhile.
+	Undisturbed bool
+}
+
+// collect takes the record of a history that has ended.
+func (h *Harness) collect() *Record {
+	r := &Record{Began: h.began, Log: h.Archive.Records(), EngineRuns: h.Upstreams.Runs(), ServiceRuns: h.Upstreams.Calls()}
+	h.History.mu.Lock()
+	r.Chats, r.Calls, r.Configs = h.History.Chats, h.History.Calls, h.History.Configs
+	r.TopUps, r.Reads, r.Drained = h.History.TopUps, h.History.Reads, h.History.Drained
+	h.History.mu.Unlock()
+	for _, recorder := range h.recorders {
+		events, dropped := recorder.Since("")
+		r.Events = append(r.Events, events...)
+		r.Dropped += dropped
+	}
+	sort.SliceStable(r.Events, func(i, j int) bool { return r.Events[i].Stamp < r.Events[j].Stamp })
+	return r
+}
+
+// finals reads what every live node has in force.
+func (h *Harness) finals(probes map[string]Outcome) []FinalState {
+	var finals []FinalState
+	for _, m := range h.Members {
+		n := m.Node()
+		final := FinalState{Node: m.Address(), Incarnation: n.Incarnation(), Serving: n.Serving() == nil,
+			Offset: n.Offset(), Lines: n.Ledger().Budgets(), Probe: probes[m.Address()]}
+		if held := underTest(n.Config()); held != nil {
+			final.Version = held.GetVersion()
+		}
+		finals = append(finals, final)
+	}
+	return finals
+}
--- /dev/null
+++ b/internal/check/replay.go
@@ -0,0 +1,105 @@
+package check
+
+import (
+	"fmt"
+
+	"google.golang.org/protobuf/proto"
+
+	recordv1 "lavenderpin.dev/lavenderpin/api/record/v1"
+	"lavenderpin.dev/lavenderpin/budget"
+	"lavenderpin.dev/lavenderpin/config"
+	"lavenderpin.dev/lavenderpin/fold"
+	"lavenderpin.dev/lavenderpin/platform"
+)
+
+// bill is what the log charges for one request.
+type bill struct {
+	budget string
+	tokens uint64
+}
+
+// replay is the log's own account of a history. Money is added up here by request
+// id, apart from the ledger, so that a ledger that counts twice is found out.
+type replay struct {
+	ledger *budget.Ledger
+	config *config.State
+	bills  map[string]bill
+	// prepaid and billed are totals by budget.
+	prepaid map[string]uint64
+	billed  map[string]uint64
+	topUps  map[string]bool
+	lines   map[uint64][]budget.Line
+	// changes holds the version that each accepted change made, by change id.
+	changes map[string]uint64
+	offset  uint64
+	faults  []Violation
+}
+
+// replayLog folds the records of a history; keep names the offsets whose lines
+// are wanted afterwards.
+func replayLog(records []platform.Record, keep map[uint64]bool) *replay {
+	r := &replay{
+		ledger: budget.NewLedger(), config: config.NewState(nil), bills: map[string]bill{},
+		prepaid: map[string]uint64{}, billed: map[string]uint64{}, topUps: map[string]bool{}, lines: map[uint64][]budget.Line{},
+		changes: map[string]uint64{},
+	}
+	engine := fold.NewEngine(r.config, r.ledger)
+	for _, record := range records {
+		batch := &recordv1.Batch{}
+		if err := proto.Unmarshal(record.Data, batch); err != nil {
+			continue
+		}
+		verdicts := engine.Apply(record.Offset, batch)
+		r.offset = record.Offset
+		for i, verdict := range verdicts {
+			if verdict.OK() {
+				r.count(batch.GetEntries()[i], verdict)
+			}
+		}
+		r.checkLines(record.Offset)
+		if keep[record.Offset] {
+			r.lines[record.Offset] = r.ledger.Budgets()
+		}
+	}
+	return r
+}
+
+func (r *replay) count(entry *recordv1.Entry, verdict fold.Verdict) {
+	if change := entry.GetConfig(); change != nil {
+		r.changes[change.GetChangeId()] = verdict.Version
+	}
+	if topUp := entry.GetTopUp().GetTopUp(); topUp != nil && !r.topUps[topUp.GetId()] {
+		r.topUps[topUp.GetId()] = true
+		r.prepaid[topUp.GetBudget()] += topUp.GetTokens()
+	}
+	for _, s := range entry.GetSettlements().GetSettlements() {
+		if _, known := r.bills[s.GetRequest()]; !known {
+			r.bills[s.GetRequest()] = bill{s.GetBudget(), s.GetTokens()}
+			r.billed[s.GetBudget()] += s.GetTokens()
+		}
+	}
+}
+
+// checkLines holds the ledger against the count after each record.
+func (r *replay) checkLines(offset uint64) {
+	for _, line := range r.ledger.Budgets() {
+		held := line.Pool + line.Spent
+		for _, share := range line.Shares {
+			held += share.Left()
+		}
+		switch {
+		case line.Spent > r.prepaid[line.Budget]:
+			r.fault(Overspend, "offset %d: budget %s has spent %d of %d", offset, line.Budget, line.Spent, r.prepaid[line.Budget])
+		case held != r.prepaid[line.Budget]:
+			r.fault(Overspend, "offset %d: budget %s holds %d of %d prepaid", offset, line.Budget, held, r.prepaid[line.Budget])
+		case line.Spent != r.billed[line.Budget]:
+			r.fault(BilledOnce, "offset %d: budget %s was billed %d, its requests come to %d", offset, line.Budget, line.Spent, r.billed[line.Budget])
+		default:
+			continue
+		}
+	}
+}
+
+func (r *replay) fault(promise Promise, format string, args ...any) {
+	r.faults = append(r.faults, Violation{Promise: promise, Text: fmt.Sprintf(format, args...)})
+}
--- /dev/null
+++ b/internal/check/violation.go
@@ -0,0 +1,32 @@
+package check
+
+// Promise is one of the things that must always hold.
+type Promise string
+
+// The promises, in the brief's order.
+const (
+	Overspend    Promise = "spend within budget"
+	BilledOnce   Promise = "billed exactly once"
+	WholeAnswer  Promise = "whole answer to the right caller"
+	NotRun       Promise = "not run is true"
+	AtMostOnce   Promise = "non-idempotent at most once"
+	GracefulStop Promise = "planned stop cuts nothing"
+	ConfigStays  Promise = "configuration in force and never reverting"
+	Recovers     Promise = "fleet serves again by itself"
+)
+
+// Promises lists all promises that Check judges.
+func Promises() []Promise {
+	return []Promise{Overspend, BilledOnce, WholeAnswer, NotRun, AtMostOnce, GracefulStop, ConfigStays, Recovers}
+}
+
+// Violation is one promise broken in a history.
+type Violation struct {
+	Promise Promise
+	Text    string
+	// IDs are what to look for in the time line.
+	IDs []string
+}
+
+// String returns promise and text.
+func (v Violation) String() string { return string(v.Promise) + ": " + v.Text }
--- /dev/null
+++ b/internal/check/workload.go
@@ -0,0 +1,67 @@
+package check
+
+import (
+	"fmt"
+	"strings"
+	"time"
+)
+
+const (
+	workSpan     = 12 * time.Second
+	workInterval = 120 * time.Millisecond
+	minWords     = 6
+	moreWords    = 20
+	topUpTokens  = 1_000
+)
+
+// workload runs callers and operators for a while, each at its own pace; it
+// returns when the last was started. name keeps prompts of several runs apart.
+func (h *Harness) workload(name string) {
+	began := h.clock.Now()
+	for i := 0; h.clock.Since(began) < workSpan; i++ {
+		h.request(fmt.Sprintf("%s-%d", name, i))
+		switch i {
+		case 20, 60:
+			id := fmt.Sprintf("%s-top-up-%d", name, i)
+			h.Go(func() { h.TopUp(h.anyMember(), id, budgetOf("poor"), topUpTokens) })
+		case 25, 45, 65, 85:
+			h.changeOnce(fmt.Sprintf("%s-change-%d", name, i), uint32(i))
+		}
+		h.clock.Sleep(workInterval/2 + time.Duration(h.draw(int(workInterval))))
+	}
+}
+
+func (h *Harness) anyMember() *Member { return h.Members[h.draw(len(h.Members))] }
+
+// request starts one caller's request at some node.
+func (h *Harness) request(id string) {
+	m := h.anyMember()
+	account := sceneAccounts[0]
+	if h.draw(4) == 0 {
+		account = sceneAccounts[1]
+	}
+	switch kind := h.draw(10); {
+	case kind < 6:
+		prompt := promptOf(id, minWords+h.draw(moreWords))
+		h.Go(func() { h.Chat(m, account, sceneModel, prompt) })
+	case kind < 8:
+		h.Go(func() { h.Call(m, account, "POST", "order "+id, "") })
+	case kind < 9:
+		h.Go(func() { h.Call(m, account, "POST", "keyed "+id, "key-"+id) })
+	default:
+		h.Go(func() { h.Call(m, account, "GET", "look "+id, "") })
+	}
+}
+
+func promptOf(id string, words int) string {
+	parts := []string{id}
+	for i := range words {
+		parts = append(parts, fmt.Sprintf("w%d", i))
+	}
+	return strings.Join(parts, " ")
+}
+
+func (h *Harness) changeOnce(id string, value uint32) {
+	m := h.anyMember()
+	h.Go(func() { h.Change(m, id, value) })
+}
