--- a/internal/check/callers.go
+++ b/internal/check/callers.go
@@ -20,6 +20,9 @@
 // callerPatience is how long a caller waits for a whole answer.
 const callerPatience = 20 * time.Second
 
+// sampleInterval is how often the configuration in force is looked at.
+const sampleInterval = 250 * time.Millisecond
+
 // sink is the caller's end of an answer.
 type sink struct {
 	ctx   context.Context
@@ -76,7 +79,7 @@
 	case err := <-answer:
 		outcome = outcomeOf(err)
 	case <-gate.Dead():
-		outcome.Message = "the node died"
+		outcome.Message = diedMessage
 	case <-ctx.Done():
 		outcome.Message = "the caller gave up"
 	}
@@ -187,7 +190,7 @@
 		select {
 		case <-done:
 			return
-		case <-h.clock.After(poll):
+		case <-h.clock.After(sampleInterval):
 		}
 		for _, m := range h.Members {
 			if !m.Live() {
--- a/internal/check/history.go
+++ b/internal/check/history.go
@@ -24,6 +24,11 @@
 // Span is when an operation ran, since the harness started.
 type Span struct{ Call, Return time.Duration }
 
+const diedMessage = "the node died"
+
+// died tells that the process that served the operation ended.
+func (o Outcome) died() bool { return o.Lost && o.Message == diedMessage }
+
 // ChatOp is one completion as its caller saw it.
 type ChatOp struct {
 	Span
--- /dev/null
+++ b/internal/check/matrix.go
@@ -0,0 +1,155 @@
+package check
+
+import (
+	"fmt"
+	"math/rand/v2"
+
+	"github.com/jonboulle/clockwork"
+
+	"lavenderpin.dev/lavenderpin/event"
+	"lavenderpin.dev/lavenderpin/internal/fake"
+)
+
+// Status is what a cell of the matrix came to.
+type Status string
+
+// The states of a cell. A cell is held only when every fault struck.
+const (
+	Held     Status = "held"
+	Broken   Status = "broken"
+	NotBuilt Status = "not built"
+)
+
+// CellResult is one cell's verdict with what reproduces it.
+type CellResult struct {
+	Faults     []string
+	Steps      []string
+	Seed       uint64
+	Status     Status
+	Missing    string   `json:",omitempty"`
+	Violations []string `json:",omitempty"`
+	// Command plays the cell again.
+	Command string
+	// Timeline holds the events that a broken promise names; all when it names none.
+	Timeline []event.Event `json:"-"`
+}
+
+// Singles returns every fault at every step.
+func Singles(timing Timing, seed uint64) []Cell {
+	var cells []Cell
+	for _, fault := range Faults(timing) {
+		for _, step := range Steps() {
+			cells = append(cells, Cell{Strikes: []Strike{{Fault: fault, Step: step, Nth: 1}}, Seed: seed})
+		}
+	}
+	return cells
+}
+
+// Pairs returns n cells of two faults drawn from the seed; each cell's own seed
+// alone brings it back.
+func Pairs(timing Timing, seed uint64, n int) []Cell {
+	var cells []Cell
+	for i := range n {
+		cells = append(cells, Pair(timing, seed+uint64(i)))
+	}
+	return cells
+}
+
+// Pair returns the pair of faults that a seed stands for.
+func Pair(timing Timing, seed uint64) Cell {
+	r := rand.New(rand.NewPCG(seed, seed))
+	faults, steps := Faults(timing), Steps()
+	cell := Cell{Seed: seed}
+	for range 2 {
+		cell.Strikes = append(cell.Strikes, Strike{
+			Fault: faults[r.IntN(len(faults))], Step: steps[r.IntN(len(steps))], Nth: 1 + r.IntN(3)})
+	}
+	return cell
+}
+
+// Play runs a cell on the clock and judges it. The clock should be virtual.
+func Play(clock clockwork.Clock, cell Cell) (*Record, Reach) { return cell.Run(clock) }
+
+// Verdict judges a cell's record. It needs real time and must run outside a bubble.
+func Verdict(cell Cell, record *Record, reach Reach) CellResult {
+	result := CellResult{Seed: cell.Seed, Status: Held, Command: commandOf(cell)}
+	for _, s := range cell.Strikes {
+		result.Faults = append(result.Faults, s.Fault.Name)
+		result.Steps = append(result.Steps, string(s.Step))
+	}
+	violations := Check(record)
+	for _, v := range violations {
+		result.Violations = append(result.Violations, v.String())
+	}
+	switch {
+	case reach.Missing != "":
+		result.Status, result.Missing = NotBuilt, reach.Missing
+	case len(violations) > 0:
+		result.Status = Broken
+		result.Timeline = timelineOf(record, violations)
+	}
+	return result
+}
+
+func commandOf(cell Cell) string {
+	if len(cell.Strikes) == 1 {
+		return fmt.Sprintf("lavenderbench matrix --fault %q --step %q --seed %d", cell.Strikes[0].Fault.Name, cell.Strikes[0].Step, cell.Seed)
+	}
+	return fmt.Sprintf("lavenderbench matrix --pairs --seeds 1 --seed %d", cell.Seed)
+}
+
+// timelineOf returns the events that carry an id of the violations.
+func timelineOf(record *Record, violations []Violation) []event.Event {
+	ids := map[string]bool{}
+	for _, v := range violations {
+		for _, id := range v.IDs {
+			ids[id] = id != ""
+		}
+	}
+	var events []event.Event
+	for _, e := range record.Events {
+		if len(ids) == 0 || carriesAny(e, ids) || isFleetEvent(e.Number) {
+			events = append(events, e)
+		}
+	}
+	return events
+}
+
+func carriesAny(e event.Event, ids map[string]bool) bool {
+	for _, value := range e.Fields {
+		if ids[value] {
+			return true
+		}
+	}
+	return ids[e.Node] && e.Number != event.AddressesHandedOut
+}
+
+// isFleetEvent tells events that explain any request's story.
+func isFleetEvent(n event.Number) bool {
+	switch n {
+	case event.NodeStarting, event.NodeServing, event.NodeDraining, event.NodeStopped, event.NodeClosed,
+		event.IncarnationClosed, event.SpendRightLapsed:
+		return true
+	}
+	return false
+}
+
+// StepNamed returns the step of that name; false when there is none.
+func StepNamed(name string) (fake.Step, bool) {
+	for _, step := range Steps() {
+		if string(step) == name {
+			return step, true
+		}
+	}
+	return "", false
+}
+
+// FaultNamed returns the fault of that name; false when there is none.
+func FaultNamed(name string) (Fault, bool) {
+	for _, fault := range Faults(DefaultTiming()) {
+		if fault.Name == name {
+			return fault, true
+		}
+	}
+	return Fault{}, false
+}
--- a/internal/check/record.go
+++ b/internal/check/record.go
@@ -48,8 +48,10 @@
 type DrainOp struct {
 	Span
 	Node string
-	// Undisturbed tells that no fault struck meanwhile.
-	Undisturbed bool
+	// Ended tells that the stop ran to its end, without a kill or its time limit.
+	Ended bool
+	// Alone tells that nothing else could cut an answer meanwhile.
+	Alone bool
 }
 
 // collect takes the record of a history that has ended.
--- a/internal/fake/archive.go
+++ b/internal/fake/archive.go
@@ -15,10 +15,11 @@
 
 	mu      sync.Mutex
 	records []platform.Record
+	grown   chan struct{}
 }
 
 // NewArchive returns an archive before a log of one stream.
-func NewArchive(log platform.Log) *Archive { return &Archive{Log: log} }
+func NewArchive(log platform.Log) *Archive { return &Archive{Log: log, grown: make(chan struct{})} }
 
 // Append implements platform.Log.
 func (a *Archive) Append(ctx context.Context, stream string, data []byte) (uint64, error) {
@@ -29,9 +30,18 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.records = append(a.records, platform.Record{Offset: offset, Data: append([]byte(nil), data...)})
+	close(a.grown)
+	a.grown = make(chan struct{})
 	return offset, nil
 }
 
+// Grown returns a channel that is closed with the next record.
+func (a *Archive) Grown() <-chan struct{} {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.grown
+}
+
 // Records returns all records in offset order.
 func (a *Archive) Records() []platform.Record {
 	a.mu.Lock()
--- a/internal/fake/log.go
+++ b/internal/fake/log.go
@@ -15,7 +15,7 @@
 
 // Log is one node's view of the platform's log, with faults of its own.
 type Log struct {
-	inner   platform.Log
+	inner   *Archive
 	network *Network
 	node    Endpoint
 	gate    *Gate
@@ -34,7 +34,7 @@
 var _ platform.Log = (*Log)(nil)
 
 // NewLog returns a node's view of a log.
-func NewLog(inner platform.Log, network *Network, node Endpoint, gate *Gate, clock clockwork.Clock, probe Probe) *Log {
+func NewLog(inner *Archive, network *Network, node Endpoint, gate *Gate, clock clockwork.Clock, probe Probe) *Log {
 	return &Log{inner: inner, network: network, node: node, gate: gate, clock: clock, probe: probe}
 }
 
@@ -131,7 +131,7 @@
 	if err := l.reach(ctx); err != nil {
 		return platform.Slice{}, err
 	}
-	slice, err := l.inner.Read(ctx, stream, from, max, wait)
+	slice, err := l.readInner(ctx, stream, from, max, wait)
 	if lost := l.pass(ctx, LogEndpoint, l.node); lost != nil {
 		return platform.Slice{}, lost
 	}
@@ -141,6 +141,22 @@
 	return l.tampered(slice), nil
 }
 
+// readInner waits here and not in the log, on this node's clock.
+func (l *Log) readInner(ctx context.Context, stream string, from uint64, max int, wait time.Duration) (platform.Slice, error) {
+	grown := l.inner.Grown()
+	slice, err := l.inner.Read(ctx, stream, from, max, 0)
+	if err != nil || len(slice.Records) > 0 || wait <= 0 {
+		return slice, err
+	}
+	select {
+	case <-grown:
+	case <-l.clock.After(wait):
+	case <-ctx.Done():
+		return platform.Slice{}, errors.Trace(ctx.Err())
+	}
+	return l.inner.Read(ctx, stream, from, max, 0)
+}
+
 func (l *Log) tampered(slice platform.Slice) platform.Slice {
 	_, _, tamper := l.hooks()
 	if tamper == nil {
