--- a/internal/check/callers.go
+++ b/internal/check/callers.go
@@ -25,18 +25,20 @@
 
 // sink is the caller's end of an answer.
 type sink struct {
-	ctx   context.Context
-	gate  *fake.Gate
-	id    string
-	text  strings.Builder
-	usage upstream.Usage
+	ctx  context.Context
+	gate *fake.Gate
+	id   string
+	// streams tells whether the caller reads the answer as it comes.
+	streams bool
+	text    strings.Builder
+	usage   upstream.Usage
 }
 
 // Start implements request.Sink.
 func (s *sink) Start(id budget.RequestID, _ string) { s.id = id.String() }
 
 // Chunk implements request.Sink. What a paused or dead node writes doesn't arrive.
-func (s *sink) Chunk(chunk upstream.Chunk) error {
+func (s *sink) Chunk(_ string, chunk upstream.Chunk) error {
 	if err := s.gate.Enter(s.ctx); err != nil {
 		return err
 	}
@@ -47,6 +49,12 @@
 	return nil
 }
 
+// Streams implements request.Sink.
+func (s *sink) Streams() bool { return s.streams }
+
+// Restart implements request.Sink.
+func (s *sink) Restart() { s.text.Reset() }
+
 func outcomeOf(err error) Outcome {
 	if err == nil {
 		return Outcome{}
@@ -95,7 +103,7 @@
 		"model": model, "stream": true, "max_tokens": len(words),
 		"messages": []map[string]string{{"role": "user", "content": prompt}},
 	})
-	into := &sink{gate: gate}
+	into := &sink{gate: gate, streams: h.draw(2) == 0}
 	finished := make(chan struct{})
 	outcome, span := h.ask(m, gate, func(ctx context.Context) error {
 		defer close(finished)
--- a/internal/check/cell.go
+++ b/internal/check/cell.go
@@ -58,8 +58,14 @@
 }
 
 // Run plays the cell and returns its record and whether every fault could strike.
-func (c Cell) Run(clock clockwork.Clock) (*Record, Reach) {
+func (c Cell) Run(clock clockwork.Clock) (*Record, Reach) { return c.run(clock, nil) }
+
+// run is Run with a defect that a test plants before any node starts.
+func (c Cell) run(clock clockwork.Clock, plant func(*Harness)) (*Record, Reach) {
 	h := NewHarness(clock, c.Seed)
+	if plant != nil {
+		plant(h)
+	}
 	run := &cellRun{harness: h, cell: c}
 	record, err := run.play()
 	if err != nil {
@@ -111,6 +117,10 @@
 		close(done)
 		return &Record{Began: h.began}, nil
 	}
+	if !r.healed() {
+		h.clock.Sleep(DefaultTiming().SpendRight)
+		h.workload("during")
+	}
 	r.awaitHealed()
 	h.workload("second")
 	r.awaitHealed()
--- a/internal/check/harness.go
+++ b/internal/check/harness.go
@@ -88,7 +88,7 @@
 	network.Place(fake.LogEndpoint, RegionHome)
 	store := standin.NewLog()
 	h := &Harness{
-		Store: store, Archive: fake.NewArchive(store), Instances: standin.NewInstances(), Network: network,
+		Store: store, Archive: fake.NewArchive(store, clock), Instances: standin.NewInstances(), Network: network,
 		Upstreams: fake.NewUpstreams(clock, network, tokenTime, callTime),
 		History:   &History{}, clock: clock, began: clock.Now(),
 		rand: rand.New(rand.NewPCG(seed, seed)), seen: map[fake.Step]int{},
--- a/internal/check/judge.go
+++ b/internal/check/judge.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"reflect"
+	"time"
 
 	"lavenderpin.dev/lavenderpin/budget"
 	"lavenderpin.dev/lavenderpin/internal/fake"
@@ -37,6 +38,7 @@
 	j.chats()
 	j.calls()
 	j.bills()
+	j.rights()
 	j.ledgers()
 	j.configuration()
 	j.drains()
@@ -145,6 +147,24 @@
 	}
 }
 
+// rights checks that no request reached an upstream after its incarnation's right
+// to spend had ended: its tokens may be somebody else's by then.
+func (j *judge) rights() {
+	for _, run := range j.record.EngineRuns {
+		j.right(run.Request, run.Start)
+	}
+	for _, run := range j.record.ServiceRuns {
+		j.right(run.Request, run.At)
+	}
+}
+
+func (j *judge) right(request string, at time.Time) {
+	id, ok := budget.ParseRequestID(request)
+	if ok && !j.replay.mayHaveSpent(id.Incarnation, at) {
+		j.fault(SpendRight, []string{request}, "request %s reached an upstream at %s, after its incarnation's right had ended", request, at.Sub(j.record.Began))
+	}
+}
+
 // ledgers compares every node's ledger with the replay at the same offset.
 func (j *judge) ledgers() {
 	for _, final := range j.record.Finals {
--- a/internal/check/record.go
+++ b/internal/check/record.go
@@ -7,7 +7,6 @@
 	"lavenderpin.dev/lavenderpin/budget"
 	"lavenderpin.dev/lavenderpin/event"
 	"lavenderpin.dev/lavenderpin/internal/fake"
-	"lavenderpin.dev/lavenderpin/platform"
 )
 
 // FinalState is what a live node had in force at the end of a history.
@@ -32,7 +31,7 @@
 	TopUps  []TopUpOp
 	Reads   []ConfigRead
 
-	Log         []platform.Record
+	Log         []fake.ArchivedRecord
 	EngineRuns  []fake.EngineRun
 	ServiceRuns []fake.ServiceRun
 	Finals      []FinalState
--- a/internal/check/replay.go
+++ b/internal/check/replay.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"time"
 
 	"google.golang.org/protobuf/proto"
 
@@ -9,9 +10,12 @@
 	"lavenderpin.dev/lavenderpin/budget"
 	"lavenderpin.dev/lavenderpin/config"
 	"lavenderpin.dev/lavenderpin/fold"
-	"lavenderpin.dev/lavenderpin/platform"
+	"lavenderpin.dev/lavenderpin/internal/fake"
 )
 
+// onItsWay is how long a request that was checked and sent may take to arrive.
+const onItsWay = 50 * time.Millisecond
+
 // bill is what the log charges for one request.
 type bill struct {
 	budget string
@@ -31,17 +35,19 @@
 	lines   map[uint64][]budget.Line
 	// changes holds the version that each accepted change made, by change id.
 	changes map[string]uint64
-	offset  uint64
-	faults  []Violation
+	// rights holds each incarnation's heartbeats as they reached the log.
+	rights map[string][]right
+	offset uint64
+	faults []Violation
 }
 
 // replayLog folds the records of a history; keep names the offsets whose lines
 // are wanted afterwards.
-func replayLog(records []platform.Record, keep map[uint64]bool) *replay {
+func replayLog(records []fake.ArchivedRecord, keep map[uint64]bool) *replay {
 	r := &replay{
 		ledger: budget.NewLedger(), config: config.NewState(nil), bills: map[string]bill{},
 		prepaid: map[string]uint64{}, billed: map[string]uint64{}, topUps: map[string]bool{}, lines: map[uint64][]budget.Line{},
-		changes: map[string]uint64{},
+		changes: map[string]uint64{}, rights: map[string][]right{},
 	}
 	engine := fold.NewEngine(r.config, r.ledger)
 	for _, record := range records {
@@ -54,6 +60,7 @@
 		for i, verdict := range verdicts {
 			if verdict.OK() {
 				r.count(batch.GetEntries()[i], verdict)
+				r.countRight(record.At, batch.GetWriter(), batch.GetEntries()[i])
 			}
 		}
 		r.checkLines(record.Offset)
@@ -80,6 +87,26 @@
 	}
 }
 
+// right is a span within which an incarnation may spend.
+type right struct{ from, until time.Time }
+
+func (r *replay) countRight(at time.Time, writer string, entry *recordv1.Entry) {
+	if beat := entry.GetHeartbeat(); beat != nil {
+		term := time.Duration(beat.GetRightMs()) * time.Millisecond
+		r.rights[writer] = append(r.rights[writer], right{at, at.Add(term)})
+	}
+}
+
+// mayHaveSpent tells whether a request could rightly reach an upstream at a moment.
+func (r *replay) mayHaveSpent(incarnation string, at time.Time) bool {
+	for _, held := range r.rights[incarnation] {
+		if !at.Before(held.from) && !at.After(held.until.Add(onItsWay)) {
+			return true
+		}
+	}
+	return false
+}
+
 // checkLines holds the ledger against the count after each record.
 func (r *replay) checkLines(offset uint64) {
 	for _, line := range r.ledger.Budgets() {
--- a/internal/check/violation.go
+++ b/internal/check/violation.go
@@ -6,6 +6,7 @@
 // The promises, in the brief's order.
 const (
 	Overspend    Promise = "spend within budget"
+	SpendRight   Promise = "spends only while it has the right"
 	BilledOnce   Promise = "billed exactly once"
 	WholeAnswer  Promise = "whole answer to the right caller"
 	NotRun       Promise = "not run is true"
@@ -17,7 +18,7 @@
 
 // Promises lists all promises that Check judges.
 func Promises() []Promise {
-	return []Promise{Overspend, BilledOnce, WholeAnswer, NotRun, AtMostOnce, GracefulStop, ConfigStays, Recovers}
+	return []Promise{Overspend, SpendRight, BilledOnce, WholeAnswer, NotRun, AtMostOnce, GracefulStop, ConfigStays, Recovers}
 }
 
 // Violation is one promise broken in a history.
--- a/internal/fake/archive.go
+++ b/internal/fake/archive.go
@@ -4,22 +4,34 @@
 	"context"
 	"sort"
 	"sync"
+	"time"
+
+	"github.com/jonboulle/clockwork"
 
 	"lavenderpin.dev/lavenderpin/platform"
 )
 
+// ArchivedRecord is a record with the moment at which the log took it.
+type ArchivedRecord struct {
+	platform.Record
+	At time.Time
+}
+
 // Archive is a log that remembers every record, also those that the log itself no
 // longer keeps, so that a history can be judged from its beginning.
 type Archive struct {
 	platform.Log
 
 	mu      sync.Mutex
-	records []platform.Record
+	clock   clockwork.Clock
+	records []ArchivedRecord
 	grown   chan struct{}
 }
 
 // NewArchive returns an archive before a log of one stream.
-func NewArchive(log platform.Log) *Archive { return &Archive{Log: log, grown: make(chan struct{})} }
+func NewArchive(log platform.Log, clock clockwork.Clock) *Archive {
+	return &Archive{Log: log, clock: clock, grown: make(chan struct{})}
+}
 
 // Append implements platform.Log.
 func (a *Archive) Append(ctx context.Context, stream string, data []byte) (uint64, error) {
@@ -29,7 +41,7 @@
 	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.records = append(a.records, platform.Record{Offset: offset, Data: append([]byte(nil), data...)})
+	a.records = append(a.records, ArchivedRecord{platform.Record{Offset: offset, Data: append([]byte(nil), data...)}, a.clock.Now()})
 	close(a.grown)
 	a.grown = make(chan struct{})
 	return offset, nil
@@ -43,10 +55,10 @@
 }
 
 // Records returns all records in offset order.
-func (a *Archive) Records() []platform.Record {
+func (a *Archive) Records() []ArchivedRecord {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	records := append([]platform.Record(nil), a.records...)
+	records := append([]ArchivedRecord(nil), a.records...)
 	sort.Slice(records, func(i, j int) bool { return records[i].Offset < records[j].Offset })
 	return records
 }
--- a/request/call.go
+++ b/request/call.go
@@ -137,7 +137,7 @@
 		if err == nil {
 			return answer, nil
 		}
-		last = err
+		last = ofBoth(last, err)
 		ask.Tried[pick.Upstream.GetName()] = true
 		if !mayCallAgain(err, p.rule) {
 			break
--- a/request/chat.go
+++ b/request/chat.go
@@ -95,6 +95,16 @@
 	return release, nil
 }
 
+// ofBoth returns the error that is true of an earlier attempt and of the last one.
+// Without it a request whose first attempt may have run, and whose second reached
+// nobody, would be refused as "not run", and a caller would believe it.
+func ofBoth(before, last error) error {
+	if before != nil && last != nil && result.CodeOf(last).Info().NotRun && !result.CodeOf(before).Info().NotRun {
+		return before
+	}
+	return last
+}
+
 func firstError(errs ...error) error {
 	for _, err := range errs {
 		if err != nil {
--- a/request/chatrun.go
+++ b/request/chatrun.go
@@ -96,12 +96,16 @@
 		if err != nil {
 			return firstError(last, err)
 		}
-		last = r.attempt(ctx, pick)
-		if last != nil && ctx.Err() != nil {
-			last = result.New(result.CallerGone, "the request was given up")
+		err = r.attempt(ctx, pick)
+		if err != nil && ctx.Err() != nil {
+			err = result.New(result.CallerGone, "the request was given up")
 		}
-		pick.Done(last)
-		if last == nil || !worthAnother(last) {
+		pick.Done(err)
+		if err == nil {
+			return nil
+		}
+		last = ofBoth(last, err)
+		if !worthAnother(err) {
 			return last
 		}
 		r.ask.Tried[pick.Upstream.GetName()] = true
