--- a/cmd/lavenderbench/main.go
+++ b/cmd/lavenderbench/main.go
@@ -11,6 +11,7 @@
 )
 
 type cli struct {
+	Run        runCmd        `cmd:"" help:"Put a seeded open-loop load on a fleet and print what it saw and cost."`
 	Matrix     matrixCmd     `cmd:"" help:"Play every fault at every step in virtual time and judge what callers saw."`
 	Experiment experimentCmd `cmd:"" help:"Compare policies over models, in model time."`
 }
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -44,6 +44,8 @@
 	Admin string
 	// DrainTimeout bounds a graceful stop.
 	DrainTimeout time.Duration
+	// WrapSocket may replace the peer socket, to count what passes; nil keeps it.
+	WrapSocket func(net.PacketConn) net.PacketConn
 }
 
 // Daemon is a running process's node with its listeners.
@@ -69,6 +71,9 @@
 	if err != nil {
 		return nil, errors.Annotate(err, "peer address")
 	}
+	if config.WrapSocket != nil {
+		socket = config.WrapSocket(socket)
+	}
 	d.peers = peer.NewQUIC(socket, config.PeerTLS)
 	callers, err := net.Listen("tcp", config.Settings.HTTPAddress)
 	if err != nil {
--- a/devfleet/fleet.go
+++ b/devfleet/fleet.go
@@ -18,6 +18,7 @@
 	"lavenderpin.dev/lavenderpin/daemon"
 	"lavenderpin.dev/lavenderpin/internal/standin"
 	"lavenderpin.dev/lavenderpin/node"
+	"lavenderpin.dev/lavenderpin/platform"
 	"lavenderpin.dev/lavenderpin/signed"
 	"lavenderpin.dev/lavenderpin/tlskeys"
 
@@ -48,6 +49,10 @@
 	Logger     log.Logger
 	// Adjust changes a node's settings before it starts; may be nil.
 	Adjust func(*node.Settings)
+	// WrapLog and WrapSocket may replace what a node reaches the world through, to
+	// count what passes; nil keeps it.
+	WrapLog    func(Place, platform.Log) platform.Log
+	WrapSocket func(Place, net.PacketConn) net.PacketConn
 }
 
 // Fleet is a running development fleet.
@@ -155,11 +160,18 @@
 	if logger == nil {
 		logger = log.NewNopLogger()
 	}
-	d, err := daemon.New(daemon.Config{
+	wanted := daemon.Config{
 		Settings: settings, Log: f.Log, Instances: f.Instances,
 		Weights: standin.NewWeights(clockwork.NewRealClock(), time.Second),
 		PeerTLS: peerTLS, Logger: logger, DrainTimeout: time.Minute,
-	})
+	}
+	if options.WrapLog != nil {
+		wanted.Log = options.WrapLog(place, f.Log)
+	}
+	if options.WrapSocket != nil {
+		wanted.WrapSocket = func(socket net.PacketConn) net.PacketConn { return options.WrapSocket(place, socket) }
+	}
+	d, err := daemon.New(wanted)
 	if err != nil {
 		return errors.Trace(err)
 	}
