--- /dev/null
+++ b/internal/bench/capacity/capacity_test.go
@@ -0,0 +1,22 @@
+package capacity
+
+import (
+	"testing"
+
+	"github.com/matryer/is"
+)
+
+// Every role is computed from slopes that exist, and no slope is empty: a page of
+// zeros would promise a fleet that costs nothing.
+func TestMeasureGivesEverySlope(t *testing.T) {
+	is := is.New(t)
+	size := TwoYears()
+	size.Accounts, size.Budgets, size.Engines = 500, 2_000, 100
+	m := Measure(size)
+	for _, s := range m.Slopes {
+		t.Logf("%s: %.1f %s", s.Name, s.Value, s.Unit)
+		is.True(s.Value > 0)
+	}
+	is.True(len(m.Roles) > 0)
+	is.True(len(m.Limits) > 0)
+}
--- /dev/null
+++ b/internal/bench/capacity/ledger.go
@@ -0,0 +1,140 @@
+package capacity
+
+import (
+	"fmt"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"lavenderpin.dev/lavenderpin/budget"
+)
+
+const (
+	sampleBudgets      = 50_000
+	sampleSettlements  = 50_000
+	sampleIncarnations = 400
+	settlementsABatch  = 50
+	sampleShares       = 20_000
+)
+
+// ledgerSlopes measures what folding money costs every node.
+func ledgerSlopes() []Slope {
+	f := newFolder()
+	f.fold(encoded(batchOf(0, 1, heartbeat(0, 1))))
+	line := grown(sampleBudgets, func() any {
+		for i := range sampleBudgets {
+			f.fold(encoded(batchOf(1, uint64(i+1), topUp(i))))
+		}
+		return f
+	})
+	share := grown(sampleShares, func() any {
+		for i := range sampleShares {
+			f.fold(encoded(batchOf(0, uint64(i+2), claim(i))))
+		}
+		return f
+	})
+	seq := uint64(sampleShares + 2)
+	batches := make([][]byte, 0, sampleSettlements/settlementsABatch)
+	size := 0
+	next := 1
+	for range sampleSettlements / settlementsABatch {
+		batches = append(batches, nil)
+	}
+	settle := each(sampleSettlements, func() {
+		for i := range batches {
+			batches[i] = encoded(batchOf(0, seq, settlements(0, next, settlementsABatch)))
+			seq, next = seq+1, next+settlementsABatch
+		}
+	})
+	size = len(batches[0])
+	encodeOnly := settle
+	began := time.Now()
+	for _, data := range batches {
+		f.fold(data)
+	}
+	foldEach := float64(time.Since(began).Nanoseconds()) / sampleSettlements
+	beat := encoded(batchOf(1, 1, heartbeat(1, 1)))
+	return []Slope{
+		{"ledger memory per budget", line, "B", "50,000 top-ups folded, one budget each; includes the top-up's id, which is kept for good"},
+		{"ledger memory per share", share, "B", "20,000 claims of one incarnation folded"},
+		{"log bytes per settlement", float64(size) / settlementsABatch, "B", "one batch of 50 settlements, UUID incarnation, 22-letter budget"},
+		{"encode per settlement", encodeOnly, "ns", "building and marshalling batches of 50"},
+		{"fold per settlement", foldEach, "ns", "unmarshal and apply, batches of 50"},
+		{"log bytes per heartbeat", float64(len(beat)), "B", "a batch with one heartbeat"},
+		{"ledger memory per incarnation", incarnationMemory(), "B", "400 first heartbeats folded"},
+		{"ledger memory per open settlement", openSettlementMemory(), "B", "settlements above the oldest open counter"},
+		{"fold per heartbeat", foldHeartbeat(), "ns", "unmarshal and apply"},
+	}
+}
+
+func incarnationMemory() float64 {
+	f := newFolder()
+	return grown(sampleIncarnations, func() any {
+		for i := range sampleIncarnations {
+			f.fold(encoded(batchOf(i, 1, heartbeat(i, 1))))
+		}
+		return f
+	})
+}
+
+func openSettlementMemory() float64 {
+	f := newFolder()
+	f.fold(encoded(batchOf(0, 1, heartbeat(0, 1))))
+	f.fold(encoded(batchOf(1, 1, topUp(0))))
+	f.fold(encoded(batchOf(0, 2, claim(0))))
+	return grown(sampleSettlements, func() any {
+		for i := range sampleSettlements / settlementsABatch {
+			entry := settlements(0, 2+i*settlementsABatch, settlementsABatch)
+			entry.GetSettlements().OldestOpen = 1
+			f.fold(encoded(batchOf(0, uint64(i+3), entry)))
+		}
+		return f
+	})
+}
+
+func foldHeartbeat() float64 {
+	f := newFolder()
+	seq := uint64(0)
+	batches := make([][]byte, 0, sampleIncarnations*rounds)
+	for round := range rounds {
+		for i := range sampleIncarnations {
+			batches = append(batches, encoded(batchOf(i, uint64(round+1), heartbeat(i, uint64(round+1)))))
+		}
+	}
+	return each(sampleIncarnations, func() {
+		for _, data := range batches[seq*sampleIncarnations : (seq+1)*sampleIncarnations] {
+			f.fold(data)
+		}
+		seq++
+	})
+}
+
+// snapshotSlopes measures the ledger's and the configuration's snapshot.
+func snapshotSlopes() []Slope {
+	f := newFolder()
+	for i := range sampleBudgets {
+		f.fold(encoded(batchOf(1, uint64(i+1), topUp(i))))
+	}
+	var data []byte
+	took := each(sampleBudgets, func() {
+		var err error
+		if data, err = f.ledger.Snapshot(); err != nil {
+			panic(err)
+		}
+	})
+	restore := each(sampleBudgets, func() {
+		if err := budget.NewLedger().Restore(data); err != nil {
+			panic(err)
+		}
+	})
+	return []Slope{
+		{"snapshot bytes per budget", float64(len(data)) / sampleBudgets, "B", "ledger part of 50,000 budgets, before compression"},
+		{"snapshot per budget", took, "ns", "ledger part, written"},
+		{"restore per budget", restore, "ns", "ledger part, read"},
+	}
+}
+
+// changeBytes is the size of one ordinary change.
+func changeBytes() float64 {
+	return float64(proto.Size(batchOf(0, 1, change(fmt.Sprintf("change-%036d", 1), upstreamOf(1)))))
+}
--- /dev/null
+++ b/internal/bench/capacity/measure.go
@@ -0,0 +1,32 @@
+package capacity
+
+// Measured holds all slopes of one run.
+type Measured struct {
+	Slopes []Slope `json:"slopes"`
+	Size   Size    `json:"size"`
+	Roles  []Role  `json:"roles"`
+	Limits []Limit `json:"limits"`
+}
+
+// Measure takes the slopes on this machine and computes the roles for the size.
+func Measure(size Size) *Measured {
+	m := &Measured{Size: size}
+	m.Slopes = append(m.Slopes, ledgerSlopes()...)
+	m.Slopes = append(m.Slopes, snapshotSlopes()...)
+	m.Slopes = append(m.Slopes, configSlopes(size)...)
+	m.Slopes = append(m.Slopes, pathSlopes()...)
+	m.Slopes = append(m.Slopes, wireSlopes()...)
+	m.Roles = roles(size, m.slope)
+	m.Limits = limits(size, m.slope)
+	return m
+}
+
+// slope returns a slope's value; a missing one is a defect of this package.
+func (m *Measured) slope(name string) float64 {
+	for _, s := range m.Slopes {
+		if s.Name == name {
+			return s.Value
+		}
+	}
+	panic("no slope " + name)
+}
