--- a/internal/bench/capacity/measure.go
+++ b/internal/bench/capacity/measure.go
@@ -9,12 +9,12 @@
 }
 
 // Measure takes the slopes on this machine and computes the roles for the size.
-func Measure(size Size) *Measured {
+func Measure(size Size, n Samples) *Measured {
 	m := &Measured{Size: size}
-	m.Slopes = append(m.Slopes, ledgerSlopes()...)
-	m.Slopes = append(m.Slopes, snapshotSlopes()...)
-	m.Slopes = append(m.Slopes, configSlopes(size)...)
-	m.Slopes = append(m.Slopes, pathSlopes()...)
+	m.Slopes = append(m.Slopes, ledgerSlopes(n)...)
+	m.Slopes = append(m.Slopes, snapshotSlopes(n)...)
+	m.Slopes = append(m.Slopes, configSlopes(n, size)...)
+	m.Slopes = append(m.Slopes, pathSlopes(n)...)
 	m.Slopes = append(m.Slopes, wireSlopes()...)
 	m.Roles = roles(size, m.slope)
 	m.Limits = limits(size, m.slope)
