--- a/internal/bench/client.go
+++ b/internal/bench/client.go
@@ -139,6 +139,9 @@
 			text.WriteString(chunk.Choices[0].Delta.Content)
 		}
 	}
+	// A connection that broke is seen as such; only a stream that ended as if it
+	// were complete is truncated.
+	o.lost = !o.whole && lines.Err() != nil
 	return text.String()
 }
 
--- a/internal/bench/judge.go
+++ b/internal/bench/judge.go
@@ -60,6 +60,7 @@
 	switch {
 	case o.ok():
 		r.OK++
+		r.AnsweredTokens += billable(o)
 	case o.lost:
 		r.Lost++
 	case o.crossed:
--- a/internal/bench/report.go
+++ b/internal/bench/report.go
@@ -17,6 +17,8 @@
 	Truncated       int     `json:"truncated"`
 	Crossed         int     `json:"crossed"`
 	BilledTokens    uint64  `json:"billed_tokens"`
+	// AnsweredTokens is what the whole answers come to.
+	AnsweredTokens uint64 `json:"answered_tokens"`
 
 	// Latencies are of whole completions; added is routed less direct at the same
 	// quantile. First is the time to the first byte of a streamed answer.
