--- a/internal/check/judge.go
+++ b/internal/check/judge.go
@@ -17,7 +17,9 @@
 	// chatRuns are the engines' runs by prompt, callRuns the services' by body.
 	chatRuns map[string][]fake.EngineRun
 	callRuns map[string][]fake.ServiceRun
-	faults   []Violation
+	// bills is what each request is charged, parts at peers included.
+	bills  map[string]uint64
+	faults []Violation
 }
 
 // Check returns every promise that a history broke.
@@ -34,10 +36,11 @@
 	for _, run := range record.ServiceRuns {
 		j.callRuns[run.Body] = append(j.callRuns[run.Body], run)
 	}
+	j.bills = j.billsWithParts()
 	j.faults = append(j.faults, j.replay.faults...)
 	j.chats()
 	j.calls()
-	j.bills()
+	j.unfounded()
 	j.rights()
 	j.ledgers()
 	j.configuration()
@@ -64,7 +67,7 @@
 		if op.Text != op.Want || op.Tokens == 0 || len(runs) == 0 {
 			j.fault(WholeAnswer, ids, "chat %q at %s got %q as whole", op.Prompt, op.Node, op.Text)
 		}
-		if billed := j.replay.bills[op.Request].tokens; billed != op.Tokens {
+		if billed := j.bills[op.Request]; billed != op.Tokens {
 			j.fault(BilledOnce, ids, "chat %q at %s was answered whole with %d tokens and billed %d", op.Prompt, op.Node, op.Tokens, billed)
 		}
 	}
@@ -100,7 +103,7 @@
 	}
 	billed := uint64(0)
 	for _, run := range runs {
-		billed += j.replay.bills[run.Request].tokens
+		billed += j.bills[run.Request]
 	}
 	if answered && billed != callTokens {
 		j.fault(BilledOnce, requestsOf(runs), "call %q was answered and billed %d tokens, not %d", body, billed, callTokens)
@@ -124,9 +127,25 @@
 	return ids
 }
 
-// bills looks for money that nothing stands for: each request billed must have run
+// billsWithParts adds what peers were billed for parts of a request to the request.
+func (j *judge) billsWithParts() map[string]uint64 {
+	whole := map[string]string{}
+	for _, part := range j.record.Parts {
+		whole[part.Part] = part.Request
+	}
+	bills := map[string]uint64{}
+	for request, b := range j.replay.bills {
+		if of := whole[request]; of != "" {
+			request = of
+		}
+		bills[request] += b.tokens
+	}
+	return bills
+}
+
+// unfounded looks for money that nothing stands for: each request billed must have run
 // and produced at least as much, and a request that failed whole costs nothing.
-func (j *judge) bills() {
+func (j *judge) unfounded() {
 	most := map[string]uint64{}
 	for _, run := range j.record.EngineRuns {
 		most[run.Request] = max(most[run.Request], run.PromptTokens+run.Produced)
@@ -134,15 +153,15 @@
 	for _, run := range j.record.ServiceRuns {
 		most[run.Request] = callTokens
 	}
-	for request, b := range j.replay.bills {
-		if b.tokens > most[request] {
-			j.fault(BilledOnce, []string{request}, "request %s was billed %d tokens, and upstreams produced %d", request, b.tokens, most[request])
+	for request, billed := range j.bills {
+		if billed > most[request] {
+			j.fault(BilledOnce, []string{request}, "request %s was billed %d tokens, and upstreams produced %d", request, billed, most[request])
 		}
 	}
 	for _, op := range j.record.Chats {
 		failed := !op.OK() && !op.Lost && op.Code != result.CallerGone
-		if b, billed := j.replay.bills[op.Request]; failed && billed && op.Request != "" {
-			j.fault(BilledOnce, []string{op.Request}, "chat %q failed with %s and was billed %d", op.Prompt, op.Code, b.tokens)
+		if billed := j.bills[op.Request]; failed && billed > 0 && op.Request != "" {
+			j.fault(BilledOnce, []string{op.Request}, "chat %q failed with %s and was billed %d", op.Prompt, op.Code, billed)
 		}
 	}
 }
--- a/internal/check/record.go
+++ b/internal/check/record.go
@@ -34,7 +34,9 @@
 	Log         []fake.ArchivedRecord
 	EngineRuns  []fake.EngineRun
 	ServiceRuns []fake.ServiceRun
-	Finals      []FinalState
+	// Parts links requests to what peers reserved for them.
+	Parts  []fake.Part
+	Finals []FinalState
 	// Drained holds the addresses of members that were drained, with when.
 	Drained []DrainOp
 	Events  []event.Event
@@ -55,7 +57,8 @@
 
 // collect takes the record of a history that has ended.
 func (h *Harness) collect() *Record {
-	r := &Record{Began: h.began, Log: h.Archive.Records(), EngineRuns: h.Upstreams.Runs(), ServiceRuns: h.Upstreams.Calls()}
+	r := &Record{Began: h.began, Log: h.Archive.Records(), EngineRuns: h.Upstreams.Runs(), ServiceRuns: h.Upstreams.Calls(),
+		Parts: h.Network.Parts()}
 	h.History.mu.Lock()
 	r.Chats, r.Calls, r.Configs = h.History.Chats, h.History.Calls, h.History.Configs
 	r.TopUps, r.Reads, r.Drained = h.History.TopUps, h.History.Reads, h.History.Drained
--- a/internal/fake/network.go
+++ b/internal/fake/network.go
@@ -43,8 +43,12 @@
 	stations map[Endpoint]station
 	cut      map[link]bool
 	between  uint64
+	parts    []Part
 }
 
+// Part links a request to the id under which a peer reserved a part of it.
+type Part struct{ Request, Part string }
+
 // NewNetwork returns a network without cuts.
 func NewNetwork(clock clockwork.Clock) *Network {
 	return &Network{clock: clock, stations: map[Endpoint]station{}, cut: map[link]bool{}}
@@ -181,6 +185,32 @@
 	}
 }
 
+// Parts returns the parts of requests that peers reserved, whether or not the
+// answer arrived.
+func (n *Network) Parts() []Part {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return append([]Part(nil), n.parts...)
+}
+
+// partField is the lender's request id in fleet.v1.Reserved.
+const partField = "request"
+
+func (n *Network) notePart(request *fleetv1.Request, response *fleetv1.Response) {
+	reserved := response.GetReserved()
+	if reserved == nil {
+		return
+	}
+	message := reserved.ProtoReflect()
+	field := message.Descriptor().Fields().ByName(partField)
+	if field == nil {
+		return
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.parts = append(n.parts, Part{request.GetReserve().GetRequest(), message.Get(field).String()})
+}
+
 // deliver runs the request at its receiver, whatever becomes of the caller.
 func (c *networkCaller) deliver(ctx context.Context, to Endpoint, request *fleetv1.Request, answer chan<- *fleetv1.Response) {
 	c.network.clock.Sleep(c.network.latency(c.from, to, proto.Size(request)))
@@ -189,6 +219,7 @@
 		return
 	}
 	response := receiver.handle(ctx, request)
+	c.network.notePart(request, response)
 	if receiver.gate.Enter(context.Background()) != nil || !c.network.Passes(to, c.from) {
 		return
 	}
