--- a/node/node.go
+++ b/node/node.go
@@ -36,6 +36,7 @@
 	info     *recordv1.NodeInfo
 
 	events     *event.Recorder
+	kept       *event.Keeper
 	lifecycle  *stateless.StateMachine
 	config     *config.State
 	watchers   *watchers
@@ -79,6 +80,7 @@
 	}
 	hlc := event.NewHLC(deps.Clock)
 	n.events = event.NewRecorder(hlc, n.info.GetIncarnation(), settings.EventMemory, deps.Logger)
+	n.kept = event.NewKeeper(max(1, settings.EventMemory/keptShare))
 	n.lifecycle = newLifecycle(n.events)
 	n.config = config.NewState(n.configInForce)
 	n.ledger = budget.NewLedger()
--- a/node/peers.go
+++ b/node/peers.go
@@ -4,7 +4,6 @@
 	"context"
 
 	fleetv1 "lavenderpin.dev/lavenderpin/api/fleet/v1"
-	operatorv1 "lavenderpin.dev/lavenderpin/api/operator/v1"
 	"lavenderpin.dev/lavenderpin/event"
 	"lavenderpin.dev/lavenderpin/result"
 )
@@ -22,7 +21,7 @@
 	case *fleetv1.Request_LogRead:
 		n.answerLogRead(ctx, body.LogRead, response)
 	case *fleetv1.Request_EventsGather:
-		response.Body = &fleetv1.Response_Events{Events: n.localEvents(body.EventsGather.GetId())}
+		response.Body = &fleetv1.Response_Events{Events: n.gatherFor(body.EventsGather)}
 	case *fleetv1.Request_CallForward:
 		response = n.handleForward(ctx, body.CallForward)
 	case *fleetv1.Request_StreamMove:
@@ -36,14 +35,3 @@
 	response.Hlc = uint64(n.events.Clock().Now())
 	return response
 }
-
-func (n *Node) localEvents(id string) *operatorv1.EventsResponse {
-	events, dropped := n.events.Since(id)
-	answer := &operatorv1.EventsResponse{Dropped: dropped}
-	for _, e := range events {
-		answer.Events = append(answer.Events, &operatorv1.Event{
-			Hlc: uint64(e.Stamp), Node: e.Node, Number: uint32(e.Number), Name: e.Number.Kind().Name, Fields: e.Fields,
-		})
-	}
-	return answer
-}
--- a/node/timeline.go
+++ b/node/timeline.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"sort"
 	"time"
 
 	"github.com/jonboulle/clockwork"
@@ -12,7 +11,11 @@
 	"lavenderpin.dev/lavenderpin/event"
 )
 
-const gatherTimeout = 2 * time.Second
+const (
+	gatherTimeout = 2 * time.Second
+	// timelineLimit keeps an answer below what gRPC carries in one message, 4 MB.
+	timelineLimit = 10_000
+)
 
 // Timeline returns the events that carry id, of this node or of all that it
 // reaches, in the order of the hybrid logical clock.
@@ -23,7 +26,12 @@
 			n.gather(ctx, member.Node.GetPeerAddress(), id, all)
 		}
 	}
-	sort.SliceStable(all.Events, func(i, j int) bool { return all.Events[i].GetHlc() < all.Events[j].GetHlc() })
+	merged := event.Merge(fromWire(all.Events))
+	if over := len(merged) - timelineLimit; over > 0 {
+		merged = merged[over:]
+		all.Dropped += uint64(over)
+	}
+	all.Events = toWire(merged)
 	return all
 }
 
