--- a/internal/check/defect_test.go
+++ b/internal/check/defect_test.go
@@ -140,3 +140,14 @@
 	violations := withDefect(t, Cell{Seed: 1}, func(h *Harness) { h.Upstreams.SetFaults(fake.UpstreamFaults{RunTwice: true}) })
 	is.True(broke(violations, AtMostOnce))
 }
+
+// A holder that was paused sends its order after its successor's. An engine that
+// ignores fencing numbers takes it, and serves the version that was replaced.
+func TestFindsOrdersOfAFormerHolder(t *testing.T) {
+	is := is.New(t)
+	order := func(fencing uint64, taken bool) fake.EngineOrder {
+		return fake.EngineOrder{Upstream: "engine", Fencing: fencing, Taken: taken}
+	}
+	is.True(broke(Check(&Record{Orders: []fake.EngineOrder{order(2, true), order(1, true)}}), OneHolder))
+	is.True(!broke(Check(&Record{Orders: []fake.EngineOrder{order(2, true), order(1, false)}}), OneHolder))
+}
--- a/internal/check/fault.go
+++ b/internal/check/fault.go
@@ -70,7 +70,15 @@
 		{Name: "cache events with gaps", Needs: []fake.Step{stepCacheEvent}, strike: func(*Harness, *Member) {}},
 		{Name: "engine crosses answers", CutsAnswers: true, Lasts: engineFault, strike: setFaults(fake.UpstreamFaults{Cross: true}), heal: noFaults},
 		{Name: "engine cuts answers", CutsAnswers: true, Lasts: engineFault, strike: setFaults(fake.UpstreamFaults{CutAfter: 3}), heal: noFaults},
-		{Name: "engine ignores fencing", Needs: []fake.Step{fake.StepOrder}, strike: func(*Harness, *Member) {}},
+		{Name: "engine ignores fencing", CutsAnswers: true, Needs: []fake.Step{fake.StepOrder}, Lasts: pastRight,
+			strike: func(h *Harness, m *Member) {
+				h.Upstreams.SetFaults(fake.UpstreamFaults{IgnoreFencing: true})
+				m.Gate().Pause()
+			},
+			heal: func(h *Harness, m *Member) {
+				m.Gate().Resume()
+				h.After(engineFault, func() { noFaults(h, m) })
+			}},
 		{Name: "operators race", strike: race},
 		{Name: "caller retries", Needs: []fake.Step{fake.StepCallClaim}, strike: retryCalls},
 	}
--- a/internal/check/harness.go
+++ b/internal/check/harness.go
@@ -31,6 +31,7 @@
 	callTime      = 30 * time.Millisecond
 	operatorToken = "check-operator"
 	accountKey    = "check-key-"
+	tokenSecret   = "a secret of the harness, 32 bytes"
 )
 
 // Regions of the harness. The log stands in RegionHome.
@@ -45,13 +46,14 @@
 	SpendRight time.Duration
 	Lifetime   time.Duration
 	ClaimChunk uint64
+	LeaseTerm  time.Duration
 	// LongCut is how long a region stays cut off.
 	LongCut time.Duration
 }
 
 // DefaultTiming is what the matrix runs with.
 func DefaultTiming() Timing {
-	return Timing{Heartbeat: time.Second, SpendRight: 15 * time.Second, Lifetime: 2 * time.Second, ClaimChunk: 400, LongCut: 2 * time.Hour}
+	return Timing{Heartbeat: time.Second, SpendRight: 15 * time.Second, Lifetime: 2 * time.Second, ClaimChunk: 400, LeaseTerm: 6 * time.Second, LongCut: 2 * time.Hour}
 }
 
 // Harness runs real nodes in one process over the fakes. It uses nothing of
@@ -64,6 +66,7 @@
 	Upstreams *fake.Upstreams
 	Members   []*Member
 	History   *History
+	weights   *standin.Weights
 
 	clock   clockwork.Clock
 	began   time.Time
@@ -90,6 +93,7 @@
 	h := &Harness{
 		Store: store, Archive: fake.NewArchive(store, clock), Instances: standin.NewInstances(), Network: network,
 		Upstreams: fake.NewUpstreams(clock, network, tokenTime, callTime),
+		weights:   standin.NewWeights(clock, weightInterval),
 		History:   &History{}, clock: clock, began: clock.Now(),
 		rand: rand.New(rand.NewPCG(seed, seed)), seen: map[fake.Step]int{},
 	}
@@ -148,6 +152,7 @@
 		settings.OperatorAddress = fmt.Sprintf("127.0.0.1:%d", 7000+i)
 		settings.HeartbeatInterval, settings.SpendRight = timing.Heartbeat, timing.SpendRight
 		settings.AddressLifetime, settings.ClaimChunk = timing.Lifetime, timing.ClaimChunk
+		settings.LeaseTerm, settings.TokenSecret = timing.LeaseTerm, []byte(tokenSecret)
 		settings.BootstrapTokenSHA256 = config.HashKey(operatorToken)
 		m := &Member{harness: h, settings: settings}
 		h.Members = append(h.Members, m)
--- a/internal/check/judge.go
+++ b/internal/check/judge.go
@@ -44,6 +44,7 @@
 	j.rights()
 	j.ledgers()
 	j.configuration()
+	j.orders()
 	j.drains()
 	j.recovery()
 	j.linearizable()
@@ -242,6 +243,19 @@
 	}
 }
 
+// orders checks that no engine takes an order of a former holder after one of its
+// successor: fencing numbers only rise.
+func (j *judge) orders() {
+	highest := map[string]uint64{}
+	for _, order := range j.record.Orders {
+		if order.Taken && order.Fencing < highest[order.Upstream] {
+			j.fault(OneHolder, []string{order.Upstream}, "%s took an order of %s under fencing number %d after one under %d at %s",
+				order.Upstream, order.Node, order.Fencing, highest[order.Upstream], order.At.Sub(j.record.Began))
+		}
+		highest[order.Upstream] = max(highest[order.Upstream], order.Fencing)
+	}
+}
+
 // drains looks for answers that a planned stop cut. An engine that cuts answers, a
 // cut network and a pause cut them too; beside one of those only a request that the
 // stopping process left behind is laid to the stop.
--- a/internal/check/linear.go
+++ b/internal/check/linear.go
@@ -116,7 +116,7 @@
 func (j *judge) linearizable() {
 	j.search(Overspend, "account", accountModel, j.accountHistory())
 	j.search(AtMostOnce, "call register", callModel, j.callHistory())
-	j.search(ConfigStays, "configuration register", configModel(j.firstVersion()), j.configHistory())
+	j.search(ConfigStays, "configuration register", configModel(j.replay.firstVersion), j.configHistory())
 }
 
 func (j *judge) search(promise Promise, name string, model porcupine.Model, history []porcupine.Operation) {
@@ -197,12 +197,3 @@
 	}
 	return history
 }
-
-// firstVersion is the version that stood before the first change.
-func (j *judge) firstVersion() uint64 {
-	first := uint64(math.MaxUint64)
-	for _, op := range j.record.Configs {
-		first = min(first, op.Base)
-	}
-	return first
-}
--- a/internal/check/member.go
+++ b/internal/check/member.go
@@ -11,7 +11,6 @@
 
 	fleetv1 "lavenderpin.dev/lavenderpin/api/fleet/v1"
 	"lavenderpin.dev/lavenderpin/internal/fake"
-	"lavenderpin.dev/lavenderpin/internal/standin"
 	"lavenderpin.dev/lavenderpin/node"
 	"lavenderpin.dev/lavenderpin/operator"
 )
@@ -107,7 +106,7 @@
 		clock = h.nodeClock(m.settings.PeerAddress)
 	}
 	n, err := node.New(m.settings, node.Deps{
-		Clock: clock, Log: m.log, Instances: m.instances, Weights: standin.NewWeights(h.clock, weightInterval),
+		Clock: clock, Log: m.log, Instances: m.instances, Weights: h.weights,
 		Peers: h.Network.Caller(at, m.gate, h.probe), Upstreams: fake.NewClient(h.Upstreams, at, m.gate, h.probe),
 		Logger: log.NewNopLogger(), NewIncarnation: h.newIncarnation,
 	})
--- a/internal/check/record.go
+++ b/internal/check/record.go
@@ -34,6 +34,7 @@
 	Log         []fake.ArchivedRecord
 	EngineRuns  []fake.EngineRun
 	ServiceRuns []fake.ServiceRun
+	Orders      []fake.EngineOrder
 	// Parts links requests to what peers reserved for them.
 	Parts  []fake.Part
 	Finals []FinalState
@@ -58,7 +59,7 @@
 // collect takes the record of a history that has ended.
 func (h *Harness) collect() *Record {
 	r := &Record{Began: h.began, Log: h.Archive.Records(), EngineRuns: h.Upstreams.Runs(), ServiceRuns: h.Upstreams.Calls(),
-		Parts: h.Network.Parts()}
+		Parts: h.Network.Parts(), Orders: h.Upstreams.Orders()}
 	h.History.mu.Lock()
 	r.Chats, r.Calls, r.Configs = h.History.Chats, h.History.Calls, h.History.Configs
 	r.TopUps, r.Reads, r.Drained = h.History.TopUps, h.History.Reads, h.History.Drained
--- a/internal/check/replay.go
+++ b/internal/check/replay.go
@@ -38,7 +38,9 @@
 	// rights holds each incarnation's heartbeats as they reached the log.
 	rights map[string][]right
 	offset uint64
-	faults []Violation
+	// firstVersion is what the resource under test was declared at.
+	firstVersion uint64
+	faults       []Violation
 }
 
 // replayLog folds the records of a history; keep names the offsets whose lines
@@ -63,6 +65,9 @@
 				r.countRight(record.At, batch.GetWriter(), batch.GetEntries()[i])
 			}
 		}
+		if r.firstVersion == 0 {
+			r.firstVersion = underTest(r.config.View()).GetVersion()
+		}
 		r.checkLines(record.Offset)
 		if keep[record.Offset] {
 			r.lines[record.Offset] = r.ledger.Budgets()
--- a/internal/check/scene.go
+++ b/internal/check/scene.go
@@ -29,7 +29,7 @@
 // each region, and a spare upstream whose changes are watched.
 func scene() []*operatorv1.Resource {
 	resources := []*operatorv1.Resource{
-		service(&operatorv1.Service{Name: engineService, Kind: operatorv1.ServiceKind_SERVICE_KIND_ENGINE, Models: []string{sceneModel}}),
+		engineServiceAt("1"),
 		service(&operatorv1.Service{Name: plainService, Kind: operatorv1.ServiceKind_SERVICE_KIND_PLAIN, Calls: []*operatorv1.Call{
 			{Method: "GET", Path: "/", Idempotent: true, Tokens: callTokens},
 			{Method: "POST", Path: "/", Tokens: callTokens},
@@ -45,13 +45,21 @@
 	}
 	for i, region := range []string{RegionHome, RegionAway} {
 		for j := range 2 {
-			resources = append(resources, upstreamIn(region, fmt.Sprintf("engine-%d-%d", i, j), engineService, false))
+			engine := upstreamIn(region, fmt.Sprintf("engine-%d-%d", i, j), engineService, false)
+			engine.GetUpstream().ChecksFencing = j == 0
+			resources = append(resources, engine)
 		}
 		resources = append(resources, upstreamIn(region, fmt.Sprintf("plain-%d", i), plainService, false))
 	}
 	return resources
 }
 
+// engineServiceAt declares the model's version that engines should hold.
+func engineServiceAt(version string) *operatorv1.Resource {
+	return service(&operatorv1.Service{Name: engineService, Kind: operatorv1.ServiceKind_SERVICE_KIND_ENGINE, Models: []string{sceneModel},
+		Desired: []*operatorv1.DesiredModel{{Model: sceneModel, Version: version, CopiesPerRegion: 1}}})
+}
+
 func service(s *operatorv1.Service) *operatorv1.Resource {
 	return &operatorv1.Resource{Kind: &operatorv1.Resource_Service{Service: s}}
 }
--- a/internal/check/violation.go
+++ b/internal/check/violation.go
@@ -11,6 +11,7 @@
 	WholeAnswer  Promise = "whole answer to the right caller"
 	NotRun       Promise = "not run is true"
 	AtMostOnce   Promise = "non-idempotent at most once"
+	OneHolder    Promise = "no two holders' orders interleave"
 	GracefulStop Promise = "planned stop cuts nothing"
 	ConfigStays  Promise = "configuration in force and never reverting"
 	Recovers     Promise = "fleet serves again by itself"
@@ -18,7 +19,7 @@
 
 // Promises lists all promises that Check judges.
 func Promises() []Promise {
-	return []Promise{Overspend, SpendRight, BilledOnce, WholeAnswer, NotRun, AtMostOnce, GracefulStop, ConfigStays, Recovers}
+	return []Promise{Overspend, SpendRight, BilledOnce, WholeAnswer, NotRun, AtMostOnce, OneHolder, GracefulStop, ConfigStays, Recovers}
 }
 
 // Violation is one promise broken in a history.
--- a/internal/check/workload.go
+++ b/internal/check/workload.go
@@ -1,9 +1,12 @@
 package check
 
 import (
+	"context"
 	"fmt"
 	"strings"
 	"time"
+
+	operatorv1 "lavenderpin.dev/lavenderpin/api/operator/v1"
 )
 
 const (
@@ -24,6 +27,8 @@
 		case 20, 60:
 			id := fmt.Sprintf("%s-top-up-%d", name, i)
 			h.Go(func() { h.TopUp(h.anyMember(), id, budgetOf("poor"), topUpTokens) })
+		case 30:
+			h.wantVersion(name)
 		case 25, 45, 65, 85:
 			h.changeOnce(fmt.Sprintf("%s-change-%d", name, i), uint32(i))
 		}
@@ -65,3 +70,15 @@
 	m := h.anyMember()
 	h.Go(func() { h.Change(m, id, value) })
 }
+
+// wantVersion declares another version of the model, so that engines get orders.
+func (h *Harness) wantVersion(version string) {
+	m := h.anyMember()
+	h.Go(func() {
+		_, _ = h.ask(m, m.Gate(), func(ctx context.Context) error {
+			_, err := m.operator.Apply(operatorContext(ctx), &operatorv1.ApplyRequest{ChangeId: "version-" + version,
+				Changes: []*operatorv1.Change{{AnyVersion: true, Resource: engineServiceAt(version)}}})
+			return err
+		})
+	})
+}
--- a/internal/fake/client.go
+++ b/internal/fake/client.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"io"
+	"net/http"
 
 	operatorv1 "lavenderpin.dev/lavenderpin/api/operator/v1"
 	"lavenderpin.dev/lavenderpin/result"
@@ -62,6 +63,9 @@
 
 // Call implements upstream.Client.
 func (c *Client) Call(ctx context.Context, to *operatorv1.Upstream, r upstream.CallRequest) (upstream.CallAnswer, error) {
+	if r.Path == modelsPath {
+		return c.order(ctx, to, r)
+	}
 	c.probe(StepCall, string(c.node))
 	if err := c.send(ctx, to); err != nil {
 		return upstream.CallAnswer{}, err
@@ -82,6 +86,18 @@
 	return upstream.CallAnswer{Status: 200, ContentType: "text/plain", Body: append([]byte(nil), r.Body...)}, nil
 }
 
+// order asks an engine what it holds, or tells it.
+func (c *Client) order(ctx context.Context, to *operatorv1.Upstream, r upstream.CallRequest) (upstream.CallAnswer, error) {
+	if r.Method == http.MethodPost {
+		c.probe(StepOrder, string(c.node))
+	}
+	if err := c.send(ctx, to); err != nil {
+		return upstream.CallAnswer{}, err
+	}
+	answer := c.upstreams.models(to, c.node, r)
+	return answer, c.back(ctx, to)
+}
+
 // Usage implements upstream.Client.
 func (c *Client) Usage(ctx context.Context, to *operatorv1.Upstream, id string) (upstream.UsageReport, error) {
 	if err := c.send(ctx, to); err != nil {
--- a/internal/fake/upstreams.go
+++ b/internal/fake/upstreams.go
@@ -41,6 +41,8 @@
 	CutAfter int
 	// RunTwice plants a defect: each plain call runs twice.
 	RunTwice bool
+	// IgnoreFencing makes engines that check fencing numbers take any order.
+	IgnoreFencing bool
 }
 
 // Upstreams are the engines and plain services, with what they saw. They are safe
@@ -53,16 +55,19 @@
 	// CallTime is how long a plain call takes.
 	CallTime time.Duration
 
-	mu     sync.Mutex
-	faults UpstreamFaults
-	runs   []*EngineRun
-	byID   map[string]*EngineRun
-	calls  []ServiceRun
+	mu      sync.Mutex
+	faults  UpstreamFaults
+	runs    []*EngineRun
+	byID    map[string]*EngineRun
+	calls   []ServiceRun
+	orders  []EngineOrder
+	engines map[string]*engineState
 }
 
 // NewUpstreams returns upstreams that work at the given pace.
 func NewUpstreams(clock clockwork.Clock, network *Network, tokenTime, callTime time.Duration) *Upstreams {
-	return &Upstreams{clock: clock, network: network, TokenTime: tokenTime, CallTime: callTime, byID: map[string]*EngineRun{}}
+	return &Upstreams{clock: clock, network: network, TokenTime: tokenTime, CallTime: callTime, byID: map[string]*EngineRun{},
+		engines: map[string]*engineState{}}
 }
 
 // SetFaults replaces the switches.
