--- a/node/node.go
+++ b/node/node.go
@@ -154,6 +154,7 @@
 		n.instances.Run, n.writeSnapshots, n.followDrainOrder, n.serveWithoutLog, n.budgets.run} {
 		wait.Go(func() { loop(ctx) })
 	}
+	wait.Go(func() { n.keepEvents(ctx) })
 	defer wait.Wait()
 	defer cancel()
 	defer n.requests.Runner.Stop()
