Leave a closed node that answers to settle for itself

Fourteen answers of one history were unbilled. Change: recovery asks the closed incarnation itself before it releases; while it answers, it is waited for, and settles and releases by itself.

--- a/recovery/inquiry.go
+++ b/recovery/inquiry.go
@@ -128,6 +128,19 @@
 	return response.GetWitnessReport().GetOpen(), answeredNow
 }
 
+// subjectLives tells whether the closed incarnation itself answers: a node that was
+// cut off and is back, and hasn't read its close yet. It alone knows all that it
+// answered meanwhile, and puts it into the log as soon as it reads the close.
+// Released before that, its settlements would be void and its answers unbilled.
+func (q *inquiry) subjectLives(ctx context.Context) bool {
+	held, known := q.r.c.Ledger.Incarnation(q.subject)
+	if !known || held.Replaced {
+		return false
+	}
+	_, state := q.askOne(ctx, q.subject, held.Node.GetPeerAddress())
+	return state == answeredNow
+}
+
 // resolve decides on the requests found; true once all are decided.
 func (q *inquiry) resolve(ctx context.Context, wanted func(request string) bool) bool {
 	waited := q.age()
--- a/recovery/recoverer.go
+++ b/recovery/recoverer.go
@@ -164,6 +164,10 @@
 			r.c.Events.Record(event.RecoveryWaiting, "incarnation", c.subject, "unanswered", len(c.unasked), "found", len(c.found))
 			return
 		}
+		if c.subjectLives(ctx) {
+			r.c.Events.Record(event.RecoveryWaiting, "incarnation", c.subject, "found", len(c.found), "why", "it answers")
+			return
+		}
 		c.queue = c.entries()
 		c.queued = true
 	}
