--- a/internal/check/cell.go
+++ b/internal/check/cell.go
@@ -109,6 +109,9 @@
 	done := make(chan struct{})
 	h.Go(func() { h.sample(done) })
 	h.After(armAfter, func() { h.Arm(r.probe) })
+	if r.takes(fake.StepRecovery) {
+		h.After(armAfter, r.killAnother)
+	}
 	if r.takes(fake.StepDrain) {
 		h.After(drainAfter, r.drain)
 	}
@@ -204,6 +207,14 @@
 	})
 }
 
+// killAnother gives the fleet something to recover.
+func (r *cellRun) killAnother() {
+	m := r.harness.Members[1]
+	m.Kill()
+	r.harness.clock.Sleep(restart)
+	m.Restart()
+}
+
 // drain stops the second member gracefully and replaces it.
 func (r *cellRun) drain() {
 	h := r.harness
--- a/internal/check/member.go
+++ b/internal/check/member.go
@@ -136,6 +136,7 @@
 	m.mu.Lock()
 	gate, cancel := m.gate, m.cancel
 	m.mu.Unlock()
+	m.harness.noteKilled(m)
 	gate.Kill()
 	cancel()
 }
--- a/internal/check/record.go
+++ b/internal/check/record.go
@@ -38,6 +38,8 @@
 	// Parts links requests to what peers reserved for them.
 	Parts  []fake.Part
 	Finals []FinalState
+	// Killed holds incarnations whose process was killed, and their addresses.
+	Killed map[string]string
 	// Drained holds the addresses of members that were drained, with when.
 	Drained []DrainOp
 	Events  []event.Event
@@ -64,6 +66,7 @@
 	r.Chats, r.Calls, r.Configs = h.History.Chats, h.History.Calls, h.History.Configs
 	r.TopUps, r.Reads, r.Drained = h.History.TopUps, h.History.Reads, h.History.Drained
 	h.History.mu.Unlock()
+	r.Killed = h.killedNodes()
 	for _, recorder := range h.recorders {
 		events, dropped := recorder.Since("")
 		r.Events = append(r.Events, events...)
