--- a/internal/bench/capacity/ledger.go
+++ b/internal/bench/capacity/ledger.go
@@ -49,7 +49,7 @@
 	foldEach := float64(time.Since(began).Nanoseconds()) / float64(n.Settlements)
 	beat := encoded(batchOf(1, 1, heartbeat(1, 1)))
 	return []Slope{
-		{"ledger memory per budget", line, "B", "50,000 top-ups folded, one budget each; includes the top-up's id, which is kept for good"},
+		{"ledger memory per budget", line, "B", "50,000 top-ups folded, one budget each; includes the top-up's id"},
 		{"ledger memory per share", share, "B", "20,000 claims of one incarnation folded"},
 		{"log bytes per settlement", float64(size) / settlementsABatch, "B", "one batch of 50 settlements, UUID incarnation, 22-letter budget"},
 		{"encode per settlement", encodeOnly, "ns", "building and marshalling batches of 50"},
