--- /dev/null
+++ b/internal/check/matrix_test.go
@@ -0,0 +1,101 @@
+package check
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+const (
+	singleSeed = 1
+	pairSeed   = 1000
+	pairCount  = 40
+)
+
+// testTiming cuts a region off for five minutes, twenty times the right to spend. The
+// race detector's clock of a goroutine overflows in the two virtual hours that
+// "lavenderbench matrix" plays.
+func testTiming() Timing {
+	timing := DefaultTiming()
+	timing.LongCut = 5 * time.Minute
+	return timing
+}
+
+func judgeCell(t *testing.T, cell Cell) {
+	is := is.New(t)
+	record, reach := play(t, cell)
+	result := Verdict(cell, record, reach)
+	t.Logf("%s: %s %s", cell, result.Status, result.Missing)
+	for _, v := range result.Violations {
+		t.Log(v)
+	}
+	if result.Status == Broken {
+		for _, e := range result.Timeline {
+			t.Log(e.Stamp.Time().Format("15:04:05.000"), e.Node, e.Number.Kind().Name, e.Fields)
+		}
+	}
+	is.True(result.Status != Broken) // the time line above tells what happened
+}
+
+// cutsRegion tells the fault that has tests of its own: it lasts longest, and what it
+// still breaks must not hide what others break.
+func cutsRegion(cell Cell) bool {
+	for _, s := range cell.Strikes {
+		if s.Fault.Name == "region cut for hours" {
+			return true
+		}
+	}
+	return false
+}
+
+func playAll(t *testing.T, cells []Cell, wanted func(Cell) bool) {
+	for _, cell := range cells {
+		if !wanted(cell) {
+			continue
+		}
+		t.Run(cell.String(), func(t *testing.T) {
+			t.Parallel()
+			judgeCell(t, cell)
+		})
+	}
+}
+
+// killsTwo tells pairs of deaths, which can take a node and its only witness within
+// one flush.
+func killsTwo(cell Cell) bool {
+	kills := 0
+	for _, s := range cell.Strikes {
+		if strings.HasPrefix(s.Fault.Name, "kill") {
+			kills++
+		}
+	}
+	return kills > 1
+}
+
+func others(cell Cell) bool { return !cutsRegion(cell) && !killsTwo(cell) }
+
+// Every fault of the brief but the region cut strikes once at every step. A user would
+// notice a broken cell as money spent twice, an answer cut, or a node that needs a
+// person.
+func TestMatrixSingles(t *testing.T) { playAll(t, Singles(testTiming(), singleSeed), others) }
+
+// Two faults strike one history, at steps that the seed chooses.
+func TestMatrixPairs(t *testing.T) { playAll(t, Pairs(testTiming(), pairSeed, pairCount), others) }
+
+// A region is cut off for long, at every step. Its callers go on asking the node there,
+// which has nobody in reach and no log; afterwards everything that they were answered
+// must be billed.
+func TestMatrixRegionCut(t *testing.T) { playAll(t, Singles(testTiming(), singleSeed), cutsRegion) }
+
+// The same beside a second fault.
+func TestMatrixPairsWithRegionCut(t *testing.T) {
+	playAll(t, Pairs(testTiming(), pairSeed, pairCount), cutsRegion)
+}
+
+// Two nodes die in one history. When one of them was the other's witness, what the
+// caller was answered must be billed all the same.
+func TestMatrixTwoDeaths(t *testing.T) {
+	playAll(t, Pairs(testTiming(), pairSeed, pairCount), killsTwo)
+}
