Let load reports fade within half a second

Cause: reports arrive 0.3-0.6 s old and stay in use for another 0.5 s; what they say of other nodes' requests on one engine has mostly changed by then, and a choice that believes it chases noise and gives up cached prefixes for it.

--- a/routing/settings.go
+++ b/routing/settings.go
@@ -38,7 +38,7 @@
 	return Settings{
 		Costs:        score.DefaultCosts(),
 		Choices:      2,
-		Fade:         2 * time.Second,
+		Fade:         500 * time.Millisecond,
 		BlockTokens:  64,
 		PrefixMemory: 5 * time.Minute,
 		LinkPenalty:  time.Second,
