Steer the limit in proportion to the engines' queues

Cause: a fixed step up or down at each report swung the limit by a tenth; half the time requests waited at engines, where fairness no longer holds, and half the time slots were empty.

Change: the limit moves in proportion to the smoothed miss of a target of 3% of the slots, at most 3% up and 10% down.

--- a/admission/doc.go
+++ b/admission/doc.go
@@ -10,7 +10,8 @@
 // nothing has been sent.
 //
 // How many requests may be at the upstreams together follows what the upstreams say
-// of their own queues: additive increase, multiplicative decrease.
+// of their own queues: a few requests waiting there keep the batches full, more would
+// only make them wait where fairness no longer holds.
 //
 // Core holds the decisions and takes time as an argument; Controller lets callers
 // wait on it.
--- a/admission/limiter.go
+++ b/admission/limiter.go
@@ -3,15 +3,22 @@
 import "math"
 
 const (
-	limitDecrease = 0.93
-	limitIncrease = 0.03
+	// limiterGain is the relative change of the limit for each whole slot per slot by
+	// which the upstreams' queues miss the target.
+	limiterGain = 1.0
+	// limiterSmoothing is the weight of the latest report.
+	limiterSmoothing = 0.5
+	// The bounds of one change. Reports lag, so the limit must not run ahead of them.
+	mostDecrease = 0.10
+	mostIncrease = 0.03
 )
 
 // limiter is the number of requests that may be at the upstreams together. Each node
-// keeps its own; as all see the same reports, additive increase and multiplicative
-// decrease bring their shares towards their demands.
+// keeps its own; all see the same reports, and a node that doesn't use its limit leaves
+// it, so that the others grow into what is free.
 type limiter struct {
 	limit    float64
+	share    float64
 	smallest float64
 	largest  float64
 }
@@ -25,10 +32,10 @@
 // observe takes in how much of the upstreams' slots has a request waiting behind it,
 // and whether this node's limit is in use.
 func (l *limiter) observe(waitingShare, target float64, inUse bool) {
-	switch {
-	case waitingShare > target:
-		l.limit = max(l.smallest, l.limit*limitDecrease)
-	case inUse:
-		l.limit = min(l.largest, l.limit+max(1, l.limit*limitIncrease))
+	l.share += limiterSmoothing * (waitingShare - l.share)
+	change := min(max(limiterGain*(target-l.share), -mostDecrease), mostIncrease)
+	if change > 0 && !inUse {
+		return
 	}
+	l.limit = min(max(l.smallest, l.limit*(1+change)), l.largest)
 }
--- a/admission/settings.go
+++ b/admission/settings.go
@@ -31,7 +31,7 @@
 		MaxWait:         time.Second,
 		FirstLimit:      max(1, slots),
 		MaxLimit:        max(2, 2*slots),
-		WaitingShare:    0.05,
+		WaitingShare:    0.03,
 		DefaultTokens:   500,
 	}
 }
