--- a/cmd/lavenderbench/experiment.go
+++ b/cmd/lavenderbench/experiment.go
@@ -14,8 +14,9 @@
 }
 
 type routingCmd struct {
-	Seed uint64 `help:"Seed of arrivals, engines and picks." default:"1"`
-	Out  string `help:"Directory for the report." type:"path" required:""`
+	Seed  uint64 `help:"Seed of arrivals, engines and picks." default:"1"`
+	Seeds int    `help:"Seeds that are run and pooled." default:"3"`
+	Out   string `help:"Directory for the report." type:"path" required:""`
 }
 
 // Run writes the report.
@@ -23,7 +24,7 @@
 	if err := os.MkdirAll(c.Out, 0o755); err != nil {
 		return errors.Trace(err)
 	}
-	report := routing.NewReport(c.Seed)
+	report := routing.NewReport(c.Seed, c.Seeds)
 	table, err := os.Create(filepath.Join(c.Out, "routing.md"))
 	if err != nil {
 		return errors.Trace(err)
--- a/internal/experiment/routing/attempts.go
+++ b/internal/experiment/routing/attempts.go
@@ -40,6 +40,7 @@
 }
 
 func (a *attempts) begin() {
+	a.node.fleet.tally.admitted(a.call, a.node.fleet.sim.Now().Sub(a.arrived))
 	if a.node.budget != nil {
 		a.node.budget.FirstAttempt()
 	}
--- a/internal/experiment/routing/report.go
+++ b/internal/experiment/routing/report.go
@@ -12,7 +12,8 @@
 
 // Report is one whole experiment.
 type Report struct {
-	Seed uint64 `json:"seed"`
+	Seed  uint64 `json:"seed"`
+	Seeds int    `json:"seeds"`
 	// Capacity in requests per second; see the function Capacity.
 	Capacity   float64  `json:"capacity_per_second"`
 	Saturation []Result `json:"saturation"`
@@ -20,11 +21,11 @@
 	Bars       []Bar    `json:"bars"`
 }
 
-// NewReport runs everything.
-func NewReport(seed uint64) Report {
-	r := Report{Seed: seed}
-	r.Capacity, r.Saturation = Capacity(seed)
-	r.Results = all(Policies(), Scenarios(seed), r.Capacity)
+// NewReport runs everything, with so many seeds from the one given on.
+func NewReport(seed uint64, seeds int) Report {
+	r := Report{Seed: seed, Seeds: seeds}
+	r.Capacity, r.Saturation = Capacity(seed, seeds)
+	r.Results = all(Policies(), Scenarios(seed), r.Capacity, seeds)
 	r.Bars = judge(r)
 	return r
 }
@@ -32,7 +33,7 @@
 // WriteMarkdown writes the tables.
 func (r Report) WriteMarkdown(w io.Writer) error {
 	p := &printer{w: w}
-	p.line("# Routing experiment, seed %d\n", r.Seed)
+	p.line("# Routing experiment, %d seeds from %d on, pooled\n", r.Seeds, r.Seed)
 	p.line("Capacity: %.1f requests/s (the most that any policy completed at saturation). Times are model time, in ms, of admitted requests.\n", r.Capacity)
 	p.line("| Bar | Holds | Measured |\n|---|---|---|")
 	for _, b := range r.Bars {
@@ -43,12 +44,12 @@
 		if x.Scenario != scenario {
 			scenario = x.Scenario
 			p.line("\n## %s (%.1f requests/s offered)\n", scenario, x.Offered)
-			p.line("| Policy | TTFT p50 | p95 | p99 | TBT p50 | p95 | p99 | Goodput/s | Refused %% | Failed %% | Cache hit %% | Jain | Small good %% | Small TTFT p95 | Wasted tokens | Retries %% | Cross MB |")
-			p.line("|---|---|---|---|---|---|---|---|---|---|---|---|---|---|---|---|---|")
+			p.line("| Policy | TTFT p50 | p95 | p99 | TBT p50 | p95 | p99 | Goodput/s | Refused %% | Failed %% | Cache hit %% | Jain | Small good %% | Small TTFT p95 | Admission wait p95 | Wasted tokens | Retries %% | Cross MB |")
+			p.line("|---|---|---|---|---|---|---|---|---|---|---|---|---|---|---|---|---|---|")
 		}
-		p.line("| %s | %.0f | %.0f | %.0f | %.0f | %.0f | %.0f | %.1f | %.1f | %.1f | %.0f | %.3f | %.1f | %.0f | %d | %.1f | %.1f |",
+		p.line("| %s | %.0f | %.0f | %.0f | %.0f | %.0f | %.0f | %.1f | %.1f | %.1f | %.0f | %.3f | %.1f | %.0f | %.0f | %d | %.1f | %.1f |",
 			x.Policy, x.FirstP50, x.FirstP95, x.FirstP99, x.GapP50, x.GapP95, x.GapP99, x.Goodput, 100*x.Refused, 100*x.Failed,
-			100*x.CacheHit, x.Jain, 100*x.SmallGood, x.SmallP95, x.Wasted, 100*x.Retries, x.CrossMB)
+			100*x.CacheHit, x.Jain, 100*x.SmallGood, x.SmallP95, x.QueueP95, x.Wasted, 100*x.Retries, x.CrossMB)
 	}
 	return p.err
 }
--- a/internal/experiment/routing/run.go
+++ b/internal/experiment/routing/run.go
@@ -22,6 +22,7 @@
 	GapP95   float64 `json:"between_tokens_p95_ms"`
 	GapP99   float64 `json:"between_tokens_p99_ms"`
 	SmallP95 float64 `json:"small_accounts_first_token_p95_ms"`
+	QueueP95 float64 `json:"admission_wait_p95_ms"`
 	// Goodput counts requests answered whole within the deadlines, per second.
 	Goodput float64 `json:"goodput_per_second"`
 	Offered float64 `json:"offered_per_second"`
@@ -42,14 +43,37 @@
 // drainTime is run on after the last arrival, so that open requests can end.
 const drainTime = 40 * time.Second
 
-// Run plays a scenario with a policy at an arrival rate per second.
-func Run(policy Policy, scenario Scenario, rate float64) Result {
+// Run plays a scenario with a policy at an arrival rate per second, once for each seed
+// from the scenario's on, and pools what the callers saw.
+func Run(policy Policy, scenario Scenario, rate float64, seeds int) Result {
+	var pooled *tally
+	for i := range seeds {
+		s := scenario
+		s.Seed += uint64(i)
+		t := play(policy, s, rate)
+		if pooled == nil {
+			pooled = t
+			continue
+		}
+		pooled.merge(t)
+	}
+	return pooled.result(policy, seeds)
+}
+
+func play(policy Policy, scenario Scenario, rate float64) *tally {
 	f := newFleet(policy, scenario)
 	f.schedule(scenario)
 	w := newWorkload(scenario, rate)
 	f.arrive(w, modelStart.Add(scenario.Warmup+scenario.Length))
 	f.sim.RunUntil(modelStart.Add(scenario.Warmup + scenario.Length + drainTime))
-	return f.result(policy, scenario)
+	for _, e := range f.engines {
+		totals := e.Totals()
+		f.tally.prompt += totals.PromptTokens
+		f.tally.cached += totals.CachedTokens
+		f.tally.wasted += totals.WastedTokens
+	}
+	f.tally.linkBytes = f.link.bytes
+	return f.tally
 }
 
 // arrive lets callers in one after another. A caller uses any node of its region.
@@ -88,29 +112,20 @@
 	}
 }
 
-func (f *fleet) result(policy Policy, s Scenario) Result {
-	t := f.tally
-	seconds := s.Length.Seconds()
+func (t *tally) result(policy Policy, seeds int) Result {
+	seconds := t.scenario.Length.Seconds() * float64(seeds)
 	arrivals := float64(max(t.arrivals, 1))
-	r := Result{
-		Policy: policy.Name, Scenario: s.Name,
+	return Result{
+		Policy: policy.Name, Scenario: t.scenario.Name,
 		FirstP50: ms(t.first, 50), FirstP95: ms(t.first, 95), FirstP99: ms(t.first, 99),
-		GapP50: ms(t.gaps, 50), GapP95: ms(t.gaps, 95), GapP99: ms(t.gaps, 99), SmallP95: ms(t.small, 95),
+		GapP50: ms(t.gaps, 50), GapP95: ms(t.gaps, 95), GapP99: ms(t.gaps, 99), SmallP95: ms(t.small, 95), QueueP95: ms(t.queue, 95),
 		Goodput: float64(t.good) / seconds, Offered: float64(t.arrivals) / seconds, Whole: float64(t.whole) / seconds,
 		Completed: float64(t.completed) / seconds,
 		Refused:   float64(t.turnedAway) / arrivals, Failed: float64(t.failures) / arrivals,
-		Jain: jain(t.asked, t.served), SmallGood: float64(t.smallGood) / float64(max(t.smallArrivals, 1)),
-		Retries: float64(t.retries) / arrivals, CrossMB: f.link.bytes / 1e6,
-	}
-	prompt, cached := 0, 0
-	for _, e := range f.engines {
-		totals := e.Totals()
-		prompt += totals.PromptTokens
-		cached += totals.CachedTokens
-		r.Wasted += totals.WastedTokens
+		CacheHit: float64(t.cached) / float64(max(t.prompt, 1)),
+		Jain:     jain(t.asked, t.served), SmallGood: float64(t.smallGood) / float64(max(t.smallArrivals, 1)),
+		Wasted: t.wasted / seeds, Retries: float64(t.retries) / arrivals, CrossMB: t.linkBytes / 1e6 / float64(seeds),
 	}
-	r.CacheHit = float64(cached) / float64(max(prompt, 1))
-	return r
 }
 
 func ms(h *hdrhistogram.Histogram, quantile float64) float64 {
@@ -119,14 +134,14 @@
 
 // all runs every policy in every scenario, a few at a time. Each run is
 // deterministic, so their order doesn't matter.
-func all(policies []Policy, scenarios []Scenario, rate float64) []Result {
+func all(policies []Policy, scenarios []Scenario, rate float64, seeds int) []Result {
 	results := make([]Result, len(policies)*len(scenarios))
 	var group errgroup.Group
 	group.SetLimit(max(1, runtime.GOMAXPROCS(0)/3))
 	for i, s := range scenarios {
 		for j, p := range policies {
 			group.Go(func() error {
-				results[i*len(policies)+j] = Run(p, s, rate*s.Load)
+				results[i*len(policies)+j] = Run(p, s, rate*s.Load, seeds)
 				return nil
 			})
 		}
--- a/internal/experiment/routing/tally.go
+++ b/internal/experiment/routing/tally.go
@@ -18,6 +18,7 @@
 	first    *hdrhistogram.Histogram
 	gaps     *hdrhistogram.Histogram
 	small    *hdrhistogram.Histogram
+	queue    *hdrhistogram.Histogram
 
 	arrivals, whole, good, turnedAway, failures, retries int
 	// completed counts answers that ended within the measured time.
@@ -27,11 +28,41 @@
 	served map[string]float64
 	// The same of requests of small accounts.
 	smallArrivals, smallGood int
+	// What the engines did, in tokens, and what crossed the link.
+	prompt, cached, wasted int
+	linkBytes              float64
+}
+
+// merge adds another run of the same scenario.
+func (t *tally) merge(o *tally) {
+	t.first.Merge(o.first)
+	t.gaps.Merge(o.gaps)
+	t.small.Merge(o.small)
+	t.queue.Merge(o.queue)
+	t.arrivals += o.arrivals
+	t.whole += o.whole
+	t.good += o.good
+	t.turnedAway += o.turnedAway
+	t.failures += o.failures
+	t.retries += o.retries
+	t.completed += o.completed
+	t.smallArrivals += o.smallArrivals
+	t.smallGood += o.smallGood
+	t.prompt += o.prompt
+	t.cached += o.cached
+	t.wasted += o.wasted
+	t.linkBytes += o.linkBytes
+	for team, tokens := range o.asked {
+		t.asked[team] += tokens
+	}
+	for team, tokens := range o.served {
+		t.served[team] += tokens
+	}
 }
 
 func newTally(scenario Scenario) *tally {
 	histogram := func() *hdrhistogram.Histogram { return hdrhistogram.New(1, histogramMax, histogramDigits) }
-	return &tally{scenario: scenario, begin: scenario.Warmup, first: histogram(), gaps: histogram(), small: histogram(),
+	return &tally{scenario: scenario, begin: scenario.Warmup, first: histogram(), gaps: histogram(), small: histogram(), queue: histogram(),
 		asked: map[string]float64{}, served: map[string]float64{}}
 }
 
@@ -71,6 +102,13 @@
 	}
 }
 
+// admitted takes in how long a request waited for its admission.
+func (t *tally) admitted(c call, wait time.Duration) {
+	if t.counts(c) {
+		record(t.queue, wait)
+	}
+}
+
 func record(h *hdrhistogram.Histogram, d time.Duration) {
 	_ = h.RecordValue(min(max(d.Microseconds(), 1), histogramMax))
 }
