--- a/internal/experiment/routing/bar.go
+++ b/internal/experiment/routing/bar.go
@@ -42,7 +42,7 @@
 func (r Report) beatsBaselines(scenario, suffix string) Bar {
 	ours := r.of(scenario, Ours)
 	first, goodput := Result{}, Result{}
-	for _, p := range baselines(suffix, true) {
+	for _, p := range baselines(suffix, nil) {
 		x := r.of(scenario, p.Name)
 		if first.Policy == "" || x.FirstP95 < first.FirstP95 {
 			first = x
--- a/internal/experiment/routing/capacity.go
+++ b/internal/experiment/routing/capacity.go
@@ -15,7 +15,7 @@
 	for _, rate := range saturations {
 		s := Scenario{Name: fmt.Sprintf("saturation at %.0f/s", rate), Load: 1, Seed: seed,
 			Warmup: 30 * time.Second, Length: length, Unbounded: true}
-		for _, r := range all(Policies(), []Scenario{s}, rate, seeds) {
+		for _, r := range all(append(Policies(), greedy()), []Scenario{s}, rate, seeds) {
 			runs = append(runs, r)
 			perSecond = max(perSecond, r.Completed)
 		}
--- a/internal/experiment/routing/node.go
+++ b/internal/experiment/routing/node.go
@@ -31,8 +31,8 @@
 	if policy.RetryBudget {
 		n.budget = admission.NewRetryBudget()
 	}
-	if policy.Admission {
-		n.core = admission.NewCore(admission.DefaultSettings(slots))
+	if policy.Admission != nil {
+		n.core = admission.NewCore(policy.Admission(slots))
 		f.sim.After(expireEvery, n.expire)
 		f.sim.After(observeEvery, n.observe)
 	}
--- a/internal/experiment/routing/policy.go
+++ b/internal/experiment/routing/policy.go
@@ -2,9 +2,11 @@
 
 import (
 	"math/rand/v2"
+	"time"
 
 	"github.com/jonboulle/clockwork"
 
+	"lavenderpin.dev/lavenderpin/admission"
 	"lavenderpin.dev/lavenderpin/routing"
 )
 
@@ -13,8 +15,9 @@
 	Name string
 	// Picker returns a node's picker.
 	Picker func(clock clockwork.Clock, random *rand.Rand) routing.Picker
-	// Admission puts the admission core in front.
-	Admission bool
+	// Admission returns the settings of the admission core in front, for so many slots
+	// per node; nil for none.
+	Admission func(slots int) admission.Settings
 	// RetryBudget bounds retries.
 	RetryBudget bool
 }
@@ -36,20 +39,40 @@
 // Policies returns ours first, then the baselines, then the baselines behind our
 // admission, which tells apart what the choice and what the admission brings.
 func Policies() []Policy {
-	ours := func(clock clockwork.Clock, random *rand.Rand) routing.Picker {
-		return routing.NewBalancer(routing.DefaultSettings(), clock, random.Uint64, nil)
-	}
 	list := []Policy{
-		{Name: Ours, Picker: ours, Admission: true, RetryBudget: true},
-		{Name: "lavenderpin without admission", Picker: ours, RetryBudget: true},
+		{Name: Ours, Picker: newBalancer, Admission: admission.DefaultSettings, RetryBudget: true},
+		{Name: "lavenderpin without admission", Picker: newBalancer, RetryBudget: true},
 	}
-	list = append(list, baselines("", false)...)
-	return append(list, baselines(" + admission", true)...)
+	list = append(list, baselines("", nil)...)
+	return append(list, baselines(" + admission", admission.DefaultSettings)...)
+}
+
+// greedy admits as much as keeps the engines busiest, whatever the wait. It shows what
+// the engines can complete, so that the capacity doesn't hang on how cautious the
+// admission of Ours is.
+func greedy() Policy {
+	return Policy{Name: "lavenderpin for throughput only", Picker: newBalancer, RetryBudget: true,
+		Admission: func(slots int) admission.Settings {
+			s := admission.DefaultSettings(slots)
+			s.WaitingShare = greedyWaitingShare
+			s.MaxWait = greedyMaxWait
+			s.StandingWait = greedyMaxWait
+			return s
+		}}
+}
+
+const (
+	greedyWaitingShare = 0.1
+	greedyMaxWait      = 3 * time.Second
+)
+
+func newBalancer(clock clockwork.Clock, random *rand.Rand) routing.Picker {
+	return routing.NewBalancer(routing.DefaultSettings(), clock, random.Uint64, nil)
 }
 
-func baselines(suffix string, admission bool) []Policy {
+func baselines(suffix string, admit func(slots int) admission.Settings) []Policy {
 	simple := func(name string, choose chooser) Policy {
-		return Policy{Name: name + suffix, Admission: admission, Picker: func(_ clockwork.Clock, random *rand.Rand) routing.Picker {
+		return Policy{Name: name + suffix, Admission: admit, Picker: func(_ clockwork.Clock, random *rand.Rand) routing.Picker {
 			return newBaseline(random, choose)
 		}}
 	}
