--- a/admission/controller.go
+++ b/admission/controller.go
@@ -36,8 +36,8 @@
 	return &Controller{clock: clock, settings: settings, pressure: pressure, cores: map[string]*Core{}}
 }
 
-// Admit waits until the request may be sent. release must be called once when the
-// request has left its upstream; err is Overloaded, or CallerGone when ctx ended
+// Admit waits until the request may be sent. release must be called when the
+// request has left its upstream; a second call does nothing. err is Overloaded, or CallerGone when ctx ended
 // first. Either way nothing was sent.
 func (c *Controller) Admit(ctx context.Context, ask routing.Ask) (release func(), err error) {
 	verdict := make(chan error, 1)
@@ -53,8 +53,7 @@
 	if err != nil {
 		return nil, err
 	}
-	var once sync.Once
-	return func() { once.Do(func() { c.release(core, item) }) }, nil
+	return func() { c.release(core, item) }, nil
 }
 
 func (c *Controller) offer(ask routing.Ask, verdict chan<- error) (*Core, *Item) {
--- a/admission/core.go
+++ b/admission/core.go
@@ -1,6 +1,7 @@
 package admission
 
 import (
+	"math"
 	"time"
 
 	"lavenderpin.dev/lavenderpin/result"
@@ -24,6 +25,7 @@
 	queue    fairQueue
 	limiter  limiter
 	drain    drainRate
+	patience patience
 	inFlight int
 	counts   Counts
 }
@@ -40,7 +42,7 @@
 
 // NewCore returns a core without any requests.
 func NewCore(settings Settings) *Core {
-	return &Core{settings: settings, limiter: newLimiter(settings)}
+	return &Core{settings: settings, limiter: newLimiter(settings), patience: newPatience(settings)}
 }
 
 // Counts returns the totals.
@@ -60,16 +62,21 @@
 func (c *Core) Offer(now time.Time, ask routing.Ask, decide func(err error)) *Item {
 	i := &Item{Ask: ask, arrived: now, decide: decide, cost: c.cost(&ask)}
 	i.account = c.queue.account(ask.Team, ask.Account, float64(max(1, ask.Weight)))
-	if c.queue.length == 0 && c.inFlight < c.Limit() {
-		c.queue.charge(i)
+	i.light = c.queue.isLight(i.account, now, true)
+	if c.queue.length == 0 && c.hasRoom(i, now) {
+		c.queue.charge(i, now)
 		c.admit(i)
 		return i
 	}
 	if err := c.reject(i, now); err != nil {
+		c.patience.refused(now)
 		c.refuse(i, err)
 		return i
 	}
 	i.state = stateWaiting
+	if c.queue.length == 0 {
+		c.patience.began(now)
+	}
 	c.queue.push(i)
 	c.serve(now)
 	return i
@@ -88,7 +95,7 @@
 		return result.New(result.Overloaded, "the deadline for the first token has passed").After(leastRetryAfter)
 	}
 	wait := c.expectedWait(i, now)
-	allowed := i.lastMoment(c.settings.MaxWait).Sub(now)
+	allowed := i.lastMoment(c.patience.wait(i.light)).Sub(now)
 	if wait > allowed {
 		return overloaded(i, wait-allowed)
 	}
@@ -154,12 +161,15 @@
 }
 
 // Observe takes in the upstreams' own queues: requests that wait there, and slots.
-// It is called at a steady interval.
+// No slots means that nothing is known of them. It is called at a steady interval.
 func (c *Core) Observe(now time.Time, waiting, slots float64) {
 	if slots <= 0 {
+		c.limiter.forget()
+		c.serve(now)
 		return
 	}
 	inUse := c.queue.length > 0 || float64(c.inFlight) >= limitInUse*c.limiter.limit
+	c.patience.observe(now, c.queue.length > 0)
 	c.limiter.observe(waiting/slots, c.settings.WaitingShare, inUse)
 	c.serve(now)
 }
@@ -168,20 +178,22 @@
 // caller is told soon after.
 func (c *Core) Expire(now time.Time) {
 	c.queue.each(func(i *Item) {
-		if i.lastMoment(c.settings.MaxWait).After(now) {
+		if i.lastMoment(c.patience.wait(i.light)).After(now) {
 			return
 		}
 		c.queue.remove(i)
 		c.counts.Expired++
+		c.patience.refused(now)
 		c.refuse(i, overloaded(i, c.expectedWait(i, now)))
 	})
 }
 
 func (c *Core) serve(now time.Time) {
-	for c.inFlight < c.Limit() && c.queue.length > 0 {
-		i := c.queue.pop()
-		if !i.lastMoment(c.settings.MaxWait).After(now) {
+	for i := c.queue.peek(); i != nil && c.hasRoom(i, now); i = c.queue.peek() {
+		c.queue.take(i, now)
+		if !i.lastMoment(c.patience.wait(i.light)).After(now) {
 			c.counts.Expired++
+			c.patience.refused(now)
 			c.refuse(i, overloaded(i, 0))
 			continue
 		}
@@ -189,6 +201,17 @@
 	}
 }
 
+// hasRoom tells whether the limit leaves room for the request. The last part of the
+// limit is for accounts below their share: when others fill it, a small account waits
+// for somebody's answer to end before its own request can begin.
+func (c *Core) hasRoom(i *Item, now time.Time) bool {
+	limit := c.limiter.limit
+	if !c.queue.isLight(i.account, now, false) {
+		limit -= math.Ceil(c.settings.LightReserve * limit)
+	}
+	return float64(c.inFlight) < math.Round(max(1, limit))
+}
+
 func (c *Core) admit(i *Item) {
 	c.inFlight++
 	c.counts.Admitted++
--- a/admission/fairqueue.go
+++ b/admission/fairqueue.go
@@ -1,5 +1,7 @@
 package admission
 
+import "time"
+
 // fairQueue serves teams, and accounts within teams, in proportion to their weights
 // while they have requests waiting. Flows are few (a handful of teams, some dozens of
 // accounts), so they are searched in turn. All teams weigh the same.
@@ -56,23 +58,35 @@
 	q.backlog -= i.cost
 }
 
-// pop takes out the request whose turn it is, nil if none waits.
-func (q *fairQueue) pop() *Item {
-	team := q.next()
-	if team == nil {
+// peek returns the request whose turn it is, nil if none waits: of the account with the
+// smallest virtual time, that of its team before its own.
+func (q *fairQueue) peek() *Item {
+	var best *accountFlow
+	for _, t := range q.teams {
+		for _, a := range t.accounts {
+			if len(a.waiting) > 0 && (best == nil || a.before(best)) {
+				best = a
+			}
+		}
+	}
+	if best == nil {
 		return nil
 	}
-	account := team.next()
-	i := account.waiting[0]
+	return best.waiting[0]
+}
+
+// take takes out a waiting request to be served.
+func (q *fairQueue) take(i *Item, now time.Time) {
 	q.remove(i)
-	q.charge(i)
-	return i
+	q.charge(i, now)
 }
 
 // charge moves the virtual times on by the request's cost. Requests that never had to
 // wait are charged too, or an account whose requests come one at a time would get
 // more than its share.
-func (q *fairQueue) charge(i *Item) {
+func (q *fairQueue) charge(i *Item, now time.Time) {
+	i.account.usage.add(i.cost, now)
+	i.account.team.usage.add(i.cost, now)
 	account, team := i.account, i.account.team
 	team.tag = max(team.tag, q.now)
 	account.tag = max(account.tag, team.now)
@@ -81,14 +95,22 @@
 	account.tag += i.cost / account.weight
 }
 
-func (q *fairQueue) next() *teamFlow {
-	var best *teamFlow
+// isLight tells whether an account's team, or the account within its team, has had less
+// than its share lately, what waits included if waiting is set. The virtual times can't tell: right after being
+// served any flow is ahead of them, a small account's second request too.
+func (q *fairQueue) isLight(a *accountFlow, now time.Time, waiting bool) bool {
+	teams := shares{now: now, waiting: waiting}
 	for _, t := range q.teams {
-		if t.active() && (best == nil || t.tag < best.tag) {
-			best = t
-		}
+		teams.add(&t.virtual)
 	}
-	return best
+	if teams.light(&a.team.virtual) {
+		return true
+	}
+	accounts := shares{now: now, waiting: waiting}
+	for _, other := range a.team.accounts {
+		accounts.add(&other.virtual)
+	}
+	return accounts.light(&a.virtual)
 }
 
 // share returns the part of the drain rate that an account gets while it waits.
--- a/admission/flow.go
+++ b/admission/flow.go
@@ -6,7 +6,10 @@
 type virtual struct {
 	weight float64
 	// tag is the virtual time at which the flow's next request starts.
-	tag float64
+	tag   float64
+	usage usage
+	// backlog is what waits, in tokens.
+	backlog float64
 }
 
 // accountFlow holds an account's waiting requests, higher priorities first.
@@ -15,7 +18,6 @@
 	name    string
 	team    *teamFlow
 	waiting []*Item
-	backlog float64
 }
 
 func (a *accountFlow) push(i *Item) {
@@ -38,6 +40,14 @@
 	a.team.backlog -= i.cost
 }
 
+// before tells whether the account's turn comes before another's.
+func (a *accountFlow) before(other *accountFlow) bool {
+	if a.team != other.team {
+		return a.team.tag < other.team.tag
+	}
+	return a.tag < other.tag
+}
+
 func (a *accountFlow) last() *Item { return a.waiting[len(a.waiting)-1] }
 
 // teamFlow holds a team's accounts.
@@ -46,7 +56,6 @@
 	name     string
 	accounts []*accountFlow
 	now      float64
-	backlog  float64
 }
 
 func (t *teamFlow) active() bool {
@@ -67,14 +76,3 @@
 	}
 	return sum
 }
-
-// next returns the account whose turn it is among those with requests waiting.
-func (t *teamFlow) next() *accountFlow {
-	var best *accountFlow
-	for _, a := range t.accounts {
-		if len(a.waiting) > 0 && (best == nil || a.tag < best.tag) {
-			best = a
-		}
-	}
-	return best
-}
--- a/admission/item.go
+++ b/admission/item.go
@@ -14,7 +14,9 @@
 	cost    float64
 	arrived time.Time
 	account *accountFlow
-	decide  func(err error)
+	// light is set if the account had had less than its share when the item came.
+	light  bool
+	decide func(err error)
 }
 
 type itemState int
--- a/admission/limiter.go
+++ b/admission/limiter.go
@@ -18,13 +18,14 @@
 // it, so that the others grow into what is free.
 type limiter struct {
 	limit    float64
+	first    float64
 	share    float64
 	smallest float64
 	largest  float64
 }
 
 func newLimiter(s Settings) limiter {
-	return limiter{limit: float64(s.FirstLimit), smallest: 1, largest: float64(s.MaxLimit)}
+	return limiter{limit: float64(s.FirstLimit), first: float64(s.FirstLimit), smallest: 1, largest: float64(s.MaxLimit)}
 }
 
 func (l *limiter) value() int { return int(math.Round(l.limit)) }
@@ -34,8 +35,15 @@
 func (l *limiter) observe(waitingShare, target float64, inUse bool) {
 	l.share += limiterSmoothing * (waitingShare - l.share)
 	change := min(max(limiterGain*(target-l.share), -mostDecrease), mostIncrease)
-	if change > 0 && !inUse {
-		return
+	bound := l.largest
+	if !inUse {
+		bound = max(l.first, l.limit)
 	}
-	l.limit = min(max(l.smallest, l.limit*(1+change)), l.largest)
+	l.limit = min(max(l.smallest, l.limit*(1+change)), bound)
+}
+
+// forget goes back towards the first limit when no report is to be had.
+func (l *limiter) forget() {
+	l.share = 0
+	l.limit = max(l.limit, min(l.first, l.limit*(1+mostIncrease)))
 }
--- a/admission/settings.go
+++ b/admission/settings.go
@@ -10,6 +10,13 @@
 	MaxAccountQueue int
 	// MaxWait is the longest that a request waits, whatever its deadline.
 	MaxWait time.Duration
+	// StandingWait bounds it instead once requests have waited without a break for
+	// StandingAfter, until none was refused for CalmAfter. A burst may wait, but under
+	// lasting overload a long queue only makes everybody late: it stays full, and as
+	// many are refused as with a short one.
+	StandingWait  time.Duration
+	StandingAfter time.Duration
+	CalmAfter     time.Duration
 	// FirstLimit is the limit to start with, and to come back to when nothing is
 	// known of the upstreams.
 	FirstLimit int
@@ -18,6 +25,8 @@
 	// WaitingShare is the share of the upstreams' slots that may have a request
 	// waiting behind them before the limit falls.
 	WaitingShare float64
+	// LightReserve is the part of the limit that only accounts below their share may use.
+	LightReserve float64
 	// DefaultTokens is the cost of a request that names none.
 	DefaultTokens float64
 }
@@ -29,9 +38,13 @@
 		MaxQueue:        512,
 		MaxAccountQueue: 128,
 		MaxWait:         time.Second,
+		StandingWait:    100 * time.Millisecond,
+		StandingAfter:   time.Second,
+		CalmAfter:       5 * time.Second,
 		FirstLimit:      max(1, slots),
 		MaxLimit:        max(2, 2*slots),
 		WaitingShare:    0.03,
+		LightReserve:    0.2,
 		DefaultTokens:   500,
 	}
 }
