Nodes pick and admit by load reports, cache events and fair queueing

node/ reads the engines' load and cache events, hands prompts' prefix hashes to the balancer, puts the admission in front and records health and overload as events (450, 451, 520). Plain services aren't asked for their load: to some any call may not be repeated.

In request/: the ask carries prompt and account, and the first chunk is reported.

--- a/admission/controller.go
+++ b/admission/controller.go
@@ -16,9 +16,8 @@
 	observeEvery = 500 * time.Millisecond
 )
 
-// Pressure tells what a service's upstreams say of themselves: requests that wait
-// there, and slots; zero slots when nothing is known.
-type Pressure func(service string) (waiting, slots float64)
+// Pressure tells what a service's upstreams say of themselves.
+type Pressure func(service string) routing.Pressure
 
 // Controller admits the requests of one node, service by service. It is safe for
 // concurrent use.
@@ -31,14 +30,15 @@
 	cores map[string]*Core
 }
 
-// NewController returns a controller; settings is asked once for each service.
+// NewController returns a controller; settings is asked for each service
+// when it is first needed and again from time to time.
 func NewController(clock clockwork.Clock, settings func(service string) Settings, pressure Pressure) *Controller {
 	return &Controller{clock: clock, settings: settings, pressure: pressure, cores: map[string]*Core{}}
 }
 
-// Admit waits until the request may be sent. release must be called when the
-// request has left its upstream; a second call does nothing. err is Overloaded, or CallerGone when ctx ended
-// first. Either way nothing was sent.
+// Admit waits until the request may be sent. release must be called when the request
+// has left its upstream; a second call does nothing. The error is Overloaded, or
+// CallerGone when ctx ended first; either way nothing was sent.
 func (c *Controller) Admit(ctx context.Context, ask routing.Ask) (release func(), err error) {
 	verdict := make(chan error, 1)
 	core, item := c.offer(ask, verdict)
@@ -46,7 +46,7 @@
 	case err = <-verdict:
 	case <-ctx.Done():
 		if c.leave(core, item) {
-			return nil, result.New(result.CallerGone, "the caller left while its request waited")
+			return nil, leftWaiting(ctx)
 		}
 		err = <-verdict
 	}
@@ -56,6 +56,14 @@
 	return func() { c.release(core, item) }, nil
 }
 
+// leftWaiting tells a caller that left from one whose deadline passed.
+func leftWaiting(ctx context.Context) error {
+	if ctx.Err() == context.DeadlineExceeded {
+		return result.New(result.Overloaded, "the deadline passed while the request waited").After(leastRetryAfter)
+	}
+	return result.New(result.CallerGone, "the caller left while its request waited")
+}
+
 func (c *Controller) offer(ask routing.Ask, verdict chan<- error) (*Core, *Item) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -93,8 +101,8 @@
 			c.each(func(_ string, core *Core) { core.Expire(c.clock.Now()) })
 		case <-observe.Chan():
 			c.each(func(service string, core *Core) {
-				waiting, slots := c.pressure(service)
-				core.Observe(c.clock.Now(), waiting, slots)
+				core.Configure(c.settings(service))
+				core.Observe(c.clock.Now(), c.pressure(service))
 			})
 		}
 	}
@@ -114,13 +122,15 @@
 	Limit    int
 	InFlight int
 	Waiting  int
+	// Standing is set while a queue stands and waits are kept short.
+	Standing bool
 }
 
 // Status returns the state of each service's admission.
 func (c *Controller) Status() map[string]Status {
 	all := map[string]Status{}
 	c.each(func(service string, core *Core) {
-		all[service] = Status{Counts: core.Counts(), Limit: core.Limit(), InFlight: core.InFlight(), Waiting: core.Waiting()}
+		all[service] = Status{Counts: core.Counts(), Limit: core.Limit(), InFlight: core.InFlight(), Waiting: core.Waiting(), Standing: core.Standing()}
 	})
 	return all
 }
--- a/admission/core.go
+++ b/admission/core.go
@@ -160,20 +160,28 @@
 	return true
 }
 
-// Observe takes in the upstreams' own queues: requests that wait there, and slots.
-// No slots means that nothing is known of them. It is called at a steady interval.
-func (c *Core) Observe(now time.Time, waiting, slots float64) {
-	if slots <= 0 {
+// Observe takes in what the upstreams report of themselves. It is called at a steady
+// interval.
+func (c *Core) Observe(now time.Time, p routing.Pressure) {
+	c.patience.observe(now, c.queue.length > 0)
+	if p.Slots <= 0 {
 		c.limiter.forget()
-		c.serve(now)
-		return
+	} else {
+		inUse := c.queue.length > 0 || float64(c.inFlight) >= limitInUse*c.limiter.limit
+		c.limiter.observe(p, c.settings.WaitingShare, inUse)
 	}
-	inUse := c.queue.length > 0 || float64(c.inFlight) >= limitInUse*c.limiter.limit
-	c.patience.observe(now, c.queue.length > 0)
-	c.limiter.observe(waiting/slots, c.settings.WaitingShare, inUse)
 	c.serve(now)
 }
 
+// Configure takes over settings that changed, as when engines or nodes come and go.
+func (c *Core) Configure(s Settings) {
+	c.settings, c.patience.settings = s, s
+	c.limiter.configure(s)
+}
+
+// Standing tells whether requests have waited without a break for long.
+func (c *Core) Standing() bool { return c.patience.standing }
+
 // Expire refuses those that have waited too long. It is called often enough that a
 // caller is told soon after.
 func (c *Core) Expire(now time.Time) {
--- a/event/request.go
+++ b/event/request.go
@@ -2,6 +2,8 @@
 
 // Events of requests.
 const (
+	OverloadBegan     Number = 450
+	OverloadEnded     Number = 451
 	RequestAdmitted   Number = 401
 	RequestRefused    Number = 402
 	RequestDispatched Number = 403
@@ -19,6 +21,8 @@
 )
 
 var requestKinds = map[Number]Kind{
+	OverloadBegan:     {"OverloadBegan", "Requests of a service have waited on this node without a break; waits are kept short now."},
+	OverloadEnded:     {"OverloadEnded", "A service refuses nothing for want of room any more on this node."},
 	RequestAdmitted:   {"RequestAdmitted", "Tokens are reserved for a request."},
 	RequestRefused:    {"RequestRefused", "A request was refused; the code tells why."},
 	RequestDispatched: {"RequestDispatched", "A request was sent to an upstream."},
--- a/event/upstream.go
+++ b/event/upstream.go
@@ -5,10 +5,12 @@
 	UpstreamUnhealthy Number = 501
 	UpstreamHealthy   Number = 502
 	AnswerRejected    Number = 503
+	UpstreamProbed    Number = 520
 )
 
 var upstreamKinds = map[Number]Kind{
 	UpstreamUnhealthy: {"UpstreamUnhealthy", "An upstream gets no new work."},
 	UpstreamHealthy:   {"UpstreamHealthy", "An upstream gets new work again."},
+	UpstreamProbed:    {"UpstreamProbed", "An upstream that got no new work is tried with one request at a time."},
 	AnswerRejected:    {"AnswerRejected", "An upstream's answer was cut or for another request."},
 }
--- a/internal/standin/engine.go
+++ b/internal/standin/engine.go
@@ -33,6 +33,8 @@
 	Swap int
 	// Forget makes the engine keep no stream for readers that come later.
 	Forget bool
+	// LoadLag is how old the engine's load reports get.
+	LoadLag time.Duration
 	// Vary puts this text before each word, so that engines answer differently.
 	Vary string
 }
@@ -47,6 +49,7 @@
 	served    map[string]int
 	counted   map[string]engineUsage
 	models    engineModels
+	load      *engineLoad
 	streams   map[string]*engineStream
 	// streamIDs lists the streams kept, the oldest first.
 	streamIDs []string
@@ -62,7 +65,7 @@
 // NewEngine returns an engine that serves on the listener once Run is called.
 func NewEngine(listener net.Listener, options EngineOptions) *Engine {
 	e := &Engine{options: options, cancelled: map[string]bool{}, served: map[string]int{},
-		counted: map[string]engineUsage{}, streams: map[string]*engineStream{}}
+		counted: map[string]engineUsage{}, streams: map[string]*engineStream{}, load: newEngineLoad()}
 	e.server = newServer(listener)
 	e.server.POST("/v1/chat/completions", e.chat)
 	e.server.POST("/v1/cancel", e.cancel)
@@ -70,6 +73,8 @@
 	e.server.GET("/v1/models", e.reportModels)
 	e.server.POST("/v1/models", e.order)
 	e.server.GET("/v1/streams/:id", e.resume)
+	e.server.GET("/v1/load", e.reportLoad)
+	e.server.GET("/v1/cache-events", e.reportCacheEvents)
 	return e
 }
 
@@ -144,6 +149,8 @@
 // generate writes the answer into the stream, at the engine's pace.
 func (e *Engine) generate(id, answerID string, r *engineRequest, stream *engineStream) {
 	answer, promptTokens := r.words()
+	e.load.began(r)
+	defer e.load.ended()
 	e.count(id, "running", promptTokens, 0)
 	for i, word := range answer {
 		time.Sleep(e.options.TokenTime)
--- a/node/metrics.go
+++ b/node/metrics.go
@@ -9,6 +9,8 @@
 	m.Set("state", expvar.Func(func() any { return n.State() }))
 	m.Set("config_offset", expvar.Func(func() any { return n.Offset() }))
 	m.Set("requests_in_flight", expvar.Func(func() any { return n.requests.InFlight() }))
+	m.Set("admission", expvar.Func(func() any { return n.admission.Status() }))
+	m.Set("cache_event_gaps", expvar.Func(func() any { return n.balancer.EventGaps() }))
 	m.Set("log_appends", expvar.Func(func() any { return n.writer.Appends() }))
 	m.Set("spend_right_left_ms", expvar.Func(func() any { return n.holder.RightLeft().Milliseconds() }))
 	m.Set("open_reservations", expvar.Func(func() any { return n.holder.Open() }))
--- a/node/node.go
+++ b/node/node.go
@@ -9,6 +9,7 @@
 	"github.com/juju/errors"
 	"github.com/qmuntal/stateless"
 
+	"lavenderpin.dev/lavenderpin/admission"
 	fleetv1 "lavenderpin.dev/lavenderpin/api/fleet/v1"
 	operatorv1 "lavenderpin.dev/lavenderpin/api/operator/v1"
 	recordv1 "lavenderpin.dev/lavenderpin/api/record/v1"
@@ -47,6 +48,8 @@
 	leases     *lease.Keeper
 	members    *membership.Members
 	requests   *request.Server
+	balancer   *routing.Balancer
+	admission  *admission.Controller
 	claims     *idempotency.Claims
 	metrics    *expvar.Map
 
@@ -83,8 +86,10 @@
 	engine := fold.NewEngine(n.config, n.ledger, n.leaseTable, n.claims)
 	n.follower = journal.NewFollower(deps.Log, settings.Stream, deps.Clock, engine, n.folded)
 	n.members = membership.NewMembers(n.info, deps.Clock, deps.Peers, n.events, n.openNodes, n.view)
+	n.balancer = n.newBalancer()
+	n.admission = n.newAdmission()
 	n.requests = &request.Server{
-		Config: n.config.View, Reserver: n.reserver, Picker: &routing.LeastInFlight{},
+		Config: n.config.View, Reserver: n.reserver, Picker: n.balancer, Admission: admitter{n.admission},
 		Client: deps.Upstreams, Events: n.events, Clock: deps.Clock, Region: settings.Region,
 	}
 	n.nameRequests()
@@ -135,7 +140,7 @@
 	defer cancel()
 	n.events.Record(event.NodeStarting, "region", n.settings.Region, "data_centre", n.settings.DataCentre)
 	var wait sync.WaitGroup
-	for _, loop := range []func(context.Context){n.writer.Run, n.follower.Run, n.heartbeats, n.members.Run, n.leases.Run, n.flushSettlements, n.orders().Run} {
+	for _, loop := range []func(context.Context){n.writer.Run, n.follower.Run, n.heartbeats, n.members.Run, n.leases.Run, n.flushSettlements, n.readLoads, n.admission.Run, n.watchOverload, n.orders().Run} {
 		wait.Go(func() { loop(ctx) })
 	}
 	defer wait.Wait()
--- /dev/null
+++ b/node/routing.go
@@ -0,0 +1,100 @@
+package node
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+
+	operatorv1 "lavenderpin.dev/lavenderpin/api/operator/v1"
+	"lavenderpin.dev/lavenderpin/event"
+	"lavenderpin.dev/lavenderpin/routing"
+	"lavenderpin.dev/lavenderpin/routing/health"
+	"lavenderpin.dev/lavenderpin/upstream"
+)
+
+const (
+	// loadInterval is the time between two reads of an engine's load.
+	loadInterval = 500 * time.Millisecond
+	// remoteEvery is how many reads of this region's engines go by between two of
+	// another's: those cross the link that is billed by volume.
+	remoteEvery = 4
+	loadTimeout = time.Second
+	// loadReaders bounds the reads in progress.
+	loadReaders = 16
+)
+
+// newBalancer returns the node's picker.
+func (n *Node) newBalancer() *routing.Balancer {
+	return routing.NewBalancer(routing.DefaultSettings(), n.deps.Clock, rand.Uint64, n.healthChanged)
+}
+
+func (n *Node) healthChanged(upstream string, state health.State) {
+	number := map[health.State]event.Number{
+		health.Open: event.UpstreamUnhealthy, health.HalfOpen: event.UpstreamProbed, health.Closed: event.UpstreamHealthy,
+	}[state]
+	n.events.Record(number, "upstream", upstream)
+}
+
+// readLoads reads the engines' loads and cache events until ctx ends. Reads that fail
+// are no verdict on an engine: its answers to requests are.
+func (n *Node) readLoads(ctx context.Context) {
+	ticker := n.deps.Clock.NewTicker(loadInterval)
+	defer ticker.Stop()
+	for round := 0; ; round++ {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.Chan():
+			n.readRound(ctx, round%remoteEvery == 0)
+		}
+	}
+}
+
+func (n *Node) readRound(ctx context.Context, remote bool) {
+	readers := make(chan struct{}, loadReaders)
+	var wait sync.WaitGroup
+	for _, u := range n.engines() {
+		if u.GetRegion() != n.settings.Region && !remote {
+			continue
+		}
+		readers <- struct{}{}
+		wait.Go(func() {
+			defer func() { <-readers }()
+			n.readLoad(ctx, u)
+		})
+	}
+	wait.Wait()
+}
+
+// engines lists the engines in the configuration. Plain services aren't asked for
+// their load: to some of them any call is one that may not be repeated.
+func (n *Node) engines() []*operatorv1.Upstream {
+	view := n.Config()
+	var engines []*operatorv1.Upstream
+	for _, r := range view.All() {
+		u := r.GetResource().GetUpstream()
+		if u != nil && view.Service(u.GetService()).GetKind() == operatorv1.ServiceKind_SERVICE_KIND_ENGINE {
+			engines = append(engines, u)
+		}
+	}
+	return engines
+}
+
+func (n *Node) readLoad(ctx context.Context, u *operatorv1.Upstream) {
+	ctx, cancel := clockwork.WithTimeout(ctx, n.deps.Clock, loadTimeout)
+	defer cancel()
+	reader := upstream.LoadReader{Client: n.deps.Upstreams}
+	if report, err := reader.Load(ctx, u); err == nil {
+		n.balancer.Report(u.GetService(), u.GetName(), report)
+	}
+	if u.GetRegion() != n.settings.Region {
+		return
+	}
+	after := n.balancer.LastEvent(u.GetService(), u.GetName())
+	if events, err := reader.CacheEvents(ctx, u, after); err == nil {
+		n.balancer.CacheEvents(u.GetService(), u.GetName(), events)
+	}
+}
--- /dev/null
+++ b/request/ask.go
@@ -0,0 +1,50 @@
+package request
+
+import (
+	"encoding/json"
+	"strings"
+
+	"lavenderpin.dev/lavenderpin/routing"
+	"lavenderpin.dev/lavenderpin/routing/prefix"
+)
+
+// describe fills in what the choice of an engine needs to know of a prompt. The
+// prompt's text is the contents of its messages, one after the other.
+func (b *chatBody) describe(ask *routing.Ask) {
+	var text prefix.Hasher
+	for _, raw := range b.messages {
+		text.Write(messageText(raw))
+	}
+	ask.Prefix = text.Hashes()
+	ask.PromptTokens = text.Tokens()
+}
+
+// messageText returns a message's content, the text parts of an array joined.
+func messageText(raw json.RawMessage) string {
+	var message struct {
+		Content json.RawMessage `json:"content"`
+	}
+	var text string
+	if json.Unmarshal(raw, &message) != nil || json.Unmarshal(message.Content, &text) == nil {
+		return text
+	}
+	var parts []contentPart
+	if json.Unmarshal(message.Content, &parts) != nil {
+		return ""
+	}
+	var joined strings.Builder
+	for _, part := range parts {
+		if part.Text != nil {
+			joined.WriteString(*part.Text)
+		}
+	}
+	return joined.String()
+}
+
+// ask describes the run to the picker.
+func (r *chatRun) ask(tried map[string]bool) routing.Ask {
+	ask := r.prompt
+	ask.Service, ask.Model, ask.Region, ask.Tried = r.service.GetName(), r.model, r.server.Region, tried
+	ask.Account, ask.Team, ask.Weight = r.account.GetName(), r.account.GetTeam(), r.account.GetWeight()
+	return ask
+}
--- a/request/chat.go
+++ b/request/chat.go
@@ -72,6 +72,8 @@
 	if run.body, err = body.forEngine(limit); err != nil {
 		return nil, result.New(result.MalformedRequest, "%v", err)
 	}
+	body.describe(&run.prompt)
+	run.prompt.AnswerTokens = int(limit)
 	tokens := body.promptBound() + limit
 	release, err := s.admit(ctx, askOf(run.account, run.service, tokens))
 	if err != nil {
--- a/request/chatrun.go
+++ b/request/chatrun.go
@@ -29,6 +29,9 @@
 
 	started bool
 	usage   upstream.Usage
+	// prompt is what the picker needs to know of the prompt.
+	prompt routing.Ask
+	pick   routing.Pick
 	// to is the upstream that runs the completion now; nil before the first.
 	to *operatorv1.Upstream
 	// passed holds a hash of each chunk that reached the caller, by its number.
@@ -81,11 +84,11 @@
 		if n > 0 && !r.server.mayRetry(ctx, r.grant.Request().String(), pause) {
 			return last
 		}
-		ask := routing.Ask{Service: r.service.GetName(), Model: r.model, Region: r.server.Region, Tried: tried}
-		pick, err := r.server.Picker.Pick(ask, r.server.Config().Upstreams(r.service.GetName()))
+		pick, err := r.server.Picker.Pick(r.ask(tried), r.server.Config().Upstreams(r.service.GetName()))
 		if err != nil {
 			return firstError(last, err)
 		}
+		r.pick = pick
 		last = r.attempt(ctx, pick.Upstream)
 		if last != nil && ctx.Err() != nil {
 			last = result.New(result.CallerGone, "the request was given up")
@@ -175,6 +178,7 @@
 			r.server.Events.Record(event.AnswerRejected, "request", r.grant.Request(), "upstream", r.to.GetName(), "why", err)
 			return position, err
 		}
+		r.pick.FirstToken()
 		chunk.Number = position
 		if err := r.take(ctx, chunk); err != nil {
 			return position, err
--- a/routing/balancer.go
+++ b/routing/balancer.go
@@ -239,21 +239,3 @@
 	}
 	return s, s.table.Load().byName[upstream]
 }
-
-// Pressure returns how many requests wait at the upstreams of a service in a region,
-// and how many slots those upstreams have, from the latest reports.
-func (b *Balancer) Pressure(serviceName, region string) (waiting, slots float64) {
-	s := (*b.services.Load())[serviceName]
-	if s == nil {
-		return 0, 0
-	}
-	table := s.table.Load()
-	home := table.regions[region]
-	for _, e := range table.entries {
-		if r := e.target.report.Load(); r != nil && e.region == home {
-			waiting += float64(r.Waiting)
-			slots += e.target.slots
-		}
-	}
-	return waiting, slots
-}
--- a/routing/balancer_test.go
+++ b/routing/balancer_test.go
@@ -169,6 +169,20 @@
 	is.True(picks(t, b, ask(), list, 1000)["north-3"] < 400)
 }
 
+// An engine hangs with requests waiting; its last report says so for ever. Were it
+// believed, admission would sink to nothing while the other engines idle.
+func TestOldReportsDoNotHoldAdmissionDown(t *testing.T) {
+	is := is.New(t)
+	b, clock := newTestBalancer()
+	list := engines("north", 2)
+	_ = picks(t, b, ask(), list, 1)
+	b.Report(chat, "north-0", LoadReport{Running: 16, Waiting: 40})
+	is.Equal(b.Pressure(chat, "north"), Pressure{Running: 16, Waiting: 16, Slots: 16})
+	clock.Advance(DefaultSettings().FreshReport + time.Second)
+	b.Report(chat, "north-1", LoadReport{Running: 3})
+	is.Equal(b.Pressure(chat, "north"), Pressure{Running: 3, Slots: 16})
+}
+
 func TestAnEngineWithoutTheModelIsLeftOut(t *testing.T) {
 	is := is.New(t)
 	b, _ := newTestBalancer()
--- /dev/null
+++ b/routing/pressure.go
@@ -0,0 +1,39 @@
+package routing
+
+// Pressure is what a service's upstreams say of themselves, summed up.
+type Pressure struct {
+	// Running requests, and those that wait behind them.
+	Running float64
+	Waiting float64
+	// Slots of the upstreams that reported; none when nothing is known.
+	Slots float64
+}
+
+// Pressure sums up the latest reports of a service's upstreams in a region. Only those count that take work and whose
+// report is fresh: the last words of an engine that hangs would otherwise hold the
+// admission of the whole service down.
+func (b *Balancer) Pressure(serviceName, region string) Pressure {
+	s := (*b.services.Load())[serviceName]
+	if s == nil {
+		return Pressure{}
+	}
+	table := s.table.Load()
+	home := table.regions[region]
+	now := b.clock.Now()
+	var p Pressure
+	for i := range table.entries {
+		e := &table.entries[i]
+		r := e.target.report.Load()
+		if e.region != home || e.draining || r == nil || now.Sub(r.sampled) > b.settings.FreshReport {
+			continue
+		}
+		if !e.target.breaker.Passing() || e.target.stalled(b.settings.StallAfter, now) {
+			continue
+		}
+		// One engine with a long queue is a matter for the choice, not for admission.
+		p.Waiting += min(float64(r.Waiting), e.target.slots)
+		p.Running += float64(r.Running)
+		p.Slots += e.target.slots
+	}
+	return p
+}
--- a/routing/settings.go
+++ b/routing/settings.go
@@ -27,6 +27,8 @@
 	SlowStart time.Duration
 	// StallAfter is how long an upstream may owe first tokens without giving one.
 	StallAfter time.Duration
+	// FreshReport is how old a report's sample may be to count in Pressure.
+	FreshReport time.Duration
 	// MaxStalled is the largest share of a service's upstreams set aside for being
 	// stalled. Without the cap a pause of this node itself would look like a stall of
 	// every upstream, and all work would go to the last one left.
@@ -45,6 +47,7 @@
 		LinkPerToken: time.Microsecond,
 		SlowStart:    10 * time.Second,
 		StallAfter:   3 * time.Second,
+		FreshReport:  5 * time.Second,
 		MaxStalled:   1.0 / 3,
 	}
 }
