--- a/admission/controller.go
+++ b/admission/controller.go
@@ -16,29 +16,36 @@
 	observeEvery = 500 * time.Millisecond
 )
 
-// Pressure tells what a service's upstreams say of themselves: requests that wait
-// there, and slots; zero slots when nothing is known.
-type Pressure func(service string) (waiting, slots float64)
+// Upstreams is what a Controller learns from and tells to the choice of upstreams;
+// routing.Balancer is one for a node's region.
+type Upstreams interface {
+	// Pressure tells what a service's upstreams say of themselves, those of this region
+	// and of others.
+	Pressure(service string) (here, elsewhere routing.Pressure)
+	// LimitLocal is told how many requests should be at those of this region at most.
+	LimitLocal(service string, limit int)
+}
 
 // Controller admits the requests of one node, service by service. It is safe for
 // concurrent use.
 type Controller struct {
-	clock    clockwork.Clock
-	settings func(service string) Settings
-	pressure Pressure
+	clock     clockwork.Clock
+	settings  func(service string) Settings
+	upstreams Upstreams
 
 	mu    sync.Mutex
 	cores map[string]*Core
 }
 
-// NewController returns a controller; settings is asked once for each service.
-func NewController(clock clockwork.Clock, settings func(service string) Settings, pressure Pressure) *Controller {
-	return &Controller{clock: clock, settings: settings, pressure: pressure, cores: map[string]*Core{}}
+// NewController returns a controller; settings is asked for each service
+// when it is first needed and again from time to time.
+func NewController(clock clockwork.Clock, settings func(service string) Settings, upstreams Upstreams) *Controller {
+	return &Controller{clock: clock, settings: settings, upstreams: upstreams, cores: map[string]*Core{}}
 }
 
-// Admit waits until the request may be sent. release must be called once when the
-// request has left its upstream; err is Overloaded, or CallerGone when ctx ended
-// first. Either way nothing was sent.
+// Admit waits until the request may be sent. release must be called when the request
+// has left its upstream; a second call does nothing. The error is Overloaded, or
+// CallerGone when ctx ended first; either way nothing was sent.
 func (c *Controller) Admit(ctx context.Context, ask routing.Ask) (release func(), err error) {
 	verdict := make(chan error, 1)
 	core, item := c.offer(ask, verdict)
@@ -46,15 +53,22 @@
 	case err = <-verdict:
 	case <-ctx.Done():
 		if c.leave(core, item) {
-			return nil, result.New(result.CallerGone, "the caller left while its request waited")
+			return nil, leftWaiting(ctx)
 		}
 		err = <-verdict
 	}
 	if err != nil {
 		return nil, err
 	}
-	var once sync.Once
-	return func() { once.Do(func() { c.release(core, item) }) }, nil
+	return func() { c.release(core, item) }, nil
+}
+
+// leftWaiting tells a caller that left from one whose deadline passed.
+func leftWaiting(ctx context.Context) error {
+	if ctx.Err() == context.DeadlineExceeded {
+		return result.New(result.Overloaded, "the deadline passed while the request waited").After(leastRetryAfter)
+	}
+	return result.New(result.CallerGone, "the caller left while its request waited")
 }
 
 func (c *Controller) offer(ask routing.Ask, verdict chan<- error) (*Core, *Item) {
@@ -94,8 +108,10 @@
 			c.each(func(_ string, core *Core) { core.Expire(c.clock.Now()) })
 		case <-observe.Chan():
 			c.each(func(service string, core *Core) {
-				waiting, slots := c.pressure(service)
-				core.Observe(c.clock.Now(), waiting, slots)
+				core.Configure(c.settings(service))
+				here, elsewhere := c.upstreams.Pressure(service)
+				core.Observe(c.clock.Now(), here, elsewhere)
+				c.upstreams.LimitLocal(service, core.LocalLimit())
 			})
 		}
 	}
@@ -115,13 +131,15 @@
 	Limit    int
 	InFlight int
 	Waiting  int
+	// Standing is set while a queue stands and waits are kept short.
+	Standing bool
 }
 
 // Status returns the state of each service's admission.
 func (c *Controller) Status() map[string]Status {
 	all := map[string]Status{}
 	c.each(func(service string, core *Core) {
-		all[service] = Status{Counts: core.Counts(), Limit: core.Limit(), InFlight: core.InFlight(), Waiting: core.Waiting()}
+		all[service] = Status{Counts: core.Counts(), Limit: core.Limit(), InFlight: core.InFlight(), Waiting: core.Waiting(), Standing: core.Standing()}
 	})
 	return all
 }
--- a/internal/experiment/routing/policy.go
+++ b/internal/experiment/routing/policy.go
@@ -30,7 +30,8 @@
 
 // pressured tells how full the engines are.
 type pressured interface {
-	Pressure(service, region string) (waiting, slots float64)
+	Pressure(service, region string) (here, elsewhere routing.Pressure)
+	LimitLocal(service string, limit int)
 }
 
 // Ours is the name of the policy that nodes run.
@@ -56,6 +57,7 @@
 			s := admission.DefaultSettings(slots)
 			s.WaitingShare = greedyWaitingShare
 			s.MaxWait = greedyMaxWait
+			s.StandingWait = greedyMaxWait
 			return s
 		}}
 }
--- a/node/node.go
+++ b/node/node.go
@@ -9,6 +9,7 @@
 	"github.com/qmuntal/stateless"
 	"google.golang.org/protobuf/proto"
 
+	"lavenderpin.dev/lavenderpin/admission"
 	operatorv1 "lavenderpin.dev/lavenderpin/api/operator/v1"
 	recordv1 "lavenderpin.dev/lavenderpin/api/record/v1"
 	"lavenderpin.dev/lavenderpin/budget"
@@ -52,6 +53,8 @@
 	relay      *relay.Server
 	snapshots  *snapshot.Tracker
 	requests   *request.Server
+	balancer   *routing.Balancer
+	admission  *admission.Controller
 	claims     *idempotency.Claims
 	metrics    *expvar.Map
 
@@ -94,8 +97,10 @@
 	n.newMembership()
 	n.newFollower(engine)
 	n.budgets = n.newBudgets()
+	n.balancer = n.newBalancer()
+	n.admission = n.newAdmission()
 	n.requests = &request.Server{
-		Config: n.config.View, Reserver: n.budgets.reserver, Picker: &routing.LeastInFlight{},
+		Config: n.config.View, Reserver: n.budgets.reserver, Picker: n.balancer, Admission: n.admission,
 		Client: deps.Upstreams, Events: n.events, Clock: deps.Clock, Region: settings.Region,
 		Staying: n.staying,
 	}
@@ -151,7 +156,7 @@
 	n.events.Record(event.NodeStarting, "region", n.settings.Region, "data_centre", n.settings.DataCentre)
 	var wait sync.WaitGroup
 	for _, loop := range []func(context.Context){n.writer.Run, n.follower.Run, n.heartbeats, n.members.Run, n.leases.Run, n.flushSettlements, n.orders().Run,
-		n.instances.Run, n.writeSnapshots, n.followDrainOrder, n.serveWithoutLog, n.budgets.run} {
+		n.instances.Run, n.writeSnapshots, n.followDrainOrder, n.serveWithoutLog, n.budgets.run, n.readLoads, n.admission.Run, n.watchOverload} {
 		wait.Go(func() { loop(ctx) })
 	}
 	wait.Go(func() { n.keepEvents(ctx) })
--- a/request/chat.go
+++ b/request/chat.go
@@ -81,8 +81,8 @@
 	}
 	tokens := body.promptBound() + limit
 	run.prompt = s.askOf(ctx, run.account, run.service)
-	run.prompt.Model = run.model
-	run.prompt.PromptTokens, run.prompt.AnswerTokens = int(body.promptBound()/bytesPerToken), int(limit)
+	run.prompt.Model, run.prompt.AnswerTokens = run.model, int(limit)
+	body.describe(&run.prompt)
 	release, err := s.admit(ctx, run.prompt)
 	if err != nil {
 		return nil, err
--- a/routing/balancer.go
+++ b/routing/balancer.go
@@ -55,7 +55,7 @@
 	if s == nil || !s.table.Load().of(candidates) {
 		s = b.rebuild(ask.Service, candidates)
 	}
-	c := choice{balancer: b, table: s.table.Load(), ask: ask, now: b.clock.Now()}
+	c := choice{balancer: b, service: s, table: s.table.Load(), ask: ask, now: b.clock.Now()}
 	at := c.choose()
 	if at < 0 {
 		return Pick{}, result.New(result.NoUpstream, "no upstream of %s is left to try", ask.Service).After(c.comeBack())
@@ -68,6 +68,10 @@
 	t := c.table.entries[at].target
 	held := b.tickets.Get().(*ticket)
 	held.target, held.at, held.probe, held.answered = t, c.now, c.probe, false
+	held.service, held.local = c.service, c.table.candidates[at].GetRegion() == c.ask.Region
+	if held.local {
+		c.service.local.Add(1)
+	}
 	held.pace = t.currentPace(c.now)
 	held.predicted = c.predict(t)
 	held.tokens = int64(c.uncached(t))
@@ -239,21 +243,3 @@
 	}
 	return s, s.table.Load().byName[upstream]
 }
-
-// Pressure returns how many requests wait at the upstreams of a service in a region,
-// and how many slots those upstreams have, from the latest reports.
-func (b *Balancer) Pressure(serviceName, region string) (waiting, slots float64) {
-	s := (*b.services.Load())[serviceName]
-	if s == nil {
-		return 0, 0
-	}
-	table := s.table.Load()
-	home := table.regions[region]
-	for _, e := range table.entries {
-		if r := e.target.report.Load(); r != nil && e.region == home {
-			waiting += float64(r.Waiting)
-			slots += e.target.slots
-		}
-	}
-	return waiting, slots
-}
