A closed node answers for its whole lingering time; settle parts with closed lenders

TestCrashBehindACut waited in vain in one of about 20 runs of the package under load and not in 140 runs of its own; the cause isn't known. Two ways in which recovery could miss something were found by reading: a closed node that remembers nothing left at once and counted as gone, so shares were written off; and a part lent by a closed node that is alive was dropped by its borrower. Both are mended; a test that waits in vain now logs the state of the fleet.

--- a/budget/borrower.go
+++ b/budget/borrower.go
@@ -188,10 +188,10 @@
 	return byLender
 }
 
-// settle returns false when the lender didn't answer. A lender that is closed
-// takes no settlement; recovery asks this node, and the part is dropped.
+// settle returns false when the lender didn't answer. A lender that is closed may be
+// alive and settle its own; once it is released its parts were settled by recovery.
 func (b *Borrower) settle(ctx context.Context, part *borrowedPart) bool {
-	if !b.ledger.IsOpen(part.lender.GetIncarnation()) {
+	if !b.ledger.Known(part.lender.GetIncarnation()) {
 		b.drop(part)
 		return true
 	}
--- a/budget/ledger.go
+++ b/budget/ledger.go
@@ -251,6 +251,19 @@
 	return l.open(incarnation) != nil
 }
 
+// OpenIncarnations returns how many incarnations may claim and spend.
+func (l *Ledger) OpenIncarnations() int {
+	l.mu.RLock()
+	defer l.mu.RUnlock()
+	n := 0
+	for _, i := range l.incarnations {
+		if !i.Closed {
+			n++
+		}
+	}
+	return n
+}
+
 // Known tells whether an incarnation is open, or closed and not yet released.
 func (l *Ledger) Known(incarnation string) bool {
 	l.mu.RLock()
--- a/node/recovery.go
+++ b/node/recovery.go
@@ -19,7 +19,7 @@
 	closedFinish = 2 * time.Minute
 	// closedLinger is how long a closed node goes on answering what it remembers for
 	// others: nodes cut off together are closed together, and each may be the other's
-	// witness.
+	// witness. One that remembers nothing must say so too, or it counts as gone.
 	closedLinger = 20 * time.Second
 	// engineTimeout bounds one question of recovery to an engine.
 	engineTimeout = 2 * time.Second
@@ -58,7 +58,7 @@
 			Incarnation: n.Incarnation(),
 		}}}).Wait(finish)
 	}
-	n.wait(ctx, func() bool { return n.budgets.memory.Len() == 0 }, closedLinger)
+	n.wait(ctx, func() bool { return false }, closedLinger)
 }
 
 // flushAll returns true once every settlement is folded.
--- a/node/testfleet_test.go
+++ b/node/testfleet_test.go
@@ -17,6 +17,7 @@
 	operatorv1 "lavenderpin.dev/lavenderpin/api/operator/v1"
 	recordv1 "lavenderpin.dev/lavenderpin/api/record/v1"
 	"lavenderpin.dev/lavenderpin/budget"
+	"lavenderpin.dev/lavenderpin/event"
 	"lavenderpin.dev/lavenderpin/internal/standin"
 	"lavenderpin.dev/lavenderpin/platform"
 	"lavenderpin.dev/lavenderpin/upstream"
@@ -109,11 +110,27 @@
 func (f *testFleet) await(done func() bool) {
 	for started := time.Now(); !done(); time.Sleep(100 * time.Millisecond) {
 		if time.Since(started) > 30*time.Hour {
+			f.logState()
 			f.t.Fatal("waited thirty hours in vain")
 		}
 	}
 }
 
+// logState shows what a test that waits in vain needs to be understood.
+func (f *testFleet) logState() {
+	for _, n := range f.nodes {
+		line := n.Ledger().Budget(testBudget)
+		f.t.Logf("%s %s: spent %d of %d used, lost %d, open %d, borrowed %d, told %d, remembers %d", n.Incarnation(), n.State(),
+			line.Spent, f.engines.used(), line.Lost, n.holder.Open(), n.budgets.borrower.Parts(), n.budgets.teller.Len(), n.budgets.memory.Len())
+		events, _ := n.events.Since("")
+		for _, e := range events {
+			if e.Number >= event.SpendRightLapsed && e.Number <= event.WitnessChanged && e.Number != event.RecoveryWaiting {
+				f.t.Log(e.Stamp.Time().Format(time.TimeOnly), e.Node, e.Number.Kind().Name, e.Fields)
+			}
+		}
+	}
+}
+
 func (f *testFleet) append(entry *recordv1.Entry) {
 	is := is.New(f.t)
 	f.topUps++
--- a/node/witness.go
+++ b/node/witness.go
@@ -18,8 +18,9 @@
 	})
 }
 
-// alone tells whether the log holds no other node open.
-func (n *Node) alone() bool { return len(n.members.All()) == 0 }
+// alone tells whether the log holds no other node open. The table of members would
+// say so too for the first second of a node's life, whatever the fleet.
+func (n *Node) alone() bool { return n.ledger.OpenIncarnations() <= 1 }
 
 // witnesses lists the nodes that may be a witness, best first: another data centre
 // of the region survives what stops this one, and is near; another region is slow
