--- a/node/fleet_test.go
+++ b/node/fleet_test.go
@@ -225,12 +225,13 @@
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		f := newSmallFleet(t)
+		f.policy.Age = 4 * time.Minute
 		nodes := f.startAll(3)
 		_, err := nodes[0].change(0, "c", account("moorwatch", "a"))
 		is.NoErr(err)
 		f.log.SetDown(true)
 		f.log.Keep(1)
-		time.Sleep(75 * time.Minute)
+		time.Sleep(5 * time.Minute)
 		f.log.SetDown(false)
 		time.Sleep(3 * time.Second)
 		f.log.Keep(5000)
