--- a/node/fleet_test.go
+++ b/node/fleet_test.go
@@ -233,7 +233,8 @@
 		f.log.Keep(1)
 		time.Sleep(5 * time.Minute)
 		f.log.SetDown(false)
-		time.Sleep(3 * time.Second)
+		_, err = f.log.Append(t.Context(), "fleet", nil) // drops all records before it
+		is.NoErr(err)
 		f.log.Keep(5000)
 		_, err = f.log.Read(t.Context(), "fleet", nodes[0].Config().Offset, 1, 0)
 		is.True(errors.Is(err, platform.ErrAgedOut))
