--- a/devfleet/fleet.go
+++ b/devfleet/fleet.go
@@ -62,7 +62,10 @@
 	PlainUpstreams  []*operatorv1.Upstream
 
 	secret    []byte
+	options   Options
+	authority tlskeys.Pair
 	stops     []context.CancelFunc
+	ended     []chan struct{}
 	nodes     sync.WaitGroup
 	upstreams sync.WaitGroup
 }
@@ -79,8 +82,9 @@
 	if err != nil {
 		return nil, errors.Trace(err)
 	}
+	f.options, f.authority = options, authority
 	for _, place := range options.Nodes {
-		if err := f.startNode(options, authority, place); err != nil {
+		if err := f.startNode(place); err != nil {
 			f.Stop()
 			return nil, errors.Trace(err)
 		}
@@ -121,7 +125,8 @@
 		Region: place.Region, DataCentre: place.DataCentre}
 }
 
-func (f *Fleet) startNode(options Options, authority tlskeys.Pair, place Place) error {
+func (f *Fleet) startNode(place Place) error {
+	options, authority := f.options, f.authority
 	pair, err := authority.Issue(time.Now(), keyValidity)
 	if err != nil {
 		return errors.Trace(err)
@@ -134,11 +139,14 @@
 	settings.Region, settings.DataCentre = place.Region, place.DataCentre
 	settings.TokenSecret = f.secret
 	settings.BootstrapTokenSHA256 = config.HashKey(OperatorToken)
-	for _, address := range []*string{&settings.PeerAddress, &settings.HTTPAddress, &settings.OperatorAddress} {
+	for _, address := range []*string{&settings.HTTPAddress, &settings.OperatorAddress} {
 		if *address, err = freeAddress(); err != nil {
 			return errors.Trace(err)
 		}
 	}
+	if settings.PeerAddress, err = freePeerAddress(); err != nil {
+		return errors.Trace(err)
+	}
 	settings.AddressLifetime = devAddressLifetime
 	if options.Adjust != nil {
 		options.Adjust(&settings)
@@ -158,7 +166,12 @@
 	ctx, stop := context.WithCancel(context.Background())
 	f.Daemons = append(f.Daemons, d)
 	f.stops = append(f.stops, stop)
-	f.nodes.Go(func() { _ = d.Run(ctx) })
+	ended := make(chan struct{})
+	f.ended = append(f.ended, ended)
+	f.nodes.Go(func() {
+		defer close(ended)
+		_ = d.Run(ctx)
+	})
 	return nil
 }
 
@@ -172,6 +185,16 @@
 	return listener.Addr().String(), nil
 }
 
+// freePeerAddress returns a loopback address whose UDP port was free a moment ago.
+func freePeerAddress() (string, error) {
+	socket, err := net.ListenPacket("udp", "127.0.0.1:0")
+	if err != nil {
+		return "", errors.Trace(err)
+	}
+	defer func() { _ = socket.Close() }()
+	return socket.LocalAddr().String(), nil
+}
+
 func (f *Fleet) awaitServing() error {
 	deadline := time.Now().Add(startTimeout)
 	for _, d := range f.Daemons {
@@ -182,6 +205,23 @@
 			time.Sleep(startPoll)
 		}
 	}
+	return f.awaitAddresses(deadline)
+}
+
+// awaitAddresses waits until every node hands out the addresses of all.
+func (f *Fleet) awaitAddresses(deadline time.Time) error {
+	for _, d := range f.Daemons {
+		for {
+			list, _ := d.Node().Addresses("")
+			if len(list) == len(f.Daemons) {
+				break
+			}
+			if time.Now().After(deadline) {
+				return errors.Errorf("node %s hands out %d of %d addresses", d.Node().Incarnation(), len(list), len(f.Daemons))
+			}
+			time.Sleep(startPoll)
+		}
+	}
 	return nil
 }
 
--- a/httpapi/server.go
+++ b/httpapi/server.go
@@ -18,9 +18,11 @@
 // Node is what the API needs of a node.
 type Node interface {
 	Requests() *request.Server
-	Addresses() ([]membership.Address, time.Duration)
+	Addresses(key string) ([]membership.Address, time.Duration)
 	Events() *event.Recorder
 	Serving() error
+	// Leaving tells that the node drains.
+	Leaving() bool
 }
 
 // Server serves callers over HTTP.
@@ -35,18 +37,21 @@
 	s := &Server{node: node}
 	s.hertz = server.New(
 		server.WithListener(listener),
-		server.WithMaxRequestBodySize(request.MaxBody),
+		server.WithStreamBody(true),
 		server.WithSenseClientDisconnection(true),
 		server.WithDisablePrintRoute(true),
 		server.WithExitWaitTime(time.Second),
 	)
-	s.hertz.Use(s.recoverPanic)
+	s.hertz.Use(s.recoverPanic, s.closeWhenLeaving)
 	s.hertz.GET("/healthz", s.health)
 	s.hertz.GET("/v1/addresses", s.addresses)
 	s.hertz.POST("/v1/chat/completions", s.chat)
 	s.hertz.GET("/v1/streams", s.resume)
 	s.hertz.POST("/v1/tickets", s.ticket)
 	s.hertz.Any("/s/:service/*path", s.call)
+	s.hertz.NoRoute(func(_ context.Context, c *app.RequestContext) {
+		writeError(c, result.New(result.UnknownService, "no such path"))
+	})
 	return s
 }
 
@@ -68,6 +73,16 @@
 	c.Next(ctx)
 }
 
+// closeWhenLeaving ends each connection with its answer while the node drains. A
+// caller that keeps a connection open would otherwise send its next request just as
+// the listener closes, and be cut.
+func (s *Server) closeWhenLeaving(ctx context.Context, c *app.RequestContext) {
+	if s.node().Leaving() {
+		c.SetConnectionClose()
+	}
+	c.Next(ctx)
+}
+
 func (s *Server) health(_ context.Context, c *app.RequestContext) {
 	if err := s.node().Serving(); err != nil {
 		writeError(c, err)
@@ -77,7 +92,7 @@
 }
 
 func (s *Server) addresses(_ context.Context, c *app.RequestContext) {
-	list, lifetime := s.node().Addresses()
+	list, lifetime := s.node().Addresses(bearer(c))
 	s.node().Events().Record(event.AddressesHandedOut, "count", len(list))
 	c.JSON(200, map[string]any{"addresses": list, "ttl_seconds": lifetime.Seconds()})
 }
@@ -87,7 +102,11 @@
 		s.resume(ctx, c)
 		return
 	}
+	key := string(c.GetHeader(headerIdempotencyKey))
 	if err := s.node().Serving(); err != nil {
+		if key != "" {
+			err = result.From(err).Doubt() // an earlier try may have run elsewhere
+		}
 		writeError(c, err)
 		return
 	}
@@ -96,8 +115,12 @@
 		writeError(c, err)
 		return
 	}
-	body := append([]byte(nil), c.Request.Body()...)
-	call := request.ChatCall{Key: bearer(c), Body: body, Timeout: timeout}
+	body, err := readBody(c)
+	if err != nil {
+		writeError(c, err)
+		return
+	}
+	call := request.ChatCall{Key: bearer(c), Body: body, Timeout: timeout, IdempotencyKey: key}
 	sink := newChatSink(c, wantsStream(body))
 	sink.finish(s.node().Requests().Chat(ctx, call, sink))
 }
--- a/node/admission.go
+++ b/node/admission.go
@@ -7,7 +7,6 @@
 	"lavenderpin.dev/lavenderpin/admission"
 	operatorv1 "lavenderpin.dev/lavenderpin/api/operator/v1"
 	"lavenderpin.dev/lavenderpin/event"
-	"lavenderpin.dev/lavenderpin/request"
 	"lavenderpin.dev/lavenderpin/routing"
 )
 
@@ -18,21 +17,6 @@
 	overloadInterval = time.Second
 )
 
-// admitter lets requests wait for the node's admission; it implements
-// request.Admission.
-type admitter struct{ controller *admission.Controller }
-
-var _ request.Admission = admitter{}
-
-// Admit implements request.Admission.
-func (a admitter) Admit(ctx context.Context, ask request.Ask) (release func(), err error) {
-	wanted := routing.Ask{Service: ask.Service, Account: ask.Account, Team: ask.Team, Weight: ask.Weight, PromptTokens: int(ask.Tokens)}
-	if deadline, ok := ctx.Deadline(); ok {
-		wanted.Deadline = deadline
-	}
-	return a.controller.Admit(ctx, wanted)
-}
-
 // regionUpstreams is the balancer as seen from the node's region; it implements
 // admission.Upstreams.
 type regionUpstreams struct {
--- a/node/peers.go
+++ b/node/peers.go
@@ -10,15 +10,17 @@
 )
 
 // HandlePeer answers another node; it is a peer.Handler.
-func (n *Node) HandlePeer(ctx context.Context, r *fleetv1.Request) *fleetv1.Response {
+func (n *Node) HandlePeer(ctx context.Context, r *fleetv1.Request) (response *fleetv1.Response) {
+	defer n.recoverPeer(&response)
 	n.events.Clock().Observe(event.Stamp(r.GetHlc()))
-	response := &fleetv1.Response{}
+	response = &fleetv1.Response{}
 	switch body := r.GetBody().(type) {
 	case *fleetv1.Request_Ping:
-		for _, view := range body.Ping.GetViews() {
-			n.members.Heard(view)
-		}
-		response.Body = &fleetv1.Response_Pong{Pong: &fleetv1.Pong{Views: []*fleetv1.PeerView{n.view()}}}
+		response.Body = &fleetv1.Response_Pong{Pong: &fleetv1.Pong{Views: n.members.Answer(body.Ping.GetViews())}}
+	case *fleetv1.Request_PingVia:
+		n.answerPingVia(ctx, body.PingVia, response)
+	case *fleetv1.Request_LogRead:
+		n.answerLogRead(ctx, body.LogRead, response)
 	case *fleetv1.Request_EventsGather:
 		response.Body = &fleetv1.Response_Events{Events: n.localEvents(body.EventsGather.GetId())}
 	case *fleetv1.Request_CallForward:
@@ -26,8 +28,10 @@
 	case *fleetv1.Request_StreamMove:
 		response = n.handleMove(body.StreamMove)
 	default:
-		response.Code = uint32(result.MalformedRequest)
-		response.Message = "this node doesn't know the request"
+		if !n.handleBudgets(r, response) {
+			response.Code = uint32(result.MalformedRequest)
+			response.Message = "this node doesn't know the request"
+		}
 	}
 	response.Hlc = uint64(n.events.Clock().Now())
 	return response
--- a/node/routing.go
+++ b/node/routing.go
@@ -56,7 +56,7 @@
 func (n *Node) readRound(ctx context.Context, remote bool) {
 	readers := make(chan struct{}, loadReaders)
 	var wait sync.WaitGroup
-	for _, u := range n.engines() {
+	for _, u := range n.configuredEngines() {
 		if u.GetRegion() != n.settings.Region && !remote {
 			continue
 		}
@@ -69,9 +69,9 @@
 	wait.Wait()
 }
 
-// engines lists the engines in the configuration. Plain services aren't asked for
+// configuredEngines lists the engines in the configuration. Plain services aren't asked for
 // their load: to some of them any call is one that may not be repeated.
-func (n *Node) engines() []*operatorv1.Upstream {
+func (n *Node) configuredEngines() []*operatorv1.Upstream {
 	view := n.Config()
 	var engines []*operatorv1.Upstream
 	for _, r := range view.All() {
--- a/node/settings.go
+++ b/node/settings.go
@@ -7,7 +7,9 @@
 
 	"github.com/juju/errors"
 
+	"lavenderpin.dev/lavenderpin/budget"
 	"lavenderpin.dev/lavenderpin/signed"
+	"lavenderpin.dev/lavenderpin/snapshot"
 )
 
 // Settings are what one node is told about itself.
@@ -22,6 +24,8 @@
 	Stream string
 	// HeartbeatInterval is the time between two heartbeats in the log.
 	HeartbeatInterval time.Duration
+	// Policy weighs refusals against money out of use.
+	Policy budget.Policy
 	// SpendRight is how long the node may spend after its last heartbeat in the log.
 	SpendRight time.Duration
 	// LeaseTerm is how long a lease lasts without renewal.
@@ -33,6 +37,8 @@
 	// AddressLifetime is how long callers may keep an address handed out. A draining
 	// node serves at least this long after it stopped being handed out.
 	AddressLifetime time.Duration
+	// Snapshots tells when the folded state is written to the log again.
+	Snapshots snapshot.Policy
 	// EventMemory is how many events are kept for the time line.
 	EventMemory int
 	// TokenSecret signs tickets and stream cursors, the same on all nodes of the
@@ -48,11 +54,13 @@
 	return Settings{
 		Stream:            "fleet",
 		HeartbeatInterval: 5 * time.Second,
-		SpendRight:        30 * time.Minute,
 		LeaseTerm:         15 * time.Second,
+		Policy:            budget.Endurance,
+		SpendRight:        budget.Endurance.SpendRight,
 		Gather:            20 * time.Millisecond,
 		ClaimChunk:        20_000,
 		AddressLifetime:   10 * time.Second,
+		Snapshots:         snapshot.DefaultPolicy(),
 		EventMemory:       20_000,
 	}
 }
@@ -71,6 +79,7 @@
 	require(isIPPort(s.PeerAddress), "peer address isn't IP:port")
 	require(isIPPort(s.HTTPAddress), "HTTP address isn't IP:port")
 	require(isIPPort(s.OperatorAddress), "operator address isn't IP:port")
+	require(s.Policy.Name != "", "budget policy is empty")
 	require(s.HeartbeatInterval > 0, "heartbeat interval isn't positive")
 	require(s.SpendRight > 2*s.HeartbeatInterval, "spend right isn't above two heartbeat intervals")
 	require(s.LeaseTerm >= time.Second, "lease term is under a second")
@@ -78,6 +87,7 @@
 	require(s.ClaimChunk > 0, "claim chunk is zero")
 	require(s.AddressLifetime > 0, "address lifetime isn't positive")
 	require(len(s.TokenSecret) == 0 || len(s.TokenSecret) >= signed.MinSecret, "token secret is shorter than 32 bytes")
+	require(s.Snapshots.Records > 0 && s.Snapshots.Bytes > 0 && s.Snapshots.Age > 0, "snapshot policy isn't positive")
 	require(s.EventMemory > 0, "event memory is zero")
 	if len(mistakes) > 0 {
 		return errors.Errorf("settings: %s", strings.Join(mistakes, "; "))
--- a/request/ask.go
+++ b/request/ask.go
@@ -8,7 +8,7 @@
 	"lavenderpin.dev/lavenderpin/routing/prefix"
 )
 
-// describe fills in what the choice of an engine needs to know of a prompt. The
+// describe names the blocks of a prompt, so that it can go where they are cached. The
 // prompt's text is the contents of its messages, one after the other.
 func (b *chatBody) describe(ask *routing.Ask) {
 	var text prefix.Hasher
@@ -16,7 +16,6 @@
 		text.Write(messageText(raw))
 	}
 	ask.Prefix = text.Hashes()
-	ask.PromptTokens = text.Tokens()
 }
 
 // messageText returns a message's content, the text parts of an array joined.
@@ -40,11 +39,3 @@
 	}
 	return joined.String()
 }
-
-// ask describes the run to the picker.
-func (r *chatRun) ask(tried map[string]bool) routing.Ask {
-	ask := r.prompt
-	ask.Service, ask.Model, ask.Region, ask.Tried = r.service.GetName(), r.model, r.server.Region, tried
-	ask.Account, ask.Team, ask.Weight = r.account.GetName(), r.account.GetTeam(), r.account.GetWeight()
-	return ask
-}
--- a/request/chat.go
+++ b/request/chat.go
@@ -22,6 +22,9 @@
 	Body []byte
 	// Timeout is the caller's deadline from now; 0 for none.
 	Timeout time.Duration
+	// IdempotencyKey, when given, makes the completion run and be billed once however
+	// often the caller sends it.
+	IdempotencyKey string
 }
 
 // Chat runs a completion and passes the answer to the sink. A nil error means
@@ -30,37 +33,41 @@
 func (s *Server) Chat(ctx context.Context, call ChatCall, sink Sink) error {
 	s.inFlight.Add(1)
 	defer s.inFlight.Add(-1)
-	s.retries.earn()
+	s.firstAttempt()
 	ctx, cancel := s.withTimeout(ctx, call.Timeout)
 	defer cancel()
-	run, release, err := s.admitChat(ctx, call, sink)
+	if call.IdempotencyKey != "" {
+		return s.chatOnce(ctx, call, sink)
+	}
+	account, err := s.authenticate(s.Config(), call.Key)
 	if err != nil {
-		return err
+		return s.refused("", err)
 	}
-	defer release()
-	return run.run(ctx)
+	return s.runChat(ctx, account, call.Body, sink)
 }
 
-func (s *Server) admitChat(ctx context.Context, call ChatCall, sink Sink) (*chatRun, func(), error) {
-	view := s.Config()
-	account, err := s.authenticate(view, call.Key)
+// runChat admits, covers, sends and settles a completion.
+func (s *Server) runChat(ctx context.Context, account *operatorv1.Account, body []byte, sink Sink) error {
+	run, release, err := s.admitChat(ctx, account, body, sink)
 	if err != nil {
-		return nil, nil, s.refused("", err)
+		return s.refused(account.GetName(), err)
 	}
-	body, err := parseChat(call.Body)
+	defer release()
+	return run.run(ctx)
+}
+
+func (s *Server) admitChat(ctx context.Context, account *operatorv1.Account, raw []byte, sink Sink) (*chatRun, func(), error) {
+	body, err := parseChat(raw)
 	if err != nil {
-		return nil, nil, s.refused(account.GetName(), err)
+		return nil, nil, err
 	}
-	service := view.ServiceByModel(body.Model)
+	service := s.Config().ServiceByModel(body.Model)
 	if service == nil {
-		return nil, nil, s.refused(account.GetName(), result.New(result.UnknownService, "no service has model %q", body.Model))
+		return nil, nil, result.New(result.UnknownService, "no service has model %q", body.Model)
 	}
 	run := &chatRun{server: s, account: account, service: service, model: body.Model, sink: sink}
 	release, err := s.coverChat(ctx, run, body)
-	if err != nil {
-		return nil, nil, s.refused(account.GetName(), err)
-	}
-	return run, release, nil
+	return run, release, err
 }
 
 // coverChat admits a run and reserves its worst case.
@@ -72,10 +79,12 @@
 	if run.body, err = body.forEngine(limit); err != nil {
 		return nil, result.New(result.MalformedRequest, "%v", err)
 	}
-	body.describe(&run.prompt)
-	run.prompt.AnswerTokens = int(limit)
 	tokens := body.promptBound() + limit
-	release, err := s.admit(ctx, askOf(run.account, run.service, tokens))
+	run.ask = s.askOf(ctx, run.account, run.service)
+	run.ask.Model = run.model
+	run.ask.PromptTokens, run.ask.AnswerTokens = int(body.promptBound()/bytesPerToken), int(limit)
+	body.describe(&run.ask)
+	release, err := s.admit(ctx, run.ask)
 	if err != nil {
 		return nil, err
 	}
@@ -87,11 +96,6 @@
 	return release, nil
 }
 
-func askOf(account *operatorv1.Account, service *operatorv1.Service, tokens uint64) Ask {
-	return Ask{Account: account.GetName(), Team: account.GetTeam(), Weight: account.GetWeight(),
-		Service: service.GetName(), Tokens: tokens}
-}
-
 func firstError(errs ...error) error {
 	for _, err := range errs {
 		if err != nil {
--- a/request/chatrun.go
+++ b/request/chatrun.go
@@ -22,6 +22,7 @@
 	account *operatorv1.Account
 	service *operatorv1.Service
 	model   string
+	ask     routing.Ask
 	body    []byte
 	grant   budget.Grant
 	sink    Sink
@@ -29,11 +30,10 @@
 
 	started bool
 	usage   upstream.Usage
-	// prompt is what the picker needs to know of the prompt.
-	prompt routing.Ask
-	pick   routing.Pick
 	// to is the upstream that runs the completion now; nil before the first.
 	to *operatorv1.Upstream
+	// firstToken tells routing that the upstream has begun to answer; nil once told.
+	firstToken func()
 	// passed holds a hash of each chunk that reached the caller, by its number.
 	passed []uint64
 	// delivered counts the chunks with content among them.
@@ -44,8 +44,10 @@
 // run sends the completion, passes the answer on and settles.
 func (r *chatRun) run(caller context.Context) error {
 	id := r.grant.Request().String()
-	r.server.streams.Store(id, r)
-	defer r.server.streams.Delete(id)
+	if !r.kept() {
+		r.server.streams.Store(id, r)
+		defer r.server.streams.Delete(id)
+	}
 	ctx, stop := context.WithCancel(context.WithoutCancel(caller))
 	defer stop()
 	defer context.AfterFunc(caller, func() {
@@ -75,21 +77,26 @@
 	return err
 }
 
+// kept tells that the answer is recorded for retries by key: it goes on whoever reads.
+func (r *chatRun) kept() bool {
+	_, kept := r.sink.(*recording)
+	return kept
+}
+
 // attempts tries engines until one answers whole.
 func (r *chatRun) attempts(ctx context.Context) error {
-	tried := map[string]bool{}
+	r.ask.Tried = map[string]bool{}
 	pause := newPause()
 	var last error
 	for n := range maxAttempts {
 		if n > 0 && !r.server.mayRetry(ctx, r.grant.Request().String(), pause) {
 			return last
 		}
-		pick, err := r.server.Picker.Pick(r.ask(tried), r.server.Config().Upstreams(r.service.GetName()))
+		pick, err := r.server.Picker.Pick(r.ask, r.server.upstreams(r.service.GetName()))
 		if err != nil {
 			return firstError(last, err)
 		}
-		r.pick = pick
-		last = r.attempt(ctx, pick.Upstream)
+		last = r.attempt(ctx, pick)
 		if last != nil && ctx.Err() != nil {
 			last = result.New(result.CallerGone, "the request was given up")
 		}
@@ -97,7 +104,7 @@
 		if last == nil || !worthAnother(last) {
 			return last
 		}
-		tried[pick.Upstream.GetName()] = true
+		r.ask.Tried[pick.Upstream.GetName()] = true
 		go r.cancel(pick.Upstream)
 	}
 	return last
@@ -114,26 +121,39 @@
 
 // attempt lets one engine answer. When its stream breaks off, the engine is asked
 // for the rest first: that costs it nothing, while another would start anew.
-func (r *chatRun) attempt(ctx context.Context, to *operatorv1.Upstream) error {
-	id := r.grant.Request()
+func (r *chatRun) attempt(ctx context.Context, pick routing.Pick) error {
+	id, to := r.grant.Request(), pick.Upstream
 	if err := r.grant.Dispatch(ctx, to.GetName()); err != nil {
 		return err
 	}
 	r.server.Events.Record(event.RequestDispatched, "request", id, "upstream", to.GetName())
-	r.begin(to)
+	r.begin(pick)
 	stream, err := r.server.Client.Chat(ctx, to, upstream.ChatRequest{ID: id.String(), Body: r.body})
 	if err != nil {
 		return err
 	}
 	position, err := r.consume(ctx, stream, 0)
+	return r.readOn(ctx, position, err)
+}
+
+// readOn asks the engine for the rest of a stream that broke off, as long as that
+// brings the answer on.
+func (r *chatRun) readOn(ctx context.Context, position uint64, err error) error {
 	pause := newPause()
-	for resumes := 0; err != nil && resumes < maxResumes && position > 0 && r.mayResume(err); resumes++ {
+	for tries := 0; err != nil && tries < maxResumes && position > 0 && r.mayResume(err); tries++ {
 		if !r.server.sleep(ctx, pause.NextBackOff()) {
 			return err
 		}
-		stream, err = r.server.Resumer.Resume(ctx, to, id.String(), position)
-		if err == nil {
-			position, err = r.consume(ctx, stream, position)
+		var stream upstream.ChatStream
+		stream, err = r.server.Resumer.Resume(ctx, r.to, r.grant.Request().String(), position)
+		if err != nil {
+			continue
+		}
+		before := position
+		position, err = r.consume(ctx, stream, position)
+		if position > before {
+			tries = 0
+			pause.Reset()
 		}
 	}
 	return err
@@ -149,7 +169,8 @@
 
 // begin prepares for the answer of an engine. An answer that hasn't reached the
 // caller yet begins anew; one that has is matched against what it got.
-func (r *chatRun) begin(to *operatorv1.Upstream) {
+func (r *chatRun) begin(pick routing.Pick) {
+	to := pick.Upstream
 	if r.started && !r.sink.Streams() {
 		r.sink.Restart()
 		r.passed = r.passed[:0]
@@ -158,10 +179,10 @@
 	if len(r.passed) > 0 {
 		r.server.Events.Record(event.AnswerRerun, "request", r.grant.Request(), "upstream", to.GetName(), "matched", len(r.passed))
 	}
-	r.to = to
+	r.to, r.firstToken = to, pick.FirstToken
 	r.cursors = cursorMaker{signer: r.server.Cursors, cursor: fleetv1.StreamCursor{
 		Request: r.grant.Request().String(), PeerAddress: r.server.PeerAddress,
-		Service: r.service.GetName(), Upstream: to.GetName(), Account: r.account.GetName(),
+		Service: r.service.GetName(), Upstream: to.GetName(), Account: r.account.GetName(), Kept: r.kept(),
 	}}
 }
 
@@ -178,7 +199,6 @@
 			r.server.Events.Record(event.AnswerRejected, "request", r.grant.Request(), "upstream", r.to.GetName(), "why", err)
 			return position, err
 		}
-		r.pick.FirstToken()
 		chunk.Number = position
 		if err := r.take(ctx, chunk); err != nil {
 			return position, err
@@ -204,6 +224,10 @@
 	if ctx.Err() != nil {
 		return result.New(result.CallerGone, "the request was given up")
 	}
+	if r.firstToken != nil {
+		r.firstToken()
+		r.firstToken = nil
+	}
 	if chunk.Usage != nil {
 		r.usage = *chunk.Usage
 	}
--- a/request/resume.go
+++ b/request/resume.go
@@ -74,7 +74,7 @@
 			run := &resumeRun{server: s, cursor: cursor, to: to, id: id, sink: sink, position: cursor.GetNext()}
 			run.cursors = cursorMaker{signer: s.Cursors, cursor: fleetv1.StreamCursor{
 				Request: cursor.GetRequest(), PeerAddress: cursor.GetPeerAddress(), Service: cursor.GetService(),
-				Upstream: cursor.GetUpstream(), Account: cursor.GetAccount(), Usage: cursor.GetUsage(),
+				Upstream: cursor.GetUpstream(), Account: cursor.GetAccount(), Usage: cursor.GetUsage(), Kept: cursor.GetKept(),
 			}}
 			return run, nil
 		}
@@ -98,18 +98,20 @@
 func (r *resumeRun) run(ctx context.Context) error {
 	r.server.Events.Record(event.StreamResumed, "request", r.cursor.GetRequest(), "upstream", r.to.GetName(), "from", r.position)
 	pause := newPause()
-	var last error
-	for n := range maxResumes {
-		if n > 0 && !r.server.sleep(ctx, pause.NextBackOff()) {
-			return last
+	for tries := 0; ; tries++ {
+		before := r.position
+		err := r.once(ctx)
+		if r.position > before {
+			tries = 0
+			pause.Reset()
 		}
-		if last = r.once(ctx); last == nil || !worthResuming(last) {
-			return last
+		if err == nil || tries == maxResumes || !worthResuming(err) || !r.server.sleep(ctx, pause.NextBackOff()) {
+			return err
 		}
 	}
-	return last
 }
 
+// worthResuming tells that the engine may send the rest when it is asked again.
 func worthResuming(err error) bool {
 	switch result.CodeOf(err) {
 	case result.AnswerCut, result.AnswerCrossed, result.UpstreamFailed, result.NoUpstream:
@@ -160,7 +162,12 @@
 	return nil
 }
 
+// cancel stops the engine when the caller left here too, unless the answer is kept
+// for a retry by key.
 func (r *resumeRun) cancel() {
+	if r.cursor.GetKept() {
+		return
+	}
 	ctx, done := clockwork.WithTimeout(context.Background(), r.server.Clock, cancelTimeout)
 	defer done()
 	_ = r.server.Client.Cancel(ctx, r.to, r.cursor.GetRequest())
--- a/request/server.go
+++ b/request/server.go
@@ -32,11 +32,15 @@
 	Events   *event.Recorder
 	Clock    clockwork.Clock
 	Region   string
+	// Staying leaves out the upstreams that the platform shows as leaving; may be nil.
+	Staying func([]*operatorv1.Upstream) []*operatorv1.Upstream
 	// PeerAddress is where other nodes reach this one.
 	PeerAddress string
 
 	// Admission may be nil: every request runs at once then.
 	Admission Admission
+	// Retries may be nil: attempts are bounded per request alone then.
+	Retries RetryBudget
 	// Resumer may be nil: streams aren't resumed then.
 	Resumer upstream.Resumer
 	// Cursors signs event ids; nil for none.
@@ -49,7 +53,6 @@
 	Peers Peers
 
 	inFlight atomic.Int64
-	retries  retryBudget
 	// streams holds the completions that run, by request id.
 	streams sync.Map
 }
