--- a/routing/table.go
+++ b/routing/table.go
@@ -1,6 +1,7 @@
 package routing
 
 import (
+	"slices"
 	"sync/atomic"
 
 	operatorv1 "lavenderpin.dev/lavenderpin/api/operator/v1"
@@ -25,14 +26,15 @@
 	draining bool
 }
 
-// of tells whether the table was made from these candidates. It compares identity:
-// the configuration hands out the same slice until it changes, and the table keeps
-// that slice alive, so its address can't be reused.
+// of tells whether the table was made from these candidates. Usually they are the same
+// slice: the configuration hands it out until it changes, and the table keeps it alive,
+// so its address can't be reused. While an upstream leaves, each request has a list of
+// its own with the same members.
 func (t *table) of(candidates []*operatorv1.Upstream) bool {
 	if len(t.candidates) != len(candidates) {
 		return false
 	}
-	return len(candidates) == 0 || &t.candidates[0] == &candidates[0]
+	return len(candidates) == 0 || &t.candidates[0] == &candidates[0] || slices.Equal(t.candidates, candidates)
 }
 
 // service is what the balancer keeps of one service.
