--- a/admission/controller.go
+++ b/admission/controller.go
@@ -12,7 +12,9 @@
 )
 
 const (
-	expireEvery  = 50 * time.Millisecond
+	expireEvery = 50 * time.Millisecond
+	// idleEvery is the pause between two looks while nobody waits.
+	idleEvery    = time.Second
 	observeEvery = 500 * time.Millisecond
 )
 
@@ -33,6 +35,9 @@
 	settings  func(service string) Settings
 	upstreams Upstreams
 
+	// waits wakes Run when a request begins to wait.
+	waits chan struct{}
+
 	mu    sync.Mutex
 	cores map[string]*Core
 }
@@ -40,7 +45,8 @@
 // NewController returns a controller; settings is asked for each service
 // when it is first needed and again from time to time.
 func NewController(clock clockwork.Clock, settings func(service string) Settings, upstreams Upstreams) *Controller {
-	return &Controller{clock: clock, settings: settings, upstreams: upstreams, cores: map[string]*Core{}}
+	return &Controller{clock: clock, settings: settings, upstreams: upstreams,
+		waits: make(chan struct{}, 1), cores: map[string]*Core{}}
 }
 
 // Admit waits until the request may be sent. release must be called when the request
@@ -79,7 +85,27 @@
 		core = NewCore(c.settings(ask.Service))
 		c.cores[ask.Service] = core
 	}
-	return core, core.Offer(c.clock.Now(), ask, func(err error) { verdict <- err })
+	first := core.Waiting() == 0
+	item := core.Offer(c.clock.Now(), ask, func(err error) { verdict <- err })
+	if first && core.Waiting() > 0 {
+		select {
+		case c.waits <- struct{}{}:
+		default:
+		}
+	}
+	return core, item
+}
+
+// nextExpire returns the pause until the next look for requests that waited too long.
+func (c *Controller) nextExpire() time.Duration {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, core := range c.cores {
+		if core.Waiting() > 0 {
+			return expireEvery
+		}
+	}
+	return idleEvery
 }
 
 func (c *Controller) leave(core *Core, i *Item) bool {
@@ -95,17 +121,21 @@
 }
 
 // Run refuses those that waited too long and follows the upstreams' own queues, until
-// ctx ends.
+// ctx ends. It looks for the former often only while somebody waits.
 func (c *Controller) Run(ctx context.Context) {
-	expire, observe := c.clock.NewTicker(expireEvery), c.clock.NewTicker(observeEvery)
-	defer expire.Stop()
+	observe := c.clock.NewTicker(observeEvery)
 	defer observe.Stop()
+	expire := c.clock.NewTimer(idleEvery)
+	defer expire.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return
+		case <-c.waits:
+			expire.Reset(expireEvery)
 		case <-expire.Chan():
 			c.each(func(_ string, core *Core) { core.Expire(c.clock.Now()) })
+			expire.Reset(c.nextExpire())
 		case <-observe.Chan():
 			c.each(func(service string, core *Core) {
 				core.Configure(c.settings(service))
--- a/node/recovery.go
+++ b/node/recovery.go
@@ -61,16 +61,24 @@
 	n.wait(ctx, func() bool { return false }, closedLinger)
 }
 
-// flushAll returns true once every settlement is folded.
+// flushAll returns true once every settlement is folded. The writer's source alone
+// takes settlements: it does so while a batch is built, so that they reach the log in
+// the order of the oldest open counters beside them. Taken here they could be
+// appended after a batch with a higher counter, and the fold would pass them over as
+// settled: the account would be billed too little.
 func (n *Node) flushAll(ctx context.Context) bool {
 	for {
-		entries := n.settlements()
-		if entries == nil {
-			return ctx.Err() == nil
-		}
-		if _, err := n.writer.Submit(entries[0]).Wait(ctx); err != nil {
+		left := n.holder.Unsettled()
+		// The batch that carries this entry carries what the source has taken by then.
+		ticket := n.writer.Submit(&recordv1.Entry{Body: &recordv1.Entry_Settlements{
+			Settlements: &recordv1.SettlementBatch{Incarnation: n.Incarnation()},
+		}})
+		if _, err := ticket.Wait(ctx); err != nil {
 			return false
 		}
+		if left == 0 {
+			return true
+		}
 	}
 }
 
--- a/node/streams_test.go
+++ b/node/streams_test.go
@@ -18,6 +18,7 @@
 	"lavenderpin.dev/lavenderpin/budget"
 	"lavenderpin.dev/lavenderpin/config"
 	"lavenderpin.dev/lavenderpin/request"
+	"lavenderpin.dev/lavenderpin/result"
 	"lavenderpin.dev/lavenderpin/upstream"
 )
 
@@ -36,6 +37,11 @@
 	streams map[string][]string
 }
 
+// Call answers no question about load: this engine only streams.
+func (s *streamer) Call(context.Context, *operatorv1.Upstream, upstream.CallRequest) (upstream.CallAnswer, error) {
+	return upstream.CallAnswer{}, result.New(result.NoUpstream, "this engine only streams")
+}
+
 func (s *streamer) Chat(_ context.Context, _ *operatorv1.Upstream, r upstream.ChatRequest) (upstream.ChatStream, error) {
 	s.mu.Lock()
 	s.streams[r.ID] = nil
