--- a/config/view.go
+++ b/config/view.go
@@ -119,6 +119,11 @@
 // Upstreams returns the upstreams of a service, drained ones included, sorted by name.
 func (v *View) Upstreams(service string) []*operatorv1.Upstream { return v.upstreams[service] }
 
+// Upstream returns an upstream by name, or nil.
+func (v *View) Upstream(name string) *operatorv1.Upstream {
+	return v.get(Key{KindUpstream, name}).GetUpstream()
+}
+
 // Budget returns the name of the budget that an account's requests to a service
 // draw on; empty when there is none.
 func (v *View) Budget(account, service string) string {
@@ -146,7 +151,8 @@
 	return found
 }
 
-// All returns every resource with its version, sorted by kind and name.
+// All returns every resource with its version, sorted by kind and name. It unpacks
+// them all: for operators, not for what runs often.
 func (v *View) All() []*operatorv1.VersionedResource {
 	all := make([]*operatorv1.VersionedResource, 0, v.resources.Len())
 	v.resources.Scan(func(_ string, held stored) bool {
--- a/node/recovery.go
+++ b/node/recovery.go
@@ -88,12 +88,7 @@
 type namedEngines struct{ node *Node }
 
 func (e namedEngines) find(name string) *operatorv1.Upstream {
-	for _, r := range e.node.Config().All() {
-		if u := r.GetResource().GetUpstream(); u.GetName() == name && u != nil {
-			return u
-		}
-	}
-	return nil
+	return e.node.Config().Upstream(name)
 }
 
 // Counts implements recovery.Engines.
--- a/node/routing.go
+++ b/node/routing.go
@@ -74,10 +74,9 @@
 func (n *Node) engineUpstreams() []*operatorv1.Upstream {
 	view := n.Config()
 	var engines []*operatorv1.Upstream
-	for _, r := range view.All() {
-		u := r.GetResource().GetUpstream()
-		if u != nil && view.Service(u.GetService()).GetKind() == operatorv1.ServiceKind_SERVICE_KIND_ENGINE {
-			engines = append(engines, u)
+	for _, service := range view.Services() {
+		if service.GetKind() == operatorv1.ServiceKind_SERVICE_KIND_ENGINE {
+			engines = append(engines, view.Upstreams(service.GetName())...)
 		}
 	}
 	return engines
