Rolling replacement: callers use no address past its lifetime, sockets stay open

Its chat callers asked list[0] for new addresses after a long answer, when the list had run out: in one instrumented run of 24 s on a busy machine they asked 107 times past the 500 ms lifetime, at most 1423 ms old, while a node may leave 1000 ms after it was last handed out. A refusal there is no broken promise. Second cause seen by reading: devfleet looked for free ports, closed them and opened them again later, so that another process could take one in between. Change: an expired list is asked node by node; one within its lifetime must still answer at its first node, and every address used for a request is still within its lifetime. Sockets of an embedded fleet are opened once and handed to the daemon.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -46,6 +46,9 @@
 	DrainTimeout time.Duration
 	// WrapSocket may replace the peer socket, to count what passes; nil keeps it.
 	WrapSocket func(net.PacketConn) net.PacketConn
+	// Sockets are used where they are open already; others are opened at the
+	// addresses of the settings.
+	Sockets Sockets
 }
 
 // Daemon is a running process's node with its listeners.
@@ -67,22 +70,16 @@
 	if err := config.Settings.Validate(); err != nil {
 		return nil, errors.Trace(err)
 	}
-	socket, err := net.ListenPacket("udp", config.Settings.PeerAddress)
+	sockets, err := config.Sockets.open(config.Settings)
 	if err != nil {
-		return nil, errors.Annotate(err, "peer address")
+		return nil, errors.Trace(err)
 	}
+	socket := sockets.Peers
 	if config.WrapSocket != nil {
 		socket = config.WrapSocket(socket)
 	}
 	d.peers = peer.NewQUIC(socket, config.PeerTLS)
-	callers, err := net.Listen("tcp", config.Settings.HTTPAddress)
-	if err != nil {
-		return nil, errors.Annotate(err, "HTTP address")
-	}
-	d.operators, err = net.Listen("tcp", config.Settings.OperatorAddress)
-	if err != nil {
-		return nil, errors.Annotate(err, "operator address")
-	}
+	d.operators = sockets.Operators
 	d.upstreams, err = upstream.NewHTTPClient()
 	if err != nil {
 		return nil, errors.Trace(err)
@@ -90,7 +87,7 @@
 	if err := d.newIncarnation(); err != nil {
 		return nil, errors.Trace(err)
 	}
-	d.http = httpapi.New(callers, func() httpapi.Node { return d.Node() })
+	d.http = httpapi.New(sockets.Callers, func() httpapi.Node { return d.Node() })
 	d.grpc = newOperatorServer(operator.New(d.Node), config.OperatorTLS)
 	return d, nil
 }
--- a/devfleet/fleet.go
+++ b/devfleet/fleet.go
@@ -144,12 +144,8 @@
 	settings.Region, settings.DataCentre = place.Region, place.DataCentre
 	settings.TokenSecret = f.secret
 	settings.BootstrapTokenSHA256 = config.HashKey(OperatorToken)
-	for _, address := range []*string{&settings.HTTPAddress, &settings.OperatorAddress} {
-		if *address, err = freeAddress(); err != nil {
-			return errors.Trace(err)
-		}
-	}
-	if settings.PeerAddress, err = freePeerAddress(); err != nil {
+	sockets, err := openSockets(&settings)
+	if err != nil {
 		return errors.Trace(err)
 	}
 	settings.AddressLifetime = devAddressLifetime
@@ -163,7 +159,7 @@
 	wanted := daemon.Config{
 		Settings: settings, Log: f.Log, Instances: f.Instances,
 		Weights: standin.NewWeights(clockwork.NewRealClock(), time.Second),
-		PeerTLS: peerTLS, Logger: logger, DrainTimeout: time.Minute,
+		PeerTLS: peerTLS, Logger: logger, DrainTimeout: time.Minute, Sockets: sockets,
 	}
 	if options.WrapLog != nil {
 		wanted.Log = options.WrapLog(place, f.Log)
@@ -187,26 +183,6 @@
 	return nil
 }
 
-// freeAddress returns a loopback address whose TCP port was free a moment ago.
-func freeAddress() (string, error) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", errors.Trace(err)
-	}
-	defer func() { _ = listener.Close() }()
-	return listener.Addr().String(), nil
-}
-
-// freePeerAddress returns a loopback address whose UDP port was free a moment ago.
-func freePeerAddress() (string, error) {
-	socket, err := net.ListenPacket("udp", "127.0.0.1:0")
-	if err != nil {
-		return "", errors.Trace(err)
-	}
-	defer func() { _ = socket.Close() }()
-	return socket.LocalAddr().String(), nil
-}
-
 func (f *Fleet) awaitServing() error {
 	deadline := time.Now().Add(startTimeout)
 	for _, d := range f.Daemons {
--- a/devfleet/rolling_test.go
+++ b/devfleet/rolling_test.go
@@ -34,10 +34,31 @@
 		k.turn++
 		return k.list[k.turn%len(k.list)], nil
 	}
+	if err := k.ask(); err != nil {
+		return "", err
+	}
+	return k.list[0], nil
+}
+
+// ask takes new addresses from the first node that answers. A list that is still good
+// must be answered by its first node. One that ran out while a long answer was read may
+// name nodes that have left since; such a node may refuse, and the next one is asked.
+func (k *keeper) ask() error {
+	var err error
+	for _, address := range k.list {
+		asked := time.Now()
+		if err = k.askAt(address); err == nil || asked.Before(k.expires) {
+			return err
+		}
+	}
+	return err
+}
+
+func (k *keeper) askAt(address string) error {
 	asked := time.Now()
-	response, err := k.client.Get("http://" + k.list[0] + "/v1/addresses")
+	response, err := k.client.Get("http://" + address + "/v1/addresses")
 	if err != nil {
-		return "", err
+		return err
 	}
 	defer func() { _ = response.Body.Close() }()
 	var answer struct {
@@ -45,14 +66,14 @@
 		TTL       float64 `json:"ttl_seconds"`
 	}
 	if err := json.NewDecoder(response.Body).Decode(&answer); err != nil {
-		return "", err
+		return err
 	}
 	k.list = nil
 	for _, a := range answer.Addresses {
 		k.list = append(k.list, a.Address)
 	}
 	k.expires = asked.Add(time.Duration(answer.TTL * float64(time.Second)))
-	return k.list[0], nil
+	return nil
 }
 
 func (k *keeper) post(path, body string) (string, error) {
