One loop for periodic work

Behaviour is as before: missed intervals are left out, leases and the platform's list start at once.

--- a/budget/sizer.go
+++ b/budget/sizer.go
@@ -10,6 +10,7 @@
 	recordv1 "lavenderpin.dev/lavenderpin/api/record/v1"
 	"lavenderpin.dev/lavenderpin/event"
 	"lavenderpin.dev/lavenderpin/fold"
+	"lavenderpin.dev/lavenderpin/internal/periodic"
 	"lavenderpin.dev/lavenderpin/journal"
 )
 
@@ -31,16 +32,7 @@
 
 // Run works until ctx ends.
 func (s *Sizer) Run(ctx context.Context) {
-	ticker := s.reserver.c.Holder.clock.NewTicker(sizingInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.Chan():
-			s.Step(ctx)
-		}
-	}
+	periodic.Run(ctx, s.reserver.c.Holder.clock, sizingInterval, s.Step)
 }
 
 // Step looks at all budgets once. While the log is out of reach nothing can move,
--- /dev/null
+++ b/internal/periodic/doc.go
@@ -0,0 +1,2 @@
+// Package periodic repeats work at intervals of an injected clock.
+package periodic
--- a/lease/keeper.go
+++ b/lease/keeper.go
@@ -11,6 +11,7 @@
 	recordv1 "lavenderpin.dev/lavenderpin/api/record/v1"
 	"lavenderpin.dev/lavenderpin/event"
 	"lavenderpin.dev/lavenderpin/fold"
+	"lavenderpin.dev/lavenderpin/internal/periodic"
 	"lavenderpin.dev/lavenderpin/journal"
 )
 
@@ -109,16 +110,7 @@
 
 // Run keeps the wanted leases until ctx ends.
 func (k *Keeper) Run(ctx context.Context) {
-	ticker := k.clock.NewTicker(stepInterval)
-	defer ticker.Stop()
-	for {
-		k.step(ctx)
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.Chan():
-		}
-	}
+	periodic.RunNow(ctx, k.clock, stepInterval, k.step)
 }
 
 func (k *Keeper) step(ctx context.Context) {
--- a/membership/instances.go
+++ b/membership/instances.go
@@ -11,6 +11,7 @@
 
 	platformv1 "lavenderpin.dev/lavenderpin/api/platform/v1"
 	"lavenderpin.dev/lavenderpin/event"
+	"lavenderpin.dev/lavenderpin/internal/periodic"
 	"lavenderpin.dev/lavenderpin/platform"
 )
 
@@ -49,16 +50,7 @@
 
 // Run asks for the list until ctx ends.
 func (i *Instances) Run(ctx context.Context) {
-	ticker := i.clock.NewTicker(listInterval)
-	defer ticker.Stop()
-	for {
-		i.Refresh(ctx)
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.Chan():
-		}
-	}
+	periodic.RunNow(ctx, i.clock, listInterval, i.Refresh)
 }
 
 // Refresh asks once. While the platform's list is down the last answer stays in use:
--- a/node/admission.go
+++ b/node/admission.go
@@ -7,6 +7,7 @@
 	"lavenderpin.dev/lavenderpin/admission"
 	operatorv1 "lavenderpin.dev/lavenderpin/api/operator/v1"
 	"lavenderpin.dev/lavenderpin/event"
+	"lavenderpin.dev/lavenderpin/internal/periodic"
 	"lavenderpin.dev/lavenderpin/routing"
 )
 
@@ -87,17 +88,8 @@
 // watchOverload records when a service becomes overloaded on this node, and when it no
 // longer is, until ctx ends.
 func (n *Node) watchOverload(ctx context.Context) {
-	ticker := n.deps.Clock.NewTicker(overloadInterval)
-	defer ticker.Stop()
 	standing := map[string]bool{}
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.Chan():
-			n.recordOverload(standing)
-		}
-	}
+	periodic.Run(ctx, n.deps.Clock, overloadInterval, func(context.Context) { n.recordOverload(standing) })
 }
 
 func (n *Node) recordOverload(standing map[string]bool) {
--- a/node/keepevents.go
+++ b/node/keepevents.go
@@ -9,6 +9,7 @@
 	fleetv1 "lavenderpin.dev/lavenderpin/api/fleet/v1"
 	operatorv1 "lavenderpin.dev/lavenderpin/api/operator/v1"
 	"lavenderpin.dev/lavenderpin/event"
+	"lavenderpin.dev/lavenderpin/internal/periodic"
 	"lavenderpin.dev/lavenderpin/membership"
 )
 
@@ -24,18 +25,11 @@
 // keepEvents follows the events of one other node, the next by name in the same
 // region, so that each node's last events are known to somebody after its death.
 func (n *Node) keepEvents(ctx context.Context) {
-	ticker := n.deps.Clock.NewTicker(keepInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.Chan():
-			if next, ok := n.nextMember(); ok {
-				n.keepOf(ctx, next)
-			}
+	periodic.Run(ctx, n.deps.Clock, keepInterval, func(ctx context.Context) {
+		if next, ok := n.nextMember(); ok {
+			n.keepOf(ctx, next)
 		}
-	}
+	})
 }
 
 // nextMember returns the member after this node in the ring of names, within its
--- a/node/routing.go
+++ b/node/routing.go
@@ -10,6 +10,7 @@
 
 	operatorv1 "lavenderpin.dev/lavenderpin/api/operator/v1"
 	"lavenderpin.dev/lavenderpin/event"
+	"lavenderpin.dev/lavenderpin/internal/periodic"
 	"lavenderpin.dev/lavenderpin/routing"
 	"lavenderpin.dev/lavenderpin/routing/health"
 	"lavenderpin.dev/lavenderpin/upstream"
@@ -41,16 +42,11 @@
 // readLoads reads the engines' loads and cache events until ctx ends. Reads that fail
 // are no verdict on an engine: its answers to requests are.
 func (n *Node) readLoads(ctx context.Context) {
-	ticker := n.deps.Clock.NewTicker(loadInterval)
-	defer ticker.Stop()
-	for round := 0; ; round++ {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.Chan():
-			n.readRound(ctx, round%remoteEvery == 0)
-		}
-	}
+	round := 0
+	periodic.Run(ctx, n.deps.Clock, loadInterval, func(ctx context.Context) {
+		n.readRound(ctx, round%remoteEvery == 0)
+		round++
+	})
 }
 
 func (n *Node) readRound(ctx context.Context, remote bool) {
--- a/node/snapshot.go
+++ b/node/snapshot.go
@@ -8,6 +8,7 @@
 
 	recordv1 "lavenderpin.dev/lavenderpin/api/record/v1"
 	"lavenderpin.dev/lavenderpin/event"
+	"lavenderpin.dev/lavenderpin/internal/periodic"
 	"lavenderpin.dev/lavenderpin/snapshot"
 )
 
@@ -21,21 +22,14 @@
 // are told apart by their writers.
 func (n *Node) writeSnapshots(ctx context.Context) {
 	n.leases.Want(snapshotLease)
-	ticker := n.deps.Clock.NewTicker(snapshotPoll)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.Chan():
-		}
+	periodic.Run(ctx, n.deps.Clock, snapshotPoll, func(ctx context.Context) {
 		if _, held := n.leases.Held(snapshotLease); !held || !n.settings.Snapshots.Due(n.snapshots.Progress()) {
-			continue
+			return
 		}
 		if err := n.writeSnapshot(ctx); err != nil && ctx.Err() == nil {
 			n.events.Record(event.SnapshotFailed, "why", err)
 		}
-	}
+	})
 }
 
 // writeSnapshot appends chunk after chunk and reads each back before the next, so
--- a/orders/executor.go
+++ b/orders/executor.go
@@ -11,6 +11,7 @@
 	operatorv1 "lavenderpin.dev/lavenderpin/api/operator/v1"
 	"lavenderpin.dev/lavenderpin/config"
 	"lavenderpin.dev/lavenderpin/event"
+	"lavenderpin.dev/lavenderpin/internal/periodic"
 	"lavenderpin.dev/lavenderpin/lease"
 	"lavenderpin.dev/lavenderpin/platform"
 	"lavenderpin.dev/lavenderpin/result"
@@ -58,16 +59,7 @@
 // Run gives orders until ctx ends.
 func (e *Executor) Run(ctx context.Context) {
 	e.Lessor.Want(LeaseName)
-	ticker := e.Clock.NewTicker(roundInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.Chan():
-			e.Round(ctx)
-		}
-	}
+	periodic.Run(ctx, e.Clock, roundInterval, e.Round)
 }
 
 // Round looks at all engines once and gives the orders that are due.
--- a/recovery/recoverer.go
+++ b/recovery/recoverer.go
@@ -13,6 +13,7 @@
 	"lavenderpin.dev/lavenderpin/budget"
 	"lavenderpin.dev/lavenderpin/event"
 	"lavenderpin.dev/lavenderpin/fold"
+	"lavenderpin.dev/lavenderpin/internal/periodic"
 	"lavenderpin.dev/lavenderpin/journal"
 	"lavenderpin.dev/lavenderpin/peer"
 	"lavenderpin.dev/lavenderpin/upstream"
@@ -76,16 +77,7 @@
 
 // Run works until ctx ends.
 func (r *Recoverer) Run(ctx context.Context) {
-	ticker := r.c.Clock.NewTicker(askInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.Chan():
-			r.Step(ctx)
-		}
-	}
+	periodic.Run(ctx, r.c.Clock, askInterval, r.Step)
 }
 
 // Step does what is due now.
--- a/tlskeys/store.go
+++ b/tlskeys/store.go
@@ -13,6 +13,8 @@
 	"github.com/go-kit/log/level"
 	"github.com/jonboulle/clockwork"
 	"github.com/juju/errors"
+
+	"lavenderpin.dev/lavenderpin/internal/periodic"
 )
 
 // reloadInterval is how soon changed files are noticed.
@@ -85,16 +87,7 @@
 
 // Run takes in changed files until ctx ends.
 func (s *Store) Run(ctx context.Context) {
-	ticker := s.clock.NewTicker(reloadInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.Chan():
-			s.reloadAndLog()
-		}
-	}
+	periodic.Run(ctx, s.clock, reloadInterval, func(context.Context) { s.reloadAndLog() })
 }
 
 func (s *Store) reloadAndLog() {
