The quick start's first command works on a fresh machine

The folder is made now, an authority that exists is never replaced (running nodes would refuse its certificates), and a mistake prints the short usage.

--- a/cmd/lavenderbench/main.go
+++ b/cmd/lavenderbench/main.go
@@ -23,6 +23,6 @@
 	var c cli
 	k := kong.Parse(&c, kong.Name("lavenderbench"),
 		kong.Description("Load and experiments for a lavenderpin fleet."),
-		kong.UsageOnError(), kong.BindTo(ctx, (*context.Context)(nil)))
+		kong.ShortUsageOnError(), kong.BindTo(ctx, (*context.Context)(nil)))
 	k.FatalIfErrorf(k.Run())
 }
--- a/cmd/lavenderctl/keys.go
+++ b/cmd/lavenderctl/keys.go
@@ -12,7 +12,11 @@
 	"lavenderpin.dev/lavenderpin/tlskeys"
 )
 
-const secretMode = 0o600
+const (
+	authorityName = "authority"
+	secretMode    = 0o600
+	folderMode    = 0o700
+)
 
 type keysCmd struct {
 	Authority authorityCmd `cmd:"" help:"Make a fleet's authority."`
@@ -21,17 +25,24 @@
 }
 
 type authorityCmd struct {
-	Out      string        `help:"Folder for authority.pem and authority.key." type:"existingdir" required:""`
+	Out      string        `help:"Folder for authority.pem and authority.key; made when missing." type:"path" required:""`
 	Validity time.Duration `help:"How long it is valid." default:"43800h"`
 }
 
-// Run makes the authority.
+// Run makes the authority. One that is there already is kept: with another in its
+// place no node could be given a certificate that the running ones accept.
 func (c *authorityCmd) Run() error {
+	if _, err := os.Stat(filepath.Join(c.Out, authorityName+".key")); err == nil {
+		return errors.AlreadyExistsf("an authority in %s", c.Out)
+	}
+	if err := os.MkdirAll(c.Out, folderMode); err != nil {
+		return errors.Trace(err)
+	}
 	pair, err := tlskeys.NewAuthority(time.Now(), c.Validity)
 	if err != nil {
 		return errors.Trace(err)
 	}
-	return writePair(c.Out, "authority", pair)
+	return writePair(c.Out, authorityName, pair)
 }
 
 type issueCmd struct {
@@ -44,10 +55,10 @@
 func (c *issueCmd) Run() error {
 	var authority tlskeys.Pair
 	var err error
-	if authority.Cert, err = os.ReadFile(filepath.Join(c.Dir, "authority.pem")); err != nil {
+	if authority.Cert, err = os.ReadFile(filepath.Join(c.Dir, authorityName+".pem")); err != nil {
 		return errors.Trace(err)
 	}
-	if authority.Key, err = os.ReadFile(filepath.Join(c.Dir, "authority.key")); err != nil {
+	if authority.Key, err = os.ReadFile(filepath.Join(c.Dir, authorityName+".key")); err != nil {
 		return errors.Trace(err)
 	}
 	pair, err := authority.Issue(time.Now(), c.Validity)
--- a/cmd/lavenderctl/main.go
+++ b/cmd/lavenderctl/main.go
@@ -88,6 +88,6 @@
 	var c cli
 	k := kong.Parse(&c, kong.Name("lavenderctl"),
 		kong.Description("Operate a lavenderpin fleet. Any node takes any command."),
-		kong.UsageOnError(), kong.BindTo(ctx, (*context.Context)(nil)), kong.Bind(&c))
+		kong.ShortUsageOnError(), kong.BindTo(ctx, (*context.Context)(nil)), kong.Bind(&c))
 	k.FatalIfErrorf(k.Run())
 }
--- a/cmd/lavenderpin/main.go
+++ b/cmd/lavenderpin/main.go
@@ -25,7 +25,7 @@
 	var c cli
 	k := kong.Parse(&c, kong.Name("lavenderpin"),
 		kong.Description("A router node before LLM engines and plain services, paid from prepaid token budgets."),
-		kong.UsageOnError(), kong.BindTo(ctx, (*context.Context)(nil)))
+		kong.ShortUsageOnError(), kong.BindTo(ctx, (*context.Context)(nil)))
 	k.FatalIfErrorf(k.Run())
 }
 
--- a/cmd/lavenderstub/main.go
+++ b/cmd/lavenderstub/main.go
@@ -97,6 +97,6 @@
 	var c cli
 	k := kong.Parse(&c, kong.Name("lavenderstub"),
 		kong.Description("Stand-ins for what surrounds a lavenderpin fleet. For tests and measurements only."),
-		kong.UsageOnError(), kong.BindTo(ctx, (*context.Context)(nil)))
+		kong.ShortUsageOnError(), kong.BindTo(ctx, (*context.Context)(nil)))
 	k.FatalIfErrorf(k.Run())
 }
