Separate processes of a test listen on a loopback number of their own

Cause, seen by reading: ports were chosen, closed and opened again later by the started process, while other test processes take ports of 127.0.0.1 for listening and for outgoing connections, UDP ones among them. Outgoing connections never take a port of another loopback number, so a chosen port stays free. cmd/lavenderpin passes with -race.

--- a/cmd/lavenderpin/processes_test.go
+++ b/cmd/lavenderpin/processes_test.go
@@ -89,11 +89,18 @@
 	}
 }
 
-// freePort returns a loopback address that was free a moment ago, for TCP and UDP.
+// ownLoopback is a loopback IP number that only this test process listens on, so that
+// no other test can take a port between its choice and its use by a started process.
+func ownLoopback() string {
+	pid := os.Getpid()
+	return net.IPv4(127, 1+byte(pid>>16), byte(pid>>8), byte(pid)).String()
+}
+
+// freePort returns a loopback address that is free for TCP and UDP.
 func freePort(t *testing.T) string {
 	t.Helper()
 	is := is.New(t)
-	tcp, err := net.Listen("tcp", "127.0.0.1:0")
+	tcp, err := net.Listen("tcp", net.JoinHostPort(ownLoopback(), "0"))
 	is.NoErr(err)
 	defer func() { _ = tcp.Close() }()
 	udp, err := net.ListenPacket("udp", tcp.Addr().String())
