--- a/cmd/lavenderctl/change.go
+++ b/cmd/lavenderctl/change.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"os"
 
 	"github.com/google/uuid"
 	"github.com/juju/errors"
@@ -11,38 +10,8 @@
 
 	operatorv1 "lavenderpin.dev/lavenderpin/api/operator/v1"
 	"lavenderpin.dev/lavenderpin/config"
-	"lavenderpin.dev/lavenderpin/fleetfile"
 )
 
-type applyCmd struct {
-	File  string `short:"f" help:"Fleet file (protojson of operator.v1.Fleet)." type:"existingfile" required:""`
-	Check bool   `help:"Only check the file."`
-}
-
-// Run applies the file.
-func (c *applyCmd) Run(ctx context.Context, root *cli) error {
-	data, err := os.ReadFile(c.File)
-	if err != nil {
-		return errors.Trace(err)
-	}
-	file, err := fleetfile.Parse(data)
-	if err != nil {
-		return err
-	}
-	if c.Check {
-		fmt.Printf("%s holds %d resources and %d top-ups, all well-formed\n", c.File, len(file.Resources), len(file.TopUps))
-		return nil
-	}
-	return root.call(ctx, func(conn *connection) error {
-		outcome, err := fleetfile.Apply(conn.ctx, conn.client, file)
-		for _, key := range outcome.Changed {
-			fmt.Printf("%s at version %d\n", key, outcome.Version)
-		}
-		fmt.Printf("%d changed, %d top-ups in force\n", len(outcome.Changed), outcome.TopUps)
-		return err
-	})
-}
-
 type topUpCmd struct {
 	Budget string `arg:"" help:"Budget."`
 	Tokens uint64 `arg:"" help:"Tokens to add."`
--- a/cmd/lavenderctl/main.go
+++ b/cmd/lavenderctl/main.go
@@ -27,6 +27,8 @@
 	Timeout   time.Duration `help:"Longest time for one call." env:"LAVENDERCTL_TIMEOUT" default:"15s"`
 
 	Apply    applyCmd    `cmd:"" help:"Make the fleet hold what a declarative file says."`
+	Diff     diffCmd     `cmd:"" help:"Show what applying a file would change, and change nothing."`
+	Export   exportCmd   `cmd:"" help:"Print what is in force as a fleet file."`
 	TopUp    topUpCmd    `cmd:"" name:"topup" help:"Add prepaid tokens to a budget."`
 	Delete   deleteCmd   `cmd:"" help:"Delete a resource."`
 	Drain    drainCmd    `cmd:"" help:"Take an upstream out of service, or back in with --undo."`
--- a/cmd/lavenderpin/survive_test.go
+++ b/cmd/lavenderpin/survive_test.go
@@ -33,7 +33,7 @@
 		TopUps:    []*operatorv1.TopUp{{Id: "first", Budget: processBudget, Tokens: processPrepaid}},
 	})
 	is.NoErr(err)
-	_, err = fleetfile.Apply(ctx, f.operatorOf(f.nodes[0]), file)
+	_, err = fleetfile.Apply(ctx, f.operatorOf(f.nodes[0]), file, false)
 	is.NoErr(err)
 	for _, n := range f.nodes {
 		for f.budget(ctx, n).GetPrepaid() == 0 {
--- a/devfleet/sample.go
+++ b/devfleet/sample.go
@@ -52,6 +52,6 @@
 		return errors.Trace(err)
 	}
 	ctx = metadata.AppendToOutgoingContext(ctx, "authorization", "Bearer "+OperatorToken)
-	_, err = fleetfile.Apply(ctx, operatorv1.NewOperatorServiceClient(conn), file)
+	_, err = fleetfile.Apply(ctx, operatorv1.NewOperatorServiceClient(conn), file, false)
 	return errors.Trace(err)
 }
--- a/fleetfile/parse.go
+++ b/fleetfile/parse.go
@@ -17,6 +17,15 @@
 	TopUps    []*operatorv1.TopUp
 }
 
+func (f *File) declaresTokens() bool {
+	for _, r := range f.Resources {
+		if r.GetOperatorToken() != nil {
+			return true
+		}
+	}
+	return false
+}
+
 // Parse reads and checks a file; the error names all mistakes.
 func Parse(data []byte) (*File, error) {
 	fleet := &operatorv1.Fleet{}
