List resources page by page

Cause: apply, list and every change read all resources in one gRPC message, which holds 4 MB at most. At the size designed for (267,000 resources of some 112 B and more) no operator's command would have worked. Test: 40,000 accounts take several pages, and the next apply finds nothing left to change. Pages may be of different offsets; a change made meanwhile is refused by its version as before. Budgets are still listed in one answer: left.

--- a/cmd/lavenderctl/change.go
+++ b/cmd/lavenderctl/change.go
@@ -10,6 +10,7 @@
 
 	operatorv1 "lavenderpin.dev/lavenderpin/api/operator/v1"
 	"lavenderpin.dev/lavenderpin/config"
+	"lavenderpin.dev/lavenderpin/fleetfile"
 )
 
 type topUpCmd struct {
@@ -61,23 +62,17 @@
 // change reads a resource, edits it and sends it against the version read.
 func (c *cli) change(ctx context.Context, key config.Key, edit func(*operatorv1.Change)) error {
 	return c.call(ctx, func(conn *connection) error {
-		list, err := conn.client.List(conn.ctx, &operatorv1.ListRequest{})
+		held, err := fleetfile.HeldOne(conn.ctx, conn.client, key)
 		if err != nil {
 			return errors.Trace(err)
 		}
-		for _, held := range list.GetResources() {
-			if heldKey, _ := config.KeyOf(held.GetResource()); heldKey != key {
-				continue
-			}
-			change := &operatorv1.Change{BaseVersion: held.GetVersion(), Resource: proto.Clone(held.GetResource()).(*operatorv1.Resource)}
-			edit(change)
-			answer, err := conn.client.Apply(conn.ctx, &operatorv1.ApplyRequest{ChangeId: uuid.NewString(), Changes: []*operatorv1.Change{change}})
-			if err != nil {
-				return errors.Trace(err)
-			}
-			fmt.Printf("%s changed at version %d\n", key, answer.GetVersion())
-			return nil
+		change := &operatorv1.Change{BaseVersion: held.GetVersion(), Resource: proto.Clone(held.GetResource()).(*operatorv1.Resource)}
+		edit(change)
+		answer, err := conn.client.Apply(conn.ctx, &operatorv1.ApplyRequest{ChangeId: uuid.NewString(), Changes: []*operatorv1.Change{change}})
+		if err != nil {
+			return errors.Trace(err)
 		}
-		return errors.NotFoundf("%s", key)
+		fmt.Printf("%s changed at version %d\n", key, answer.GetVersion())
+		return nil
 	})
 }
--- a/cmd/lavenderctl/file.go
+++ b/cmd/lavenderctl/file.go
@@ -60,11 +60,11 @@
 		return err
 	}
 	return root.call(ctx, func(conn *connection) error {
-		list, err := conn.client.List(conn.ctx, &operatorv1.ListRequest{})
+		held, _, err := fleetfile.Held(conn.ctx, conn.client)
 		if err != nil {
 			return errors.Trace(err)
 		}
-		plan := fleetfile.NewPlan(list.GetResources(), file, c.Prune)
+		plan := fleetfile.NewPlan(held, file, c.Prune)
 		for _, step := range plan {
 			printStep(step)
 		}
@@ -96,11 +96,11 @@
 // Run prints the resources in force as a fleet file.
 func (c *exportCmd) Run(ctx context.Context, root *cli) error {
 	return root.call(ctx, func(conn *connection) error {
-		list, err := conn.client.List(conn.ctx, &operatorv1.ListRequest{})
+		held, _, err := fleetfile.Held(conn.ctx, conn.client)
 		if err != nil {
 			return errors.Trace(err)
 		}
-		fmt.Println(protojson.Format(fleetfile.Export(list.GetResources())))
+		fmt.Println(protojson.Format(fleetfile.Export(held)))
 		return nil
 	})
 }
--- a/cmd/lavenderctl/show.go
+++ b/cmd/lavenderctl/show.go
@@ -12,6 +12,7 @@
 
 	operatorv1 "lavenderpin.dev/lavenderpin/api/operator/v1"
 	"lavenderpin.dev/lavenderpin/config"
+	"lavenderpin.dev/lavenderpin/fleetfile"
 )
 
 type listCmd struct{}
@@ -19,12 +20,12 @@
 // Run lists the resources.
 func (c *listCmd) Run(ctx context.Context, root *cli) error {
 	return root.call(ctx, func(conn *connection) error {
-		list, err := conn.client.List(conn.ctx, &operatorv1.ListRequest{})
+		resources, offset, err := fleetfile.Held(conn.ctx, conn.client)
 		if err != nil {
 			return errors.Trace(err)
 		}
-		fmt.Printf("offset %d\n", list.GetOffset())
-		for _, r := range list.GetResources() {
+		fmt.Printf("offset %d\n", offset)
+		for _, r := range resources {
 			printResource(r)
 		}
 		return nil
--- a/config/view.go
+++ b/config/view.go
@@ -156,7 +156,7 @@
 func (v *View) All() []*operatorv1.VersionedResource {
 	all := make([]*operatorv1.VersionedResource, 0, v.resources.Len())
 	v.resources.Scan(func(_ string, held stored) bool {
-		all = append(all, &operatorv1.VersionedResource{Version: held.version, Resource: held.unpack()})
+		all = append(all, held.versioned())
 		return true
 	})
 	return all
--- a/fleetfile/apply.go
+++ b/fleetfile/apply.go
@@ -24,11 +24,11 @@
 // fails and changes nothing.
 func Apply(ctx context.Context, client operatorv1.OperatorServiceClient, file *File, prune bool) (Outcome, error) {
 	var outcome Outcome
-	list, err := client.List(ctx, &operatorv1.ListRequest{})
+	held, _, err := Held(ctx, client)
 	if err != nil {
 		return outcome, errors.Trace(err)
 	}
-	if plan := NewPlan(list.GetResources(), file, prune); len(plan) > 0 {
+	if plan := NewPlan(held, file, prune); len(plan) > 0 {
 		answer, err := client.Apply(ctx, &operatorv1.ApplyRequest{ChangeId: uuid.NewString(), Changes: plan.Changes()})
 		if err != nil {
 			return outcome, errors.Trace(err)
--- a/fleetfile/fake_test.go
+++ b/fleetfile/fake_test.go
@@ -24,8 +24,9 @@
 
 func newFakeOperator() *fakeOperator { return &fakeOperator{state: config.NewState(nil)} }
 
-func (f *fakeOperator) List(context.Context, *operatorv1.ListRequest, ...grpc.CallOption) (*operatorv1.ListResponse, error) {
-	return &operatorv1.ListResponse{Offset: f.offset, Resources: f.state.View().All()}, nil
+func (f *fakeOperator) List(_ context.Context, r *operatorv1.ListRequest, _ ...grpc.CallOption) (*operatorv1.ListResponse, error) {
+	page, next := f.state.View().Page(r.GetAfter())
+	return &operatorv1.ListResponse{Offset: f.offset, Resources: page, Next: next}, nil
 }
 
 func (f *fakeOperator) Apply(_ context.Context, r *operatorv1.ApplyRequest, _ ...grpc.CallOption) (*operatorv1.ApplyResponse, error) {
--- a/fleetfile/fleetfile_test.go
+++ b/fleetfile/fleetfile_test.go
@@ -55,6 +55,27 @@
 	is.Equal(len(outcome.Plan), 0) // nothing is left to change
 }
 
+// A fleet grows until all its resources are more than gRPC takes in one message. Read
+// in one answer, applying any file would fail from then on.
+func TestApplyReadsManyPages(t *testing.T) {
+	is := is.New(t)
+	ctx, client, fleet := context.Background(), newFakeOperator(), fleetOf("a")
+	for i := range 40_000 {
+		name := fmt.Sprintf("account-%06d", i)
+		fleet.Accounts = append(fleet.Accounts, &operatorv1.Account{Name: name, KeySha256: []string{fmt.Sprintf("%064x", i+1)}})
+	}
+	_, err := Apply(ctx, client, mustParse(t, fleet), false)
+	is.NoErr(err)
+	first, next := client.state.View().Page("")
+	is.True(next != "" && len(first) < 40_000) // it takes more than one page
+	outcome, err := Apply(ctx, client, mustParse(t, fleet), true)
+	is.NoErr(err)
+	is.Equal(len(outcome.Plan), 0)
+	held, _, err := Held(ctx, client)
+	is.NoErr(err)
+	is.Equal(len(held), len(fleet.Accounts)+3)
+}
+
 // An operator removes a client account from the file and gives its key to another. The
 // key must be free before the other account takes it, or the whole file is refused.
 func TestPruneFreesAKeyBeforeItIsTaken(t *testing.T) {
--- a/operator/server.go
+++ b/operator/server.go
@@ -100,12 +100,20 @@
 }
 
 // List implements operator.v1.OperatorService.
-func (s *Server) List(ctx context.Context, _ *operatorv1.ListRequest) (*operatorv1.ListResponse, error) {
+func (s *Server) List(ctx context.Context, r *operatorv1.ListRequest) (*operatorv1.ListResponse, error) {
 	if _, err := s.authorize(ctx, operatorv1.Role_ROLE_VIEW); err != nil {
 		return nil, toStatus(err)
 	}
 	n := s.node()
-	return &operatorv1.ListResponse{Offset: n.Offset(), Resources: n.Config().All()}, nil
+	answer := &operatorv1.ListResponse{Offset: n.Offset()}
+	if key := (config.Key{Kind: config.Kind(r.GetKind()), Name: r.GetName()}); key != (config.Key{}) {
+		if held := n.Config().One(key); held != nil {
+			answer.Resources = append(answer.Resources, held)
+		}
+		return answer, nil
+	}
+	answer.Resources, answer.Next = n.Config().Page(r.GetAfter())
+	return answer, nil
 }
 
 // Watch implements operator.v1.OperatorService.
