--- a/event/recorder.go
+++ b/event/recorder.go
@@ -35,7 +35,8 @@
 	node   string
 	logger log.Logger
 	// quiet tells that the logger writes nothing.
-	quiet bool
+	quiet  bool
+	counts counts
 
 	mu      sync.Mutex
 	ring    []held
@@ -46,7 +47,7 @@
 // NewRecorder returns a recorder that holds at most capacity events; older ones
 // are dropped and counted.
 func NewRecorder(hlc *HLC, node string, capacity int, logger log.Logger) *Recorder {
-	return &Recorder{hlc: hlc, node: node, logger: logger, quiet: logger == log.NewNopLogger(), ring: make([]held, 0, capacity)}
+	return &Recorder{hlc: hlc, node: node, logger: logger, quiet: logger == log.NewNopLogger(), counts: newCounts(), ring: make([]held, 0, capacity)}
 }
 
 // Record adds an event. The pairs are field names and values, alternating; the
@@ -55,6 +56,7 @@
 	for i := 1; i < len(pairs); i += 2 {
 		pairs[i] = lasting(pairs[i])
 	}
+	r.counts.add(number)
 	r.store(held{stamp: r.hlc.Now(), number: number, pairs: pairs})
 	if r.quiet {
 		return
