List budgets page by page; one budget without unpacking the configuration

Cause, seen by reading: showing budgets, even a single one, unpacked all resources and answered in one gRPC message, too large for more than some thousands of budgets (each lists its holders).

--- /dev/null
+++ b/cmd/lavenderctl/budgets.go
@@ -0,0 +1,48 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"io"
+
+	"github.com/juju/errors"
+
+	operatorv1 "lavenderpin.dev/lavenderpin/api/operator/v1"
+)
+
+type budgetsCmd struct {
+	Budget string `arg:"" optional:"" help:"Only this budget."`
+}
+
+// Run shows the budgets, page by page.
+func (c *budgetsCmd) Run(ctx context.Context, root *cli) error {
+	return root.call(ctx, func(conn *connection) error {
+		w := newTable()
+		fmt.Fprintln(w, "BUDGET\tACCOUNT\tPREPAID\tSPENT\tPOOL\tHOLDER\tGRANTED\tSPENT THERE\tSTATE")
+		request := &operatorv1.BudgetsRequest{Budget: c.Budget}
+		for {
+			answer, err := conn.client.Budgets(conn.ctx, request)
+			if err != nil {
+				return errors.Trace(err)
+			}
+			printBudgets(w, answer.GetBudgets())
+			if answer.GetNext() == "" {
+				return w.Flush()
+			}
+			request = &operatorv1.BudgetsRequest{After: answer.GetNext()}
+		}
+	})
+}
+
+func printBudgets(w io.Writer, budgets []*operatorv1.BudgetState) {
+	for _, b := range budgets {
+		_, _ = fmt.Fprintf(w, "%s\t%s\t%d\t%d\t%d\n", b.GetBudget(), b.GetAccount(), b.GetPrepaid(), b.GetSpent(), b.GetPool())
+		for _, s := range b.GetShares() {
+			state := "open"
+			if s.GetClosed() {
+				state = "closed"
+			}
+			_, _ = fmt.Fprintf(w, "\t\t\t\t\t%s\t%d\t%d\t%s\n", s.GetIncarnation(), s.GetGranted(), s.GetSpent(), state)
+		}
+	}
+}
--- a/cmd/lavenderctl/show.go
+++ b/cmd/lavenderctl/show.go
@@ -66,33 +66,6 @@
 	}
 }
 
-type budgetsCmd struct {
-	Budget string `arg:"" optional:"" help:"Only this budget."`
-}
-
-// Run shows the budgets.
-func (c *budgetsCmd) Run(ctx context.Context, root *cli) error {
-	return root.call(ctx, func(conn *connection) error {
-		answer, err := conn.client.Budgets(conn.ctx, &operatorv1.BudgetsRequest{Budget: c.Budget})
-		if err != nil {
-			return errors.Trace(err)
-		}
-		w := newTable()
-		fmt.Fprintln(w, "BUDGET\tACCOUNT\tPREPAID\tSPENT\tPOOL\tHOLDER\tGRANTED\tSPENT THERE\tSTATE")
-		for _, b := range answer.GetBudgets() {
-			fmt.Fprintf(w, "%s\t%s\t%d\t%d\t%d\n", b.GetBudget(), b.GetAccount(), b.GetPrepaid(), b.GetSpent(), b.GetPool())
-			for _, s := range b.GetShares() {
-				state := "open"
-				if s.GetClosed() {
-					state = "closed"
-				}
-				fmt.Fprintf(w, "\t\t\t\t\t%s\t%d\t%d\t%s\n", s.GetIncarnation(), s.GetGranted(), s.GetSpent(), state)
-			}
-		}
-		return w.Flush()
-	})
-}
-
 type nodesCmd struct{}
 
 // Run shows the nodes.
--- a/node/status.go
+++ b/node/status.go
@@ -33,32 +33,6 @@
 	}
 }
 
-// BudgetStates returns the budgets as this node folds them; one for a name, all
-// for an empty name.
-func (n *Node) BudgetStates(name string) []*operatorv1.BudgetState {
-	var states []*operatorv1.BudgetState
-	owners := map[string]string{}
-	for _, r := range n.Config().All() {
-		if b := r.GetResource().GetBudget(); b != nil {
-			owners[b.GetName()] = b.GetAccount()
-		}
-	}
-	incarnations := n.ledger.Incarnations()
-	for _, line := range n.ledger.Budgets() {
-		if name != "" && line.Budget != name {
-			continue
-		}
-		state := &operatorv1.BudgetState{Budget: line.Budget, Account: owners[line.Budget],
-			Prepaid: line.Prepaid, Spent: line.Spent, Pool: line.Pool}
-		for incarnation, share := range line.Shares {
-			state.Shares = append(state.Shares, &operatorv1.ShareState{Incarnation: incarnation,
-				Granted: share.Granted, Spent: share.Spent, Closed: incarnations[incarnation].Closed})
-		}
-		states = append(states, state)
-	}
-	return states
-}
-
 // Serving returns nil when the node takes requests. A draining node still does:
 // callers keep its address for a while.
 func (n *Node) Serving() error {
--- a/operator/server.go
+++ b/operator/server.go
@@ -144,7 +144,13 @@
 		return nil, toStatus(err)
 	}
 	n := s.node()
-	return &operatorv1.BudgetsResponse{Offset: n.Offset(), Budgets: n.BudgetStates(r.GetBudget())}, nil
+	answer := &operatorv1.BudgetsResponse{Offset: n.Offset()}
+	if r.GetBudget() != "" {
+		answer.Budgets = n.BudgetState(r.GetBudget())
+		return answer, nil
+	}
+	answer.Budgets, answer.Next = n.BudgetStates(r.GetAfter())
+	return answer, nil
 }
 
 // Nodes implements operator.v1.OperatorService.
