Pass on what a closed node remembers before it releases its own shares

Cause: a node that was closed behind a cut and comes back settles its own requests and appends RecoveryDone for itself, which takes it out of the ledger. Whoever recovers a third, dead node takes an incarnation that the ledger no longer knows for one that has answered. When the closed node was the dead one's witness and nobody had asked it yet, the dead node's last answers were billed to nobody.

Change: the closed node passes on what it remembers, as a draining one does, and only then releases. Recovery asks every node once more when one has left, as an answer given before isn't final then.

--- a/membership/instances.go
+++ b/membership/instances.go
@@ -38,6 +38,10 @@
 type listed struct {
 	peers   []string
 	leaving map[string]bool
+	// entries holds the addresses of all entry instances, live or leaving.
+	entries map[string]bool
+	// at is when the answer came; zero before the first.
+	at time.Time
 }
 
 // NewInstances returns a list that knows nothing yet.
@@ -83,8 +87,11 @@
 func (i *Instances) take(instances []*platformv1.Instance) {
 	before := i.last.Load()
 	// An upstream that vanishes after it was leaving is gone, not back.
-	now := &listed{leaving: maps.Clone(before.leaving)}
+	now := &listed{leaving: maps.Clone(before.leaving), entries: map[string]bool{}, at: i.clock.Now()}
 	for _, instance := range instances {
+		if instance.GetRole() == roleEntry {
+			now.entries[instance.GetAddress()] = true
+		}
 		leaving := instance.GetState() == platformv1.InstanceState_INSTANCE_STATE_LEAVING
 		switch {
 		case instance.GetRole() == roleEntry && !leaving:
@@ -104,5 +111,12 @@
 // Peers returns the peer addresses of the entry instances listed as live.
 func (i *Instances) Peers() []string { return i.last.Load().peers }
 
+// Entries returns the peer addresses of all entry instances that the last answer
+// shows, live or leaving, and when it came. The map must not be changed.
+func (i *Instances) Entries() (addresses map[string]bool, at time.Time) {
+	last := i.last.Load()
+	return last.entries, last.at
+}
+
 // Leaving tells whether the list shows the upstream at an address as leaving.
 func (i *Instances) Leaving(address string) bool { return i.last.Load().leaving[address] }
--- a/node/drain.go
+++ b/node/drain.go
@@ -105,7 +105,7 @@
 	if !n.flushAll(ctx) {
 		return
 	}
-	n.passOnWitnessed(ctx)
+	_ = n.passOnWitnessed(ctx)
 	_, _ = n.writer.Submit(&recordv1.Entry{Body: &recordv1.Entry_Close{Close: &recordv1.IncarnationClose{
 		Incarnation: n.Incarnation(), Reason: "stopped",
 	}}}).Wait(ctx)
--- a/node/recovery.go
+++ b/node/recovery.go
@@ -21,6 +21,8 @@
 	// others: nodes cut off together are closed together, and each may be the other's
 	// witness. One that remembers nothing must say so too, or it counts as gone.
 	closedLinger = 20 * time.Second
+	// passOnRetry is the time between two tries to pass on what the node remembers.
+	passOnRetry = time.Second
 	// engineTimeout bounds one question of recovery to an engine.
 	engineTimeout = 2 * time.Second
 )
@@ -53,7 +55,7 @@
 		n.wait(finish, func() bool { return false }, closedFinish)
 		cancel()
 	}()
-	if n.holder.Open() == 0 && n.flushAll(finish) {
+	if n.holder.Open() == 0 && n.passOnAll(finish) && n.flushAll(finish) {
 		_, _ = n.writer.Submit(&recordv1.Entry{Body: &recordv1.Entry_RecoveryDone{RecoveryDone: &recordv1.RecoveryDone{
 			Incarnation: n.Incarnation(),
 		}}}).Wait(finish)
@@ -61,6 +63,17 @@
 	n.wait(ctx, func() bool { return false }, closedLinger)
 }
 
+// passOnAll returns true once another node has taken over what this one remembers of
+// others' requests. A release ends the incarnation, and whoever recovers a third node
+// takes one that has ended for asked: did this one end with what it was told, while
+// nobody had come to ask yet, those requests would be billed to nobody.
+func (n *Node) passOnAll(ctx context.Context) bool {
+	for n.passOnWitnessed(ctx) != nil && ctx.Err() == nil {
+		n.wait(ctx, func() bool { return false }, passOnRetry)
+	}
+	return ctx.Err() == nil
+}
+
 // flushAll returns true once every settlement is folded. The writer's source alone
 // takes settlements: it does so while a batch is built, so that they reach the log in
 // the order of the oldest open counters beside them. Taken here they could be
--- a/node/twofaults_test.go
+++ b/node/twofaults_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/matryer/is"
 
+	fleetv1 "lavenderpin.dev/lavenderpin/api/fleet/v1"
 	"lavenderpin.dev/lavenderpin/result"
 )
 
@@ -38,6 +39,29 @@
 	})
 }
 
+// The same, and the fleet's questions to the closed nodes get lost until those have
+// settled their own and released it. One that then ends with what the dead node had
+// told it leaves the dead node's last answers billed to nobody.
+func TestCrashBehindACutAskedLate(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := startFleet(t, testPolicy, near, near, far, far, far)
+		f.topUp(25_000)
+		f.drawFor(5*time.Minute, 0, 1, 2, 3, 4)
+		f.net.setCut(true)
+		f.drawFor(5*time.Minute, 0, 1, 2, 3, 4)
+		f.crash(2)
+		f.drawFor(time.Hour, 0, 1, 3, 4)
+		f.net.loseAnswers(func(r *fleetv1.Request) bool { return r.GetWitnessQuery() != nil })
+		f.net.setCut(false)
+		f.awaitReleased(0, 3)
+		f.awaitReleased(0, 4)
+		f.net.loseAnswers(nil)
+		f.awaitReleased(0, 2)
+		f.awaitBilled(0)
+		is.New(t).Equal(f.checkLedger(0).Lost, uint64(0))
+	})
+}
+
 // Every call of the store takes three seconds, for two hours, and answers get lost.
 // Requests must go on, nobody may be closed, and all must be billed in the end.
 func TestStoreSlowForHours(t *testing.T) {
--- a/node/witness.go
+++ b/node/witness.go
@@ -69,6 +69,6 @@
 
 // passOnWitnessed hands what this node remembers for others to another node.
 // Without it a crash before a graceful stop would leave requests that nobody knows.
-func (n *Node) passOnWitnessed(ctx context.Context) {
-	_ = n.budgets.teller.Pass(ctx, n.budgets.memory.All())
+func (n *Node) passOnWitnessed(ctx context.Context) error {
+	return n.budgets.teller.Pass(ctx, n.budgets.memory.All())
 }
--- a/recovery/inquiry.go
+++ b/recovery/inquiry.go
@@ -32,7 +32,9 @@
 	// unasked holds the peer addresses of nodes that may know something, by incarnation.
 	unasked map[string]string
 	// gone is set when a node that may have known something surely ended.
-	gone     bool
+	gone bool
+	// left is set when a node was found to have passed on what it knew and left.
+	left     bool
 	found    map[string]*fleetv1.OpenRequest
 	outcomes map[string]outcome
 }
@@ -75,6 +77,21 @@
 		})
 	}
 	wait.Wait()
+	if q.left {
+		q.left = false
+		q.askAgain()
+	}
+}
+
+// askAgain makes every node be asked once more. One that left had passed on what it
+// knew, maybe to a node that had answered before: its answer then wasn't final after
+// all, and what was passed on would be billed to nobody.
+func (q *inquiry) askAgain() {
+	for id, i := range q.r.c.Ledger.Incarnations() {
+		if id != q.subject || id == q.r.c.Incarnation {
+			q.unasked[id] = i.Node.GetPeerAddress()
+		}
+	}
 }
 
 type answerState int
@@ -83,6 +100,7 @@
 	noAnswer answerState = iota
 	answeredNow
 	nodeGone
+	nodeLeft
 )
 
 func (q *inquiry) take(id string, open []*fleetv1.OpenRequest, state answerState) {
@@ -91,6 +109,7 @@
 	}
 	delete(q.unasked, id)
 	q.gone = q.gone || state == nodeGone
+	q.left = q.left || state == nodeLeft
 	for _, o := range open {
 		if held := q.found[o.GetRequest()]; !held.GetFinished() {
 			q.found[o.GetRequest()] = o
@@ -104,9 +123,9 @@
 	}
 	held, known := q.r.c.Ledger.Incarnation(id)
 	if !known {
-		// It stopped gracefully, having passed on what it remembered, or was itself
-		// recovered, having been asked in its time.
-		return nil, answeredNow
+		// It stopped gracefully or settled its own close, having passed on what it
+		// remembered, or was itself recovered, having been asked in its time.
+		return nil, nodeLeft
 	}
 	if held.Replaced {
 		return nil, nodeGone
