Release a closed node's share only once the node has surely ended

Cause: a node alone in a cut region answers requests that nobody else knows of, or knows of as open only. When its right had lapsed the other region closed it, billed what it could (a reservation in full where the engine stood behind the cut) and released the rest while the node still lived; its own settlements came too late.

Change: recovery waits until the node has settled itself, another process has its peer address (folded), or the platform's list has shown nothing at its address for ten minutes in answers that show the asking node itself. Until then it decides by facts alone (what the node said, what an engine counted). After LostAfter the rest is written off. An engine behind a cut is waited for as well: it tells afterwards.

The test fleet of ./node now lists its instances as the platform would, and drops one that crashes; no assertion was changed. fakeEngine has InReach.

--- a/node/recovery.go
+++ b/node/recovery.go
@@ -32,6 +32,7 @@
 		Incarnation: n.Incarnation(), Clock: n.deps.Clock, Ledger: n.ledger, Lender: b.lender, Journal: n.writer,
 		Caller: n.deps.Peers, Events: n.events, Watcher: b.watcher, Memory: b.memory, Teller: b.teller,
 		Engines: n.engines(), Suspect: n.isSuspect, LostAfter: n.settings.Policy.LostAfter,
+		Listed: n.instances.Entries, PeerAddress: n.settings.PeerAddress,
 	})
 }
 
@@ -114,6 +115,26 @@
 	return service.GetKind() != operatorv1.ServiceKind_SERVICE_KIND_PLAIN
 }
 
+// InReach implements recovery.Engines. A region is cut off while nodes there are neither
+// known to have ended nor answer.
+func (e namedEngines) InReach(name string) bool {
+	region := e.find(name).GetRegion()
+	if region == e.node.settings.Region {
+		return true
+	}
+	cut := false
+	for id, i := range e.node.ledger.Incarnations() {
+		if i.Node.GetRegion() != region || i.Replaced {
+			continue
+		}
+		if !e.node.isSuspect(id) {
+			return true
+		}
+		cut = true
+	}
+	return !cut
+}
+
 // Usage implements recovery.Engines.
 func (e namedEngines) Usage(ctx context.Context, name, request string) (upstream.UsageReport, error) {
 	found := e.find(name)
--- a/node/testfleet_test.go
+++ b/node/testfleet_test.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"fmt"
+	"maps"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -15,6 +17,7 @@
 
 	fleetv1 "lavenderpin.dev/lavenderpin/api/fleet/v1"
 	operatorv1 "lavenderpin.dev/lavenderpin/api/operator/v1"
+	platformv1 "lavenderpin.dev/lavenderpin/api/platform/v1"
 	recordv1 "lavenderpin.dev/lavenderpin/api/record/v1"
 	"lavenderpin.dev/lavenderpin/budget"
 	"lavenderpin.dev/lavenderpin/event"
@@ -41,6 +44,10 @@
 	nodes   []*testNode
 	policy  budget.Policy
 	topUps  int
+	// instances is the platform's list: it shows every instance that runs, also behind a
+	// cut, and none that crashed.
+	instances *standin.Instances
+	listed    map[string]*platformv1.Instance
 }
 
 type testNode struct {
@@ -51,7 +58,8 @@
 
 // startFleet starts one node per region named and waits until all serve.
 func startFleet(t *testing.T, policy budget.Policy, regions ...string) *testFleet {
-	f := &testFleet{t: t, log: standin.NewLog(), net: newTestNet(), engines: newTestEngines(), policy: policy}
+	f := &testFleet{t: t, log: standin.NewLog(), net: newTestNet(), engines: newTestEngines(), policy: policy,
+		instances: standin.NewInstances(), listed: map[string]*platformv1.Instance{}}
 	for i, region := range regions {
 		f.nodes = append(f.nodes, f.start(i, region))
 	}
@@ -88,13 +96,15 @@
 	f.topUps++
 	name := fmt.Sprintf("n%d-%d", i, f.topUps)
 	node, err := New(settings, Deps{
-		Clock: clockwork.NewRealClock(), Log: &testLog{f, settings.PeerAddress}, Peers: &testCaller{f.net, settings.PeerAddress}, Instances: standin.NewInstances(), Weights: standin.NewWeights(clockwork.NewRealClock(), time.Second),
+		Clock: clockwork.NewRealClock(), Log: &testLog{f, settings.PeerAddress}, Peers: &testCaller{f.net, settings.PeerAddress}, Instances: f.instances, Weights: standin.NewWeights(clockwork.NewRealClock(), time.Second),
 		Upstreams: f.engines, Logger: log.NewNopLogger(), NewIncarnation: func() string { return name },
 	})
 	is.NoErr(err)
 	ctx, kill := context.WithCancel(context.Background())
 	running := &testNode{Node: node, kill: kill, done: make(chan struct{})}
 	f.net.serve(settings.PeerAddress, region, node)
+	f.list(settings.PeerAddress, &platformv1.Instance{Address: settings.PeerAddress, Region: region, Role: "entry",
+		State: platformv1.InstanceState_INSTANCE_STATE_LIVE})
 	go func() {
 		_ = node.Run(ctx)
 		close(running.done)
@@ -107,6 +117,16 @@
 	f.net.silence(f.nodes[i].settings.PeerAddress)
 	f.nodes[i].kill()
 	<-f.nodes[i].done
+	f.list(f.nodes[i].settings.PeerAddress, nil)
+}
+
+// list puts an instance into the platform's list, or takes it out when it is nil.
+func (f *testFleet) list(address string, instance *platformv1.Instance) {
+	delete(f.listed, address)
+	if instance != nil {
+		f.listed[address] = instance
+	}
+	f.instances.Set(slices.Collect(maps.Values(f.listed)))
 }
 
 func (f *testFleet) await(done func() bool) {
@@ -302,11 +322,13 @@
 	mu        sync.Mutex
 	counted   map[string]uint64
 	cancelled map[string]bool
-	down      bool
+	// hidden holds what ran at engines that can't be asked now.
+	hidden map[string]uint64
+	down   bool
 }
 
 func newTestEngines() *testEngines {
-	return &testEngines{counted: map[string]uint64{}, cancelled: map[string]bool{}}
+	return &testEngines{counted: map[string]uint64{}, cancelled: map[string]bool{}, hidden: map[string]uint64{}}
 }
 
 func (e *testEngines) run(id string, tokens uint64) {
@@ -317,6 +339,20 @@
 	}
 }
 
+// hide is run for a request whose engine can't be asked before show.
+func (e *testEngines) hide(id string, tokens uint64) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.hidden[id] = tokens
+}
+
+func (e *testEngines) show() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	maps.Copy(e.counted, e.hidden)
+	clear(e.hidden)
+}
+
 func (e *testEngines) used() uint64 {
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -333,6 +369,9 @@
 	if e.down {
 		return upstream.UsageReport{}, errors.New("the engine is down")
 	}
+	if _, hidden := e.hidden[id]; hidden {
+		return upstream.UsageReport{}, errors.New("the engine is out of reach")
+	}
 	if tokens, known := e.counted[id]; known {
 		return upstream.UsageReport{State: upstream.UsageFinished, Usage: upstream.Usage{CompletionTokens: tokens}}, nil
 	}
--- a/recovery/engines.go
+++ b/recovery/engines.go
@@ -10,6 +10,9 @@
 type Engines interface {
 	// Counts tells whether the upstream counts requests; plain services don't.
 	Counts(upstream string) bool
+	// InReach is false while the upstream's region is cut off: the upstream then may be
+	// well and answer once the cut ends.
+	InReach(upstream string) bool
 	Usage(ctx context.Context, upstream, request string) (upstream.UsageReport, error)
 	Cancel(ctx context.Context, upstream, request string) error
 }
--- a/recovery/inquiry.go
+++ b/recovery/inquiry.go
@@ -26,6 +26,9 @@
 	r       *Recoverer
 	subject string
 	started time.Time
+	// ended is when the subject was found to have ended for good; zero while it may
+	// live and come back with what it alone knows.
+	ended time.Time
 	// silence is how long the subject had been silent when the inquiry began.
 	silence time.Duration
 
@@ -147,6 +150,23 @@
 	return response.GetWitnessReport().GetOpen(), answeredNow
 }
 
+// noteEnd notes once the subject has surely ended: another process has its address, or
+// the platform no longer has the instance.
+func (q *inquiry) noteEnd() {
+	if !q.ended.IsZero() {
+		return
+	}
+	held, known := q.r.c.Ledger.Incarnation(q.subject)
+	if known && (held.Replaced || q.r.absence.Gone(held.Node.GetPeerAddress())) {
+		q.ended = q.r.c.Clock.Now()
+	}
+}
+
+// mayLive tells whether the subject may come back and settle for itself. A node alone
+// behind a cut is closed once its right has lapsed, and has answered requests that
+// nobody else knows of: released before it is back, they would be billed to nobody.
+func (q *inquiry) mayLive() bool { return q.ended.IsZero() && !q.overdue() }
+
 // subjectLives tells whether the closed incarnation itself answers: a node that was
 // cut off and is back, and hasn't read its close yet. It alone knows all that it
 // answered meanwhile, and puts it into the log as soon as it reads the close.
@@ -162,16 +182,12 @@
 
 // resolve decides on the requests found; true once all are decided.
 func (q *inquiry) resolve(ctx context.Context, wanted func(request string) bool) bool {
-	waited := q.age()
-	if q.overdue() {
-		waited = max(waited, EngineWait)
-	}
 	var group errgroup.Group
 	group.SetLimit(maxResolving)
 	var mu sync.Mutex
 	for _, open := range q.undecided(wanted) {
 		group.Go(func() error {
-			decided := outcomeOf(ctx, q.r.c.Engines, open, waited)
+			decided := q.outcomeNow(ctx, open)
 			mu.Lock()
 			defer mu.Unlock()
 			q.decide(open.GetRequest(), open, decided)
@@ -182,6 +198,22 @@
 	return len(q.undecided(wanted)) == 0
 }
 
+// outcomeNow decides by facts alone while the subject may live, as it knows what a plain
+// service never tells, and while the engine is behind a cut: it will tell afterwards, and
+// the worst case would bill more than it produced.
+func (q *inquiry) outcomeNow(ctx context.Context, open *fleetv1.OpenRequest) outcome {
+	engines := q.r.c.Engines
+	cut := engines.Counts(open.GetUpstream()) && !engines.InReach(open.GetUpstream())
+	switch {
+	case q.overdue():
+		return outcomeOf(ctx, engines, open, EngineWait)
+	case q.mayLive() || cut:
+		return factOf(ctx, engines, open)
+	default:
+		return outcomeOf(ctx, engines, open, q.r.c.Clock.Since(q.ended))
+	}
+}
+
 func (q *inquiry) undecided(wanted func(request string) bool) []*fleetv1.OpenRequest {
 	var open []*fleetv1.OpenRequest
 	for request, o := range q.found {
@@ -202,8 +234,8 @@
 }
 
 // lost tells whether what is left of the subject's shares may have been spent by
-// requests that nobody knows of any more. A subject that was heard in the log until
+// requests that nobody knows of any more, or only the subject itself. A subject that was heard in the log until
 // shortly before it ended had at most its last moments unsettled.
 func (q *inquiry) lost() bool {
-	return !q.answered() || q.gone && q.silence > unloggedTolerance
+	return !q.answered() || q.ended.IsZero() || q.gone && q.silence > unloggedTolerance
 }
--- a/recovery/outcome.go
+++ b/recovery/outcome.go
@@ -41,17 +41,14 @@
 //     upstream is a plain service: it may have run, and tokens given back could be
 //     spent again.
 func outcomeOf(ctx context.Context, engines Engines, open *fleetv1.OpenRequest, waited time.Duration) outcome {
-	if open.GetFinished() {
-		return outcome{budget.BilledTo(open, open.GetUsed()), fromNode}
+	if known := factOf(ctx, engines, open); known.from != undecided {
+		return known
 	}
 	if !engines.Counts(open.GetUpstream()) {
 		return outcome{open.GetReserved(), worstCase}
 	}
 	report, err := engines.Usage(ctx, open.GetUpstream(), open.GetDispatchedAs())
-	switch {
-	case err == nil && report.State == upstream.UsageFinished:
-		return outcome{budget.BilledTo(open, report.Total()), fromEngine}
-	case err == nil && report.State == upstream.UsageUnknown:
+	if err == nil && report.State == upstream.UsageUnknown {
 		if engines.Cancel(ctx, open.GetUpstream(), open.GetDispatchedAs()) == nil {
 			return outcome{0, neverRan}
 		}
@@ -65,6 +62,22 @@
 	return orWorst(open, waited)
 }
 
+// factOf is what the node said or the engine counted of an open request; undecided
+// when neither has finished it.
+func factOf(ctx context.Context, engines Engines, open *fleetv1.OpenRequest) outcome {
+	if open.GetFinished() {
+		return outcome{budget.BilledTo(open, open.GetUsed()), fromNode}
+	}
+	if !engines.Counts(open.GetUpstream()) {
+		return outcome{}
+	}
+	report, err := engines.Usage(ctx, open.GetUpstream(), open.GetDispatchedAs())
+	if err != nil || report.State != upstream.UsageFinished {
+		return outcome{}
+	}
+	return outcome{budget.BilledTo(open, report.Total()), fromEngine}
+}
+
 func orWorst(open *fleetv1.OpenRequest, waited time.Duration) outcome {
 	if waited < EngineWait {
 		return outcome{}
--- a/recovery/outcome_test.go
+++ b/recovery/outcome_test.go
@@ -21,6 +21,8 @@
 
 func (e *fakeEngine) Counts(string) bool { return !e.plain }
 
+func (e *fakeEngine) InReach(string) bool { return true }
+
 func (e *fakeEngine) Usage(context.Context, string, string) (upstream.UsageReport, error) {
 	if e.down {
 		return upstream.UsageReport{}, errors.New("down")
--- a/recovery/recoverer.go
+++ b/recovery/recoverer.go
@@ -45,8 +45,12 @@
 	Engines     Engines
 	// Suspect tells whether a node doesn't answer.
 	Suspect func(incarnation string) bool
-	// LostAfter is how long recovery waits for nodes that may know more, before it
-	// writes off what is left.
+	// Listed returns the peer addresses that the platform's list shows, and when it
+	// answered; PeerAddress is this node's own.
+	Listed      func() (addresses map[string]bool, at time.Time)
+	PeerAddress string
+	// LostAfter is how long recovery waits for nodes that may know more, the closed one
+	// among them, before it writes off what is left.
 	LostAfter time.Duration
 }
 
@@ -58,6 +62,7 @@
 	// orphans holds an inquiry for each borrower that is gone.
 	orphans map[string]*inquiry
 	closes  []*journal.Ticket
+	absence *Absence
 }
 
 // recoveryCase is the recovery of one closed incarnation by this node.
@@ -71,7 +76,10 @@
 
 // New returns a recoverer.
 func New(config Config) *Recoverer {
-	return &Recoverer{c: config, cases: map[string]*recoveryCase{}, orphans: map[string]*inquiry{}}
+	return &Recoverer{
+		c: config, cases: map[string]*recoveryCase{}, orphans: map[string]*inquiry{},
+		absence: NewAbsence(config.PeerAddress, config.Listed),
+	}
 }
 
 // Run works until ctx ends.
@@ -90,12 +98,21 @@
 
 // Step does what is due now.
 func (r *Recoverer) Step(ctx context.Context) {
+	r.noteAbsent()
 	r.closeSilent()
 	r.recoverClosed(ctx)
 	r.resolveOrphans(ctx)
 	r.countSilent(ctx)
 }
 
+func (r *Recoverer) noteAbsent() {
+	var addresses []string
+	for _, i := range r.c.Ledger.Incarnations() {
+		addresses = append(addresses, i.Node.GetPeerAddress())
+	}
+	r.absence.Note(addresses)
+}
+
 // closeSilent asks the log to close silent incarnations. A close that hasn't left
 // this node by the next step is withdrawn: it would come out of an outage ahead of
 // the heartbeat that it waited for.
@@ -157,23 +174,33 @@
 		c.begun = true
 		r.c.Events.Record(event.RecoveryStarted, "incarnation", c.subject, "to_ask", len(c.unasked))
 	}
-	if !c.queued {
-		c.ask(ctx)
-		decided := c.resolve(ctx, func(string) bool { return true })
-		if !decided || (!c.answered() && !c.overdue()) {
-			r.c.Events.Record(event.RecoveryWaiting, "incarnation", c.subject, "unanswered", len(c.unasked), "found", len(c.found))
-			return
-		}
-		if c.subjectLives(ctx) {
-			r.c.Events.Record(event.RecoveryWaiting, "incarnation", c.subject, "found", len(c.found), "why", "it answers")
-			return
-		}
-		c.queue = c.entries()
-		c.queued = true
+	if !c.queued && !r.conclude(ctx, c) {
+		return
 	}
 	r.submit(c)
 }
 
+// conclude asks and resolves; true once all is known that anybody will ever tell.
+func (r *Recoverer) conclude(ctx context.Context, c *recoveryCase) bool {
+	c.ask(ctx)
+	c.noteEnd()
+	decided := c.resolve(ctx, func(string) bool { return true })
+	why := ""
+	switch {
+	case !decided || (!c.answered() && !c.overdue()):
+		why = "somebody may know more"
+	case c.mayLive():
+		why = "it may come back"
+	case c.subjectLives(ctx):
+		why = "it answers"
+	default:
+		c.queue, c.queued = c.entries(), true
+		return true
+	}
+	r.c.Events.Record(event.RecoveryWaiting, "incarnation", c.subject, "unanswered", len(c.unasked), "found", len(c.found), "why", why)
+	return false
+}
+
 // entries lists what to append: settlements, and after them the release.
 func (c *recoveryCase) entries() []*recordv1.Entry {
 	var settlements []*recordv1.Settlement
@@ -242,6 +269,7 @@
 	for borrower, parts := range byBorrower {
 		if r.orphans[borrower] == nil {
 			r.orphans[borrower] = r.newInquiry(r.c.Incarnation, math.MaxUint64)
+			r.orphans[borrower].ended = r.c.Clock.Now() // the borrower has
 		}
 		r.resolveLent(ctx, r.orphans[borrower], parts)
 	}
