Show what a fleet's own bytes consist of

The table of costs told bytes a node, not what they are: pings, reads of the log by way of a peer, or framing, acknowledgements and headers. Calls are counted by kind where they are made, datagrams at the socket.

--- a/internal/experiment/fleet/cost.go
+++ b/internal/experiment/fleet/cost.go
@@ -15,6 +15,13 @@
 	// Bytes a second on the node's socket, sent and received, with IP and UDP headers.
 	PeerBytes    float64
 	MaxPeerBytes float64
+	// Datagrams a second that the node sends.
+	Datagrams float64
+	// Pings and Reads are calls a second that the node makes, PingBytes, ReadBytes and
+	// OtherBytes what is in all calls, sent and received, before framing. What PeerBytes
+	// holds beyond them is framing, acknowledgements and headers.
+	Pings, Reads                     float64
+	PingBytes, ReadBytes, OtherBytes float64
 	// LogBytes a second read from and appended to the log.
 	LogBytes float64
 	// CrossBytes a second that the whole fleet sends between the regions.
@@ -45,6 +52,12 @@
 	cost.PeerBytes = (last.peer - first.peer) / seconds / float64(count)
 	cost.LogBytes = (last.log - first.log) / seconds / float64(count)
 	cost.CrossBytes = (last.crossed - first.crossed) / seconds
+	each := 1 / seconds / float64(count)
+	cost.Datagrams = (last.datagrams - first.datagrams) * each
+	cost.Pings, cost.Reads = (last.pings-first.pings)*each, (last.reads-first.reads)*each
+	// A byte of a call is sent by one node and received by another.
+	cost.PingBytes, cost.ReadBytes, cost.OtherBytes = 2*(last.pingBytes-first.pingBytes)*each,
+		2*(last.readBytes-first.readBytes)*each, 2*(last.otherBytes-first.otherBytes)*each
 	for i := range after {
 		cost.MaxPeerBytes = max(cost.MaxPeerBytes, (after[i]-peers[i])/seconds)
 	}
@@ -52,7 +65,11 @@
 }
 
 // totals is the fleet's traffic so far, in bytes.
-type totals struct{ peer, log, crossed float64 }
+type totals struct {
+	peer, log, crossed, datagrams    float64
+	pings, reads                     float64
+	pingBytes, readBytes, otherBytes float64
+}
 
 // total also returns each node's socket bytes.
 func (c *Cluster) total() (totals, []float64) {
@@ -63,6 +80,12 @@
 		nodes = append(nodes, bytes)
 		all.peer += bytes
 		all.crossed += float64(socket.crossed.Load())
+		all.datagrams += float64(socket.datagrams.Load())
+		all.pings += float64(c.callers[i].pings.calls.Load())
+		all.reads += float64(c.callers[i].reads.calls.Load())
+		all.pingBytes += float64(c.callers[i].pings.bytes.Load())
+		all.readBytes += float64(c.callers[i].reads.bytes.Load())
+		all.otherBytes += float64(c.callers[i].others.bytes.Load())
 		all.log += float64(c.logs[i].bytes.Load())
 		if c.Nodes[i].Settings().Region != logRegion {
 			all.crossed += float64(c.logs[i].bytes.Load())
--- /dev/null
+++ b/internal/experiment/fleet/countingcaller.go
@@ -0,0 +1,36 @@
+package fleet
+
+import (
+	"context"
+	"sync/atomic"
+
+	"google.golang.org/protobuf/proto"
+
+	fleetv1 "lavenderpin.dev/lavenderpin/api/fleet/v1"
+	"lavenderpin.dev/lavenderpin/peer"
+)
+
+// callCount is the calls of one kind that a node made, and the bytes of their
+// requests and answers before framing.
+type callCount struct{ calls, bytes atomic.Int64 }
+
+// countingCaller counts a node's calls by what they are for.
+type countingCaller struct {
+	peer.Caller
+	pings, reads, others callCount
+}
+
+// Call implements peer.Caller.
+func (c *countingCaller) Call(ctx context.Context, address string, request *fleetv1.Request) (*fleetv1.Response, error) {
+	response, err := c.Caller.Call(ctx, address, request)
+	count := &c.others
+	switch request.GetBody().(type) {
+	case *fleetv1.Request_Ping:
+		count = &c.pings
+	case *fleetv1.Request_LogRead:
+		count = &c.reads
+	}
+	count.calls.Add(1)
+	count.bytes.Add(int64(proto.Size(request) + proto.Size(response)))
+	return response, err
+}
--- a/internal/experiment/fleet/countingconn.go
+++ b/internal/experiment/fleet/countingconn.go
@@ -13,6 +13,8 @@
 	net.PacketConn
 	sent     atomic.Int64
 	received atomic.Int64
+	// datagrams counts those sent.
+	datagrams atomic.Int64
 	// crossed counts what was sent to the other region.
 	crossed atomic.Int64
 	remote  func(net.Addr) bool
@@ -22,6 +24,7 @@
 func (c *countingConn) WriteTo(p []byte, to net.Addr) (int, error) {
 	n, err := c.PacketConn.WriteTo(p, to)
 	c.sent.Add(int64(n) + datagramOverhead)
+	c.datagrams.Add(1)
 	if c.remote(to) {
 		c.crossed.Add(int64(n) + datagramOverhead)
 	}
--- a/internal/experiment/fleet/report.go
+++ b/internal/experiment/fleet/report.go
@@ -27,6 +27,21 @@
 	if err == nil && len(costs) > 1 {
 		err = writeCost(w, fmt.Sprint(projected, " (projected)"), project(costs[len(costs)-2], costs[len(costs)-1]))
 	}
+	if err == nil {
+		err = writeParts(w, costs)
+	}
+	return errors.Trace(err)
+}
+
+// writeParts writes what the peer bytes consist of.
+func writeParts(w io.Writer, costs []Cost) error {
+	_, err := fmt.Fprintln(w, "\n| Nodes | Datagrams/s sent | Pings/s | Log reads/s | In pings B/s | In log reads B/s | In others B/s | Framing and headers B/s |\n|---|---|---|---|---|---|---|---|")
+	for _, c := range costs {
+		if err == nil {
+			_, err = fmt.Fprintf(w, "| %d | %.1f | %.2f | %.2f | %.0f | %.0f | %.0f | %.0f |\n", c.Nodes, c.Datagrams, c.Pings, c.Reads,
+				c.PingBytes, c.ReadBytes, c.OtherBytes, c.PeerBytes-c.PingBytes-c.ReadBytes-c.OtherBytes)
+		}
+	}
 	return errors.Trace(err)
 }
 
