--- a/peer/quic.go
+++ b/peer/quic.go
@@ -2,10 +2,8 @@
 
 import (
 	"bufio"
-	"bytes"
 	"context"
 	"crypto/tls"
-	"io"
 	"net"
 	"sync"
 	"time"
@@ -13,7 +11,6 @@
 	"github.com/juju/errors"
 	"github.com/quic-go/quic-go"
 	"google.golang.org/protobuf/encoding/protodelim"
-	"google.golang.org/protobuf/proto"
 
 	fleetv1 "lavenderpin.dev/lavenderpin/api/fleet/v1"
 )
@@ -90,41 +87,19 @@
 		stream.CancelRead(0)
 		return
 	}
-	_ = writeFrame(stream, handle(ctx, request))
-}
-
-// writeFrame writes a message and its length at once. Written apart they leave in
-// datagrams of their own, and headers are most of what small messages cost.
-func writeFrame(w io.Writer, m proto.Message) error {
-	var frame bytes.Buffer
-	if _, err := protodelim.MarshalTo(&frame, m); err != nil {
-		return errors.Trace(err)
-	}
-	_, err := w.Write(frame.Bytes())
-	return errors.Trace(err)
+	_, _ = protodelim.MarshalTo(stream, handle(ctx, request))
 }
 
 // readRequest reads one length-delimited request.
 func readRequest(r *bufio.Reader) (*fleetv1.Request, error) {
 	request := &fleetv1.Request{}
-	if err := readFrame(r, request); err != nil {
+	options := protodelim.UnmarshalOptions{MaxSize: maxMessage}
+	if err := options.UnmarshalFrom(r, request); err != nil {
 		return nil, errors.Trace(err)
 	}
 	return request, nil
 }
 
-// readFrame reads one length-delimited message and the end of the stream. A stream
-// left before its end takes a datagram more, to tell the other side to stop.
-func readFrame(r io.Reader, m proto.Message) error {
-	buffered := bufio.NewReader(r)
-	options := protodelim.UnmarshalOptions{MaxSize: maxMessage}
-	if err := options.UnmarshalFrom(buffered, m); err != nil {
-		return errors.Trace(err)
-	}
-	_, _ = buffered.ReadByte()
-	return nil
-}
-
 // Call implements Caller.
 func (q *QUIC) Call(ctx context.Context, address string, request *fleetv1.Request) (*fleetv1.Response, error) {
 	conn, err := q.conn(ctx, address)
@@ -148,14 +123,15 @@
 	if deadline, ok := ctx.Deadline(); ok {
 		_ = stream.SetDeadline(deadline)
 	}
-	if err := writeFrame(stream, request); err != nil {
+	if _, err := protodelim.MarshalTo(stream, request); err != nil {
 		return nil, errors.Trace(err)
 	}
 	if err := stream.Close(); err != nil {
 		return nil, errors.Trace(err)
 	}
 	response := &fleetv1.Response{}
-	if err := readFrame(stream, response); err != nil {
+	options := protodelim.UnmarshalOptions{MaxSize: maxMessage}
+	if err := options.UnmarshalFrom(bufio.NewReader(stream), response); err != nil {
 		return nil, errors.Trace(err)
 	}
 	return response, nil
