Name members by number in peers' messages

What the log holds open is named by an 8-byte number, as whoever follows the log knows the rest; what it doesn't show is written out. A receiver that lags answers without views and the sender writes itself out. Pings and reads no longer name who asks.

Ruled out: leaving out addresses alone, since the incarnation's 36 letters remain; numbers handed out by the log, which a node in an outage has none of.

Also: a node that starts and hears a replaced instance before it folds the earlier incarnation's entry ended the one that answers, for good. The late entry is left out.

--- a/membership/hear.go
+++ b/membership/hear.go
@@ -13,18 +13,22 @@
 )
 
 // Heard takes in the views of a message that sender itself sent, its own view first.
-// It returns whether any of it is news to pass on at once.
+// It returns whether any of it is news to pass on at once. A view of a member that
+// isn't known here, and is only named by its number, says nothing.
 func (t *Table) Heard(now time.Time, sender string, views []*fleetv1.PeerView) bool {
 	urgent := false
 	for _, view := range views {
-		incarnation := view.GetNode().GetIncarnation()
-		switch incarnation {
+		node := t.nodeOf(view)
+		if node == nil {
+			continue
+		}
+		switch node.GetIncarnation() {
 		case t.self.GetIncarnation():
 			urgent = t.refute(view) || urgent
 		case sender:
-			urgent = t.direct(now, view) || urgent
+			urgent = t.direct(now, node, view) || urgent
 		default:
-			urgent = t.told(now, view) || urgent
+			urgent = t.told(now, node, view) || urgent
 		}
 	}
 	return urgent
@@ -40,13 +44,13 @@
 }
 
 // direct takes in what a member said of itself.
-func (t *Table) direct(now time.Time, view *fleetv1.PeerView) bool {
-	m := t.members[view.GetNode().GetIncarnation()]
+func (t *Table) direct(now time.Time, node *recordv1.NodeInfo, view *fleetv1.PeerView) bool {
+	m := t.members[node.GetIncarnation()]
 	if m == nil {
-		if !t.admits(view.GetNode()) {
+		if !t.admits(node) {
 			return false
 		}
-		m = t.add(now, view.GetNode())
+		m = t.add(now, node)
 	}
 	t.answered = now
 	m.heard = now
@@ -65,10 +69,10 @@
 }
 
 // told takes in what one member said of another one.
-func (t *Table) told(now time.Time, view *fleetv1.PeerView) bool {
-	m := t.members[view.GetNode().GetIncarnation()]
-	if m == nil && !view.GetSuspect() && t.unheardOf(view.GetNode()) {
-		m = t.add(now, view.GetNode())
+func (t *Table) told(now time.Time, node *recordv1.NodeInfo, view *fleetv1.PeerView) bool {
+	m := t.members[node.GetIncarnation()]
+	if m == nil && !view.GetSuspect() && t.unheardOf(node) {
+		m = t.add(now, node)
 	}
 	if m == nil || view.GetBeat() < m.beat {
 		return false
--- a/membership/members.go
+++ b/membership/members.go
@@ -143,83 +143,89 @@
 	m.push(news)
 }
 
+// ping exchanges views with the node at an address. Where one of the two knows the
+// other by no number, as while its log lags, it pings again with this node written out,
+// which has the answer written out too.
 func (m *Members) ping(ctx context.Context, address string, limit time.Duration) error {
-	ping := &fleetv1.Request{Body: &fleetv1.Request_Ping{Ping: &fleetv1.Ping{Views: m.say(false)}}}
-	return m.call(ctx, address, limit, ping)
+	ctx, cancel := clockwork.WithTimeout(ctx, m.clock, limit)
+	defer cancel()
+	known, err := m.exchange(ctx, address, pingOf(m.say(short)))
+	if err == nil && !known {
+		_, err = m.exchange(ctx, address, pingOf(m.say(writtenOut)))
+	}
+	return err
 }
 
 func (m *Members) pingVia(ctx context.Context, helper, target *recordv1.NodeInfo) error {
-	return m.call(ctx, helper.GetPeerAddress(), viaTimeout, &fleetv1.Request{Body: &fleetv1.Request_PingVia{
-		PingVia: &fleetv1.PingVia{PeerAddress: target.GetPeerAddress(), Views: m.say(false)},
+	ctx, cancel := clockwork.WithTimeout(ctx, m.clock, viaTimeout)
+	defer cancel()
+	_, err := m.exchange(ctx, helper.GetPeerAddress(), &fleetv1.Request{Body: &fleetv1.Request_PingVia{
+		PingVia: &fleetv1.PingVia{PeerAddress: target.GetPeerAddress(), Views: m.say(short)},
 	}})
+	return err
 }
 
-func (m *Members) call(ctx context.Context, address string, limit time.Duration, request *fleetv1.Request) error {
-	ctx, cancel := clockwork.WithTimeout(ctx, m.clock, limit)
-	defer cancel()
-	request.From = m.self.GetIncarnation()
+// exchange sends a request and takes in the views of the answer. known is false when
+// this node or the one that answered doesn't know the other.
+func (m *Members) exchange(ctx context.Context, address string, request *fleetv1.Request) (known bool, err error) {
 	request.Hlc = uint64(m.events.Clock().Now())
 	answer, err := m.caller.Call(ctx, address, request)
 	if err != nil {
-		return errors.Trace(err)
+		return false, errors.Trace(err)
 	}
 	m.events.Clock().Observe(event.Stamp(answer.GetHlc()))
 	if answer.GetCode() != 0 {
-		return result.New(result.Code(answer.GetCode()), "%s", answer.GetMessage())
+		return false, result.New(result.Code(answer.GetCode()), "%s", answer.GetMessage())
 	}
-	m.Heard(answer.GetPong().GetViews())
-	return nil
+	return m.Heard(answer.GetPong().GetViews()), nil
 }
 
-// say returns the views of the next message, this node's own first.
-func (m *Members) say(introduce bool) []*fleetv1.PeerView {
-	// The beat is read first: were it read after the state, a change in between
-	// would send the old state under the new beat, and the new one would never count.
-	m.mu.Lock()
-	beat := m.table.Beat()
-	m.mu.Unlock()
-	own := m.view()
-	own.Beat = beat
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	if introduce {
-		return append([]*fleetv1.PeerView{own}, m.table.Introduction()...)
-	}
-	return append([]*fleetv1.PeerView{own}, m.table.Views()...)
-}
-
-// Heard takes in a message; its first view is the sender's own.
-func (m *Members) Heard(views []*fleetv1.PeerView) {
+// Heard takes in a message; its first view is the sender's own. It tells whether the
+// sender is known.
+func (m *Members) Heard(views []*fleetv1.PeerView) bool {
 	if len(views) == 0 {
-		return
+		return false
 	}
 	m.mu.Lock()
-	news := m.table.Heard(m.clock.Now(), views[0].GetNode().GetIncarnation(), views)
+	sender := m.table.nodeOf(views[0])
+	news := m.table.Heard(m.clock.Now(), sender.GetIncarnation(), views)
 	m.mu.Unlock()
 	m.record()
 	m.push(news)
+	return sender != nil
 }
 
-// Answer takes in a ping and returns the answer's views.
+// Answer takes in a ping and returns the answer's views; none when the ping names its
+// sender by a number that isn't known here. A sender that wrote itself out may not know
+// this node either, so the answer does the same.
 func (m *Members) Answer(views []*fleetv1.PeerView) []*fleetv1.PeerView {
-	newcomer := false
-	if len(views) > 0 {
-		m.mu.Lock()
-		newcomer = m.table.Newcomer(views[0].GetNode().GetIncarnation())
-		m.mu.Unlock()
+	if len(views) == 0 {
+		return m.say(writtenOut)
 	}
+	m.mu.Lock()
+	sender := m.table.nodeOf(views[0])
+	newcomer := m.table.Newcomer(sender.GetIncarnation())
+	m.mu.Unlock()
 	m.Heard(views)
-	return m.say(newcomer)
+	switch {
+	case sender == nil:
+		return nil
+	case newcomer:
+		return m.say(introducing)
+	case views[0].GetNode() != nil:
+		return m.say(writtenOut)
+	}
+	return m.say(short)
 }
 
-// Via pings a member for another one.
+// Via pings a member for another one, which may not know who answers at the address now.
 func (m *Members) Via(ctx context.Context, r *fleetv1.PingVia) ([]*fleetv1.PeerView, error) {
 	m.Heard(r.GetViews())
 	ctx, cancel := clockwork.WithTimeout(ctx, m.clock, pingTimeout)
 	defer cancel()
 	answer, err := m.caller.Call(ctx, r.GetPeerAddress(), &fleetv1.Request{
-		From: m.self.GetIncarnation(), Hlc: uint64(m.events.Clock().Now()),
-		Body: &fleetv1.Request_Ping{Ping: &fleetv1.Ping{Views: m.say(false)}},
+		Hlc:  uint64(m.events.Clock().Now()),
+		Body: &fleetv1.Request_Ping{Ping: &fleetv1.Ping{Views: m.say(writtenOut)}},
 	})
 	if err != nil {
 		return nil, result.New(result.PeerUnreachable, "%v", err)
--- a/membership/table.go
+++ b/membership/table.go
@@ -25,7 +25,9 @@
 	self    *recordv1.NodeInfo
 	beat    uint64
 	members map[string]*Member
-	// open is the set that the log holds open.
+	// numbers finds members by what messages name them by.
+	numbers map[uint64]*Member
+	// open is the set that the log holds open, this node included.
 	open map[string]bool
 	// ended holds closed and replaced incarnations, tombs their order.
 	ended map[string]bool
@@ -45,7 +47,7 @@
 
 // NewTable returns a table without members.
 func NewTable(self *recordv1.NodeInfo) *Table {
-	return &Table{self: self, beat: 1, members: map[string]*Member{}, open: map[string]bool{}, ended: map[string]bool{}}
+	return &Table{self: self, beat: 1, members: map[string]*Member{}, numbers: map[uint64]*Member{}, open: map[string]bool{}, ended: map[string]bool{}}
 }
 
 // Step begins a period: it takes in the nodes that the log holds open and returns
@@ -85,11 +87,11 @@
 	t.open = make(map[string]bool, len(open))
 	for _, node := range open {
 		incarnation := node.GetIncarnation()
+		t.open[incarnation] = true
 		if node.GetPeerAddress() == t.self.GetPeerAddress() {
 			continue
 		}
-		t.open[incarnation] = true
-		if t.members[incarnation] == nil && !t.ended[incarnation] {
+		if t.members[incarnation] == nil && !t.ended[incarnation] && !t.outdated(node) {
 			t.add(now, node)
 			t.grown = true
 		}
@@ -103,7 +105,20 @@
 	}
 }
 
+// outdated tells that another incarnation, which the log doesn't show yet, answers at
+// the node's address: the log lags. Were the node entered, it would end the one that
+// answers, which is never admitted again, and this node would hand out one address less.
+func (t *Table) outdated(node *recordv1.NodeInfo) bool {
+	for incarnation, m := range t.members {
+		if m.Node.GetPeerAddress() == node.GetPeerAddress() {
+			return !m.Suspect && !t.open[incarnation]
+		}
+	}
+	return false
+}
+
 func (t *Table) end(kind ChangeKind, incarnation string) {
+	delete(t.numbers, numberOf(t.members[incarnation].Node))
 	delete(t.members, incarnation)
 	t.note(kind, incarnation)
 	t.ended[incarnation] = true
@@ -124,6 +139,7 @@
 	}
 	m := &Member{Node: node, Suspect: true, heard: now}
 	t.members[node.GetIncarnation()] = m
+	t.numbers[numberOf(node)] = m
 	return m
 }
 
--- a/membership/views.go
+++ b/membership/views.go
@@ -4,7 +4,6 @@
 	"math/bits"
 
 	fleetv1 "lavenderpin.dev/lavenderpin/api/fleet/v1"
-	recordv1 "lavenderpin.dev/lavenderpin/api/record/v1"
 )
 
 const (
@@ -29,7 +28,7 @@
 		m := t.members[node.GetIncarnation()]
 		if m.news > 0 && len(views) < maxNews {
 			m.news--
-			views = append(views, m.view())
+			views = append(views, t.shorten(m.view()))
 		}
 	}
 	for range min(maxFill, len(ring)) {
@@ -39,7 +38,7 @@
 			continue
 		}
 		view := m.view()
-		view.Node = &recordv1.NodeInfo{Incarnation: m.Node.GetIncarnation()}
+		view.Node, view.Member = nil, numberOf(m.Node)
 		views = append(views, view)
 	}
 	return views
@@ -55,7 +54,7 @@
 		}
 		view := m.view()
 		if len(t.members) > maxIntroduced {
-			view.Node = &recordv1.NodeInfo{Incarnation: m.Node.GetIncarnation()}
+			view.Node, view.Member = nil, numberOf(m.Node)
 		}
 		views = append(views, view)
 	}
--- a/relay/source.go
+++ b/relay/source.go
@@ -154,7 +154,7 @@
 	ctx, cancel := clockwork.WithTimeout(ctx, s.Clock, limit)
 	defer cancel()
 	answer, err := s.Caller.Call(ctx, p.Address, &fleetv1.Request{
-		From: s.Self.Incarnation, Hlc: uint64(s.Events.Clock().Now()),
+		Hlc:  uint64(s.Events.Clock().Now()),
 		Body: &fleetv1.Request_LogRead{LogRead: read},
 	})
 	if err != nil {
