Hold a read of a peer open until the log answered

A node read from its peer about 3 times a second, since each wait was half a second and every heartbeat ends one. Longer waits alone would add up over the hops until the lowest nodes take the log as silent. A peer now answers as soon as its own read came back with nothing, so waits are a second at any depth and the age told is that of the log.

Test added: TestIdleChainStaysFresh (60 nodes in one data centre, no spurious turn to the log, one read a wait). relay_test's group wires the source into its server and counts calls; its tests are unchanged. ./relay and ./node pass.

--- a/node/relay.go
+++ b/node/relay.go
@@ -31,7 +31,7 @@
 	}
 	n.follower = journal.NewSourceFollower(source, n.deps.Clock, engine, n.folded)
 	n.follower.OnRestored(n.restored)
-	n.relay = relay.NewServer(n.follower, n.deps.Clock)
+	n.relay = relay.NewServer(n.follower, source, n.deps.Clock)
 	n.snapshots = snapshot.NewTracker(n.deps.Clock)
 }
 
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -39,6 +39,7 @@
 	cut     map[string]bool
 	dead    string
 	crossed int
+	calls   int
 }
 
 type member struct {
@@ -98,6 +99,7 @@
 func (c callerOf) Call(ctx context.Context, address string, r *fleetv1.Request) (*fleetv1.Response, error) {
 	c.group.mu.Lock()
 	to, dead := c.group.members[address], address == c.group.dead
+	c.group.calls++
 	c.group.mu.Unlock()
 	if to == nil || dead {
 		<-ctx.Done()
@@ -122,7 +124,7 @@
 		Events: event.NewRecorder(event.NewHLC(clock), name, 100, golog.NewNopLogger()), Peers: peers,
 	}
 	m := &member{peer: self, follower: journal.NewSourceFollower(source, clock, fold.NewEngine())}
-	m.server = NewServer(m.follower, clock)
+	m.server = NewServer(m.follower, source, clock)
 	ctx, cancel := context.WithCancel(g.t.Context())
 	m.cancel = cancel
 	g.mu.Lock()
@@ -195,6 +197,32 @@
 	})
 }
 
+// Nothing happens for minutes in a deep tree of readers. Were the waits of the hops added
+// up, the lowest nodes would take the log as silent, and read it by themselves over the
+// narrow link; and each read is paid for in bytes, so there must be one a wait.
+func TestIdleChainStaysFresh(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		g := newGroup(t)
+		for i := range 60 {
+			g.start(fmt.Sprint("r", i), remote, "brno-a", nil)
+		}
+		time.Sleep(2 * avoidPeer)
+		g.mu.Lock()
+		before := g.calls
+		g.mu.Unlock()
+		for range 100 {
+			time.Sleep(700 * time.Millisecond)
+			for _, m := range g.members {
+				is.True(m.follower.SinceRead() <= idleWait+answerTime)
+			}
+		}
+		g.mu.Lock()
+		defer g.mu.Unlock()
+		is.True(g.calls-before <= 59*(70+1))
+	})
+}
+
 // The node that reads the log for its region dies, and another one is cut from the log
 // but still answers its peers. The others must get the changes by themselves, soon.
 func TestReaderDiesOrLags(t *testing.T) {
--- a/relay/server.go
+++ b/relay/server.go
@@ -23,15 +23,17 @@
 // Server answers other nodes out of what this node folded.
 type Server struct {
 	follower *journal.Follower
+	source   *Source
 	clock    clockwork.Clock
 }
 
-// NewServer returns a server over a follower.
-func NewServer(follower *journal.Follower, clock clockwork.Clock) *Server {
-	return &Server{follower: follower, clock: clock}
+// NewServer returns a server over a follower and the source that it reads.
+func NewServer(follower *journal.Follower, source *Source, clock clockwork.Clock) *Server {
+	return &Server{follower: follower, source: source, clock: clock}
 }
 
-// Answer returns the records asked for, after waiting for the first one.
+// Answer returns the records asked for, after waiting for the first one, or until this
+// node's own read came back with nothing: the answer then tells how fresh that is.
 func (s *Server) Answer(ctx context.Context, r *fleetv1.LogRead) (*fleetv1.LogSlice, error) {
 	wait := min(time.Duration(r.GetWaitMs())*time.Millisecond, maxServedWait)
 	slice, err := s.read(ctx, r.GetFrom(), min(int(r.GetMaxRecords()), maxServedRecords), wait)
@@ -46,12 +48,14 @@
 }
 
 func (s *Server) read(ctx context.Context, from uint64, max int, wait time.Duration) (platform.Slice, error) {
+	idle := s.source.idle.wait()
 	slice, grown, err := s.follower.Recent().Read(from, max)
 	if err != nil || len(slice.Records) > 0 || wait <= 0 {
 		return slice, err
 	}
 	select {
 	case <-grown:
+	case <-idle:
 	case <-s.clock.After(wait):
 	case <-ctx.Done():
 	}
--- a/relay/source.go
+++ b/relay/source.go
@@ -20,10 +20,15 @@
 )
 
 const (
+	// idleWait is how long a read waits at the log for a record, and relayedWait at a
+	// peer. The peer answers as soon as its own read came back with nothing, so that the
+	// log's age doesn't add up over the hops; the rest is for what that answer takes.
+	idleWait    = time.Second
+	relayedWait = idleWait + 250*time.Millisecond
 	// answerTime is what a peer may take beyond the wait it was asked for.
 	answerTime = 500 * time.Millisecond
 	// maxAge is how long ago the log may last have answered a chain of readers. It
-	// covers one idle wait at the log and one at each hop.
+	// covers an idle wait at the log and as much for the way over the hops.
 	maxAge = 3 * time.Second
 	// avoidPeer is for how long a node reads the log itself after its peer failed it.
 	avoidPeer = 5 * time.Second
@@ -50,6 +55,11 @@
 	// Peers returns the other nodes that answer now.
 	Peers func() []Peer
 
+	// idled is set when the last read came back with nothing, idle beats once the
+	// follower has taken that in.
+	idled bool
+	idle  pulse
+
 	mu        sync.Mutex
 	peerAfter time.Time
 	logAfter  time.Time
@@ -57,10 +67,19 @@
 
 var _ journal.Source = (*Source)(nil)
 
-// Read implements journal.Source.
+// Read implements journal.Source. It must not be called by two at once.
 func (s *Source) Read(ctx context.Context, from uint64, max int, wait time.Duration) (journal.Slice, error) {
+	if s.idled {
+		s.idle.beat()
+	}
+	slice, err := s.read(ctx, from, max, wait)
+	s.idled = err == nil && len(slice.Records) == 0
+	return slice, err
+}
+
+func (s *Source) read(ctx context.Context, from uint64, max int, wait time.Duration) (journal.Slice, error) {
 	if reader, ok := s.reader(); ok {
-		slice, err := s.fromPeer(ctx, reader, from, max, wait)
+		slice, err := s.fromPeer(ctx, reader, from, max, relayedWait)
 		if err == nil && slice.Age <= maxAge {
 			return slice, nil
 		}
@@ -109,7 +128,7 @@
 	}
 	ctx, cancel := clockwork.WithTimeout(ctx, s.Clock, wait+logTime)
 	defer cancel()
-	slice, err := s.Log.Read(ctx, from, max, wait)
+	slice, err := s.Log.Read(ctx, from, max, idleWait)
 	if err != nil && !errors.Is(err, platform.ErrAgedOut) {
 		s.mu.Lock()
 		s.logAfter = s.Clock.Now().Add(avoidLog)
