Change engines' roles

DesiredModel names a role, engines report theirs and those that they can take, and an order states the role with the models. A role is changed for a goal that no engine of the role has room for, one engine of a region at a time: one whose copies are above what its role wants, never the last copy. Hysteresis: five plans in a row, no engine leaves a role that one was given within two minutes, and a new holder waits for two minutes since an order of the former one may be at work unreported.

A lost answer to an order that takes something away now counts the engine as going: it was forgotten before, so that the next plan could take the copy that was left.

--- a/internal/standin/enginemodels.go
+++ b/internal/standin/enginemodels.go
@@ -23,11 +23,17 @@
 	Models   []engineModel `json:"models"`
 	Capacity int           `json:"capacity"`
 	Fencing  uint64        `json:"fencing"`
+	Role     string        `json:"role"`
+	Roles    []string      `json:"roles"`
 }
 
+// engineRoles are the roles that an engine takes; it serves the same in each.
+var engineRoles = []string{"mixed", "prefill", "decode"}
+
 type engineOrder struct {
 	Fencing uint64        `json:"fencing"`
 	Models  []engineModel `json:"models"`
+	Role    string        `json:"role"`
 }
 
 func (e *Engine) reportModels(_ context.Context, c *app.RequestContext) {
@@ -35,6 +41,10 @@
 	report := e.models
 	e.mu.Unlock()
 	report.Capacity = engineCapacity
+	report.Roles = engineRoles
+	if report.Role == "" {
+		report.Role = engineRoles[0]
+	}
 	c.Header("X-Request-Id", string(c.GetHeader("X-Request-Id")))
 	c.JSON(200, report)
 }
@@ -56,5 +66,6 @@
 	}
 	e.models.Fencing = order.Fencing
 	e.models.Models = order.Models
+	e.models.Role = order.Role
 	c.String(200, "taken")
 }
--- a/orders/client.go
+++ b/orders/client.go
@@ -6,11 +6,13 @@
 	operatorv1 "lavenderpin.dev/lavenderpin/api/operator/v1"
 )
 
-// Order is what an engine is told: everything that it should hold.
+// Order is what an engine is told: everything that it should hold, and as what it should serve.
 type Order struct {
 	// Fencing is the epoch of the lease under which the order is given.
 	Fencing uint64  `json:"fencing"`
 	Models  []Model `json:"models"`
+	// Role is the role that the engine should have; empty for engines without roles.
+	Role string `json:"role,omitempty"`
 }
 
 // Client speaks to engines about what they hold.
--- a/orders/engine.go
+++ b/orders/engine.go
@@ -15,6 +15,10 @@
 	Slots    int `json:"slots"`
 	// Fencing is the highest fencing number seen, of engines that check it.
 	Fencing uint64 `json:"fencing"`
+	// Role is what the engine does for its models, such as "prefill", and Roles those
+	// that it can be told to take; both are empty for engines without roles.
+	Role  string   `json:"role,omitempty"`
+	Roles []string `json:"roles,omitempty"`
 }
 
 // Engine is an upstream together with its last report.
@@ -25,21 +29,31 @@
 	// yet; nil when nothing is outstanding. Without it a lagging report would have
 	// the same weights fetched again in every round.
 	Ordered []Model
+	// OrderedRole is the role last ordered, when Ordered isn't nil.
+	OrderedRole string
 }
 
-// keeps tells whether the engine holds some version of a model and isn't ordered
-// to drop it.
+// keeps tells whether the engine holds some version of a model in the role that it
+// reports, and isn't ordered to drop it or to change its role.
 func (e Engine) keeps(name string) bool {
 	named := func(m Model) bool { return m.Name == name }
-	if !slices.ContainsFunc(e.Report.Models, named) {
+	if !slices.ContainsFunc(e.Report.Models, named) || e.moving() {
 		return false
 	}
 	return e.Ordered == nil || slices.ContainsFunc(e.Ordered, named)
 }
 
-// coming tells whether the engine is ordered to hold a model that it doesn't report.
-func (e Engine) coming(m Model) bool {
-	return !e.holds(m) && slices.ContainsFunc(e.Ordered, m.equal)
+// moving tells whether the engine is ordered to a role that it doesn't report.
+func (e Engine) moving() bool { return e.Ordered != nil && e.OrderedRole != e.Report.Role }
+
+// serves tells whether the engine is a copy of a goal now.
+func (e Engine) serves(g Goal) bool {
+	return e.holds(g.Model) && g.fits(e.Report.Role) && !e.moving()
+}
+
+// coming tells whether the engine is ordered to become a copy of a goal, and isn't yet.
+func (e Engine) coming(g Goal) bool {
+	return !e.serves(g) && g.fits(e.OrderedRole) && slices.ContainsFunc(e.Ordered, g.equal)
 }
 
 func (e Engine) holds(m Model) bool {
--- a/orders/executor.go
+++ b/orders/executor.go
@@ -52,6 +52,7 @@
 // outstanding is an order that an engine hasn't reported as done.
 type outstanding struct {
 	models []Model
+	role   string
 	at     time.Time
 }
 
@@ -135,11 +136,12 @@
 	if !found {
 		return engine
 	}
-	if sameModels(order.models, engine.Report.Models) || e.Clock.Since(order.at) > patience {
+	done := sameModels(order.models, engine.Report.Models) && order.role == engine.Report.Role
+	if done || e.Clock.Since(order.at) > patience {
 		delete(e.ordered, name)
 		return engine
 	}
-	engine.Ordered = order.models
+	engine.Ordered, engine.OrderedRole = order.models, order.role
 	return engine
 }
 
@@ -173,12 +175,12 @@
 	}
 	ctx, cancel := clockwork.WithTimeout(ctx, e.Clock, callTimeout)
 	defer cancel()
-	err := e.Client.Send(ctx, engine, Order{Fencing: held.Epoch, Models: step.Models})
-	if err == nil {
-		e.ordered[engine.GetName()] = outstanding{models: step.Models, at: e.Clock.Now()}
+	err := e.Client.Send(ctx, engine, Order{Fencing: held.Epoch, Models: step.Models, Role: step.Role})
+	if err == nil || step.takesAway() && result.CodeOf(err) != result.NotHolder {
+		e.ordered[engine.GetName()] = outstanding{models: step.Models, role: step.Role, at: e.Clock.Now()}
 	}
 	e.Events.Record(event.OrderGiven, "upstream", engine.GetName(), "lease", LeaseName, "epoch", held.Epoch,
-		"models", names(step.Models), "code", uint32(result.CodeOf(err)))
+		"models", names(step.Models), "role", step.Role, "code", uint32(result.CodeOf(err)))
 }
 
 // fetch asks the weight store for a model; false means not yet.
--- a/orders/fake_test.go
+++ b/orders/fake_test.go
@@ -24,6 +24,8 @@
 	upstream *operatorv1.Upstream
 	report   Report
 	orders   []sent
+	// moving is set while the engine changes its role, and serves in none.
+	moving bool
 }
 
 // fakeEngines implements Client.
@@ -85,31 +87,60 @@
 	}
 	engine.report.Fencing = order.Fencing
 	engine.orders = append(engine.orders, sent{order.Fencing, true})
-	time.AfterFunc(f.loadTime, func() { f.done(engine, order.Models) })
+	if order.Role != engine.report.Role {
+		f.changes(engine, func() { engine.moving = true })
+		engine.report.InFlight = engine.report.Slots // what it no longer serves queues up
+		if !slices.Contains(engine.report.Roles, order.Role) {
+			f.violations = append(f.violations, engine.upstream.GetName()+" was told a role that it can't take")
+		}
+	}
+	time.AfterFunc(f.loadTime, func() { f.done(engine, order) })
 	return nil
 }
 
-func (f *fakeEngines) done(engine *fakeEngine, models []Model) {
+func (f *fakeEngines) done(engine *fakeEngine, order Order) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	before := f.copies(engine.upstream.GetRegion())
-	engine.report.Models = slices.Clone(models)
+	models := order.Models
+	f.changes(engine, func() {
+		engine.report.Models = slices.Clone(models)
+		engine.report.Role = order.Role
+		engine.report.InFlight = 0
+		engine.moving = false
+	})
 	if len(models) > engine.report.Capacity {
 		f.violations = append(f.violations, "more models than fit on "+engine.upstream.GetName())
 	}
+}
+
+// changes changes an engine, and notes when its region served the watched model before
+// and no longer does.
+func (f *fakeEngines) changes(engine *fakeEngine, change func()) {
+	before := f.copies(engine.upstream.GetRegion())
+	change()
 	if before > 0 && f.copies(engine.upstream.GetRegion()) == 0 {
 		f.violations = append(f.violations, "the last copy in "+engine.upstream.GetRegion()+" was dropped")
 	}
 }
 
+// copies counts what serves the watched model in a region: engines that do all by
+// themselves, and pairs of which one prefills and the other decodes.
 func (f *fakeEngines) copies(region string) int {
-	count := 0
+	count, prefill, decode := 0, 0, 0
 	for _, e := range f.engines {
-		if e.upstream.GetRegion() == region && (Engine{Report: e.report}).keeps(f.watched) {
+		if e.upstream.GetRegion() != region || e.moving || !(Engine{Report: e.report}).keeps(f.watched) {
+			continue
+		}
+		switch e.report.Role {
+		case "prefill":
+			prefill++
+		case "decode":
+			decode++
+		default:
 			count++
 		}
 	}
-	return count
+	return count + min(prefill, decode)
 }
 
 func (f *fakeEngines) holders(m Model) int {
--- a/orders/model.go
+++ b/orders/model.go
@@ -21,8 +21,13 @@
 type Goal struct {
 	Model
 	CopiesPerRegion int
+	// Role in which the copies should serve; empty for any.
+	Role string
 }
 
+// fits tells whether an engine in a role may be a copy.
+func (g Goal) fits(role string) bool { return g.Role == "" || g.Role == role }
+
 // Goals returns what a service declares.
 func Goals(service *operatorv1.Service) []Goal {
 	goals := make([]Goal, 0, len(service.GetDesired()))
@@ -30,6 +35,7 @@
 		goals = append(goals, Goal{
 			Model:           Model{Name: d.GetModel(), Version: d.GetVersion(), Adapters: d.GetAdapters()},
 			CopiesPerRegion: max(1, int(d.GetCopiesPerRegion())),
+			Role:            d.GetRole(),
 		})
 	}
 	return goals
--- a/orders/plan.go
+++ b/orders/plan.go
@@ -15,28 +15,46 @@
 	steadyPlans = 5
 )
 
-// Step is one change to one engine. Models is the engine's whole desired set.
+// Step is one change to one engine. Models is the engine's whole desired set and Role
+// the role that it should have from then on.
 type Step struct {
 	Engine Engine
 	Models []Model
+	Role   string
 	// Fetch is the model whose weights must be fetched first; nil when the step
 	// only drops something.
 	Fetch *Model
 }
 
-// heatKey names a model in a region.
-type heatKey struct{ region, model string }
+// takesAway tells whether the engine stops something that it does. The answer to such an
+// order may be lost after the order was taken: the engine then counts as going, or the
+// next plan could take away the copy that is left.
+func (s Step) takesAway() bool { return s.Fetch == nil }
+
+// heatKey names a model in a role in a region.
+type heatKey struct{ region, model, role string }
+
+// roleKey names a role in a region.
+type roleKey struct{ region, role string }
+
+func keyOf(region string, goal Goal) heatKey { return heatKey{region, goal.Name, goal.Role} }
 
 // Planner plans the engines of one service. It keeps how long the load has been
-// outside the band, and nothing else: a new holder starts with a fresh one.
+// outside the band and a role has lacked engines, and nothing else: a new holder starts
+// with a fresh one.
 type Planner struct {
 	hot, cold map[heatKey]int
 	extra     map[heatKey]int
+	lacking   map[heatKey]int
+	// gained is in which plan an engine was last told to take a role.
+	gained map[roleKey]int
+	plans  int
 }
 
 // NewPlanner returns a planner that has seen no load yet.
 func NewPlanner() *Planner {
-	return &Planner{hot: map[heatKey]int{}, cold: map[heatKey]int{}, extra: map[heatKey]int{}}
+	return &Planner{hot: map[heatKey]int{}, cold: map[heatKey]int{}, extra: map[heatKey]int{},
+		lacking: map[heatKey]int{}, gained: map[roleKey]int{}}
 }
 
 // Plan returns the next steps, at most one per region and engine. served lists the
@@ -44,6 +62,7 @@
 // region is never dropped.
 func (p *Planner) Plan(goals []Goal, served []string, engines []Engine) []Step {
 	var steps []Step
+	p.plans++
 	for _, region := range regions(engines) {
 		local := inRegion(engines, region)
 		for _, goal := range goals {
@@ -53,6 +72,12 @@
 			steps = append(steps, loads...)
 			continue
 		}
+		if move, found, waiting := p.move(region, goals, served, local); found || waiting {
+			if found {
+				steps = append(steps, move)
+			}
+			continue
+		}
 		if drop, found := p.drop(region, goals, served, local); found {
 			steps = append(steps, drop)
 		}
@@ -80,10 +105,10 @@
 	return local
 }
 
-func holders(m Model, engines []Engine) []Engine {
+func holders(goal Goal, engines []Engine) []Engine {
 	var found []Engine
 	for _, e := range engines {
-		if e.holds(m) {
+		if e.serves(goal) {
 			found = append(found, e)
 		}
 	}
@@ -92,8 +117,8 @@
 
 // heat moves the number of extra copies of a goal by the reported load.
 func (p *Planner) heat(region string, goal Goal, engines []Engine) {
-	key := heatKey{region, goal.Name}
-	held := holders(goal.Model, engines)
+	key := keyOf(region, goal)
+	held := holders(goal, engines)
 	if len(held) == 0 {
 		return
 	}
@@ -123,7 +148,7 @@
 
 // want is how many copies of a goal a region should hold now.
 func (p *Planner) want(region string, goal Goal, engines []Engine) int {
-	return min(goal.CopiesPerRegion+p.extra[heatKey{region, goal.Name}], len(engines))
+	return min(goal.CopiesPerRegion+p.extra[keyOf(region, goal)], len(engines))
 }
 
 // loads returns the steps that bring missing copies, one model per engine.
@@ -131,31 +156,32 @@
 	var steps []Step
 	used := map[string]bool{}
 	for _, goal := range goals {
-		missing := p.want(region, goal, engines) - len(holders(goal.Model, engines)) - comingCount(goal.Model, engines)
+		missing := p.missing(region, goal, engines)
 		for _, e := range byLoad(engines) {
 			if missing <= 0 {
 				break
 			}
-			if used[e.Upstream.GetName()] || e.holds(goal.Model) || !e.free() {
+			if used[e.Upstream.GetName()] || e.holds(goal.Model) || !e.free() || !goal.fits(e.Report.Role) {
 				continue
 			}
 			used[e.Upstream.GetName()] = true
 			missing--
 			model := goal.Model
-			steps = append(steps, Step{Engine: e, Models: append(slices.Clone(e.Report.Models), model), Fetch: &model})
+			steps = append(steps, Step{Engine: e, Models: append(slices.Clone(e.Report.Models), model), Role: e.Report.Role, Fetch: &model})
 		}
 	}
 	return steps
 }
 
-func comingCount(m Model, engines []Engine) int {
-	count := 0
+// missing is how many copies of a goal a region has yet to be ordered.
+func (p *Planner) missing(region string, goal Goal, engines []Engine) int {
+	missing := p.want(region, goal, engines) - len(holders(goal, engines))
 	for _, e := range engines {
-		if e.coming(m) {
-			count++
+		if e.coming(goal) {
+			missing--
 		}
 	}
-	return count
+	return missing
 }
 
 func byLoad(engines []Engine) []Engine {
@@ -173,46 +199,12 @@
 			continue
 		}
 		for i, m := range e.Report.Models {
-			rest := slices.Delete(slices.Clone(e.Report.Models), i, i+1)
-			if p.surplus(region, m, goals, engines) && !lastCopy(m.Name, served, engines, e, rest) {
-				return Step{Engine: e, Models: rest}, true
+			after := e
+			after.Report.Models = slices.Delete(slices.Clone(e.Report.Models), i, i+1)
+			if p.surplus(region, e, m, goals, engines) && !lastCopy(m.Name, e.Report.Role, goals, served, replace(engines, after)) {
+				return Step{Engine: e, Models: after.Report.Models, Role: e.Report.Role}, true
 			}
 		}
 	}
 	return Step{}, false
 }
-
-// surplus tells whether a copy of a model is above what is wanted. An old version
-// is kept until the new one has all its copies, unless no engine has room for it.
-func (p *Planner) surplus(region string, m Model, goals []Goal, engines []Engine) bool {
-	for _, goal := range goals {
-		held := len(holders(goal.Model, engines))
-		wanted := p.want(region, goal, engines)
-		if goal.equal(m) {
-			return held > wanted
-		}
-		if goal.Name == m.Name {
-			return held >= wanted || !slices.ContainsFunc(engines, Engine.free)
-		}
-	}
-	return true
-}
-
-// lastCopy tells whether a model that callers may ask for would stand on no engine
-// of the region, in whatever version, once the given engine held only rest.
-// Dropping that copy would refuse requests that the region served a moment before.
-func lastCopy(name string, served []string, engines []Engine, from Engine, rest []Model) bool {
-	if !slices.Contains(served, name) {
-		return false
-	}
-	from.Report.Models = rest
-	for _, e := range engines {
-		if e.Upstream == from.Upstream {
-			e = from
-		}
-		if e.keeps(name) {
-			return false
-		}
-	}
-	return true
-}
--- a/orders/plan_test.go
+++ b/orders/plan_test.go
@@ -42,7 +42,7 @@
 			e.Report.InFlight = rapid.IntRange(0, 10).Draw(t, "in flight")
 			engines = append(engines, e)
 		}
-		goals := []Goal{{newModel, rapid.IntRange(1, 3).Draw(t, "copies")}, {Model{Name: "large", Version: "1"}, 1}}
+		goals := []Goal{{Model: newModel, CopiesPerRegion: rapid.IntRange(1, 3).Draw(t, "copies")}, {Model: Model{Name: "large", Version: "1"}, CopiesPerRegion: 1}}
 		served := []string{"small", "large"}
 		for _, step := range NewPlanner().Plan(goals, served, engines) {
 			if len(step.Models) > step.Engine.Report.Capacity {
