Pause longer between pushes of news while news keeps coming

Trial: 200 nodes that start at once in one process did not find each other within 5 minutes (41 of 200 addresses) at a load average of 40 on 12 cores. With news all the time each node pinged 8 neighbours ten times a second, 16000 pings a second in all; pings that go unanswered for want of processor time are suspicions, which are the next news. The pause now doubles up to 3.2 s while news keeps coming; the first push is at once as before, so that a single failure spreads as fast. Ruled out: fewer neighbours, which lengthens detection. Whether 200 nodes start is measured next.

--- a/membership/members.go
+++ b/membership/members.go
@@ -21,8 +21,12 @@
 	// viaTimeout bounds an indirect ping, and helpers is how many are asked for one.
 	viaTimeout = time.Second
 	helpers    = 2
-	// pushPause is the least time between two pushes of news to all neighbours.
-	pushPause = 100 * time.Millisecond
+	// pushPause is the least time between two pushes of news to all neighbours. It
+	// doubles up to maxPushPause while news keeps coming: when a fleet starts at once,
+	// pushes would otherwise take the processors that answer pings, and pings that go
+	// unanswered are the next news.
+	pushPause    = 100 * time.Millisecond
+	maxPushPause = 32 * pushPause
 	// announceTimeout and announceAtOnce bound the announcement of a drain.
 	announceTimeout = 2 * time.Second
 	announceAtOnce  = 32
@@ -246,24 +250,35 @@
 
 // pushes passes news to all neighbours at once rather than at the next pings.
 func (m *Members) pushes(ctx context.Context) {
+	pause, pushed := pushPause, time.Time{}
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case <-m.urgent:
 		}
+		pause = nextPause(pause, m.clock.Since(pushed))
 		m.mu.Lock()
 		neighbours := m.table.Neighbours()
 		m.mu.Unlock()
 		m.pingAll(ctx, neighbours, pingTimeout)
+		pushed = m.clock.Now()
 		select {
 		case <-ctx.Done():
 			return
-		case <-m.clock.After(pushPause):
+		case <-m.clock.After(pause):
 		}
 	}
 }
 
+// nextPause doubles the pause when news came within it, or within as much again.
+func nextPause(pause, quiet time.Duration) time.Duration {
+	if quiet > 2*pause {
+		return pushPause
+	}
+	return min(2*pause, maxPushPause)
+}
+
 // pingAll returns how many did not answer.
 func (m *Members) pingAll(ctx context.Context, nodes []*recordv1.NodeInfo, limit time.Duration) int {
 	var group errgroup.Group
