Put a delay between the regions in the fleet's experiment, and count crossings

Acceptance everywhere had been measured on loopback without delay. The experiment now delays datagrams and log calls between the regions (--delay), and counts how often each change is read over the link.

--- a/cmd/lavenderbench/fleet.go
+++ b/cmd/lavenderbench/fleet.go
@@ -15,6 +15,7 @@
 	Length  time.Duration `help:"Time to measure for." default:"20s"`
 	Changes int           `help:"Changes made at each size; 0 for none." default:"0"`
 	Pause   time.Duration `help:"Time between two changes." default:"50ms"`
+	Delay   time.Duration `help:"One-way delay between the two regions, for datagrams and the log." default:"0s"`
 }
 
 // Run prints the tables.
@@ -23,14 +24,14 @@
 	var spreads []fleet.Spread
 	for _, size := range c.Sizes {
 		if c.Changes > 0 {
-			spread, err := fleet.MeasureSpread(size, c.Changes, c.Pause)
+			spread, err := fleet.MeasureSpread(size, c.Changes, c.Delay, c.Pause)
 			if err != nil {
 				return errors.Trace(err)
 			}
 			spreads = append(spreads, spread)
 			continue
 		}
-		cost, err := fleet.MeasureCost(size, c.Rest, c.Length)
+		cost, err := fleet.MeasureCost(size, c.Delay, c.Rest, c.Length)
 		if err != nil {
 			return errors.Trace(err)
 		}
--- a/internal/experiment/fleet/cluster.go
+++ b/internal/experiment/fleet/cluster.go
@@ -43,18 +43,22 @@
 	logs    []*countingLog
 	callers []*countingCaller
 	regions sync.Map // from socket address to region
-	cancel  context.CancelFunc
-	running sync.WaitGroup
+	// delay is how long the way between the regions takes.
+	delay     time.Duration
+	crossings *crossings
+	cancel    context.CancelFunc
+	running   sync.WaitGroup
 }
 
-// Start starts a fleet and waits until every node hands out the addresses of all.
-func Start(count int) (*Cluster, error) {
+// Start starts a fleet whose regions are a delay apart, and waits until every node hands
+// out the addresses of all.
+func Start(count int, delay time.Duration) (*Cluster, error) {
 	authority, err := tlskeys.NewAuthority(time.Now(), keyValidity)
 	if err != nil {
 		return nil, errors.Trace(err)
 	}
 	ctx, cancel := context.WithCancel(context.Background())
-	c := &Cluster{Log: standin.NewLog(), cancel: cancel}
+	c := &Cluster{Log: standin.NewLog(), cancel: cancel, delay: delay, crossings: &crossings{times: map[string]int{}}}
 	for i := range count {
 		if err := c.start(ctx, authority, i); err != nil {
 			c.Stop()
@@ -86,13 +90,17 @@
 	}
 	place := places[i%len(places)]
 	c.regions.Store(udp.LocalAddr().String(), place.region)
-	socket := &countingConn{PacketConn: udp, remote: func(to net.Addr) bool {
-		region, known := c.regions.Load(to.String())
+	remote := func(address string) bool {
+		region, known := c.regions.Load(address)
 		return known && region != place.region
-	}}
+	}
+	socket := &countingConn{PacketConn: udp, remote: func(to net.Addr) bool { return remote(to.String()) }, delay: c.delay}
 	counted := &countingLog{Log: c.Log}
+	if place.region != logRegion {
+		counted.delay, counted.crossings = c.delay, c.crossings
+	}
 	transport := peer.NewQUIC(socket, peerTLS)
-	caller := &countingCaller{Caller: transport}
+	caller := &countingCaller{Caller: transport, remote: remote, crossings: c.crossings}
 	settings := node.DefaultSettings()
 	settings.Region, settings.DataCentre = place.region, place.centre
 	settings.PeerAddress = udp.LocalAddr().String()
--- a/internal/experiment/fleet/cost.go
+++ b/internal/experiment/fleet/cost.go
@@ -34,9 +34,9 @@
 
 // MeasureCost runs a fleet of count nodes and measures it for a time, after it came
 // to rest. The process must run nothing else.
-func MeasureCost(count int, rest, length time.Duration) (Cost, error) {
+func MeasureCost(count int, delay, rest, length time.Duration) (Cost, error) {
 	before := memory()
-	c, err := Start(count)
+	c, err := Start(count, delay)
 	if err != nil {
 		return Cost{}, errors.Trace(err)
 	}
--- a/internal/experiment/fleet/countingcaller.go
+++ b/internal/experiment/fleet/countingcaller.go
@@ -18,6 +18,9 @@
 type countingCaller struct {
 	peer.Caller
 	pings, reads, others callCount
+	// remote tells whether an address is in the other region.
+	remote    func(address string) bool
+	crossings *crossings
 }
 
 // Call implements peer.Caller.
@@ -30,6 +33,11 @@
 	case *fleetv1.Request_LogRead:
 		count = &c.reads
 	}
+	if c.remote(address) {
+		for _, entry := range response.GetLogSlice().GetRecords() {
+			c.crossings.add(entry.GetData())
+		}
+	}
 	count.calls.Add(1)
 	count.bytes.Add(int64(proto.Size(request) + proto.Size(response)))
 	return response, err
--- a/internal/experiment/fleet/countingconn.go
+++ b/internal/experiment/fleet/countingconn.go
@@ -2,7 +2,9 @@
 
 import (
 	"net"
+	"slices"
 	"sync/atomic"
+	"time"
 )
 
 // datagramOverhead is the IPv4 and UDP headers of a datagram.
@@ -18,17 +20,26 @@
 	// crossed counts what was sent to the other region.
 	crossed atomic.Int64
 	remote  func(net.Addr) bool
+	// delay is how long a datagram to the other region takes.
+	delay time.Duration
 }
 
 // WriteTo implements net.PacketConn.
 func (c *countingConn) WriteTo(p []byte, to net.Addr) (int, error) {
-	n, err := c.PacketConn.WriteTo(p, to)
-	c.sent.Add(int64(n) + datagramOverhead)
+	size := int64(len(p)) + datagramOverhead
+	c.sent.Add(size)
 	c.datagrams.Add(1)
-	if c.remote(to) {
-		c.crossed.Add(int64(n) + datagramOverhead)
+	if !c.remote(to) {
+		return c.PacketConn.WriteTo(p, to)
 	}
-	return n, err
+	c.crossed.Add(size)
+	if c.delay == 0 {
+		return c.PacketConn.WriteTo(p, to)
+	}
+	late := slices.Clone(p)
+	// A datagram that can't be sent any more is lost, as on a link.
+	time.AfterFunc(c.delay, func() { _, _ = c.PacketConn.WriteTo(late, to) })
+	return len(p), nil
 }
 
 // ReadFrom implements net.PacketConn.
--- a/internal/experiment/fleet/report.go
+++ b/internal/experiment/fleet/report.go
@@ -63,11 +63,11 @@
 
 // WriteSpread writes one row for each fleet.
 func WriteSpread(w io.Writer, spreads []Spread) error {
-	_, err := fmt.Fprintln(w, "| Nodes | Changes | Accepted p50 / p99 ms | In force p50 / p99 / max ms | On the last node p99 ms | Bytes between regions a change |\n|---|---|---|---|---|---|")
+	_, err := fmt.Fprintln(w, "| Nodes | Changes | Accepted p50 / p99 ms | In force p50 / p99 / max ms | On the last node p99 ms | Bytes between regions a change | Read over the link once | Most reads over it |\n|---|---|---|---|---|---|---|---|")
 	for _, s := range spreads {
 		if err == nil {
-			_, err = fmt.Fprintf(w, "| %d | %d | %.1f / %.1f | %.1f / %.1f / %.1f | %.1f | %.0f |\n", s.Nodes, s.Changes,
-				at(s.Accepted, 50), at(s.Accepted, 99), at(s.InForce, 50), at(s.InForce, 99), at(s.InForce, 100), at(s.Everywhere, 99), s.CrossBytes)
+			_, err = fmt.Fprintf(w, "| %d | %d | %.1f / %.1f | %.1f / %.1f / %.1f | %.1f | %.0f | %d | %d |\n", s.Nodes, s.Changes,
+				at(s.Accepted, 50), at(s.Accepted, 99), at(s.InForce, 50), at(s.InForce, 99), at(s.InForce, 100), at(s.Everywhere, 99), s.CrossBytes, s.Once, s.Most)
 		}
 	}
 	return errors.Trace(err)
--- a/internal/experiment/fleet/spread.go
+++ b/internal/experiment/fleet/spread.go
@@ -29,11 +29,14 @@
 	// CrossBytes is what crossed between the regions for each change beyond what the
 	// fleet sends without changes.
 	CrossBytes float64
+	// Once is how many of the changes were read over the link exactly once, and Most is
+	// how often the one was that was read most.
+	Once, Most int
 }
 
 // MeasureSpread makes changes one after the other, at nodes in turn.
-func MeasureSpread(count, changes int, pause time.Duration) (Spread, error) {
-	c, err := Start(count)
+func MeasureSpread(count, changes int, delay, pause time.Duration) (Spread, error) {
+	c, err := Start(count, delay)
 	if err != nil {
 		return Spread{}, errors.Trace(err)
 	}
@@ -51,6 +54,7 @@
 	}
 	after, _ := c.total()
 	s.CrossBytes = (after.crossed - before.crossed - quiet*time.Since(started).Seconds()) / float64(changes)
+	s.Once, s.Most = c.crossings.once()
 	return s, nil
 }
 
