--- a/node/fleet_test.go
+++ b/node/fleet_test.go
@@ -22,6 +22,7 @@
 	"lavenderpin.dev/lavenderpin/platform"
 	"lavenderpin.dev/lavenderpin/result"
 	"lavenderpin.dev/lavenderpin/snapshot"
+	"lavenderpin.dev/lavenderpin/upstream"
 )
 
 // smallFleet is nodes in one process over stand-ins, in the fake time of a synctest
@@ -31,6 +32,9 @@
 	log       *standin.Log
 	instances *standin.Instances
 	policy    snapshot.Policy
+	// list and upstreams, when set, take the place of instances and of no upstreams.
+	list      platform.Instances
+	upstreams upstream.Client
 
 	mu    sync.Mutex
 	count int
@@ -73,8 +77,12 @@
 	f.count++
 	name := fmt.Sprintf("n%d-%d", i, f.count)
 	f.mu.Unlock()
+	var list platform.Instances = f.instances
+	if f.list != nil {
+		list = f.list
+	}
 	n, err := New(settings, Deps{
-		Clock: clockwork.NewRealClock(), Log: f.log, Instances: f.instances, Peers: f,
+		Clock: clockwork.NewRealClock(), Log: f.log, Instances: list, Peers: f, Upstreams: f.upstreams,
 		Logger: golog.NewNopLogger(), NewIncarnation: func() string { return name },
 	})
 	if err != nil {
