--- a/internal/experiment/fleet/report.go
+++ b/internal/experiment/fleet/report.go
@@ -27,6 +27,21 @@
 	if err == nil && len(costs) > 1 {
 		err = writeCost(w, fmt.Sprint(projected, " (projected)"), project(costs[len(costs)-2], costs[len(costs)-1]))
 	}
+	if err == nil {
+		err = writeParts(w, costs)
+	}
+	return errors.Trace(err)
+}
+
+// writeParts writes what the peer bytes consist of.
+func writeParts(w io.Writer, costs []Cost) error {
+	_, err := fmt.Fprintln(w, "\n| Nodes | Datagrams/s sent | Pings/s | Log reads/s | In pings B/s | In log reads B/s | In others B/s | Framing and headers B/s |\n|---|---|---|---|---|---|---|---|")
+	for _, c := range costs {
+		if err == nil {
+			_, err = fmt.Fprintf(w, "| %d | %.1f | %.2f | %.2f | %.0f | %.0f | %.0f | %.0f |\n", c.Nodes, c.Datagrams, c.Pings, c.Reads,
+				c.PingBytes, c.ReadBytes, c.OtherBytes, c.PeerBytes-c.PingBytes-c.ReadBytes-c.OtherBytes)
+		}
+	}
 	return errors.Trace(err)
 }
 
@@ -48,11 +63,11 @@
 
 // WriteSpread writes one row for each fleet.
 func WriteSpread(w io.Writer, spreads []Spread) error {
-	_, err := fmt.Fprintln(w, "| Nodes | Changes | Accepted p50 / p99 ms | In force p50 / p99 / max ms | On the last node p99 ms | Bytes between regions a change |\n|---|---|---|---|---|---|")
+	_, err := fmt.Fprintln(w, "| Nodes | Changes | Accepted p50 / p99 ms | In force p50 / p99 / max ms | On the last node p99 ms | Bytes between regions a change | Read over the link once | Most reads over it |\n|---|---|---|---|---|---|---|---|")
 	for _, s := range spreads {
 		if err == nil {
-			_, err = fmt.Fprintf(w, "| %d | %d | %.1f / %.1f | %.1f / %.1f / %.1f | %.1f | %.0f |\n", s.Nodes, s.Changes,
-				at(s.Accepted, 50), at(s.Accepted, 99), at(s.InForce, 50), at(s.InForce, 99), at(s.InForce, 100), at(s.Everywhere, 99), s.CrossBytes)
+			_, err = fmt.Fprintf(w, "| %d | %d | %.1f / %.1f | %.1f / %.1f / %.1f | %.1f | %.0f | %d | %d |\n", s.Nodes, s.Changes,
+				at(s.Accepted, 50), at(s.Accepted, 99), at(s.InForce, 50), at(s.InForce, 99), at(s.InForce, 100), at(s.Everywhere, 99), s.CrossBytes, s.Once, s.Most)
 		}
 	}
 	return errors.Trace(err)
