Hand a request's priority to its engine

Cause: admission ordered an account's requests by priority, but nobody set it, and the engine got a header that is always 0. Worse, a "priority" in a caller's body went to the engine as it came, so any caller could put itself before all others. Ruled out: passing the caller's own figure within bounds (it would still decide over other accounts); a header (engines read the body). Change: an account declares a priority (-10 to 10, higher first). A request may ask for a lower one in its body and never gets a higher. The body's field is always taken out and set anew in the order that the service declares for its engines (priority_order; not sent without). The stand-in engine has slots and a queue by priority. routing.LeastInFlight, whose only use was an error in a test, goes with it: the test's picker returns the same error itself. Tests: TestACallerCantRaiseItsPriority, TestALowPriorityFloodDoesNotDelayAnUrgentRequest (fails when the field isn't sent: tried).

--- a/config/validate.go
+++ b/config/validate.go
@@ -10,6 +10,12 @@
 	"lavenderpin.dev/lavenderpin/result"
 )
 
+// The priorities that an account may be given.
+const (
+	LeastPriority = -10
+	MostPriority  = 10
+)
+
 // ValidateChanges checks each resource by itself and names every mistake with its
 // place; the error has code InvalidResource.
 func ValidateChanges(changes []*operatorv1.Change) error {
@@ -36,6 +42,8 @@
 	switch kind := r.GetKind().(type) {
 	case *operatorv1.Resource_Account:
 		v.sums("key_sha256", kind.Account.GetKeySha256()...)
+		priority := kind.Account.GetPriority()
+		v.require("priority", priority >= LeastPriority && priority <= MostPriority, "isn't from -10 to 10")
 	case *operatorv1.Resource_Budget:
 		v.require("account", kind.Budget.GetAccount() != "", "is empty")
 		v.require("services", len(kind.Budget.GetServices()) > 0, "is empty")
@@ -76,6 +84,7 @@
 		v.require("calls", len(s.GetCalls()) == 0, "is for plain services")
 	case operatorv1.ServiceKind_SERVICE_KIND_PLAIN:
 		v.require("models", len(s.GetModels()) == 0, "is for engines")
+		v.require("priority_order", s.GetPriorityOrder() == operatorv1.PriorityOrder_PRIORITY_ORDER_UNSPECIFIED, "is for engines")
 	default:
 		v.require("kind", false, "is not set")
 	}
--- a/internal/standin/engine.go
+++ b/internal/standin/engine.go
@@ -36,6 +36,9 @@
 	// HangAfter makes the engine go silent after so many tokens; 0 never.
 	HangAfter int
 
+	// Slots is how many requests run at a time; others wait, the lowest priority number
+	// first. 0 for no bound.
+	Slots int
 	// LoadLag is how old the engine's load reports get.
 	LoadLag time.Duration
 	// Vary puts this text before each word, so that engines answer differently.
@@ -57,6 +60,7 @@
 	counted   map[string]engineUsage
 	models    engineModels
 	load      *engineLoad
+	queue     *engineQueue
 	streams   map[string]*engineStream
 	// streamIDs lists the streams kept, the oldest first.
 	streamIDs []string
@@ -72,7 +76,8 @@
 // NewEngine returns an engine that serves on the listener once Run is called.
 func NewEngine(listener net.Listener, options EngineOptions) *Engine {
 	e := &Engine{options: options, cancelled: map[string]bool{}, served: map[string]int{},
-		counted: map[string]engineUsage{}, streams: map[string]*engineStream{}, load: newEngineLoad()}
+		counted: map[string]engineUsage{}, streams: map[string]*engineStream{}, load: newEngineLoad(),
+		queue: &engineQueue{slots: options.Slots}}
 	e.server = newServer(listener)
 	e.server.POST("/v1/chat/completions", e.chat)
 	e.server.POST("/v1/cancel", e.cancel)
@@ -108,7 +113,9 @@
 type engineRequest struct {
 	Model     string `json:"model"`
 	MaxTokens int    `json:"max_tokens"`
-	Messages  []struct {
+	// Priority: lower goes first, as in common engines.
+	Priority int `json:"priority"`
+	Messages []struct {
 		Content string `json:"content"`
 	} `json:"messages"`
 }
@@ -159,6 +166,12 @@
 // generate writes the answer into the stream, at the engine's pace.
 func (e *Engine) generate(id, answerID string, r *engineRequest, stream *engineStream) {
 	answer, promptTokens := r.words()
+	if !e.awaitSlot(id, r.Priority) {
+		e.count(id, "finished", 0, 0)
+		stream.end(true)
+		return
+	}
+	defer e.queue.leave()
 	e.load.began(r)
 	defer e.load.ended()
 	e.count(id, "running", promptTokens, 0)
@@ -282,6 +295,7 @@
 	e.mu.Lock()
 	e.cancelled[id] = true
 	e.mu.Unlock()
+	e.queue.drop(id)
 	c.Header("X-Request-Id", id)
 	c.String(200, "cancelled")
 }
--- a/internal/standin/engineload.go
+++ b/internal/standin/engineload.go
@@ -26,6 +26,7 @@
 	mu       sync.Mutex
 	running  int
 	sampled  int
+	waiting  int
 	at       time.Time
 	blocks   map[uint64]bool
 	order    []uint64
@@ -98,13 +99,13 @@
 }
 
 // report returns the load as it was at the latest sample.
-func (l *engineLoad) report(now time.Time, lag time.Duration) engineLoadReport {
+func (l *engineLoad) report(now time.Time, lag time.Duration, waiting int) engineLoadReport {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if now.Sub(l.at) >= lag {
-		l.sampled, l.at = l.running, now
+		l.sampled, l.waiting, l.at = l.running, waiting, now
 	}
-	return engineLoadReport{Running: l.sampled, AgeMS: now.Sub(l.at).Milliseconds(),
+	return engineLoadReport{Running: l.sampled, Waiting: l.waiting, AgeMS: now.Sub(l.at).Milliseconds(),
 		MemoryUsed: float64(len(l.order)) / cachedBlocks}
 }
 
@@ -121,7 +122,7 @@
 }
 
 func (e *Engine) reportLoad(_ context.Context, c *app.RequestContext) {
-	e.answer(c, e.load.report(time.Now(), e.options.LoadLag))
+	e.answer(c, e.load.report(time.Now(), e.options.LoadLag, e.queue.length()))
 }
 
 func (e *Engine) reportCacheEvents(_ context.Context, c *app.RequestContext) {
--- a/request/ask.go
+++ b/request/ask.go
@@ -20,7 +20,7 @@
 // askOf describes a request of an account to admission and routing.
 func (s *Server) askOf(ctx context.Context, account *operatorv1.Account, service *operatorv1.Service) routing.Ask {
 	ask := routing.Ask{Service: service.GetName(), Region: s.Region,
-		Account: account.GetName(), Team: account.GetTeam(), Weight: account.GetWeight()}
+		Account: account.GetName(), Team: account.GetTeam(), Weight: account.GetWeight(), Priority: int(account.GetPriority())}
 	ask.Deadline, _ = ctx.Deadline()
 	return ask
 }
--- a/request/bench_test.go
+++ b/request/bench_test.go
@@ -151,7 +151,7 @@
 			return routing.Pick{Upstream: c, Done: func(error) {}}, nil
 		}
 	}
-	return (&routing.LeastInFlight{}).Pick(ask, nil)
+	return routing.Pick{}, result.New(result.NoUpstream, "no upstream of %s is left to try", ask.Service)
 }
 
 // settled returns what was billed, in tokens, and checks that nothing stays reserved.
@@ -216,3 +216,11 @@
 func chatCall(body []byte) ChatCall { return ChatCall{Key: testKey, Body: body} }
 
 func chunkNumber(n uint64) upstream.Chunk { return upstream.Chunk{Number: n} }
+
+// idSink is a caller that keeps its request's id.
+type idSink struct {
+	testSink
+	id string
+}
+
+func (s *idSink) Start(id budget.RequestID, _ string) { s.id = id.String() }
--- a/request/chat.go
+++ b/request/chat.go
@@ -76,11 +76,14 @@
 	if err != nil {
 		return nil, err
 	}
+	priority := body.priorityWithin(run.account)
+	body.setPriority(run.service.GetPriorityOrder(), priority)
 	if run.body, err = body.forEngine(limit); err != nil {
 		return nil, result.New(result.MalformedRequest, "%v", err)
 	}
 	tokens := body.promptBound() + limit
 	run.prompt = s.askOf(ctx, run.account, run.service)
+	run.prompt.Priority = priority
 	run.prompt.Model, run.prompt.AnswerTokens = run.model, int(limit)
 	body.describe(&run.prompt)
 	release, err := s.admit(ctx, run.prompt)
--- a/request/chatbody.go
+++ b/request/chatbody.go
@@ -26,6 +26,7 @@
 	fieldChoices       = "n"
 	fieldBestOf        = "best_of"
 	fieldStreamOptions = "stream_options"
+	fieldPriority      = "priority"
 )
 
 // chatBody is a completion request as the router understands it.
@@ -39,6 +40,8 @@
 	fields   map[string]json.RawMessage
 	messages []json.RawMessage
 	bound    uint64
+	// priority is what the caller asks for; nil when it names none.
+	priority *int64
 }
 
 // parseChat reads a body. It refuses what it can't bound in tokens.
@@ -50,7 +53,7 @@
 	if json.Unmarshal(body, &b.fields) != nil || b.fields == nil {
 		return nil, result.New(result.MalformedRequest, "the body isn't a JSON object")
 	}
-	for _, read := range []func() error{b.readModel, b.readStream, b.readChoices, b.readMessages} {
+	for _, read := range []func() error{b.readModel, b.readStream, b.readChoices, b.readPriority, b.readMessages} {
 		if err := read(); err != nil {
 			return nil, err
 		}
--- a/upstream/client.go
+++ b/upstream/client.go
@@ -12,8 +12,6 @@
 	ID string
 	// Body is the OpenAI-style request body, with streaming and usage switched on.
 	Body []byte
-	// Priority orders requests within an engine: higher goes first.
-	Priority int
 }
 
 // ChatStream is an answer in progress. Close must be called once.
--- a/upstream/http.go
+++ b/upstream/http.go
@@ -5,7 +5,6 @@
 	"encoding/json"
 	"io"
 	"net"
-	"strconv"
 	"time"
 
 	"github.com/cloudwego/hertz/pkg/app/client"
@@ -39,11 +38,8 @@
 	maxAnswer = 8 << 20
 )
 
-// Header names that upstreams must echo or understand.
-const (
-	HeaderRequestID = "X-Request-Id"
-	HeaderPriority  = "X-Priority"
-)
+// HeaderRequestID names a request; upstreams must echo it.
+const HeaderRequestID = "X-Request-Id"
 
 // HTTPClient implements Client.
 type HTTPClient struct {
@@ -94,7 +90,6 @@
 	request.SetRequestURI("http://" + to.GetAddress() + "/v1/chat/completions")
 	request.Header.SetContentTypeBytes([]byte("application/json"))
 	request.Header.Set(HeaderRequestID, r.ID)
-	request.Header.Set(HeaderPriority, strconv.Itoa(r.Priority))
 	request.SetBody(r.Body)
 	return c.stream(ctx, to, request, r.ID, 0)
 }
