Cover prompts by declared bounds of tokens where operators give them

Cause: a prompt's bytes were taken as its tokens, about four times too many: near a budget's end requests were refused that would have fitted. Change: an engine service may declare max_tokens_per_kib and max_context_tokens. An engine's count above them is event 504; the node then charges what is missing as far as the budget has it, and goes back to bytes until the declaration is changed. Undeclared, nothing changes. Billed is never above prepaid. What a nearly spent budget lacks is named as unpaid.

--- a/config/validate.go
+++ b/config/validate.go
@@ -16,6 +16,9 @@
 	MostPriority  = 10
 )
 
+// mostTokensPerKiB is one token per byte: no text has more.
+const mostTokensPerKiB = 1024
+
 // ValidateChanges checks each resource by itself and names every mistake with its
 // place; the error has code InvalidResource.
 func ValidateChanges(changes []*operatorv1.Change) error {
@@ -82,8 +85,11 @@
 	case operatorv1.ServiceKind_SERVICE_KIND_ENGINE:
 		v.require("models", len(s.GetModels()) > 0, "is empty")
 		v.require("calls", len(s.GetCalls()) == 0, "is for plain services")
+		v.require("max_tokens_per_kib", s.GetMaxTokensPerKib() <= mostTokensPerKiB, "is more than one token per byte")
 	case operatorv1.ServiceKind_SERVICE_KIND_PLAIN:
 		v.require("models", len(s.GetModels()) == 0, "is for engines")
+		v.require("max_context_tokens", s.GetMaxContextTokens() == 0, "is for engines")
+		v.require("max_tokens_per_kib", s.GetMaxTokensPerKib() == 0, "is for engines")
 		v.require("priority_order", s.GetPriorityOrder() == operatorv1.PriorityOrder_PRIORITY_ORDER_UNSPECIFIED, "is for engines")
 	default:
 		v.require("kind", false, "is not set")
--- a/request/chat.go
+++ b/request/chat.go
@@ -81,7 +81,7 @@
 	if run.body, err = body.forEngine(limit); err != nil {
 		return nil, result.New(result.MalformedRequest, "%v", err)
 	}
-	tokens := body.promptBound() + limit
+	run.bound = body.tokenBound(limitsOf(run.service), limit)
 	run.prompt = s.askOf(ctx, run.account, run.service)
 	run.prompt.Priority = priority
 	run.prompt.Model, run.prompt.AnswerTokens = run.model, int(limit)
@@ -90,7 +90,7 @@
 	if err != nil {
 		return nil, err
 	}
-	run.grant, err = s.reserve(ctx, s.Config(), run.account.GetName(), run.service.GetName(), tokens)
+	run.grant, err = s.reserveChat(ctx, run)
 	if err != nil {
 		release()
 		return nil, err
--- a/request/chatrun.go
+++ b/request/chatrun.go
@@ -24,8 +24,11 @@
 	model   string
 	body    []byte
 	grant   budget.Grant
-	sink    Sink
-	reader  reader
+	bound   tokenBound
+	// reserved is how many tokens the grant covers.
+	reserved uint64
+	sink     Sink
+	reader   reader
 
 	started bool
 	usage   upstream.Usage
@@ -283,10 +286,13 @@
 	switch {
 	case err == nil:
 		r.grant.Finish(r.usage.Total())
+		r.checkBound(r.usage)
 		r.server.Events.Record(event.RequestFinished, "request", id, "tokens", r.usage.Total())
 	case isLeft(err) || r.reader.hasMoved():
-		tokens := r.stopAndCount()
+		used := r.stopAndCount()
+		tokens := used.Total()
 		r.grant.Finish(tokens)
+		r.checkBound(used)
 		r.server.Events.Record(event.CallerLeft, "request", id, "tokens", tokens)
 	default:
 		if r.to != nil {
@@ -299,18 +305,18 @@
 
 // stopAndCount cancels the completion and returns what the engine had counted by
 // then, or what was delivered when the engine doesn't tell.
-func (r *chatRun) stopAndCount() uint64 {
+func (r *chatRun) stopAndCount() upstream.Usage {
 	if r.to == nil {
-		return 0
+		return upstream.Usage{}
 	}
 	r.cancel(r.to)
 	ctx, done := clockwork.WithTimeout(context.Background(), r.server.Clock, cancelTimeout)
 	defer done()
 	report, err := r.server.Client.Usage(ctx, r.to, r.grant.Request().String())
 	if err != nil || report.State == upstream.UsageUnknown {
-		return r.delivered
+		return upstream.Usage{CompletionTokens: r.delivered}
 	}
-	return report.Total()
+	return report.Usage
 }
 
 // MoveStream notes that the caller of a completion on this node reads on at another
--- a/request/server.go
+++ b/request/server.go
@@ -53,6 +53,7 @@
 	Peers Peers
 
 	inFlight atomic.Int64
+	wrong    wrongLimits
 	// streams holds the completions that run, by request id.
 	streams sync.Map
 }
