Read one resource at each sample of the checker, not the whole configuration

The harness looked four times a virtual second at each node for the version of one upstream, and unpacked every resource for it. config.View.Versioned reads one. TestIndexesFollowTheResources now also holds it against the whole list.

--- a/config/view.go
+++ b/config/view.go
@@ -151,6 +151,15 @@
 	return found
 }
 
+// Versioned returns one resource with its version; nil when there is none.
+func (v *View) Versioned(key Key) *operatorv1.VersionedResource {
+	held, found := v.resources.Get(key.String())
+	if !found {
+		return nil
+	}
+	return &operatorv1.VersionedResource{Version: held.version, Resource: held.unpack()}
+}
+
 // All returns every resource with its version, sorted by kind and name. It unpacks
 // them all: for operators, not for what runs often.
 func (v *View) All() []*operatorv1.VersionedResource {
--- a/config/view_test.go
+++ b/config/view_test.go
@@ -52,6 +52,10 @@
 func checkIndexes(t *rapid.T, v *View) {
 	upstreams, services, tokens := map[string]bool{}, map[string]bool{}, map[string]bool{}
 	for _, held := range v.All() {
+		key, _ := KeyOf(held.GetResource())
+		if !proto.Equal(v.Versioned(key), held) {
+			t.Fatalf("%s alone is not what the list has", key)
+		}
 		r := held.GetResource()
 		upstreams[r.GetUpstream().GetName()] = true
 		services[r.GetService().GetName()] = true
--- a/internal/check/callers.go
+++ b/internal/check/callers.go
@@ -183,12 +183,7 @@
 
 // underTest returns the resource whose changes are watched, nil when it is absent.
 func underTest(view *config.View) *operatorv1.VersionedResource {
-	for _, r := range view.All() {
-		if r.GetResource().GetUpstream().GetName() == spareUpstream {
-			return r
-		}
-	}
-	return nil
+	return view.Versioned(config.Key{Kind: config.KindUpstream, Name: spareUpstream})
 }
 
 // sample records what each live node has in force, until done is closed.
