Let the harness's engines publish cache events, late and with gaps

The matrix's row "cache events with gaps" was 18 cells "not built", since the fake engines published none. They now do, over the interface that nodes read; the fault delays them by 3 s, loses one of three and kills the engine that holds most. New rule: an engine's death alone costs no answer, and nodes stop sending there but for probes. Load reports are served too. Before, the fakes took a node's reads of load for plain calls: the step "plain call" was struck at such a read, and services counted them as runs. Ruled out: preambles for every account and drawn preambles; both moved the history away from the share moves that two cells strike at.

--- a/internal/check/cell.go
+++ b/internal/check/cell.go
@@ -95,6 +95,7 @@
 func (r *cellRun) play() (*Record, error) {
 	h := r.harness
 	r.counts, r.struck = map[int]int{}, map[int]bool{}
+	h.sharedPrompts = r.sharesPrompts()
 	if err := h.Start(DefaultTiming(), RegionHome, RegionHome, RegionAway); err != nil {
 		h.Stop()
 		return nil, err
@@ -162,6 +163,20 @@
 	return false
 }
 
+func (r *cellRun) sharesPrompts() bool {
+	for _, s := range r.cell.Strikes {
+		if s.Fault.SharedPrompts {
+			return true
+		}
+	}
+	return false
+}
+
+// killsEngineAlone tells that nothing but an engine's death goes wrong.
+func (r *cellRun) killsEngineAlone() bool {
+	return len(r.cell.Strikes) == 1 && r.cell.Strikes[0].Fault.KillsEngine
+}
+
 func (r *cellRun) takes(step fake.Step) bool {
 	for _, s := range r.cell.Strikes {
 		if s.Step == step {
@@ -253,6 +268,7 @@
 	record := h.collect()
 	record.Finals = h.finals(probes)
 	record.Stuck = stuck
+	record.EngineDiedAlone = r.killsEngineAlone()
 	return record
 }
 
--- a/internal/check/fault.go
+++ b/internal/check/fault.go
@@ -17,6 +17,9 @@
 	keptRecords = 90
 	callRepeats = 6
 	raceRounds  = 4
+	// cacheDelay and cacheLoss make cache events late and one of three lost.
+	cacheDelay = 3 * time.Second
+	cacheLoss  = 3
 )
 
 // Fault is something of the brief that goes wrong.
@@ -28,6 +31,11 @@
 	NeedsList bool
 	// CutsAnswers tells that the fault by itself cuts answers on their way.
 	CutsAnswers bool
+	// SharedPrompts gives the callers' prompts long common beginnings, which engines
+	// cache.
+	SharedPrompts bool
+	// KillsEngine tells that an engine dies, while others in its region serve on.
+	KillsEngine bool
 	// Lasts is how long until heal; 0 for a fault that is over at once.
 	Lasts  time.Duration
 	strike func(h *Harness, m *Member)
@@ -68,7 +76,8 @@
 				h.Store.Keep(keptRecords)
 				m.Kill()
 			}, heal: restarted},
-		{Name: "cache events with gaps", Needs: []fake.Step{stepCacheEvent}, strike: func(*Harness, *Member) {}},
+		{Name: "cache events with gaps", Needs: []fake.Step{fake.StepCacheEvent, fake.StepCacheGap}, SharedPrompts: true, KillsEngine: true,
+			Lasts: outage, strike: blurCaches, heal: clearCaches},
 		{Name: "engine crosses answers", CutsAnswers: true, Lasts: engineFault, strike: setFaults(fake.UpstreamFaults{Cross: true}), heal: noFaults},
 		{Name: "engine cuts answers", CutsAnswers: true, Lasts: engineFault, strike: setFaults(fake.UpstreamFaults{CutAfter: 3}), heal: noFaults},
 		{Name: "engine ignores fencing", CutsAnswers: true, Needs: []fake.Step{fake.StepOrder}, Lasts: pastRight,
@@ -85,9 +94,6 @@
 	}
 }
 
-// stepCacheEvent isn't taken by any node yet.
-const stepCacheEvent fake.Step = "cache event"
-
 func restarted(_ *Harness, m *Member) { m.Restart() }
 
 func healed(h *Harness, _ *Member) { h.Network.Heal() }
@@ -98,6 +104,23 @@
 	return func(h *Harness, _ *Member) { h.Upstreams.SetFaults(f) }
 }
 
+// blurCaches delays and loses cache events, and kills the engine that nodes believe to
+// hold most. What they believe of it stays: no event takes it back.
+func blurCaches(h *Harness, _ *Member) {
+	h.Upstreams.SetCacheFaults(fake.CacheFaults{Delay: cacheDelay, LoseEvery: cacheLoss})
+	if engine := h.Upstreams.BusiestCache(homeEngines()); engine != "" {
+		h.Upstreams.KillEngine(engine)
+	}
+}
+
+// clearCaches starts the engine again, with an empty cache.
+func clearCaches(h *Harness, _ *Member) {
+	h.Upstreams.SetCacheFaults(fake.CacheFaults{})
+	for _, engine := range homeEngines() {
+		h.Upstreams.ReviveEngine(engine)
+	}
+}
+
 func (h *Harness) slowLog(delay time.Duration) {
 	for _, m := range h.Members {
 		m.Log().SetDelay(delay)
--- a/internal/check/harness.go
+++ b/internal/check/harness.go
@@ -78,7 +78,9 @@
 	onStart func(*Member)
 	// nodeClock plants a defective clock; nil otherwise.
 	nodeClock func(address string) clockwork.Clock
-	strike    atomic.Pointer[fake.Probe]
+	// sharedPrompts gives prompts common beginnings.
+	sharedPrompts bool
+	strike        atomic.Pointer[fake.Probe]
 
 	mu        sync.Mutex
 	recorders []*event.Recorder
--- a/internal/check/judge.go
+++ b/internal/check/judge.go
@@ -46,6 +46,7 @@
 	j.configuration()
 	j.orders()
 	j.drains()
+	j.engineDeaths()
 	j.recovery()
 	j.linearizable()
 	return j.faults
--- a/internal/check/record.go
+++ b/internal/check/record.go
@@ -35,6 +35,12 @@
 	EngineRuns  []fake.EngineRun
 	ServiceRuns []fake.ServiceRun
 	Orders      []fake.EngineOrder
+	// EngineDeaths are spans in which engines were gone, Attempts the completions that
+	// nodes tried to send to any engine.
+	EngineDeaths []fake.EngineDeath
+	Attempts     []fake.Attempt
+	// EngineDiedAlone tells that nothing went wrong but an engine's death.
+	EngineDiedAlone bool
 	// Parts links requests to what peers reserved for them.
 	Parts  []fake.Part
 	Finals []FinalState
@@ -61,7 +67,8 @@
 // collect takes the record of a history that has ended.
 func (h *Harness) collect() *Record {
 	r := &Record{Began: h.began, Log: h.Archive.Records(), EngineRuns: h.Upstreams.Runs(), ServiceRuns: h.Upstreams.Calls(),
-		Parts: h.Network.Parts(), Orders: h.Upstreams.Orders()}
+		Parts: h.Network.Parts(), Orders: h.Upstreams.Orders(),
+		EngineDeaths: h.Upstreams.Deaths(), Attempts: h.Upstreams.Attempts()}
 	h.History.mu.Lock()
 	r.Chats, r.Calls, r.Configs = h.History.Chats, h.History.Calls, h.History.Configs
 	r.TopUps, r.Reads, r.Drained = h.History.TopUps, h.History.Reads, h.History.Drained
--- a/internal/check/scene.go
+++ b/internal/check/scene.go
@@ -15,6 +15,8 @@
 	spareUpstream = "plain-spare"
 	// callTokens is what one plain call costs.
 	callTokens = 5
+
+	enginesPerRegion = 2
 )
 
 // sceneAccounts are the client accounts: a rich one, and one whose budget runs out.
@@ -44,8 +46,8 @@
 				Name: budgetOf(account), Account: account, Services: []string{engineService, plainService}}}})
 	}
 	for i, region := range []string{RegionHome, RegionAway} {
-		for j := range 2 {
-			engine := upstreamIn(region, fmt.Sprintf("engine-%d-%d", i, j), engineService, false)
+		for j := range enginesPerRegion {
+			engine := upstreamIn(region, engineName(i, j), engineService, false)
 			engine.GetUpstream().ChecksFencing = j == 0
 			resources = append(resources, engine)
 		}
@@ -54,6 +56,17 @@
 	return resources
 }
 
+func engineName(region, number int) string { return fmt.Sprintf("engine-%d-%d", region, number) }
+
+// homeEngines lists the engines of RegionHome.
+func homeEngines() []string {
+	var names []string
+	for j := range enginesPerRegion {
+		names = append(names, engineName(0, j))
+	}
+	return names
+}
+
 // engineServiceAt declares the model's version that engines should hold.
 func engineServiceAt(version string) *operatorv1.Resource {
 	return service(&operatorv1.Service{Name: engineService, Kind: operatorv1.ServiceKind_SERVICE_KIND_ENGINE, Models: []string{sceneModel},
--- a/internal/check/workload.go
+++ b/internal/check/workload.go
@@ -15,6 +15,9 @@
 	minWords     = 6
 	moreWords    = 20
 	topUpTokens  = 1_000
+	preambles    = 3
+	// preambleRepeats makes a preamble longer than two blocks of 256 bytes.
+	preambleRepeats = 70
 )
 
 // workload runs callers and operators for a while, each at its own pace; it
@@ -47,7 +50,7 @@
 	}
 	switch kind := h.draw(10); {
 	case kind < 6:
-		prompt := promptOf(id, minWords+h.draw(moreWords))
+		prompt := h.preamble(account, id) + promptOf(id, minWords+h.draw(moreWords))
 		h.Go(func() { h.Chat(m, account, sceneModel, prompt) })
 	case kind < 8:
 		h.Go(func() { h.Call(m, account, "POST", "order "+id, "") })
@@ -58,6 +61,20 @@
 	}
 }
 
+// preamble returns one of a few long beginnings of prompts; empty unless the history
+// needs them, and for the account whose budget has to run out as slowly as ever. Each
+// is one word of two whole cache blocks.
+func (h *Harness) preamble(account, id string) string {
+	if !h.sharedPrompts || account != sceneAccounts[0] {
+		return ""
+	}
+	number := 0
+	for _, c := range []byte(id) {
+		number += int(c)
+	}
+	return strings.Repeat(fmt.Sprintf("guide-%d-", number%preambles), preambleRepeats) + " "
+}
+
 func promptOf(id string, words int) string {
 	parts := []string{id}
 	for i := range words {
--- a/internal/fake/client.go
+++ b/internal/fake/client.go
@@ -32,7 +32,7 @@
 		return result.New(result.NoUpstream, "not sent: %v", err)
 	}
 	c.upstreams.clock.Sleep(c.upstreams.network.latency(c.node, Endpoint(to.GetName()), 0))
-	if !c.upstreams.network.Passes(c.node, Endpoint(to.GetName())) {
+	if !c.upstreams.network.Passes(c.node, Endpoint(to.GetName())) || c.upstreams.isDead(to.GetName()) {
 		return result.New(result.NoUpstream, "%s can't be reached", to.GetName())
 	}
 	return nil
@@ -52,6 +52,7 @@
 // Chat implements upstream.Client.
 func (c *Client) Chat(ctx context.Context, to *operatorv1.Upstream, r upstream.ChatRequest) (upstream.ChatStream, error) {
 	c.probe(StepDispatch, string(c.node))
+	c.upstreams.attempted(to.GetName(), c.node, r.ID)
 	if err := c.send(ctx, to); err != nil {
 		return nil, err
 	}
@@ -63,8 +64,11 @@
 
 // Call implements upstream.Client.
 func (c *Client) Call(ctx context.Context, to *operatorv1.Upstream, r upstream.CallRequest) (upstream.CallAnswer, error) {
-	if r.Path == modelsPath {
+	switch {
+	case r.Path == modelsPath:
 		return c.order(ctx, to, r)
+	case isReport(r.Path):
+		return c.report(ctx, to, r)
 	}
 	c.probe(StepCall, string(c.node))
 	if err := c.send(ctx, to); err != nil {
@@ -98,6 +102,18 @@
 	return answer, c.back(ctx, to)
 }
 
+// report reads an engine's load or cache events.
+func (c *Client) report(ctx context.Context, to *operatorv1.Upstream, r upstream.CallRequest) (upstream.CallAnswer, error) {
+	if err := c.send(ctx, to); err != nil {
+		return upstream.CallAnswer{}, err
+	}
+	answer, told := c.upstreams.report(to.GetName(), r)
+	for _, step := range told {
+		c.probe(step, string(c.node))
+	}
+	return answer, c.back(ctx, to)
+}
+
 // Usage implements upstream.Client.
 func (c *Client) Usage(ctx context.Context, to *operatorv1.Upstream, id string) (upstream.UsageReport, error) {
 	if err := c.send(ctx, to); err != nil {
--- a/internal/fake/step.go
+++ b/internal/fake/step.go
@@ -28,6 +28,10 @@
 	StepSnapshot    Step = "snapshot"
 	StepPeerReserve Step = "peer reserve"
 	StepWitness     Step = "witness"
+	// StepCacheEvent is a node reading cache events, StepCacheGap one reading them
+	// with an event missing between. No fault strikes there.
+	StepCacheEvent Step = "cache event"
+	StepCacheGap   Step = "gap in cache events"
 )
 
 // Probe is told of each step that a node is about to take. It may cut, pause or
--- a/internal/fake/upstreams.go
+++ b/internal/fake/upstreams.go
@@ -62,12 +62,18 @@
 	calls   []ServiceRun
 	orders  []EngineOrder
 	engines map[string]*engineState
+
+	caches      map[string]*engineCache
+	cacheFaults CacheFaults
+	dead        map[string]bool
+	deaths      []EngineDeath
+	attempts    []Attempt
 }
 
 // NewUpstreams returns upstreams that work at the given pace.
 func NewUpstreams(clock clockwork.Clock, network *Network, tokenTime, callTime time.Duration) *Upstreams {
 	return &Upstreams{clock: clock, network: network, TokenTime: tokenTime, CallTime: callTime, byID: map[string]*EngineRun{},
-		engines: map[string]*engineState{}}
+		engines: map[string]*engineState{}, caches: map[string]*engineCache{}, dead: map[string]bool{}}
 }
 
 // SetFaults replaces the switches.
@@ -112,9 +118,10 @@
 func (u *Upstreams) newRun(upstream, request string, body []byte) *EngineRun {
 	var parsed chatBody
 	_ = json.Unmarshal(body, &parsed)
-	var words []string
+	var words, messages []string
 	for _, m := range parsed.Messages {
 		words = append(words, strings.Fields(m.Content)...)
+		messages = append(messages, m.Content)
 	}
 	run := &EngineRun{Upstream: upstream, Request: request, Prompt: strings.Join(words, " "),
 		Answer: words, PromptTokens: uint64(len(words)), Start: u.clock.Now()}
@@ -125,6 +132,7 @@
 	defer u.mu.Unlock()
 	u.runs = append(u.runs, run)
 	u.byID[upstream+"/"+request] = run
+	u.prefill(upstream, messages)
 	return run
 }
 
