Tell a second witness of open requests, without waiting for it

Cause: a settlement was known to its node and to one witness until it was in the log. Died both within one flush, nobody knew what a caller had been answered, and it went unbilled.

Change: each node tells two others. A request still waits for the first one only; the second gets the same news, gathered for 20 ms and sent in the background, and stands in another data centre than the first where there is one. A node that the platform dropped counts as gone when it is asked for what it knows, so two dead nodes no longer wait for each other until LostAfter. What a witness is yet to forget is bounded on retries too.

Ruled out: waiting for both (60 ms more per request where the second stands in the other region); asking engines by id range (they forget, and plain services never knew).

Before: go test -count=1 -run TestMatrixTwoDeaths ./internal/check fails (50 tokens answered, 0 billed); TestNodeAndItsWitnessDieWithinOneFlush 200 billed of 320. After: both pass, as do all of ./node and ./internal/check (go test -p 2 -count=1, once, busy machine).

--- a/node/twofaults_test.go
+++ b/node/twofaults_test.go
@@ -62,6 +62,29 @@
 	})
 }
 
+// A node and the witness that its requests wait for die together, within one flush of
+// settlements, and no engine can be asked. A third node was told as well, without being
+// waited for; what the callers were answered must be billed all the same.
+func TestNodeAndItsWitnessDieWithinOneFlush(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := startFleet(t, testPolicy, near, near, far)
+		f.topUp(50_000)
+		is.NoErr(f.request(0, 300, 100))
+		is.NoErr(f.request(1, 300, 100))
+		time.Sleep(10 * time.Second)
+		f.log.SetDown(true) // the flush doesn't come through any more
+		is.NoErr(f.request(0, 300, 120))
+		time.Sleep(flushInterval / 2)
+		f.crash(0)
+		f.crash(1)
+		f.log.SetDown(false)
+		f.engines.down = true
+		is.True(f.awaitReleased(2, 0) < testPolicy.SpendRight*106/100+6*time.Minute)
+		is.Equal(f.checkLedger(2).Spent, f.engines.used())
+	})
+}
+
 // Every call of the store takes three seconds, for two hours, and answers get lost.
 // Requests must go on, nobody may be closed, and all must be billed in the end.
 func TestStoreSlowForHours(t *testing.T) {
--- a/node/witness.go
+++ b/node/witness.go
@@ -35,7 +35,9 @@
 	sort.SliceStable(usable, func(i, j int) bool { return n.distance(usable[i]) < n.distance(usable[j]) })
 	var candidates []witness.Candidate
 	for _, member := range usable {
-		candidates = append(candidates, witness.Candidate{Incarnation: member.Node.GetIncarnation(), Address: member.Node.GetPeerAddress()})
+		candidates = append(candidates, witness.Candidate{
+			Incarnation: member.Node.GetIncarnation(), Address: member.Node.GetPeerAddress(), DataCentre: member.Node.GetDataCentre(),
+		})
 	}
 	return candidates
 }
--- a/recovery/absence.go
+++ b/recovery/absence.go
@@ -7,8 +7,8 @@
 // paused or cut off stays in it.
 const GoneAfter = 10 * time.Minute
 
-// Absence notes since when the platform's list shows nothing at an address. It
-// belongs to one goroutine.
+// Absence notes since when the platform's list shows nothing at an address. Note must
+// not run beside Gone.
 type Absence struct {
 	self string
 	// list returns the addresses that the last answer shows, and when that came.
--- a/recovery/inquiry.go
+++ b/recovery/inquiry.go
@@ -130,7 +130,7 @@
 		// remembered, or was itself recovered, having been asked in its time.
 		return nil, nodeLeft
 	}
-	if held.Replaced {
+	if q.r.hasEnded(held) {
 		return nil, nodeGone
 	}
 	ctx, cancel := clockwork.WithTimeout(ctx, q.r.c.Clock, queryTimeout)
@@ -150,14 +150,13 @@
 	return response.GetWitnessReport().GetOpen(), answeredNow
 }
 
-// noteEnd notes once the subject has surely ended: another process has its address, or
-// the platform no longer has the instance.
+// noteEnd notes once the subject has surely ended.
 func (q *inquiry) noteEnd() {
 	if !q.ended.IsZero() {
 		return
 	}
 	held, known := q.r.c.Ledger.Incarnation(q.subject)
-	if known && (held.Replaced || q.r.absence.Gone(held.Node.GetPeerAddress())) {
+	if known && q.r.hasEnded(held) {
 		q.ended = q.r.c.Clock.Now()
 	}
 }
--- a/recovery/recoverer.go
+++ b/recovery/recoverer.go
@@ -113,6 +113,12 @@
 	r.absence.Note(addresses)
 }
 
+// hasEnded tells whether an incarnation's process has surely ended: another one has its
+// address, or the platform no longer has the instance.
+func (r *Recoverer) hasEnded(i budget.Incarnation) bool {
+	return i.Replaced || r.absence.Gone(i.Node.GetPeerAddress())
+}
+
 // closeSilent asks the log to close silent incarnations. A close that hasn't left
 // this node by the next step is withdrawn: it would come out of an outage ahead of
 // the heartbeat that it waited for.
--- a/witness/teller.go
+++ b/witness/teller.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"sync"
-	"time"
 
 	"github.com/jonboulle/clockwork"
 
@@ -16,25 +15,14 @@
 	"lavenderpin.dev/lavenderpin/result"
 )
 
-const (
-	// sendTimeout bounds one exchange with a witness.
-	sendTimeout = 300 * time.Millisecond
-	// tellTimeout bounds how long a request waits before dispatch: two witnesses in turn.
-	tellTimeout = 2 * sendTimeout
-	// retryInterval is the time between two tries while nobody answers, and between
-	// two looks at whether the witness still is a good one.
-	retryInterval = time.Second
-	// maxPerMessage bounds one message.
-	maxPerMessage = 2000
-	// maxForget bounds what a witness is yet to be told to forget. It would find out
-	// from the log as well, a little later.
-	maxForget = 10_000
-)
+// tellTimeout bounds how long a request waits before dispatch: two witnesses in turn.
+const tellTimeout = 2 * sendTimeout
 
 // Candidate is a node that may be a witness, in order of preference.
 type Candidate struct {
 	Incarnation string
 	Address     string
+	DataCentre  string
 }
 
 // Config is what a Teller works with.
@@ -56,32 +44,46 @@
 	Required bool
 }
 
-// Teller tells one other node of this node's open requests. Requests that come
-// while an exchange is under way go together with the next one. It implements
-// budget.Witness and is safe for concurrent use.
+// Teller tells two other nodes of this node's open requests. A request waits for the
+// first one before its dispatch; requests that come while an exchange is under way go
+// together with the next one. The second is told the same without anybody waiting:
+// did the node die together with its only witness, whatever neither had put into the
+// log yet would be billed to nobody. It implements budget.Witness and is safe for
+// concurrent use.
 type Teller struct {
-	c    Config
-	wake chan struct{}
+	c Config
 
 	mu sync.Mutex
 	// entries holds what isn't known to be settled in the log, by request id.
-	entries map[string]*fleetv1.OpenRequest
-	dirty   map[string]struct{}
-	forget  []string
-	waiting []chan error
-	witness Candidate
-	// failing is set while no witness answers: requests then don't wait for one.
-	failing bool
+	entries       map[string]*fleetv1.OpenRequest
+	first, second *recipient
 }
 
 var _ budget.Witness = (*Teller)(nil)
 
 // NewTeller returns a teller; Run must be running for Tell to succeed.
 func NewTeller(config Config) *Teller {
-	return &Teller{
-		c: config, wake: make(chan struct{}, 1),
-		entries: map[string]*fleetv1.OpenRequest{}, dirty: map[string]struct{}{},
+	t := &Teller{c: config, entries: map[string]*fleetv1.OpenRequest{}}
+	t.first = newRecipient(t, config.Candidates, 0)
+	t.second = newRecipient(t, t.secondCandidates, copyGather)
+	return t
+}
+
+// secondCandidates leaves out the first witness and puts those last that stand in its
+// data centre: the loss of one data centre must not take the node and both witnesses.
+func (t *Teller) secondCandidates() []Candidate {
+	first := t.first.current()
+	var elsewhere, beside []Candidate
+	for _, candidate := range t.c.Candidates() {
+		switch {
+		case candidate == first:
+		case candidate.DataCentre == first.DataCentre:
+			beside = append(beside, candidate)
+		default:
+			elsewhere = append(elsewhere, candidate)
+		}
 	}
+	return append(elsewhere, beside...)
 }
 
 // Tell implements budget.Witness. It fails with NoWitness when nobody could be told
@@ -108,17 +110,18 @@
 	defer t.mu.Unlock()
 	for _, o := range open {
 		t.entries[o.GetRequest()] = o
-		t.dirty[o.GetRequest()] = struct{}{}
+		t.change(o.GetRequest())
 	}
-	if t.failing {
-		done <- result.New(result.NoWitness, "no witness answers")
-	} else {
-		t.waiting = append(t.waiting, done)
-	}
-	t.wakeUp()
+	t.first.wait(done)
 	return done
 }
 
+// change has both witnesses told of a request; the lock is held.
+func (t *Teller) change(request string) {
+	t.first.change(request)
+	t.second.change(request)
+}
+
 func (t *Teller) wait(ctx context.Context, done <-chan error) error {
 	ctx, cancel := clockwork.WithTimeout(ctx, t.c.Clock, tellTimeout)
 	defer cancel()
@@ -141,30 +144,21 @@
 	}
 	if budget.BilledTo(held, used) == 0 {
 		t.drop(request)
-		if len(t.forget) < maxForget {
-			t.forget = append(t.forget, request)
-		}
-		t.wakeUp()
+		t.first.forgets(request)
+		t.second.forgets(request)
 		return
 	}
 	t.entries[request] = &fleetv1.OpenRequest{
 		Request: request, Budget: held.GetBudget(), Reserved: held.GetReserved(), Upstream: held.GetUpstream(),
 		Before: held.GetBefore(), DispatchedAs: held.GetDispatchedAs(), Finished: true, Used: used,
 	}
-	t.dirty[request] = struct{}{}
-	t.wakeUp()
+	t.change(request)
 }
 
 func (t *Teller) drop(request string) {
 	delete(t.entries, request)
-	delete(t.dirty, request)
-}
-
-func (t *Teller) wakeUp() {
-	select {
-	case t.wake <- struct{}{}:
-	default:
-	}
+	delete(t.first.dirty, request)
+	delete(t.second.dirty, request)
 }
 
 // Report returns what this node itself has open of requests billed to another
@@ -215,153 +209,10 @@
 
 // Run sends until ctx ends.
 func (t *Teller) Run(ctx context.Context) {
-	ticker := t.c.Clock.NewTicker(retryInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-t.wake:
-		case <-ticker.Chan():
-		}
-		t.round(ctx)
-	}
-}
-
-// round sends what changed to the witness; when it doesn't answer or isn't a
-// candidate any more, everything to the next one.
-func (t *Teller) round(ctx context.Context) {
-	candidates := t.c.Candidates()
-	if !t.changed() && contains(candidates, t.witness) {
-		return
-	}
-	waiting := t.takeWaiting()
-	err := error(result.New(result.NoWitness, "no other node answers"))
-	for _, candidate := range t.inOrder(candidates) {
-		if err = t.send(ctx, candidate); err == nil {
-			break
-		}
-	}
-	t.setFailing(err != nil && !t.c.Alone())
-	for _, done := range waiting {
-		done <- err
-	}
-}
-
-func contains(candidates []Candidate, c Candidate) bool {
-	for _, candidate := range candidates {
-		if candidate == c {
-			return true
-		}
-	}
-	return len(candidates) == 0
-}
-
-func (t *Teller) changed() bool {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	return len(t.dirty) > 0 || len(t.forget) > 0 || len(t.waiting) > 0
-}
-
-func (t *Teller) takeWaiting() []chan error {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	waiting := t.waiting
-	t.waiting = nil
-	return waiting
-}
-
-func (t *Teller) setFailing(failing bool) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	t.failing = failing
-}
-
-// inOrder puts the present witness first, while it is a candidate.
-func (t *Teller) inOrder(candidates []Candidate) []Candidate {
-	if !contains(candidates, t.witness) || len(candidates) == 0 {
-		return candidates
-	}
-	ordered := []Candidate{t.witness}
-	for _, candidate := range candidates {
-		if candidate != t.witness {
-			ordered = append(ordered, candidate)
-		}
-	}
-	return ordered
-}
-
-// send brings a candidate up to date and makes it the witness. A new witness knows
-// nothing, so it gets all entries and not only those that changed.
-func (t *Teller) send(ctx context.Context, to Candidate) error {
-	if to != t.witness {
-		t.markAllDirty()
-	}
-	for {
-		message, more := t.nextMessage()
-		if err := t.exchange(ctx, to, message); err != nil {
-			t.putBack(message)
-			return err
-		}
-		if !more {
-			break
-		}
-	}
-	if to != t.witness {
-		t.witness = to
-		t.c.Events.Record(event.WitnessChanged, "witness", to.Incarnation)
-	}
-	return nil
-}
-
-func (t *Teller) exchange(ctx context.Context, to Candidate, message *fleetv1.Witness) error {
-	ctx, cancel := clockwork.WithTimeout(ctx, t.c.Clock, sendTimeout)
-	defer cancel()
-	response, err := t.c.Caller.Call(ctx, to.Address, &fleetv1.Request{
-		From: t.c.Incarnation, Hlc: uint64(t.c.Events.Clock().Now()), Body: &fleetv1.Request_Witness{Witness: message},
-	})
-	if err != nil {
-		return err
-	}
-	if code := result.Code(response.GetCode()); code != result.OK {
-		return result.New(code, "%s", response.GetMessage())
-	}
-	return nil
-}
-
-func (t *Teller) markAllDirty() {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	for request := range t.entries {
-		t.dirty[request] = struct{}{}
-	}
-}
-
-func (t *Teller) nextMessage() (message *fleetv1.Witness, more bool) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	message = &fleetv1.Witness{Forget: t.forget}
-	t.forget = nil
-	for request := range t.dirty {
-		if len(message.Open) == maxPerMessage {
-			return message, true
-		}
-		delete(t.dirty, request)
-		message.Open = append(message.Open, t.entries[request])
-	}
-	return message, false
-}
-
-// putBack queues a message again that nobody took in. What ended meanwhile stays ended.
-func (t *Teller) putBack(message *fleetv1.Witness) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	for _, open := range message.GetOpen() {
-		if t.entries[open.GetRequest()] != nil {
-			t.dirty[open.GetRequest()] = struct{}{}
-		}
-	}
-	t.forget = append(message.GetForget(), t.forget...)
+	var wait sync.WaitGroup
+	wait.Go(func() { t.first.run(ctx) })
+	wait.Go(func() { t.second.run(ctx) })
+	wait.Wait()
 }
 
 // Pass hands what this node remembers for others to another node, before it leaves.
