--- a/recovery/recoverer.go
+++ b/recovery/recoverer.go
@@ -72,6 +72,15 @@
 	pending *journal.Ticket
 	queue   []*recordv1.Entry
 	queued  bool
+	// waits is what the time line was told last of why this waits.
+	waits waitReason
+}
+
+// waitReason is why a recovery waits. Told at every step, it would push all else out of
+// the memory of events during a cut of hours.
+type waitReason struct {
+	why               string
+	unanswered, found int
 }
 
 // New returns a recoverer.
@@ -203,7 +212,10 @@
 		c.queue, c.queued = c.entries(), true
 		return true
 	}
-	r.c.Events.Record(event.RecoveryWaiting, "incarnation", c.subject, "unanswered", len(c.unasked), "found", len(c.found), "why", why)
+	if waits := (waitReason{why, len(c.unasked), len(c.found)}); waits != c.waits {
+		c.waits = waits
+		r.c.Events.Record(event.RecoveryWaiting, "incarnation", c.subject, "unanswered", waits.unanswered, "found", waits.found, "why", why)
+	}
 	return false
 }
 
