Settle before passing on, when a closed node ends

A closed node that finds nobody to pass its memory on to must still have put its own settlements into the log before a new incarnation replaces it; passing on first could use up the time for both. CrashBehindACut, Lone and CutOff tests of ./node pass (one run).

--- a/node/recovery.go
+++ b/node/recovery.go
@@ -56,7 +56,7 @@
 		n.wait(finish, func() bool { return false }, closedFinish)
 		cancel()
 	}()
-	if n.holder.Open() == 0 && n.passOnAll(finish) && n.flushAll(finish) {
+	if n.holder.Open() == 0 && n.flushAll(finish) && n.passOnAll(finish) {
 		_, _ = n.writer.Submit(&recordv1.Entry{Body: &recordv1.Entry_RecoveryDone{RecoveryDone: &recordv1.RecoveryDone{
 			Incarnation: n.Incarnation(),
 		}}}).Wait(finish)
