--- a/recovery/recoverer.go
+++ b/recovery/recoverer.go
@@ -73,6 +73,15 @@
 	pending *journal.Ticket
 	queue   []*recordv1.Entry
 	queued  bool
+	// waits is what the time line was told last of why this waits.
+	waits waitReason
+}
+
+// waitReason is why a recovery waits. Told at every step, it would push all else out of
+// the memory of events during a cut of hours.
+type waitReason struct {
+	why               string
+	unanswered, found int
 }
 
 // New returns a recoverer.
@@ -105,6 +114,12 @@
 	r.absence.Note(addresses)
 }
 
+// hasEnded tells whether an incarnation's process has surely ended: another one has its
+// address, or the platform no longer has the instance.
+func (r *Recoverer) hasEnded(i budget.Incarnation) bool {
+	return i.Replaced || r.absence.Gone(i.Node.GetPeerAddress())
+}
+
 // closeSilent asks the log to close silent incarnations. A close that hasn't left
 // this node by the next step is withdrawn: it would come out of an outage ahead of
 // the heartbeat that it waited for.
@@ -189,7 +204,10 @@
 		c.queue, c.queued = c.entries(), true
 		return true
 	}
-	r.c.Events.Record(event.RecoveryWaiting, "incarnation", c.subject, "unanswered", len(c.unasked), "found", len(c.found), "why", why)
+	if waits := (waitReason{why, len(c.unasked), len(c.found)}); waits != c.waits {
+		c.waits = waits
+		r.c.Events.Record(event.RecoveryWaiting, "incarnation", c.subject, "unanswered", waits.unanswered, "found", waits.found, "why", why)
+	}
 	return false
 }
 
