--- a/cmd/lavenderbench/fleet.go
+++ b/cmd/lavenderbench/fleet.go
@@ -15,6 +15,7 @@
 	Length  time.Duration `help:"Time to measure for." default:"20s"`
 	Changes int           `help:"Changes made at each size; 0 for none." default:"0"`
 	Pause   time.Duration `help:"Time between two changes." default:"50ms"`
+	Leaving int           `help:"Upstreams that leave, by the list and by operators each; 0 for none." default:"0"`
 	Delay   time.Duration `help:"One-way delay between the two regions, for datagrams and the log." default:"0s"`
 }
 
@@ -23,6 +24,16 @@
 	var costs []fleet.Cost
 	var spreads []fleet.Spread
 	for _, size := range c.Sizes {
+		if c.Leaving > 0 {
+			leaving, err := fleet.MeasureLeaving(size, c.Leaving)
+			if err != nil {
+				return errors.Trace(err)
+			}
+			if err := fleet.WriteLeaving(os.Stdout, leaving); err != nil {
+				return errors.Trace(err)
+			}
+			continue
+		}
 		if c.Changes > 0 {
 			spread, err := fleet.MeasureSpread(size, c.Changes, c.Delay, c.Pause)
 			if err != nil {
@@ -40,5 +51,8 @@
 	if c.Changes > 0 {
 		return errors.Trace(fleet.WriteSpread(os.Stdout, spreads))
 	}
+	if len(costs) == 0 {
+		return nil
+	}
 	return errors.Trace(fleet.WriteCosts(os.Stdout, costs))
 }
