A new holder takes nothing away for two minutes

A process stopped between its last look at the lease and the send gives its order when it wakes, and an engine that ignores fencing numbers takes it. That order and one of the new holder can each be right and together take a region's last copy. The same holds for an order that is at work and not reported yet when the holder dies.

--- a/orders/plan.go
+++ b/orders/plan.go
@@ -13,6 +13,13 @@
 	// before a copy is added or dropped: reports lag, and a model that comes and
 	// goes would spend the weight store's rate on nothing.
 	steadyPlans = 5
+	// unsurePlans is for how many plans a new holder takes nothing away, neither a copy
+	// nor an engine's role. An order of the former holder may be at work without a report
+	// of it, or come late from a process that was stopped, at an engine that ignores
+	// fencing numbers: what it takes away was safe by what stood then, and still is while
+	// nobody else takes away more. Otherwise a region could lose its last copy to two
+	// orders that were each right.
+	unsurePlans = int(patience / roundInterval)
 )
 
 // Step is one change to one engine. Models is the engine's whole desired set and Role
@@ -78,6 +85,9 @@
 			}
 			continue
 		}
+		if p.plans <= unsurePlans {
+			continue
+		}
 		if drop, found := p.drop(region, goals, served, local); found {
 			steps = append(steps, drop)
 		}
--- a/orders/roles.go
+++ b/orders/roles.go
@@ -2,15 +2,9 @@
 
 import "slices"
 
-const (
-	// unsurePlans is for how many plans a new holder changes no role: an order of the
-	// former one may still be at work without a report of it, and the engine that is
-	// about to leave its role would count as a copy there.
-	unsurePlans = int(patience / roundInterval)
-	// restPlans is for how many plans no engine leaves a role that one of its region was
-	// given. It bounds how often a load that swings between two roles moves engines.
-	restPlans = unsurePlans
-)
+// restPlans is for how many plans no engine leaves a role that one of its region was
+// given. It bounds how often a load that swings between two roles moves engines.
+const restPlans = unsurePlans
 
 // move returns the change of one engine's role, for a goal that no engine of its role
 // has room for. waiting tells that one may follow soon: nothing is dropped until then,
