Ask for the instance list every second, however slowly it answers

An answer that took over a second was given up, so that a platform that is slow for hours never showed an upstream as leaving. Questions now go out every second, up to five at once, each with 5 s; an answer that a later question overtook is dropped. Ruled out: a longer timeout alone, which adds the answer's time to the interval.

--- a/membership/instances.go
+++ b/membership/instances.go
@@ -19,7 +19,11 @@
 	// answer takes it stays well under the three seconds within which a leaving
 	// upstream must get no new work.
 	listInterval = time.Second
-	listTimeout  = time.Second
+	// listTimeout bounds one answer, and maxAsking how many are waited for at once: a
+	// platform that answers slowly is asked as often as one that doesn't, since waiting
+	// for each answer would add its time to the interval.
+	listTimeout  = 5 * time.Second
+	maxAsking    = int(listTimeout / listInterval)
 	roleEntry    = "entry"
 	roleUpstream = "upstream"
 )
@@ -30,8 +34,12 @@
 	clock  clockwork.Clock
 	events *event.Recorder
 	last   atomic.Pointer[listed]
-	down   bool
-	mu     sync.Mutex
+	asked  atomic.Uint64
+
+	mu   sync.Mutex
+	down bool
+	// heard is the number of the latest question that was answered or failed.
+	heard uint64
 }
 
 // listed is one answer, indexed for the request path. It never changes.
@@ -49,10 +57,20 @@
 
 // Run asks for the list until ctx ends.
 func (i *Instances) Run(ctx context.Context) {
+	var wait sync.WaitGroup
+	defer wait.Wait()
+	asking := make(chan struct{}, maxAsking)
 	ticker := i.clock.NewTicker(listInterval)
 	defer ticker.Stop()
 	for {
-		i.Refresh(ctx)
+		select {
+		case asking <- struct{}{}:
+			wait.Go(func() {
+				i.Refresh(ctx)
+				<-asking
+			})
+		default:
+		}
 		select {
 		case <-ctx.Done():
 			return
@@ -62,13 +80,19 @@
 }
 
 // Refresh asks once. While the platform's list is down the last answer stays in use:
-// leaving upstreams stay out, and no node is taken as gone for it.
+// leaving upstreams stay out, and no node is taken as gone for it. An answer that a later
+// question overtook says nothing: it would bring back an upstream that leaves.
 func (i *Instances) Refresh(ctx context.Context) {
 	ctx, cancel := clockwork.WithTimeout(ctx, i.clock, listTimeout)
 	defer cancel()
+	number := i.asked.Add(1)
 	instances, err := i.list.List(ctx)
 	i.mu.Lock()
 	defer i.mu.Unlock()
+	if number < i.heard {
+		return
+	}
+	i.heard = number
 	if err != nil {
 		if !i.down {
 			i.events.Record(event.InstancesDown, "why", err)
