Pick an upstream without looking at all of them

Cause: each pick rolled, filtered and compared every upstream of the service: 57% of its time over 200. Change: the table holds, for each region, its own upstreams and the others; a pick draws the random ones from there and lists those that hold most of the prompt by a pass over small numbers. It looks at all, as before, when it meets an upstream that isn't well or finds too few that may take the request, and while any breaker of the service isn't closed: else the one that waits for its probe would hardly ever be come upon.

--- a/routing/balancer.go
+++ b/routing/balancer.go
@@ -96,12 +96,12 @@
 	s := services[name]
 	if s == nil {
 		s = &service{}
-		s.table.Store(b.newTable(nil, candidates))
+		s.table.Store(b.newTable(s, nil, candidates))
 		b.addService(name, s)
 		return s
 	}
 	if old := s.table.Load(); !old.of(candidates) {
-		s.table.Store(b.newTable(old, candidates))
+		s.table.Store(b.newTable(s, old, candidates))
 	}
 	return s
 }
@@ -114,7 +114,7 @@
 	b.services.Store(&grown)
 }
 
-func (b *Balancer) newTable(old *table, candidates []*operatorv1.Upstream) *table {
+func (b *Balancer) newTable(s *service, old *table, candidates []*operatorv1.Upstream) *table {
 	t := &table{candidates: candidates, byName: make(map[string]*target, len(candidates)), regions: map[string]*regionLoad{}}
 	if old != nil {
 		t.regions = maps.Clone(old.regions)
@@ -125,13 +125,14 @@
 			held = old.kept(u)
 		}
 		if held == nil {
-			held = b.newTarget(u, t.region(u.GetRegion()), old != nil)
+			held = b.newTarget(s, u, t.region(u.GetRegion()), old != nil)
 		}
 		t.entries = append(t.entries, entry{target: held, region: held.region, holder: held.holder, draining: u.GetDraining()})
 		t.byName[candidates[i].GetName()] = held
 	}
+	t.seenFrom = t.neighbourhoods()
 	if old != nil {
-		b.freeHolders(old, t)
+		b.dropTargets(s, old, t)
 	}
 	return t
 }
@@ -157,18 +158,20 @@
 
 // newTarget returns an upstream's target. One that joins a running service is spared
 // at first; those known from the start are not.
-func (b *Balancer) newTarget(u *operatorv1.Upstream, region *regionLoad, joins bool) *target {
+func (b *Balancer) newTarget(s *service, u *operatorv1.Upstream, region *regionLoad, joins bool) *target {
 	since := time.Time{}
 	if joins {
 		since = b.clock.Now()
 	}
 	name := u.GetName()
+	var t *target
 	breaker := health.NewBreaker(b.random, func(state health.State) {
+		s.healthChanged(t, state)
 		if b.changed != nil {
 			b.changed(name, state)
 		}
 	})
-	t := newTarget(u, noHolder, since, breaker, region)
+	t = newTarget(u, noHolder, since, breaker, region)
 	for i, taken := range b.holders {
 		if taken == nil {
 			b.holders[i] = t
@@ -179,10 +182,15 @@
 	return t
 }
 
-func (b *Balancer) freeHolders(old, next *table) {
+// dropTargets forgets the upstreams that aren't in the next table.
+func (b *Balancer) dropTargets(s *service, old, next *table) {
 	for _, e := range old.entries {
 		t := e.target
-		if next.byName[t.name] != t && t.holder != noHolder {
+		if next.byName[t.name] == t {
+			continue
+		}
+		s.left(t)
+		if t.holder != noHolder {
 			b.index.Forget(t.holder)
 			b.holders[t.holder] = nil
 		}
--- a/routing/choice.go
+++ b/routing/choice.go
@@ -33,6 +33,9 @@
 		c.balancer.index.Depths(c.ask.Prefix, c.now, &c.depths)
 	}
 	c.seed = c.balancer.random()
+	if at := c.draw(); at >= 0 {
+		return at
+	}
 	for _, health := range [...]healthDemand{healthStrict, healthStalledToo, healthAny} {
 		at := c.pass(health)
 		if at >= 0 && !(c.sawStalled && health == healthStrict && c.tooManyStalled()) {
@@ -78,10 +81,21 @@
 		}
 	}
 	near := c.best(&local)
-	if near.at >= 0 && near.cost <= c.linkCost() && !c.service.localFull() {
+	if c.nearEnough(near) {
 		return near.at
 	}
-	far := c.best(&remote)
+	return c.between(near, &remote)
+}
+
+// nearEnough tells that the best upstream of this region is good enough not to compare
+// it with those of others.
+func (c *choice) nearEnough(near ranked) bool {
+	return near.at >= 0 && near.cost <= c.linkCost() && !c.service.localFull()
+}
+
+// between returns the better one of the best of this region and that of others.
+func (c *choice) between(near ranked, remote *sample) int {
+	far := c.best(remote)
 	if near.at < 0 || (far.at >= 0 && (c.spills(far) || far.cost+c.linkCost() < near.cost)) {
 		return far.at
 	}
--- a/routing/table.go
+++ b/routing/table.go
@@ -15,6 +15,8 @@
 	entries []entry
 	byName  map[string]*target
 	regions map[string]*regionLoad
+	// seenFrom holds the neighbourhood of each region with upstreams.
+	seenFrom map[string]*neighbourhood
 }
 
 // entry is what a pick reads of every upstream; kept small, so that a pass over
@@ -44,6 +46,8 @@
 	// localLimit is how many there should be at most; 0 for no limit.
 	local      atomic.Int64
 	localLimit atomic.Int64
+	// sick counts the upstreams whose breaker isn't closed.
+	sick atomic.Int64
 }
 
 func (s *service) localFull() bool {
--- a/routing/target.go
+++ b/routing/target.go
@@ -32,6 +32,8 @@
 	since   time.Time
 	breaker *health.Breaker
 	region  *regionLoad
+	// wellness is how the target stands in its service's count of sick ones.
+	wellness atomic.Int32
 
 	requests history
 	// pending counts prompt tokens sent whose first token hasn't come.
