Keep the list without leaving upstreams until something changes

Cause: while an upstream leaves, each request copied its service's list, and each request looked every upstream up in the platform's list even when none leaves; the picker compared the copy with its own, member by member. Change: the list is kept for each service until the configuration hands out another one or the platform's list of leaving upstreams changes (membership counts its changes). Test: node.TestTheListWithoutLeavingUpstreamsIsKept.

--- a/membership/instances.go
+++ b/membership/instances.go
@@ -38,6 +38,8 @@
 type listed struct {
 	peers   []string
 	leaving map[string]bool
+	// changes counts how often leaving became another one.
+	changes uint64
 }
 
 // NewInstances returns a list that knows nothing yet.
@@ -98,11 +100,18 @@
 			}
 		}
 	}
+	now.changes = before.changes
+	if !maps.Equal(now.leaving, before.leaving) {
+		now.changes++
+	}
 	i.last.Store(now)
 }
 
 // Peers returns the peer addresses of the entry instances listed as live.
 func (i *Instances) Peers() []string { return i.last.Load().peers }
 
+// Changes returns a number that rises whenever an upstream begins or ceases to leave.
+func (i *Instances) Changes() uint64 { return i.last.Load().changes }
+
 // Leaving tells whether the list shows the upstream at an address as leaving.
 func (i *Instances) Leaving(address string) bool { return i.last.Load().leaving[address] }
--- a/node/membership.go
+++ b/node/membership.go
@@ -5,7 +5,6 @@
 	"time"
 
 	fleetv1 "lavenderpin.dev/lavenderpin/api/fleet/v1"
-	operatorv1 "lavenderpin.dev/lavenderpin/api/operator/v1"
 	recordv1 "lavenderpin.dev/lavenderpin/api/record/v1"
 	"lavenderpin.dev/lavenderpin/membership"
 	"lavenderpin.dev/lavenderpin/result"
@@ -59,27 +58,6 @@
 // Members returns the other nodes as this one sees them.
 func (n *Node) Members() *membership.Members { return n.members }
 
-// staying leaves out the upstreams that the platform's list shows as leaving.
-func (n *Node) staying(upstreams []*operatorv1.Upstream) []*operatorv1.Upstream {
-	for i, u := range upstreams {
-		if n.instances.Leaving(u.GetAddress()) {
-			return n.without(upstreams, i)
-		}
-	}
-	return upstreams
-}
-
-// without copies the list without its leaving upstreams, of which the first is at i.
-func (n *Node) without(upstreams []*operatorv1.Upstream, i int) []*operatorv1.Upstream {
-	kept := append([]*operatorv1.Upstream(nil), upstreams[:i]...)
-	for _, u := range upstreams[i+1:] {
-		if !n.instances.Leaving(u.GetAddress()) {
-			kept = append(kept, u)
-		}
-	}
-	return kept
-}
-
 func (n *Node) answerPingVia(ctx context.Context, r *fleetv1.PingVia, response *fleetv1.Response) {
 	views, err := n.members.Via(ctx, r)
 	if err != nil {
--- a/node/node.go
+++ b/node/node.go
@@ -50,6 +50,7 @@
 	leases     *lease.Keeper
 	members    *membership.Members
 	instances  *membership.Instances
+	remaining  stayingLists
 	relay      *relay.Server
 	snapshots  *snapshot.Tracker
 	requests   *request.Server
