Read short messages between nodes through a small buffer

Cause: both ends of each exchange between nodes took a buffer of 4 kB; a request has one exchange (its witness), and garbage collection is a part of what a chunk waits for. Change: 512 bytes; longer messages are read past the buffer. Measured (ChunkCost with a memory profile, 10 000 requests through a node): buffers 61 to 17 MB, all that a node and its witnesses allocate 323 to 289 MB. No effect on a chunk's p99 is shown at load 34.

--- a/peer/quic.go
+++ b/peer/quic.go
@@ -24,6 +24,10 @@
 	idleTimeout  = 30 * time.Second
 	maxStreams   = 10_000
 	dialDeadline = 2 * time.Second
+	// exchangeBuffer holds what nodes tell each other for a request; longer messages
+	// are read past it. The default of 4 kB, at both ends, was a sixth of what
+	// a request allocated on its node and its witness.
+	exchangeBuffer = 512
 )
 
 // QUIC is a peer transport on one UDP socket. It implements Caller.
@@ -82,7 +86,7 @@
 
 func serveStream(ctx context.Context, stream *quic.Stream, handle Handler) {
 	defer func() { _ = stream.Close() }()
-	request, err := readRequest(bufio.NewReader(stream))
+	request, err := readRequest(bufio.NewReaderSize(stream, exchangeBuffer))
 	if err != nil {
 		stream.CancelRead(0)
 		return
@@ -131,7 +135,7 @@
 	}
 	response := &fleetv1.Response{}
 	options := protodelim.UnmarshalOptions{MaxSize: maxMessage}
-	if err := options.UnmarshalFrom(bufio.NewReader(stream), response); err != nil {
+	if err := options.UnmarshalFrom(bufio.NewReaderSize(stream, exchangeBuffer), response); err != nil {
 		return nil, errors.Trace(err)
 	}
 	return response, nil
