--- a/membership/instances.go
+++ b/membership/instances.go
@@ -51,6 +51,8 @@
 	entries map[string]bool
 	// at is when the answer came; zero before the first.
 	at time.Time
+	// changes counts how often leaving became another one.
+	changes uint64
 }
 
 // NewInstances returns a list that knows nothing yet.
@@ -123,6 +125,10 @@
 			}
 		}
 	}
+	now.changes = before.changes
+	if !maps.Equal(now.leaving, before.leaving) {
+		now.changes++
+	}
 	i.last.Store(now)
 }
 
@@ -136,5 +142,8 @@
 	return last.entries, last.at
 }
 
+// Changes returns a number that rises whenever an upstream begins or ceases to leave.
+func (i *Instances) Changes() uint64 { return i.last.Load().changes }
+
 // Leaving tells whether the list shows the upstream at an address as leaving.
 func (i *Instances) Leaving(address string) bool { return i.last.Load().leaving[address] }
