Let a record of the log hold the batches of several writers, and be packed

Cause: one append a node a flush uses up the log's several hundred appends at 60 nodes (docs/CAPACITY.md), and settlements take 80 B each on the wire.

Change: record.v1.Batch gains gathered and packed; package record joins, packs and decodes; fold.Engine.ApplyRecord folds the batches of one record in their order at one offset. Records written before read as they did. Nothing writes the new forms yet.

Ruled out: a list of records framed by hand (a second codec); raising the offset for each batch within a record (the log's offsets would no longer be those folded).

Limit: a program of before this change takes a gathered or packed record for an empty one, so all nodes must run this version before one of them writes such records.

--- a/fold/engine.go
+++ b/fold/engine.go
@@ -33,10 +33,28 @@
 // Without this, a batch appended twice because the answer to the first append was
 // lost would take effect twice, which would show as money granted twice.
 func (e *Engine) Apply(offset uint64, batch *recordv1.Batch) []Verdict {
+	verdicts := e.ApplyRecord(offset, []*recordv1.Batch{batch})
+	if verdicts == nil {
+		return nil
+	}
+	return verdicts[0]
+}
+
+// ApplyRecord applies the batches of one record, in their order, as Apply does one,
+// and returns the verdicts of each. All have the record's offset.
+func (e *Engine) ApplyRecord(offset uint64, batches []*recordv1.Batch) [][]Verdict {
 	if offset <= e.offset {
 		return nil
 	}
 	e.offset = offset
+	verdicts := make([][]Verdict, 0, len(batches))
+	for _, batch := range batches {
+		verdicts = append(verdicts, e.applyBatch(offset, batch))
+	}
+	return verdicts
+}
+
+func (e *Engine) applyBatch(offset uint64, batch *recordv1.Batch) []Verdict {
 	at := Position{Offset: offset, Writer: batch.GetWriter()}
 	if !e.writers.admit(at.Writer, batch.GetSeq(), offset) {
 		return e.void(at, batch)
--- a/internal/bench/judge.go
+++ b/internal/bench/judge.go
@@ -7,10 +7,10 @@
 
 	"github.com/HdrHistogram/hdrhistogram-go"
 	"github.com/juju/errors"
-	"google.golang.org/protobuf/proto"
 
 	recordv1 "lavenderpin.dev/lavenderpin/api/record/v1"
 	"lavenderpin.dev/lavenderpin/devfleet"
+	logrecord "lavenderpin.dev/lavenderpin/record"
 )
 
 // falseRefusals are refusals that this load never deserves: its budget is larger
@@ -165,17 +165,23 @@
 		if len(slice.Records) == 0 {
 			return bills, nil
 		}
-		for _, record := range slice.Records {
-			from = record.Offset + 1
-			batch := &recordv1.Batch{}
-			if proto.Unmarshal(record.Data, batch) != nil {
+		for _, held := range slice.Records {
+			from = held.Offset + 1
+			batches, err := logrecord.Decode(held.Data)
+			if err != nil {
 				continue
 			}
-			for _, entry := range batch.GetEntries() {
-				for _, s := range entry.GetSettlements().GetSettlements() {
-					bills[s.GetRequest()] += s.GetTokens()
-				}
+			for _, batch := range batches {
+				addBills(bills, batch)
 			}
 		}
 	}
 }
+
+func addBills(bills map[string]uint64, batch *recordv1.Batch) {
+	for _, entry := range batch.GetEntries() {
+		for _, s := range entry.GetSettlements().GetSettlements() {
+			bills[s.GetRequest()] += s.GetTokens()
+		}
+	}
+}
--- a/internal/check/replay.go
+++ b/internal/check/replay.go
@@ -4,13 +4,12 @@
 	"fmt"
 	"time"
 
-	"google.golang.org/protobuf/proto"
-
 	recordv1 "lavenderpin.dev/lavenderpin/api/record/v1"
 	"lavenderpin.dev/lavenderpin/budget"
 	"lavenderpin.dev/lavenderpin/config"
 	"lavenderpin.dev/lavenderpin/fold"
 	"lavenderpin.dev/lavenderpin/internal/fake"
+	"lavenderpin.dev/lavenderpin/record"
 )
 
 // onItsWay is how long a request that was checked and sent may take to arrive.
@@ -52,30 +51,36 @@
 		changes: map[string]uint64{}, rights: map[string][]right{},
 	}
 	engine := fold.NewEngine(r.config, r.ledger)
-	for _, record := range records {
-		batch := &recordv1.Batch{}
-		if err := proto.Unmarshal(record.Data, batch); err != nil {
+	for _, held := range records {
+		batches, err := record.Decode(held.Data)
+		if err != nil {
 			continue
 		}
-		verdicts := engine.Apply(record.Offset, batch)
-		r.offset = record.Offset
-		for i, verdict := range verdicts {
-			if verdict.OK() {
-				r.count(batch.GetEntries()[i], verdict)
-				r.countRight(record.At, batch.GetWriter(), batch.GetEntries()[i])
-			}
+		verdicts := engine.ApplyRecord(held.Offset, batches)
+		r.offset = held.Offset
+		for i, batch := range batches {
+			r.countBatch(held.At, batch, verdicts[i])
 		}
 		if r.firstVersion == 0 {
 			r.firstVersion = underTest(r.config.View()).GetVersion()
 		}
-		r.checkLines(record.Offset)
-		if keep[record.Offset] {
-			r.lines[record.Offset] = r.ledger.Budgets()
+		r.checkLines(held.Offset)
+		if keep[held.Offset] {
+			r.lines[held.Offset] = r.ledger.Budgets()
 		}
 	}
 	return r
 }
 
+func (r *replay) countBatch(at time.Time, batch *recordv1.Batch, verdicts []fold.Verdict) {
+	for i, verdict := range verdicts {
+		if verdict.OK() {
+			r.count(batch.GetEntries()[i], verdict)
+			r.countRight(at, batch.GetWriter(), batch.GetEntries()[i])
+		}
+	}
+}
+
 func (r *replay) count(entry *recordv1.Entry, verdict fold.Verdict) {
 	if change := entry.GetConfig(); change != nil {
 		r.changes[change.GetChangeId()] = verdict.Version
--- a/internal/fake/log.go
+++ b/internal/fake/log.go
@@ -11,6 +11,7 @@
 
 	recordv1 "lavenderpin.dev/lavenderpin/api/record/v1"
 	"lavenderpin.dev/lavenderpin/platform"
+	"lavenderpin.dev/lavenderpin/record"
 )
 
 // Log is one node's view of the platform's log, with faults of its own.
@@ -103,17 +104,14 @@
 
 // Append implements platform.Log.
 func (l *Log) Append(ctx context.Context, stream string, data []byte) (uint64, error) {
-	batch := &recordv1.Batch{}
-	_ = proto.Unmarshal(data, batch)
-	for _, step := range stepsOf(batch) {
+	for _, step := range stepsOf(data) {
 		l.probe(step, string(l.node))
 	}
 	if err := l.reach(ctx); err != nil {
 		return 0, err
 	}
 	if _, tamper, _ := l.hooks(); tamper != nil {
-		tamper(batch)
-		data, _ = proto.Marshal(batch)
+		data = tampered(data, tamper)
 	}
 	offset, err := l.inner.Append(ctx, stream, data)
 	l.probe(StepAppended, string(l.node))
@@ -138,7 +136,7 @@
 	if err != nil {
 		return platform.Slice{}, err
 	}
-	return l.tampered(slice), nil
+	return l.tamperedSlice(slice), nil
 }
 
 // readInner waits here and not in the log, on this node's clock.
@@ -157,16 +155,25 @@
 	return l.inner.Read(ctx, stream, from, max, 0)
 }
 
-func (l *Log) tampered(slice platform.Slice) platform.Slice {
+func (l *Log) tamperedSlice(slice platform.Slice) platform.Slice {
 	_, _, tamper := l.hooks()
 	if tamper == nil {
 		return slice
 	}
 	for i, r := range slice.Records {
-		batch := &recordv1.Batch{}
-		_ = proto.Unmarshal(r.Data, batch)
-		tamper(r.Offset, batch)
-		slice.Records[i].Data, _ = proto.Marshal(batch)
+		slice.Records[i].Data = tampered(r.Data, func(batch *recordv1.Batch) { tamper(r.Offset, batch) })
 	}
 	return slice
 }
+
+// tampered returns a record after each of its batches was changed.
+func tampered(data []byte, tamper func(*recordv1.Batch)) []byte {
+	batches, _ := record.Decode(data)
+	var changed [][]byte
+	for _, batch := range batches {
+		tamper(batch)
+		one, _ := proto.Marshal(batch)
+		changed = append(changed, one)
+	}
+	return record.Join(changed)
+}
--- a/internal/fake/step.go
+++ b/internal/fake/step.go
@@ -2,6 +2,7 @@
 
 import (
 	recordv1 "lavenderpin.dev/lavenderpin/api/record/v1"
+	"lavenderpin.dev/lavenderpin/record"
 )
 
 // Step is a place in a node's work at which a fault can be made to strike.
@@ -34,15 +35,18 @@
 // kill before the step goes on.
 type Probe func(step Step, node string)
 
-// stepsOf returns the steps that appending a batch takes.
-func stepsOf(batch *recordv1.Batch) []Step {
+// stepsOf returns the steps that appending a record takes.
+func stepsOf(data []byte) []Step {
 	var steps []Step
 	seen := map[Step]bool{}
-	for _, entry := range batch.GetEntries() {
-		step, known := stepOf(entry)
-		if known && !seen[step] {
-			seen[step] = true
-			steps = append(steps, step)
+	batches, _ := record.Decode(data)
+	for _, batch := range batches {
+		for _, entry := range batch.GetEntries() {
+			step, known := stepOf(entry)
+			if known && !seen[step] {
+				seen[step] = true
+				steps = append(steps, step)
+			}
 		}
 	}
 	return steps
--- a/journal/follower.go
+++ b/journal/follower.go
@@ -9,11 +9,11 @@
 	"github.com/cenkalti/backoff/v5"
 	"github.com/jonboulle/clockwork"
 	"github.com/juju/errors"
-	"google.golang.org/protobuf/proto"
 
 	recordv1 "lavenderpin.dev/lavenderpin/api/record/v1"
 	"lavenderpin.dev/lavenderpin/fold"
 	"lavenderpin.dev/lavenderpin/platform"
+	"lavenderpin.dev/lavenderpin/record"
 )
 
 const (
@@ -25,7 +25,8 @@
 	neverRead = 24 * time.Hour
 )
 
-// FoldedFunc is told of each batch after it was folded, in offset order.
+// FoldedFunc is told of each batch after its record was folded, in offset order;
+// batches of one record have its offset.
 type FoldedFunc func(offset uint64, batch *recordv1.Batch, verdicts []fold.Verdict)
 
 // RestoredFunc is told that the whole state was replaced by a later one.
@@ -168,23 +169,25 @@
 	return nil
 }
 
-// fold applies one record. A record that isn't a batch is passed over by every
+// fold applies one record. One that can't be read is passed over by every
 // node alike, so that one bad append can't stop the fleet.
 func (f *Follower) fold(r platform.Record) {
-	batch := &recordv1.Batch{}
-	if err := proto.Unmarshal(r.Data, batch); err != nil {
-		batch = &recordv1.Batch{}
+	batches, err := record.Decode(r.Data)
+	if err != nil {
+		batches = []*recordv1.Batch{{}}
 	}
 	f.mu.Lock()
 	known := r.Offset <= f.engine.Offset()
-	verdicts := f.engine.Apply(r.Offset, batch)
+	verdicts := f.engine.ApplyRecord(r.Offset, batches)
 	f.mu.Unlock()
 	if known {
 		return
 	}
 	f.offset.Store(r.Offset)
 	f.recent.add(r)
-	for _, told := range f.onFolded {
-		told(r.Offset, batch, verdicts)
+	for i, batch := range batches {
+		for _, told := range f.onFolded {
+			told(r.Offset, batch, verdicts[i])
+		}
 	}
 }
--- /dev/null
+++ b/record/decode.go
@@ -0,0 +1,63 @@
+package record
+
+import (
+	"github.com/juju/errors"
+	"google.golang.org/protobuf/proto"
+
+	recordv1 "lavenderpin.dev/lavenderpin/api/record/v1"
+)
+
+// Decode returns the batches that a record holds, in the order in which they are
+// folded. It never returns a batch that holds others, so that a record has one
+// meaning.
+func Decode(data []byte) ([]*recordv1.Batch, error) {
+	batch, err := parse(data)
+	if err != nil {
+		return nil, err
+	}
+	if len(batch.GetPacked()) > 0 {
+		record, err := unpack(batch.GetPacked())
+		if err != nil {
+			return nil, err
+		}
+		if batch, err = parse(record); err != nil {
+			return nil, err
+		}
+	}
+	batches := []*recordv1.Batch{batch}
+	if len(batch.GetGathered()) > 0 {
+		batches = batch.GetGathered()
+	}
+	for _, held := range batches {
+		if !plain(held) {
+			return nil, errors.New("a batch within a record holds others")
+		}
+	}
+	return batches, nil
+}
+
+// Check tells whether data is one batch that can be joined with others. A gatherer
+// must know: one batch that can't be read makes the whole record unreadable, and
+// the other writers' entries would be lost although each was told they are in the log.
+func Check(data []byte) error {
+	batch, err := parse(data)
+	if err != nil {
+		return err
+	}
+	if batch.GetWriter() == "" || !plain(batch) {
+		return errors.New("not a batch of one writer")
+	}
+	return nil
+}
+
+func parse(data []byte) (*recordv1.Batch, error) {
+	batch := &recordv1.Batch{}
+	if err := proto.Unmarshal(data, batch); err != nil {
+		return nil, errors.Annotate(err, "batch")
+	}
+	return batch, nil
+}
+
+func plain(batch *recordv1.Batch) bool {
+	return len(batch.GetGathered()) == 0 && len(batch.GetPacked()) == 0
+}
--- a/snapshot/finder.go
+++ b/snapshot/finder.go
@@ -6,10 +6,10 @@
 	"time"
 
 	"github.com/juju/errors"
-	"google.golang.org/protobuf/proto"
 
 	recordv1 "lavenderpin.dev/lavenderpin/api/record/v1"
 	"lavenderpin.dev/lavenderpin/platform"
+	"lavenderpin.dev/lavenderpin/record"
 )
 
 const (
@@ -59,16 +59,13 @@
 }
 
 func scan(collector *Collector, slice platform.Slice, ahead uint64) *recordv1.FoldState {
-	for _, record := range slice.Records {
-		batch := &recordv1.Batch{}
-		if proto.Unmarshal(record.Data, batch) != nil {
+	for _, held := range slice.Records {
+		batches, err := record.Decode(held.Data)
+		if err != nil {
 			continue
 		}
-		for _, entry := range batch.GetEntries() {
-			if entry.GetSnapshot() == nil {
-				continue
-			}
-			if state := usable(collector, batch.GetWriter(), entry.GetSnapshot(), slice.Oldest, ahead); state != nil {
+		for _, batch := range batches {
+			if state := scanBatch(collector, batch, slice.Oldest, ahead); state != nil {
 				return state
 			}
 		}
@@ -76,6 +73,18 @@
 	return nil
 }
 
+func scanBatch(collector *Collector, batch *recordv1.Batch, oldest, ahead uint64) *recordv1.FoldState {
+	for _, entry := range batch.GetEntries() {
+		if entry.GetSnapshot() == nil {
+			continue
+		}
+		if state := usable(collector, batch.GetWriter(), entry.GetSnapshot(), oldest, ahead); state != nil {
+			return state
+		}
+	}
+	return nil
+}
+
 // usable returns the state that a chunk completes, if all records after it are kept.
 // One that ends before the oldest record would leave a gap in what is folded, which
 // would show as a change or a top-up that this node alone never heard of.
