--- /dev/null
+++ b/journal/appender.go
@@ -0,0 +1,36 @@
+package journal
+
+import (
+	"context"
+
+	"github.com/juju/errors"
+
+	"lavenderpin.dev/lavenderpin/platform"
+	"lavenderpin.dev/lavenderpin/record"
+)
+
+// Appender takes a writer's batches to the log.
+type Appender interface {
+	// Append returns once a marshalled batch is in the log. After an error it may be
+	// there, or may still get there.
+	Append(ctx context.Context, batch []byte) error
+}
+
+// LogAppender appends each batch as a record of its own.
+type LogAppender struct {
+	log    platform.Log
+	stream string
+}
+
+var _ Appender = (*LogAppender)(nil)
+
+// NewLogAppender returns an appender to a stream of the log.
+func NewLogAppender(log platform.Log, stream string) *LogAppender {
+	return &LogAppender{log: log, stream: stream}
+}
+
+// Append implements Appender.
+func (a *LogAppender) Append(ctx context.Context, batch []byte) error {
+	_, err := a.log.Append(ctx, a.stream, record.Pack(batch))
+	return errors.Trace(err)
+}
--- a/journal/ticket.go
+++ b/journal/ticket.go
@@ -32,6 +32,8 @@
 	return t.state.CompareAndSwap(ticketWaiting, ticketWithdrawn) || t.state.Load() == ticketWithdrawn
 }
 
+func (t *Ticket) withdrawn() bool { return t.state.Load() == ticketWithdrawn }
+
 // send claims the entry for a batch; false when it was withdrawn.
 func (t *Ticket) send() bool { return t.state.CompareAndSwap(ticketWaiting, ticketSent) }
 
--- a/journal/writer.go
+++ b/journal/writer.go
@@ -28,22 +28,22 @@
 // Writer appends the entries of one incarnation, one batch at a time. All methods
 // are safe for concurrent use.
 type Writer struct {
-	log    platform.Log
-	stream string
-	writer string
-	clock  clockwork.Clock
-	hlc    *event.HLC
-	gather time.Duration
+	appender Appender
+	writer   string
+	clock    clockwork.Clock
+	hlc      *event.HLC
+	gather   time.Duration
 
 	wake    chan struct{}
-	folded  chan struct{}
 	sources []func() []*recordv1.Entry
 
 	mu      sync.Mutex
-	waiting []*Ticket
+	waiting queue
 	seq     uint64
 	pending map[uint64][]*Ticket
 	read    uint64
+	// known is closed once the batch that is being appended was read back.
+	known chan struct{}
 
 	appends atomic.Uint64
 	failing atomic.Bool
@@ -53,11 +53,15 @@
 // gathers entries for the given time before each append.
 func NewWriter(log platform.Log, stream, incarnation string, clock clockwork.Clock, hlc *event.HLC, gather time.Duration) *Writer {
 	return &Writer{
-		log: log, stream: stream, writer: incarnation, clock: clock, hlc: hlc, gather: gather,
-		wake: make(chan struct{}, 1), folded: make(chan struct{}, 1), pending: map[uint64][]*Ticket{},
+		appender: NewLogAppender(log, stream), writer: incarnation, clock: clock, hlc: hlc, gather: gather,
+		wake: make(chan struct{}, 1), pending: map[uint64][]*Ticket{},
 	}
 }
 
+// Through makes the writer append by way of another appender than the log itself. It
+// must be called before Run.
+func (w *Writer) Through(appender Appender) { w.appender = appender }
+
 // AddSource registers a function that contributes entries whenever a batch is
 // built. It must be called before Run.
 func (w *Writer) AddSource(source func() []*recordv1.Entry) { w.sources = append(w.sources, source) }
@@ -66,7 +70,7 @@
 func (w *Writer) Submit(entry *recordv1.Entry) *Ticket {
 	ticket := newTicket(entry)
 	w.mu.Lock()
-	w.waiting = append(w.waiting, ticket)
+	w.waiting.add(ticket)
 	w.mu.Unlock()
 	w.Wake()
 	return ticket
@@ -80,7 +84,7 @@
 	}
 }
 
-// Appends returns how many appends were tried.
+// Appends returns how many appends were tried, batches handed on included.
 func (w *Writer) Appends() uint64 { return w.appends.Load() }
 
 // Failing tells whether the last append failed.
@@ -107,13 +111,8 @@
 
 func (w *Writer) build() *recordv1.Batch {
 	w.mu.Lock()
-	tickets := w.waiting
-	w.waiting = nil
-	if len(tickets) > maxBatchEntries {
-		w.waiting = append(w.waiting, tickets[maxBatchEntries:]...)
-		tickets = tickets[:maxBatchEntries]
-	}
-	again := len(w.waiting) > 0
+	tickets := w.waiting.take(maxBatchEntries)
+	again := w.waiting.len() > 0
 	w.mu.Unlock()
 	if again {
 		w.Wake()
@@ -153,27 +152,59 @@
 	pause := backoff.NewExponentialBackOff()
 	pause.InitialInterval = 50 * time.Millisecond
 	pause.MaxInterval = maxBackoff
-	for ctx.Err() == nil && !w.wasRead(batch.GetSeq()) {
+	known := w.watch(batch.GetSeq())
+	for ctx.Err() == nil {
 		w.appends.Add(1)
-		attempt, cancel := clockwork.WithTimeout(ctx, w.clock, appendTimeout)
-		_, err := w.log.Append(attempt, w.stream, data)
-		cancel()
-		w.failing.Store(err != nil)
-		if err == nil {
+		if w.attempt(ctx, data, known) {
 			return
 		}
 		select {
 		case <-ctx.Done():
-		case <-w.folded:
+		case <-known:
+			return
 		case <-w.clock.After(pause.NextBackOff()):
 		}
 	}
 }
 
-func (w *Writer) wasRead(seq uint64) bool {
+// attempt appends once; true means that the batch is in the log. One that is read
+// back ends the attempt: an answer that was lost would otherwise hold up all that
+// comes after it until the attempt's time is over.
+func (w *Writer) attempt(ctx context.Context, data []byte, known <-chan struct{}) bool {
+	attempt, cancel := clockwork.WithTimeout(ctx, w.clock, appendTimeout)
+	defer cancel()
+	answer := make(chan error, 1)
+	go func() { answer <- w.appender.Append(attempt, data) }()
+	select {
+	case <-known:
+		w.failing.Store(false)
+		return true
+	case err := <-answer:
+		w.failing.Store(err != nil)
+		return err == nil
+	}
+}
+
+// watch returns a channel that is closed once the batch of a sequence was read back.
+func (w *Writer) watch(seq uint64) <-chan struct{} {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	return w.read >= seq
+	w.known = make(chan struct{})
+	w.tellKnown(seq)
+	return w.known
+}
+
+// tellKnown closes the channel of the batch that is being appended if what was read
+// reaches its sequence, which is the writer's last one.
+func (w *Writer) tellKnown(seq uint64) {
+	if w.known == nil || w.read < seq {
+		return
+	}
+	select {
+	case <-w.known:
+	default:
+		close(w.known)
+	}
 }
 
 // Folded delivers the verdicts of a batch that the Follower folded. Batches of
@@ -186,14 +217,11 @@
 	tickets := w.pending[batch.GetSeq()]
 	delete(w.pending, batch.GetSeq())
 	w.read = max(w.read, batch.GetSeq())
+	w.tellKnown(w.seq)
 	w.mu.Unlock()
 	for i, ticket := range tickets {
 		ticket.verdict <- verdicts[i]
 	}
-	select {
-	case w.folded <- struct{}{}:
-	default:
-	}
 }
 
 // Restored is told that the state was restored as of the writer's sequence seq. What
@@ -209,6 +237,7 @@
 		}
 	}
 	w.read = max(w.read, seq)
+	w.tellKnown(w.seq)
 	w.mu.Unlock()
 	for _, ticket := range open {
 		ticket.verdict <- fold.Verdict{Code: result.ChangeOutcomeOpen, Message: "the log no longer shows the entry"}
