--- a/cmd/lavenderbench/experiment.go
+++ b/cmd/lavenderbench/experiment.go
@@ -13,6 +13,8 @@
 	Routing routingCmd `cmd:"" help:"Upstream choice and admission, side by side with baselines."`
 	Budgets budgetsCmd `cmd:"" help:"Ways of holding prepaid budgets, side by side with baselines."`
 
+	Appends appendsCmd `cmd:"" help:"Appends a second and what claims wait, gathered by data centre or not, in virtual time."`
+
 	Fleet fleetCmd `cmd:"" help:"What a fleet costs without callers, or how fast changes spread."`
 }
 
--- a/gather/appender.go
+++ b/gather/appender.go
@@ -64,12 +64,12 @@
 // other is void. Another sequence would need to wait until the batch is known to be
 // void, or its settlements would be billed twice.
 func (a *Appender) Append(ctx context.Context, batch []byte) error {
-	gatherer := choose(a.c.Self, a.c.Members(), a.c.Policy.From)
+	gatherer := Choose(a.c.Self, a.c.Members(), a.c.Policy.From)
 	if gatherer == nil || len(batch) > maxBatch || a.resting() {
 		return a.c.Direct.Append(ctx, batch)
 	}
 	err := a.handOn(ctx, gatherer, batch)
-	if err == nil {
+	if err == nil || errors.Is(context.Cause(ctx), journal.ErrReadBack) {
 		a.succeeded()
 		return nil
 	}
--- a/gather/choose.go
+++ b/gather/choose.go
@@ -7,11 +7,11 @@
 	"lavenderpin.dev/lavenderpin/membership"
 )
 
-// choose returns who gathers for a node: the one of its data centre with the highest
+// Choose returns who gathers for a node: the one of its data centre with the highest
 // hash (rendezvous hashing), the node itself included. Nodes with the same view
 // choose the same, and when one leaves only what it gathered moves. It returns nil
 // where fewer than from would gather.
-func choose(self *recordv1.NodeInfo, members []membership.Member, from int) *recordv1.NodeInfo {
+func Choose(self *recordv1.NodeInfo, members []membership.Member, from int) *recordv1.NodeInfo {
 	chosen, count := self, 1
 	for _, m := range members {
 		if !m.Usable() || m.Node.GetDataCentre() != self.GetDataCentre() || m.Node.GetRegion() != self.GetRegion() {
--- /dev/null
+++ b/gather/choose_test.go
@@ -0,0 +1,52 @@
+package gather_test
+
+import (
+	"testing"
+
+	"github.com/matryer/is"
+
+	recordv1 "lavenderpin.dev/lavenderpin/api/record/v1"
+	"lavenderpin.dev/lavenderpin/gather"
+	"lavenderpin.dev/lavenderpin/membership"
+)
+
+func info(name string) *recordv1.NodeInfo {
+	return &recordv1.NodeInfo{Incarnation: name, PeerAddress: name, Region: "gulf-maine", DataCentre: "casco"}
+}
+
+func membersOf(names ...string) []membership.Member {
+	var all []membership.Member
+	for _, name := range names {
+		all = append(all, membership.Member{Node: info(name)})
+	}
+	return all
+}
+
+// Nodes that see the same choose the same, and nobody who leaves or is silent.
+func TestSameViewSameChoice(t *testing.T) {
+	is := is.New(t)
+	members := membersOf("a", "b", "c", "d", "e")
+	first := gather.Choose(info("a"), members[1:], 4)
+	for i, m := range members {
+		others := append(append([]membership.Member(nil), members[:i]...), members[i+1:]...)
+		is.Equal(gather.Choose(m.Node, others, 4).GetIncarnation(), first.GetIncarnation())
+	}
+	for i, m := range members {
+		if m.Node.GetIncarnation() == first.GetIncarnation() {
+			members[i].Draining = true
+		}
+	}
+	is.True(gather.Choose(info("x"), members, 4).GetIncarnation() != first.GetIncarnation())
+}
+
+// A small data centre appends for itself, however many nodes the others have.
+func TestFewNodesOfADataCentreDoNotGather(t *testing.T) {
+	is := is.New(t)
+	members := membersOf("b", "c", "d", "e", "f")
+	is.True(gather.Choose(info("a"), members, 6) != nil)
+	is.True(gather.Choose(info("a"), members, 7) == nil)
+	for i := range members {
+		members[i].Node.DataCentre = "penobscot"
+	}
+	is.True(gather.Choose(info("a"), members, 2) == nil)
+}
--- /dev/null
+++ b/gather/failure_test.go
@@ -0,0 +1,257 @@
+package gather_test
+
+import (
+	"cmp"
+	"context"
+	"slices"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/juju/errors"
+	"github.com/matryer/is"
+
+	fleetv1 "lavenderpin.dev/lavenderpin/api/fleet/v1"
+	"lavenderpin.dev/lavenderpin/gather"
+	"lavenderpin.dev/lavenderpin/internal/experiment/appends"
+	"lavenderpin.dev/lavenderpin/internal/standin"
+	"lavenderpin.dev/lavenderpin/membership"
+	"lavenderpin.dev/lavenderpin/platform"
+)
+
+// fleet is a data centre of nodes a, b, c… that gather.
+type fleet struct {
+	*appends.Fleet
+	nodes []*appends.Node
+}
+
+// newFleet starts nodes that gather by way of one log and append for themselves by way
+// of another, nil for the fleet's own.
+func newFleet(t *testing.T, count int, gathered, alone platform.Log) *fleet {
+	f := &fleet{Fleet: appends.NewFleet(t.Context(), clockwork.NewRealClock(), gather.DefaultPolicy())} // fake within the bubble
+	for i := range count {
+		f.nodes = append(f.nodes, f.Add(info(string(rune('a'+i))), cmp.Or[platform.Log](gathered, f.Log), cmp.Or[platform.Log](alone, f.Log)))
+	}
+	return f
+}
+
+// inFleet runs a test over nodes that reach the log, in fake time.
+func inFleet(t *testing.T, count int, run func(is *is.I, f *fleet)) {
+	synctest.Test(t, func(t *testing.T) { run(is.New(t), newFleet(t, count, nil, nil)) })
+}
+
+// roles returns the node that gathers when all see all, and another one.
+func (f *fleet) roles() (gatherer, other *appends.Node) {
+	chosen := gather.Choose(f.nodes[0].Info, f.Seen(f.nodes[0].Name()), 1)
+	for _, n := range f.nodes {
+		if n.Info == chosen {
+			gatherer = n
+		} else {
+			other = n
+		}
+	}
+	return gatherer, other
+}
+
+// submit writes an entry of each node.
+func (f *fleet) submit(tokens uint64) {
+	for _, n := range f.nodes {
+		n.Submit(tokens)
+	}
+}
+
+// counted checks what took effect of a node's entries, once all has arrived.
+func (f *fleet) counted(is *is.I, n *appends.Node, want ...uint64) {
+	is.Helper()
+	time.Sleep(time.Minute)
+	is.Equal(f.Folded.Of(n.Name()), want)
+}
+
+// silent calls a node and never answers, as one that is dead or cut off.
+func silent(ctx context.Context, _ string, _ func() *fleetv1.Response) (*fleetv1.Response, error) {
+	<-ctx.Done()
+	return nil, errors.Trace(ctx.Err())
+}
+
+const answer = time.Second
+
+// All nodes settle at once. The first batch goes alone, and one record takes all that
+// come while the gatherer waits for its interval.
+func TestManyBatchesAreFewRecords(t *testing.T) {
+	inFleet(t, 10, func(is *is.I, f *fleet) {
+		for range 3 {
+			f.submit(7)
+			time.Sleep(time.Second)
+		}
+		is.Equal(len(f.Records()), 6)
+		for _, n := range f.nodes {
+			f.counted(is, n, 7, 7, 7)
+		}
+	})
+}
+
+// A gatherer appends no more often than its policy allows, however often it is asked.
+func TestAGathererKeepsItsInterval(t *testing.T) {
+	inFleet(t, 5, func(is *is.I, f *fleet) {
+		for range 500 {
+			f.submit(1)
+			time.Sleep(10 * time.Millisecond)
+		}
+		time.Sleep(time.Second)
+		is.True(len(f.Records()) <= 52) // 5 s at ten a second, and the rest
+	})
+}
+
+// The gatherer's process dies. Its nodes' first claims wait for the answer that never
+// comes, a second each; without the rest after it every further one would wait again
+// until the members notice, and requests would be refused meanwhile.
+func TestADeadGathererCostsOneWait(t *testing.T) {
+	inFleet(t, 5, func(is *is.I, f *fleet) {
+		dead, n := f.roles()
+		f.OnCall = silent
+		dead.Stop()
+		is.Equal(n.Took(1), appends.Soon+answer)
+		is.Equal(n.Took(2), appends.Soon)
+		is.Equal(n.Appender.Failed(), uint64(1))
+		f.Remove(dead) // the members noticed
+		f.OnCall = nil
+		time.Sleep(gather.DefaultPolicy().LeastRest)
+		is.Equal(n.Took(3), appends.Soon)
+		synctest.Wait()
+		is.Equal(n.Appender.HandedOn(), uint64(1)) // another one gathers
+		f.counted(is, n, 1, 2, 3)
+	})
+}
+
+// A gatherer is paused in the middle of its append, as by a machine that swaps, and
+// goes on half a minute later. Its nodes have appended for themselves since; were the
+// late batch to count again, money would be granted or billed twice.
+func TestALateAppendOfAPausedGathererIsVoid(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		paused := &heldLog{hold: 30 * time.Second}
+		f := newFleet(t, 5, paused, nil)
+		paused.Log = f.Log
+		_, n := f.roles()
+		is.Equal(n.Took(1), appends.Soon+answer)
+		is.Equal(n.Took(2), appends.Soon)
+		is.Equal(len(f.Records()), 2)
+		f.counted(is, n, 1, 2)
+		is.Equal(len(f.Records()), 3) // the late one came, and is void
+	})
+}
+
+// The gatherer's answer is lost after its append took effect. The writer reads its
+// batch back and goes on: nobody waits, and nothing is appended twice.
+func TestALostAnswerIsMadeGoodByReading(t *testing.T) {
+	inFleet(t, 5, func(is *is.I, f *fleet) {
+		f.OnCall = func(ctx context.Context, to string, handle func() *fleetv1.Response) (*fleetv1.Response, error) {
+			handle()
+			return silent(ctx, to, handle)
+		}
+		_, n := f.roles()
+		is.Equal(n.Took(1), appends.Soon)
+		is.True(n.Took(2) < answer)
+		is.Equal(len(f.Records()), 2)
+		is.Equal(n.Appender.Failed(), uint64(0))
+		f.counted(is, n, 1, 2)
+	})
+}
+
+// A batch is handed on, its writer gives up and appends it and the next ones itself,
+// and only then the first reaches the gatherer.
+func TestABatchHandedOnLateIsVoid(t *testing.T) {
+	inFleet(t, 5, func(is *is.I, f *fleet) {
+		f.OnCall = func(ctx context.Context, to string, handle func() *fleetv1.Response) (*fleetv1.Response, error) {
+			time.AfterFunc(20*time.Second, func() { handle() })
+			return silent(ctx, to, handle)
+		}
+		_, n := f.roles()
+		for tokens := range uint64(3) {
+			n.Took(tokens)
+		}
+		is.Equal(len(f.Records()), 3)
+		f.counted(is, n, 0, 1, 2)
+		is.Equal(len(f.Records()), 4) // the late one came, and is void
+	})
+}
+
+// Each half of a data centre sees only itself, so that two nodes gather. Both append;
+// nothing is lost and nothing counts twice.
+func TestTwoGatherersAtOnce(t *testing.T) {
+	inFleet(t, 10, func(is *is.I, f *fleet) {
+		f.Views = func(name string, all []membership.Member) []membership.Member {
+			return slices.DeleteFunc(all, func(m membership.Member) bool { return (m.Node.GetIncarnation() < "f") != (name < "f") })
+		}
+		f.submit(1)
+		gatherers := 0
+		for _, n := range f.nodes {
+			f.counted(is, n, 1)
+			if n.Gatherer.Appends() > 0 {
+				gatherers++
+			}
+		}
+		is.Equal(gatherers, 2)
+	})
+}
+
+// The gatherer is cut off from the log and its nodes are not. It says so, and they
+// append for themselves, ever longer, in place of asking it before each batch.
+func TestAGathererWithoutTheLogIsLeftAlone(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		down := standin.NewLog()
+		down.SetDown(true)
+		f := newFleet(t, 5, down, nil)
+		_, n := f.roles()
+		const rounds = 300
+		for tokens := range uint64(rounds) {
+			is.True(n.Took(tokens) < answer)
+			time.Sleep(time.Second)
+		}
+		is.Equal(len(f.Folded.Of(n.Name())), rounds)
+		is.True(n.Appender.Failed() <= 9) // after 5, 10, 20, 40 and then each 60 s
+	})
+}
+
+// A node that stops answers what it holds for others at once, and they append it.
+func TestAStoppedGathererAnswersAtOnce(t *testing.T) {
+	inFleet(t, 5, func(is *is.I, f *fleet) {
+		gatherer, n := f.roles()
+		n.Took(1)
+		ticket := n.Submit(2)
+		time.Sleep(2 * appends.Soon) // handed on, and held for the gatherer's interval
+		gatherer.Stop()
+		began := time.Now()
+		<-ticket.Done()
+		is.Equal(time.Since(began), time.Duration(0))
+		f.counted(is, n, 1, 2)
+	})
+}
+
+// A gatherer whose log doesn't answer holds a bounded amount for others.
+func TestAGathererHoldsABoundedAmount(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		const tried, bound = 100, 8 << 20
+		g := gather.NewGatherer(standin.NewLog(), appends.Stream, clockwork.NewRealClock(), gather.DefaultPolicy()) // not running yet
+		var refused atomic.Int32
+		for range tried {
+			go func() {
+				if _, err := g.Append(t.Context(), batchOf(t, "a", bound/tried*2), answer); err != nil {
+					refused.Add(1)
+				}
+			}()
+		}
+		synctest.Wait()
+		is.True(refused.Load() >= tried/2)
+		is.True(g.Waiting() <= bound)
+		time.Sleep(2 * answer) // their writers have all given up
+		go g.Run(t.Context())
+		time.Sleep(answer)
+		is.Equal(g.Waiting(), 0)
+		is.Equal(g.Appends(), uint64(0))
+	})
+}
--- a/gather/gatherer.go
+++ b/gather/gatherer.go
@@ -45,6 +45,13 @@
 // Appends returns how many records it began to append.
 func (g *Gatherer) Appends() uint64 { return g.appends.Load() }
 
+// Waiting returns how many bytes it holds for others.
+func (g *Gatherer) Waiting() int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.bytes
+}
+
 // Append returns the offset once a batch is in the log, or an error within wait.
 // After an error the batch may be in the log or get there yet.
 func (g *Gatherer) Append(ctx context.Context, batch []byte, wait time.Duration) (uint64, error) {
--- a/journal/writer.go
+++ b/journal/writer.go
@@ -8,6 +8,7 @@
 
 	"github.com/cenkalti/backoff/v5"
 	"github.com/jonboulle/clockwork"
+	"github.com/juju/errors"
 	"google.golang.org/protobuf/proto"
 
 	recordv1 "lavenderpin.dev/lavenderpin/api/record/v1"
@@ -25,6 +26,10 @@
 	maxBackoff    = 2 * time.Second
 )
 
+// ErrReadBack is the cause of a context's end when the batch whose append it bounds was
+// read back from the log: it counts, whatever becomes of the answer.
+var ErrReadBack = errors.New("the batch was read back")
+
 // Writer appends the entries of one incarnation, one batch at a time. All methods
 // are safe for concurrent use.
 type Writer struct {
@@ -171,12 +176,17 @@
 // back ends the attempt: an answer that was lost would otherwise hold up all that
 // comes after it until the attempt's time is over.
 func (w *Writer) attempt(ctx context.Context, data []byte, known <-chan struct{}) bool {
+	ctx, end := context.WithCancelCause(ctx)
+	defer end(nil)
 	attempt, cancel := clockwork.WithTimeout(ctx, w.clock, appendTimeout)
-	defer cancel()
 	answer := make(chan error, 1)
-	go func() { answer <- w.appender.Append(attempt, data) }()
+	go func() {
+		defer cancel()
+		answer <- w.appender.Append(attempt, data)
+	}()
 	select {
 	case <-known:
+		end(ErrReadBack)
 		w.failing.Store(false)
 		return true
 	case err := <-answer:
--- a/record/pack.go
+++ b/record/pack.go
@@ -12,7 +12,7 @@
 
 const (
 	// packFrom is the smallest record worth packing, in bytes.
-	packFrom = 512
+	packFrom = 256
 	// maxUnpacked bounds what a record may unpack to, in bytes. Without it one bad
 	// record could take all memory of every node that folds it.
 	maxUnpacked = 16 << 20
