Gather only in fleets of thirty nodes and more

Cause: seven nodes that stand in one data centre would have gathered, and their claims waited some 70 ms more although the log takes their 38 appends a second without help.

Change: Policy.Fleet. Under 30 nodes nobody gathers, however they are spread.

--- a/gather/appender.go
+++ b/gather/appender.go
@@ -64,7 +64,7 @@
 // other is void. Another sequence would need to wait until the batch is known to be
 // void, or its settlements would be billed twice.
 func (a *Appender) Append(ctx context.Context, batch []byte) error {
-	gatherer := Choose(a.c.Self, a.c.Members(), a.c.Policy.From)
+	gatherer := Choose(a.c.Self, a.c.Members(), a.c.Policy)
 	if gatherer == nil || len(batch) > maxBatch || a.resting() {
 		return a.c.Direct.Append(ctx, batch)
 	}
--- a/gather/choose.go
+++ b/gather/choose.go
@@ -10,8 +10,11 @@
 // Choose returns who gathers for a node: the one of its data centre with the highest
 // hash (rendezvous hashing), the node itself included. Nodes with the same view
 // choose the same, and when one leaves only what it gathered moves. It returns nil
-// where fewer than from would gather.
-func Choose(self *recordv1.NodeInfo, members []membership.Member, from int) *recordv1.NodeInfo {
+// where the policy has each node append for itself.
+func Choose(self *recordv1.NodeInfo, members []membership.Member, policy Policy) *recordv1.NodeInfo {
+	if len(members)+1 < policy.Fleet {
+		return nil
+	}
 	chosen, count := self, 1
 	for _, m := range members {
 		if !m.Usable() || m.Node.GetDataCentre() != self.GetDataCentre() || m.Node.GetRegion() != self.GetRegion() {
@@ -22,7 +25,7 @@
 			chosen = m.Node
 		}
 	}
-	if count < from {
+	if count < policy.From {
 		return nil
 	}
 	return chosen
--- a/gather/failure_test.go
+++ b/gather/failure_test.go
@@ -30,7 +30,9 @@
 // newFleet starts nodes that gather by way of one log and append for themselves by way
 // of another, nil for the fleet's own.
 func newFleet(t *testing.T, count int, gathered, alone platform.Log) *fleet {
-	f := &fleet{Fleet: appends.NewFleet(t.Context(), clockwork.NewRealClock(), gather.DefaultPolicy())} // fake within the bubble
+	policy := gather.DefaultPolicy()
+	policy.Fleet = 0
+	f := &fleet{Fleet: appends.NewFleet(t.Context(), clockwork.NewRealClock(), policy)} // fake within the bubble
 	for i := range count {
 		f.nodes = append(f.nodes, f.Add(info(string(rune('a'+i))), cmp.Or[platform.Log](gathered, f.Log), cmp.Or[platform.Log](alone, f.Log)))
 	}
@@ -44,7 +46,7 @@
 
 // roles returns the node that gathers when all see all, and another one.
 func (f *fleet) roles() (gatherer, other *appends.Node) {
-	chosen := gather.Choose(f.nodes[0].Info, f.Seen(f.nodes[0].Name()), 1)
+	chosen := gather.Choose(f.nodes[0].Info, f.Seen(f.nodes[0].Name()), from(1))
 	for _, n := range f.nodes {
 		if n.Info == chosen {
 			gatherer = n
--- a/gather/policy.go
+++ b/gather/policy.go
@@ -4,10 +4,10 @@
 
 // Policy tells when batches are gathered.
 type Policy struct {
-	// From is the least number of nodes in a data centre, this one included, at which
-	// they gather. Fewer append for themselves: the log takes that, and a claim then
-	// waits for nobody.
-	From int
+	// Fleet is the least number of nodes of the fleet, this one included, at which any
+	// gather, and From the least in a data centre. Fewer append for themselves: the log
+	// takes that, and a claim then waits for nobody.
+	Fleet, From int
 	// Interval is the least time between the beginnings of two appends of one
 	// gatherer. It bounds what a data centre appends in a second.
 	Interval time.Duration
@@ -20,7 +20,7 @@
 
 // DefaultPolicy returns what docs/design/08-appends.md weighs.
 func DefaultPolicy() Policy {
-	return Policy{From: 4, Interval: 100 * time.Millisecond, Answer: time.Second,
+	return Policy{Fleet: 30, From: 4, Interval: 100 * time.Millisecond, Answer: time.Second,
 		LeastRest: 5 * time.Second, MostRest: time.Minute}
 }
 
