--- a/cmd/lavenderbench/capacity.go
+++ b/cmd/lavenderbench/capacity.go
@@ -27,7 +27,7 @@
 	fmt.Fprintln(w, "| Measured slope\t| Value\t| How\t|")
 	fmt.Fprintln(w, "|---\t|---\t|---\t|")
 	for _, s := range measured.Slopes {
-		fmt.Fprintf(w, "| %s\t| %.0f %s\t| %s\t|\n", s.Name, s.Value, s.Unit, s.How)
+		fmt.Fprintf(w, "| %s\t| %s %s\t| %s\t|\n", s.Name, figure(s.Value), s.Unit, s.How)
 	}
 	fmt.Fprintln(w, "\n| Role (computed)\t| Core %\t| Memory MB\t| Bytes/s\t| Appends/s, fleet\t| From\t|")
 	fmt.Fprintln(w, "|---\t|---\t|---\t|---\t|---\t|---\t|")
@@ -41,3 +41,11 @@
 	}
 	return errors.Trace(w.Flush())
 }
+
+// figure prints small values with a decimal.
+func figure(value float64) string {
+	if value < 10 {
+		return fmt.Sprintf("%.2f", value)
+	}
+	return fmt.Sprintf("%.0f", value)
+}
--- a/internal/bench/capacity/ledger.go
+++ b/internal/bench/capacity/ledger.go
@@ -6,7 +6,9 @@
 
 	"google.golang.org/protobuf/proto"
 
+	recordv1 "lavenderpin.dev/lavenderpin/api/record/v1"
 	"lavenderpin.dev/lavenderpin/budget"
+	"lavenderpin.dev/lavenderpin/snapshot"
 )
 
 const settlementsABatch = 50
@@ -121,7 +123,18 @@
 			panic(err)
 		}
 	})
+	sealed, err := snapshot.Seal(&recordv1.FoldState{Offset: f.offset, Parts: []*recordv1.PartState{{Name: f.ledger.Name(), Data: data}}})
+	if err != nil {
+		panic(err)
+	}
+	seal := each(n.Budgets, func() {
+		if _, err := snapshot.Seal(&recordv1.FoldState{Offset: f.offset, Parts: []*recordv1.PartState{{Name: f.ledger.Name(), Data: data}}}); err != nil {
+			panic(err)
+		}
+	})
 	return []Slope{
+		{"sealed snapshot bytes per budget", float64(len(sealed)) / float64(n.Budgets), "B", "the same part compressed, as it goes through the log; names differ by numbers alone"},
+		{"seal per budget", seal, "ns", "compress and sum, ledger part"},
 		{"snapshot bytes per budget", float64(len(data)) / float64(n.Budgets), "B", "ledger part of 50,000 budgets, before compression"},
 		{"snapshot per budget", took, "ns", "ledger part, written"},
 		{"restore per budget", restore, "ns", "ledger part, read"},
--- a/internal/bench/capacity/measure.go
+++ b/internal/bench/capacity/measure.go
@@ -16,6 +16,10 @@
 	m.Slopes = append(m.Slopes, configSlopes(n, size)...)
 	m.Slopes = append(m.Slopes, pathSlopes(n)...)
 	m.Slopes = append(m.Slopes, wireSlopes()...)
+	m.Slopes = append(m.Slopes, gatheredSlopes(n, size)...)
+	m.Slopes = append(m.Slopes, recoverySlopes(size)...)
+	m.Slopes = append(m.Slopes, outageSlopes(size)...)
+	m.Slopes = append(m.Slopes, witnessSlopes(n)...)
 	m.Roles = roles(size, m.slope)
 	m.Limits = limits(size, m.slope)
 	return m
--- a/internal/bench/capacity/role.go
+++ b/internal/bench/capacity/role.go
@@ -1,6 +1,10 @@
 package capacity
 
-import "time"
+import (
+	"time"
+
+	"lavenderpin.dev/lavenderpin/gather"
+)
 
 // Role is what one part of a node's work costs at a size, computed from slopes.
 type Role struct {
@@ -20,8 +24,6 @@
 	nanosASec   = 1e9
 	percent     = 100
 	openSeconds = 0.4 // settlements above the oldest open counter: half a flush and a slow answer
-	// gatheredFlush is one append of a data centre in one interval.
-	gatheredFlush = 200 * time.Millisecond
 	// mostBeats is how many heartbeats a second the whole fleet writes at most.
 	mostBeats  = 4
 	partitions = 64
@@ -34,6 +36,11 @@
 
 func perSecond(nanos, rate float64) float64 { return nanos * rate / nanosASec * percent }
 
+// foldPacked is what one settlement of a gathered and packed record costs to fold, in ns.
+func foldPacked(s func(string) float64) float64 {
+	return s("fold per settlement") + s("decode per settlement, gathered") - s("decode per settlement, gathered and not packed")
+}
+
 // roles computes every node's cost as the code stands: each node folds everything.
 func roles(size Size, s func(string) float64) []Role {
 	nodes, rate := float64(size.Nodes), size.RequestsPerSecond
@@ -47,10 +54,10 @@
 			Computed: "own requests × (reserve and finish + account by key + 4 events); HTTP and the answer itself are work for callers, not control"},
 		{Name: "budget holder", MemoryMB: float64(size.HeldBudgets) * s("holder memory per budget held") / megabyte,
 			Computed: "1,500 budgets held (assumed)"},
-		{Name: "ledger fold: settlements", CorePercent: perSecond(s("fold per settlement"), rate),
-			BytesASecond: rate * s("log bytes per settlement"),
+		{Name: "ledger fold: settlements", CorePercent: perSecond(foldPacked(s), rate),
+			BytesASecond: rate * s("log bytes per settlement, gathered"),
 			MemoryMB:     rate * openSeconds * s("ledger memory per open settlement") / megabyte,
-			Computed:     "every node folds every settlement"},
+			Computed:     "every node folds every settlement, gathered and packed"},
 		{Name: "ledger fold: budgets", MemoryMB: float64(size.Budgets) * s("ledger memory per budget") / megabyte,
 			Computed: "all budgets × memory per budget"},
 		{Name: "ledger fold: shares", MemoryMB: nodes * float64(size.HeldBudgets) * s("ledger memory per share") / megabyte,
@@ -66,17 +73,22 @@
 			Computed: "a ping a second to one neighbour in turn and one from another, each answered; no news"},
 		{Name: "membership, with news all the time", BytesASecond: 4 / size.Ping.Seconds() * s("ping with news"),
 			Computed: "the same with nine views in each"},
-		{Name: "settlement writer, by node", AppendsASecond: nodes * min(1/size.Flush.Seconds(), own),
+		{Name: "settlement writer, each for itself", AppendsASecond: nodes * min(1/size.Flush.Seconds(), own),
 			Computed: "one append a node every 200 ms"},
-		{Name: "settlement writer, by data centre", AppendsASecond: float64(size.DataCentres) / gatheredFlush.Seconds(),
-			Computed: "one append a data centre every 200 ms"},
-		{Name: "snapshot writer", BytesASecond: snapshot * megabyte / time.Hour.Seconds(), MemoryMB: snapshot,
-			CorePercent: perSecond(float64(size.Budgets)*s("snapshot per budget"), 1/time.Hour.Seconds()),
-			Computed:    "one snapshot an hour, uncompressed; every node that follows the log reads it too"},
-		{Name: "witness", BytesASecond: own * 2 * s("witness of one request"),
-			Computed: "each own request told to one other node, one heard from another, not gathered"},
-		{Name: "recovery", CorePercent: perSecond(s("fold per settlement")*own*openSeconds, (size.FailuresPerDay+size.RestartsPerDay)/daySeconds),
-			Computed: "52 failures and 250 restarts a day × requests open on a node"},
+		{Name: "settlement writer, gathered", AppendsASecond: float64(size.DataCentres) / gather.DefaultPolicy().Interval.Seconds(),
+			CorePercent:  perSecond(s("pack per settlement"), rate/float64(size.DataCentres)),
+			BytesASecond: rate / float64(size.DataCentres) * (s("log bytes per settlement") + s("log bytes per settlement, gathered")),
+			Computed:     "at most one append a data centre every 100 ms; core and bytes are the gatherer's, which takes 24 nodes' batches as they are"},
+		{Name: "snapshot writer", BytesASecond: snapshot * megabyte / time.Hour.Seconds() * s("sealed snapshot bytes per budget") / s("snapshot bytes per budget"), MemoryMB: snapshot,
+			CorePercent: perSecond(float64(size.Budgets)*(s("snapshot per budget")+s("seal per budget")), 1/time.Hour.Seconds()),
+			Computed:    "one snapshot an hour, sealed at the ledger's ratio; memory is one uncompressed copy; every node that follows the log reads it too"},
+		{Name: "witness", BytesASecond: own * 2 * (s("witness exchange, bytes per request") + 2*s("witness exchange, messages per request")*quicOverhead),
+			MemoryMB: own * openSeconds * s("witness memory per request") / megabyte, CorePercent: perSecond(s("witness exchange, time per request"), own),
+			Computed: "each own request told to one other node and one heard from another, 60 B a message and an answer for transport"},
+		{Name: "log out for an hour", MemoryMB: own * time.Hour.Seconds() * (s("memory per settlement in an outage") + s("witness memory per request")) / megabyte,
+			Computed: "own settlements that wait, and another node's at its witness"},
+		{Name: "recovery", CorePercent: perSecond(s("fold per settlement")*own*openSeconds+s("RecoveryDone"), (size.FailuresPerDay+size.RestartsPerDay)/daySeconds),
+			Computed: "52 failures and 250 restarts a day × (requests open on a node, and the walk over all budgets)"},
 		{Name: "time line", MemoryMB: eventRing * s("event memory") / megabyte, CorePercent: perSecond(4*s("event recorded"), own),
 			Computed: "a ring of 20,000 events, four events a request"},
 		{Name: "next: cumulative settlements, partitioned", BytesASecond: nodes * float64(activeBudgets) * cumulativeBytes / cumulativeEvery / partitions * partitionsHeld,
--- a/node/settings.go
+++ b/node/settings.go
@@ -8,6 +8,7 @@
 	"github.com/juju/errors"
 
 	"lavenderpin.dev/lavenderpin/budget"
+	"lavenderpin.dev/lavenderpin/gather"
 	"lavenderpin.dev/lavenderpin/signed"
 	"lavenderpin.dev/lavenderpin/snapshot"
 )
@@ -32,6 +33,8 @@
 	LeaseTerm time.Duration
 	// Gather is how long entries are gathered before each append.
 	Gather time.Duration
+	// Appends tells when the nodes of a data centre append together.
+	Appends gather.Policy
 	// ClaimChunk is the least number of tokens claimed from a budget's pool at a time.
 	ClaimChunk uint64
 	// AddressLifetime is how long callers may keep an address handed out. A draining
@@ -58,6 +61,7 @@
 		Policy:            budget.Endurance,
 		SpendRight:        budget.Endurance.SpendRight,
 		Gather:            20 * time.Millisecond,
+		Appends:           gather.DefaultPolicy(),
 		ClaimChunk:        20_000,
 		AddressLifetime:   10 * time.Second,
 		Snapshots:         snapshot.DefaultPolicy(),
@@ -84,6 +88,7 @@
 	require(s.SpendRight > 2*s.HeartbeatInterval, "spend right isn't above two heartbeat intervals")
 	require(s.LeaseTerm >= time.Second, "lease term is under a second")
 	require(s.Gather >= 0, "gather time is negative")
+	require(s.Appends.From > 0 && s.Appends.Answer > 0 && s.Appends.LeastRest > 0, "policy of appends isn't positive")
 	require(s.ClaimChunk > 0, "claim chunk is zero")
 	require(s.AddressLifetime > 0, "address lifetime isn't positive")
 	require(len(s.TokenSecret) == 0 || len(s.TokenSecret) >= signed.MinSecret, "token secret is shorter than 32 bytes")
--- a/node/testfleet_test.go
+++ b/node/testfleet_test.go
@@ -18,6 +18,7 @@
 	recordv1 "lavenderpin.dev/lavenderpin/api/record/v1"
 	"lavenderpin.dev/lavenderpin/budget"
 	"lavenderpin.dev/lavenderpin/event"
+	"lavenderpin.dev/lavenderpin/gather"
 	"lavenderpin.dev/lavenderpin/internal/standin"
 	"lavenderpin.dev/lavenderpin/platform"
 	"lavenderpin.dev/lavenderpin/signed"
@@ -40,6 +41,7 @@
 	engines *testEngines
 	nodes   []*testNode
 	policy  budget.Policy
+	appends gather.Policy
 	topUps  int
 }
 
@@ -51,7 +53,12 @@
 
 // startFleet starts one node per region named and waits until all serve.
 func startFleet(t *testing.T, policy budget.Policy, regions ...string) *testFleet {
-	f := &testFleet{t: t, log: standin.NewLog(), net: newTestNet(), engines: newTestEngines(), policy: policy}
+	return startGathering(t, gather.DefaultPolicy(), policy, regions...)
+}
+
+// startGathering starts a fleet as startFleet does, with a policy of appends.
+func startGathering(t *testing.T, appends gather.Policy, policy budget.Policy, regions ...string) *testFleet {
+	f := &testFleet{t: t, log: standin.NewLog(), net: newTestNet(), engines: newTestEngines(), policy: policy, appends: appends}
 	for i, region := range regions {
 		f.nodes = append(f.nodes, f.start(i, region))
 	}
@@ -80,6 +87,7 @@
 	settings.Region, settings.DataCentre = region, fmt.Sprintf("%s-%d", region, i%2)
 	settings.PeerAddress = fmt.Sprintf("127.0.0.1:%d", 7000+i)
 	settings.HTTPAddress, settings.OperatorAddress = "127.0.0.1:1", "127.0.0.1:2"
+	settings.Appends = f.appends
 	settings.Policy, settings.SpendRight = f.policy, f.policy.SpendRight
 	settings.ClaimChunk = 1000
 	settings.AddressLifetime = time.Second
--- a/record/decode.go
+++ b/record/decode.go
@@ -16,11 +16,7 @@
 		return nil, err
 	}
 	if len(batch.GetPacked()) > 0 {
-		record, err := unpack(batch.GetPacked())
-		if err != nil {
-			return nil, err
-		}
-		if batch, err = parse(record); err != nil {
+		if batch, err = parsePacked(batch.GetPacked()); err != nil {
 			return nil, err
 		}
 	}
@@ -58,6 +54,17 @@
 	return batch, nil
 }
 
+// parsePacked unpacks into room that is used again: a parsed message keeps nothing of it.
+func parsePacked(body []byte) (*recordv1.Batch, error) {
+	u := unpackers.Get().(*unpacker)
+	defer u.keep()
+	record, err := u.unpack(body)
+	if err != nil {
+		return nil, err
+	}
+	return parse(record)
+}
+
 func plain(batch *recordv1.Batch) bool {
 	return len(batch.GetGathered()) == 0 && len(batch.GetPacked()) == 0
 }
--- a/record/pack.go
+++ b/record/pack.go
@@ -6,17 +6,11 @@
 	"io"
 	"sync"
 
-	"github.com/juju/errors"
 	"google.golang.org/protobuf/encoding/protowire"
 )
 
-const (
-	// packFrom is the smallest record worth packing, in bytes.
-	packFrom = 256
-	// maxUnpacked bounds what a record may unpack to, in bytes. Without it one bad
-	// record could take all memory of every node that folds it.
-	maxUnpacked = 16 << 20
-)
+// packFrom is the smallest record worth packing, in bytes.
+const packFrom = 256
 
 // packers are kept for reuse: each takes more memory than most records.
 var packers = sync.Pool{New: func() any {
@@ -51,14 +45,3 @@
 	packed := protowire.AppendTag(make([]byte, 0, size), packedField, protowire.BytesType)
 	return protowire.AppendBytes(packed, body.Bytes())
 }
-
-func unpack(body []byte) ([]byte, error) {
-	record, err := io.ReadAll(io.LimitReader(flate.NewReader(bytes.NewReader(body)), maxUnpacked+1))
-	if err != nil {
-		return nil, errors.Annotate(err, "packed record")
-	}
-	if len(record) > maxUnpacked {
-		return nil, errors.Errorf("a packed record holds more than %d bytes", maxUnpacked)
-	}
-	return record, nil
-}
