--- a/internal/bench/capacity/role.go
+++ b/internal/bench/capacity/role.go
@@ -86,7 +86,7 @@
 			MemoryMB: own * openSeconds * s("witness memory per request") / megabyte, CorePercent: perSecond(s("witness exchange, time per request"), own),
 			Computed: "each own request told to one other node and one heard from another, 60 B a message and an answer for transport"},
 		{Name: "log out for an hour", MemoryMB: own * time.Hour.Seconds() * (s("memory per settlement in an outage") + s("witness memory per request")) / megabyte,
-			Computed: "own settlements that wait, and another node's at its witness"},
+			Computed: "own settlements that wait, kept by the teller too, and another node's at its witness"},
 		{Name: "recovery", CorePercent: perSecond(s("fold per settlement")*own*openSeconds+s("RecoveryDone"), (size.FailuresPerDay+size.RestartsPerDay)/daySeconds),
 			Computed: "52 failures and 250 restarts a day × (requests open on a node, and the walk over all budgets)"},
 		{Name: "time line", MemoryMB: eventRing * s("event memory") / megabyte, CorePercent: perSecond(4*s("event recorded"), own),
--- a/internal/bench/capacity/witness.go
+++ b/internal/bench/capacity/witness.go
@@ -26,7 +26,7 @@
 // Call implements peer.Caller.
 func (w *witnessed) Call(_ context.Context, _ string, r *fleetv1.Request) (*fleetv1.Response, error) {
 	answer := &fleetv1.Response{Hlc: r.GetHlc(), Body: &fleetv1.Response_Witnessed{Witnessed: &fleetv1.Witnessed{}}}
-	if err := w.memory.Remember(r.GetWitness()); err != nil {
+	if err := w.memory.Remember(proto.CloneOf(r.GetWitness())); err != nil {
 		return nil, err
 	}
 	w.messages.Add(1)
@@ -51,6 +51,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	go teller.Run(ctx)
+	before := heap()
 	began := time.Now()
 	for i := range n.Lookups {
 		open := &fleetv1.OpenRequest{Request: fmt.Sprintf("%s.%d", incarnationName(0), i), Budget: budgetName(i % activeBudgets),
@@ -61,25 +62,12 @@
 		teller.Ended(open.GetRequest(), 221)
 	}
 	took := time.Since(began)
-	requests := float64(n.Lookups)
+	both := heap() - before
+	requests := float64(teller.Len())
 	return []Slope{
 		{"witness exchange, bytes per request", float64(peer.bytes.Load()) / requests, "B", "a teller and its witness as they run, both ways, open and end, requests one after the other; without transport"},
 		{"witness exchange, messages per request", float64(peer.messages.Load()) / requests, "", "the same run; the end of a request goes with the next one's beginning"},
 		{"witness exchange, time per request", float64(took.Nanoseconds()) / requests, "ns", "the same run, told and answered without a network"},
-		{"witness memory per request", grownMemory(n), "B", "remembered by the witness until it is settled in the log"},
+		{"witness memory per request", both / requests, "B", "the same run: what the teller and its witness keep together until it is settled in the log"},
 	}
 }
-
-func grownMemory(n Samples) float64 {
-	memory := witness.NewMemory()
-	return grown(n.Held, func() any {
-		for i := range n.Held {
-			said := &fleetv1.Witness{Open: []*fleetv1.OpenRequest{{Request: fmt.Sprintf("%s.%d", incarnationName(0), i),
-				Budget: budgetName(i % activeBudgets), Reserved: 700, Upstream: "engine-00012"}}}
-			if err := memory.Remember(said); err != nil {
-				panic(err)
-			}
-		}
-		return memory
-	})
-}
