Write gathered and packed records only while every open node reads them

Cause: a program of before takes such a record for an empty one. In an update node by node it would have folded other budgets and configurations than the new nodes: money granted twice, changes lost.

Change: nodes announce record_forms in their heartbeats; a node gathers and packs only while all that the log holds open announce it, looked at once a second.

Ruled out: a setting that operators turn on after the update (a step to forget), and stopping all nodes for the update (cuts off callers).

--- a/gather/appender.go
+++ b/gather/appender.go
@@ -30,6 +30,8 @@
 	Clock  clockwork.Clock
 	Events *event.Recorder
 	Policy Policy
+	// AllRead tells whether every open node reads gathered records (record.Forms).
+	AllRead func() bool
 }
 
 // Appender takes one writer's batches to the log by way of the data centre's gatherer,
@@ -65,7 +67,7 @@
 // void, or its settlements would be billed twice.
 func (a *Appender) Append(ctx context.Context, batch []byte) error {
 	gatherer := Choose(a.c.Self, a.c.Members(), a.c.Policy)
-	if gatherer == nil || len(batch) > maxBatch || a.resting() {
+	if gatherer == nil || len(batch) > maxBatch || a.resting() || !a.c.AllRead() {
 		return a.c.Direct.Append(ctx, batch)
 	}
 	err := a.handOn(ctx, gatherer, batch)
--- a/gather/failure_test.go
+++ b/gather/failure_test.go
@@ -19,6 +19,7 @@
 	"lavenderpin.dev/lavenderpin/internal/standin"
 	"lavenderpin.dev/lavenderpin/membership"
 	"lavenderpin.dev/lavenderpin/platform"
+	"lavenderpin.dev/lavenderpin/record"
 )
 
 // fleet is a data centre of nodes a, b, c… that gather.
@@ -218,6 +219,28 @@
 	})
 }
 
+// A fleet is updated node by node. One of the earlier version would take a gathered or
+// packed record for an empty one, and grant and bill otherwise than all others: until the
+// last of them has gone, every record is one that it reads.
+func TestOldNodesGetRecordsThatTheyRead(t *testing.T) {
+	inFleet(t, 5, func(is *is.I, f *fleet) {
+		f.Old.Store(true)
+		f.submit(1)
+		time.Sleep(time.Second)
+		records := f.Records()
+		is.Equal(len(records), 5)
+		for _, held := range records {
+			is.NoErr(record.Check(held.Data)) // plain, of one writer
+		}
+		f.Old.Store(false)
+		f.submit(2)
+		for _, n := range f.nodes {
+			f.counted(is, n, 1, 2)
+		}
+		is.Equal(len(f.Records()), 7)
+	})
+}
+
 // A node that stops answers what it holds for others at once, and they append it.
 func TestAStoppedGathererAnswersAtOnce(t *testing.T) {
 	inFleet(t, 5, func(is *is.I, f *fleet) {
@@ -238,7 +261,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		const tried, bound = 100, 8 << 20
-		g := gather.NewGatherer(standin.NewLog(), appends.Stream, clockwork.NewRealClock(), gather.DefaultPolicy()) // not running yet
+		g := gather.NewGatherer(standin.NewLog(), appends.Stream, clockwork.NewRealClock(), gather.DefaultPolicy(), func() bool { return true }) // not running yet
 		var refused atomic.Int32
 		for range tried {
 			go func() {
--- a/gather/gatherer.go
+++ b/gather/gatherer.go
@@ -16,6 +16,7 @@
 var (
 	errFull    = errors.New("the gatherer holds as much as it may")
 	errLate    = errors.New("the gatherer's append wasn't answered in time")
+	errForms   = errors.New("not every open node reads gathered records")
 	errStopped = errors.New("the gatherer has stopped")
 )
 
@@ -26,6 +27,8 @@
 	stream string
 	clock  clockwork.Clock
 	policy Policy
+	// allRead tells whether every open node reads gathered records.
+	allRead func() bool
 
 	wake chan struct{}
 
@@ -37,9 +40,10 @@
 	appends atomic.Uint64
 }
 
-// NewGatherer returns a gatherer for a stream of the log. Run makes it append.
-func NewGatherer(log platform.Log, stream string, clock clockwork.Clock, policy Policy) *Gatherer {
-	return &Gatherer{log: log, stream: stream, clock: clock, policy: policy, wake: make(chan struct{}, 1)}
+// NewGatherer returns a gatherer for a stream of the log. allRead tells whether every
+// open node reads gathered records (record.Forms). Run makes it append.
+func NewGatherer(log platform.Log, stream string, clock clockwork.Clock, policy Policy, allRead func() bool) *Gatherer {
+	return &Gatherer{log: log, stream: stream, clock: clock, policy: policy, allRead: allRead, wake: make(chan struct{}, 1)}
 }
 
 // Appends returns how many records it began to append.
@@ -58,6 +62,9 @@
 	if err := record.Check(batch); err != nil {
 		return 0, errors.Trace(err)
 	}
+	if !g.allRead() {
+		return 0, errors.Trace(errForms)
+	}
 	wait = min(wait, g.policy.Answer)
 	h := &held{batch: batch, until: g.clock.Now().Add(wait), answer: make(chan answer, 1)}
 	if err := g.hold(h); err != nil {
--- a/internal/experiment/appends/fleet.go
+++ b/internal/experiment/appends/fleet.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	golog "github.com/go-kit/log"
@@ -34,6 +35,8 @@
 	// Folded is what took effect. One follower folds for all nodes: every node's fold
 	// gives the same, and hundreds of them would only cost time.
 	Folded *Tally
+	// Old says that a node of the fleet reads plain records only.
+	Old atomic.Bool
 	// OnCall may fail or delay calls between nodes; nil passes them at once.
 	OnCall CallFunc
 	// Views may change what a node sees of the others; nil shows all.
@@ -70,10 +73,10 @@
 func (f *Fleet) Add(info *recordv1.NodeInfo, gathered, alone platform.Log) *Node {
 	n := &Node{Info: info, clock: f.clock}
 	events := event.NewRecorder(event.NewHLC(f.clock), n.Name(), 100, golog.NewNopLogger())
-	n.Gatherer = gather.NewGatherer(gathered, Stream, f.clock, f.Policy)
+	n.Gatherer = gather.NewGatherer(gathered, Stream, f.clock, f.Policy, f.allRead)
 	n.Appender = gather.NewAppender(gather.Config{
 		Self: info, Members: func() []membership.Member { return f.Seen(n.Name()) }, Local: n.Gatherer,
-		Direct: journal.NewLogAppender(alone, Stream), Peers: f, Clock: f.clock, Events: events, Policy: f.Policy,
+		Direct: journal.NewLogAppender(alone, Stream, f.allRead), Peers: f, Clock: f.clock, Events: events, Policy: f.Policy, AllRead: f.allRead,
 	})
 	n.Writer = journal.NewWriter(alone, Stream, n.Name(), f.clock, events.Clock(), Soon)
 	n.Writer.Through(n.Appender)
@@ -89,6 +92,8 @@
 	return n
 }
 
+func (f *Fleet) allRead() bool { return !f.Old.Load() }
+
 // Remove takes a node out of what the others see.
 func (f *Fleet) Remove(n *Node) {
 	f.mu.Lock()
--- a/journal/appender.go
+++ b/journal/appender.go
@@ -20,17 +20,22 @@
 type LogAppender struct {
 	log    platform.Log
 	stream string
+	packs  func() bool
 }
 
 var _ Appender = (*LogAppender)(nil)
 
-// NewLogAppender returns an appender to a stream of the log.
-func NewLogAppender(log platform.Log, stream string) *LogAppender {
-	return &LogAppender{log: log, stream: stream}
+// NewLogAppender returns an appender to a stream of the log. packs tells whether all who
+// read the stream unpack records; nil stands for no.
+func NewLogAppender(log platform.Log, stream string, packs func() bool) *LogAppender {
+	return &LogAppender{log: log, stream: stream, packs: packs}
 }
 
 // Append implements Appender.
 func (a *LogAppender) Append(ctx context.Context, batch []byte) error {
-	_, err := a.log.Append(ctx, a.stream, record.Pack(batch))
+	if a.packs != nil && a.packs() {
+		batch = record.Pack(batch)
+	}
+	_, err := a.log.Append(ctx, a.stream, batch)
 	return errors.Trace(err)
 }
--- a/journal/writer.go
+++ b/journal/writer.go
@@ -58,7 +58,7 @@
 // gathers entries for the given time before each append.
 func NewWriter(log platform.Log, stream, incarnation string, clock clockwork.Clock, hlc *event.HLC, gather time.Duration) *Writer {
 	return &Writer{
-		appender: NewLogAppender(log, stream), writer: incarnation, clock: clock, hlc: hlc, gather: gather,
+		appender: NewLogAppender(log, stream, nil), writer: incarnation, clock: clock, hlc: hlc, gather: gather,
 		wake: make(chan struct{}, 1), pending: map[uint64][]*Ticket{},
 	}
 }
--- a/node/gather.go
+++ b/node/gather.go
@@ -14,11 +14,11 @@
 // this node may be itself.
 func (n *Node) gatherAppends() {
 	policy := n.settings.Appends
-	n.gatherer = gather.NewGatherer(n.deps.Log, n.settings.Stream, n.deps.Clock, policy)
+	n.gatherer = gather.NewGatherer(n.deps.Log, n.settings.Stream, n.deps.Clock, policy, n.allRead)
 	n.appender = gather.NewAppender(gather.Config{
 		Self: n.info, Members: n.members.All, Local: n.gatherer,
-		Direct: journal.NewLogAppender(n.deps.Log, n.settings.Stream),
-		Peers:  n.deps.Peers, Clock: n.deps.Clock, Events: n.events, Policy: policy,
+		Direct: journal.NewLogAppender(n.deps.Log, n.settings.Stream, n.allRead),
+		Peers:  n.deps.Peers, Clock: n.deps.Clock, Events: n.events, Policy: policy, AllRead: n.allRead,
 	})
 	n.writer.Through(n.appender)
 }
--- a/node/gather_test.go
+++ b/node/gather_test.go
@@ -6,7 +6,9 @@
 	"time"
 
 	"github.com/matryer/is"
+	"google.golang.org/protobuf/proto"
 
+	recordv1 "lavenderpin.dev/lavenderpin/api/record/v1"
 	"lavenderpin.dev/lavenderpin/gather"
 )
 
@@ -42,3 +44,23 @@
 		is.Equal(f.checkLedger(others[0]).Lost, uint64(0))
 	})
 }
+
+// One node of an earlier version is left in the log. Records that it can't read must not
+// be written until it has gone, or it would fold other budgets than all others.
+func TestAnOldNodeKeepsRecordsPlain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := startFleet(t, testPolicy, near, near)
+		time.Sleep(time.Minute)
+		is.True(f.nodes[0].allRead())
+		f.net.silence("127.0.0.1:6999")
+		data, err := proto.Marshal(&recordv1.Batch{Writer: "old", Seq: 1, Entries: []*recordv1.Entry{{Body: &recordv1.Entry_Heartbeat{
+			Heartbeat: &recordv1.NodeHeartbeat{Node: &recordv1.NodeInfo{Incarnation: "old", PeerAddress: "127.0.0.1:6999"}, Number: 1, RightMs: 1000}}}}})
+		is.NoErr(err)
+		_, err = f.log.Append(t.Context(), "fleet", data)
+		is.NoErr(err)
+		time.Sleep(2 * formsKept)
+		is.True(!f.nodes[0].allRead())
+		f.await(f.nodes[0].allRead) // once it is closed
+	})
+}
--- a/node/node.go
+++ b/node/node.go
@@ -4,6 +4,7 @@
 	"context"
 	"expvar"
 	"sync"
+	"sync/atomic"
 
 	"github.com/juju/errors"
 	"github.com/qmuntal/stateless"
@@ -21,6 +22,7 @@
 	"lavenderpin.dev/lavenderpin/journal"
 	"lavenderpin.dev/lavenderpin/lease"
 	"lavenderpin.dev/lavenderpin/membership"
+	"lavenderpin.dev/lavenderpin/record"
 	"lavenderpin.dev/lavenderpin/relay"
 	"lavenderpin.dev/lavenderpin/request"
 	"lavenderpin.dev/lavenderpin/routing"
@@ -48,6 +50,7 @@
 	writer     *journal.Writer
 	gatherer   *gather.Gatherer
 	appender   *gather.Appender
+	forms      atomic.Pointer[formsRead]
 	follower   *journal.Follower
 	leaseTable *lease.Table
 	leases     *lease.Keeper
@@ -83,6 +86,7 @@
 		OperatorAddress: settings.OperatorAddress,
 		Region:          settings.Region,
 		DataCentre:      settings.DataCentre,
+		RecordForms:     record.Forms,
 	}
 	hlc := event.NewHLC(deps.Clock)
 	n.events = event.NewRecorder(hlc, n.info.GetIncarnation(), settings.EventMemory, deps.Logger)
--- a/record/decode.go
+++ b/record/decode.go
@@ -7,6 +7,12 @@
 	recordv1 "lavenderpin.dev/lavenderpin/api/record/v1"
 )
 
+// Forms is which forms of records this version reads, as nodes announce it in their
+// heartbeats. A program that announces less takes gathered and packed records for empty
+// ones: it would fold nothing of them and bill and grant otherwise than all others. So
+// they are written only while every open node announces this.
+const Forms = 1
+
 // Decode returns the batches that a record holds, in the order in which they are
 // folded. It never returns a batch that holds others, so that a record has one
 // meaning.
