Append changes of the configuration alone

Cause: a resource's version is its change's offset. Two changes of one resource by two nodes in one gathered record make the same version, so an operator who saw the first could overwrite the second without a refusal.

The test fails without it.

--- a/gather/appender.go
+++ b/gather/appender.go
@@ -67,7 +67,7 @@
 // void, or its settlements would be billed twice.
 func (a *Appender) Append(ctx context.Context, batch []byte) error {
 	gatherer := Choose(a.c.Self, a.c.Members(), a.c.Policy)
-	if gatherer == nil || len(batch) > maxBatch || a.resting() || !a.c.AllRead() {
+	if gatherer == nil || !gathers(batch) || a.resting() || !a.c.AllRead() {
 		return a.c.Direct.Append(ctx, batch)
 	}
 	err := a.handOn(ctx, gatherer, batch)
--- a/gather/failure_test.go
+++ b/gather/failure_test.go
@@ -14,9 +14,11 @@
 	"github.com/matryer/is"
 
 	fleetv1 "lavenderpin.dev/lavenderpin/api/fleet/v1"
+	recordv1 "lavenderpin.dev/lavenderpin/api/record/v1"
 	"lavenderpin.dev/lavenderpin/gather"
 	"lavenderpin.dev/lavenderpin/internal/experiment/appends"
 	"lavenderpin.dev/lavenderpin/internal/standin"
+	"lavenderpin.dev/lavenderpin/journal"
 	"lavenderpin.dev/lavenderpin/membership"
 	"lavenderpin.dev/lavenderpin/platform"
 	"lavenderpin.dev/lavenderpin/record"
@@ -241,6 +243,27 @@
 	})
 }
 
+// Two operators change one resource by way of two nodes at the same moment. In one record
+// both changes would make the same version, and whoever saw the first could overwrite the
+// second without being told of it. So each gets an offset of its own.
+func TestConfigurationChangesAreNotGathered(t *testing.T) {
+	inFleet(t, 5, func(is *is.I, f *fleet) {
+		f.submit(1)
+		time.Sleep(time.Second)
+		before := len(f.Records())
+		offsets := map[uint64]bool{}
+		var tickets []*journal.Ticket
+		for _, n := range f.nodes {
+			tickets = append(tickets, n.Writer.Submit(&recordv1.Entry{Body: &recordv1.Entry_Config{Config: &recordv1.ConfigChange{ChangeId: n.Name()}}}))
+		}
+		for _, ticket := range tickets {
+			offsets[(<-ticket.Done()).Offset] = true
+		}
+		is.Equal(len(offsets), 5)
+		is.Equal(len(f.Records()), before+5)
+	})
+}
+
 // A node that stops answers what it holds for others at once, and they append it.
 func TestAStoppedGathererAnswersAtOnce(t *testing.T) {
 	inFleet(t, 5, func(is *is.I, f *fleet) {
