--- a/node/node.go
+++ b/node/node.go
@@ -4,6 +4,7 @@
 	"context"
 	"expvar"
 	"sync"
+	"sync/atomic"
 
 	"github.com/juju/errors"
 	"github.com/qmuntal/stateless"
@@ -16,10 +17,12 @@
 	"lavenderpin.dev/lavenderpin/config"
 	"lavenderpin.dev/lavenderpin/event"
 	"lavenderpin.dev/lavenderpin/fold"
+	"lavenderpin.dev/lavenderpin/gather"
 	"lavenderpin.dev/lavenderpin/idempotency"
 	"lavenderpin.dev/lavenderpin/journal"
 	"lavenderpin.dev/lavenderpin/lease"
 	"lavenderpin.dev/lavenderpin/membership"
+	"lavenderpin.dev/lavenderpin/record"
 	"lavenderpin.dev/lavenderpin/relay"
 	"lavenderpin.dev/lavenderpin/request"
 	"lavenderpin.dev/lavenderpin/routing"
@@ -45,6 +48,9 @@
 	holder     *budget.Holder
 	budgets    budgets
 	writer     *journal.Writer
+	gatherer   *gather.Gatherer
+	appender   *gather.Appender
+	forms      atomic.Pointer[formsRead]
 	follower   *journal.Follower
 	leaseTable *lease.Table
 	leases     *lease.Keeper
@@ -81,6 +87,7 @@
 		OperatorAddress: settings.OperatorAddress,
 		Region:          settings.Region,
 		DataCentre:      settings.DataCentre,
+		RecordForms:     record.Forms,
 	}
 	hlc := event.NewHLC(deps.Clock)
 	n.events = event.NewRecorder(hlc, n.info.GetIncarnation(), settings.EventMemory, deps.Logger)
@@ -96,6 +103,7 @@
 	n.claims = idempotency.NewClaims(idempotency.DefaultLimits())
 	engine := fold.NewEngine(n.config, n.ledger, n.leaseTable, n.claims)
 	n.newMembership()
+	n.gatherAppends()
 	n.newFollower(engine)
 	n.budgets = n.newBudgets()
 	n.balancer = n.newBalancer()
@@ -156,7 +164,7 @@
 	defer cancel()
 	n.events.Record(event.NodeStarting, "region", n.settings.Region, "data_centre", n.settings.DataCentre)
 	var wait sync.WaitGroup
-	for _, loop := range []func(context.Context){n.writer.Run, n.follower.Run, n.heartbeats, n.members.Run, n.leases.Run, n.flushSettlements, n.orders().Run,
+	for _, loop := range []func(context.Context){n.writer.Run, n.gatherer.Run, n.follower.Run, n.heartbeats, n.members.Run, n.leases.Run, n.flushSettlements, n.orders().Run,
 		n.instances.Run, n.writeSnapshots, n.followDrainOrder, n.serveWithoutLog, n.budgets.run, n.readLoads, n.admission.Run, n.watchOverload} {
 		wait.Go(func() { loop(ctx) })
 	}
