--- a/idempotency/runner.go
+++ b/idempotency/runner.go
@@ -11,7 +11,6 @@
 
 	recordv1 "lavenderpin.dev/lavenderpin/api/record/v1"
 	"lavenderpin.dev/lavenderpin/event"
-	"lavenderpin.dev/lavenderpin/fold"
 	"lavenderpin.dev/lavenderpin/journal"
 	"lavenderpin.dev/lavenderpin/result"
 )
@@ -91,95 +90,6 @@
 	return Answer{}, result.New(result.CallInProgress, "the key is being claimed").After(comeBack)
 }
 
-// join finds the call among those held, or claims it; nil when another node owns it.
-func (r *Runner) join(call Call) (*heldCall, error) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if held := r.held[call.ID]; held != nil {
-		if held.call.Digest != call.Digest {
-			return nil, reused(call.ID.Key)
-		}
-		held.waiters++
-		return held, nil
-	}
-	if _, claimed := r.Claims.Get(call.ID); claimed {
-		return nil, nil
-	}
-	held := newHeldCall(call, claiming)
-	held.waiters = 1
-	held.claim = r.Journal.Submit(&recordv1.Entry{Body: &recordv1.Entry_CallClaim{
-		CallClaim: &recordv1.CallClaim{Account: call.ID.Account, Key: call.ID.Key, Digest: call.Digest[:]},
-	}})
-	r.held[call.ID] = held
-	go r.awaitClaim(held, held.changed)
-	return held, nil
-}
-
-func reused(key string) error {
-	return result.New(result.KeyReused, "key %q was used with another request", key)
-}
-
-// awaitClaim takes the verdict on a claim, however late the log shows it. A claim that
-// was withdrawn gets none; waited for, each call of a long outage would leave a
-// goroutine behind.
-func (r *Runner) awaitClaim(held *heldCall, withdrawn <-chan struct{}) {
-	select {
-	case verdict := <-held.claim.Done():
-		r.claimed(held, verdict)
-	case <-withdrawn:
-	case <-r.stopped:
-	}
-}
-
-func (r *Runner) claimed(held *heldCall, verdict fold.Verdict) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if held.phase != claiming {
-		return
-	}
-	if !verdict.OK() {
-		held.err = verdict.Err()
-		r.drop(held, lost)
-		return
-	}
-	r.Events.Record(event.CallClaimed, "account", held.call.ID.Account, "key", held.call.ID.Key, "offset", verdict.Offset)
-	held.move(free)
-	if held.waiters == 0 {
-		// Every caller was told that its try did not run. Kept, the claim would
-		// block the key until this node ends and make its outcome unknown then.
-		r.release(held)
-	}
-}
-
-func (r *Runner) drop(held *heldCall, to phase) {
-	if r.held[held.call.ID] == held {
-		delete(r.held, held.call.ID)
-	}
-	held.move(to)
-}
-
-// release gives the claim of a call that certainly did not run up. The call stays
-// held until the log shows it: a claim made before would lose against the old one.
-func (r *Runner) release(held *heldCall) {
-	held.move(claiming)
-	ticket := r.Journal.Submit(outcome(held.call.ID, recordv1.CallEnd_CALL_END_NOT_RUN, Answer{}))
-	go func() {
-		select {
-		case <-ticket.Done():
-		case <-r.stopped:
-		}
-		r.mu.Lock()
-		defer r.mu.Unlock()
-		r.drop(held, lost)
-	}()
-}
-
-func outcome(id ID, end recordv1.CallEnd, answer Answer) *recordv1.Entry {
-	return &recordv1.Entry{Body: &recordv1.Entry_CallOutcome{CallOutcome: &recordv1.CallOutcome{
-		Account: id.Account, Key: id.Key, Status: uint32(answer.Status), End: end,
-	}}}
-}
-
 // await waits for a held call to end, and runs it when it is free. again tells that
 // the claim was lost or given up and that the caller should start over.
 func (r *Runner) await(ctx context.Context, held *heldCall, run RunFunc) (answer Answer, again bool, err error) {
@@ -218,12 +128,6 @@
 	}
 }
 
-// refusesForGood tells that a lost claim is worth no second look.
-func refusesForGood(err error) bool {
-	code := result.CodeOf(err)
-	return code == result.KeyReused || code == result.KeysExhausted
-}
-
 // leave ends a caller's wait. A try that ends before the claim was read back has not
 // run and never will, but an earlier try with the key may have run at a node whose
 // claim this one hasn't seen: the code doesn't say "not run".
@@ -273,71 +177,6 @@
 	return run(ctx)
 }
 
-func (r *Runner) finish(held *heldCall, answer Answer, err error) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	held.answer, held.err = answer, err
-	switch {
-	case err == nil:
-		r.keep(held, recordv1.CallEnd_CALL_END_RAN)
-	case !result.From(err).NotRun():
-		r.keep(held, recordv1.CallEnd_CALL_END_UNKNOWN)
-	case held.isTicket():
-		// Not run: the ticket may be used again.
-		r.tickets[ticketNumber(held)] = newTicketCall(held.call, held.expires)
-		held.move(ended)
-	default:
-		r.endNotRun(held)
-	}
-}
-
-// endNotRun answers the waiting callers with the refusal and frees the key.
-func (r *Runner) endNotRun(held *heldCall) {
-	successor := newHeldCall(held.call, claiming)
-	r.held[held.call.ID] = successor
-	held.move(ended)
-	r.release(successor)
-}
-
-// keep holds the end of a call for its caller's retries.
-func (r *Runner) keep(held *heldCall, end recordv1.CallEnd) {
-	held.move(ended)
-	if held.isTicket() {
-		r.remember(held)
-		return
-	}
-	ticket := r.Journal.Submit(outcome(held.call.ID, end, held.answer))
-	go r.awaitOutcome(held, ticket)
-}
-
-// awaitOutcome lets an answer be forgotten once the log holds the outcome: until
-// then this node's memory is the only place that knows it.
-func (r *Runner) awaitOutcome(held *heldCall, ticket *journal.Ticket) {
-	select {
-	case <-ticket.Done():
-	case <-r.stopped:
-		return
-	}
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.remember(held)
-}
-
-// remember takes an answer into the bounded memory. What leaves it for that stays
-// known as run: by the log for a key, by its entry for a ticket.
-func (r *Runner) remember(held *heldCall) {
-	for _, old := range r.answers.add(held) {
-		if !old.isTicket() {
-			delete(r.held, old.call.ID)
-			continue
-		}
-		if old.err == nil {
-			old.err = result.New(result.AlreadyRan, "the call ran and was answered with status %d; its answer is no longer held", old.answer.Status)
-		}
-		old.answer = Answer{}
-	}
-}
-
 // elsewhere answers for a call that this node doesn't hold.
 func (r *Runner) elsewhere(ctx context.Context, call Call, forward ForwardFunc) (Answer, error) {
 	claim, known := r.Claims.Get(call.ID)
