--- /dev/null
+++ b/api/platform/v1/doc.go
@@ -0,0 +1,2 @@
+// Package platformv1 is the protocol of the platform's log, instance list and weight store.
+package platformv1
