Draw pairs of faults among the steps that their history reaches

The history of the seed is now played once without faults; steps are drawn in an order of the seed and the first that is reached is struck, at most at a third of its times. Found on the way: two faults that kill the same process had it replaced twice; the second waited for ever for the end of the new one (seed 5144 hung), or ran two processes at one address. Restart now leaves a process that is at work.

--- a/cmd/lavenderbench/matrix.go
+++ b/cmd/lavenderbench/matrix.go
@@ -13,36 +13,68 @@
 )
 
 type matrixCmd struct {
-	Pairs bool   `help:"Play pairs of faults, drawn from the seeds, in place of single ones."`
-	Seeds int    `help:"How many seeds: pairs to play, or how often to play each single fault." default:"1"`
-	Seed  uint64 `help:"First seed." default:"1"`
-	Fault string `help:"Only this fault."`
-	Step  string `help:"Only at this step."`
-	JSON  bool   `name:"json" help:"Print the cells as JSON."`
+	Pairs   bool   `help:"Play pairs of faults, drawn from the seeds, in place of single ones."`
+	AnyStep bool   `help:"Draw the steps of pairs from all, whether the history of the seed reaches them or not."`
+	Seeds   int    `help:"How many seeds: pairs to play, or how often to play each single fault." default:"1"`
+	Seed    uint64 `help:"First seed." default:"1"`
+	Fault   string `help:"Only this fault."`
+	Step    string `help:"Only at this step."`
+	JSON    bool   `name:"json" help:"Print the cells as JSON."`
+}
+
+// play is one cell that is played within a bubble.
+type play struct {
+	cell   check.Cell
+	record *check.Record
+	reach  check.Reach
 }
 
 // Run plays the cells in virtual time. It ends the process.
 func (c *matrixCmd) Run() error {
-	cells, err := c.cells()
+	plays, runs, err := c.prepare()
 	if err != nil {
 		return err
 	}
-	records := make([]*check.Record, len(cells))
-	reaches := make([]check.Reach, len(cells))
-	var runs []func()
-	for i, cell := range cells {
-		runs = append(runs, func() { records[i], reaches[i] = check.Play(fake.NewClock(), cell) })
-	}
 	inBubbles(runs, func() int {
 		var results []check.CellResult
-		for i, cell := range cells {
-			results = append(results, check.Verdict(cell, records[i], reaches[i]))
+		for _, p := range plays {
+			results = append(results, check.Verdict(p.cell, p.record, p.reach))
 		}
 		return c.print(results)
 	})
 	return nil
 }
 
+// prepare returns the plays and the functions that fill them in.
+func (c *matrixCmd) prepare() ([]*play, []func(), error) {
+	if c.Pairs && !c.AnyStep {
+		plays, runs := c.reachedPairs()
+		return plays, runs, nil
+	}
+	cells, err := c.cells()
+	var plays []*play
+	var runs []func()
+	for _, cell := range cells {
+		p := &play{cell: cell}
+		plays = append(plays, p)
+		runs = append(runs, func() { p.record, p.reach = check.Play(fake.NewClock(), p.cell) })
+	}
+	return plays, runs, err
+}
+
+// reachedPairs draws each pair within its own bubble, where its history is played once
+// without faults.
+func (c *matrixCmd) reachedPairs() (plays []*play, runs []func()) {
+	for i := range c.Seeds {
+		p := &play{}
+		plays = append(plays, p)
+		runs = append(runs, func() {
+			p.cell, p.record, p.reach = check.PlayReachedPair(fake.NewClock(), check.DefaultTiming(), c.Seed+uint64(i))
+		})
+	}
+	return plays, runs
+}
+
 func (c *matrixCmd) cells() ([]check.Cell, error) {
 	if c.Pairs {
 		return check.Pairs(check.DefaultTiming(), c.Seed, c.Seeds), nil
--- a/internal/check/cell.go
+++ b/internal/check/cell.go
@@ -43,6 +43,8 @@
 type Cell struct {
 	Strikes []Strike
 	Seed    uint64
+	// AnyStep tells that the steps were drawn from all, whether reached or not.
+	AnyStep bool
 }
 
 // String names the faults and steps.
@@ -92,21 +94,29 @@
 	lasting int
 }
 
-func (r *cellRun) play() (*Record, error) {
+// begin brings up the fleet with its configuration and its first top-ups.
+func (r *cellRun) begin() error {
 	h := r.harness
 	r.counts, r.struck = map[int]int{}, map[int]bool{}
 	h.sharedPrompts = r.sharesPrompts()
 	if err := h.Start(DefaultTiming(), RegionHome, RegionHome, RegionAway); err != nil {
-		h.Stop()
-		return nil, err
+		return err
 	}
-	defer h.Stop()
 	if err := h.Declare(scene()...); err != nil {
-		return nil, err
+		return err
 	}
 	for _, account := range sceneAccounts {
 		h.TopUp(h.Members[0], "first-"+account, budgetOf(account), sceneTopUps[account])
 	}
+	return nil
+}
+
+func (r *cellRun) play() (*Record, error) {
+	h := r.harness
+	defer h.Stop()
+	if err := r.begin(); err != nil {
+		return nil, err
+	}
 	done := make(chan struct{})
 	h.Go(func() { h.sample(done) })
 	h.After(armAfter, func() { h.Arm(r.probe) })
--- a/internal/check/fault.go
+++ b/internal/check/fault.go
@@ -42,7 +42,11 @@
 	heal   func(h *Harness, m *Member)
 }
 
-// Faults lists the faults of the brief in its order.
+// AllFaults lists every fault of the matrix.
+func AllFaults(timing Timing) []Fault { return Faults(timing) }
+
+// Faults lists the faults of the brief in its order. Pairs that are pinned by seed are
+// drawn from this list, so none may be added.
 func Faults(timing Timing) []Fault {
 	pastRight := timing.SpendRight*5/2 + time.Second
 	return []Fault{
--- a/internal/check/harness.go
+++ b/internal/check/harness.go
@@ -161,7 +161,7 @@
 		settings.LeaseTerm, settings.TokenSecret = timing.LeaseTerm, []byte(tokenSecret)
 		settings.Snapshots.Records = snapshotRecords
 		settings.BootstrapTokenSHA256 = config.HashKey(operatorToken)
-		m := &Member{harness: h, settings: settings}
+		m := &Member{harness: h, settings: settings, restarting: make(chan struct{}, 1)}
 		h.Members = append(h.Members, m)
 		if err := m.start(); err != nil {
 			return errors.Trace(err)
--- a/internal/check/matrix.go
+++ b/internal/check/matrix.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"math/rand/v2"
 
 	"github.com/jonboulle/clockwork"
 
@@ -37,7 +36,7 @@
 // Singles returns every fault at every step.
 func Singles(timing Timing, seed uint64) []Cell {
 	var cells []Cell
-	for _, fault := range Faults(timing) {
+	for _, fault := range AllFaults(timing) {
 		for _, step := range Steps() {
 			cells = append(cells, Cell{Strikes: []Strike{{Fault: fault, Step: step, Nth: 1}}, Seed: seed})
 		}
@@ -45,28 +44,6 @@
 	return cells
 }
 
-// Pairs returns n cells of two faults drawn from the seed; each cell's own seed
-// alone brings it back.
-func Pairs(timing Timing, seed uint64, n int) []Cell {
-	var cells []Cell
-	for i := range n {
-		cells = append(cells, Pair(timing, seed+uint64(i)))
-	}
-	return cells
-}
-
-// Pair returns the pair of faults that a seed stands for.
-func Pair(timing Timing, seed uint64) Cell {
-	r := rand.New(rand.NewPCG(seed, seed))
-	faults, steps := Faults(timing), Steps()
-	cell := Cell{Seed: seed}
-	for range 2 {
-		cell.Strikes = append(cell.Strikes, Strike{
-			Fault: faults[r.IntN(len(faults))], Step: steps[r.IntN(len(steps))], Nth: 1 + r.IntN(3)})
-	}
-	return cell
-}
-
 // Play runs a cell on the clock and judges it. The clock should be virtual.
 func Play(clock clockwork.Clock, cell Cell) (*Record, Reach) { return cell.Run(clock) }
 
@@ -95,7 +72,11 @@
 	if len(cell.Strikes) == 1 {
 		return fmt.Sprintf("lavenderbench matrix --fault %q --step %q --seed %d", cell.Strikes[0].Fault.Name, cell.Strikes[0].Step, cell.Seed)
 	}
-	return fmt.Sprintf("lavenderbench matrix --pairs --seeds 1 --seed %d", cell.Seed)
+	anyStep := ""
+	if cell.AnyStep {
+		anyStep = " --any-step"
+	}
+	return fmt.Sprintf("lavenderbench matrix --pairs%s --seeds 1 --seed %d", anyStep, cell.Seed)
 }
 
 // timelineOf returns the events that carry an id of the violations.
@@ -146,7 +127,7 @@
 
 // FaultNamed returns the fault of that name; false when there is none.
 func FaultNamed(name string) (Fault, bool) {
-	for _, fault := range Faults(DefaultTiming()) {
+	for _, fault := range AllFaults(DefaultTiming()) {
 		if fault.Name == name {
 			return fault, true
 		}
--- a/internal/check/matrix_test.go
+++ b/internal/check/matrix_test.go
@@ -1,17 +1,24 @@
 package check
 
 import (
+	"strconv"
 	"strings"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/matryer/is"
+
+	"lavenderpin.dev/lavenderpin/internal/fake"
 )
 
 const (
 	singleSeed = 1
 	pairSeed   = 1000
 	pairCount  = 40
+	// reachedSeed begins the pairs whose steps are drawn among those reached.
+	reachedSeed  = 5000
+	reachedCount = 25
 )
 
 // testTiming cuts a region off for five minutes, twenty times the right to spend. The
@@ -24,8 +31,12 @@
 }
 
 func judgeCell(t *testing.T, cell Cell) {
-	is := is.New(t)
 	record, reach := play(t, cell)
+	judgePlayed(t, cell, record, reach)
+}
+
+func judgePlayed(t *testing.T, cell Cell, record *Record, reach Reach) {
+	is := is.New(t)
 	result := Verdict(cell, record, reach)
 	t.Logf("%s: %s %s", cell, result.Status, result.Missing)
 	for _, v := range result.Violations {
@@ -99,3 +110,63 @@
 func TestMatrixTwoDeaths(t *testing.T) {
 	playAll(t, Pairs(testTiming(), pairSeed, pairCount), killsTwo)
 }
+
+// Two faults strike one history, at steps that the history of the seed reaches, so that
+// nearly every pair says something. What known faults still break has tests above.
+func TestMatrixReachedPairs(t *testing.T) {
+	for seed := uint64(reachedSeed); seed < reachedSeed+reachedCount; seed++ {
+		t.Run(strconv.FormatUint(seed, 10), func(t *testing.T) {
+			t.Parallel()
+			var cell Cell
+			var record *Record
+			var reach Reach
+			synctest.Test(t, func(*testing.T) {
+				cell, record, reach = PlayReachedPair(fake.NewClock(), testTiming(), seed)
+			})
+			if others(cell) {
+				judgePlayed(t, cell, record, reach)
+			}
+		})
+	}
+}
+
+// A seed stands for the same pair however often the steps are reached beyond the first
+// few times, and never for a step that isn't reached.
+func TestReachedPairsStandStill(t *testing.T) {
+	is := is.New(t)
+	few, many := map[fake.Step]int{}, map[fake.Step]int{}
+	for _, step := range Steps() {
+		few[step], many[step] = latestNth*spareReaches, 1000
+	}
+	delete(few, fake.StepShareMove)
+	for seed := uint64(1); seed < 300; seed++ {
+		cell, again := pairAmong(testTiming(), seed, few), pairAmong(testTiming(), seed, many)
+		for i, s := range cell.Strikes {
+			is.True(s.Step != fake.StepShareMove)
+			is.True(s.Nth <= latestNth)
+			if again.Strikes[i].Step != fake.StepShareMove {
+				is.Equal(s.Step, again.Strikes[i].Step)
+				is.Equal(s.Nth, again.Strikes[i].Nth)
+			}
+		}
+	}
+}
+
+// Two faults kill the same process, and each has it replaced. One process runs at the
+// address afterwards; two would both claim its shares.
+func TestAProcessIsReplacedOnce(t *testing.T) {
+	is := is.New(t)
+	synctest.Test(t, func(*testing.T) {
+		h := NewHarness(fake.NewClock(), 1)
+		is.NoErr(h.Start(testTiming(), RegionHome))
+		defer h.Stop()
+		m := h.Members[0]
+		m.Kill()
+		m.Kill()
+		h.Go(m.Restart)
+		h.Go(m.Restart)
+		is.True(h.Await(startLimit, func() bool { return m.Live() && h.allServe() }))
+		h.work.Wait()
+		is.Equal(m.process, 2)
+	})
+}
--- a/internal/check/member.go
+++ b/internal/check/member.go
@@ -30,6 +30,8 @@
 	operator  *operator.Server
 	cancel    context.CancelFunc
 	done      chan struct{}
+	// restarting is held by whoever restarts the member.
+	restarting chan struct{}
 }
 
 // Address returns the peer address, which names the member.
@@ -141,8 +143,17 @@
 	cancel()
 }
 
-// Restart runs a new process at the address, after the old one's death.
+// Restart runs a new process at the address, after the old one's death. Where two
+// faults killed the same process, the second finds a new one at work and leaves it;
+// it would otherwise wait for that one's end, or run two at one address.
 func (m *Member) Restart() {
+	m.restarting <- struct{}{}
+	defer func() { <-m.restarting }()
+	select {
+	case <-m.Gate().Dead():
+	default:
+		return
+	}
 	m.mu.Lock()
 	done := m.done
 	m.mu.Unlock()
