Let callers read on at another node in the matrix; no false "not run" for a cut stream

Callers in the harness whose node died can bring their last event id to another node; the checker holds the joined answer to be word for word whole and billed once. The fakes' engines keep streams and are read on from, as the HTTP client does. New row "kill, callers read on"; pinned seeds and drawn pairs keep their faults. Found by it: with a fake that can be read on from, six pinned cells of "two-way cut" broke: a chat that had run was refused as "not run". readOn put the second error, an engine out of reach, in place of the first, a cut answer. request.readOn now keeps the error that is true of both, and doesn't ask an engine out of reach again. Ruled out: the caller's leaving (the dead node's cancel reaches nobody).

--- a/cmd/lavenderbench/matrix.go
+++ b/cmd/lavenderbench/matrix.go
@@ -14,6 +14,7 @@
 
 type matrixCmd struct {
 	Pairs   bool   `help:"Play pairs of faults, drawn from the seeds, in place of single ones."`
+	ReadOn  bool   `help:"Let callers whose node died read on at another one; for pairs at any step."`
 	AnyStep bool   `help:"Draw the steps of pairs from all, whether the history of the seed reaches them or not."`
 	Seeds   int    `help:"How many seeds: pairs to play, or how often to play each single fault." default:"1"`
 	Seed    uint64 `help:"First seed." default:"1"`
@@ -77,7 +78,11 @@
 
 func (c *matrixCmd) cells() ([]check.Cell, error) {
 	if c.Pairs {
-		return check.Pairs(check.DefaultTiming(), c.Seed, c.Seeds), nil
+		cells := check.Pairs(check.DefaultTiming(), c.Seed, c.Seeds)
+		for i := range cells {
+			cells[i].ReadOn = c.ReadOn
+		}
+		return cells, nil
 	}
 	var cells []check.Cell
 	for i := range c.Seeds {
--- a/internal/check/callers.go
+++ b/internal/check/callers.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"strings"
+	"sync"
 	"time"
 
 	"github.com/jonboulle/clockwork"
@@ -25,23 +26,33 @@
 
 // sink is the caller's end of an answer.
 type sink struct {
+	mu   sync.Mutex
 	ctx  context.Context
 	gate *fake.Gate
 	id   string
 	// streams tells whether the caller reads the answer as it comes.
 	streams bool
-	text    strings.Builder
-	usage   upstream.Usage
+	// cursor is the event id of the last chunk that arrived.
+	cursor string
+	text   strings.Builder
+	usage  upstream.Usage
 }
 
 // Start implements request.Sink.
-func (s *sink) Start(id budget.RequestID, _ string) { s.id = id.String() }
+func (s *sink) Start(id budget.RequestID, _ string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.id = id.String()
+}
 
 // Chunk implements request.Sink. What a paused or dead node writes doesn't arrive.
-func (s *sink) Chunk(_ string, chunk upstream.Chunk) error {
+func (s *sink) Chunk(cursor string, chunk upstream.Chunk) error {
 	if err := s.gate.Enter(s.ctx); err != nil {
 		return err
 	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.cursor = cursor
 	s.text.WriteString(chunk.Content)
 	if chunk.Usage != nil {
 		s.usage = *chunk.Usage
@@ -53,7 +64,11 @@
 func (s *sink) Streams() bool { return s.streams }
 
 // Restart implements request.Sink.
-func (s *sink) Restart() { s.text.Reset() }
+func (s *sink) Restart() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.text.Reset()
+}
 
 func outcomeOf(err error) Outcome {
 	if err == nil {
@@ -112,7 +127,10 @@
 	})
 	op := ChatOp{Span: span, Outcome: outcome, Node: m.Address(), Budget: budgetOf(account), Prompt: prompt,
 		Want: strings.Join(words, " ") + " "}
-	if outcome.Lost {
+	if h.readsOn && outcome.died() && into.streams {
+		h.readOn(&op, account, into)
+	}
+	if op.Lost || op.Resumed {
 		h.History.addChat(op)
 		return op
 	}
--- a/internal/check/cell.go
+++ b/internal/check/cell.go
@@ -43,6 +43,8 @@
 type Cell struct {
 	Strikes []Strike
 	Seed    uint64
+	// ReadOn lets callers whose node died bring their last event id to another one.
+	ReadOn bool
 	// AnyStep tells that the steps were drawn from all, whether reached or not.
 	AnyStep bool
 }
@@ -99,6 +101,7 @@
 	h := r.harness
 	r.counts, r.struck = map[int]int{}, map[int]bool{}
 	h.sharedPrompts = r.sharesPrompts()
+	h.readsOn = r.readsOn()
 	if err := h.Start(DefaultTiming(), RegionHome, RegionHome, RegionAway); err != nil {
 		return err
 	}
@@ -182,6 +185,15 @@
 	return false
 }
 
+func (r *cellRun) readsOn() bool {
+	for _, s := range r.cell.Strikes {
+		if s.Fault.ReadsOn {
+			return true
+		}
+	}
+	return r.cell.ReadOn
+}
+
 // killsEngineAlone tells that nothing but an engine's death goes wrong.
 func (r *cellRun) killsEngineAlone() bool {
 	return len(r.cell.Strikes) == 1 && r.cell.Strikes[0].Fault.KillsEngine
--- a/internal/check/fault.go
+++ b/internal/check/fault.go
@@ -34,6 +34,8 @@
 	// SharedPrompts gives the callers' prompts long common beginnings, which engines
 	// cache.
 	SharedPrompts bool
+	// ReadsOn lets callers whose node died bring their last event id to another one.
+	ReadsOn bool
 	// KillsEngine tells that an engine dies, while others in its region serve on.
 	KillsEngine bool
 	// Lasts is how long until heal; 0 for a fault that is over at once.
@@ -43,7 +45,10 @@
 }
 
 // AllFaults lists every fault of the matrix.
-func AllFaults(timing Timing) []Fault { return Faults(timing) }
+func AllFaults(timing Timing) []Fault {
+	return append(Faults(timing),
+		Fault{Name: "kill, callers read on", ReadsOn: true, Lasts: restart, strike: func(_ *Harness, m *Member) { m.Kill() }, heal: restarted})
+}
 
 // Faults lists the faults of the brief in its order. Pairs that are pinned by seed are
 // drawn from this list, so none may be added.
--- a/internal/check/harness.go
+++ b/internal/check/harness.go
@@ -78,6 +78,8 @@
 	onStart func(*Member)
 	// nodeClock plants a defective clock; nil otherwise.
 	nodeClock func(address string) clockwork.Clock
+	// readsOn lets callers whose node died read on at another one.
+	readsOn bool
 	// sharedPrompts gives prompts common beginnings.
 	sharedPrompts bool
 	strike        atomic.Pointer[fake.Probe]
--- a/internal/check/history.go
+++ b/internal/check/history.go
@@ -40,6 +40,8 @@
 	// Text is what reached the caller; Tokens is what the answer reported.
 	Text   string
 	Tokens uint64
+	// Resumed tells that the node died and the caller read the rest at another one.
+	Resumed bool
 	// Want is the text of a whole answer.
 	Want string
 }
--- a/internal/check/matrix.go
+++ b/internal/check/matrix.go
@@ -72,11 +72,14 @@
 	if len(cell.Strikes) == 1 {
 		return fmt.Sprintf("lavenderbench matrix --fault %q --step %q --seed %d", cell.Strikes[0].Fault.Name, cell.Strikes[0].Step, cell.Seed)
 	}
-	anyStep := ""
+	flags := ""
 	if cell.AnyStep {
-		anyStep = " --any-step"
+		flags = " --any-step"
 	}
-	return fmt.Sprintf("lavenderbench matrix --pairs%s --seeds 1 --seed %d", anyStep, cell.Seed)
+	if cell.ReadOn {
+		flags += " --read-on"
+	}
+	return fmt.Sprintf("lavenderbench matrix --pairs%s --seeds 1 --seed %d", flags, cell.Seed)
 }
 
 // timelineOf returns the events that carry an id of the violations.
--- a/internal/check/pairs.go
+++ b/internal/check/pairs.go
@@ -53,7 +53,7 @@
 // so that a step reached in one play and not in another changes few pairs.
 func pairAmong(timing Timing, seed uint64, reached map[fake.Step]int) Cell {
 	r := rand.New(rand.NewPCG(seed, seed))
-	faults, steps := AllFaults(timing), Steps()
+	faults, steps := Faults(timing), Steps()
 	cell := Cell{Seed: seed}
 	for range 2 {
 		strike := Strike{Fault: faults[r.IntN(len(faults))], Nth: 1 + r.IntN(latestNth)}
--- a/internal/fake/client.go
+++ b/internal/fake/client.go
@@ -161,11 +161,10 @@
 			close(s.chunks)
 			return
 		}
-		s.chunks <- upstream.Chunk{Data: chunkJSON(s.run.Request, word), Content: word + " "}
+		s.chunks <- wordChunk(s.run.Request, word)
 	}
 	u.finish(s.run)
-	usage := upstream.Usage{PromptTokens: s.run.PromptTokens, CompletionTokens: uint64(len(s.run.Answer))}
-	s.chunks <- upstream.Chunk{Data: usageJSON(s.run.Request, usage), FinishReason: "stop", Usage: &usage}
+	s.chunks <- usageChunk(s.run)
 	s.chunks <- upstream.Chunk{}
 	close(s.chunks)
 }
--- a/internal/fake/upstreams.go
+++ b/internal/fake/upstreams.go
@@ -41,6 +41,8 @@
 	CutAfter int
 	// RunTwice plants a defect: each plain call runs twice.
 	RunTwice bool
+	// SkipOnResume plants a defect: a stream that is read on lacks so many chunks.
+	SkipOnResume uint64
 	// IgnoreFencing makes engines that check fencing numbers take any order.
 	IgnoreFencing bool
 }
--- a/request/chatrun.go
+++ b/request/chatrun.go
@@ -150,9 +150,14 @@
 		if !r.server.sleep(ctx, pause.NextBackOff()) {
 			return err
 		}
-		var stream upstream.ChatStream
-		stream, err = r.server.Resumer.Resume(ctx, r.to, r.grant.Request().String(), position)
-		if err != nil {
+		stream, failed := r.server.Resumer.Resume(ctx, r.to, r.grant.Request().String(), position)
+		if failed != nil {
+			// An engine out of reach by now proves nothing of what it ran before.
+			// Passed on alone, that error would tell the caller "not run".
+			err = ofBoth(err, failed)
+			if result.CodeOf(failed) == result.NoUpstream {
+				return err
+			}
 			continue
 		}
 		before := position
