Judge that a leaving upstream gets no new work

New rule: two seconds after an incarnation has folded the change that an upstream leaves, no request of it starts there. It goes by the offset that the node has folded, not by what the node says that it has in force. New row "upstream leaves" (18 cells). Planted defect: nodes that fold the change without its draining flag; found (TestFindsWorkForALeavingUpstream).

--- a/internal/check/fault.go
+++ b/internal/check/fault.go
@@ -47,7 +47,10 @@
 // AllFaults lists every fault of the matrix.
 func AllFaults(timing Timing) []Fault {
 	return append(Faults(timing),
-		Fault{Name: "kill, callers read on", ReadsOn: true, Lasts: restart, strike: func(_ *Harness, m *Member) { m.Kill() }, heal: restarted})
+		Fault{Name: "kill, callers read on", ReadsOn: true, Lasts: restart, strike: func(_ *Harness, m *Member) { m.Kill() }, heal: restarted},
+		Fault{Name: "upstream leaves", Lasts: leavingLasts,
+			strike: func(h *Harness, _ *Member) { h.Go(h.leave) },
+			heal:   func(h *Harness, _ *Member) { h.stay() }})
 }
 
 // Faults lists the faults of the brief in its order. Pairs that are pinned by seed are
--- a/internal/check/harness.go
+++ b/internal/check/harness.go
@@ -90,6 +90,8 @@
 	names     int
 	killed    map[string]string
 	changes   int
+	stayed    bool
+	leavings  []LeavingOp
 	work      sync.WaitGroup
 }
 
--- a/internal/check/judge.go
+++ b/internal/check/judge.go
@@ -47,6 +47,7 @@
 	j.orders()
 	j.drains()
 	j.engineDeaths()
+	j.leavings()
 	j.recovery()
 	j.linearizable()
 	return j.faults
--- a/internal/check/record.go
+++ b/internal/check/record.go
@@ -39,6 +39,8 @@
 	// nodes tried to send to any engine.
 	EngineDeaths []fake.EngineDeath
 	Attempts     []fake.Attempt
+	// Leavings are spans in which nodes had it in force that an upstream leaves.
+	Leavings []LeavingOp
 	// EngineDiedAlone tells that nothing went wrong but an engine's death.
 	EngineDiedAlone bool
 	// Parts links requests to what peers reserved for them.
@@ -74,6 +76,7 @@
 	r.TopUps, r.Reads, r.Drained = h.History.TopUps, h.History.Reads, h.History.Drained
 	h.History.mu.Unlock()
 	r.Killed = h.killedNodes()
+	r.Leavings = h.leavingOps()
 	for _, recorder := range h.recorders {
 		events, dropped := recorder.Since("")
 		r.Events = append(r.Events, events...)
--- a/internal/check/violation.go
+++ b/internal/check/violation.go
@@ -13,6 +13,7 @@
 	AtMostOnce   Promise = "non-idempotent at most once"
 	OneHolder    Promise = "no two holders' orders interleave"
 	GracefulStop Promise = "planned stop cuts nothing"
+	LeavingStays Promise = "no new work for a leaving upstream"
 	DeadEngine   Promise = "no work for a dead engine"
 	ConfigStays  Promise = "configuration in force and never reverting"
 	Recovers     Promise = "fleet serves again by itself"
@@ -20,7 +21,7 @@
 
 // Promises lists all promises that Check judges.
 func Promises() []Promise {
-	return []Promise{Overspend, SpendRight, BilledOnce, WholeAnswer, NotRun, AtMostOnce, OneHolder, GracefulStop, DeadEngine, ConfigStays, Recovers}
+	return []Promise{Overspend, SpendRight, BilledOnce, WholeAnswer, NotRun, AtMostOnce, OneHolder, GracefulStop, LeavingStays, DeadEngine, ConfigStays, Recovers}
 }
 
 // Violation is one promise broken in a history.
