--- a/internal/check/fault.go
+++ b/internal/check/fault.go
@@ -34,6 +34,8 @@
 	// SharedPrompts gives the callers' prompts long common beginnings, which engines
 	// cache.
 	SharedPrompts bool
+	// ReadsOn lets callers whose node died bring their last event id to another one.
+	ReadsOn bool
 	// KillsEngine tells that an engine dies, while others in its region serve on.
 	KillsEngine bool
 	// Lasts is how long until heal; 0 for a fault that is over at once.
@@ -42,7 +44,17 @@
 	heal   func(h *Harness, m *Member)
 }
 
-// Faults lists the faults of the brief in its order.
+// AllFaults lists every fault of the matrix.
+func AllFaults(timing Timing) []Fault {
+	return append(Faults(timing),
+		Fault{Name: "kill, callers read on", ReadsOn: true, Lasts: restart, strike: func(_ *Harness, m *Member) { m.Kill() }, heal: restarted},
+		Fault{Name: "upstream leaves", Lasts: leavingLasts,
+			strike: func(h *Harness, _ *Member) { h.Go(h.leave) },
+			heal:   func(h *Harness, _ *Member) { h.stay() }})
+}
+
+// Faults lists the faults of the brief in its order. Pairs that are pinned by seed are
+// drawn from this list, so none may be added.
 func Faults(timing Timing) []Fault {
 	pastRight := timing.SpendRight*5/2 + time.Second
 	return []Fault{
--- a/internal/check/harness.go
+++ b/internal/check/harness.go
@@ -78,6 +78,8 @@
 	onStart func(*Member)
 	// nodeClock plants a defective clock; nil otherwise.
 	nodeClock func(address string) clockwork.Clock
+	// readsOn lets callers whose node died read on at another one.
+	readsOn bool
 	// sharedPrompts gives prompts common beginnings.
 	sharedPrompts bool
 	strike        atomic.Pointer[fake.Probe]
@@ -88,6 +90,8 @@
 	names     int
 	killed    map[string]string
 	changes   int
+	stayed    bool
+	leavings  []LeavingOp
 	work      sync.WaitGroup
 }
 
@@ -161,7 +165,7 @@
 		settings.LeaseTerm, settings.TokenSecret = timing.LeaseTerm, []byte(tokenSecret)
 		settings.Snapshots.Records = snapshotRecords
 		settings.BootstrapTokenSHA256 = config.HashKey(operatorToken)
-		m := &Member{harness: h, settings: settings}
+		m := &Member{harness: h, settings: settings, restarting: make(chan struct{}, 1)}
 		h.Members = append(h.Members, m)
 		if err := m.start(); err != nil {
 			return errors.Trace(err)
