Give a refusal an id, so that it can be explained

Cause: a request that was refused had no id; 'explain' couldn't find it, and a failed request's error didn't name its own. A refusal now gets <incarnation>.r<number>, in the X-Request-Id header, the error's body and its event, which also says when the caller was told to come back; a failed request's error names the id it was reserved under. Tests: TestEachRefusalCanBeFound, TestAFailedRequestBringsItsID.

--- a/cmd/lavenderctl/timeline.go
+++ b/cmd/lavenderctl/timeline.go
@@ -107,7 +107,11 @@
 	if err != nil {
 		return ""
 	}
-	return " (" + result.Code(number).Info().Meaning + ")"
+	meaning := " (" + result.Code(number).Info().Meaning + ")"
+	if after := e.GetFields()[event.RetryAfterField]; after != "" {
+		meaning += " The caller was told to come back after " + after + "."
+	}
+	return meaning
 }
 
 func (c *cli) printEvents(ctx context.Context, id string, wanted func(*operatorv1.Event) bool, line func(*operatorv1.Event) string) error {
--- a/event/recorder.go
+++ b/event/recorder.go
@@ -139,6 +139,9 @@
 	return Event{Stamp: e.stamp, Node: r.node, Number: e.number, Fields: fields}
 }
 
+// Node returns the name under which events are recorded here.
+func (r *Recorder) Node() string { return r.node }
+
 // Clock returns the recorder's hybrid logical clock.
 func (r *Recorder) Clock() *HLC { return r.hlc }
 
--- a/event/request.go
+++ b/event/request.go
@@ -1,5 +1,8 @@
 package event
 
+// RetryAfterField holds when a refused caller was told to come back.
+const RetryAfterField = "retry_after"
+
 // Events of requests.
 const (
 	OverloadBegan     Number = 450
--- a/httpapi/chatsink.go
+++ b/httpapi/chatsink.go
@@ -38,7 +38,7 @@
 // Start implements request.Sink.
 func (s *chatSink) Start(id budget.RequestID, model string) {
 	s.id, s.model = id, model
-	s.c.Header("X-Request-Id", id.String())
+	s.c.Header(headerRequestID, id.String())
 	if s.stream {
 		s.writer = sse.NewWriter(s.c)
 	}
--- a/httpapi/error.go
+++ b/httpapi/error.go
@@ -18,6 +18,8 @@
 	NotRun       bool   `json:"not_run"`
 	Retry        bool   `json:"retry"`
 	RetryAfterMS int64  `json:"retry_after_ms,omitempty"`
+	// Request is what "lavenderctl explain" takes.
+	Request string `json:"request,omitempty"`
 }
 
 type errorAnswer struct {
@@ -30,6 +32,7 @@
 	return errorAnswer{errorBody{
 		Code: uint32(known.Code), Name: info.Name, Message: known.Message, NotRun: known.NotRun(),
 		Retry: info.Retry, RetryAfterMS: retryAfter(known).Milliseconds(),
+		Request: known.Request,
 	}}
 }
 
@@ -53,5 +56,8 @@
 	if wait := retryAfter(known); wait > 0 {
 		c.Header("Retry-After", strconv.Itoa(int(math.Ceil(wait.Seconds()))))
 	}
+	if known.Request != "" {
+		c.Header(headerRequestID, known.Request)
+	}
 	c.JSON(info.HTTP, toErrorAnswer(err))
 }
--- a/httpapi/servicecall.go
+++ b/httpapi/servicecall.go
@@ -17,6 +17,7 @@
 	headerTicket         = "X-Call-Ticket"
 	headerTimeout        = "X-Request-Timeout-Ms"
 	headerLastEventID    = "Last-Event-ID"
+	headerRequestID      = "X-Request-Id"
 )
 
 const servicePrefix = "/s/"
--- a/request/call.go
+++ b/request/call.go
@@ -112,7 +112,7 @@
 	if err != nil {
 		grant.Finish(0)
 		s.Events.Record(event.RequestFailed, "request", grant.Request(), "code", uint32(result.CodeOf(err)), "why", err)
-		return answer, err
+		return answer, named(grant.Request().String(), err)
 	}
 	grant.Finish(p.rule.GetTokens())
 	s.Events.Record(event.RequestFinished, "request", grant.Request(), "tokens", p.rule.GetTokens())
--- a/request/chat.go
+++ b/request/chat.go
@@ -53,7 +53,7 @@
 		return s.refused(account.GetName(), err)
 	}
 	defer release()
-	return run.run(ctx)
+	return named(run.grant.Request().String(), run.run(ctx))
 }
 
 func (s *Server) admitChat(ctx context.Context, account *operatorv1.Account, raw []byte, sink Sink) (*chatRun, func(), error) {
--- a/request/server.go
+++ b/request/server.go
@@ -53,6 +53,7 @@
 	Peers Peers
 
 	inFlight atomic.Int64
+	refusals atomic.Uint64
 	wrong    wrongLimits
 	// streams holds the completions that run, by request id.
 	streams sync.Map
@@ -89,11 +90,3 @@
 	s.Events.Record(event.RequestAdmitted, "request", grant.Request(), "account", account, "budget", name, "tokens", tokens)
 	return grant, nil
 }
-
-// refused records a refusal and passes it on.
-func (s *Server) refused(account string, err error) error {
-	if err != nil {
-		s.Events.Record(event.RequestRefused, "account", account, "code", uint32(result.CodeOf(err)), "why", result.From(err).Message)
-	}
-	return err
-}
--- a/result/error.go
+++ b/result/error.go
@@ -16,6 +16,9 @@
 	// MayHaveRun is set on a refusal of one try whose call may have run in an
 	// earlier one: the code's "not run" isn't true of the call then.
 	MayHaveRun bool
+	// Request is the id under which the fleet's events tell of the request; empty when
+	// it has none.
+	Request string
 }
 
 // NotRun tells that the request certainly did not run at an upstream.
@@ -28,6 +31,16 @@
 	return &doubted
 }
 
+// Of returns the error with the id of its request; an id that it has already stays.
+func (e *Error) Of(request string) *Error {
+	if e.Request != "" {
+		return e
+	}
+	named := *e
+	named.Request = request
+	return &named
+}
+
 // Error returns number, name and message.
 func (e *Error) Error() string {
 	return fmt.Sprintf("%d %s: %s", uint32(e.Code), e.Code, e.Message)
