Wait for a node's end on a channel, not within a sync.Once

Cause: a node that learnt twice that the fleet had closed it (heartbeat and log) waited in sync.Once for the first of the two, beyond its own context. The same for Drain.

--- a/node/drain.go
+++ b/node/drain.go
@@ -25,10 +25,12 @@
 // returns when all that is in the log, or when ctx ends. It may be called by several
 // at once; each returns when the node has drained.
 func (n *Node) Drain(ctx context.Context) {
-	n.drains.Do(func() {
-		n.drain(ctx)
-		close(n.drained)
-	})
+	if !n.draining.CompareAndSwap(false, true) {
+		await(ctx, n.drained)
+		return
+	}
+	n.drain(ctx)
+	close(n.drained)
 }
 
 func (n *Node) drain(ctx context.Context) {
--- a/node/node.go
+++ b/node/node.go
@@ -69,9 +69,9 @@
 	// outrun is closed when the state was restored under a node that served.
 	outrun     chan struct{}
 	outrunOnce sync.Once
-	once       sync.Once
+	closing    atomic.Bool
 	drained    chan struct{}
-	drains     sync.Once
+	draining   atomic.Bool
 }
 
 // New assembles a node; Run brings it to life.
@@ -236,9 +236,20 @@
 		return
 	}
 	n.holder.RevokeRight()
-	n.once.Do(func() {
-		n.fire(triggerClose)
-		n.settleClosed(ctx)
-		close(n.closed)
-	})
+	if !n.closing.CompareAndSwap(false, true) {
+		await(ctx, n.closed)
+		return
+	}
+	n.fire(triggerClose)
+	n.settleClosed(ctx)
+	close(n.closed)
+}
+
+// await returns when done is closed or ctx ends. Waiting in a sync.Once for the one
+// that works would go on beyond ctx, and would hold virtual time still.
+func await(ctx context.Context, done <-chan struct{}) {
+	select {
+	case <-done:
+	case <-ctx.Done():
+	}
 }
