--- a/config/page.go
+++ b/config/page.go
@@ -28,15 +28,6 @@
 	return page, next
 }
 
-// One returns the resource of a key with its version, or nil.
-func (v *View) One(key Key) *operatorv1.VersionedResource {
-	held, found := v.resources.Get(key.String())
-	if !found {
-		return nil
-	}
-	return held.versioned()
-}
-
 func (s stored) versioned() *operatorv1.VersionedResource {
 	return &operatorv1.VersionedResource{Version: s.version, Resource: s.unpack()}
 }
--- a/config/view.go
+++ b/config/view.go
@@ -157,7 +157,7 @@
 	if !found {
 		return nil
 	}
-	return &operatorv1.VersionedResource{Version: held.version, Resource: held.unpack()}
+	return held.versioned()
 }
 
 // All returns every resource with its version, sorted by kind and name. It unpacks
--- a/node/budgetstates.go
+++ b/node/budgetstates.go
@@ -32,7 +32,7 @@
 	var states []*operatorv1.BudgetState
 	view, incarnations := n.Config(), n.ledger.Incarnations()
 	for _, line := range lines {
-		held := view.One(config.Key{Kind: config.KindBudget, Name: line.Budget})
+		held := view.Versioned(config.Key{Kind: config.KindBudget, Name: line.Budget})
 		state := &operatorv1.BudgetState{Budget: line.Budget, Account: held.GetResource().GetBudget().GetAccount(),
 			Prepaid: line.Prepaid, Spent: line.Spent, Pool: line.Pool}
 		for incarnation, share := range line.Shares {
--- a/operator/server.go
+++ b/operator/server.go
@@ -107,7 +107,7 @@
 	n := s.node()
 	answer := &operatorv1.ListResponse{Offset: n.Offset()}
 	if key := (config.Key{Kind: config.Kind(r.GetKind()), Name: r.GetName()}); key != (config.Key{}) {
-		if held := n.Config().One(key); held != nil {
+		if held := n.Config().Versioned(key); held != nil {
 			answer.Resources = append(answer.Resources, held)
 		}
 		return answer, nil
