--- a/budget/reserver.go
+++ b/budget/reserver.go
@@ -12,7 +12,7 @@
 	recordv1 "lavenderpin.dev/lavenderpin/api/record/v1"
 	"lavenderpin.dev/lavenderpin/event"
 	"lavenderpin.dev/lavenderpin/fold"
-	"lavenderpin.dev/lavenderpin/journal"
+	"lavenderpin.dev/lavenderpin/recordlog"
 	"lavenderpin.dev/lavenderpin/result"
 )
 
@@ -33,9 +33,9 @@
 	reservedRetry = 2 * time.Second
 )
 
-// Submitter queues an entry for the log; journal.Writer is one.
+// Submitter queues an entry for the log; recordlog.Writer is one.
 type Submitter interface {
-	Submit(entry *recordv1.Entry) *journal.Ticket
+	Submit(entry *recordv1.Entry) *recordlog.Ticket
 }
 
 // Peer is another node as the reserver sees it.
@@ -171,7 +171,7 @@
 }
 
 // verdict waits for the log; false when the node ends first.
-func (r *Reserver) verdict(ticket *journal.Ticket) (fold.Verdict, bool) {
+func (r *Reserver) verdict(ticket *recordlog.Ticket) (fold.Verdict, bool) {
 	select {
 	case verdict := <-ticket.Done():
 		return verdict, true
--- a/budget/sizer.go
+++ b/budget/sizer.go
@@ -11,7 +11,7 @@
 	"lavenderpin.dev/lavenderpin/event"
 	"lavenderpin.dev/lavenderpin/fold"
 	"lavenderpin.dev/lavenderpin/internal/periodic"
-	"lavenderpin.dev/lavenderpin/journal"
+	"lavenderpin.dev/lavenderpin/recordlog"
 )
 
 // sizingInterval is the time between two looks at the shares.
@@ -117,7 +117,7 @@
 
 // creditRefused takes tokens back whose return or move the log refused, or that it
 // didn't take in time: they would be out of use for as long as the outage lasts.
-func (r *Reserver) creditRefused(ticket *journal.Ticket, budget string, tokens uint64, done event.Number) {
+func (r *Reserver) creditRefused(ticket *recordlog.Ticket, budget string, tokens uint64, done event.Number) {
 	select {
 	case verdict := <-ticket.Done():
 		r.moved(verdict, budget, tokens, done)
--- a/cmd/lavenderpin/serve.go
+++ b/cmd/lavenderpin/serve.go
@@ -11,7 +11,7 @@
 	"lavenderpin.dev/lavenderpin/budget"
 	"lavenderpin.dev/lavenderpin/daemon"
 	"lavenderpin.dev/lavenderpin/node"
-	"lavenderpin.dev/lavenderpin/platform/remote"
+	"lavenderpin.dev/lavenderpin/ports/remote"
 	"lavenderpin.dev/lavenderpin/tlskeys"
 )
 
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -23,7 +23,7 @@
 	"lavenderpin.dev/lavenderpin/node"
 	"lavenderpin.dev/lavenderpin/operator"
 	"lavenderpin.dev/lavenderpin/peer"
-	"lavenderpin.dev/lavenderpin/platform"
+	"lavenderpin.dev/lavenderpin/ports"
 	"lavenderpin.dev/lavenderpin/upstream"
 )
 
@@ -33,9 +33,9 @@
 // Config is what a daemon needs beside the node's own settings.
 type Config struct {
 	Settings  node.Settings
-	Log       platform.Log
-	Instances platform.Instances
-	Weights   platform.Weights
+	Log       ports.Log
+	Instances ports.Instances
+	Weights   ports.Weights
 	PeerTLS   *tls.Config
 	// OperatorTLS serves operators over TLS; nil serves them in the clear.
 	OperatorTLS *tls.Config
--- a/devfleet/fleet.go
+++ b/devfleet/fleet.go
@@ -18,7 +18,7 @@
 	"lavenderpin.dev/lavenderpin/daemon"
 	"lavenderpin.dev/lavenderpin/internal/standin"
 	"lavenderpin.dev/lavenderpin/node"
-	"lavenderpin.dev/lavenderpin/platform"
+	"lavenderpin.dev/lavenderpin/ports"
 	"lavenderpin.dev/lavenderpin/signed"
 	"lavenderpin.dev/lavenderpin/tlskeys"
 
@@ -51,7 +51,7 @@
 	Adjust func(*node.Settings)
 	// WrapLog and WrapSocket may replace what a node reaches the world through, to
 	// count what passes; nil keeps it.
-	WrapLog    func(Place, platform.Log) platform.Log
+	WrapLog    func(Place, ports.Log) ports.Log
 	WrapSocket func(Place, net.PacketConn) net.PacketConn
 }
 
--- a/gather/appender.go
+++ b/gather/appender.go
@@ -12,9 +12,9 @@
 	fleetv1 "lavenderpin.dev/lavenderpin/api/fleet/v1"
 	recordv1 "lavenderpin.dev/lavenderpin/api/record/v1"
 	"lavenderpin.dev/lavenderpin/event"
-	"lavenderpin.dev/lavenderpin/journal"
 	"lavenderpin.dev/lavenderpin/membership"
 	"lavenderpin.dev/lavenderpin/peer"
+	"lavenderpin.dev/lavenderpin/recordlog"
 	"lavenderpin.dev/lavenderpin/result"
 )
 
@@ -25,7 +25,7 @@
 	Members func() []membership.Member
 	// Local is this node's own gatherer, Direct appends for this node alone.
 	Local  *Gatherer
-	Direct journal.Appender
+	Direct recordlog.Appender
 	Peers  peer.Caller
 	Clock  clockwork.Clock
 	Events *event.Recorder
@@ -35,7 +35,7 @@
 }
 
 // Appender takes one writer's batches to the log by way of the data centre's gatherer,
-// and for itself where that doesn't answer. It is a journal.Appender.
+// and for itself where that doesn't answer. It is a recordlog.Appender.
 type Appender struct {
 	c Config
 
@@ -47,7 +47,7 @@
 	failed   atomic.Uint64
 }
 
-var _ journal.Appender = (*Appender)(nil)
+var _ recordlog.Appender = (*Appender)(nil)
 
 // NewAppender returns an appender.
 func NewAppender(c Config) *Appender { return &Appender{c: c} }
@@ -58,7 +58,7 @@
 // Failed returns how many batches were appended here after a gatherer had failed.
 func (a *Appender) Failed() uint64 { return a.failed.Load() }
 
-// Append implements journal.Appender.
+// Append implements recordlog.Appender.
 //
 // A batch that a gatherer didn't answer for is appended again here, under the same
 // sequence. A gatherer may be dead, paused, cut off, or have appended it and lost the
@@ -71,7 +71,7 @@
 		return a.c.Direct.Append(ctx, batch)
 	}
 	err := a.handOn(ctx, gatherer, batch)
-	if err == nil || errors.Is(context.Cause(ctx), journal.ErrReadBack) {
+	if err == nil || errors.Is(context.Cause(ctx), recordlog.ErrReadBack) {
 		a.succeeded()
 		return nil
 	}
--- a/gather/failure_test.go
+++ b/gather/failure_test.go
@@ -18,10 +18,10 @@
 	"lavenderpin.dev/lavenderpin/gather"
 	"lavenderpin.dev/lavenderpin/internal/experiment/appends"
 	"lavenderpin.dev/lavenderpin/internal/standin"
-	"lavenderpin.dev/lavenderpin/journal"
 	"lavenderpin.dev/lavenderpin/membership"
-	"lavenderpin.dev/lavenderpin/platform"
+	"lavenderpin.dev/lavenderpin/ports"
 	"lavenderpin.dev/lavenderpin/record"
+	"lavenderpin.dev/lavenderpin/recordlog"
 )
 
 // fleet is a data centre of nodes a, b, c… that gather.
@@ -32,12 +32,12 @@
 
 // newFleet starts nodes that gather by way of one log and append for themselves by way
 // of another, nil for the fleet's own.
-func newFleet(t *testing.T, count int, gathered, alone platform.Log) *fleet {
+func newFleet(t *testing.T, count int, gathered, alone ports.Log) *fleet {
 	policy := gather.DefaultPolicy()
 	policy.Fleet = 0
 	f := &fleet{Fleet: appends.NewFleet(t.Context(), clockwork.NewRealClock(), policy)} // fake within the bubble
 	for i := range count {
-		f.nodes = append(f.nodes, f.Add(info(string(rune('a'+i))), cmp.Or[platform.Log](gathered, f.Log), cmp.Or[platform.Log](alone, f.Log)))
+		f.nodes = append(f.nodes, f.Add(info(string(rune('a'+i))), cmp.Or[ports.Log](gathered, f.Log), cmp.Or[ports.Log](alone, f.Log)))
 	}
 	return f
 }
@@ -252,7 +252,7 @@
 		time.Sleep(time.Second)
 		before := len(f.Records())
 		offsets := map[uint64]bool{}
-		var tickets []*journal.Ticket
+		var tickets []*recordlog.Ticket
 		for _, n := range f.nodes {
 			tickets = append(tickets, n.Writer.Submit(&recordv1.Entry{Body: &recordv1.Entry_Config{Config: &recordv1.ConfigChange{ChangeId: n.Name()}}}))
 		}
--- a/gather/gatherer.go
+++ b/gather/gatherer.go
@@ -9,7 +9,7 @@
 	"github.com/jonboulle/clockwork"
 	"github.com/juju/errors"
 
-	"lavenderpin.dev/lavenderpin/platform"
+	"lavenderpin.dev/lavenderpin/ports"
 	"lavenderpin.dev/lavenderpin/record"
 )
 
@@ -23,7 +23,7 @@
 // Gatherer appends the batches that nodes hand it, as many as wait in one record. One
 // append is on its way at a time. It is safe for concurrent use.
 type Gatherer struct {
-	log    platform.Log
+	log    ports.Log
 	stream string
 	clock  clockwork.Clock
 	policy Policy
@@ -42,7 +42,7 @@
 
 // NewGatherer returns a gatherer for a stream of the log. allRead tells whether every
 // open node reads gathered records (record.Forms). Run makes it append.
-func NewGatherer(log platform.Log, stream string, clock clockwork.Clock, policy Policy, allRead func() bool) *Gatherer {
+func NewGatherer(log ports.Log, stream string, clock clockwork.Clock, policy Policy, allRead func() bool) *Gatherer {
 	return &Gatherer{log: log, stream: stream, clock: clock, policy: policy, allRead: allRead, wake: make(chan struct{}, 1)}
 }
 
--- a/idempotency/fleet_test.go
+++ b/idempotency/fleet_test.go
@@ -13,7 +13,7 @@
 	"lavenderpin.dev/lavenderpin/event"
 	"lavenderpin.dev/lavenderpin/fold"
 	"lavenderpin.dev/lavenderpin/internal/standin"
-	"lavenderpin.dev/lavenderpin/journal"
+	"lavenderpin.dev/lavenderpin/recordlog"
 	"lavenderpin.dev/lavenderpin/result"
 )
 
@@ -56,9 +56,9 @@
 func (f *testFleet) start(name, slot string) {
 	clock := clockwork.NewRealClock()
 	events := event.NewRecorder(event.NewHLC(clock), name, 100, log.NewNopLogger())
-	writer := journal.NewWriter(f.log, "fleet", name, clock, events.Clock(), time.Millisecond)
+	writer := recordlog.NewWriter(f.log, "fleet", name, clock, events.Clock(), time.Millisecond)
 	claims := NewClaims(DefaultLimits())
-	follower := journal.NewFollower(f.log, "fleet", clock, fold.NewEngine(claims), func(_ uint64, b *batch, v []fold.Verdict) { writer.Folded(b, v) })
+	follower := recordlog.NewFollower(f.log, "fleet", clock, fold.NewEngine(claims), func(_ uint64, b *batch, v []fold.Verdict) { writer.Folded(b, v) })
 	n := &testNode{fleet: f, name: name, slot: slot, claims: claims}
 	n.ctx, n.kill = context.WithCancel(context.Background())
 	n.runner = NewRunner(Options{Incarnation: name, Claims: claims, Journal: writer, Open: f.isOpen, Clock: clock, Events: events})
--- a/idempotency/held.go
+++ b/idempotency/held.go
@@ -1,7 +1,7 @@
 package idempotency
 
 import (
-	"lavenderpin.dev/lavenderpin/journal"
+	"lavenderpin.dev/lavenderpin/recordlog"
 )
 
 // phase is how far a call held by this node has come.
@@ -24,7 +24,7 @@
 type heldCall struct {
 	call    Call
 	phase   phase
-	claim   *journal.Ticket
+	claim   *recordlog.Ticket
 	waiters int
 	// changed is closed and replaced at each change of phase.
 	changed chan struct{}
--- a/idempotency/runner.go
+++ b/idempotency/runner.go
@@ -11,7 +11,7 @@
 
 	recordv1 "lavenderpin.dev/lavenderpin/api/record/v1"
 	"lavenderpin.dev/lavenderpin/event"
-	"lavenderpin.dev/lavenderpin/journal"
+	"lavenderpin.dev/lavenderpin/recordlog"
 	"lavenderpin.dev/lavenderpin/result"
 )
 
@@ -26,9 +26,9 @@
 	startOver = 3
 )
 
-// Submitter queues an entry for the log; journal.Writer is one.
+// Submitter queues an entry for the log; recordlog.Writer is one.
 type Submitter interface {
-	Submit(entry *recordv1.Entry) *journal.Ticket
+	Submit(entry *recordv1.Entry) *recordlog.Ticket
 }
 
 // Options is what a Runner works with.
--- a/idempotency/runnerend.go
+++ b/idempotency/runnerend.go
@@ -2,7 +2,7 @@
 
 import (
 	recordv1 "lavenderpin.dev/lavenderpin/api/record/v1"
-	"lavenderpin.dev/lavenderpin/journal"
+	"lavenderpin.dev/lavenderpin/recordlog"
 	"lavenderpin.dev/lavenderpin/result"
 )
 
@@ -51,7 +51,7 @@
 
 // awaitOutcome lets an answer be forgotten once the log holds the outcome: until
 // then this node's memory is the only place that knows it.
-func (r *Runner) awaitOutcome(held *heldCall, ticket *journal.Ticket) {
+func (r *Runner) awaitOutcome(held *heldCall, ticket *recordlog.Ticket) {
 	select {
 	case <-ticket.Done():
 	case <-r.stopped:
--- a/internal/bench/meter.go
+++ b/internal/bench/meter.go
@@ -8,7 +8,7 @@
 	"time"
 
 	"lavenderpin.dev/lavenderpin/devfleet"
-	"lavenderpin.dev/lavenderpin/platform"
+	"lavenderpin.dev/lavenderpin/ports"
 )
 
 // meter counts what nodes of the away region send and receive.
@@ -24,7 +24,7 @@
 
 func newMeter(home string) *meter { return &meter{home: home, regions: map[string]string{}} }
 
-func (m *meter) wrapLog(place devfleet.Place, log platform.Log) platform.Log {
+func (m *meter) wrapLog(place devfleet.Place, log ports.Log) ports.Log {
 	return &meteredLog{Log: log, meter: m, away: place.Region != m.home}
 }
 
@@ -46,12 +46,12 @@
 }
 
 type meteredLog struct {
-	platform.Log
+	ports.Log
 	meter *meter
 	away  bool
 }
 
-// Append implements platform.Log.
+// Append implements ports.Log.
 func (l *meteredLog) Append(ctx context.Context, stream string, data []byte) (uint64, error) {
 	l.meter.appends.Add(1)
 	if l.away {
@@ -60,8 +60,8 @@
 	return l.Log.Append(ctx, stream, data)
 }
 
-// Read implements platform.Log.
-func (l *meteredLog) Read(ctx context.Context, stream string, from uint64, max int, wait time.Duration) (platform.Slice, error) {
+// Read implements ports.Log.
+func (l *meteredLog) Read(ctx context.Context, stream string, from uint64, max int, wait time.Duration) (ports.Slice, error) {
 	slice, err := l.Log.Read(ctx, stream, from, max, wait)
 	if l.away {
 		for _, r := range slice.Records {
--- a/internal/experiment/appends/fleet.go
+++ b/internal/experiment/appends/fleet.go
@@ -15,10 +15,10 @@
 	"lavenderpin.dev/lavenderpin/fold"
 	"lavenderpin.dev/lavenderpin/gather"
 	"lavenderpin.dev/lavenderpin/internal/standin"
-	"lavenderpin.dev/lavenderpin/journal"
 	"lavenderpin.dev/lavenderpin/membership"
 	"lavenderpin.dev/lavenderpin/peer"
-	"lavenderpin.dev/lavenderpin/platform"
+	"lavenderpin.dev/lavenderpin/ports"
+	"lavenderpin.dev/lavenderpin/recordlog"
 	"lavenderpin.dev/lavenderpin/result"
 )
 
@@ -55,7 +55,7 @@
 // NewFleet returns a fleet without nodes, which runs until ctx ends.
 func NewFleet(ctx context.Context, clock clockwork.Clock, policy gather.Policy) *Fleet {
 	f := &Fleet{Log: standin.NewLog(), Policy: policy, Folded: NewTally(), ctx: ctx, clock: clock, nodes: map[string]*Node{}}
-	go journal.NewFollower(f.Log, Stream, clock, fold.NewEngine(f.Folded), f.folded).Run(ctx)
+	go recordlog.NewFollower(f.Log, Stream, clock, fold.NewEngine(f.Folded), f.folded).Run(ctx)
 	return f
 }
 
@@ -70,15 +70,15 @@
 
 // Add starts a node. It gathers by way of gathered and appends for itself by way of
 // alone.
-func (f *Fleet) Add(info *recordv1.NodeInfo, gathered, alone platform.Log) *Node {
+func (f *Fleet) Add(info *recordv1.NodeInfo, gathered, alone ports.Log) *Node {
 	n := &Node{Info: info, clock: f.clock}
 	events := event.NewRecorder(event.NewHLC(f.clock), n.Name(), 100, golog.NewNopLogger())
 	n.Gatherer = gather.NewGatherer(gathered, Stream, f.clock, f.Policy, f.allRead)
 	n.Appender = gather.NewAppender(gather.Config{
 		Self: info, Members: func() []membership.Member { return f.Seen(n.Name()) }, Local: n.Gatherer,
-		Direct: journal.NewLogAppender(alone, Stream, f.allRead), Peers: f, Clock: f.clock, Events: events, Policy: f.Policy, AllRead: f.allRead,
+		Direct: recordlog.NewLogAppender(alone, Stream, f.allRead), Peers: f, Clock: f.clock, Events: events, Policy: f.Policy, AllRead: f.allRead,
 	})
-	n.Writer = journal.NewWriter(alone, Stream, n.Name(), f.clock, events.Clock(), Soon)
+	n.Writer = recordlog.NewWriter(alone, Stream, n.Name(), f.clock, events.Clock(), Soon)
 	n.Writer.Through(n.Appender)
 	ctx, stop := context.WithCancel(f.ctx)
 	n.Stop = stop
@@ -147,7 +147,7 @@
 }
 
 // Records returns what the log holds.
-func (f *Fleet) Records() []platform.Record {
+func (f *Fleet) Records() []ports.Record {
 	slice, err := f.Log.Read(f.ctx, Stream, 1, 1<<30, 0)
 	if err != nil {
 		return nil
--- a/internal/experiment/appends/node.go
+++ b/internal/experiment/appends/node.go
@@ -8,7 +8,7 @@
 
 	recordv1 "lavenderpin.dev/lavenderpin/api/record/v1"
 	"lavenderpin.dev/lavenderpin/gather"
-	"lavenderpin.dev/lavenderpin/journal"
+	"lavenderpin.dev/lavenderpin/recordlog"
 )
 
 // Soon is how long a node's writer gathers before each append, as node.DefaultSettings
@@ -18,7 +18,7 @@
 // Node is the part of a node that appends.
 type Node struct {
 	Info     *recordv1.NodeInfo
-	Writer   *journal.Writer
+	Writer   *recordlog.Writer
 	Gatherer *gather.Gatherer
 	Appender *gather.Appender
 	// Stop ends the node as its process would end.
@@ -30,7 +30,7 @@
 func (n *Node) Name() string { return n.Info.GetIncarnation() }
 
 // Submit writes an entry that the tallies keep under its tokens.
-func (n *Node) Submit(tokens uint64) *journal.Ticket {
+func (n *Node) Submit(tokens uint64) *recordlog.Ticket {
 	return n.Writer.Submit(&recordv1.Entry{Body: &recordv1.Entry_ShareReturn{
 		ShareReturn: &recordv1.ShareReturn{Budget: "casco-reports", Tokens: tokens}}})
 }
--- a/internal/experiment/atmostonce/node.go
+++ b/internal/experiment/atmostonce/node.go
@@ -12,7 +12,7 @@
 	"lavenderpin.dev/lavenderpin/event"
 	"lavenderpin.dev/lavenderpin/fold"
 	"lavenderpin.dev/lavenderpin/idempotency"
-	"lavenderpin.dev/lavenderpin/journal"
+	"lavenderpin.dev/lavenderpin/recordlog"
 	"lavenderpin.dev/lavenderpin/result"
 )
 
@@ -31,9 +31,9 @@
 func newNode(w *world, name string) *node {
 	clock := clockwork.NewRealClock()
 	events := event.NewRecorder(event.NewHLC(clock), name, 1, log.NewNopLogger())
-	writer := journal.NewWriter(w.log, "fleet", name, clock, events.Clock(), w.options.Gather)
+	writer := recordlog.NewWriter(w.log, "fleet", name, clock, events.Clock(), w.options.Gather)
 	claims := idempotency.NewClaims(idempotency.DefaultLimits())
-	follower := journal.NewFollower(w.log, "fleet", clock, fold.NewEngine(claims), func(_ uint64, b *recordv1.Batch, v []fold.Verdict) {
+	follower := recordlog.NewFollower(w.log, "fleet", clock, fold.NewEngine(claims), func(_ uint64, b *recordv1.Batch, v []fold.Verdict) {
 		writer.Folded(b, v)
 	})
 	n := &node{world: w, name: name}
--- a/internal/experiment/fleet/countinglog.go
+++ b/internal/experiment/fleet/countinglog.go
@@ -5,12 +5,12 @@
 	"sync/atomic"
 	"time"
 
-	"lavenderpin.dev/lavenderpin/platform"
+	"lavenderpin.dev/lavenderpin/ports"
 )
 
 // countingLog counts what one node reads of the log and appends to it.
 type countingLog struct {
-	platform.Log
+	ports.Log
 	bytes atomic.Int64
 	// delay is how far the log is, one way.
 	delay time.Duration
@@ -18,7 +18,7 @@
 	crossings *crossings
 }
 
-// Append implements platform.Log.
+// Append implements ports.Log.
 func (l *countingLog) Append(ctx context.Context, stream string, data []byte) (uint64, error) {
 	l.bytes.Add(int64(len(data)))
 	time.Sleep(l.delay)
@@ -27,8 +27,8 @@
 	return offset, err
 }
 
-// Read implements platform.Log.
-func (l *countingLog) Read(ctx context.Context, stream string, from uint64, max int, wait time.Duration) (platform.Slice, error) {
+// Read implements ports.Log.
+func (l *countingLog) Read(ctx context.Context, stream string, from uint64, max int, wait time.Duration) (ports.Slice, error) {
 	time.Sleep(l.delay)
 	slice, err := l.Log.Read(ctx, stream, from, max, wait)
 	time.Sleep(l.delay)
--- a/internal/fake/archive.go
+++ b/internal/fake/archive.go
@@ -8,19 +8,19 @@
 
 	"github.com/jonboulle/clockwork"
 
-	"lavenderpin.dev/lavenderpin/platform"
+	"lavenderpin.dev/lavenderpin/ports"
 )
 
 // ArchivedRecord is a record with the moment at which the log took it.
 type ArchivedRecord struct {
-	platform.Record
+	ports.Record
 	At time.Time
 }
 
 // Archive is a log that remembers every record, also those that the log itself no
 // longer keeps, so that a history can be judged from its beginning.
 type Archive struct {
-	platform.Log
+	ports.Log
 
 	mu      sync.Mutex
 	clock   clockwork.Clock
@@ -29,11 +29,11 @@
 }
 
 // NewArchive returns an archive before a log of one stream.
-func NewArchive(log platform.Log, clock clockwork.Clock) *Archive {
+func NewArchive(log ports.Log, clock clockwork.Clock) *Archive {
 	return &Archive{Log: log, clock: clock, grown: make(chan struct{})}
 }
 
-// Append implements platform.Log.
+// Append implements ports.Log.
 func (a *Archive) Append(ctx context.Context, stream string, data []byte) (uint64, error) {
 	offset, err := a.Log.Append(ctx, stream, data)
 	if err != nil {
@@ -41,7 +41,7 @@
 	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.records = append(a.records, ArchivedRecord{platform.Record{Offset: offset, Data: append([]byte(nil), data...)}, a.clock.Now()})
+	a.records = append(a.records, ArchivedRecord{ports.Record{Offset: offset, Data: append([]byte(nil), data...)}, a.clock.Now()})
 	close(a.grown)
 	a.grown = make(chan struct{})
 	return offset, nil
--- a/internal/fake/instances.go
+++ b/internal/fake/instances.go
@@ -6,7 +6,7 @@
 
 	platformv1 "lavenderpin.dev/lavenderpin/api/platform/v1"
 	"lavenderpin.dev/lavenderpin/internal/standin"
-	"lavenderpin.dev/lavenderpin/platform"
+	"lavenderpin.dev/lavenderpin/ports"
 )
 
 // Instances is one node's view of the instance list.
@@ -17,7 +17,7 @@
 	asked   atomic.Uint64
 }
 
-var _ platform.Instances = (*Instances)(nil)
+var _ ports.Instances = (*Instances)(nil)
 
 // NewInstances returns a node's view of a list.
 func NewInstances(inner *standin.Instances, network *Network, node Endpoint) *Instances {
@@ -27,7 +27,7 @@
 // Asked returns how often the node asked.
 func (i *Instances) Asked() uint64 { return i.asked.Load() }
 
-// List implements platform.Instances.
+// List implements ports.Instances.
 func (i *Instances) List(ctx context.Context) ([]*platformv1.Instance, error) {
 	i.asked.Add(1)
 	if !i.network.Passes(i.node, LogEndpoint) || !i.network.Passes(LogEndpoint, i.node) {
--- a/internal/fake/log.go
+++ b/internal/fake/log.go
@@ -10,7 +10,7 @@
 	"google.golang.org/protobuf/proto"
 
 	recordv1 "lavenderpin.dev/lavenderpin/api/record/v1"
-	"lavenderpin.dev/lavenderpin/platform"
+	"lavenderpin.dev/lavenderpin/ports"
 	"lavenderpin.dev/lavenderpin/record"
 )
 
@@ -32,7 +32,7 @@
 	onRead   func(offset uint64, batch *recordv1.Batch)
 }
 
-var _ platform.Log = (*Log)(nil)
+var _ ports.Log = (*Log)(nil)
 
 // NewLog returns a node's view of a log.
 func NewLog(inner *Archive, network *Network, node Endpoint, gate *Gate, clock clockwork.Clock, probe Probe) *Log {
@@ -102,7 +102,7 @@
 	return errors.Trace(errLost)
 }
 
-// Append implements platform.Log.
+// Append implements ports.Log.
 func (l *Log) Append(ctx context.Context, stream string, data []byte) (uint64, error) {
 	for _, step := range stepsOf(data) {
 		l.probe(step, string(l.node))
@@ -124,23 +124,23 @@
 	return offset, errors.Trace(err)
 }
 
-// Read implements platform.Log.
-func (l *Log) Read(ctx context.Context, stream string, from uint64, max int, wait time.Duration) (platform.Slice, error) {
+// Read implements ports.Log.
+func (l *Log) Read(ctx context.Context, stream string, from uint64, max int, wait time.Duration) (ports.Slice, error) {
 	if err := l.reach(ctx); err != nil {
-		return platform.Slice{}, err
+		return ports.Slice{}, err
 	}
 	slice, err := l.readInner(ctx, stream, from, max, wait)
 	if lost := l.pass(ctx, LogEndpoint, l.node); lost != nil {
-		return platform.Slice{}, lost
+		return ports.Slice{}, lost
 	}
 	if err != nil {
-		return platform.Slice{}, err
+		return ports.Slice{}, err
 	}
 	return l.tamperedSlice(slice), nil
 }
 
 // readInner waits here and not in the log, on this node's clock.
-func (l *Log) readInner(ctx context.Context, stream string, from uint64, max int, wait time.Duration) (platform.Slice, error) {
+func (l *Log) readInner(ctx context.Context, stream string, from uint64, max int, wait time.Duration) (ports.Slice, error) {
 	grown := l.inner.Grown()
 	slice, err := l.inner.Read(ctx, stream, from, max, 0)
 	if err != nil || len(slice.Records) > 0 || wait <= 0 {
@@ -150,12 +150,12 @@
 	case <-grown:
 	case <-l.clock.After(wait):
 	case <-ctx.Done():
-		return platform.Slice{}, errors.Trace(ctx.Err())
+		return ports.Slice{}, errors.Trace(ctx.Err())
 	}
 	return l.inner.Read(ctx, stream, from, max, 0)
 }
 
-func (l *Log) tamperedSlice(slice platform.Slice) platform.Slice {
+func (l *Log) tamperedSlice(slice ports.Slice) ports.Slice {
 	_, _, tamper := l.hooks()
 	if tamper == nil {
 		return slice
--- a/internal/standin/instances.go
+++ b/internal/standin/instances.go
@@ -7,17 +7,17 @@
 	"github.com/juju/errors"
 
 	platformv1 "lavenderpin.dev/lavenderpin/api/platform/v1"
-	"lavenderpin.dev/lavenderpin/platform"
+	"lavenderpin.dev/lavenderpin/ports"
 )
 
-// Instances is the platform's instance list. It implements platform.Instances.
+// Instances is the platform's instance list. It implements ports.Instances.
 type Instances struct {
 	mu   sync.Mutex
 	list []*platformv1.Instance
 	down bool
 }
 
-var _ platform.Instances = (*Instances)(nil)
+var _ ports.Instances = (*Instances)(nil)
 
 // NewInstances returns a list that holds the given instances.
 func NewInstances(list ...*platformv1.Instance) *Instances { return &Instances{list: list} }
@@ -36,7 +36,7 @@
 	i.down = down
 }
 
-// List implements platform.Instances.
+// List implements ports.Instances.
 func (i *Instances) List(context.Context) ([]*platformv1.Instance, error) {
 	i.mu.Lock()
 	defer i.mu.Unlock()
--- a/internal/standin/log.go
+++ b/internal/standin/log.go
@@ -7,13 +7,13 @@
 
 	"github.com/juju/errors"
 
-	"lavenderpin.dev/lavenderpin/platform"
+	"lavenderpin.dev/lavenderpin/ports"
 )
 
 // ErrDown is what a stand-in answers while it is switched off.
 var ErrDown = errors.New("stand-in is down")
 
-// Log is an in-memory log with fault switches. It implements platform.Log.
+// Log is an in-memory log with fault switches. It implements ports.Log.
 type Log struct {
 	mu      sync.Mutex
 	streams map[string]*logStream
@@ -24,12 +24,12 @@
 }
 
 type logStream struct {
-	records []platform.Record
+	records []ports.Record
 	next    uint64
 	grown   chan struct{}
 }
 
-var _ platform.Log = (*Log)(nil)
+var _ ports.Log = (*Log)(nil)
 
 // NewLog returns an empty log that keeps everything.
 func NewLog() *Log { return &Log{streams: map[string]*logStream{}} }
@@ -86,7 +86,7 @@
 	}
 }
 
-// Append implements platform.Log.
+// Append implements ports.Log.
 func (l *Log) Append(ctx context.Context, stream string, data []byte) (uint64, error) {
 	if err := l.pause(ctx); err != nil {
 		return 0, errors.Trace(err)
@@ -99,7 +99,7 @@
 	s := l.stream(stream)
 	offset := s.next
 	s.next++
-	s.records = append(s.records, platform.Record{Offset: offset, Data: append([]byte(nil), data...)})
+	s.records = append(s.records, ports.Record{Offset: offset, Data: append([]byte(nil), data...)})
 	if l.keep > 0 && len(s.records) > l.keep {
 		s.records = s.records[len(s.records)-l.keep:]
 	}
@@ -112,10 +112,10 @@
 	return offset, nil
 }
 
-// Read implements platform.Log.
-func (l *Log) Read(ctx context.Context, stream string, from uint64, max int, wait time.Duration) (platform.Slice, error) {
+// Read implements ports.Log.
+func (l *Log) Read(ctx context.Context, stream string, from uint64, max int, wait time.Duration) (ports.Slice, error) {
 	if err := l.pause(ctx); err != nil {
-		return platform.Slice{}, errors.Trace(err)
+		return ports.Slice{}, errors.Trace(err)
 	}
 	slice, grown, err := l.readNow(stream, from, max)
 	if err != nil || len(slice.Records) > 0 || wait <= 0 {
@@ -125,24 +125,24 @@
 	case <-grown:
 	case <-time.After(wait):
 	case <-ctx.Done():
-		return platform.Slice{}, errors.Trace(ctx.Err())
+		return ports.Slice{}, errors.Trace(ctx.Err())
 	}
 	slice, _, err = l.readNow(stream, from, max)
 	return slice, err
 }
 
-func (l *Log) readNow(stream string, from uint64, max int) (platform.Slice, <-chan struct{}, error) {
+func (l *Log) readNow(stream string, from uint64, max int) (ports.Slice, <-chan struct{}, error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.down {
-		return platform.Slice{}, nil, errors.Trace(ErrDown)
+		return ports.Slice{}, nil, errors.Trace(ErrDown)
 	}
 	s := l.stream(stream)
 	oldest := s.next - uint64(len(s.records))
 	if from < oldest {
-		return platform.Slice{}, nil, errors.Trace(platform.ErrAgedOut)
+		return ports.Slice{}, nil, errors.Trace(ports.ErrAgedOut)
 	}
-	slice := platform.Slice{Oldest: oldest, Next: s.next}
+	slice := ports.Slice{Oldest: oldest, Next: s.next}
 	if from < s.next {
 		records := s.records[from-oldest:]
 		slice.Records = append(slice.Records, records[:min(max, len(records))]...)
--- a/internal/standin/platform.go
+++ b/internal/standin/platform.go
@@ -10,7 +10,7 @@
 	"google.golang.org/grpc/status"
 
 	platformv1 "lavenderpin.dev/lavenderpin/api/platform/v1"
-	"lavenderpin.dev/lavenderpin/platform"
+	"lavenderpin.dev/lavenderpin/ports"
 )
 
 // Platform serves the stand-ins by the published protocol.
@@ -19,9 +19,9 @@
 	platformv1.UnimplementedInstanceServiceServer
 	platformv1.UnimplementedWeightServiceServer
 
-	Log       platform.Log
-	Instances platform.Instances
-	Weights   platform.Weights
+	Log       ports.Log
+	Instances ports.Instances
+	Weights   ports.Weights
 }
 
 // Register adds the three services to a gRPC server.
@@ -44,7 +44,7 @@
 func (p *Platform) Read(ctx context.Context, r *platformv1.ReadRequest) (*platformv1.ReadResponse, error) {
 	wait := time.Duration(r.GetWaitMs()) * time.Millisecond
 	slice, err := p.Log.Read(ctx, r.GetStream(), r.GetFrom(), int(r.GetMaxRecords()), wait)
-	if errors.Is(err, platform.ErrAgedOut) {
+	if errors.Is(err, ports.ErrAgedOut) {
 		return nil, status.Error(codes.OutOfRange, err.Error())
 	}
 	if err != nil {
--- a/internal/standin/weights.go
+++ b/internal/standin/weights.go
@@ -7,11 +7,11 @@
 
 	"github.com/jonboulle/clockwork"
 
-	"lavenderpin.dev/lavenderpin/platform"
+	"lavenderpin.dev/lavenderpin/ports"
 )
 
 // Weights is a weight store that admits one fetch per interval. It implements
-// platform.Weights.
+// ports.Weights.
 type Weights struct {
 	clock    clockwork.Clock
 	interval time.Duration
@@ -20,7 +20,7 @@
 	next time.Time
 }
 
-var _ platform.Weights = (*Weights)(nil)
+var _ ports.Weights = (*Weights)(nil)
 
 // weightBytes is what every model weighs here.
 const weightBytes = 16 << 30
@@ -30,7 +30,7 @@
 	return &Weights{clock: clock, interval: interval}
 }
 
-// Fetch implements platform.Weights.
+// Fetch implements ports.Weights.
 func (w *Weights) Fetch(context.Context, string, string) (uint64, time.Duration, error) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
--- a/lease/keeper.go
+++ b/lease/keeper.go
@@ -12,7 +12,7 @@
 	"lavenderpin.dev/lavenderpin/event"
 	"lavenderpin.dev/lavenderpin/fold"
 	"lavenderpin.dev/lavenderpin/internal/periodic"
-	"lavenderpin.dev/lavenderpin/journal"
+	"lavenderpin.dev/lavenderpin/recordlog"
 )
 
 const (
@@ -22,9 +22,9 @@
 	maxClaimDelay = 2 * time.Second
 )
 
-// Submitter queues an entry for the log; journal.Writer is one.
+// Submitter queues an entry for the log; recordlog.Writer is one.
 type Submitter interface {
-	Submit(entry *recordv1.Entry) *journal.Ticket
+	Submit(entry *recordv1.Entry) *recordlog.Ticket
 }
 
 // Keeper holds leases for one incarnation through the log. It implements Lessor
--- a/lease/keeper_test.go
+++ b/lease/keeper_test.go
@@ -14,7 +14,7 @@
 	"lavenderpin.dev/lavenderpin/event"
 	"lavenderpin.dev/lavenderpin/fold"
 	"lavenderpin.dev/lavenderpin/internal/standin"
-	"lavenderpin.dev/lavenderpin/journal"
+	"lavenderpin.dev/lavenderpin/recordlog"
 )
 
 const term = 12 * time.Second
@@ -31,8 +31,8 @@
 	hlc := event.NewHLC(clock)
 	events := event.NewRecorder(hlc, incarnation, 100, golog.NewNopLogger())
 	table := NewTable()
-	writer := journal.NewWriter(log, "fleet", incarnation, clock, hlc, 10*time.Millisecond)
-	follower := journal.NewFollower(log, "fleet", clock, fold.NewEngine(table),
+	writer := recordlog.NewWriter(log, "fleet", incarnation, clock, hlc, 10*time.Millisecond)
+	follower := recordlog.NewFollower(log, "fleet", clock, fold.NewEngine(table),
 		func(_ uint64, batch *recordv1.Batch, verdicts []fold.Verdict) { writer.Folded(batch, verdicts) })
 	n := &node{keeper: NewKeeper(incarnation, term, table, writer, clock, events)}
 	ctx, cancel := context.WithCancel(t.Context())
--- a/membership/instances.go
+++ b/membership/instances.go
@@ -12,7 +12,7 @@
 	platformv1 "lavenderpin.dev/lavenderpin/api/platform/v1"
 	"lavenderpin.dev/lavenderpin/event"
 	"lavenderpin.dev/lavenderpin/internal/periodic"
-	"lavenderpin.dev/lavenderpin/platform"
+	"lavenderpin.dev/lavenderpin/ports"
 )
 
 const (
@@ -31,7 +31,7 @@
 
 // Instances keeps the platform's last answer. It is safe for concurrent use.
 type Instances struct {
-	list   platform.Instances
+	list   ports.Instances
 	clock  clockwork.Clock
 	events *event.Recorder
 	last   atomic.Pointer[listed]
@@ -56,7 +56,7 @@
 }
 
 // NewInstances returns a list that knows nothing yet.
-func NewInstances(list platform.Instances, clock clockwork.Clock, events *event.Recorder) *Instances {
+func NewInstances(list ports.Instances, clock clockwork.Clock, events *event.Recorder) *Instances {
 	i := &Instances{list: list, clock: clock, events: events}
 	i.last.Store(&listed{leaving: map[string]bool{}})
 	return i
--- a/node/deps.go
+++ b/node/deps.go
@@ -5,16 +5,16 @@
 	"github.com/jonboulle/clockwork"
 
 	"lavenderpin.dev/lavenderpin/peer"
-	"lavenderpin.dev/lavenderpin/platform"
+	"lavenderpin.dev/lavenderpin/ports"
 	"lavenderpin.dev/lavenderpin/upstream"
 )
 
 // Deps is what a node reaches the world through.
 type Deps struct {
 	Clock     clockwork.Clock
-	Log       platform.Log
-	Instances platform.Instances
-	Weights   platform.Weights
+	Log       ports.Log
+	Instances ports.Instances
+	Weights   ports.Weights
 	Peers     peer.Caller
 	Upstreams upstream.Client
 	Logger    log.Logger
--- a/node/fleet_test.go
+++ b/node/fleet_test.go
@@ -19,7 +19,7 @@
 	recordv1 "lavenderpin.dev/lavenderpin/api/record/v1"
 	"lavenderpin.dev/lavenderpin/fold"
 	"lavenderpin.dev/lavenderpin/internal/standin"
-	"lavenderpin.dev/lavenderpin/platform"
+	"lavenderpin.dev/lavenderpin/ports"
 	"lavenderpin.dev/lavenderpin/result"
 	"lavenderpin.dev/lavenderpin/snapshot"
 	"lavenderpin.dev/lavenderpin/upstream"
@@ -33,7 +33,7 @@
 	instances *standin.Instances
 	policy    snapshot.Policy
 	// list and upstreams, when set, take the place of instances and of no upstreams.
-	list      platform.Instances
+	list      ports.Instances
 	upstreams upstream.Client
 
 	mu    sync.Mutex
@@ -77,7 +77,7 @@
 	f.count++
 	name := fmt.Sprintf("n%d-%d", i, f.count)
 	f.mu.Unlock()
-	var list platform.Instances = f.instances
+	var list ports.Instances = f.instances
 	if f.list != nil {
 		list = f.list
 	}
@@ -212,7 +212,7 @@
 		f.log.Keep(60)
 		time.Sleep(time.Minute)
 		_, err := f.log.Read(t.Context(), "fleet", 1, 1, 0)
-		is.True(errors.Is(err, platform.ErrAgedOut))
+		is.True(errors.Is(err, ports.ErrAgedOut))
 		want := nodes[0].Config().All()
 		for _, n := range nodes {
 			f.kill(n)
@@ -245,7 +245,7 @@
 		is.NoErr(err)
 		f.log.Keep(5000)
 		_, err = f.log.Read(t.Context(), "fleet", nodes[0].Config().Offset, 1, 0)
-		is.True(errors.Is(err, platform.ErrAgedOut))
+		is.True(errors.Is(err, ports.ErrAgedOut))
 		time.Sleep(time.Minute)
 		for _, n := range nodes {
 			f.kill(n)
--- a/node/gather.go
+++ b/node/gather.go
@@ -6,7 +6,7 @@
 
 	fleetv1 "lavenderpin.dev/lavenderpin/api/fleet/v1"
 	"lavenderpin.dev/lavenderpin/gather"
-	"lavenderpin.dev/lavenderpin/journal"
+	"lavenderpin.dev/lavenderpin/recordlog"
 	"lavenderpin.dev/lavenderpin/result"
 )
 
@@ -17,7 +17,7 @@
 	n.gatherer = gather.NewGatherer(n.deps.Log, n.settings.Stream, n.deps.Clock, policy, n.allRead)
 	n.appender = gather.NewAppender(gather.Config{
 		Self: n.info, Members: n.members.All, Local: n.gatherer,
-		Direct: journal.NewLogAppender(n.deps.Log, n.settings.Stream, n.allRead),
+		Direct: recordlog.NewLogAppender(n.deps.Log, n.settings.Stream, n.allRead),
 		Peers:  n.deps.Peers, Clock: n.deps.Clock, Events: n.events, Policy: policy, AllRead: n.allRead,
 	})
 	n.writer.Through(n.appender)
--- a/node/leaving_test.go
+++ b/node/leaving_test.go
@@ -15,7 +15,7 @@
 	platformv1 "lavenderpin.dev/lavenderpin/api/platform/v1"
 	recordv1 "lavenderpin.dev/lavenderpin/api/record/v1"
 	"lavenderpin.dev/lavenderpin/config"
-	"lavenderpin.dev/lavenderpin/platform"
+	"lavenderpin.dev/lavenderpin/ports"
 	"lavenderpin.dev/lavenderpin/request"
 	"lavenderpin.dev/lavenderpin/upstream"
 )
@@ -28,7 +28,7 @@
 
 // slowList answers with what the list held when it was asked, most of the time that a
 // node waits later.
-type slowList struct{ platform.Instances }
+type slowList struct{ ports.Instances }
 
 func (l slowList) List(ctx context.Context) ([]*platformv1.Instance, error) {
 	list, err := l.Instances.List(ctx)
--- a/node/node.go
+++ b/node/node.go
@@ -19,10 +19,10 @@
 	"lavenderpin.dev/lavenderpin/fold"
 	"lavenderpin.dev/lavenderpin/gather"
 	"lavenderpin.dev/lavenderpin/idempotency"
-	"lavenderpin.dev/lavenderpin/journal"
 	"lavenderpin.dev/lavenderpin/lease"
 	"lavenderpin.dev/lavenderpin/membership"
 	"lavenderpin.dev/lavenderpin/record"
+	"lavenderpin.dev/lavenderpin/recordlog"
 	"lavenderpin.dev/lavenderpin/relay"
 	"lavenderpin.dev/lavenderpin/request"
 	"lavenderpin.dev/lavenderpin/routing"
@@ -47,11 +47,11 @@
 	ledger     *budget.Ledger
 	holder     *budget.Holder
 	budgets    budgets
-	writer     *journal.Writer
+	writer     *recordlog.Writer
 	gatherer   *gather.Gatherer
 	appender   *gather.Appender
 	forms      atomic.Pointer[formsRead]
-	follower   *journal.Follower
+	follower   *recordlog.Follower
 	leaseTable *lease.Table
 	leases     *lease.Keeper
 	members    *membership.Members
@@ -96,7 +96,7 @@
 	n.config = config.NewState(n.configInForce)
 	n.ledger = budget.NewLedger()
 	n.holder = budget.NewHolder(n.info.GetIncarnation(), deps.Clock)
-	n.writer = journal.NewWriter(deps.Log, settings.Stream, n.info.GetIncarnation(), deps.Clock, hlc, settings.Gather)
+	n.writer = recordlog.NewWriter(deps.Log, settings.Stream, n.info.GetIncarnation(), deps.Clock, hlc, settings.Gather)
 	n.writer.AddSource(n.settlements)
 	n.leaseTable = lease.NewTable()
 	n.leases = lease.NewKeeper(n.info.GetIncarnation(), settings.LeaseTerm, n.leaseTable, n.writer, deps.Clock, n.events)
@@ -149,7 +149,7 @@
 func (n *Node) Leases() lease.Lessor { return n.leases }
 
 // Journal returns the node's writer to the log.
-func (n *Node) Journal() *journal.Writer { return n.writer }
+func (n *Node) Journal() *recordlog.Writer { return n.writer }
 
 // State returns where the node is in its life.
 func (n *Node) State() State { return n.lifecycle.MustState().(State) }
--- a/node/relay.go
+++ b/node/relay.go
@@ -7,8 +7,8 @@
 	fleetv1 "lavenderpin.dev/lavenderpin/api/fleet/v1"
 	"lavenderpin.dev/lavenderpin/event"
 	"lavenderpin.dev/lavenderpin/fold"
-	"lavenderpin.dev/lavenderpin/journal"
 	"lavenderpin.dev/lavenderpin/membership"
+	"lavenderpin.dev/lavenderpin/recordlog"
 	"lavenderpin.dev/lavenderpin/relay"
 	"lavenderpin.dev/lavenderpin/snapshot"
 )
@@ -23,13 +23,13 @@
 func (n *Node) newFollower(engine *fold.Engine) {
 	source := &relay.Source{
 		Self:   relayPeer(membership.Member{Node: n.info}),
-		Log:    journal.NewLogSource(n.deps.Log, n.settings.Stream),
+		Log:    recordlog.NewLogSource(n.deps.Log, n.settings.Stream),
 		Caller: n.deps.Peers,
 		Clock:  n.deps.Clock,
 		Events: n.events,
 		Peers:  n.relayPeers,
 	}
-	n.follower = journal.NewSourceFollower(source, n.deps.Clock, engine, n.folded)
+	n.follower = recordlog.NewSourceFollower(source, n.deps.Clock, engine, n.folded)
 	n.follower.OnRestored(n.restored)
 	n.relay = relay.NewServer(n.follower, source, n.deps.Clock)
 	n.snapshots = snapshot.NewTracker(n.deps.Clock)
--- a/orders/executor.go
+++ b/orders/executor.go
@@ -13,7 +13,7 @@
 	"lavenderpin.dev/lavenderpin/event"
 	"lavenderpin.dev/lavenderpin/internal/periodic"
 	"lavenderpin.dev/lavenderpin/lease"
-	"lavenderpin.dev/lavenderpin/platform"
+	"lavenderpin.dev/lavenderpin/ports"
 	"lavenderpin.dev/lavenderpin/result"
 )
 
@@ -37,7 +37,7 @@
 type Executor struct {
 	Lessor  lease.Lessor
 	Client  Client
-	Weights platform.Weights
+	Weights ports.Weights
 	Config  func() *config.View
 	Clock   clockwork.Clock
 	Events  *event.Recorder
--- a/platform/remote/client.go
+++ b/ports/remote/client.go
@@ -11,10 +11,10 @@
 	"google.golang.org/grpc/status"
 
 	platformv1 "lavenderpin.dev/lavenderpin/api/platform/v1"
-	"lavenderpin.dev/lavenderpin/platform"
+	"lavenderpin.dev/lavenderpin/ports"
 )
 
-// Client implements platform.Log, platform.Instances and platform.Weights.
+// Client implements ports.Log, ports.Instances and ports.Weights.
 type Client struct {
 	conn      *grpc.ClientConn
 	log       platformv1.LogServiceClient
@@ -23,9 +23,9 @@
 }
 
 var (
-	_ platform.Log       = (*Client)(nil)
-	_ platform.Instances = (*Client)(nil)
-	_ platform.Weights   = (*Client)(nil)
+	_ ports.Log       = (*Client)(nil)
+	_ ports.Instances = (*Client)(nil)
+	_ ports.Weights   = (*Client)(nil)
 )
 
 // Dial returns a client for the platform at an address; it connects when first used.
@@ -45,7 +45,7 @@
 // Close ends the connection.
 func (c *Client) Close() error { return c.conn.Close() }
 
-// Append implements platform.Log.
+// Append implements ports.Log.
 func (c *Client) Append(ctx context.Context, stream string, data []byte) (uint64, error) {
 	answer, err := c.log.Append(ctx, &platformv1.AppendRequest{Stream: stream, Data: data})
 	if err != nil {
@@ -54,25 +54,25 @@
 	return answer.GetOffset(), nil
 }
 
-// Read implements platform.Log.
-func (c *Client) Read(ctx context.Context, stream string, from uint64, max int, wait time.Duration) (platform.Slice, error) {
+// Read implements ports.Log.
+func (c *Client) Read(ctx context.Context, stream string, from uint64, max int, wait time.Duration) (ports.Slice, error) {
 	answer, err := c.log.Read(ctx, &platformv1.ReadRequest{
 		Stream: stream, From: from, MaxRecords: uint32(max), WaitMs: uint32(wait.Milliseconds()),
 	})
 	if status.Code(err) == codes.OutOfRange {
-		return platform.Slice{}, errors.Annotatef(platform.ErrAgedOut, "offset %d", from)
+		return ports.Slice{}, errors.Annotatef(ports.ErrAgedOut, "offset %d", from)
 	}
 	if err != nil {
-		return platform.Slice{}, errors.Annotate(err, "read")
+		return ports.Slice{}, errors.Annotate(err, "read")
 	}
-	slice := platform.Slice{Oldest: answer.GetOldest(), Next: answer.GetNext()}
+	slice := ports.Slice{Oldest: answer.GetOldest(), Next: answer.GetNext()}
 	for _, r := range answer.GetRecords() {
-		slice.Records = append(slice.Records, platform.Record{Offset: r.GetOffset(), Data: r.GetData()})
+		slice.Records = append(slice.Records, ports.Record{Offset: r.GetOffset(), Data: r.GetData()})
 	}
 	return slice, nil
 }
 
-// List implements platform.Instances.
+// List implements ports.Instances.
 func (c *Client) List(ctx context.Context) ([]*platformv1.Instance, error) {
 	answer, err := c.instances.List(ctx, &platformv1.ListRequest{})
 	if err != nil {
@@ -81,7 +81,7 @@
 	return answer.GetInstances(), nil
 }
 
-// Fetch implements platform.Weights.
+// Fetch implements ports.Weights.
 func (c *Client) Fetch(ctx context.Context, model, version string) (uint64, time.Duration, error) {
 	answer, err := c.weights.Fetch(ctx, &platformv1.FetchRequest{Model: model, Version: version})
 	if err != nil {
--- a/platform/weights.go
+++ b/ports/weights.go
@@ -1,4 +1,4 @@
-package platform
+package ports
 
 import (
 	"context"
--- a/journal/appender.go
+++ b/recordlog/appender.go
@@ -1,11 +1,11 @@
-package journal
+package recordlog
 
 import (
 	"context"
 
 	"github.com/juju/errors"
 
-	"lavenderpin.dev/lavenderpin/platform"
+	"lavenderpin.dev/lavenderpin/ports"
 	"lavenderpin.dev/lavenderpin/record"
 )
 
@@ -18,7 +18,7 @@
 
 // LogAppender appends each batch as a record of its own.
 type LogAppender struct {
-	log    platform.Log
+	log    ports.Log
 	stream string
 	packs  func() bool
 }
@@ -27,7 +27,7 @@
 
 // NewLogAppender returns an appender to a stream of the log. packs tells whether all who
 // read the stream unpack records; nil stands for no.
-func NewLogAppender(log platform.Log, stream string, packs func() bool) *LogAppender {
+func NewLogAppender(log ports.Log, stream string, packs func() bool) *LogAppender {
 	return &LogAppender{log: log, stream: stream, packs: packs}
 }
 
--- a/journal/follower.go
+++ b/recordlog/follower.go
@@ -1,4 +1,4 @@
-package journal
+package recordlog
 
 import (
 	"context"
@@ -12,7 +12,7 @@
 
 	recordv1 "lavenderpin.dev/lavenderpin/api/record/v1"
 	"lavenderpin.dev/lavenderpin/fold"
-	"lavenderpin.dev/lavenderpin/platform"
+	"lavenderpin.dev/lavenderpin/ports"
 	"lavenderpin.dev/lavenderpin/record"
 )
 
@@ -52,7 +52,7 @@
 
 // NewFollower returns a follower of a stream of the log that starts where the
 // engine stands.
-func NewFollower(log platform.Log, stream string, clock clockwork.Clock, engine *fold.Engine, onFolded ...FoldedFunc) *Follower {
+func NewFollower(log ports.Log, stream string, clock clockwork.Clock, engine *fold.Engine, onFolded ...FoldedFunc) *Follower {
 	return NewSourceFollower(NewLogSource(log, stream), clock, engine, onFolded...)
 }
 
@@ -122,7 +122,7 @@
 	attempt, cancel := clockwork.WithTimeout(ctx, f.clock, wait+appendTimeout)
 	defer cancel()
 	slice, err := f.source.Read(attempt, f.Offset()+1, readMax, wait)
-	if errors.Is(err, platform.ErrAgedOut) {
+	if errors.Is(err, ports.ErrAgedOut) {
 		return f.restore(ctx)
 	}
 	if err != nil {
@@ -171,7 +171,7 @@
 
 // fold applies one record. One that can't be read is passed over by every
 // node alike, so that one bad append can't stop the fleet.
-func (f *Follower) fold(r platform.Record) {
+func (f *Follower) fold(r ports.Record) {
 	batches, err := record.Decode(r.Data)
 	if err != nil {
 		batches = []*recordv1.Batch{{}}
--- a/journal/queue.go
+++ b/recordlog/queue.go
@@ -1,4 +1,4 @@
-package journal
+package recordlog
 
 // leastSwept is the length under which a queue isn't searched for withdrawn tickets.
 const leastSwept = 256
--- a/journal/recent.go
+++ b/recordlog/recent.go
@@ -1,9 +1,9 @@
-package journal
+package recordlog
 
 import (
 	"sync"
 
-	"lavenderpin.dev/lavenderpin/platform"
+	"lavenderpin.dev/lavenderpin/ports"
 )
 
 const (
@@ -17,7 +17,7 @@
 // read them from this one. It is safe for concurrent use.
 type Recent struct {
 	mu      sync.Mutex
-	records []platform.Record
+	records []ports.Record
 	bytes   int
 	next    uint64
 	grown   chan struct{}
@@ -28,7 +28,7 @@
 }
 
 // add takes the record that was folded after those held.
-func (r *Recent) add(record platform.Record) {
+func (r *Recent) add(record ports.Record) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.records = append(r.records, record)
@@ -57,17 +57,17 @@
 }
 
 // Read returns up to max records from an offset on without waiting; grown is
-// closed once there are more. It fails with platform.ErrAgedOut when from isn't
+// closed once there are more. It fails with ports.ErrAgedOut when from isn't
 // held any more.
-func (r *Recent) Read(from uint64, max int) (slice platform.Slice, grown <-chan struct{}, err error) {
+func (r *Recent) Read(from uint64, max int) (slice ports.Slice, grown <-chan struct{}, err error) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	slice = platform.Slice{Oldest: r.next, Next: r.next}
+	slice = ports.Slice{Oldest: r.next, Next: r.next}
 	if len(r.records) > 0 {
 		slice.Oldest = r.records[0].Offset
 	}
 	if from < slice.Oldest {
-		return slice, nil, platform.ErrAgedOut
+		return slice, nil, ports.ErrAgedOut
 	}
 	for i := len(r.records); i > 0 && r.records[i-1].Offset >= from; i-- {
 		slice.Records = r.records[i-1:]
@@ -76,6 +76,6 @@
 		slice.Records = slice.Records[:max]
 	}
 	// The ring is cut and appended to later; its records never change.
-	slice.Records = append([]platform.Record(nil), slice.Records...)
+	slice.Records = append([]ports.Record(nil), slice.Records...)
 	return slice, r.grown, nil
 }
--- a/journal/snapshot_test.go
+++ b/recordlog/snapshot_test.go
@@ -1,4 +1,4 @@
-package journal_test
+package recordlog_test
 
 import (
 	"context"
@@ -14,7 +14,7 @@
 	"lavenderpin.dev/lavenderpin/budget"
 	"lavenderpin.dev/lavenderpin/fold"
 	"lavenderpin.dev/lavenderpin/internal/standin"
-	"lavenderpin.dev/lavenderpin/journal"
+	"lavenderpin.dev/lavenderpin/recordlog"
 	"lavenderpin.dev/lavenderpin/snapshot"
 )
 
@@ -26,12 +26,12 @@
 // reader is one node's fold of the log.
 type reader struct {
 	ledger   *budget.Ledger
-	follower *journal.Follower
+	follower *recordlog.Follower
 }
 
 func newReader(log *standin.Log) *reader {
 	ledger := budget.NewLedger()
-	return &reader{ledger, journal.NewFollower(log, stream, clockwork.NewFakeClock(), fold.NewEngine(ledger))}
+	return &reader{ledger, recordlog.NewFollower(log, stream, clockwork.NewFakeClock(), fold.NewEngine(ledger))}
 }
 
 func (r *reader) catchUp(is *is.I) {
--- a/journal/ticket.go
+++ b/recordlog/ticket.go
@@ -1,4 +1,4 @@
-package journal
+package recordlog
 
 import (
 	"context"
--- a/journal/writer.go
+++ b/recordlog/writer.go
@@ -1,4 +1,4 @@
-package journal
+package recordlog
 
 import (
 	"context"
@@ -14,7 +14,7 @@
 	recordv1 "lavenderpin.dev/lavenderpin/api/record/v1"
 	"lavenderpin.dev/lavenderpin/event"
 	"lavenderpin.dev/lavenderpin/fold"
-	"lavenderpin.dev/lavenderpin/platform"
+	"lavenderpin.dev/lavenderpin/ports"
 	"lavenderpin.dev/lavenderpin/result"
 )
 
@@ -56,7 +56,7 @@
 
 // NewWriter returns a writer that appends to a stream as an incarnation and
 // gathers entries for the given time before each append.
-func NewWriter(log platform.Log, stream, incarnation string, clock clockwork.Clock, hlc *event.HLC, gather time.Duration) *Writer {
+func NewWriter(log ports.Log, stream, incarnation string, clock clockwork.Clock, hlc *event.HLC, gather time.Duration) *Writer {
 	return &Writer{
 		appender: NewLogAppender(log, stream, nil), writer: incarnation, clock: clock, hlc: hlc, gather: gather,
 		wake: make(chan struct{}, 1), pending: map[uint64][]*Ticket{},
--- a/recovery/recoverer.go
+++ b/recovery/recoverer.go
@@ -14,8 +14,8 @@
 	"lavenderpin.dev/lavenderpin/event"
 	"lavenderpin.dev/lavenderpin/fold"
 	"lavenderpin.dev/lavenderpin/internal/periodic"
-	"lavenderpin.dev/lavenderpin/journal"
 	"lavenderpin.dev/lavenderpin/peer"
+	"lavenderpin.dev/lavenderpin/recordlog"
 	"lavenderpin.dev/lavenderpin/upstream"
 	"lavenderpin.dev/lavenderpin/witness"
 )
@@ -62,7 +62,7 @@
 	cases map[string]*recoveryCase
 	// orphans holds an inquiry for each borrower that is gone.
 	orphans map[string]*inquiry
-	closes  []*journal.Ticket
+	closes  []*recordlog.Ticket
 	absence *Absence
 }
 
@@ -70,7 +70,7 @@
 type recoveryCase struct {
 	*inquiry
 	begun   bool
-	pending *journal.Ticket
+	pending *recordlog.Ticket
 	queue   []*recordv1.Entry
 	queued  bool
 	// waits is what the time line was told last of why this waits.
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -19,8 +19,8 @@
 	"lavenderpin.dev/lavenderpin/event"
 	"lavenderpin.dev/lavenderpin/fold"
 	"lavenderpin.dev/lavenderpin/internal/standin"
-	"lavenderpin.dev/lavenderpin/journal"
-	"lavenderpin.dev/lavenderpin/platform"
+	"lavenderpin.dev/lavenderpin/ports"
+	"lavenderpin.dev/lavenderpin/recordlog"
 )
 
 const (
@@ -44,7 +44,7 @@
 
 type member struct {
 	peer     Peer
-	follower *journal.Follower
+	follower *recordlog.Follower
 	server   *Server
 	cancel   context.CancelFunc
 }
@@ -55,15 +55,15 @@
 
 // logFrom is the log as a member of a region reads it.
 type logFrom struct {
-	platform.Log
+	ports.Log
 	group  *group
 	member Peer
 }
 
-func (l logFrom) Read(ctx context.Context, stream string, from uint64, max int, wait time.Duration) (platform.Slice, error) {
+func (l logFrom) Read(ctx context.Context, stream string, from uint64, max int, wait time.Duration) (ports.Slice, error) {
 	if l.group.isCut(l.member.Address) {
 		<-ctx.Done()
-		return platform.Slice{}, ctx.Err()
+		return ports.Slice{}, ctx.Err()
 	}
 	slice, err := l.Log.Read(ctx, stream, from, max, wait)
 	l.group.count(home, l.member.Region, len(slice.Records))
@@ -136,10 +136,10 @@
 		peers = func() []Peer { return g.others(name) }
 	}
 	source := &Source{
-		Self: self, Log: journal.NewLogSource(logFrom{g.log, g, self}, "fleet"), Caller: callerOf{g, self}, Clock: clock,
+		Self: self, Log: recordlog.NewLogSource(logFrom{g.log, g, self}, "fleet"), Caller: callerOf{g, self}, Clock: clock,
 		Events: event.NewRecorder(event.NewHLC(clock), name, 100, golog.NewNopLogger()), Peers: peers,
 	}
-	m := &member{peer: self, follower: journal.NewSourceFollower(source, clock, fold.NewEngine())}
+	m := &member{peer: self, follower: recordlog.NewSourceFollower(source, clock, fold.NewEngine())}
 	m.server = NewServer(m.follower, source, clock)
 	ctx, cancel := context.WithCancel(g.t.Context())
 	m.cancel = cancel
--- a/relay/server.go
+++ b/relay/server.go
@@ -8,8 +8,8 @@
 	"github.com/juju/errors"
 
 	fleetv1 "lavenderpin.dev/lavenderpin/api/fleet/v1"
-	"lavenderpin.dev/lavenderpin/journal"
-	"lavenderpin.dev/lavenderpin/platform"
+	"lavenderpin.dev/lavenderpin/ports"
+	"lavenderpin.dev/lavenderpin/recordlog"
 	"lavenderpin.dev/lavenderpin/result"
 	"lavenderpin.dev/lavenderpin/snapshot"
 )
@@ -22,13 +22,13 @@
 
 // Server answers other nodes out of what this node folded.
 type Server struct {
-	follower *journal.Follower
+	follower *recordlog.Follower
 	source   *Source
 	clock    clockwork.Clock
 }
 
 // NewServer returns a server over a follower and the source that it reads.
-func NewServer(follower *journal.Follower, source *Source, clock clockwork.Clock) *Server {
+func NewServer(follower *recordlog.Follower, source *Source, clock clockwork.Clock) *Server {
 	return &Server{follower: follower, source: source, clock: clock}
 }
 
@@ -37,7 +37,7 @@
 func (s *Server) Answer(ctx context.Context, r *fleetv1.LogRead) (*fleetv1.LogSlice, error) {
 	wait := min(time.Duration(r.GetWaitMs())*time.Millisecond, maxServedWait)
 	slice, err := s.read(ctx, r.GetFrom(), min(int(r.GetMaxRecords()), maxServedRecords), wait)
-	if errors.Is(err, platform.ErrAgedOut) {
+	if errors.Is(err, ports.ErrAgedOut) {
 		return s.agedOut(r)
 	}
 	answer := &fleetv1.LogSlice{Oldest: slice.Oldest, Next: slice.Next, AgeMs: uint64(s.follower.SinceRead().Milliseconds())}
@@ -47,7 +47,7 @@
 	return answer, nil
 }
 
-func (s *Server) read(ctx context.Context, from uint64, max int, wait time.Duration) (platform.Slice, error) {
+func (s *Server) read(ctx context.Context, from uint64, max int, wait time.Duration) (ports.Slice, error) {
 	idle := s.source.idle.wait()
 	slice, grown, err := s.follower.Recent().Read(from, max)
 	if err != nil || len(slice.Records) > 0 || wait <= 0 {
--- a/relay/source.go
+++ b/relay/source.go
@@ -12,9 +12,9 @@
 	recordv1 "lavenderpin.dev/lavenderpin/api/record/v1"
 	"lavenderpin.dev/lavenderpin/event"
 	"lavenderpin.dev/lavenderpin/fold"
-	"lavenderpin.dev/lavenderpin/journal"
 	"lavenderpin.dev/lavenderpin/peer"
-	"lavenderpin.dev/lavenderpin/platform"
+	"lavenderpin.dev/lavenderpin/ports"
+	"lavenderpin.dev/lavenderpin/recordlog"
 	"lavenderpin.dev/lavenderpin/result"
 	"lavenderpin.dev/lavenderpin/snapshot"
 )
@@ -45,10 +45,10 @@
 )
 
 // Source reads from a peer, from the log, or while the log is out of reach from
-// whichever peer knows most. It implements journal.Source.
+// whichever peer knows most. It implements recordlog.Source.
 type Source struct {
 	Self   Peer
-	Log    journal.Source
+	Log    recordlog.Source
 	Caller peer.Caller
 	Clock  clockwork.Clock
 	Events *event.Recorder
@@ -67,10 +67,10 @@
 	logAfter  time.Time
 }
 
-var _ journal.Source = (*Source)(nil)
+var _ recordlog.Source = (*Source)(nil)
 
-// Read implements journal.Source. It must not be called by two at once.
-func (s *Source) Read(ctx context.Context, from uint64, max int, wait time.Duration) (journal.Slice, error) {
+// Read implements recordlog.Source. It must not be called by two at once.
+func (s *Source) Read(ctx context.Context, from uint64, max int, wait time.Duration) (recordlog.Slice, error) {
 	if s.idled {
 		s.idle.beat()
 	}
@@ -91,18 +91,18 @@
 	return true
 }
 
-func (s *Source) read(ctx context.Context, from uint64, max int, wait time.Duration) (journal.Slice, error) {
+func (s *Source) read(ctx context.Context, from uint64, max int, wait time.Duration) (recordlog.Slice, error) {
 	if reader, ok := s.reader(); ok {
 		slice, err := s.fromPeer(ctx, reader, from, max, relayedWait)
 		if err == nil && slice.Age <= maxAge {
 			return slice, nil
 		}
-		if !errors.Is(err, platform.ErrAgedOut) {
+		if !errors.Is(err, ports.ErrAgedOut) {
 			s.avoid(reader, slice.Age, err)
 		}
 	}
 	slice, err := s.fromLog(ctx, from, max, wait)
-	if err == nil || errors.Is(err, platform.ErrAgedOut) {
+	if err == nil || errors.Is(err, ports.ErrAgedOut) {
 		return slice, err
 	}
 	return s.fromAny(ctx, from, max, wait, err)
@@ -133,17 +133,17 @@
 	s.Events.Record(event.RelayFailed, "peer", reader.Incarnation, "age", age, "why", err)
 }
 
-func (s *Source) fromLog(ctx context.Context, from uint64, max int, wait time.Duration) (journal.Slice, error) {
+func (s *Source) fromLog(ctx context.Context, from uint64, max int, wait time.Duration) (recordlog.Slice, error) {
 	s.mu.Lock()
 	avoided := s.Clock.Now().Before(s.logAfter)
 	s.mu.Unlock()
 	if avoided {
-		return journal.Slice{}, errors.New("the log failed a moment ago")
+		return recordlog.Slice{}, errors.New("the log failed a moment ago")
 	}
 	ctx, cancel := clockwork.WithTimeout(ctx, s.Clock, wait+logTime)
 	defer cancel()
 	slice, err := s.Log.Read(ctx, from, max, idleWait)
-	if err != nil && !errors.Is(err, platform.ErrAgedOut) {
+	if err != nil && !errors.Is(err, ports.ErrAgedOut) {
 		s.mu.Lock()
 		s.logAfter = s.Clock.Now().Add(avoidLog)
 		s.mu.Unlock()
@@ -153,7 +153,7 @@
 
 // fromAny asks the peers that know most. It is the way of a node that starts, or is
 // cut off, while the log is out of reach.
-func (s *Source) fromAny(ctx context.Context, from uint64, max int, wait time.Duration, cause error) (journal.Slice, error) {
+func (s *Source) fromAny(ctx context.Context, from uint64, max int, wait time.Duration, cause error) (recordlog.Slice, error) {
 	for _, p := range byOffset(s.Peers()) {
 		slice, err := s.fromPeer(ctx, p, from, max, wait)
 		if err == nil && slice.Next >= from {
@@ -161,24 +161,24 @@
 		}
 		// A node that has folded something waits for the log to fill the gap: taking
 		// the peer's whole state would end its incarnation for nothing.
-		if errors.Is(err, platform.ErrAgedOut) && from == firstOffset {
+		if errors.Is(err, ports.ErrAgedOut) && from == firstOffset {
 			return slice, err
 		}
 	}
-	return journal.Slice{}, cause
+	return recordlog.Slice{}, cause
 }
 
-func (s *Source) fromPeer(ctx context.Context, p Peer, from uint64, max int, wait time.Duration) (journal.Slice, error) {
+func (s *Source) fromPeer(ctx context.Context, p Peer, from uint64, max int, wait time.Duration) (recordlog.Slice, error) {
 	answer, err := s.ask(ctx, p, wait+answerTime, &fleetv1.LogRead{
 		From: from, MaxRecords: uint32(max), WaitMs: uint32(wait.Milliseconds()),
 	})
 	if err != nil {
-		return journal.Slice{}, err
+		return recordlog.Slice{}, err
 	}
-	slice := journal.Slice{Age: time.Duration(answer.GetAgeMs()) * time.Millisecond}
+	slice := recordlog.Slice{Age: time.Duration(answer.GetAgeMs()) * time.Millisecond}
 	slice.Oldest, slice.Next = answer.GetOldest(), answer.GetNext()
 	for _, r := range answer.GetRecords() {
-		slice.Records = append(slice.Records, platform.Record{Offset: r.GetOffset(), Data: r.GetData()})
+		slice.Records = append(slice.Records, ports.Record{Offset: r.GetOffset(), Data: r.GetData()})
 	}
 	return slice, nil
 }
@@ -198,12 +198,12 @@
 	case result.OK:
 		return answer.GetLogSlice(), nil
 	case result.RecordsAgedOut:
-		return nil, errors.Trace(platform.ErrAgedOut)
+		return nil, errors.Trace(ports.ErrAgedOut)
 	}
 	return nil, result.New(result.Code(answer.GetCode()), "%s", answer.GetMessage())
 }
 
-// State implements journal.Source: a snapshot in the log, or else the state of the
+// State implements recordlog.Source: a snapshot in the log, or else the state of the
 // peer that knows most.
 func (s *Source) State(ctx context.Context, ahead uint64) (*recordv1.FoldState, error) {
 	state, cause := s.Log.State(ctx, ahead)
--- a/snapshot/finder.go
+++ b/snapshot/finder.go
@@ -8,7 +8,7 @@
 	"github.com/juju/errors"
 
 	recordv1 "lavenderpin.dev/lavenderpin/api/record/v1"
-	"lavenderpin.dev/lavenderpin/platform"
+	"lavenderpin.dev/lavenderpin/ports"
 	"lavenderpin.dev/lavenderpin/record"
 )
 
@@ -22,9 +22,9 @@
 // ErrNone tells that the log holds no usable snapshot now.
 var ErrNone = errors.New("the log holds no usable snapshot")
 
-// Reader reads records; journal.Source is one.
+// Reader reads records; recordlog.Source is one.
 type Reader interface {
-	Read(ctx context.Context, from uint64, max int, wait time.Duration) (platform.Slice, error)
+	Read(ctx context.Context, from uint64, max int, wait time.Duration) (ports.Slice, error)
 }
 
 // Find reads the log from its oldest record and returns the first usable snapshot
@@ -37,7 +37,7 @@
 	collector := &Collector{}
 	for from := end.Oldest; from < end.Next; {
 		slice, err := reader.Read(ctx, from, findMax, 0)
-		if errors.Is(err, platform.ErrAgedOut) {
+		if errors.Is(err, ports.ErrAgedOut) {
 			// Records age out while this reads; go on from where the log begins now.
 			if end, err = reader.Read(ctx, beyondEnd, 1, 0); err == nil && end.Oldest > from {
 				from, collector = end.Oldest, &Collector{}
@@ -58,7 +58,7 @@
 	return nil, errors.Trace(ErrNone)
 }
 
-func scan(collector *Collector, slice platform.Slice, ahead uint64) *recordv1.FoldState {
+func scan(collector *Collector, slice ports.Slice, ahead uint64) *recordv1.FoldState {
 	for _, held := range slice.Records {
 		batches, err := record.Decode(held.Data)
 		if err != nil {
