--- /dev/null
+++ b/allotment/duty.go
@@ -0,0 +1,146 @@
+package allotment
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"github.com/juju/errors"
+
+	"lavenderpin.dev/lavenderpin/event"
+	"lavenderpin.dev/lavenderpin/keyedlog"
+	"lavenderpin.dev/lavenderpin/prepaid"
+)
+
+const (
+	// roundEvery is the pause between two rounds: callers that were told to come back
+	// after a second find the grants of one round at least.
+	roundEvery = 350 * time.Millisecond
+	// callTimeout bounds one call to the store.
+	callTimeout = 1500 * time.Millisecond
+	// ledgerKey is the one key of the ledger's topic.
+	ledgerKey = "ledger"
+	// producer names the planning node to the store, whichever node that is.
+	producer = "allocator"
+)
+
+// Topics are where the records stand.
+type Topics struct {
+	Spend, Ledger, Grants keyedlog.Topic
+}
+
+// Fleet is what the duty asks about the nodes and the configuration.
+type Fleet interface {
+	// Mine tells whether this node is the one to plan now.
+	Mine() bool
+	// IsLive tells whether an incarnation was heard of within the last seconds.
+	IsLive(node, incarnation string) bool
+	// Prepaid returns every limited account's total, or false before any is known.
+	Prepaid() (map[string]int64, bool)
+}
+
+// Duty plans shares while it falls to this node.
+type Duty struct {
+	topics   Topics
+	fleet    Fleet
+	settings prepaid.Settings
+	events   *event.Recorder
+}
+
+// NewDuty returns a duty that hasn't begun.
+func NewDuty(topics Topics, fleet Fleet, settings prepaid.Settings, events *event.Recorder) *Duty {
+	return &Duty{topics: topics, fleet: fleet, settings: settings, events: events}
+}
+
+// Run takes the duty up whenever it falls to this node, until ctx ends.
+func (d *Duty) Run(ctx context.Context) {
+	for ctx.Err() == nil {
+		if d.fleet.Mine() {
+			if err := d.serve(ctx); err != nil && ctx.Err() == nil {
+				d.events.Record(event.LeaseLost, "lease", producer, "reason", err)
+			}
+		}
+		pause(ctx, roundEvery)
+	}
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
+
+// serve plans rounds until the duty falls to another node or the store fails.
+func (d *Duty) serve(ctx context.Context) error {
+	t, err := d.begin(ctx)
+	if err != nil {
+		return errors.Trace(err)
+	}
+	d.events.Record(event.LeaseTaken, "lease", producer, "epoch", t.epoch)
+	for ctx.Err() == nil && d.fleet.Mine() {
+		if err := t.round(ctx); err != nil {
+			return errors.Trace(err)
+		}
+		pause(ctx, roundEvery)
+	}
+	return nil
+}
+
+// begin fences off the planner before and reads what it left. Read in the other order,
+// a write between the reading and the fence would be lost, and its grants forgotten.
+func (d *Duty) begin(ctx context.Context) (*term, error) {
+	ctx, cancel := context.WithTimeout(ctx, 4*callTimeout)
+	defer cancel()
+	before, err := d.readLedger(ctx)
+	if err != nil {
+		return nil, errors.Trace(err)
+	}
+	t := &term{duty: d, epoch: firstEpoch(before), reports: make(map[string]prepaid.Report)}
+	if err := d.topics.Ledger.Append(ctx, t.fence()); err != nil {
+		return nil, errors.Trace(err)
+	}
+	ledger, err := d.readLedger(ctx)
+	if err != nil {
+		return nil, errors.Trace(err)
+	}
+	t.allocator = prepaid.NewAllocator(d.settings, ledger)
+	t.follower = keyedlog.NewFollower(d.topics.Spend, (*reports)(t), keyedlog.Options{Wait: 0, Slack: callTimeout})
+	return t, nil
+}
+
+func (d *Duty) readLedger(ctx context.Context) (*prepaid.Ledger, error) {
+	records, _, err := d.topics.Ledger.Newest(ctx)
+	if err != nil {
+		return nil, errors.Trace(err)
+	}
+	for _, r := range records {
+		if r.Key != ledgerKey {
+			continue
+		}
+		ledger, err := DecodeLedger(r.Value)
+		if err != nil {
+			return nil, errors.Annotate(err, "the ledger can't be read; nothing is granted")
+		}
+		return &ledger, nil
+	}
+	return nil, nil
+}
+
+// An epoch is a term's number, a random part that tells two nodes apart which begin the
+// same term, and the number of the write within the term.
+const (
+	roundBits  = 24
+	randomBits = 12
+)
+
+func firstEpoch(before *prepaid.Ledger) uint64 {
+	number := uint64(0)
+	if before != nil {
+		number = before.Epoch >> (roundBits + randomBits)
+	}
+	random := uint64(rand.Uint32N(1 << randomBits))
+	return (number+1)<<(roundBits+randomBits) | random<<roundBits
+}
--- /dev/null
+++ b/allotment/reporter.go
@@ -0,0 +1,110 @@
+package allotment
+
+import (
+	"context"
+	"time"
+
+	"github.com/juju/errors"
+
+	"lavenderpin.dev/lavenderpin/event"
+	"lavenderpin.dev/lavenderpin/keyedlog"
+	"lavenderpin.dev/lavenderpin/prepaid"
+)
+
+const (
+	// ReportEvery is the interval of reports. Drawn limits run ahead by several of it.
+	ReportEvery = time.Second
+	// reportTimeout bounds one report, so that a dead connection costs one report and
+	// not the reserve's opening.
+	reportTimeout = 1200 * time.Millisecond
+)
+
+// Reporter writes one incarnation's reports. It is safe for concurrent use.
+type Reporter struct {
+	share  *prepaid.Share
+	topic  keyedlog.Topic
+	events *event.Recorder
+	key    string
+	// stale are the report keys of the node's earlier incarnations.
+	stale []string
+
+	// turn holds the one token of the right to report.
+	turn chan struct{}
+	// epoch and lost are guarded by turn.
+	epoch uint64
+	lost  bool
+}
+
+// NewReporter returns a reporter of a share. stale are the report keys of the node's
+// earlier incarnations, deleted once a grant shows that they are closed.
+func NewReporter(share *prepaid.Share, topic keyedlog.Topic, node, incarnation string, stale []string, events *event.Recorder) *Reporter {
+	r := &Reporter{share: share, topic: topic, key: reportKey(node, incarnation), stale: stale, events: events, turn: make(chan struct{}, 1)}
+	r.turn <- struct{}{}
+	return r
+}
+
+// Run reports at intervals until ctx ends.
+func (r *Reporter) Run(ctx context.Context) {
+	ticker := time.NewTicker(ReportEvery)
+	defer ticker.Stop()
+	for {
+		_ = r.Report(ctx) // logged where it fails; the next one repeats it
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
+// Report writes a report and returns once it is acknowledged.
+func (r *Reporter) Report(ctx context.Context) error {
+	select {
+	case <-ctx.Done():
+		return errors.Trace(ctx.Err())
+	case <-r.turn:
+	}
+	defer func() { r.turn <- struct{}{} }()
+	err := r.report(ctx)
+	r.note(err)
+	return err
+}
+
+// report composes and writes. Caller holds the turn.
+func (r *Reporter) report(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
+	defer cancel()
+	report := r.share.Compose()
+	value, err := encode(&report)
+	if err != nil {
+		return errors.Trace(err)
+	}
+	records := []keyedlog.Record{{Key: r.key, Value: value}}
+	clean := r.share.Granted() && len(r.stale) > 0
+	if clean {
+		for _, key := range r.stale {
+			records = append(records, keyedlog.Record{Key: key, Deleted: true})
+		}
+	}
+	r.epoch++
+	if err := r.topic.Append(ctx, keyedlog.Fence{Producer: r.key, Epoch: r.epoch}, records...); err != nil {
+		return errors.Trace(err)
+	}
+	r.share.Acknowledge(report)
+	if clean {
+		r.stale = nil
+	}
+	return nil
+}
+
+// note logs when reports begin or cease to fail. Caller holds the turn.
+func (r *Reporter) note(err error) {
+	switch {
+	case err != nil && !r.lost:
+		r.lost = true
+		r.events.Record(event.LogUnreachable, "topic", "spend", "error", err)
+	case err == nil && r.lost:
+		r.lost = false
+		r.events.Record(event.LogReachable, "topic", "spend")
+	}
+}
--- /dev/null
+++ b/catalog/view.go
@@ -0,0 +1,85 @@
+package catalog
+
+import (
+	"sort"
+	"strings"
+)
+
+// View is one version of the configuration. It is never changed once published.
+type View struct {
+	Version  int64
+	Limits   Limits
+	routes   map[string][]*Route
+	services map[string]*Service
+	accounts map[string]*Account
+	keys     map[string]*Account
+	// keyed tells that the configuration knows client accounts at all.
+	keyed bool
+}
+
+// NewView indexes a configuration. keys maps each API key to an account's name.
+func NewView(version int64, limits Limits, routes []*Route, services []*Service, accounts []*Account, keys map[string]string) *View {
+	v := &View{
+		Version:  version,
+		Limits:   limits,
+		routes:   make(map[string][]*Route),
+		services: make(map[string]*Service, len(services)),
+		accounts: make(map[string]*Account, len(accounts)),
+		keys:     make(map[string]*Account, len(keys)),
+		keyed:    len(accounts) > 0,
+	}
+	for _, r := range routes {
+		v.routes[r.Host] = append(v.routes[r.Host], r)
+	}
+	for _, list := range v.routes {
+		sort.SliceStable(list, func(i, j int) bool { return len(list[i].PathPrefix) > len(list[j].PathPrefix) })
+	}
+	for _, s := range services {
+		v.services[s.Name] = s
+	}
+	for _, a := range accounts {
+		v.accounts[a.Name] = a
+	}
+	for key, name := range keys {
+		if a, ok := v.accounts[name]; ok {
+			v.keys[key] = a
+		}
+	}
+	return v
+}
+
+// Match returns the route of the host with the longest prefix of path, or nil.
+func (v *View) Match(host, path string) *Route {
+	for _, r := range v.routes[host] {
+		if strings.HasPrefix(path, r.PathPrefix) {
+			return r
+		}
+	}
+	return nil
+}
+
+// Service returns a service by name, or nil.
+func (v *View) Service(name string) *Service { return v.services[name] }
+
+// Services calls f for each service.
+func (v *View) Services(f func(*Service)) {
+	for _, s := range v.services {
+		f(s)
+	}
+}
+
+// Accounts calls f for each client account.
+func (v *View) Accounts(f func(*Account)) {
+	for _, a := range v.accounts {
+		f(a)
+	}
+}
+
+// Account returns a client account by name, or nil.
+func (v *View) Account(name string) *Account { return v.accounts[name] }
+
+// NeedsKey tells whether a route's requests must name a client account.
+func (v *View) NeedsKey(r *Route) bool { return v.keyed && !r.Anonymous }
+
+// Authenticate returns the account that holds a key, or nil.
+func (v *View) Authenticate(key string) *Account { return v.keys[key] }
--- /dev/null
+++ b/cmd/lavenderedge/main.go
@@ -0,0 +1,26 @@
+// Command lavenderedge runs one node of the fleet on the users' platform.
+package main
+
+import (
+	"os"
+	"runtime/debug"
+
+	"github.com/alecthomas/kong"
+)
+
+type cli struct {
+	Config string `help:"Path of the settings file." env:"LAVENDERPIN_CONFIG" required:""`
+	Check  bool   `help:"Check the settings and end."`
+}
+
+func main() {
+	var c cli
+	k := kong.Parse(&c, kong.Name("lavenderedge"),
+		kong.Description("A router node before LLM engines and plain services, paid from prepaid token budgets."),
+		kong.ShortUsageOnError())
+	// Half a machine's time goes to other things when garbage is collected at every
+	// doubling of a 5 MB heap; the limit below bounds what a larger target could take.
+	debug.SetGCPercent(200)
+	k.FatalIfErrorf(run(c))
+	os.Exit(0)
+}
--- /dev/null
+++ b/edgenode/announcer.go
@@ -0,0 +1,59 @@
+package edgenode
+
+import (
+	"context"
+	"time"
+
+	"github.com/juju/errors"
+	"github.com/vmihailenco/msgpack/v5"
+
+	"lavenderpin.dev/lavenderpin/keyedlog"
+)
+
+const (
+	// announceEvery is the interval of a node's records about itself.
+	announceEvery = time.Second
+	// announceCheck is how often a change of its readiness is looked for.
+	announceCheck = 100 * time.Millisecond
+	// announceTimeout bounds one record's writing.
+	announceTimeout = 900 * time.Millisecond
+)
+
+// announcer writes what the node says of itself.
+type announcer struct {
+	node  *Node
+	epoch uint64
+}
+
+func (a *announcer) run(ctx context.Context) {
+	ticker := time.NewTicker(announceCheck)
+	defer ticker.Stop()
+	var last time.Duration
+	ready := false
+	for {
+		now := a.node.deps.Clock.Now()
+		if changed := a.node.Ready() != ready; changed || last == 0 || now-last >= announceEvery {
+			ready, last = a.node.Ready(), now
+			_ = a.announce(ctx) // the next record follows within a second
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
+// announce writes one record.
+func (a *announcer) announce(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, announceTimeout)
+	defer cancel()
+	rec := a.node.record()
+	value, err := msgpack.Marshal(&rec)
+	if err != nil {
+		return errors.Trace(err)
+	}
+	a.epoch++
+	fence := keyedlog.Fence{Producer: "presence/" + rec.Incarnation, Epoch: a.epoch}
+	return errors.Trace(a.node.deps.Topics.Presence.Append(ctx, fence, keyedlog.Record{Key: rec.Node, Value: value}))
+}
--- /dev/null
+++ b/edgenode/deps.go
@@ -0,0 +1,49 @@
+package edgenode
+
+import (
+	"time"
+
+	"lavenderpin.dev/lavenderpin/bootclock"
+	"lavenderpin.dev/lavenderpin/catalog"
+	"lavenderpin.dev/lavenderpin/directory"
+	"lavenderpin.dev/lavenderpin/event"
+	"lavenderpin.dev/lavenderpin/gateway"
+	"lavenderpin.dev/lavenderpin/keyedlog"
+	"lavenderpin.dev/lavenderpin/repeats"
+)
+
+// Settings are one node's own.
+type Settings struct {
+	Node        string
+	Incarnation string
+	// BootID names the machine's boot, Started is its boot clock at the process's start.
+	BootID     string
+	Started    time.Duration
+	Address    string
+	DataCentre string
+	Region     string
+	// Regions maps each data centre to its region.
+	Regions map[string]string
+	Repeats repeats.Limits
+}
+
+// Topics are where the fleet's records stand in the store.
+type Topics struct {
+	// Operators and Upstreams are written by others.
+	Operators, Upstreams keyedlog.Topic
+	// Presence, Spend, Ledger and Grants are the fleet's own.
+	Presence, Spend, Ledger, Grants keyedlog.Topic
+}
+
+// Deps are what a node works with.
+type Deps struct {
+	Clock     bootclock.Clock
+	Topics    Topics
+	Upstreams gateway.Upstreams
+	Events    *event.Recorder
+	Metrics   *gateway.Metrics
+	// DecodeConfig reads a configuration; false tells that the record is none.
+	DecodeConfig func(key string, raw []byte) (*catalog.View, bool, error)
+	// DecodeUpstream reads an upstream's entry.
+	DecodeUpstream func(id string, raw []byte) (directory.Entry, error)
+}
--- /dev/null
+++ b/edgenode/node.go
@@ -0,0 +1,157 @@
+package edgenode
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/juju/errors"
+
+	"lavenderpin.dev/lavenderpin/allotment"
+	"lavenderpin.dev/lavenderpin/catalog"
+	"lavenderpin.dev/lavenderpin/directory"
+	"lavenderpin.dev/lavenderpin/event"
+	"lavenderpin.dev/lavenderpin/gateway"
+	"lavenderpin.dev/lavenderpin/keyedlog"
+	"lavenderpin.dev/lavenderpin/placement"
+	"lavenderpin.dev/lavenderpin/prepaid"
+	"lavenderpin.dev/lavenderpin/presence"
+)
+
+// Node is one running node.
+type Node struct {
+	settings Settings
+	deps     Deps
+
+	catalog   *catalog.Holder
+	directory *directory.Table
+	roster    *presence.Roster
+	share     *prepaid.Share
+	reporter  *allotment.Reporter
+	gateway   *gateway.Gateway
+	announcer *announcer
+
+	begun    time.Duration
+	leaving  atomic.Bool
+	refusing atomic.Bool
+	loops    sync.WaitGroup
+	// stop ends the loops.
+	stop context.CancelFunc
+}
+
+// Start reads what earlier incarnations left and starts the node's loops. It waits for
+// the store as long as ctx lasts: without what was left, spending could not be bounded.
+func Start(ctx context.Context, settings Settings, deps Deps) (*Node, error) {
+	n := &Node{settings: settings, deps: deps, catalog: &catalog.Holder{},
+		directory: directory.NewTable(deps.Clock), roster: presence.NewRoster(deps.Clock), begun: deps.Clock.Now()}
+	loops, stop := context.WithCancel(context.WithoutCancel(ctx))
+	n.stop = stop
+	n.follow(loops, deps.Topics.Operators, &configHandler{n}, configPace)
+	n.follow(loops, deps.Topics.Upstreams, &upstreamHandler{n}, upstreamPace)
+	n.follow(loops, deps.Topics.Presence, &presenceHandler{n}, presencePace)
+	earlier, err := n.readEarlier(ctx)
+	if err != nil {
+		stop()
+		return nil, errors.Trace(err)
+	}
+	n.share = prepaid.NewShare(prepaid.DefaultSettings(), deps.Clock, settings.Node, settings.Incarnation, settings.BootID, earlier.Closings)
+	n.reporter = allotment.NewReporter(n.share, deps.Topics.Spend, settings.Node, settings.Incarnation, earlier.Keys, deps.Events)
+	n.announcer = &announcer{node: n}
+	n.gateway = gateway.New(gateway.DefaultSettings(), gateway.Deps{
+		Clock: deps.Clock, Catalog: n.catalog, Directory: n.directory,
+		Picker: placement.NewPicker(placement.DefaultSettings(), settings.Regions),
+		Share:  n.share, Upstreams: deps.Upstreams, Events: deps.Events, Metrics: deps.Metrics,
+		Report: n.reporter.Report, Nodes: n.nodes, Repeats: settings.Repeats,
+		DataCentre: settings.DataCentre, Region: settings.Region,
+	})
+	n.follow(loops, deps.Topics.Grants, allotment.NewGrants(n.share, settings.Node, deps.Events, func() {}), grantPace)
+	n.run(loops, n.reporter.Run)
+	n.run(loops, n.announcer.run)
+	topics := allotment.Topics{Spend: deps.Topics.Spend, Ledger: deps.Topics.Ledger, Grants: deps.Topics.Grants}
+	n.run(loops, allotment.NewDuty(topics, (*fleet)(n), prepaid.DefaultSettings(), deps.Events).Run)
+	return n, nil
+}
+
+// earlierRetry is the pause between attempts to read what earlier incarnations left.
+const earlierRetry = 200 * time.Millisecond
+
+func (n *Node) readEarlier(ctx context.Context) (allotment.Earlier, error) {
+	for {
+		call, cancel := context.WithTimeout(ctx, 2*time.Second)
+		earlier, err := allotment.ReadEarlier(call, n.deps.Topics.Spend, n.settings.Node, n.settings.Started, n.settings.BootID)
+		cancel()
+		if err == nil {
+			return earlier, nil
+		}
+		n.deps.Events.Record(event.LogUnreachable, "topic", "spend", "error", err)
+		select {
+		case <-ctx.Done():
+			return allotment.Earlier{}, errors.Trace(ctx.Err())
+		case <-time.After(earlierRetry):
+		}
+	}
+}
+
+func (n *Node) follow(ctx context.Context, topic keyedlog.Topic, handler keyedlog.Handler, pace keyedlog.Options) {
+	n.run(ctx, keyedlog.NewFollower(topic, handler, pace).Run)
+}
+
+func (n *Node) run(ctx context.Context, loop func(context.Context)) {
+	n.loops.Add(1)
+	go func() {
+		defer n.loops.Done()
+		loop(ctx)
+	}()
+}
+
+// Gateway returns what serves requests.
+func (n *Node) Gateway() *gateway.Gateway { return n.gateway }
+
+// Catalog returns the configuration in force.
+func (n *Node) Catalog() *catalog.Holder { return n.catalog }
+
+// grantPatience is how long a new node waits for its first grant before it takes callers
+// all the same: plain services need none.
+const grantPatience = 4 * time.Second
+
+// Ready tells whether the node takes new callers.
+func (n *Node) Ready() bool {
+	view := n.catalog.Current()
+	if view == nil || n.leaving.Load() {
+		return false
+	}
+	return n.share.Granted() || n.deps.Clock.Now()-n.begun > grantPatience
+}
+
+// Leaving tells that the node is about to end.
+func (n *Node) Leaving() bool { return n.leaving.Load() }
+
+// Refusing tells that the node takes no request any more.
+func (n *Node) Refusing() bool { return n.refusing.Load() }
+
+// Addresses returns where callers of a place should connect. The node names itself while
+// it is ready, also when the store is out of reach.
+func (n *Node) Addresses(dataCentre, region string) []string {
+	live := n.roster.Live()
+	own := false
+	for i := range live {
+		if live[i].Node == n.settings.Node {
+			live[i].Ready = n.Ready()
+			own = true
+		}
+	}
+	if !own {
+		live = append(live, n.record())
+	}
+	return presence.Addresses(live, dataCentre, region)
+}
+
+// nodes is how many nodes serve now.
+func (n *Node) nodes() int { return max(1, len(n.roster.Live())) }
+
+// record is what the node writes about itself.
+func (n *Node) record() presence.Record {
+	return presence.Record{Node: n.settings.Node, Incarnation: n.settings.Incarnation, Address: n.settings.Address,
+		DataCentre: n.settings.DataCentre, Region: n.settings.Region, Ready: n.Ready(), Leaving: n.leaving.Load()}
+}
--- /dev/null
+++ b/edgenode/pace.go
@@ -0,0 +1,21 @@
+package edgenode
+
+import (
+	"time"
+
+	"lavenderpin.dev/lavenderpin/keyedlog"
+)
+
+// A reading that waits for a record notices a change at once and costs one call for the
+// time that it waits. Upstreams and nodes write several records a second, so readings of
+// these would return at once; a pause bounds their number.
+var (
+	// configPace: a change must be in force within three seconds of its writing.
+	configPace = keyedlog.Options{Wait: 1500 * time.Millisecond, Pause: 50 * time.Millisecond, Slack: 700 * time.Millisecond, Retry: 250 * time.Millisecond}
+	// upstreamPace: a leaving upstream must get nothing new three seconds after.
+	upstreamPace = keyedlog.Options{Wait: 800 * time.Millisecond, Pause: 400 * time.Millisecond, Slack: 700 * time.Millisecond, Retry: 250 * time.Millisecond}
+	// presencePace: callers keep addresses for two seconds, so a second more matters little.
+	presencePace = keyedlog.Options{Wait: 800 * time.Millisecond, Pause: 700 * time.Millisecond, Slack: 700 * time.Millisecond, Retry: 300 * time.Millisecond}
+	// grantPace: a caller that was told to return after a second should find the grant.
+	grantPace = keyedlog.Options{Wait: 1500 * time.Millisecond, Pause: 150 * time.Millisecond, Slack: 700 * time.Millisecond, Retry: 250 * time.Millisecond}
+)
--- /dev/null
+++ b/edgenode/stop.go
@@ -0,0 +1,36 @@
+package edgenode
+
+import (
+	"context"
+	"time"
+
+	"lavenderpin.dev/lavenderpin/event"
+)
+
+// Leave makes the node name other addresses to callers, while it serves what still
+// comes.
+func (n *Node) Leave() {
+	if n.leaving.Swap(true) {
+		return
+	}
+	n.deps.Events.Record(event.NodeDraining, "node", n.settings.Node)
+}
+
+// Refuse makes the node refuse every new request: by now callers know other addresses.
+func (n *Node) Refuse() { n.refusing.Store(true) }
+
+// finalReport bounds the last report; without it the node's drawn tokens are stranded.
+const finalReport = 700 * time.Millisecond
+
+// Stop gives the node's share back and ends its loops. No request may be open.
+func (n *Node) Stop(ctx context.Context) {
+	n.share.End()
+	ctx, cancel := context.WithTimeout(ctx, finalReport)
+	defer cancel()
+	if err := n.reporter.Report(ctx); err != nil {
+		n.deps.Events.Record(event.LogUnreachable, "topic", "spend", "error", err)
+	}
+	n.stop()
+	n.loops.Wait()
+	n.deps.Events.Record(event.NodeStopped, "node", n.settings.Node)
+}
--- /dev/null
+++ b/edgenode/upstreamhandler.go
@@ -0,0 +1,68 @@
+package edgenode
+
+import (
+	"lavenderpin.dev/lavenderpin/directory"
+	"lavenderpin.dev/lavenderpin/event"
+	"lavenderpin.dev/lavenderpin/keyedlog"
+)
+
+// upstreamHandler keeps the table of upstreams.
+type upstreamHandler struct{ node *Node }
+
+// Reset replaces the table by the newest entries.
+func (h *upstreamHandler) Reset(records []keyedlog.Record) {
+	var entries []directory.Entry
+	for _, r := range records {
+		if r.Deleted {
+			continue
+		}
+		if e, ok := h.decode(r); ok {
+			entries = append(entries, e)
+		}
+	}
+	h.node.directory.Replace(entries)
+	h.node.deps.Events.Record(event.UpstreamListed, "entries", len(entries))
+}
+
+// Apply takes entries in order.
+func (h *upstreamHandler) Apply(records []keyedlog.Record) {
+	for _, r := range records {
+		if r.Deleted {
+			h.remove(r.Key)
+			continue
+		}
+		e, ok := h.decode(r)
+		if !ok {
+			h.remove(r.Key)
+			continue
+		}
+		if change := h.node.directory.Put(e); change != directory.Unchanged {
+			h.node.deps.Events.Record(event.UpstreamListed, "upstream", e.ID, "service", e.Service, "address", e.Address, "left", change == directory.Left, "born", e.Born, "sequence", e.Sequence)
+		}
+	}
+}
+
+func (h *upstreamHandler) remove(id string) {
+	if h.node.directory.Remove(id) {
+		h.node.deps.Events.Record(event.UpstreamListed, "upstream", id, "left", true)
+	}
+}
+
+func (h *upstreamHandler) decode(r keyedlog.Record) (directory.Entry, bool) {
+	e, err := h.node.deps.DecodeUpstream(r.Key, r.Value)
+	if err != nil {
+		h.node.deps.Events.Record(event.BatchVoid, "topic", "upstreams", "key", r.Key, "error", err)
+		return directory.Entry{}, false
+	}
+	return e, true
+}
+
+// Lost keeps the entries and notes that they may lapse with the store.
+func (h *upstreamHandler) Lost(err error) {
+	h.node.directory.StoreLost()
+	h.node.directory.Expire()
+	h.node.deps.Events.Record(event.LogUnreachable, "topic", "upstreams", "error", err)
+}
+
+// Caught drops doubted upstreams whose time is over.
+func (h *upstreamHandler) Caught() { h.node.directory.Expire() }
--- a/event/node.go
+++ b/event/node.go
@@ -8,6 +8,8 @@
 	NodeStopped    Number = 104
 	NodeClosed     Number = 105
 	PanicRecovered Number = 106
+	LinesDropped   Number = 107
+	SettingsRead   Number = 108
 )
 
 var nodeKinds = map[Number]Kind{
@@ -16,5 +18,7 @@
 	NodeDraining:   {"NodeDraining", "The node takes no new addresses and finishes what it has."},
 	NodeStopped:    {"NodeStopped", "The node settled everything and ended."},
 	NodeClosed:     {"NodeClosed", "The node learned that the fleet closed its incarnation."},
+	LinesDropped:   {"LinesDropped", "Log lines were dropped because the output took them too slowly; the count follows."},
+	SettingsRead:   {"SettingsRead", "The settings were read again; what changed is in force or named."},
 	PanicRecovered: {"PanicRecovered", "A request hit a defect; the node goes on."},
 }
--- /dev/null
+++ b/gateway/metrics.go
@@ -0,0 +1,43 @@
+package gateway
+
+import (
+	"expvar"
+	"strconv"
+	"time"
+
+	"lavenderpin.dev/lavenderpin/result"
+)
+
+// Metrics counts what the gateway did. The maps are published by expvar.
+type Metrics struct {
+	finished *expvar.Map
+	refused  *expvar.Map
+	latency  *expvar.Map
+}
+
+// NewMetrics returns counters, published under the given expvar names if publish is set.
+func NewMetrics(publish bool) *Metrics {
+	m := &Metrics{finished: new(expvar.Map).Init(), refused: new(expvar.Map).Init(), latency: new(expvar.Map).Init()}
+	if publish {
+		expvar.Publish("requests_finished", m.finished)
+		expvar.Publish("requests_refused", m.refused)
+		expvar.Publish("request_latency_ms", m.latency)
+	}
+	return m
+}
+
+func (m *Metrics) finish(route, outcome string, took time.Duration) {
+	m.finished.Add(outcome, 1)
+	m.latency.Add(route+"_le_"+strconv.FormatInt(bucket(took), 10), 1)
+}
+
+func (m *Metrics) refuse(code result.Code) { m.refused.Add(code.String(), 1) }
+
+// bucket rounds a latency up to a power of two milliseconds.
+func bucket(took time.Duration) int64 {
+	for limit := int64(1); ; limit *= 2 {
+		if took.Milliseconds() <= limit {
+			return limit
+		}
+	}
+}
--- /dev/null
+++ b/gateway/settings.go
@@ -0,0 +1,42 @@
+package gateway
+
+import "time"
+
+// Settings are the gateway's limits.
+type Settings struct {
+	// ShortRetry is when a caller may return whose account's tokens are on other
+	// nodes: two rounds of the allocator.
+	ShortRetry time.Duration
+	// BusyRetry is when a caller may return that no upstream had room for: the time in
+	// which a full engine ends a part of its requests.
+	BusyRetry time.Duration
+	// StartRetry is when a caller may return to a node that knows no configuration yet.
+	StartRetry time.Duration
+	// MaxSends bounds how often one request is sent, also to upstreams that refuse it.
+	MaxSends int
+	// SilenceFactor times the route's objective is how long an upstream may take to
+	// answer before a request that may be repeated is sent to another one.
+	SilenceFactor float64
+	// GapFactor times the route's longest pause is how long a stream that may resume
+	// waits for the next event before it goes on at another upstream.
+	GapFactor float64
+	// MinSend is the least time that is left for an upstream to be worth a send.
+	MinSend time.Duration
+	// ReportWait bounds the wait for a report that raises the drawn limit: a few round
+	// trips to the store from another region.
+	ReportWait time.Duration
+}
+
+// DefaultSettings returns the limits described at each field.
+func DefaultSettings() Settings {
+	return Settings{
+		ShortRetry:    time.Second,
+		BusyRetry:     500 * time.Millisecond,
+		StartRetry:    500 * time.Millisecond,
+		MaxSends:      4,
+		SilenceFactor: 1.5,
+		GapFactor:     5,
+		MinSend:       20 * time.Millisecond,
+		ReportWait:    300 * time.Millisecond,
+	}
+}
--- /dev/null
+++ b/gateway/stream.go
@@ -0,0 +1,95 @@
+package gateway
+
+import (
+	"context"
+	"io"
+	"time"
+
+	"lavenderpin.dev/lavenderpin/directory"
+	"lavenderpin.dev/lavenderpin/event"
+	"lavenderpin.dev/lavenderpin/eventstream"
+)
+
+// stream passes events on as they arrive, whole ones only. The answer ends as complete
+// only if the upstream's did.
+func (c *call) stream(ctx context.Context, u *directory.Upstream, answer *Answer, silence *time.Timer, answered func()) verdict {
+	if !answer.Signed {
+		c.observe(u, false)
+		return mayHaveRun
+	}
+	events := eventstream.NewReader(answer.Body)
+	for {
+		e, err := events.Next()
+		if err == io.EOF {
+			return c.streamEnded(u)
+		}
+		if err != nil {
+			return c.streamCut(ctx, u, err)
+		}
+		answered()
+		c.rearm(silence)
+		c.begin(answer)
+		if !c.pass(e, !events.Buffered()) {
+			return mayHaveRun
+		}
+	}
+}
+
+// begin sends the answer's head before its first event. A stream that goes on at
+// another upstream keeps the head that the caller has.
+func (c *call) begin(answer *Answer) {
+	if c.started {
+		return
+	}
+	c.started = true
+	c.sink.Start(answer.Status, answer.Header, -1)
+}
+
+// pass hands one event on. Events that the caller has already are left out.
+func (c *call) pass(e eventstream.Event, flush bool) bool {
+	if e.HasID {
+		if c.hasEvent && e.ID <= c.lastEvent {
+			return true
+		}
+		c.lastEvent, c.hasEvent = e.ID, true
+	}
+	if err := c.sink.Write(e.Raw); err != nil {
+		c.gone = true
+		return false
+	}
+	c.events++
+	if flush && c.sink.Flush() != nil {
+		c.gone = true
+	}
+	return !c.gone
+}
+
+// rearm gives the upstream until the next event.
+func (c *call) rearm(silence *time.Timer) {
+	if !silence.Stop() {
+		return
+	}
+	if c.repeatableStream() && c.ran+1 < c.route.MaxAttempts && c.route.MaxGap > 0 {
+		silence.Reset(time.Duration(c.g.settings.GapFactor * float64(c.route.MaxGap)))
+	}
+}
+
+func (c *call) streamEnded(u *directory.Upstream) verdict {
+	if !c.started {
+		// A stream without a single event isn't an answer.
+		c.observe(u, false)
+		return mayHaveRun
+	}
+	u.Succeed(c.g.Clock.Now())
+	c.ran++
+	c.outcome = "served"
+	return delivered
+}
+
+func (c *call) streamCut(ctx context.Context, u *directory.Upstream, err error) verdict {
+	if ctx.Err() == nil || context.Cause(ctx) == errSilent {
+		c.observe(u, context.Cause(ctx) == errSilent)
+	}
+	c.g.Events.Record(event.AnswerRejected, "request", c.r.ID, "upstream", u.ID, "events", c.events, "after", c.lastEvent, "error", err)
+	return mayHaveRun
+}
--- /dev/null
+++ b/keyedlog/follower.go
@@ -0,0 +1,122 @@
+package keyedlog
+
+import (
+	"context"
+	"errors"
+	"time"
+)
+
+// Handler takes what a follower reads. Its methods are called from one goroutine.
+type Handler interface {
+	// Reset replaces everything by the newest records.
+	Reset(records []Record)
+	// Apply takes records in the log's order.
+	Apply(records []Record)
+	// Lost is called for each failed reading, Caught after each successful one.
+	Lost(err error)
+	Caught()
+}
+
+// Options set a follower's pace.
+type Options struct {
+	// Wait is how long one reading waits for a record.
+	Wait time.Duration
+	// Pause is the time between two readings, which bounds their number.
+	Pause time.Duration
+	// Slack is how long an answer may take beyond Wait before its connection counts as
+	// dead.
+	Slack time.Duration
+	// Retry is the pause after a failed reading.
+	Retry time.Duration
+}
+
+// Follower reads a topic on and on.
+type Follower struct {
+	topic   Topic
+	handler Handler
+	options Options
+	next    int64
+	// seen holds each key's newest offset: a reading of the newest records may be older
+	// than what was read before.
+	seen map[string]int64
+}
+
+// NewFollower returns a follower that has read nothing.
+func NewFollower(topic Topic, handler Handler, options Options) *Follower {
+	return &Follower{topic: topic, handler: handler, options: options, next: -1, seen: make(map[string]int64)}
+}
+
+// Run follows the topic until ctx ends.
+func (f *Follower) Run(ctx context.Context) {
+	for ctx.Err() == nil {
+		pause := f.options.Pause
+		if err := f.Step(ctx); err != nil {
+			f.handler.Lost(err)
+			pause = f.options.Retry
+		}
+		sleep(ctx, pause)
+	}
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
+
+// Step does one reading.
+func (f *Follower) Step(ctx context.Context) error {
+	if f.next < 0 {
+		return f.reset(ctx)
+	}
+	ctx, cancel := context.WithTimeout(ctx, f.options.Wait+f.options.Slack)
+	defer cancel()
+	records, next, err := f.topic.Read(ctx, f.next, f.options.Wait)
+	if errors.Is(err, ErrForgotten) {
+		f.next = -1
+		return f.reset(ctx)
+	}
+	if err != nil {
+		return err
+	}
+	f.next = next
+	if fresh := f.fresh(records); len(fresh) > 0 {
+		f.handler.Apply(fresh)
+	}
+	f.handler.Caught()
+	return nil
+}
+
+func (f *Follower) reset(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, f.options.Slack+time.Second)
+	defer cancel()
+	records, next, err := f.topic.Newest(ctx)
+	if err != nil {
+		return err
+	}
+	for _, r := range records {
+		f.seen[r.Key] = max(f.seen[r.Key], r.Offset)
+	}
+	f.next = next
+	f.handler.Reset(records)
+	f.handler.Caught()
+	return nil
+}
+
+func (f *Follower) fresh(records []Record) []Record {
+	fresh := records[:0]
+	for _, r := range records {
+		if at, ok := f.seen[r.Key]; ok && r.Offset <= at {
+			continue
+		}
+		f.seen[r.Key] = r.Offset
+		if r.Deleted {
+			delete(f.seen, r.Key)
+		}
+		fresh = append(fresh, r)
+	}
+	return fresh
+}
--- /dev/null
+++ b/placement/picker.go
@@ -0,0 +1,126 @@
+package placement
+
+import (
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"lavenderpin.dev/lavenderpin/directory"
+)
+
+// Picker chooses upstreams. It is safe for concurrent use.
+type Picker struct {
+	settings Settings
+	memory   *Memory
+	// regions maps each data centre to its region.
+	regions map[string]string
+}
+
+// NewPicker returns a picker; regions maps each data centre to its region.
+func NewPicker(settings Settings, regions map[string]string) *Picker {
+	return &Picker{settings: settings, memory: NewMemory(settings.CacheFor), regions: regions}
+}
+
+// Choice is a chosen upstream with what decided it, for logs.
+type Choice struct {
+	Upstream *directory.Upstream
+	// Expected is the score: the expected time to the answer.
+	Expected time.Duration
+	// Candidates is how many upstreams were weighed.
+	Candidates int
+}
+
+// Pick returns the upstream with the lowest score, or false if there is none. Upstreams
+// that don't answer at all are passed over while another is left.
+func (p *Picker) Pick(q *Query, upstreams []*directory.Upstream) (Choice, bool) {
+	best := Choice{}
+	for _, lastResort := range []bool{false, true} {
+		home := p.home(q, upstreams)
+		for _, u := range upstreams {
+			if q.tried(u) || u.Dark(q.Now) != lastResort {
+				continue
+			}
+			best.Candidates++
+			if score := p.score(q, u, u == home); best.Upstream == nil || score < best.Expected {
+				best.Upstream, best.Expected = u, score
+			}
+		}
+		if best.Upstream != nil {
+			return best, true
+		}
+	}
+	return best, false
+}
+
+// Observe notes that an upstream read a request's prompt.
+func (p *Picker) Observe(q *Query, u *directory.Upstream) {
+	p.memory.Observe(u.ID, u.Born, q.shared(), q.Now)
+}
+
+// home is the engine of the data centre that all its nodes send a shared prompt to, so
+// that they find it in one engine's memory without telling each other. It is chosen by
+// rendezvous hashing: when an engine comes or goes, only its own prompts move.
+func (p *Picker) home(q *Query, upstreams []*directory.Upstream) *directory.Upstream {
+	shared := q.shared()
+	if len(shared) == 0 {
+		return nil
+	}
+	key := shared[len(shared)-1].ID
+	var home *directory.Upstream
+	var top uint64
+	for _, u := range upstreams {
+		if u.DataCentre != q.DataCentre || u.Dark(q.Now) || u.DoubtedUntil != 0 {
+			continue
+		}
+		if rank := xxhash.Sum64String(key + "\x00" + u.ID); home == nil || rank > top {
+			home, top = u, rank
+		}
+	}
+	return home
+}
+
+func (p *Picker) score(q *Query, u *directory.Upstream, home bool) time.Duration {
+	s := &p.settings
+	score := time.Duration(u.Failure(q.Now) * float64(s.Failure))
+	switch {
+	case u.DataCentre == q.DataCentre:
+	case p.regions[u.DataCentre] == q.Region:
+		score += s.OtherDataCentre
+	default:
+		score += s.OtherRegion
+	}
+	if u.DoubtedUntil != 0 {
+		score += s.Doubted
+	}
+	score += u.Warmup / 8
+	score += p.loadTime(u)
+	return score + p.promptTime(q, u, home)
+}
+
+// loadTime is the wait that the upstream's present work adds. Its own figures cover all
+// nodes but are as old as the last answer; this node's open requests are exact, so the
+// larger of the two counts.
+func (p *Picker) loadTime(u *directory.Upstream) time.Duration {
+	load := u.Load()
+	own := int(u.InFlight.Load())
+	running := max(load.Running, min(own, u.Slots))
+	waiting := max(load.Waiting, own-u.Slots)
+	return time.Duration(running)*p.settings.PerRunning + time.Duration(waiting)*p.settings.PerWaiting
+}
+
+// promptTime is the time to read the prompts ahead and what the engine lacks of this one.
+func (p *Picker) promptTime(q *Query, u *directory.Upstream, home bool) time.Duration {
+	if q.PromptTokens == 0 {
+		return 0
+	}
+	missing := q.PromptTokens
+	if home {
+		for _, part := range q.shared() {
+			missing -= part.Tokens
+		}
+	} else {
+		missing -= p.memory.Cached(u.ID, u.Born, q.shared(), q.Now)
+	}
+	ahead := int(u.PromptInFlight.Load())
+	return time.Duration(max(0, missing)+ahead) * p.settings.PerPromptToken
+}
--- /dev/null
+++ b/placement/settings.go
@@ -0,0 +1,39 @@
+package placement
+
+import "time"
+
+// Settings are the weights of a choice. All are times that an upstream's property adds
+// to the expected wait for the answer.
+type Settings struct {
+	// PerPromptToken is the time to read one prompt token: engines read about 60 a
+	// millisecond.
+	PerPromptToken time.Duration
+	// PerRunning is what each running request adds by slowing the batch.
+	PerRunning time.Duration
+	// PerWaiting is what each waiting request adds.
+	PerWaiting time.Duration
+	// OtherDataCentre and OtherRegion are the round trips, raised by what traffic
+	// between places costs against a request's worth.
+	OtherDataCentre, OtherRegion time.Duration
+	// Failure is what a certain failure costs: the request's objective and more.
+	Failure time.Duration
+	// Doubted sets an upstream back behind all others.
+	Doubted time.Duration
+	// CacheFor is how long a part is believed to stay in an engine's memory after this
+	// node's last request with it there.
+	CacheFor time.Duration
+}
+
+// DefaultSettings returns the weights described at each field.
+func DefaultSettings() Settings {
+	return Settings{
+		PerPromptToken:  16 * time.Microsecond,
+		PerRunning:      2 * time.Millisecond,
+		PerWaiting:      40 * time.Millisecond,
+		OtherDataCentre: 15 * time.Millisecond,
+		OtherRegion:     120 * time.Millisecond,
+		Failure:         1500 * time.Millisecond,
+		Doubted:         10 * time.Second,
+		CacheFor:        20 * time.Second,
+	}
+}
--- /dev/null
+++ b/prepaid/line.go
@@ -0,0 +1,42 @@
+package prepaid
+
+import (
+	"math"
+	"time"
+)
+
+// line is a node's own account of one client account, in tokens.
+type line struct {
+	spent, held int64
+	ceiling     int64
+	// drawn is the limit in force before the reserve opens. pending is the limit of a
+	// report that isn't acknowledged yet.
+	drawn, pending int64
+	// rate is the demand in tokens a second as of rateAt.
+	rate   float64
+	rateAt time.Duration
+	// left bounds what the fleet could still use when the account had prepaid prepaid.
+	left, prepaid int64
+	hasLeft       bool
+}
+
+func (l *line) used() int64 { return l.spent + l.held }
+
+// demand adds a request's largest use to the demand estimate.
+func (l *line) demand(tokens int64, now, window time.Duration) {
+	l.decay(now, window)
+	l.rate += float64(tokens) / window.Seconds()
+}
+
+func (l *line) decay(now, window time.Duration) {
+	if passed := now - l.rateAt; passed > 0 {
+		l.rate *= math.Exp(-passed.Seconds() / window.Seconds())
+	}
+	l.rateAt = now
+}
+
+// wantDrawn is the drawn limit that the next report names.
+func (l *line) wantDrawn(s Settings) int64 {
+	ahead := max(s.MinDrawn, int64(l.rate*s.DrawnAhead.Seconds()))
+	return min(l.ceiling, l.used()+ahead)
+}
--- /dev/null
+++ b/presence/record.go
@@ -0,0 +1,17 @@
+package presence
+
+// Record is what a node writes about itself.
+type Record struct {
+	_msgpack struct{} `msgpack:",as_array"`
+
+	Node        string
+	Incarnation string
+	// Address is where callers connect.
+	Address    string
+	DataCentre string
+	Region     string
+	// Ready: the node takes new callers.
+	Ready bool
+	// Leaving: the node finishes what it has and ends.
+	Leaving bool
+}
--- /dev/null
+++ b/presence/roster.go
@@ -0,0 +1,94 @@
+package presence
+
+import (
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"lavenderpin.dev/lavenderpin/bootclock"
+)
+
+// SilentAfter is how long a node may be silent while the store can be read before it
+// counts as gone: three of its records.
+const SilentAfter = 3200 * time.Millisecond
+
+// Roster is the nodes as last heard of. It is safe for concurrent use.
+type Roster struct {
+	clock bootclock.Clock
+
+	mu    sync.Mutex
+	nodes map[string]*member
+	// readable is how long the store could be read in all; silence counts in it.
+	readable time.Duration
+	caughtAt time.Duration
+	caught   bool
+}
+
+type member struct {
+	Record
+	heard time.Duration
+}
+
+// NewRoster returns an empty roster.
+func NewRoster(clock bootclock.Clock) *Roster {
+	return &Roster{clock: clock, nodes: make(map[string]*member)}
+}
+
+// Hear takes a node's record.
+func (r *Roster) Hear(rec Record) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.nodes[rec.Node] = &member{Record: rec, heard: r.readable}
+}
+
+// Forget drops a node whose record was deleted.
+func (r *Roster) Forget(node string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	delete(r.nodes, node)
+}
+
+// mostBetweenReadings bounds how much of the time between two successful readings
+// counts as time in which the store could be read.
+const mostBetweenReadings = 2 * time.Second
+
+// Caught notes a successful reading of the store.
+func (r *Roster) Caught() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	now := r.clock.Now()
+	if r.caught {
+		r.readable += min(now-r.caughtAt, mostBetweenReadings)
+	}
+	r.caught, r.caughtAt = true, now
+}
+
+// Lost notes a failed reading: the time since the last successful one doesn't count.
+func (r *Roster) Lost() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.caught = false
+}
+
+// Live returns the nodes that serve, by name.
+func (r *Roster) Live() []Record {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var live []Record
+	for _, m := range r.nodes {
+		if !m.Leaving && r.readable-m.heard <= SilentAfter {
+			live = append(live, m.Record)
+		}
+	}
+	slices.SortFunc(live, func(a, b Record) int { return strings.Compare(a.Node, b.Node) })
+	return live
+}
+
+// IsLive tells whether an incarnation of a node serves.
+func (r *Roster) IsLive(node, incarnation string) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	m, ok := r.nodes[node]
+	return ok && m.Incarnation == incarnation && !m.Leaving && r.readable-m.heard <= SilentAfter
+}
