Hold back a part of each account, report twice a second, explain closings

Cause: after a kill or power loss of all nodes their ceilings count as used; floors of 70,000 tokens times ten accounts times six nodes were half of all that was prepaid, and no report after a cut closed the reserve again. Ruled out: evidence by the boot clock after a power loss (it starts anew), by the store (its records bear no time), by the time of day (it jumps).

--- a/allotment/reporter.go
+++ b/allotment/reporter.go
@@ -13,10 +13,11 @@
 
 const (
 	// ReportEvery is the interval of reports. Drawn limits run ahead by several of it.
-	ReportEvery = time.Second
+	ReportEvery = 500 * time.Millisecond
 	// reportTimeout bounds one report, so that a dead connection costs one report and
-	// not the reserve's opening.
-	reportTimeout = 1200 * time.Millisecond
+	// not the reserve's opening; a store in another region that is sixty times slower
+	// than usual still answers within it.
+	reportTimeout = 700 * time.Millisecond
 )
 
 // Reporter writes one incarnation's reports. It is safe for concurrent use.
@@ -25,6 +26,8 @@
 	topic  keyedlog.Topic
 	events *event.Recorder
 	key    string
+	// storeSeen tells whether the store answered a reading just now.
+	storeSeen func() bool
 	// stale are the report keys of the node's earlier incarnations.
 	stale []string
 
@@ -37,8 +40,8 @@
 
 // NewReporter returns a reporter of a share. stale are the report keys of the node's
 // earlier incarnations, deleted once a grant shows that they are closed.
-func NewReporter(share *prepaid.Share, topic keyedlog.Topic, node, incarnation string, stale []string, events *event.Recorder) *Reporter {
-	r := &Reporter{share: share, topic: topic, key: reportKey(node, incarnation), stale: stale, events: events, turn: make(chan struct{}, 1)}
+func NewReporter(share *prepaid.Share, topic keyedlog.Topic, node, incarnation string, stale []string, storeSeen func() bool, events *event.Recorder) *Reporter {
+	r := &Reporter{share: share, topic: topic, key: reportKey(node, incarnation), stale: stale, storeSeen: storeSeen, events: events, turn: make(chan struct{}, 1)}
 	r.turn <- struct{}{}
 	return r
 }
@@ -74,7 +77,7 @@
 func (r *Reporter) report(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
 	defer cancel()
-	report := r.share.Compose()
+	report := r.share.Compose(r.storeSeen())
 	value, err := encode(&report)
 	if err != nil {
 		return errors.Trace(err)
--- a/allotment/term.go
+++ b/allotment/term.go
@@ -45,6 +45,9 @@
 	if err := t.writeLedger(ctx, plan.Ledger); err != nil {
 		return errors.Trace(err)
 	}
+	for _, e := range plan.Ended {
+		t.duty.events.Record(event.IncarnationClosed, "node", e.Node, "incarnation", e.Incarnation, "known", e.Known, "counted", e.Counted, "returned", e.Returned)
+	}
 	return t.writeGrants(ctx, plan.Grants)
 }
 
--- a/edgenode/node.go
+++ b/edgenode/node.go
@@ -56,7 +56,7 @@
 		return nil, errors.Trace(err)
 	}
 	n.share = prepaid.NewShare(prepaid.DefaultSettings(), deps.Clock, settings.Node, settings.Incarnation, settings.BootID, earlier.Closings)
-	n.reporter = allotment.NewReporter(n.share, deps.Topics.Spend, settings.Node, settings.Incarnation, earlier.Keys, deps.Events)
+	n.reporter = allotment.NewReporter(n.share, deps.Topics.Spend, settings.Node, settings.Incarnation, earlier.Keys, n.storeSeen, deps.Events)
 	n.announcer = &announcer{node: n}
 	n.gateway = gateway.New(gateway.DefaultSettings(), gateway.Deps{
 		Clock: deps.Clock, Catalog: n.catalog, Directory: n.directory,
@@ -155,3 +155,9 @@
 	return presence.Record{Node: n.settings.Node, Incarnation: n.settings.Incarnation, Address: n.settings.Address,
 		DataCentre: n.settings.DataCentre, Region: n.settings.Region, Ready: n.Ready(), Leaving: n.leaving.Load()}
 }
+
+// storeSeenWithin is how old the last reading of the store may be for it to count as in
+// reach: one reading's wait and pause.
+const storeSeenWithin = 900 * time.Millisecond
+
+func (n *Node) storeSeen() bool { return n.roster.StoreSeen(storeSeenWithin) }
--- a/edgenode/pace.go
+++ b/edgenode/pace.go
@@ -14,8 +14,8 @@
 	configPace = keyedlog.Options{Wait: 1500 * time.Millisecond, Pause: 50 * time.Millisecond, Slack: 700 * time.Millisecond, Retry: 250 * time.Millisecond}
 	// upstreamPace: a leaving upstream must get nothing new three seconds after.
 	upstreamPace = keyedlog.Options{Wait: 800 * time.Millisecond, Pause: 400 * time.Millisecond, Slack: 700 * time.Millisecond, Retry: 250 * time.Millisecond}
-	// presencePace: callers keep addresses for two seconds, so a second more matters little.
-	presencePace = keyedlog.Options{Wait: 800 * time.Millisecond, Pause: 700 * time.Millisecond, Slack: 700 * time.Millisecond, Retry: 300 * time.Millisecond}
+	// presencePace: callers keep addresses for two seconds, so half a second more matters little.
+	presencePace = keyedlog.Options{Wait: 400 * time.Millisecond, Pause: 400 * time.Millisecond, Slack: 700 * time.Millisecond, Retry: 300 * time.Millisecond}
 	// grantPace: a caller that was told to return after a second should find the grant.
 	grantPace = keyedlog.Options{Wait: 1500 * time.Millisecond, Pause: 150 * time.Millisecond, Slack: 700 * time.Millisecond, Retry: 250 * time.Millisecond}
 )
--- a/edgenode/stop.go
+++ b/edgenode/stop.go
@@ -20,7 +20,7 @@
 func (n *Node) Refuse() { n.refusing.Store(true) }
 
 // finalReport bounds the last report; without it the node's drawn tokens are stranded.
-const finalReport = 700 * time.Millisecond
+const finalReport = 800 * time.Millisecond
 
 // Stop gives the node's share back and ends its loops. No request may be open.
 func (n *Node) Stop(ctx context.Context) {
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -150,7 +150,7 @@
 	if c.account != nil && c.account.HasPrepaid {
 		s := c.g.Share.Standing(c.account.Name)
 		pairs = append(pairs, "account", c.account.Name, "tokens", c.r.most(), "spent", s.Spent, "held", s.Held,
-			"limit", s.Limit, "ceiling", s.Ceiling, "left", s.Left, "reserve_in", s.ReserveIn)
+			"limit", s.Limit, "ceiling", s.Ceiling, "left", s.Left, "prepaid", c.account.Prepaid, "reserve_in", s.ReserveIn)
 	}
 	c.g.Events.Record(event.RequestRefused, pairs...)
 	c.g.Metrics.refuse(e.Code)
--- a/prepaid/allocator.go
+++ b/prepaid/allocator.go
@@ -13,6 +13,8 @@
 	accounts map[string]*account
 	// byAccount is the order in which accounts are planned, so that plans repeat.
 	byAccount []string
+	// ended collects what a round closed.
+	ended []Ended
 }
 
 // grantee is the incarnation of a node that holds ceilings.
@@ -72,6 +74,19 @@
 type Plan struct {
 	Ledger Ledger
 	Grants []Grant
+	// Ended are the incarnations that this round closed.
+	Ended []Ended
+}
+
+// Ended is an incarnation that was closed.
+type Ended struct {
+	Node, Incarnation string
+	// Known tells that its last report bounds its use; otherwise its whole ceilings
+	// count as used.
+	Known bool
+	// Counted is what counts as used, Returned what went back to the accounts, in
+	// tokens over all accounts.
+	Counted, Returned int64
 }
 
 // Round plans one round at an epoch that is higher than any before. prepaid names every
@@ -83,8 +98,9 @@
 		}
 		return 1
 	})
-	members = a.admit(members)
 	changed := make(map[string]bool)
+	a.ended = nil
+	members = a.admit(members)
 	for _, name := range slices.Sorted(maps.Keys(prepaid)) {
 		a.planAccount(name, prepaid[name], members, changed)
 	}
@@ -134,19 +150,23 @@
 	for _, l := range evidence.Lines {
 		used[l.Account] = l.Used
 	}
+	ended := Ended{Node: successor.Node, Incarnation: incarnation, Known: evidence.Known}
 	for name, acc := range a.accounts {
 		e, ok := acc.entries[successor.Node]
 		if !ok {
 			continue
 		}
+		counted := e.committed
 		if evidence.Known {
-			acc.closed += min(used[name], e.committed)
-		} else {
-			acc.closed += e.committed
+			counted = min(used[name], e.committed)
 		}
+		acc.closed += counted
+		ended.Counted += counted
+		ended.Returned += e.committed - counted
 		delete(acc.entries, successor.Node)
 	}
 	delete(a.nodes, successor.Node)
+	a.ended = append(a.ended, ended)
 }
 
 // closeEnded closes an incarnation by its own last report.
@@ -174,7 +194,7 @@
 		}
 	}
 	available -= base
-	spread(wants, max(0, available))
+	spread(wants, int64(a.settings.SpreadShare*float64(max(0, available))))
 	free := prepaid - committed
 	for _, w := range wants {
 		free = a.retarget(acc, w, free, changed)
@@ -201,8 +221,8 @@
 	node string
 	// used is settled and open use, which can't be taken away.
 	used int64
-	// need is what it should hold beyond that; weight its part when there isn't enough.
-	need, weight int64
+	// need is what it should hold beyond that.
+	need int64
 	// share is what it gets beyond its use.
 	share int64
 }
@@ -215,11 +235,10 @@
 		if !m.Live {
 			continue
 		}
-		w := want{node: m.Report.Node, need: a.settings.MinCeiling, weight: 1}
+		w := want{node: m.Report.Node, need: a.settings.MinCeiling}
 		if l := findLine(&m.Report, name); l != nil {
 			w.used = l.Spent + l.Held
 			w.need = max(w.need, int64(float64(l.Rate)*a.settings.Horizon.Seconds()))
-			w.weight += l.Rate
 		}
 		if e, ok := acc.entries[w.node]; ok {
 			w.used = min(w.used, e.committed)
@@ -230,21 +249,20 @@
 	return wants, base
 }
 
-// spread gives each node what it needs, or a part of what is available by its demand
-// when the needs are more than that.
-func spread(wants []want, available int64) {
-	need, weight := int64(0), int64(0)
+// spread gives each node what it needs, or the same part of it where the needs are more
+// than may be held. A node without demand needs something too: if it loses the store
+// then, what it was given is all it has.
+func spread(wants []want, held int64) {
+	need := int64(0)
 	for _, w := range wants {
 		need += w.need
-		weight += w.weight
 	}
 	for i := range wants {
 		w := &wants[i]
-		if need <= available {
-			w.share = w.need
-			continue
+		w.share = w.need
+		if need > held {
+			w.share = int64(float64(held) * float64(w.need) / float64(need))
 		}
-		w.share = int64(float64(available) * float64(w.weight) / float64(weight))
 	}
 }
 
@@ -300,6 +318,7 @@
 		}
 	}
 	p.Ledger = a.ledger(epoch)
+	p.Ended = a.ended
 	return p
 }
 
--- a/prepaid/settings.go
+++ b/prepaid/settings.go
@@ -9,18 +9,27 @@
 	// the grant after it.
 	Horizon time.Duration
 	// DrawnAhead is how many seconds of demand the drawn limit runs ahead of use. It
-	// must outlast ReserveAfter plus one report interval, or a cut node refuses
-	// requests before it may open its reserve.
+	// must outlast ReserveAfter plus ExtendWithin, or a cut node refuses requests before
+	// it may open its reserve; all of it is stranded when the node dies.
 	DrawnAhead time.Duration
 	// ReserveAfter is how long after its last acknowledged report a node may open its
 	// reserve. A process that is killed and started again within that time gives its
-	// reserve back; platforms restart a killed process within about two seconds.
+	// reserve back; killed processes were seen back after 0.6 s, and machines that lost
+	// power after up to 2 s.
 	ReserveAfter time.Duration
 	// ExtendWithin is how old the last acknowledged report may be for a new report to
 	// put off the opening of the reserve: two report intervals.
 	ExtendWithin time.Duration
-	// MinDrawn and MinCeiling, in tokens, let a node with little demand take a large
-	// request: a long prompt with its answer is about 60,000 tokens.
+	// ReopenAfter is how long after such a report another one may put it off although
+	// the store hasn't acknowledged any in between: a store that answers readings and
+	// refuses writes must not keep the reserve closed for long.
+	ReopenAfter time.Duration
+	// SpreadShare is the part of what is left of an account that nodes hold at most. All
+	// of it is stranded when a whole fleet loses power; the rest serves the callers then.
+	SpreadShare float64
+	// MinDrawn and MinCeiling, in tokens, let a node with little demand take a request
+	// now and then: a usual prompt with its answer is about 12,000 tokens, a long one
+	// 60,000. They count once for each account and node.
 	MinDrawn, MinCeiling int64
 	// RateWindow is the time constant of the demand estimate.
 	RateWindow time.Duration
@@ -29,12 +38,14 @@
 // DefaultSettings returns the policy described at each field.
 func DefaultSettings() Settings {
 	return Settings{
-		Horizon:      14 * time.Second,
-		DrawnAhead:   6 * time.Second,
-		ReserveAfter: 3 * time.Second,
-		ExtendWithin: 2 * time.Second,
-		MinDrawn:     50_000,
-		MinCeiling:   70_000,
-		RateWindow:   4 * time.Second,
+		Horizon:      12 * time.Second,
+		DrawnAhead:   4 * time.Second,
+		ReserveAfter: 2500 * time.Millisecond,
+		ExtendWithin: 1100 * time.Millisecond,
+		ReopenAfter:  6 * time.Second,
+		MinDrawn:     10_000,
+		MinCeiling:   60_000,
+		SpreadShare:  0.65,
+		RateWindow:   6 * time.Second,
 	}
 }
--- a/prepaid/share.go
+++ b/prepaid/share.go
@@ -23,6 +23,8 @@
 	ended        bool
 	// lastAck is when the last acknowledged report was made.
 	lastAck time.Duration
+	// extended is when a report last put off the opening of the reserve.
+	extended time.Duration
 	// reserveAt is the latest opening of the reserve that any report named. Using the
 	// reserve earlier would make a report of it false.
 	reserveAt time.Duration
@@ -79,13 +81,15 @@
 
 // Compose makes the next report and, before anyone sees it, holds the share to it: the
 // report may take effect even if its acknowledgement is lost, so until then the lower
-// of the old and the new drawn limit is in force.
-func (s *Share) Compose() Report {
+// of the old and the new drawn limit is in force. storeSeen tells that the store answered
+// a reading just now.
+func (s *Share) Compose(storeSeen bool) Report {
 	now := s.clock.Now()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if now-s.lastAck <= s.settings.ExtendWithin {
+	if now-s.lastAck <= s.settings.ExtendWithin || storeSeen && now-s.extended >= s.settings.ReopenAfter {
 		s.reserveAt = max(s.reserveAt, now+s.settings.ReserveAfter)
+		s.extended = now
 	}
 	r := Report{
 		Node: s.node, Incarnation: s.incarnation, BootID: s.bootID,
