Give a long shared prompt one home engine in the whole fleet

Ruled out: homes by region. Change: one rendezvous home from 400 shared tokens on, and a shared token that is read on a second engine weighs four times its reading.

--- a/placement/picker.go
+++ b/placement/picker.go
@@ -57,19 +57,21 @@
 	p.memory.Observe(u.ID, u.Born, q.shared(), q.Now)
 }
 
-// home is the engine of the data centre that all its nodes send a shared prompt to, so
-// that they find it in one engine's memory without telling each other. It is chosen by
-// rendezvous hashing: when an engine comes or goes, only its own prompts move.
+// home is the engine that all nodes send a shared prompt to, so that they find it in one
+// engine's memory without telling each other. It is chosen by rendezvous hashing: when an
+// engine comes or goes, only its own prompts move. A long shared prompt has one home in
+// the fleet, a short one a home in each data centre.
 func (p *Picker) home(q *Query, upstreams []*directory.Upstream) *directory.Upstream {
 	shared := q.shared()
 	if len(shared) == 0 {
 		return nil
 	}
+	anywhere := sharedTokens(shared) >= p.settings.FleetHome
 	key := shared[len(shared)-1].ID
 	var home *directory.Upstream
 	var top uint64
 	for _, u := range upstreams {
-		if u.DataCentre != q.DataCentre || u.Dark(q.Now) || u.DoubtedUntil != 0 {
+		if !anywhere && u.DataCentre != q.DataCentre || u.Dark(q.Now) || u.DoubtedUntil != 0 {
 			continue
 		}
 		if rank := xxhash.Sum64String(key + "\x00" + u.ID); home == nil || rank > top {
@@ -79,6 +81,14 @@
 	return home
 }
 
+func sharedTokens(parts []Part) int {
+	tokens := 0
+	for _, part := range parts {
+		tokens += part.Tokens
+	}
+	return tokens
+}
+
 func (p *Picker) score(q *Query, u *directory.Upstream, home bool) time.Duration {
 	s := &p.settings
 	score := time.Duration(u.Failure(q.Now) * float64(s.Failure))
@@ -113,14 +123,11 @@
 	if q.PromptTokens == 0 {
 		return 0
 	}
-	missing := q.PromptTokens
-	if home {
-		for _, part := range q.shared() {
-			missing -= part.Tokens
-		}
-	} else {
-		missing -= p.memory.Cached(u.ID, u.Born, q.shared(), q.Now)
+	shared := sharedTokens(q.shared())
+	missing := 0
+	if !home {
+		missing = shared - p.memory.Cached(u.ID, u.Born, q.shared(), q.Now)
 	}
-	ahead := int(u.PromptInFlight.Load())
-	return time.Duration(max(0, missing)+ahead) * p.settings.PerPromptToken
+	ahead := int(u.PromptInFlight.Load()) + q.PromptTokens - shared
+	return time.Duration(ahead)*p.settings.PerPromptToken + time.Duration(missing)*p.settings.PerSharedToken
 }
--- a/placement/settings.go
+++ b/placement/settings.go
@@ -8,6 +8,13 @@
 	// PerPromptToken is the time to read one prompt token: engines read about 60 a
 	// millisecond.
 	PerPromptToken time.Duration
+	// PerSharedToken is what a shared prompt token costs that is read on a second engine:
+	// several times its reading, since it also takes the memory of other prompts there.
+	PerSharedToken time.Duration
+	// FleetHome is from how many shared tokens on a prompt has one home in the whole
+	// fleet and not one in each data centre. Below it, reading the part once more costs
+	// less than carrying each request to another data centre.
+	FleetHome int
 	// PerRunning is what each running request adds by slowing the batch.
 	PerRunning time.Duration
 	// PerWaiting is what each waiting request adds.
@@ -28,6 +35,8 @@
 func DefaultSettings() Settings {
 	return Settings{
 		PerPromptToken:  16 * time.Microsecond,
+		PerSharedToken:  64 * time.Microsecond,
+		FleetHome:       400,
 		PerRunning:      2 * time.Millisecond,
 		PerWaiting:      40 * time.Millisecond,
 		OtherDataCentre: 15 * time.Millisecond,
