Let a node serve out of another node's share

Ruled out: moving parts over the store (it is away just then), larger floors (stranded by a power loss of all). Change: the node asks up to three peers to reserve; the lender books it as its own use.

--- a/allotment/grants.go
+++ b/allotment/grants.go
@@ -1,6 +1,9 @@
 package allotment
 
 import (
+	"maps"
+	"sync"
+
 	"lavenderpin.dev/lavenderpin/event"
 	"lavenderpin.dev/lavenderpin/keyedlog"
 	"lavenderpin.dev/lavenderpin/prepaid"
@@ -11,13 +14,33 @@
 	share  *prepaid.Share
 	node   string
 	events *event.Recorder
-	// Granted is called after each new grant.
-	Granted func()
+
+	mu sync.Mutex
+	// ceilings holds what every node was last granted, by account and node.
+	ceilings map[string]map[string]int64
 }
 
 // NewGrants returns the handler of a node's grants.
-func NewGrants(share *prepaid.Share, node string, events *event.Recorder, granted func()) *Grants {
-	return &Grants{share: share, node: node, events: events, Granted: granted}
+func NewGrants(share *prepaid.Share, node string, events *event.Recorder) *Grants {
+	return &Grants{share: share, node: node, events: events, ceilings: make(map[string]map[string]int64)}
+}
+
+// Ceilings returns what each node was last granted of an account, in tokens.
+func (g *Grants) Ceilings(account string) map[string]int64 {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return maps.Clone(g.ceilings[account])
+}
+
+func (g *Grants) remember(grant prepaid.Grant) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for _, l := range grant.Lines {
+		if g.ceilings[l.Account] == nil {
+			g.ceilings[l.Account] = make(map[string]int64)
+		}
+		g.ceilings[l.Account][grant.Node] = l.Ceiling
+	}
 }
 
 // Reset takes the newest grants.
@@ -26,7 +49,7 @@
 // Apply takes grants in order.
 func (g *Grants) Apply(records []keyedlog.Record) {
 	for _, r := range records {
-		if r.Deleted || r.Key != g.node {
+		if r.Deleted {
 			continue
 		}
 		grant, err := DecodeGrant(r.Value)
@@ -34,9 +57,9 @@
 			g.events.Record(event.BatchVoid, "topic", "grants", "key", r.Key, "error", err)
 			continue
 		}
-		if g.share.Apply(grant) {
+		g.remember(grant)
+		if r.Key == g.node && g.share.Apply(grant) {
 			g.events.Record(event.ShareGranted, "epoch", grant.Epoch, "accounts", len(grant.Lines))
-			g.Granted()
 		}
 	}
 }
--- a/cmd/lavenderedge/run.go
+++ b/cmd/lavenderedge/run.go
@@ -12,6 +12,7 @@
 	"os"
 	"os/signal"
 	"runtime/debug"
+	"strconv"
 	"strings"
 	"syscall"
 	"time"
@@ -24,6 +25,8 @@
 	"lavenderpin.dev/lavenderpin/edgenode"
 	"lavenderpin.dev/lavenderpin/event"
 	"lavenderpin.dev/lavenderpin/gateway"
+	"lavenderpin.dev/lavenderpin/httpwire"
+	"lavenderpin.dev/lavenderpin/lending"
 	"lavenderpin.dev/lavenderpin/logsink"
 	"lavenderpin.dev/lavenderpin/platform"
 	"lavenderpin.dev/lavenderpin/repeats"
@@ -54,6 +57,7 @@
 	clock    bootclock.System
 	node     *edgenode.Node
 	sender   *platform.Upstreams
+	peers    *httpwire.Client
 	frontend *http.Server
 	open     openRequests
 }
@@ -133,13 +137,14 @@
 	calls := expvar.NewMap("store_calls")
 	store.OnCall = func(call string, status int) { calls.Add(fmt.Sprintf("%s_%d", call, status), 1) }
 	dials := expvar.NewInt("upstream_connections_made")
+	p.peers = httpwire.NewClient(httpwire.Options{Clock: p.clock, DialTimeout: peerDialTimeout})
 	p.sender = platform.NewUpstreams(p.clock, func() { dials.Add(1) })
 	node, err := edgenode.Start(ctx, edgenode.Settings{
 		Node: p.settings.Node, Incarnation: incarnation, BootID: bootID(), Started: p.clock.Now(),
-		Address: p.settings.Frontend, DataCentre: p.settings.DataCentre, Region: p.settings.Region, Regions: p.settings.Regions,
+		Address: p.settings.Frontend, Peer: p.peerAddress(), DataCentre: p.settings.DataCentre, Region: p.settings.Region, Regions: p.settings.Regions,
 		Repeats: repeats.Limits{Ratio: p.settings.Bounds.RepeatRatio, Extra: p.settings.Bounds.RepeatExtra, Window: p.settings.Bounds.RepeatWindow},
 	}, edgenode.Deps{
-		Clock: p.clock, Upstreams: p.sender, Events: p.events, Metrics: gateway.NewMetrics(true),
+		Clock: p.clock, Upstreams: p.sender, Lending: &lending.Client{Wire: p.peers}, Events: p.events, Metrics: gateway.NewMetrics(true),
 		Topics: edgenode.Topics{Operators: store.Operators(), Upstreams: store.Upstreams(), Presence: store.Topic("presence"),
 			Spend: store.Topic("spend"), Ledger: store.Topic("ledger"), Grants: store.Topic("grants")},
 		DecodeConfig: platform.DecodeConfig, DecodeUpstream: platform.DecodeUpstream,
@@ -164,10 +169,19 @@
 			return
 		case <-ticker.C:
 			p.sender.Sweep()
+			p.peers.Sweep()
 		}
 	}
 }
 
+// peerDialTimeout bounds a new connection to another node: a round trip between regions.
+const peerDialTimeout = 150 * time.Millisecond
+
+// peerAddress is where other nodes connect: the first of the ports that are free for it.
+func (p *process) peerAddress() string {
+	return net.JoinHostPort(p.settings.IP, strconv.Itoa(p.settings.PeerPorts[0]))
+}
+
 func (p *process) listen() error {
 	handler := &platform.Frontend{Gateway: p.node.Gateway(), Catalog: p.node.Catalog(), Clock: p.clock, Node: p.node}
 	p.frontend = p.server(p.open.count(handler))
@@ -177,6 +191,7 @@
 		server  *http.Server
 	}{
 		{p.settings.Frontend, p.frontend},
+		{p.peerAddress(), p.server(lending.Handler(p.node.Lender()))},
 		{p.settings.Directory, p.server(directory.Routes())},
 		{p.settings.Ready, p.server(platform.ReadyRoutes(p.node, expvar.Handler()))},
 	} {
--- a/edgenode/deps.go
+++ b/edgenode/deps.go
@@ -9,6 +9,7 @@
 	"lavenderpin.dev/lavenderpin/event"
 	"lavenderpin.dev/lavenderpin/gateway"
 	"lavenderpin.dev/lavenderpin/keyedlog"
+	"lavenderpin.dev/lavenderpin/lending"
 	"lavenderpin.dev/lavenderpin/repeats"
 )
 
@@ -17,9 +18,11 @@
 	Node        string
 	Incarnation string
 	// BootID names the machine's boot, Started is its boot clock at the process's start.
-	BootID     string
-	Started    time.Duration
-	Address    string
+	BootID  string
+	Started time.Duration
+	Address string
+	// Peer is where other nodes connect.
+	Peer       string
 	DataCentre string
 	Region     string
 	// Regions maps each data centre to its region.
@@ -40,8 +43,10 @@
 	Clock     bootclock.Clock
 	Topics    Topics
 	Upstreams gateway.Upstreams
-	Events    *event.Recorder
-	Metrics   *gateway.Metrics
+	// Lending carries asks to other nodes.
+	Lending lending.Caller
+	Events  *event.Recorder
+	Metrics *gateway.Metrics
 	// DecodeConfig reads a configuration; false tells that the record is none.
 	DecodeConfig func(key string, raw []byte) (*catalog.View, bool, error)
 	// DecodeUpstream reads an upstream's entry.
--- /dev/null
+++ b/edgenode/loans.go
@@ -0,0 +1,41 @@
+package edgenode
+
+import (
+	"context"
+	"time"
+
+	"lavenderpin.dev/lavenderpin/lending"
+)
+
+// Lender returns what lends to other nodes.
+func (n *Node) Lender() *lending.Lender { return n.lender }
+
+// lenders returns the nodes that hold some of an account. While the store is out of
+// reach these are the ones known before.
+func (n *Node) lenders(account string) []lending.Peer {
+	ceilings := n.grants.Ceilings(account)
+	var peers []lending.Peer
+	for _, r := range n.roster.Live() {
+		if r.Node == n.settings.Node || r.Peer == "" || ceilings[r.Node] == 0 {
+			continue
+		}
+		peers = append(peers, lending.Peer{Node: r.Node, Address: r.Peer, Near: r.Region == n.settings.Region, Ceiling: ceilings[r.Node]})
+	}
+	return peers
+}
+
+// expireEvery is how often open loans are looked at.
+const expireEvery = time.Second
+
+func (n *Node) expireLoans(ctx context.Context) {
+	ticker := time.NewTicker(expireEvery)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			n.lender.Expire()
+		}
+	}
+}
--- a/edgenode/node.go
+++ b/edgenode/node.go
@@ -14,6 +14,7 @@
 	"lavenderpin.dev/lavenderpin/event"
 	"lavenderpin.dev/lavenderpin/gateway"
 	"lavenderpin.dev/lavenderpin/keyedlog"
+	"lavenderpin.dev/lavenderpin/lending"
 	"lavenderpin.dev/lavenderpin/placement"
 	"lavenderpin.dev/lavenderpin/prepaid"
 	"lavenderpin.dev/lavenderpin/presence"
@@ -30,6 +31,8 @@
 	share     *prepaid.Share
 	reporter  *allotment.Reporter
 	gateway   *gateway.Gateway
+	grants    *allotment.Grants
+	lender    *lending.Lender
 	announcer *announcer
 
 	begun    time.Duration
@@ -58,14 +61,18 @@
 	n.share = prepaid.NewShare(prepaid.DefaultSettings(), deps.Clock, settings.Node, settings.Incarnation, settings.BootID, earlier.Closings)
 	n.reporter = allotment.NewReporter(n.share, deps.Topics.Spend, settings.Node, settings.Incarnation, earlier.Keys, n.storeSeen, deps.Events)
 	n.announcer = &announcer{node: n}
+	n.grants = allotment.NewGrants(n.share, settings.Node, deps.Events)
+	n.lender = lending.NewLender(n.share, deps.Clock, n.reporter.Report)
 	n.gateway = gateway.New(gateway.DefaultSettings(), gateway.Deps{
 		Clock: deps.Clock, Catalog: n.catalog, Directory: n.directory,
 		Picker: placement.NewPicker(placement.DefaultSettings(), settings.Regions),
 		Share:  n.share, Upstreams: deps.Upstreams, Events: deps.Events, Metrics: deps.Metrics,
-		Report: n.reporter.Report, Nodes: n.nodes, Repeats: settings.Repeats,
+		Borrower: lending.NewBorrower(deps.Lending, deps.Clock, settings.Incarnation, n.lenders),
+		Report:   n.reporter.Report, Nodes: n.nodes, Repeats: settings.Repeats,
 		DataCentre: settings.DataCentre, Region: settings.Region,
 	})
-	n.follow(loops, deps.Topics.Grants, allotment.NewGrants(n.share, settings.Node, deps.Events, func() {}), grantPace)
+	n.follow(loops, deps.Topics.Grants, n.grants, grantPace)
+	n.run(loops, n.expireLoans)
 	n.run(loops, n.reporter.Run)
 	n.run(loops, n.announcer.run)
 	topics := allotment.Topics{Spend: deps.Topics.Spend, Ledger: deps.Topics.Ledger, Grants: deps.Topics.Grants}
@@ -152,7 +159,7 @@
 
 // record is what the node writes about itself.
 func (n *Node) record() presence.Record {
-	return presence.Record{Node: n.settings.Node, Incarnation: n.settings.Incarnation, Address: n.settings.Address,
+	return presence.Record{Node: n.settings.Node, Incarnation: n.settings.Incarnation, Address: n.settings.Address, Peer: n.settings.Peer,
 		DataCentre: n.settings.DataCentre, Region: n.settings.Region, Ready: n.Ready(), Leaving: n.leaving.Load()}
 }
 
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -7,6 +7,7 @@
 	"lavenderpin.dev/lavenderpin/catalog"
 	"lavenderpin.dev/lavenderpin/directory"
 	"lavenderpin.dev/lavenderpin/event"
+	"lavenderpin.dev/lavenderpin/lending"
 	"lavenderpin.dev/lavenderpin/placement"
 	"lavenderpin.dev/lavenderpin/prepaid"
 	"lavenderpin.dev/lavenderpin/result"
@@ -24,6 +25,8 @@
 
 	// reserved is the tokens set aside; zero if the account isn't limited.
 	reserved int64
+	// loan is set where another node reserved the tokens.
+	loan *lending.Loan
 	// sends counts sends, ran those after which the request may have run.
 	sends, ran int
 	tried      []*directory.Upstream
@@ -73,6 +76,9 @@
 	if verdict == prepaid.ReportFirst {
 		verdict = c.reserveAfterReport(ctx)
 	}
+	if verdict == prepaid.ShortHere && c.borrow(ctx) {
+		return nil
+	}
 	switch verdict {
 	case prepaid.Reserved:
 		c.reserved = c.r.most()
@@ -84,6 +90,19 @@
 	}
 }
 
+// borrow has another node reserve the tokens. Without it a node whose part of an account
+// is used up refuses while others hold plenty, most of all while the store is out of
+// reach and no part can be moved.
+func (c *call) borrow(ctx context.Context) bool {
+	loan, ok := c.g.Borrower.Borrow(ctx, c.account.Name, c.r.most())
+	if !ok {
+		return false
+	}
+	c.loan = &loan
+	c.g.Events.Record(event.PartBorrowed, "request", c.r.ID, "account", c.account.Name, "lender", loan.Peer.Node, "tokens", c.r.most())
+	return true
+}
+
 func (c *call) reserveAfterReport(ctx context.Context) prepaid.Verdict {
 	ctx, cancel := context.WithTimeout(ctx, c.g.settings.ReportWait)
 	defer cancel()
@@ -114,6 +133,9 @@
 	if c.reserved > 0 {
 		c.g.Share.Settle(c.account.Name, c.reserved, used)
 	}
+	if c.loan != nil {
+		go c.g.Borrower.Settle(*c.loan, used)
+	}
 	c.g.Metrics.finish(c.route.Name, c.outcome, c.g.since(c.r.Arrived))
 	c.g.Events.Record(event.RequestFinished, "request", c.r.ID, "route", c.route.Name, "account", c.accountName(),
 		"config", c.view.Version, "outcome", c.outcome, "sends", c.sends, "events", c.events,
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -10,6 +10,7 @@
 	"lavenderpin.dev/lavenderpin/catalog"
 	"lavenderpin.dev/lavenderpin/directory"
 	"lavenderpin.dev/lavenderpin/event"
+	"lavenderpin.dev/lavenderpin/lending"
 	"lavenderpin.dev/lavenderpin/placement"
 	"lavenderpin.dev/lavenderpin/prepaid"
 	"lavenderpin.dev/lavenderpin/repeats"
@@ -25,6 +26,8 @@
 	Upstreams Upstreams
 	Events    *event.Recorder
 	Metrics   *Metrics
+	// Borrower borrows from other nodes' shares.
+	Borrower *lending.Borrower
 	// Report reports the share's use at once and returns when that is acknowledged.
 	Report func(context.Context) error
 	// Nodes is how many nodes serve now.
--- a/gateway/settings.go
+++ b/gateway/settings.go
@@ -30,7 +30,7 @@
 // DefaultSettings returns the limits described at each field.
 func DefaultSettings() Settings {
 	return Settings{
-		ShortRetry:    time.Second,
+		ShortRetry:    150 * time.Millisecond,
 		BusyRetry:     500 * time.Millisecond,
 		StartRetry:    500 * time.Millisecond,
 		MaxSends:      4,
--- /dev/null
+++ b/lending/http.go
@@ -0,0 +1,68 @@
+package lending
+
+import (
+	"context"
+	"io"
+	"net/http"
+
+	"github.com/juju/errors"
+	"github.com/vmihailenco/msgpack/v5"
+
+	"lavenderpin.dev/lavenderpin/httpwire"
+)
+
+// path is where a node takes asks.
+const path = "/lend"
+
+// maxMessage bounds an ask and a reply in bytes.
+const maxMessage = 4 << 10
+
+// Client carries asks over kept connections and never repeats one.
+type Client struct{ Wire *httpwire.Client }
+
+// Call sends an ask and reads its reply.
+func (c *Client) Call(ctx context.Context, address string, ask Ask) (Reply, error) {
+	body, err := msgpack.Marshal(&ask)
+	if err != nil {
+		return Reply{}, errors.Trace(err)
+	}
+	answer, err := c.Wire.Do(ctx, address, &httpwire.Request{Method: http.MethodPost, Target: path, Host: address, Body: body})
+	if err != nil {
+		return Reply{}, errors.Trace(err)
+	}
+	defer answer.Close()
+	raw, err := io.ReadAll(io.LimitReader(answer, maxMessage))
+	if err != nil {
+		return Reply{}, errors.Trace(err)
+	}
+	if answer.Status != http.StatusOK {
+		return Reply{}, errors.Errorf("the peer answers %d", answer.Status)
+	}
+	var reply Reply
+	return reply, errors.Trace(msgpack.Unmarshal(raw, &reply))
+}
+
+// Handler serves a lender.
+func Handler(lender *Lender) http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST "+path, func(w http.ResponseWriter, req *http.Request) {
+		raw, err := io.ReadAll(io.LimitReader(req.Body, maxMessage))
+		if err != nil {
+			http.Error(w, "unreadable", http.StatusBadRequest)
+			return
+		}
+		var ask Ask
+		if err := msgpack.Unmarshal(raw, &ask); err != nil || ask.Tokens < 0 {
+			http.Error(w, "not an ask", http.StatusBadRequest)
+			return
+		}
+		reply := lender.Answer(req.Context(), ask)
+		out, err := msgpack.Marshal(&reply)
+		if err != nil {
+			http.Error(w, err.Error(), http.StatusInternalServerError)
+			return
+		}
+		_, _ = w.Write(out) // a borrower that left settles the loan
+	})
+	return mux
+}
--- a/prepaid/share.go
+++ b/prepaid/share.go
@@ -61,6 +61,28 @@
 	return ShortHere
 }
 
+// lendSpare is how long a lender keeps enough for its own callers.
+const lendSpare = time.Second
+
+// Lend is Reserve for another node's request. It leaves what this node's own callers
+// need within a second, and doesn't count as this node's demand.
+func (s *Share) Lend(account string, tokens int64) Verdict {
+	now := s.clock.Now()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	l := s.line(account)
+	l.decay(now, s.settings.RateWindow)
+	spare := int64(l.rate * lendSpare.Seconds())
+	if s.ended || l.used()+tokens+spare > l.ceiling {
+		return ShortHere
+	}
+	if l.used()+tokens > s.limit(l, now) {
+		return ReportFirst
+	}
+	l.held += tokens
+	return Reserved
+}
+
 // limit is what the incarnation may use now. Caller holds mu.
 func (s *Share) limit(l *line, now time.Duration) int64 {
 	if now >= s.reserveAt {
--- a/presence/record.go
+++ b/presence/record.go
@@ -12,6 +12,8 @@
 	Region     string
 	// Ready: the node takes new callers.
 	Ready bool
+	// Peer is where other nodes connect.
+	Peer string
 	// Leaving: the node finishes what it has and ends.
 	Leaving bool
 }
