--- a/edgenode/announcer.go
+++ b/edgenode/announcer.go
@@ -12,11 +12,11 @@
 
 const (
 	// announceEvery is the interval of a node's records about itself.
-	announceEvery = time.Second
+	announceEvery = 500 * time.Millisecond
 	// announceCheck is how often a change of its readiness is looked for.
 	announceCheck = 100 * time.Millisecond
 	// announceTimeout bounds one record's writing.
-	announceTimeout = 900 * time.Millisecond
+	announceTimeout = 600 * time.Millisecond
 )
 
 // announcer writes what the node says of itself.
@@ -34,7 +34,7 @@
 		now := a.node.deps.Clock.Now()
 		if changed := a.node.Ready() != ready; changed || last == 0 || now-last >= announceEvery {
 			ready, last = a.node.Ready(), now
-			_ = a.announce(ctx) // the next record follows within a second
+			_ = a.announce(ctx) // the next record follows within half a second
 		}
 		select {
 		case <-ctx.Done():
--- a/edgenode/fleet.go
+++ b/edgenode/fleet.go
@@ -5,10 +5,10 @@
 // fleet is what planning shares asks of the node.
 type fleet Node
 
-// Mine tells whether this node is the first live one by name.
+// Mine tells whether this node is the first active one by name.
 func (f *fleet) Mine() bool {
-	live := f.roster.Live()
-	return len(live) > 0 && live[0].Node == f.settings.Node && live[0].Incarnation == f.settings.Incarnation
+	active := f.roster.Active()
+	return len(active) > 0 && active[0].Node == f.settings.Node && active[0].Incarnation == f.settings.Incarnation
 }
 
 // IsLive tells whether an incarnation was heard of lately.
--- a/prepaid/settings.go
+++ b/prepaid/settings.go
@@ -44,8 +44,8 @@
 		ExtendWithin: 1100 * time.Millisecond,
 		ReopenAfter:  6 * time.Second,
 		MinDrawn:     10_000,
-		MinCeiling:   60_000,
-		SpreadShare:  0.65,
+		MinCeiling:   40_000,
+		SpreadShare:  0.7,
 		RateWindow:   6 * time.Second,
 	}
 }
--- a/presence/roster.go
+++ b/presence/roster.go
@@ -9,9 +9,15 @@
 	"lavenderpin.dev/lavenderpin/bootclock"
 )
 
-// SilentAfter is how long a node may be silent while the store can be read before it
-// counts as gone: three of its records.
-const SilentAfter = 3200 * time.Millisecond
+const (
+	// SilentAfter is how long a node may be silent while the store can be read before
+	// callers aren't sent to it any more: five of its records.
+	SilentAfter = 2600 * time.Millisecond
+	// IdleAfter is how long it may be silent before another node takes its duties up:
+	// three of its records. Doing so too early costs a few calls and nothing else, since
+	// every write of a duty is fenced.
+	IdleAfter = 1600 * time.Millisecond
+)
 
 // Roster is the nodes as last heard of. It is safe for concurrent use.
 type Roster struct {
@@ -72,12 +78,17 @@
 }
 
 // Live returns the nodes that serve, by name.
-func (r *Roster) Live() []Record {
+func (r *Roster) Live() []Record { return r.heardWithin(SilentAfter) }
+
+// Active returns the nodes that may have duties, by name.
+func (r *Roster) Active() []Record { return r.heardWithin(IdleAfter) }
+
+func (r *Roster) heardWithin(silence time.Duration) []Record {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	var live []Record
 	for _, m := range r.nodes {
-		if !m.Leaving && r.readable-m.heard <= SilentAfter {
+		if !m.Leaving && r.readable-m.heard <= silence {
 			live = append(live, m.Record)
 		}
 	}
