--- a/gateway/call.go
+++ b/gateway/call.go
@@ -30,14 +30,19 @@
 	// sends counts sends, ran those after which the request may have run.
 	sends, ran int
 	tried      []*directory.Upstream
+	// upstream is the one that the request was last sent to.
+	upstream *directory.Upstream
 	// started tells that the answer's head is on its way to the caller.
 	started bool
 	// gone tells that writing to the caller failed.
 	gone bool
 	// events counts delivered events, lastEvent is the last one's number.
-	events    int64
-	lastEvent int64
-	hasEvent  bool
+	events int64
+	// firstEvent is the time from arrival to the first event, longestGap the longest
+	// pause between two events since, lastAt the arrival of the last one.
+	firstEvent, longestGap, lastAt time.Duration
+	lastEvent                      int64
+	hasEvent                       bool
 	// fallback is an upstream's failure that is passed on if no other upstream does
 	// better.
 	fallback *heldAnswer
@@ -138,7 +143,7 @@
 	}
 	c.g.Metrics.finish(c.route.Name, c.outcome, c.g.since(c.r.Arrived))
 	c.g.Events.Record(event.RequestFinished, "request", c.r.ID, "route", c.route.Name, "account", c.accountName(),
-		"config", c.view.Version, "outcome", c.outcome, "sends", c.sends, "events", c.events,
+		"config", c.view.Version, "outcome", c.outcome, "sends", c.sends, "events", c.events, "first_ms", c.firstEvent.Milliseconds(), "gap_ms", c.longestGap.Milliseconds(), "upstream", c.lastUpstream(),
 		"reserved", c.reserved, "used", used, "ms", c.g.since(c.r.Arrived).Milliseconds())
 }
 
@@ -151,6 +156,13 @@
 	return c.r.PromptTokens + min(c.r.MaxOutput, c.events*int64(c.service.Engine.TokensPerEvent))
 }
 
+func (c *call) lastUpstream() string {
+	if c.upstream == nil {
+		return ""
+	}
+	return c.upstream.ID
+}
+
 func (c *call) accountName() string {
 	if c.account == nil {
 		return ""
--- a/gateway/run.go
+++ b/gateway/run.go
@@ -36,7 +36,8 @@
 			return
 		}
 		c.sends++
-		v := c.send(ctx, choice.Upstream)
+		c.upstream = choice.Upstream
+		v := c.send(ctx, choice)
 		if v == mayHaveRun {
 			c.ran++
 		}
--- a/gateway/send.go
+++ b/gateway/send.go
@@ -10,6 +10,7 @@
 	"lavenderpin.dev/lavenderpin/catalog"
 	"lavenderpin.dev/lavenderpin/directory"
 	"lavenderpin.dev/lavenderpin/event"
+	"lavenderpin.dev/lavenderpin/placement"
 )
 
 // errSilent ends a send whose upstream said nothing for too long.
@@ -28,14 +29,15 @@
 }
 
 // send sends the request to one upstream and passes its answer on.
-func (c *call) send(ctx context.Context, u *directory.Upstream) verdict {
+func (c *call) send(ctx context.Context, choice placement.Choice) verdict {
+	u := choice.Upstream
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	silence := c.watchSilence(cancel)
 	defer silence.Stop()
 	u.InFlight.Add(1)
 	defer u.InFlight.Add(-1)
-	prompt := c.r.PromptTokens
+	prompt := int64(choice.Unread)
 	u.PromptInFlight.Add(prompt)
 	reading := true
 	answered := func() {
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -27,6 +27,7 @@
 			return c.streamCut(ctx, u, err)
 		}
 		answered()
+		c.clock()
 		c.rearm(silence)
 		c.begin(answer)
 		if !c.pass(e, !events.Buffered()) {
@@ -45,6 +46,17 @@
 	c.sink.Start(answer.Status, answer.Header, -1)
 }
 
+// clock keeps the times of events.
+func (c *call) clock() {
+	now := c.g.Clock.Now()
+	if c.lastAt == 0 {
+		c.firstEvent = now - c.r.Arrived
+	} else {
+		c.longestGap = max(c.longestGap, now-c.lastAt)
+	}
+	c.lastAt = now
+}
+
 // pass hands one event on. Events that the caller has already are left out.
 func (c *call) pass(e eventstream.Event, flush bool) bool {
 	if e.HasID {
--- a/placement/picker.go
+++ b/placement/picker.go
@@ -26,6 +26,8 @@
 	Upstream *directory.Upstream
 	// Expected is the score: the expected time to the answer.
 	Expected time.Duration
+	// Unread is how many of the prompt's tokens the upstream probably has to read.
+	Unread int
 	// Candidates is how many upstreams were weighed.
 	Candidates int
 }
@@ -41,8 +43,10 @@
 				continue
 			}
 			best.Candidates++
-			if score := p.score(q, u, u == home); best.Upstream == nil || score < best.Expected {
+			missing := p.missing(q, u, u == home)
+			if score := p.score(q, u, missing); best.Upstream == nil || score < best.Expected {
 				best.Upstream, best.Expected = u, score
+				best.Unread = q.PromptTokens - sharedTokens(q.shared()) + missing
 			}
 		}
 		if best.Upstream != nil {
@@ -89,7 +93,7 @@
 	return tokens
 }
 
-func (p *Picker) score(q *Query, u *directory.Upstream, home bool) time.Duration {
+func (p *Picker) score(q *Query, u *directory.Upstream, missing int) time.Duration {
 	s := &p.settings
 	score := time.Duration(u.Failure(q.Now) * float64(s.Failure))
 	switch {
@@ -104,7 +108,7 @@
 	}
 	score += u.Warmup / 8
 	score += p.loadTime(u)
-	return score + p.promptTime(q, u, home)
+	return score + p.promptTime(q, u, missing)
 }
 
 // loadTime is the wait that the upstream's present work adds. Its own figures cover all
@@ -118,16 +122,20 @@
 	return time.Duration(running)*p.settings.PerRunning + time.Duration(waiting)*p.settings.PerWaiting
 }
 
+// missing returns how many shared prompt tokens the upstream probably lacks.
+func (p *Picker) missing(q *Query, u *directory.Upstream, home bool) int {
+	if home || q.PromptTokens == 0 {
+		return 0
+	}
+	return sharedTokens(q.shared()) - p.memory.Cached(u.ID, u.Born, q.shared(), q.Now)
+}
+
 // promptTime is the time to read the prompts ahead and what the engine lacks of this one.
-func (p *Picker) promptTime(q *Query, u *directory.Upstream, home bool) time.Duration {
+func (p *Picker) promptTime(q *Query, u *directory.Upstream, missing int) time.Duration {
 	if q.PromptTokens == 0 {
 		return 0
 	}
-	shared := sharedTokens(q.shared())
-	missing := 0
-	if !home {
-		missing = shared - p.memory.Cached(u.ID, u.Born, q.shared(), q.Now)
-	}
-	ahead := int(u.PromptInFlight.Load()) + q.PromptTokens - shared
-	return time.Duration(ahead)*p.settings.PerPromptToken + time.Duration(missing)*p.settings.PerSharedToken
+	own := q.PromptTokens - sharedTokens(q.shared())
+	ahead := p.settings.UnseenPrompts * float64(u.PromptInFlight.Load())
+	return time.Duration(float64(p.settings.PerPromptToken)*(ahead+float64(own))) + time.Duration(missing)*p.settings.PerSharedToken
 }
--- a/placement/settings.go
+++ b/placement/settings.go
@@ -8,6 +8,9 @@
 	// PerPromptToken is the time to read one prompt token: engines read about 60 a
 	// millisecond.
 	PerPromptToken time.Duration
+	// UnseenPrompts times the prompt tokens that this node has waiting at an engine are
+	// taken to wait there in all: the other nodes send to it too.
+	UnseenPrompts float64
 	// PerSharedToken is what a shared prompt token costs that is read on a second engine:
 	// several times its reading, since it also takes the memory of other prompts there.
 	PerSharedToken time.Duration
@@ -35,6 +38,7 @@
 func DefaultSettings() Settings {
 	return Settings{
 		PerPromptToken:  16 * time.Microsecond,
+		UnseenPrompts:   2,
 		PerSharedToken:  64 * time.Microsecond,
 		FleetHome:       400,
 		PerRunning:      2 * time.Millisecond,
