--- a/prepaid/settings.go
+++ b/prepaid/settings.go
@@ -14,8 +14,8 @@
 	DrawnAhead time.Duration
 	// ReserveAfter is how long after its last acknowledged report a node may open its
 	// reserve. A process that is killed and started again within that time gives its
-	// reserve back; killed processes were seen back after 0.6 s, and machines that lost
-	// power after up to 2 s.
+	// reserve back; killed processes were seen back after 0.6 s. After a power loss the
+	// boot clock starts anew and proves nothing, so a longer time gains nothing.
 	ReserveAfter time.Duration
 	// ExtendWithin is how old the last acknowledged report may be for a new report to
 	// put off the opening of the reserve: two report intervals.
@@ -39,8 +39,8 @@
 func DefaultSettings() Settings {
 	return Settings{
 		Horizon:      12 * time.Second,
-		DrawnAhead:   4 * time.Second,
-		ReserveAfter: 2500 * time.Millisecond,
+		DrawnAhead:   3 * time.Second,
+		ReserveAfter: 1500 * time.Millisecond,
 		ExtendWithin: 1100 * time.Millisecond,
 		ReopenAfter:  6 * time.Second,
 		MinDrawn:     10_000,
