Hold accounts at five nodes a region; name addresses by capacity

Cause: on 86 nodes the parts of small accounts were too small for one prompt; a crowded data centre's callers were sent to its own small instances, whose 10 Mbit/s links choked.

--- a/allotment/grants.go
+++ b/allotment/grants.go
@@ -58,6 +58,9 @@
 			continue
 		}
 		g.remember(grant)
+		for _, l := range grant.Lines {
+			g.share.NoteLeft(l.Account, l.Left, l.Prepaid)
+		}
 		if r.Key == g.node && g.share.Apply(grant) {
 			g.events.Record(event.ShareGranted, "epoch", grant.Epoch, "accounts", len(grant.Lines))
 		}
--- a/allotment/reporter.go
+++ b/allotment/reporter.go
@@ -14,6 +14,8 @@
 const (
 	// ReportEvery is the interval of reports. Drawn limits run ahead by several of it.
 	ReportEvery = 500 * time.Millisecond
+	// idleReports is how many reports a node that holds nothing leaves out.
+	idleReports = 6
 	// reportTimeout bounds one report, so that a dead connection costs one report and
 	// not the reserve's opening; a store in another region that is sixty times slower
 	// than usual still answers within it.
@@ -50,8 +52,12 @@
 func (r *Reporter) Run(ctx context.Context) {
 	ticker := time.NewTicker(ReportEvery)
 	defer ticker.Stop()
+	idle := 0
 	for {
-		_ = r.Report(ctx) // logged where it fails; the next one repeats it
+		if idle++; r.share.Holding() || idle >= idleReports {
+			idle = 0
+			_ = r.Report(ctx) // logged where it fails; the next one repeats it
+		}
 		select {
 		case <-ctx.Done():
 			return
--- a/cmd/lavenderedge/run.go
+++ b/cmd/lavenderedge/run.go
@@ -141,7 +141,7 @@
 	p.sender = platform.NewUpstreams(p.clock, func() { dials.Add(1) })
 	node, err := edgenode.Start(ctx, edgenode.Settings{
 		Node: p.settings.Node, Incarnation: incarnation, BootID: bootID(), Started: p.clock.Now(),
-		Address: p.settings.Frontend, Peer: p.peerAddress(), DataCentre: p.settings.DataCentre, Region: p.settings.Region, Regions: p.settings.Regions,
+		Address: p.settings.Frontend, Peer: p.peerAddress(), Capacity: capacity(p.settings.Limits), DataCentre: p.settings.DataCentre, Region: p.settings.Region, Regions: p.settings.Regions,
 		Repeats: repeats.Limits{Ratio: p.settings.Bounds.RepeatRatio, Extra: p.settings.Bounds.RepeatExtra, Window: p.settings.Bounds.RepeatWindow},
 	}, edgenode.Deps{
 		Clock: p.clock, Upstreams: p.sender, Lending: &lending.Client{Wire: p.peers}, Events: p.events, Metrics: gateway.NewMetrics(true),
@@ -174,6 +174,18 @@
 	}
 }
 
+// A usual instance has 0.4 of a core and needs 50 Mbit/s to use it on prompts of 12 KB.
+const (
+	usualCores    = 0.4
+	usualLinkMbps = 50
+)
+
+// capacity is what the instance can carry, in hundredths of a usual one: what it has
+// least of decides.
+func capacity(l platform.MachineLimits) int {
+	return max(1, int(100*min(l.Cores/usualCores, l.LinkMbps/usualLinkMbps)))
+}
+
 // peerDialTimeout bounds a new connection to another node: a round trip between regions.
 const peerDialTimeout = 150 * time.Millisecond
 
--- a/edgenode/deps.go
+++ b/edgenode/deps.go
@@ -22,7 +22,9 @@
 	Started time.Duration
 	Address string
 	// Peer is where other nodes connect.
-	Peer       string
+	Peer string
+	// Capacity is what the instance can carry, in hundredths of a usual one.
+	Capacity   int
 	DataCentre string
 	Region     string
 	// Regions maps each data centre to its region.
--- a/edgenode/node.go
+++ b/edgenode/node.go
@@ -58,7 +58,7 @@
 		stop()
 		return nil, errors.Trace(err)
 	}
-	n.share = prepaid.NewShare(prepaid.DefaultSettings(), deps.Clock, settings.Node, settings.Incarnation, settings.BootID, earlier.Closings)
+	n.share = prepaid.NewShare(prepaid.DefaultSettings(), deps.Clock, settings.Node, settings.Region, settings.Incarnation, settings.BootID, earlier.Closings)
 	n.reporter = allotment.NewReporter(n.share, deps.Topics.Spend, settings.Node, settings.Incarnation, earlier.Keys, n.storeSeen, deps.Events)
 	n.announcer = &announcer{node: n}
 	n.grants = allotment.NewGrants(n.share, settings.Node, deps.Events)
@@ -139,7 +139,7 @@
 
 // Addresses returns where callers of a place should connect. The node names itself while
 // it is ready, also when the store is out of reach.
-func (n *Node) Addresses(dataCentre, region string) []string {
+func (n *Node) Addresses(region string) []string {
 	live := n.roster.Live()
 	own := false
 	for i := range live {
@@ -151,7 +151,7 @@
 	if !own {
 		live = append(live, n.record())
 	}
-	return presence.Addresses(live, dataCentre, region)
+	return presence.Addresses(live, region)
 }
 
 // nodes is how many nodes serve now.
@@ -159,7 +159,7 @@
 
 // record is what the node writes about itself.
 func (n *Node) record() presence.Record {
-	return presence.Record{Node: n.settings.Node, Incarnation: n.settings.Incarnation, Address: n.settings.Address, Peer: n.settings.Peer,
+	return presence.Record{Node: n.settings.Node, Incarnation: n.settings.Incarnation, Address: n.settings.Address, Peer: n.settings.Peer, Capacity: n.settings.Capacity,
 		DataCentre: n.settings.DataCentre, Region: n.settings.Region, Ready: n.Ready(), Leaving: n.leaving.Load()}
 }
 
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -99,7 +99,7 @@
 // is used up refuses while others hold plenty, most of all while the store is out of
 // reach and no part can be moved.
 func (c *call) borrow(ctx context.Context) bool {
-	loan, ok := c.g.Borrower.Borrow(ctx, c.account.Name, c.r.most())
+	loan, ok := c.g.Borrower.Borrow(ctx, c.account.Name, c.r.most(), c.g.Share.Holds(c.account.Name))
 	if !ok {
 		return false
 	}
--- a/lending/borrower.go
+++ b/lending/borrower.go
@@ -67,14 +67,14 @@
 }
 
 // Borrow asks peers for a request's tokens, the ones with the highest ceilings nearby
-// first.
-func (b *Borrower) Borrow(ctx context.Context, account string, tokens int64) (Loan, bool) {
+// first. holds tells whether this node has a part of the account itself.
+func (b *Borrower) Borrow(ctx context.Context, account string, tokens int64, holds bool) (Loan, bool) {
 	if b.foundNothing(account) {
 		return Loan{}, false
 	}
 	for _, peer := range b.order(account, tokens) {
 		loan := Loan{ID: b.nextID(), Account: account, Peer: peer}
-		if b.ask(ctx, loan, tokens) {
+		if b.ask(ctx, loan, tokens, holds) {
 			return loan, true
 		}
 	}
@@ -112,10 +112,10 @@
 	return peers[:min(len(peers), mostAsked)]
 }
 
-func (b *Borrower) ask(ctx context.Context, loan Loan, tokens int64) bool {
+func (b *Borrower) ask(ctx context.Context, loan Loan, tokens int64, holds bool) bool {
 	ctx, cancel := context.WithTimeout(ctx, askTimeout)
 	defer cancel()
-	reply, err := b.caller.Call(ctx, loan.Peer.Address, Ask{Loan: loan.ID, Account: loan.Account, Tokens: tokens})
+	reply, err := b.caller.Call(ctx, loan.Peer.Address, Ask{Loan: loan.ID, Account: loan.Account, Tokens: tokens, Holds: holds})
 	if err != nil {
 		// The peer may have reserved all the same.
 		go b.Settle(loan, 0)
--- a/lending/lender.go
+++ b/lending/lender.go
@@ -48,9 +48,9 @@
 }
 
 func (l *Lender) lend(ctx context.Context, ask Ask) bool {
-	verdict := l.share.Lend(ask.Account, ask.Tokens)
+	verdict := l.share.Lend(ask.Account, ask.Tokens, ask.Holds)
 	if verdict == prepaid.ReportFirst && l.report(ctx) == nil {
-		verdict = l.share.Lend(ask.Account, ask.Tokens)
+		verdict = l.share.Lend(ask.Account, ask.Tokens, true)
 	}
 	if verdict != prepaid.Reserved {
 		return false
--- a/lending/messages.go
+++ b/lending/messages.go
@@ -9,6 +9,8 @@
 	Account string
 	// Tokens is the most that the request can use; when settling, what it used.
 	Tokens int64
+	// Holds tells that the borrower has a part of the account itself.
+	Holds  bool
 	Settle bool
 }
 
--- a/prepaid/allocator.go
+++ b/prepaid/allocator.go
@@ -1,8 +1,11 @@
 package prepaid
 
 import (
+	"cmp"
 	"maps"
 	"slices"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 // Allocator plans how accounts are split among incarnations. It is a pure decision over
@@ -181,6 +184,7 @@
 	acc := a.account(name)
 	a.confirm(acc, name, members)
 	wants, base := a.wants(acc, name, members)
+	a.chooseHolders(name, wants)
 	committed := acc.closed
 	available := prepaid - acc.closed
 	live := make(map[string]bool, len(wants))
@@ -218,7 +222,7 @@
 
 // want is a live node's need of one account, in tokens.
 type want struct {
-	node string
+	node, region string
 	// used is settled and open use, which can't be taken away.
 	used int64
 	// need is what it should hold beyond that.
@@ -235,7 +239,7 @@
 		if !m.Live {
 			continue
 		}
-		w := want{node: m.Report.Node, need: a.settings.MinCeiling}
+		w := want{node: m.Report.Node, region: m.Report.Region, need: a.settings.MinCeiling}
 		if l := findLine(&m.Report, name); l != nil {
 			w.used = l.Spent + l.Held
 			w.need = max(w.need, int64(float64(l.Rate)*a.settings.Horizon.Seconds()))
@@ -249,6 +253,25 @@
 	return wants, base
 }
 
+// chooseHolders takes the needs of all but the account's holders away. Holders are
+// chosen by rendezvous hashing, so that few parts move when nodes come and go.
+func (a *Allocator) chooseHolders(name string, wants []want) {
+	byRegion := make(map[string][]*want)
+	for i := range wants {
+		byRegion[wants[i].region] = append(byRegion[wants[i].region], &wants[i])
+	}
+	rank := func(w *want) uint64 { return xxhash.Sum64String(name + "\x00" + w.node) }
+	for _, region := range byRegion {
+		if len(region) <= a.settings.HoldersPerRegion {
+			continue
+		}
+		slices.SortFunc(region, func(x, y *want) int { return cmp.Compare(rank(y), rank(x)) })
+		for _, w := range region[a.settings.HoldersPerRegion:] {
+			w.need = 0
+		}
+	}
+}
+
 // spread gives each node what it needs, or the same part of it where the needs are more
 // than may be held. A node without demand needs something too: if it loses the store
 // then, what it was given is all it has.
@@ -270,6 +293,9 @@
 // to be worth a grant, within what is free, and returns what is free then.
 func (a *Allocator) retarget(acc *account, w want, free int64, changed map[string]bool) int64 {
 	e, ok := acc.entries[w.node]
+	if !ok && w.need == 0 {
+		return free
+	}
 	if !ok {
 		e = &entry{}
 		acc.entries[w.node] = e
--- a/prepaid/line.go
+++ b/prepaid/line.go
@@ -22,6 +22,9 @@
 
 func (l *line) used() int64 { return l.spent + l.held }
 
+// idle tells that the node holds nothing of the account and used nothing of it.
+func (l *line) idle() bool { return l.ceiling == 0 && l.used() == 0 && l.drawn == 0 }
+
 // demand adds a request's largest use to the demand estimate.
 func (l *line) demand(tokens int64, now, window time.Duration) {
 	l.decay(now, window)
--- a/prepaid/records.go
+++ b/prepaid/records.go
@@ -7,6 +7,8 @@
 
 	Node        string
 	Incarnation string
+	// Region is where the node stands.
+	Region string
 	// SentAtMs is the machine's boot clock when the report was made, in milliseconds.
 	SentAtMs int64
 	// ReserveAtMs is the reading of the machine's boot clock, in milliseconds, before
--- a/prepaid/settings.go
+++ b/prepaid/settings.go
@@ -24,6 +24,10 @@
 	// the store hasn't acknowledged any in between: a store that answers readings and
 	// refuses writes must not keep the reserve closed for long.
 	ReopenAfter time.Duration
+	// HoldersPerRegion is how many nodes of each region hold a part of an account. The
+	// others borrow from them for each request. Spread over 86 nodes, the parts of small
+	// accounts were too small for one long prompt, and refused it on most nodes.
+	HoldersPerRegion int
 	// SpreadShare is the part of what is left of an account that nodes hold at most. All
 	// of it is stranded when a whole fleet loses power; the rest serves the callers then.
 	SpreadShare float64
@@ -38,14 +42,15 @@
 // DefaultSettings returns the policy described at each field.
 func DefaultSettings() Settings {
 	return Settings{
-		Horizon:      12 * time.Second,
-		DrawnAhead:   3 * time.Second,
-		ReserveAfter: 1500 * time.Millisecond,
-		ExtendWithin: 1100 * time.Millisecond,
-		ReopenAfter:  6 * time.Second,
-		MinDrawn:     10_000,
-		MinCeiling:   40_000,
-		SpreadShare:  0.7,
-		RateWindow:   6 * time.Second,
+		Horizon:          12 * time.Second,
+		DrawnAhead:       3 * time.Second,
+		ReserveAfter:     1500 * time.Millisecond,
+		ExtendWithin:     1100 * time.Millisecond,
+		ReopenAfter:      6 * time.Second,
+		MinDrawn:         10_000,
+		MinCeiling:       40_000,
+		HoldersPerRegion: 5,
+		SpreadShare:      0.7,
+		RateWindow:       6 * time.Second,
 	}
 }
--- a/prepaid/share.go
+++ b/prepaid/share.go
@@ -14,6 +14,7 @@
 	clock       bootclock.Clock
 	node        string
 	incarnation string
+	region      string
 	bootID      string
 
 	mu           sync.Mutex
@@ -32,9 +33,9 @@
 
 // NewShare returns a share that holds nothing. predecessors are the node's earlier
 // incarnations, as Predecessors read them from the store.
-func NewShare(settings Settings, clock bootclock.Clock, node, incarnation, bootID string, predecessors []Closing) *Share {
+func NewShare(settings Settings, clock bootclock.Clock, node, region, incarnation, bootID string, predecessors []Closing) *Share {
 	return &Share{
-		settings: settings, clock: clock, node: node, incarnation: incarnation, bootID: bootID,
+		settings: settings, clock: clock, node: node, region: region, incarnation: incarnation, bootID: bootID,
 		lines: make(map[string]*line), predecessors: predecessors,
 		lastAck: clock.Now(), reserveAt: clock.Now() + settings.ReserveAfter,
 	}
@@ -65,14 +66,18 @@
 const lendSpare = time.Second
 
 // Lend is Reserve for another node's request. It leaves what this node's own callers
-// need within a second, and doesn't count as this node's demand.
-func (s *Share) Lend(account string, tokens int64) Verdict {
+// need within a second. Where the borrower holds nothing of the account it counts as this
+// node's demand, so that the nodes which others always borrow from are granted more.
+func (s *Share) Lend(account string, tokens int64, borrowerHolds bool) Verdict {
 	now := s.clock.Now()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	l := s.line(account)
 	l.decay(now, s.settings.RateWindow)
 	spare := int64(l.rate * lendSpare.Seconds())
+	if l.ceiling > 0 && !borrowerHolds {
+		l.demand(tokens, now, s.settings.RateWindow)
+	}
 	if s.ended || l.used()+tokens+spare > l.ceiling {
 		return ShortHere
 	}
@@ -114,11 +119,14 @@
 		s.extended = now
 	}
 	r := Report{
-		Node: s.node, Incarnation: s.incarnation, BootID: s.bootID,
+		Node: s.node, Region: s.region, Incarnation: s.incarnation, BootID: s.bootID,
 		SentAtMs: now.Milliseconds(), ReserveAtMs: s.reserveAt.Milliseconds(),
 		SeenEpoch: s.seenEpoch, Ended: s.ended, Predecessors: s.predecessors,
 	}
 	for name, l := range s.lines {
+		if l.idle() {
+			continue
+		}
 		l.decay(now, s.settings.RateWindow)
 		l.pending = l.wantDrawn(s.settings)
 		l.drawn = min(l.drawn, l.pending)
@@ -159,6 +167,34 @@
 	return true
 }
 
+// NoteLeft takes over what the fleet could still use of an account, as a grant to any
+// node tells it.
+func (s *Share) NoteLeft(account string, left, prepaid int64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	l := s.line(account)
+	l.left, l.prepaid, l.hasLeft = left, prepaid, true
+}
+
+// Holds tells whether the node has a part of an account.
+func (s *Share) Holds(account string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.line(account).ceiling > 0
+}
+
+// Holding tells whether the share has anything to report.
+func (s *Share) Holding() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, l := range s.lines {
+		if !l.idle() {
+			return true
+		}
+	}
+	return s.seenEpoch == 0 || len(s.predecessors) > 0
+}
+
 // End forbids new reservations for good. Once nothing is held, the next report gives
 // everything else back.
 func (s *Share) End() {
--- a/presence/record.go
+++ b/presence/record.go
@@ -10,6 +10,8 @@
 	Address    string
 	DataCentre string
 	Region     string
+	// Capacity is what the instance can carry, in hundredths of a usual one.
+	Capacity int
 	// Ready: the node takes new callers.
 	Ready bool
 	// Peer is where other nodes connect.
