--- /dev/null
+++ b/prepaid/allocator_test.go
@@ -0,0 +1,127 @@
+package prepaid
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+func everyone(w *world) map[string]bool {
+	live := make(map[string]bool)
+	for name := range w.nodes {
+		live[name] = true
+	}
+	return live
+}
+
+// settleDown lets reports, rounds and grants go around a few times.
+func settleDown(w *world) {
+	for range 4 {
+		for _, n := range w.nodes {
+			w.apply(n)
+			w.report(n, false)
+		}
+		w.round(everyone(w))
+	}
+	for _, n := range w.nodes {
+		w.apply(n)
+		w.report(n, false)
+	}
+}
+
+// A whole fleet loses power with its ceilings unaccounted for. The callers that come
+// after it must still find tokens, or a fault of seconds costs them the rest of the day.
+func TestPowerLossOfAllLeavesSomeToServe(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(map[string]int64{"a": 1_000_000})
+	for i := range 6 {
+		w.start(fmt.Sprintf("n%d", i), "boot")
+	}
+	settleDown(w)
+	for _, n := range w.nodes {
+		for w.serve(n, "a", 10_000) == Reserved {
+		}
+	}
+	settleDown(w)
+	left := 1_000_000 - w.used["a"]
+	for i := range 6 {
+		w.start(fmt.Sprintf("n%d", i), "another boot")
+	}
+	settleDown(w)
+	holds := int64(0)
+	for _, n := range w.nodes {
+		holds += n.share.Standing("a").Ceiling
+	}
+	is.True(holds >= left/10)
+}
+
+// Callers press on one node only. Its part must grow, and what the others don't need
+// must come to it, or it refuses while the account has plenty.
+func TestPartsFollowDemand(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(map[string]int64{"a": 600_000})
+	hot := w.start("n1", "boot")
+	w.start("n2", "boot")
+	settleDown(w)
+	for range 10 {
+		w.serve(hot, "a", 10_000)
+		w.clock.Advance(100 * time.Millisecond)
+		settleDown(w)
+	}
+	is.True(hot.share.Standing("a").Ceiling > w.nodes["n2"].share.Standing("a").Ceiling)
+	is.Equal(w.used["a"], int64(100_000))
+}
+
+// On a fleet of 86 nodes a small account can't be split among all: no part would cover
+// one long prompt, and most nodes would refuse it.
+func TestFewNodesHoldAnAccount(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(map[string]int64{"a": 400_000})
+	for i := range 86 {
+		w.start(fmt.Sprintf("n%02d", i), "boot")
+	}
+	settleDown(w)
+	holders, largest := 0, int64(0)
+	for _, n := range w.nodes {
+		if c := n.share.Standing("a").Ceiling; c > 0 {
+			holders++
+			largest = max(largest, c)
+		}
+	}
+	is.Equal(holders, DefaultSettings().HoldersPerRegion)
+	is.True(largest >= 50_000)
+}
+
+// A node is cut off and keeps serving. The planner can't know how much it uses, so
+// nothing of its ceiling may go to others until it is back.
+func TestCutNodeKeepsItsCeiling(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(map[string]int64{"a": 300_000})
+	cut := w.start("n1", "boot")
+	w.start("n2", "boot")
+	settleDown(w)
+	before := cut.share.Standing("a").Ceiling
+	for range 20 {
+		w.report(w.nodes["n2"], false)
+		w.round(map[string]bool{"n2": true})
+		w.apply(w.nodes["n2"])
+	}
+	is.True(before+w.nodes["n2"].share.Standing("a").Ceiling <= 300_000)
+}
+
+// A process stops in an orderly way. All that it didn't use goes back at once.
+func TestStoppedNodeGivesItsPartBack(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(map[string]int64{"a": 300_000})
+	n := w.start("n1", "boot")
+	settleDown(w)
+	is.Equal(w.serve(n, "a", 1_000), Reserved)
+	w.settle(n, 100)
+	n.share.End()
+	w.report(n, false)
+	plan := w.round(map[string]bool{})
+	is.Equal(len(plan.Ended), 1)
+	is.Equal(plan.Ended[0].Counted, int64(1_000))
+}
--- /dev/null
+++ b/prepaid/main_test.go
@@ -0,0 +1,121 @@
+package prepaid
+
+import (
+	"fmt"
+	"time"
+
+	"lavenderpin.dev/lavenderpin/bootclock"
+)
+
+// world is a fleet with its store: every report and grant goes through it, may be lost,
+// and what each incarnation really used is counted on the side.
+type world struct {
+	prepaid   map[string]int64
+	clock     *bootclock.Fake
+	allocator *Allocator
+	epoch     uint64
+	// reports is the newest report of each incarnation in the store.
+	reports map[string]Report
+	order   []string
+	nodes   map[string]*simNode
+	// used is what all incarnations together were asked to serve, in tokens.
+	used map[string]int64
+	born int
+	// grants that were written and not yet applied, by node.
+	grants map[string][]Grant
+}
+
+// simNode is one running incarnation.
+type simNode struct {
+	name, incarnation string
+	share             *Share
+	open              []openRequest
+}
+
+type openRequest struct {
+	account string
+	tokens  int64
+}
+
+func newWorld(prepaid map[string]int64) *world {
+	w := &world{prepaid: prepaid, clock: &bootclock.Fake{}, allocator: NewAllocator(DefaultSettings(), nil),
+		reports: make(map[string]Report), nodes: make(map[string]*simNode), used: make(map[string]int64), grants: make(map[string][]Grant)}
+	w.clock.Advance(time.Hour)
+	return w
+}
+
+// start begins a new incarnation of a node, which has read what earlier ones left.
+func (w *world) start(name, bootID string) *simNode {
+	w.born++
+	n := &simNode{name: name, incarnation: fmt.Sprintf("%s-%d", name, w.born)}
+	var earlier []Report
+	for _, key := range w.order {
+		if r := w.reports[key]; r.Node == name {
+			earlier = append(earlier, r)
+		}
+	}
+	n.share = NewShare(DefaultSettings(), w.clock, name, "region", n.incarnation, bootID, Predecessors(earlier, w.clock.Now(), bootID))
+	w.nodes[name] = n
+	return n
+}
+
+// report writes a node's report; lost tells that its acknowledgement doesn't arrive.
+func (w *world) report(n *simNode, lost bool) {
+	r := n.share.Compose(false)
+	w.write(r)
+	if !lost {
+		n.share.Acknowledge(r)
+	}
+}
+
+func (w *world) write(r Report) {
+	if _, known := w.reports[r.Incarnation]; !known {
+		w.order = append(w.order, r.Incarnation)
+	}
+	w.reports[r.Incarnation] = r
+}
+
+// round plans once and writes the grants.
+func (w *world) round(live map[string]bool) Plan {
+	w.epoch++
+	var members []Member
+	for _, key := range w.order {
+		r := w.reports[key]
+		n := w.nodes[r.Node]
+		members = append(members, Member{Report: r, Live: live[r.Node] && n != nil && n.incarnation == r.Incarnation})
+	}
+	p := w.allocator.Round(w.epoch, members, w.prepaid)
+	for _, g := range p.Grants {
+		w.grants[g.Node] = append(w.grants[g.Node], g)
+	}
+	return p
+}
+
+func (w *world) apply(n *simNode) {
+	for _, g := range w.grants[n.name] {
+		n.share.Apply(g)
+	}
+	w.grants[n.name] = nil
+}
+
+// serve reserves tokens and counts them as used at once: a caller may get them all.
+func (w *world) serve(n *simNode, account string, tokens int64) Verdict {
+	v := n.share.Reserve(account, tokens, w.prepaid[account])
+	if v == Reserved {
+		w.used[account] += tokens
+		n.open = append(n.open, openRequest{account, tokens})
+	}
+	return v
+}
+
+// settle ends a node's oldest open request of which only a part was used.
+func (w *world) settle(n *simNode, part int64) {
+	if len(n.open) == 0 {
+		return
+	}
+	o := n.open[0]
+	n.open = n.open[1:]
+	spent := o.tokens * part / 100
+	w.used[o.account] -= o.tokens - spent
+	n.share.Settle(o.account, o.tokens, spent)
+}
--- a/prepaid/settings.go
+++ b/prepaid/settings.go
@@ -48,7 +48,7 @@
 		ExtendWithin:     1100 * time.Millisecond,
 		ReopenAfter:      6 * time.Second,
 		MinDrawn:         10_000,
-		MinCeiling:       40_000,
+		MinCeiling:       60_000,
 		HoldersPerRegion: 5,
 		SpreadShare:      0.7,
 		RateWindow:       6 * time.Second,
