Even needs of a region's holders, shortages by size, lenders drawn by ceiling

Cause: one long prompt that found no lender blocked all short ones of its account for 300 ms; all borrowers asked the largest holder first.

--- a/lending/borrower.go
+++ b/lending/borrower.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"context"
+	"math"
 	"math/rand/v2"
 	"slices"
 	"strconv"
@@ -14,11 +15,11 @@
 
 const (
 	// mostAsked bounds the peers that are asked for one request.
-	mostAsked = 3
+	mostAsked = 4
 	// askTimeout bounds one ask: a round trip between regions and a report.
 	askTimeout = 200 * time.Millisecond
 	// nothingFor is how long an account that no asked peer had tokens of isn't asked
-	// for again, so that an exhausted account doesn't cost three asks a request.
+	// for again, so that an exhausted account doesn't cost four asks a request.
 	nothingFor = 300 * time.Millisecond
 	// settleTries bounds the tries to settle a loan; then it counts as used.
 	settleTries = 4
@@ -51,12 +52,18 @@
 
 	mu      sync.Mutex
 	loans   uint64
-	nothing map[string]time.Duration
+	nothing map[string]shortage
+}
+
+// shortage is the smallest number of tokens that no asked peer had of an account.
+type shortage struct {
+	tokens int64
+	until  time.Duration
 }
 
 // NewBorrower returns a borrower; name tells its loans from other nodes'.
 func NewBorrower(caller Caller, clock bootclock.Clock, name string, peers func(account string) []Peer) *Borrower {
-	return &Borrower{caller: caller, clock: clock, name: name, peers: peers, nothing: make(map[string]time.Duration)}
+	return &Borrower{caller: caller, clock: clock, name: name, peers: peers, nothing: make(map[string]shortage)}
 }
 
 // Loan is what a peer reserved for a request.
@@ -66,10 +73,9 @@
 	Peer    Peer
 }
 
-// Borrow asks peers for a request's tokens, the ones with the highest ceilings nearby
-// first. holds tells whether this node has a part of the account itself.
+// Borrow asks peers for a request's tokens, nearby ones first. holds tells whether this node has a part of the account itself.
 func (b *Borrower) Borrow(ctx context.Context, account string, tokens int64, holds bool) (Loan, bool) {
-	if b.foundNothing(account) {
+	if b.foundNothing(account, tokens) {
 		return Loan{}, false
 	}
 	for _, peer := range b.order(account, tokens) {
@@ -78,16 +84,27 @@
 			return loan, true
 		}
 	}
+	b.noteShortage(account, tokens)
+	return Loan{}, false
+}
+
+func (b *Borrower) noteShortage(account string, tokens int64) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.nothing[account] = b.clock.Now() + nothingFor
-	return Loan{}, false
+	now := b.clock.Now()
+	if known := b.nothing[account]; now < known.until {
+		tokens = min(tokens, known.tokens)
+	}
+	b.nothing[account] = shortage{tokens: tokens, until: now + nothingFor}
 }
 
-func (b *Borrower) foundNothing(account string) bool {
+// foundNothing tells whether so many tokens weren't to be had just now; a long prompt
+// that found none says nothing of a short one.
+func (b *Borrower) foundNothing(account string, tokens int64) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return b.clock.Now() < b.nothing[account]
+	known := b.nothing[account]
+	return b.clock.Now() < known.until && tokens >= known.tokens
 }
 
 func (b *Borrower) nextID() string {
@@ -97,17 +114,22 @@
 	return b.name + "/" + strconv.FormatUint(b.loans, 10)
 }
 
+// order returns the peers to ask: near ones first, drawn by their ceilings, so that all
+// borrowers don't drain the largest one while others are full.
 func (b *Borrower) order(account string, tokens int64) []Peer {
 	peers := slices.DeleteFunc(b.peers(account), func(p Peer) bool { return p.Ceiling < tokens })
-	rand.Shuffle(len(peers), func(i, j int) { peers[i], peers[j] = peers[j], peers[i] })
-	slices.SortStableFunc(peers, func(x, y Peer) int {
+	keys := make(map[string]float64, len(peers))
+	for _, p := range peers {
+		keys[p.Node] = -math.Log(1-rand.Float64()) / float64(p.Ceiling)
+	}
+	slices.SortFunc(peers, func(x, y Peer) int {
 		if x.Near != y.Near {
 			if x.Near {
 				return -1
 			}
 			return 1
 		}
-		return cmp.Compare(y.Ceiling, x.Ceiling)
+		return cmp.Compare(keys[x.Node], keys[y.Node])
 	})
 	return peers[:min(len(peers), mostAsked)]
 }
--- a/prepaid/allocator.go
+++ b/prepaid/allocator.go
@@ -227,6 +227,8 @@
 	used int64
 	// need is what it should hold beyond that.
 	need int64
+	// rate is its demand in tokens a second.
+	rate float64
 	// share is what it gets beyond its use.
 	share int64
 }
@@ -242,7 +244,7 @@
 		w := want{node: m.Report.Node, region: m.Report.Region, need: a.settings.MinCeiling}
 		if l := findLine(&m.Report, name); l != nil {
 			w.used = l.Spent + l.Held
-			w.need = max(w.need, int64(float64(l.Rate)*a.settings.Horizon.Seconds()))
+			w.rate = float64(l.Rate)
 		}
 		if e, ok := acc.entries[w.node]; ok {
 			w.used = min(w.used, e.committed)
@@ -262,16 +264,28 @@
 	}
 	rank := func(w *want) uint64 { return xxhash.Sum64String(name + "\x00" + w.node) }
 	for _, region := range byRegion {
-		if len(region) <= a.settings.HoldersPerRegion {
-			continue
-		}
 		slices.SortFunc(region, func(x, y *want) int { return cmp.Compare(rank(y), rank(x)) })
-		for _, w := range region[a.settings.HoldersPerRegion:] {
+		holders := region[:min(len(region), a.settings.HoldersPerRegion)]
+		a.needs(holders, region)
+		for _, w := range region[len(holders):] {
 			w.need = 0
 		}
 	}
 }
 
+// needs sets what holders need: their own demand, or an even part of their region's.
+// They lend to each other and to all others, and which of them is asked is chance.
+func (a *Allocator) needs(holders []*want, region []*want) {
+	total := 0.0
+	for _, w := range region {
+		total += w.rate
+	}
+	even := total / float64(len(holders))
+	for _, w := range holders {
+		w.need = max(w.need, int64(max(w.rate, even)*a.settings.Horizon.Seconds()))
+	}
+}
+
 // spread gives each node what it needs, or the same part of it where the needs are more
 // than may be held. A node without demand needs something too: if it loses the store
 // then, what it was given is all it has.
