Let one report make room for the request that asked for it

Cause: a report named the usual drawn limit, so a prompt longer than it was refused however much the account held.

--- a/prepaid/line.go
+++ b/prepaid/line.go
@@ -12,6 +12,9 @@
 	// drawn is the limit in force before the reserve opens. pending is the limit of a
 	// report that isn't acknowledged yet.
 	drawn, pending int64
+	// wish is the largest request that the drawn limit was too low for since the last
+	// report.
+	wish int64
 	// rate is the demand in tokens a second as of rateAt.
 	rate   float64
 	rateAt time.Duration
@@ -40,6 +43,6 @@
 
 // wantDrawn is the drawn limit that the next report names.
 func (l *line) wantDrawn(s Settings) int64 {
-	ahead := max(s.MinDrawn, int64(l.rate*s.DrawnAhead.Seconds()))
+	ahead := max(s.MinDrawn, l.wish, int64(l.rate*s.DrawnAhead.Seconds()))
 	return min(l.ceiling, l.used()+ahead)
 }
--- a/prepaid/share.go
+++ b/prepaid/share.go
@@ -57,6 +57,7 @@
 		return Exhausted
 	}
 	if l.used()+tokens <= l.ceiling && !s.ended {
+		l.wish = max(l.wish, tokens)
 		return ReportFirst
 	}
 	return ShortHere
@@ -82,6 +83,7 @@
 		return ShortHere
 	}
 	if l.used()+tokens > s.limit(l, now) {
+		l.wish = max(l.wish, tokens)
 		return ReportFirst
 	}
 	l.held += tokens
@@ -130,6 +132,7 @@
 		l.decay(now, s.settings.RateWindow)
 		l.pending = l.wantDrawn(s.settings)
 		l.drawn = min(l.drawn, l.pending)
+		l.wish = 0
 		r.Lines = append(r.Lines, ReportLine{Account: name, Spent: l.spent, Held: l.held,
 			Drawn: l.pending, Ceiling: l.ceiling, Rate: int64(l.rate)})
 	}
--- a/prepaid/share_test.go
+++ b/prepaid/share_test.go
@@ -120,3 +120,18 @@
 	is.Equal(s.Standing("a").Ceiling, int64(10_000))
 	is.True(!s.Apply(Grant{Incarnation: "other", Epoch: 9}))
 }
+
+// A prompt is longer than the drawn limit runs ahead of use. One report must be enough
+// to serve it; while reports named the usual limit only, long prompts were refused on
+// every node although their account held plenty.
+func TestOneReportMakesRoomForALongPrompt(t *testing.T) {
+	is := is.New(t)
+	s, _ := grantedShare(200_000)
+	s.Acknowledge(s.Compose(false))
+	is.Equal(s.Reserve("a", 60_000, 1_000_000), ReportFirst)
+	s.Acknowledge(s.Compose(false))
+	is.Equal(s.Reserve("a", 60_000, 1_000_000), Reserved)
+	is.Equal(s.Lend("a", 70_000, true), ReportFirst)
+	s.Acknowledge(s.Compose(false))
+	is.Equal(s.Lend("a", 70_000, true), Reserved)
+}
