--- a/gateway/call.go
+++ b/gateway/call.go
@@ -27,6 +27,8 @@
 	reserved int64
 	// loan is set where another node reserved the tokens.
 	loan *lending.Loan
+	// tally is how asking other nodes went.
+	tally lending.Tally
 	// sends counts sends, ran those after which the request may have run.
 	sends, ran int
 	tried      []*directory.Upstream
@@ -99,7 +101,8 @@
 // is used up refuses while others hold plenty, most of all while the store is out of
 // reach and no part can be moved.
 func (c *call) borrow(ctx context.Context) bool {
-	loan, ok := c.g.Borrower.Borrow(ctx, c.account.Name, c.r.most(), c.g.Share.Holds(c.account.Name))
+	loan, tally, ok := c.g.Borrower.Borrow(ctx, c.account.Name, c.r.most(), c.g.Share.Holds(c.account.Name))
+	c.tally = tally
 	if !ok {
 		return false
 	}
@@ -184,7 +187,8 @@
 	if c.account != nil && c.account.HasPrepaid {
 		s := c.g.Share.Standing(c.account.Name)
 		pairs = append(pairs, "account", c.account.Name, "tokens", c.r.most(), "spent", s.Spent, "held", s.Held,
-			"limit", s.Limit, "ceiling", s.Ceiling, "left", s.Left, "prepaid", c.account.Prepaid, "reserve_in", s.ReserveIn)
+			"limit", s.Limit, "ceiling", s.Ceiling, "left", s.Left, "prepaid", c.account.Prepaid, "reserve_in", s.ReserveIn,
+			"lenders", c.tally.Lenders, "asked", c.tally.Asked, "asks_lost", c.tally.Lost, "known_short", c.tally.Known)
 	}
 	c.g.Events.Record(event.RequestRefused, pairs...)
 	c.g.Metrics.refuse(e.Code)
--- a/lending/borrower.go
+++ b/lending/borrower.go
@@ -73,19 +73,35 @@
 	Peer    Peer
 }
 
+// Tally is how the asks for one request went, for logs.
+type Tally struct {
+	// Lenders is how many nodes could have covered the request by their ceilings, Asked
+	// how many were asked, Lost how many of these didn't answer in time.
+	Lenders, Asked, Lost int
+	// Known tells that nobody was asked, since so many tokens weren't to be had just now.
+	Known bool
+}
+
 // Borrow asks peers for a request's tokens, nearby ones first. holds tells whether this node has a part of the account itself.
-func (b *Borrower) Borrow(ctx context.Context, account string, tokens int64, holds bool) (Loan, bool) {
+func (b *Borrower) Borrow(ctx context.Context, account string, tokens int64, holds bool) (Loan, Tally, bool) {
 	if b.foundNothing(account, tokens) {
-		return Loan{}, false
+		return Loan{}, Tally{Known: true}, false
 	}
-	for _, peer := range b.order(account, tokens) {
+	peers := b.order(account, tokens)
+	tally := Tally{Lenders: len(peers)}
+	for _, peer := range peers[:min(len(peers), mostAsked)] {
 		loan := Loan{ID: b.nextID(), Account: account, Peer: peer}
-		if b.ask(ctx, loan, tokens, holds) {
-			return loan, true
+		tally.Asked++
+		granted, err := b.ask(ctx, loan, tokens, holds)
+		if granted {
+			return loan, tally, true
+		}
+		if err != nil {
+			tally.Lost++
 		}
 	}
 	b.noteShortage(account, tokens)
-	return Loan{}, false
+	return Loan{}, tally, false
 }
 
 func (b *Borrower) noteShortage(account string, tokens int64) {
@@ -114,7 +130,7 @@
 	return b.name + "/" + strconv.FormatUint(b.loans, 10)
 }
 
-// order returns the peers to ask: near ones first, drawn by their ceilings, so that all
+// order returns the peers that may cover a request: near ones first, drawn by their ceilings, so that all
 // borrowers don't drain the largest one while others are full.
 func (b *Borrower) order(account string, tokens int64) []Peer {
 	peers := slices.DeleteFunc(b.peers(account), func(p Peer) bool { return p.Ceiling < tokens })
@@ -131,19 +147,19 @@
 		}
 		return cmp.Compare(keys[x.Node], keys[y.Node])
 	})
-	return peers[:min(len(peers), mostAsked)]
+	return peers
 }
 
-func (b *Borrower) ask(ctx context.Context, loan Loan, tokens int64, holds bool) bool {
+func (b *Borrower) ask(ctx context.Context, loan Loan, tokens int64, holds bool) (bool, error) {
 	ctx, cancel := context.WithTimeout(ctx, askTimeout)
 	defer cancel()
 	reply, err := b.caller.Call(ctx, loan.Peer.Address, Ask{Loan: loan.ID, Account: loan.Account, Tokens: tokens, Holds: holds})
 	if err != nil {
 		// The peer may have reserved all the same.
 		go b.Settle(loan, 0)
-		return false
+		return false, err
 	}
-	return reply.Granted
+	return reply.Granted, nil
 }
 
 // Settle tells the lender what a loan's request used. It returns once that is known or
--- a/prepaid/allocator.go
+++ b/prepaid/allocator.go
@@ -198,6 +198,7 @@
 		}
 	}
 	available -= base
+	a.plenty(wants, available)
 	spread(wants, int64(a.settings.SpreadShare*float64(max(0, available))))
 	free := prepaid - committed
 	for _, w := range wants {
@@ -286,6 +287,21 @@
 	}
 }
 
+// plenty raises the holders' needs evenly to a part of what is available.
+func (a *Allocator) plenty(wants []want, available int64) {
+	holders := int64(0)
+	for _, w := range wants {
+		if w.need > 0 {
+			holders++
+		}
+	}
+	for i := range wants {
+		if w := &wants[i]; w.need > 0 {
+			w.need = max(w.need, int64(a.settings.PlentyShare*float64(available))/holders)
+		}
+	}
+}
+
 // spread gives each node what it needs, or the same part of it where the needs are more
 // than may be held. A node without demand needs something too: if it loses the store
 // then, what it was given is all it has.
--- a/prepaid/settings.go
+++ b/prepaid/settings.go
@@ -31,6 +31,10 @@
 	// SpreadShare is the part of what is left of an account that nodes hold at most. All
 	// of it is stranded when a whole fleet loses power; the rest serves the callers then.
 	SpreadShare float64
+	// PlentyShare is the part of what is left that nodes hold at least, however little
+	// they seem to need. Early in a day little demand has been seen while most of an
+	// account is left, and a cut of eight seconds used the parts up.
+	PlentyShare float64
 	// MinDrawn and MinCeiling, in tokens, let a node with little demand take a request
 	// now and then: a usual prompt with its answer is about 12,000 tokens, a long one
 	// 60,000. They count once for each account and node.
@@ -45,8 +49,9 @@
 		Horizon:          12 * time.Second,
 		DrawnAhead:       3 * time.Second,
 		ReserveAfter:     1500 * time.Millisecond,
-		ExtendWithin:     1100 * time.Millisecond,
+		ExtendWithin:     700 * time.Millisecond,
 		ReopenAfter:      6 * time.Second,
+		PlentyShare:      0.45,
 		MinDrawn:         10_000,
 		MinCeiling:       60_000,
 		HoldersPerRegion: 5,
