--- a/cmd/lavenderedge/run.go
+++ b/cmd/lavenderedge/run.go
@@ -89,7 +89,7 @@
 	signals := make(chan os.Signal, 8)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
 	incarnation := newIncarnation()
-	p.events.Record(event.NodeStarting, "incarnation", incarnation, "data_centre", p.settings.DataCentre, "boot_clock", p.clock.Now())
+	p.events.Record(event.NodeStarting, "incarnation", incarnation, "data_centre", p.settings.DataCentre, "memory_mb", p.settings.Limits.MemoryMB, "cores", p.settings.Limits.Cores, "link_mbps", p.settings.Limits.LinkMbps, "boot_clock", p.clock.Now())
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	begun := make(chan error, 1)
--- a/edgenode/node.go
+++ b/edgenode/node.go
@@ -52,7 +52,7 @@
 	n.stop = stop
 	n.follow(loops, deps.Topics.Operators, &configHandler{n}, configPace)
 	n.follow(loops, deps.Topics.Upstreams, &upstreamHandler{n}, upstreamPace)
-	n.follow(loops, deps.Topics.Presence, &presenceHandler{n}, presencePace)
+	n.follow(loops, deps.Topics.Presence, &presenceHandler{node: n}, presencePace)
 	earlier, err := n.readEarlier(ctx)
 	if err != nil {
 		stop()
@@ -151,7 +151,9 @@
 	if !own {
 		live = append(live, n.record())
 	}
-	return presence.Addresses(live, region)
+	addresses := presence.Addresses(live, region)
+	n.deps.Events.Record(event.AddressesHandedOut, "region", region, "live", len(live), "named", len(addresses))
+	return addresses
 }
 
 // nodes is how many nodes serve now.
--- a/edgenode/presencehandler.go
+++ b/edgenode/presencehandler.go
@@ -9,7 +9,11 @@
 )
 
 // presenceHandler keeps the roster of nodes.
-type presenceHandler struct{ node *Node }
+type presenceHandler struct {
+	node *Node
+	// known holds the live nodes' incarnations as last logged.
+	known map[string]string
+}
 
 // Reset takes the newest records.
 func (h *presenceHandler) Reset(records []keyedlog.Record) { h.Apply(records) }
@@ -33,5 +37,20 @@
 // Lost stops the clock by which silent nodes are dropped.
 func (h *presenceHandler) Lost(error) { h.node.roster.Lost() }
 
-// Caught lets it run.
-func (h *presenceHandler) Caught() { h.node.roster.Caught() }
+// Caught lets it run and logs which nodes came or went.
+func (h *presenceHandler) Caught() {
+	h.node.roster.Caught()
+	now := make(map[string]string)
+	for _, r := range h.node.roster.Live() {
+		now[r.Node] = r.Incarnation
+		if h.known[r.Node] != r.Incarnation {
+			h.node.deps.Events.Record(event.PeerJoined, "member", r.Node, "incarnation", r.Incarnation, "ready", r.Ready, "live", len(now))
+		}
+	}
+	for node, incarnation := range h.known {
+		if _, live := now[node]; !live {
+			h.node.deps.Events.Record(event.PeerGone, "member", node, "incarnation", incarnation, "live", len(now))
+		}
+	}
+	h.known = now
+}
