--- /dev/null
+++ b/directory/table_test.go
@@ -0,0 +1,115 @@
+package directory
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"lavenderpin.dev/lavenderpin/bootclock"
+)
+
+func ready(id string, sequence int64) Entry {
+	return Entry{ID: id, Service: "s", Address: "10.0.0.1:80", DataCentre: "d", Slots: 4, State: Ready, Sequence: sequence, Born: 1000}
+}
+
+func ids(t *Table) []string {
+	var out []string
+	for _, u := range t.Current().Upstreams("s") {
+		out = append(out, u.ID)
+	}
+	return out
+}
+
+// An upstream says that it leaves. New work sent to it would be cut off when it ends.
+func TestDrainingUpstreamGetsNothingNew(t *testing.T) {
+	is := is.New(t)
+	table := NewTable(&bootclock.Fake{})
+	is.Equal(table.Put(ready("a", 1)), Joined)
+	leaving := ready("a", 2)
+	leaving.State = Draining
+	is.Equal(table.Put(leaving), Left)
+	is.Equal(len(ids(table)), 0)
+}
+
+// Entries are delivered late. An old one must not bring a leaving upstream, or an
+// earlier incarnation, back into use.
+func TestLateEntryChangesNothing(t *testing.T) {
+	is := is.New(t)
+	table := NewTable(&bootclock.Fake{})
+	leaving := ready("a", 5)
+	leaving.State = Draining
+	table.Put(leaving)
+	is.Equal(table.Put(ready("a", 4)), Unchanged)
+	is.Equal(len(ids(table)), 0)
+	reborn := ready("b", 1)
+	reborn.Born = 2000
+	table.Put(reborn)
+	old := ready("b", 99)
+	old.State = Draining
+	is.Equal(table.Put(old), Unchanged)
+	is.Equal(ids(table), []string{"b"})
+}
+
+// An upstream starts again under its ID. What was learned of the earlier incarnation,
+// its failures and its load, says nothing of the new one.
+func TestNewIncarnationStartsUnknown(t *testing.T) {
+	is := is.New(t)
+	table := NewTable(&bootclock.Fake{})
+	table.Put(ready("a", 9))
+	table.Current().Upstreams("s")[0].Fail(0)
+	reborn := ready("a", 1)
+	reborn.Born = 2000
+	is.Equal(table.Put(reborn), Joined)
+	is.Equal(table.Current().Upstreams("s")[0].Failure(0), 0.0)
+}
+
+// The store was away and entries lapsed with it, though the upstreams live. They come
+// back about two seconds after the store; a node that believed at once that all are gone
+// would refuse every request meanwhile. One still missing after that is gone.
+func TestEntriesThatLapsedWithTheStoreAreDoubtedFirst(t *testing.T) {
+	is := is.New(t)
+	clock := &bootclock.Fake{}
+	clock.Advance(time.Hour)
+	table := NewTable(clock)
+	table.Replace([]Entry{ready("a", 1), ready("b", 1)})
+	table.StoreLost()
+	clock.Advance(time.Second)
+	table.Replace([]Entry{ready("a", 2)})
+	is.Equal(ids(table), []string{"a", "b"})
+	is.True(table.Current().Upstreams("s")[1].DoubtedUntil != 0)
+	clock.Advance(doubtFor)
+	table.Expire()
+	is.Equal(ids(table), []string{"a"})
+}
+
+// Some upstreams never say that they leave: their entry is removed while the store is
+// well. They get nothing new from that moment.
+func TestRemovedEntryIsGoneWhileTheStoreIsWell(t *testing.T) {
+	is := is.New(t)
+	clock := &bootclock.Fake{}
+	clock.Advance(time.Hour)
+	table := NewTable(clock)
+	table.Put(ready("a", 1))
+	is.True(table.Remove("a"))
+	is.True(!table.Remove("a"))
+	is.Equal(len(ids(table)), 0)
+}
+
+// An upstream went dark and comes back. It must be tried again soon, and each further
+// failure must cost fewer requests than the one before.
+func TestDarkUpstreamIsLeftAloneForLongerEachTime(t *testing.T) {
+	is := is.New(t)
+	s := &Stats{}
+	s.Unreachable(0)
+	is.True(s.Dark(darkFirst - 1))
+	is.True(!s.Dark(darkFirst))
+	for range 10 {
+		s.Unreachable(0)
+	}
+	is.True(s.Dark(darkMost - 1))
+	is.True(!s.Dark(darkMost))
+	s.Unreachable(0)
+	s.Succeed(1)
+	is.True(!s.Dark(1))
+}
--- /dev/null
+++ b/presence/roster_test.go
@@ -0,0 +1,74 @@
+package presence
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"lavenderpin.dev/lavenderpin/bootclock"
+)
+
+func record(node string, capacity int) Record {
+	return Record{Node: node, Incarnation: node + "-1", Address: node + ":1", Region: "r", Capacity: capacity, Ready: true}
+}
+
+// The store is away for ten seconds, so nobody is heard of. The nodes still serve; if
+// they were dropped from the answers, callers would find none.
+func TestNobodyIsDroppedWhileTheStoreIsAway(t *testing.T) {
+	is := is.New(t)
+	clock := &bootclock.Fake{}
+	r := NewRoster(clock)
+	r.Hear(record("a", 100))
+	r.Caught()
+	for range 20 {
+		clock.Advance(500 * time.Millisecond)
+		r.Lost()
+	}
+	is.Equal(len(r.Live()), 1)
+	r.Caught()
+	is.Equal(len(r.Live()), 1)
+}
+
+// A node dies while the store works. Callers must not be sent to it for long.
+func TestSilentNodeIsDropped(t *testing.T) {
+	is := is.New(t)
+	clock := &bootclock.Fake{}
+	r := NewRoster(clock)
+	r.Hear(record("a", 100))
+	for range 7 {
+		clock.Advance(500 * time.Millisecond)
+		r.Hear(record("b", 100))
+		r.Caught()
+	}
+	is.Equal(len(r.Live()), 1)
+	is.Equal(r.Live()[0].Node, "b")
+	is.True(!r.IsLive("a", "a-1"))
+	is.True(!r.IsLive("b", "b-2"))
+}
+
+// One caller may send a hundred requests a second to the address that it has drawn. Sent
+// to a small instance it would choke its link while large ones idle.
+func TestSmallInstancesAreNamedOnlyWithoutLargeOnes(t *testing.T) {
+	is := is.New(t)
+	var live []Record
+	for i := range 20 {
+		live = append(live, record(fmt.Sprintf("small%d", i), 20))
+	}
+	for i := range fewestLarge - 1 {
+		live = append(live, record(fmt.Sprintf("large%d", i), 200))
+	}
+	is.Equal(len(Addresses(live, "r")), mostNamed)
+	live = append(live, record("large", 200))
+	is.Equal(len(Addresses(live, "r")), fewestLarge)
+}
+
+// A whole region is lost. Its callers are sent to the other one rather than nowhere.
+func TestOtherRegionIsNamedWhenTheOwnHasNone(t *testing.T) {
+	is := is.New(t)
+	is.Equal(Addresses([]Record{record("a", 100)}, "another"), []string{"a:1"})
+	leaving := record("b", 100)
+	leaving.Ready = false
+	is.Equal(len(Addresses([]Record{leaving}, "r")), 0)
+}
