Keep own records as JSON; test planning, decoding and the whole path

Cause: fuzzing found a torn record of 17 bytes for which the former codec took 171 GB: any writer of the store could have ended every node. Ruled out: its allocation limit, a million elements, is 200 MB.

--- a/allotment/codec.go
+++ b/allotment/codec.go
@@ -1,8 +1,9 @@
 package allotment
 
 import (
+	"encoding/json"
+
 	"github.com/juju/errors"
-	"github.com/vmihailenco/msgpack/v5"
 
 	"lavenderpin.dev/lavenderpin/prepaid"
 )
@@ -12,27 +13,36 @@
 func reportKey(node, incarnation string) string { return node + "/" + incarnation }
 
 func encode(v any) ([]byte, error) {
-	b, err := msgpack.Marshal(v)
+	b, err := json.Marshal(v)
 	return b, errors.Trace(err)
 }
 
 // DecodeReport reads a report.
 func DecodeReport(b []byte) (prepaid.Report, error) {
 	var r prepaid.Report
-	err := msgpack.Unmarshal(b, &r)
+	err := json.Unmarshal(b, &r)
 	return r, errors.Trace(err)
 }
 
 // DecodeGrant reads a grant.
 func DecodeGrant(b []byte) (prepaid.Grant, error) {
 	var g prepaid.Grant
-	err := msgpack.Unmarshal(b, &g)
+	err := json.Unmarshal(b, &g)
 	return g, errors.Trace(err)
 }
 
 // DecodeLedger reads a ledger.
 func DecodeLedger(b []byte) (prepaid.Ledger, error) {
 	var l prepaid.Ledger
-	err := msgpack.Unmarshal(b, &l)
-	return l, errors.Trace(err)
+	if err := json.Unmarshal(b, &l); err != nil {
+		return l, errors.Trace(err)
+	}
+	for _, account := range l.Accounts {
+		for _, e := range account.Entries {
+			if e.Node < 0 || e.Node >= len(l.Nodes) {
+				return l, errors.Errorf("entry of account %q names node %d of %d", account.Account, e.Node, len(l.Nodes))
+			}
+		}
+	}
+	return l, nil
 }
--- /dev/null
+++ b/allotment/duty_test.go
@@ -0,0 +1,204 @@
+package allotment
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/jonboulle/clockwork"
+	"github.com/matryer/is"
+
+	"lavenderpin.dev/lavenderpin/bootclock"
+	"lavenderpin.dev/lavenderpin/event"
+	"lavenderpin.dev/lavenderpin/keyedlog"
+	"lavenderpin.dev/lavenderpin/prepaid"
+)
+
+// memory is a keyed topic with fences.
+type memory struct {
+	mu      sync.Mutex
+	records []keyedlog.Record
+	epochs  map[string]uint64
+	fail    error
+	// lose makes appends take effect and fail.
+	lose bool
+}
+
+func newMemory() *memory { return &memory{epochs: make(map[string]uint64)} }
+
+func (m *memory) Newest(context.Context) ([]keyedlog.Record, int64, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	newest := make(map[string]keyedlog.Record)
+	for _, r := range m.records {
+		newest[r.Key] = r
+	}
+	var out []keyedlog.Record
+	for _, r := range newest {
+		if !r.Deleted {
+			out = append(out, r)
+		}
+	}
+	return out, int64(len(m.records)), m.fail
+}
+
+func (m *memory) Read(_ context.Context, from int64, _ time.Duration) ([]keyedlog.Record, int64, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return append([]keyedlog.Record(nil), m.records[from:]...), int64(len(m.records)), m.fail
+}
+
+func (m *memory) Append(_ context.Context, fence keyedlog.Fence, records ...keyedlog.Record) error {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.fail != nil {
+		return m.fail
+	}
+	if fence.Epoch < m.epochs[fence.Producer] {
+		return keyedlog.ErrFenced
+	}
+	m.epochs[fence.Producer] = fence.Epoch
+	for _, r := range records {
+		r.Offset = int64(len(m.records))
+		m.records = append(m.records, r)
+	}
+	if m.lose {
+		return errors.New("answer lost")
+	}
+	return nil
+}
+
+// oneFleet says that everybody lives and who plans.
+type oneFleet struct {
+	mine   bool
+	totals map[string]int64
+}
+
+func (f *oneFleet) Mine() bool                        { return f.mine }
+func (f *oneFleet) IsLive(string, string) bool        { return true }
+func (f *oneFleet) Prepaid() (map[string]int64, bool) { return f.totals, f.totals != nil }
+
+func recorder() *event.Recorder {
+	return event.NewRecorder(event.NewHLC(clockwork.NewFakeClock()), "n", 16, log.NewNopLogger())
+}
+
+func newTopics() Topics {
+	return Topics{Spend: newMemory(), Ledger: newMemory(), Grants: newMemory()}
+}
+
+func newDutyOver(topics Topics) *Duty {
+	return NewDuty(topics, &oneFleet{mine: true, totals: map[string]int64{"a": 1_000_000}}, prepaid.DefaultSettings(), recorder())
+}
+
+// node is a share with its reporter and grants.
+type node struct {
+	share    *prepaid.Share
+	reporter *Reporter
+	grants   *keyedlog.Follower
+}
+
+func newNode(topics Topics, clock bootclock.Clock, name, incarnation string) *node {
+	share := prepaid.NewShare(prepaid.DefaultSettings(), clock, name, "r", incarnation, "boot", nil)
+	events := recorder()
+	return &node{share: share,
+		reporter: NewReporter(share, topics.Spend, name, incarnation, nil, func() bool { return true }, events),
+		grants:   keyedlog.NewFollower(topics.Grants, NewGrants(share, name, events), keyedlog.Options{Slack: time.Second})}
+}
+
+// Reports go up, a round is planned, grants come down.
+func TestGrantsReachTheNodes(t *testing.T) {
+	is := is.New(t)
+	ctx, topics, clock := context.Background(), newTopics(), &bootclock.Fake{}
+	n := newNode(topics, clock, "n1", "i1")
+	is.NoErr(n.reporter.Report(ctx))
+	term, err := newDutyOver(topics).begin(ctx)
+	is.NoErr(err)
+	is.NoErr(term.round(ctx))
+	is.NoErr(n.grants.Step(ctx))
+	is.NoErr(n.reporter.Report(ctx))
+	is.Equal(n.share.Reserve("a", 5_000, 1_000_000), prepaid.Reserved)
+}
+
+// A planner is paused, another takes over and moves shares, then the first one wakes. Its
+// next write must fail, or two nodes would be granted the same tokens.
+func TestOvertakenPlannerCantWrite(t *testing.T) {
+	is := is.New(t)
+	ctx, topics, clock := context.Background(), newTopics(), &bootclock.Fake{}
+	n := newNode(topics, clock, "n1", "i1")
+	is.NoErr(n.reporter.Report(ctx))
+	first, err := newDutyOver(topics).begin(ctx)
+	is.NoErr(err)
+	is.NoErr(first.round(ctx))
+	second, err := newDutyOver(topics).begin(ctx)
+	is.NoErr(err)
+	is.NoErr(second.round(ctx))
+	m := newNode(topics, clock, "n2", "i2")
+	is.NoErr(m.reporter.Report(ctx))
+	is.True(errors.Is(first.round(ctx), keyedlog.ErrFenced))
+}
+
+// A planner's ledger is written and the answer lost, so it gives up. The next planner must
+// count what the lost write granted, though no grant of it may have been seen.
+func TestLostLedgerAnswerIsCounted(t *testing.T) {
+	is := is.New(t)
+	ctx, topics, clock := context.Background(), newTopics(), &bootclock.Fake{}
+	for _, name := range []string{"n1", "n2", "n3"} {
+		is.NoErr(newNode(topics, clock, name, "i-"+name).reporter.Report(ctx))
+	}
+	first, err := newDutyOver(topics).begin(ctx)
+	is.NoErr(err)
+	ledger := topics.Ledger.(*memory)
+	ledger.lose = true
+	is.True(first.round(ctx) != nil)
+	ledger.lose = false
+	second, err := newDutyOver(topics).begin(ctx)
+	is.NoErr(err)
+	is.NoErr(second.round(ctx))
+	total := int64(0)
+	for _, e := range second.written.Accounts[0].Entries {
+		total += e.Committed
+	}
+	is.True(total > 0 && total <= 1_000_000)
+}
+
+// The ledger in the store is torn. Granting from nothing could grant the same tokens
+// twice, so nothing is granted and the log says why.
+func TestTornLedgerGrantsNothing(t *testing.T) {
+	is := is.New(t)
+	ctx, topics := context.Background(), newTopics()
+	is.NoErr(topics.Ledger.Append(ctx, keyedlog.Fence{}, keyedlog.Record{Key: ledgerKey, Value: []byte("torn")}))
+	_, err := newDutyOver(topics).begin(ctx)
+	is.True(err != nil)
+}
+
+// A report of the node's earlier incarnation is torn. The node must start all the same,
+// and what that incarnation held counts as used.
+func TestTornReportOfAnEarlierIncarnation(t *testing.T) {
+	is := is.New(t)
+	ctx, topics := context.Background(), newTopics()
+	is.NoErr(topics.Spend.Append(ctx, keyedlog.Fence{}, keyedlog.Record{Key: reportKey("n1", "old"), Value: []byte("torn")}))
+	earlier, err := ReadEarlier(ctx, topics.Spend, "n1", time.Hour, "boot")
+	is.NoErr(err)
+	is.Equal(len(earlier.Closings), 1)
+	is.Equal(earlier.Closings[0].Incarnation, "old")
+	is.True(!earlier.Closings[0].Known)
+}
+
+// FuzzDecode checks that no bytes in the store's topics end a node.
+func FuzzDecode(f *testing.F) {
+	for _, v := range []any{&prepaid.Report{Node: "n", Lines: []prepaid.ReportLine{{Account: "a"}}}, &prepaid.Grant{Lines: []prepaid.GrantLine{{}}}, &prepaid.Ledger{}} {
+		raw, err := encode(v)
+		if err != nil {
+			f.Fatal(err)
+		}
+		f.Add(raw)
+	}
+	f.Fuzz(func(_ *testing.T, raw []byte) {
+		_, _ = DecodeReport(raw)
+		_, _ = DecodeGrant(raw)
+		_, _ = DecodeLedger(raw)
+	})
+}
--- a/allotment/predecessors.go
+++ b/allotment/predecessors.go
@@ -30,13 +30,15 @@
 		if !strings.HasPrefix(r.Key, node+"/") || r.Deleted {
 			continue
 		}
+		earlier.Keys = append(earlier.Keys, r.Key)
 		report, err := DecodeReport(r.Value)
 		if err != nil {
-			return Earlier{}, errors.Annotatef(err, "report %s", r.Key)
+			// Nothing bounds its use but its ceilings.
+			earlier.Closings = append(earlier.Closings, prepaid.Closing{Incarnation: strings.TrimPrefix(r.Key, node+"/")})
+			continue
 		}
 		last = append(last, report)
-		earlier.Keys = append(earlier.Keys, r.Key)
 	}
-	earlier.Closings = prepaid.Predecessors(last, started, bootID)
+	earlier.Closings = append(earlier.Closings, prepaid.Predecessors(last, started, bootID)...)
 	return earlier, nil
 }
--- a/directory/stats.go
+++ b/directory/stats.go
@@ -32,8 +32,6 @@
 	failureAt  time.Duration
 	darkUntil  time.Duration
 	darkInARow int
-	slowness   float64
-	slownessN  int
 }
 
 // Load is what an upstream last told of its load.
--- a/edgenode/announcer.go
+++ b/edgenode/announcer.go
@@ -2,10 +2,10 @@
 
 import (
 	"context"
+	"encoding/json"
 	"time"
 
 	"github.com/juju/errors"
-	"github.com/vmihailenco/msgpack/v5"
 
 	"lavenderpin.dev/lavenderpin/keyedlog"
 )
@@ -49,7 +49,7 @@
 	ctx, cancel := context.WithTimeout(ctx, announceTimeout)
 	defer cancel()
 	rec := a.node.record()
-	value, err := msgpack.Marshal(&rec)
+	value, err := json.Marshal(&rec)
 	if err != nil {
 		return errors.Trace(err)
 	}
--- a/edgenode/presencehandler.go
+++ b/edgenode/presencehandler.go
@@ -1,7 +1,7 @@
 package edgenode
 
 import (
-	"github.com/vmihailenco/msgpack/v5"
+	"encoding/json"
 
 	"lavenderpin.dev/lavenderpin/event"
 	"lavenderpin.dev/lavenderpin/keyedlog"
@@ -26,7 +26,7 @@
 			continue
 		}
 		var rec presence.Record
-		if err := msgpack.Unmarshal(r.Value, &rec); err != nil {
+		if err := json.Unmarshal(r.Value, &rec); err != nil {
 			h.node.deps.Events.Record(event.BatchVoid, "topic", "presence", "key", r.Key, "error", err)
 			continue
 		}
--- a/lending/http.go
+++ b/lending/http.go
@@ -2,11 +2,11 @@
 
 import (
 	"context"
+	"encoding/json"
 	"io"
 	"net/http"
 
 	"github.com/juju/errors"
-	"github.com/vmihailenco/msgpack/v5"
 
 	"lavenderpin.dev/lavenderpin/httpwire"
 )
@@ -22,7 +22,7 @@
 
 // Call sends an ask and reads its reply.
 func (c *Client) Call(ctx context.Context, address string, ask Ask) (Reply, error) {
-	body, err := msgpack.Marshal(&ask)
+	body, err := json.Marshal(&ask)
 	if err != nil {
 		return Reply{}, errors.Trace(err)
 	}
@@ -39,7 +39,7 @@
 		return Reply{}, errors.Errorf("the peer answers %d", answer.Status)
 	}
 	var reply Reply
-	return reply, errors.Trace(msgpack.Unmarshal(raw, &reply))
+	return reply, errors.Trace(json.Unmarshal(raw, &reply))
 }
 
 // Handler serves a lender.
@@ -52,12 +52,12 @@
 			return
 		}
 		var ask Ask
-		if err := msgpack.Unmarshal(raw, &ask); err != nil || ask.Tokens < 0 {
+		if err := json.Unmarshal(raw, &ask); err != nil || ask.Tokens < 0 {
 			http.Error(w, "not an ask", http.StatusBadRequest)
 			return
 		}
 		reply := lender.Answer(req.Context(), ask)
-		out, err := msgpack.Marshal(&reply)
+		out, err := json.Marshal(&reply)
 		if err != nil {
 			http.Error(w, err.Error(), http.StatusInternalServerError)
 			return
--- a/lending/messages.go
+++ b/lending/messages.go
@@ -2,22 +2,18 @@
 
 // Ask asks for a reservation, or settles one if Settle is set.
 type Ask struct {
-	_msgpack struct{} `msgpack:",as_array"`
-
 	// Loan names the loan; the borrower chooses it.
-	Loan    string
-	Account string
+	Loan    string `json:"l,omitempty"`
+	Account string `json:"a,omitempty"`
 	// Tokens is the most that the request can use; when settling, what it used.
-	Tokens int64
+	Tokens int64 `json:"t,omitempty"`
 	// Holds tells that the borrower has a part of the account itself.
-	Holds  bool
-	Settle bool
+	Holds  bool `json:"h,omitempty"`
+	Settle bool `json:"s,omitempty"`
 }
 
 // Reply answers an ask.
 type Reply struct {
-	_msgpack struct{} `msgpack:",as_array"`
-
 	// Granted tells that the tokens are reserved, or that the loan is settled.
-	Granted bool
+	Granted bool `json:"g,omitempty"`
 }
--- a/prepaid/records.go
+++ b/prepaid/records.go
@@ -3,122 +3,105 @@
 // Report is what a node tells about its incarnation's use. A later report of the same
 // incarnation replaces an earlier one.
 type Report struct {
-	_msgpack struct{} `msgpack:",as_array"`
-
-	Node        string
-	Incarnation string
+	Node        string `json:"n,omitempty"`
+	Incarnation string `json:"i,omitempty"`
 	// Region is where the node stands.
-	Region string
+	Region string `json:"r,omitempty"`
 	// SentAtMs is the machine's boot clock when the report was made, in milliseconds.
-	SentAtMs int64
+	SentAtMs int64 `json:"sam,omitempty"`
 	// ReserveAtMs is the reading of the machine's boot clock, in milliseconds, before
 	// which the incarnation doesn't go beyond the drawn limits of this report.
-	ReserveAtMs int64
+	ReserveAtMs int64 `json:"ram,omitempty"`
 	// BootID names the machine's boot; a boot clock is comparable within one boot only.
-	BootID string
+	BootID string `json:"bid,omitempty"`
 	// SeenEpoch is the epoch of the newest grant that the incarnation applied.
-	SeenEpoch uint64
+	SeenEpoch uint64 `json:"se,omitempty"`
 	// Ended tells that the incarnation uses nothing any more.
-	Ended bool
-	Lines []ReportLine
+	Ended bool         `json:"e,omitempty"`
+	Lines []ReportLine `json:"l,omitempty"`
 	// Predecessors are the earlier incarnations of the node, until a grant shows that
 	// they are closed.
-	Predecessors []Closing
+	Predecessors []Closing `json:"p,omitempty"`
 }
 
 // ReportLine is one account's part of a report, in tokens.
 type ReportLine struct {
-	_msgpack struct{} `msgpack:",as_array"`
-
-	Account string
+	Account string `json:"a,omitempty"`
 	// Spent is settled use, Held the most that open requests may still add.
-	Spent, Held int64
+	Spent int64 `json:"s,omitempty"`
+	Held  int64 `json:"h,omitempty"`
 	// Drawn is the limit on Spent plus Held before the reserve is opened.
-	Drawn int64
+	Drawn int64 `json:"d,omitempty"`
 	// Ceiling is the limit that the incarnation holds itself to for good.
-	Ceiling int64
+	Ceiling int64 `json:"c,omitempty"`
 	// Rate is the recent demand in tokens a second, refused requests included.
-	Rate int64
+	Rate int64 `json:"r,omitempty"`
 }
 
 // Closing tells what an ended incarnation may have used at most.
 type Closing struct {
-	_msgpack struct{} `msgpack:",as_array"`
-
-	Incarnation string
+	Incarnation string `json:"i,omitempty"`
 	// Known tells that Lines bound its use; otherwise its whole ceilings count as used.
-	Known bool
-	Lines []ClosingLine
+	Known bool          `json:"k,omitempty"`
+	Lines []ClosingLine `json:"l,omitempty"`
 }
 
 // ClosingLine bounds one account's use by an ended incarnation, in tokens. An account
 // without a line wasn't used.
 type ClosingLine struct {
-	_msgpack struct{} `msgpack:",as_array"`
-
-	Account string
-	Used    int64
+	Account string `json:"a,omitempty"`
+	Used    int64  `json:"u,omitempty"`
 }
 
 // Grant sets the ceilings of one incarnation. A grant of a higher epoch replaces one of
 // a lower epoch.
 type Grant struct {
-	_msgpack struct{} `msgpack:",as_array"`
-
-	Node        string
-	Incarnation string
-	Epoch       uint64
-	Lines       []GrantLine
+	Node        string      `json:"n,omitempty"`
+	Incarnation string      `json:"i,omitempty"`
+	Epoch       uint64      `json:"e,omitempty"`
+	Lines       []GrantLine `json:"l,omitempty"`
 }
 
 // GrantLine is one account's part of a grant, in tokens.
 type GrantLine struct {
-	_msgpack struct{} `msgpack:",as_array"`
-
-	Account string
-	Ceiling int64
+	Account string `json:"a,omitempty"`
+	Ceiling int64  `json:"c,omitempty"`
 	// Left bounds from above what all nodes together could still use when the account
 	// had prepaid Prepaid: settled use is subtracted, open requests aren't.
-	Left, Prepaid int64
+	Left    int64 `json:"l,omitempty"`
+	Prepaid int64 `json:"p,omitempty"`
 }
 
 // Ledger is the allocator's state. It is written before the grants that follow from it,
 // so that a later allocator never counts less than was granted.
 type Ledger struct {
-	_msgpack struct{} `msgpack:",as_array"`
-
-	Epoch    uint64
-	Nodes    []LedgerNode
-	Accounts []LedgerAccount
+	Epoch    uint64          `json:"e,omitempty"`
+	Nodes    []LedgerNode    `json:"n,omitempty"`
+	Accounts []LedgerAccount `json:"a,omitempty"`
 }
 
 // LedgerNode is an incarnation that holds ceilings.
 type LedgerNode struct {
-	_msgpack struct{} `msgpack:",as_array"`
-
-	Node        string
-	Incarnation string
+	Node        string `json:"n,omitempty"`
+	Incarnation string `json:"i,omitempty"`
 	// GrantEpoch is the epoch of the newest grant planned for it.
-	GrantEpoch uint64
+	GrantEpoch uint64 `json:"ge,omitempty"`
 }
 
 // LedgerAccount is what is granted of one account, in tokens.
 type LedgerAccount struct {
-	_msgpack struct{} `msgpack:",as_array"`
-
-	Account string
+	Account string `json:"a,omitempty"`
 	// Closed is what ended incarnations may have used.
-	Closed  int64
-	Entries []LedgerEntry
+	Closed  int64         `json:"c,omitempty"`
+	Entries []LedgerEntry `json:"e,omitempty"`
 }
 
 // LedgerEntry is one incarnation's part of one account, in tokens.
 type LedgerEntry struct {
-	_msgpack struct{} `msgpack:",as_array"`
-
 	// Node is an index into Ledger.Nodes.
-	Node int
+	Node int `json:"n,omitempty"`
 	// Target is the ceiling last granted; Committed what the incarnation may use at
 	// most, which stays higher until it has confirmed a lower ceiling.
-	Target, Committed int64
+	Target    int64 `json:"t,omitempty"`
+	Committed int64 `json:"c,omitempty"`
 }
--- a/presence/record.go
+++ b/presence/record.go
@@ -2,20 +2,18 @@
 
 // Record is what a node writes about itself.
 type Record struct {
-	_msgpack struct{} `msgpack:",as_array"`
-
-	Node        string
-	Incarnation string
+	Node        string `json:"n,omitempty"`
+	Incarnation string `json:"i,omitempty"`
 	// Address is where callers connect.
-	Address    string
-	DataCentre string
-	Region     string
+	Address    string `json:"a,omitempty"`
+	DataCentre string `json:"dc,omitempty"`
+	Region     string `json:"r,omitempty"`
 	// Capacity is what the instance can carry, in hundredths of a usual one.
-	Capacity int
+	Capacity int `json:"c,omitempty"`
 	// Ready: the node takes new callers.
-	Ready bool
+	Ready bool `json:"re,omitempty"`
 	// Peer is where other nodes connect.
-	Peer string
+	Peer string `json:"p,omitempty"`
 	// Leaving: the node finishes what it has and ends.
-	Leaving bool
+	Leaving bool `json:"l,omitempty"`
 }
