--- a/gateway/run.go
+++ b/gateway/run.go
@@ -7,6 +7,7 @@
 	"lavenderpin.dev/lavenderpin/catalog"
 	"lavenderpin.dev/lavenderpin/directory"
 	"lavenderpin.dev/lavenderpin/event"
+	"lavenderpin.dev/lavenderpin/placement"
 	"lavenderpin.dev/lavenderpin/result"
 )
 
@@ -37,6 +38,7 @@
 		}
 		c.sends++
 		c.upstream = choice.Upstream
+		c.logDispatch(choice)
 		v := c.send(ctx, choice)
 		if v == mayHaveRun {
 			c.ran++
@@ -53,6 +55,19 @@
 	}
 }
 
+// logDispatch tells where the request goes and what decided it. An age of -1 means that
+// the upstream hasn't told its load yet.
+func (c *call) logDispatch(choice placement.Choice) {
+	load := choice.Upstream.Load()
+	age := int64(-1)
+	if load.At != 0 {
+		age = c.g.since(load.At).Milliseconds()
+	}
+	c.g.Events.Record(event.RequestDispatched, "request", c.r.ID, "upstream", choice.Upstream.ID, "send", c.sends,
+		"expected_ms", choice.Expected.Milliseconds(), "candidates", choice.Candidates, "unread", choice.Unread,
+		"running", load.Running, "waiting", load.Waiting, "load_age_ms", age, "left_ms", c.left().Milliseconds(), "after", c.lastEvent)
+}
+
 func (c *call) maySendAgain(ctx context.Context, v verdict) bool {
 	if c.gone || ctx.Err() != nil || c.sends >= c.g.settings.MaxSends || c.left() < c.g.settings.MinSend {
 		return false
--- a/prepaid/allocator.go
+++ b/prepaid/allocator.go
@@ -198,6 +198,7 @@
 		}
 	}
 	available -= base
+	a.concentrate(name, wants, available)
 	a.plenty(wants, available)
 	spread(wants, int64(a.settings.SpreadShare*float64(max(0, available))))
 	free := prepaid - committed
@@ -263,9 +264,8 @@
 	for i := range wants {
 		byRegion[wants[i].region] = append(byRegion[wants[i].region], &wants[i])
 	}
-	rank := func(w *want) uint64 { return xxhash.Sum64String(name + "\x00" + w.node) }
 	for _, region := range byRegion {
-		slices.SortFunc(region, func(x, y *want) int { return cmp.Compare(rank(y), rank(x)) })
+		slices.SortFunc(region, func(x, y *want) int { return cmp.Compare(rank(name, y), rank(name, x)) })
 		holders := region[:min(len(region), a.settings.HoldersPerRegion)]
 		a.needs(holders, region)
 		for _, w := range region[len(holders):] {
@@ -274,6 +274,29 @@
 	}
 }
 
+// concentrate leaves an account that is nearly used up to so few holders that each part
+// still covers a long prompt. Split among six nodes, the last 50,000 tokens served no
+// prompt of 12,000, and all its callers were refused.
+func (a *Allocator) concentrate(name string, wants []want, available int64) {
+	var holders []*want
+	for i := range wants {
+		if wants[i].need > 0 {
+			holders = append(holders, &wants[i])
+		}
+	}
+	most := max(1, int(available/a.settings.MinCeiling))
+	if len(holders) <= most {
+		return
+	}
+	slices.SortFunc(holders, func(x, y *want) int { return cmp.Compare(rank(name, y), rank(name, x)) })
+	for _, w := range holders[most:] {
+		w.need = 0
+	}
+}
+
+// rank orders nodes as an account's holders, by rendezvous hashing.
+func rank(account string, w *want) uint64 { return xxhash.Sum64String(account + "\x00" + w.node) }
+
 // needs sets what holders need: their own demand, or an even part of their region's.
 // They lend to each other and to all others, and which of them is asked is chance.
 func (a *Allocator) needs(holders []*want, region []*want) {
