--- a/gateway/call.go
+++ b/gateway/call.go
@@ -93,10 +93,17 @@
 	case prepaid.Exhausted:
 		return result.New(result.BudgetSpent, "the account's remaining tokens don't cover the request")
 	default:
-		return result.New(result.BudgetReserved, "this node's part of the account's tokens doesn't cover the request now").After(c.g.settings.ShortRetry)
+		return result.New(result.BudgetReserved, "this node's part of the account's tokens doesn't cover the request now").After(c.shortRetry())
 	}
 }
 
+func (c *call) shortRetry() time.Duration {
+	if c.tally.Known || c.tally.Asked > c.tally.Lost {
+		return c.g.settings.ScarceRetry
+	}
+	return c.g.settings.ShortRetry
+}
+
 // borrow has another node reserve the tokens. Without it a node whose part of an account
 // is used up refuses while others hold plenty, most of all while the store is out of
 // reach and no part can be moved.
--- a/gateway/settings.go
+++ b/gateway/settings.go
@@ -5,8 +5,11 @@
 // Settings are the gateway's limits.
 type Settings struct {
 	// ShortRetry is when a caller may return whose account's tokens are on other
-	// nodes: two rounds of the allocator.
+	// nodes: the next node that it draws may hold some.
 	ShortRetry time.Duration
+	// ScarceRetry is when a caller may return of whose account other nodes had too
+	// little as well: in that time open requests end and give back what they didn't use.
+	ScarceRetry time.Duration
 	// BusyRetry is when a caller may return that no upstream had room for: the time in
 	// which a full engine ends a part of its requests.
 	BusyRetry time.Duration
@@ -31,6 +34,7 @@
 func DefaultSettings() Settings {
 	return Settings{
 		ShortRetry:    150 * time.Millisecond,
+		ScarceRetry:   time.Second,
 		BusyRetry:     500 * time.Millisecond,
 		StartRetry:    500 * time.Millisecond,
 		MaxSends:      4,
