--- a/cmd/lavenderctl/main.go
+++ b/cmd/lavenderctl/main.go
@@ -38,6 +38,7 @@
 	Nodes    nodesCmd    `cmd:"" help:"Show the fleet as a node sees it."`
 	Timeline timelineCmd `cmd:"" help:"Show the events of all nodes in causal order."`
 	Explain  explainCmd  `cmd:"" help:"Tell one request's story."`
+	Story    storyCmd    `cmd:"" help:"Tell a request's story from log files or standard input."`
 	Keys     keysCmd     `cmd:"" help:"Make keys for the fleet's mutual TLS."`
 }
 
--- a/event/request.go
+++ b/event/request.go
@@ -21,6 +21,7 @@
 	AttemptRetried    Number = 414
 	RetryDenied       Number = 415
 	AnswerRerun       Number = 416
+	RequestEnded      Number = 417
 )
 
 var requestKinds = map[Number]Kind{
@@ -39,5 +40,6 @@
 	StreamMoved:       {"StreamMoved", "The caller of a stream reads on at another node; this one still settles."},
 	AttemptRetried:    {"AttemptRetried", "A request is sent again to another upstream."},
 	RetryDenied:       {"RetryDenied", "A request is not sent again: the node's retry budget is spent."},
+	RequestEnded:      {"RequestEnded", "A request ended; the outcome tells how, and used what its account pays."},
 	AnswerRerun:       {"AnswerRerun", "An engine was lost within an answer; another one repeats it from the start."},
 }
--- a/event/sentence.go
+++ b/event/sentence.go
@@ -20,6 +20,10 @@
 			used[name] = true
 		}
 	}
+	if strings.Contains(text, "{") {
+		// The event lacks a field of its sentence: its kind is recorded in two ways.
+		text, used = e.Number.Kind().Meaning, map[string]bool{}
+	}
 	return text + e.rest(used)
 }
 
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -152,7 +152,7 @@
 		go c.g.Borrower.Settle(*c.loan, used)
 	}
 	c.g.Metrics.finish(c.route.Name, c.outcome, c.g.since(c.r.Arrived))
-	c.g.Events.Record(event.RequestFinished, "request", c.r.ID, "route", c.route.Name, "account", c.accountName(),
+	c.g.Events.Record(event.RequestEnded, "request", c.r.ID, "route", c.route.Name, "account", c.accountName(),
 		"config", c.view.Version, "outcome", c.outcome, "sends", c.sends, "events", c.events, "first_ms", c.firstEvent.Milliseconds(), "gap_ms", c.longestGap.Milliseconds(), "upstream", c.lastUpstream(),
 		"reserved", c.reserved, "used", used, "ms", c.g.since(c.r.Arrived).Milliseconds())
 }
