--- a/edgenode/pace.go
+++ b/edgenode/pace.go
@@ -11,7 +11,7 @@
 // these would return at once; a pause bounds their number.
 var (
 	// configPace: a change must be in force within three seconds of its writing.
-	configPace = keyedlog.Options{Wait: 1500 * time.Millisecond, Pause: 50 * time.Millisecond, Slack: 700 * time.Millisecond, Retry: 250 * time.Millisecond}
+	configPace = keyedlog.Options{Wait: 1500 * time.Millisecond, Pause: 50 * time.Millisecond, Slack: 1000 * time.Millisecond, Retry: 250 * time.Millisecond}
 	// upstreamPace: a leaving upstream must get nothing new three seconds after.
 	upstreamPace = keyedlog.Options{Wait: 800 * time.Millisecond, Pause: 400 * time.Millisecond, Slack: 700 * time.Millisecond, Retry: 250 * time.Millisecond}
 	// presencePace: callers keep addresses for two seconds, so half a second more matters little.
--- a/keyedlog/follower.go
+++ b/keyedlog/follower.go
@@ -80,6 +80,10 @@
 		return f.reset(ctx)
 	}
 	if err != nil {
+		// While readings fail the log goes on. Reading all of it afterwards took longer
+		// than one reading may on a slow link, and the next one began again from the same
+		// place: a node stayed seconds behind. The newest records are all that is needed.
+		f.next = -1
 		return err
 	}
 	f.next = next
--- a/keyedlog/follower_test.go
+++ b/keyedlog/follower_test.go
@@ -113,3 +113,24 @@
 	is.True(s.lost > 0)
 	is.Equal(s.values["a"], "1")
 }
+
+// A node is cut off while many large configurations are written. Reading all of them
+// afterwards takes longer than a reading may, so that the node would stay behind for as
+// long as it tries; it must take the newest one alone.
+func TestTakesTheNewestAloneAfterALoss(t *testing.T) {
+	is := is.New(t)
+	topic, s := &memoryTopic{}, &sink{}
+	topic.put("a", "1")
+	f := NewFollower(topic, s, Options{})
+	is.NoErr(f.Step(context.Background()))
+	topic.fail = errors.New("cut off")
+	is.True(f.Step(context.Background()) != nil)
+	for range 100 {
+		topic.put("a", "2")
+	}
+	topic.put("a", "3")
+	topic.fail = nil
+	is.NoErr(f.Step(context.Background()))
+	is.Equal(s.resets, 2)
+	is.Equal(s.values["a"], "3")
+}
