Hold more of an account while much is left; send nothing for a caller that left

Cause 1: what nodes hold is stranded by a power loss of all. Ruled out: evidence from the store (no time in records, no Date in answers). The test failed before the change.

--- a/gateway/run.go
+++ b/gateway/run.go
@@ -26,6 +26,10 @@
 // run sends the request until it is answered or given up.
 func (c *call) run(ctx context.Context) {
 	for {
+		if ctx.Err() != nil {
+			c.giveUp(ctx, "the time is over")
+			return
+		}
 		choice, ok := c.g.Picker.Pick(c.query(), c.g.Directory.Current().Upstreams(c.service.Name))
 		if !ok {
 			c.giveUp(ctx, "no upstream is left")
--- a/httpwire/client_test.go
+++ b/httpwire/client_test.go
@@ -265,3 +265,21 @@
 	c.Sweep()
 	is.Equal(len(c.idle), 0)
 }
+
+// A caller has left while its tokens were being looked for. Nothing may be sent any more,
+// also not over a connection that is ready.
+func TestNothingIsSentForACallerThatLeft(t *testing.T) {
+	is := is.New(t)
+	p := newPeer(t, func(int64, *http.Request) string { return okAnswer })
+	c := newTestClient()
+	_, _, err := get(c, p.address())
+	is.NoErr(err)
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	for range 20 {
+		_, err = c.Do(ctx, p.address(), &Request{Method: http.MethodGet, Target: "/", Host: "h"})
+		is.True(errors.Is(err, ErrNotSent))
+	}
+	time.Sleep(20 * time.Millisecond)
+	is.Equal(p.requests.Load(), int64(1))
+}
--- a/httpwire/exchange.go
+++ b/httpwire/exchange.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net/http"
 	"strconv"
@@ -47,6 +48,11 @@
 	if err != nil {
 		return nil, err
 	}
+	if ctx.Err() != nil {
+		// The caller left meanwhile. A request written now would start work for nobody.
+		_ = cn.Close() // nothing was sent on it
+		return nil, fmt.Errorf("%w: %w", ErrNotSent, context.Cause(ctx))
+	}
 	a := &Answer{client: c, address: address, conn: cn}
 	a.stop = context.AfterFunc(ctx, func() { _ = cn.Close() })
 	if err := a.send(r); err != nil {
--- a/prepaid/allocator.go
+++ b/prepaid/allocator.go
@@ -199,8 +199,9 @@
 	}
 	available -= base
 	a.concentrate(name, wants, available)
-	a.plenty(wants, available)
-	spread(wants, int64(a.settings.SpreadShare*float64(max(0, available))))
+	held := a.held(available, prepaid)
+	a.plenty(wants, held)
+	spread(wants, held)
 	free := prepaid - committed
 	for _, w := range wants {
 		free = a.retarget(acc, w, free, changed)
@@ -310,8 +311,17 @@
 	}
 }
 
-// plenty raises the holders' needs evenly to a part of what is available.
-func (a *Allocator) plenty(wants []want, available int64) {
+// held is how much of what is available nodes may hold together.
+func (a *Allocator) held(available, prepaid int64) int64 {
+	if available <= 0 || prepaid <= 0 {
+		return 0
+	}
+	left := float64(available) / float64(prepaid)
+	return int64((a.settings.SpreadLeast + a.settings.SpreadSlope*left) * float64(available))
+}
+
+// plenty raises the holders' needs evenly to a part of what nodes may hold.
+func (a *Allocator) plenty(wants []want, held int64) {
 	holders := int64(0)
 	for _, w := range wants {
 		if w.need > 0 {
@@ -320,7 +330,7 @@
 	}
 	for i := range wants {
 		if w := &wants[i]; w.need > 0 {
-			w.need = max(w.need, int64(a.settings.PlentyShare*float64(available))/holders)
+			w.need = max(w.need, int64(a.settings.PlentyShare*float64(held))/holders)
 		}
 	}
 }
--- a/prepaid/settings.go
+++ b/prepaid/settings.go
@@ -28,12 +28,15 @@
 	// others borrow from them for each request. Spread over 86 nodes, the parts of small
 	// accounts were too small for one long prompt, and refused it on most nodes.
 	HoldersPerRegion int
-	// SpreadShare is the part of what is left of an account that nodes hold at most. All
-	// of it is stranded when a whole fleet loses power; the rest serves the callers then.
-	SpreadShare float64
-	// PlentyShare is the part of what is left that nodes hold at least, however little
-	// they seem to need. Early in a day little demand has been seen while most of an
-	// account is left, and a cut of eight seconds used the parts up.
+	// SpreadLeast and SpreadSlope are the part of what is left of an account that nodes
+	// hold at most: SpreadLeast when nothing is left, plus SpreadSlope times the part of
+	// the prepaid total that is left. What nodes hold carries them through the store's
+	// absence and is stranded when a whole fleet loses power; the rest serves the callers
+	// then. Early in a day there is enough for both.
+	SpreadLeast, SpreadSlope float64
+	// PlentyShare is the part of that which nodes hold at least, however little they seem
+	// to need. Early in a day little demand has been seen while most of an account is
+	// left, and a cut of eight seconds used the parts up.
 	PlentyShare float64
 	// MinDrawn and MinCeiling, in tokens, let a node with little demand take a request
 	// now and then: a usual prompt with its answer is about 12,000 tokens, a long one
@@ -51,11 +54,12 @@
 		ReserveAfter:     1500 * time.Millisecond,
 		ExtendWithin:     700 * time.Millisecond,
 		ReopenAfter:      6 * time.Second,
-		PlentyShare:      0.45,
+		PlentyShare:      0.75,
 		MinDrawn:         10_000,
 		MinCeiling:       60_000,
 		HoldersPerRegion: 5,
-		SpreadShare:      0.7,
+		SpreadLeast:      0.4,
+		SpreadSlope:      0.35,
 		RateWindow:       6 * time.Second,
 	}
 }
