Lenders tell what they have left; ask up to six of them

Cause: in a cut of all nodes borrowers asked four of ten holders, most of them used up, and refused while others held plenty; lenders kept a second's demand for own callers they didn't have.

--- a/lending/borrower.go
+++ b/lending/borrower.go
@@ -15,11 +15,14 @@
 
 const (
 	// mostAsked bounds the peers that are asked for one request.
-	mostAsked = 4
+	mostAsked = 6
 	// askTimeout bounds one ask: a round trip between regions and a report.
 	askTimeout = 200 * time.Millisecond
+	// spareFor is how long a lender's word on what it has left is believed: its next
+	// grant comes after about that time.
+	spareFor = 500 * time.Millisecond
 	// nothingFor is how long an account that no asked peer had tokens of isn't asked
-	// for again, so that an exhausted account doesn't cost four asks a request.
+	// for again, so that an exhausted account doesn't cost six asks a request.
 	nothingFor = 300 * time.Millisecond
 	// settleTries bounds the tries to settle a loan; then it counts as used.
 	settleTries = 4
@@ -53,9 +56,15 @@
 	mu      sync.Mutex
 	loans   uint64
 	nothing map[string]shortage
+	// spare is what each lender last said that it could lend, by account and node.
+	spare map[lenderOf]shortage
 }
 
-// shortage is the smallest number of tokens that no asked peer had of an account.
+// lenderOf is a node as the lender of an account.
+type lenderOf struct{ account, node string }
+
+// shortage is a number of tokens as of a moment: the smallest that no asked peer had, or
+// what one peer had left.
 type shortage struct {
 	tokens int64
 	until  time.Duration
@@ -63,7 +72,7 @@
 
 // NewBorrower returns a borrower; name tells its loans from other nodes'.
 func NewBorrower(caller Caller, clock bootclock.Clock, name string, peers func(account string) []Peer) *Borrower {
-	return &Borrower{caller: caller, clock: clock, name: name, peers: peers, nothing: make(map[string]shortage)}
+	return &Borrower{caller: caller, clock: clock, name: name, peers: peers, nothing: make(map[string]shortage), spare: make(map[lenderOf]shortage)}
 }
 
 // Loan is what a peer reserved for a request.
@@ -133,7 +142,9 @@
 // order returns the peers that may cover a request: near ones first, drawn by their ceilings, so that all
 // borrowers don't drain the largest one while others are full.
 func (b *Borrower) order(account string, tokens int64) []Peer {
-	peers := slices.DeleteFunc(b.peers(account), func(p Peer) bool { return p.Ceiling < tokens })
+	peers := slices.DeleteFunc(b.peers(account), func(p Peer) bool {
+		return p.Ceiling < tokens || b.saidLess(lenderOf{account, p.Node}, tokens)
+	})
 	keys := make(map[string]float64, len(peers))
 	for _, p := range peers {
 		keys[p.Node] = -math.Log(1-rand.Float64()) / float64(p.Ceiling)
@@ -150,6 +161,20 @@
 	return peers
 }
 
+// saidLess tells whether a lender said just now that it has less than so many tokens.
+func (b *Borrower) saidLess(l lenderOf, tokens int64) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	said, ok := b.spare[l]
+	return ok && b.clock.Now() < said.until && said.tokens < tokens
+}
+
+func (b *Borrower) noteSpare(l lenderOf, tokens int64) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.spare[l] = shortage{tokens: tokens, until: b.clock.Now() + spareFor}
+}
+
 func (b *Borrower) ask(ctx context.Context, loan Loan, tokens int64, holds bool) (bool, error) {
 	ctx, cancel := context.WithTimeout(ctx, askTimeout)
 	defer cancel()
@@ -159,6 +184,7 @@
 		go b.Settle(loan, 0)
 		return false, err
 	}
+	b.noteSpare(lenderOf{loan.Account, loan.Peer.Node}, reply.Spare)
 	return reply.Granted, nil
 }
 
--- a/lending/lender.go
+++ b/lending/lender.go
@@ -44,7 +44,8 @@
 		l.settle(ask.Loan, ask.Tokens)
 		return Reply{Granted: true}
 	}
-	return Reply{Granted: l.lend(ctx, ask)}
+	granted := l.lend(ctx, ask)
+	return Reply{Granted: granted, Spare: l.share.Spare(ask.Account)}
 }
 
 func (l *Lender) lend(ctx context.Context, ask Ask) bool {
--- a/lending/lending_test.go
+++ b/lending/lending_test.go
@@ -72,7 +72,7 @@
 func TestShortageOfManyTokensDoesntBlockFew(t *testing.T) {
 	is := is.New(t)
 	clock := &bootclock.Fake{}
-	caller := callerFunc(func(_ string, ask Ask) (Reply, error) { return Reply{Granted: ask.Tokens < 5_000}, nil })
+	caller := callerFunc(func(_ string, ask Ask) (Reply, error) { return Reply{Granted: ask.Tokens < 5_000, Spare: 4_000}, nil })
 	b := NewBorrower(caller, clock, "n", func(string) []Peer { return []Peer{{Node: "l", Address: "l:1", Ceiling: 100_000}} })
 	_, _, ok := b.Borrow(context.Background(), "a", 50_000, false)
 	is.True(!ok)
@@ -123,3 +123,29 @@
 	_, err = client.Call(context.Background(), address, Ask{Loan: "y", Account: "a", Tokens: -5})
 	is.True(err != nil)
 }
+
+// Most lenders of an account are used up. A borrower that has heard so from them must
+// spend its few asks on the others, or it refuses while they hold plenty.
+func TestAsksLendersThatHaveEnough(t *testing.T) {
+	is := is.New(t)
+	asked := make(map[string]int)
+	caller := callerFunc(func(address string, ask Ask) (Reply, error) {
+		asked[address]++
+		if address == "full" {
+			return Reply{Granted: true, Spare: 50_000}, nil
+		}
+		return Reply{Spare: 100}, nil
+	})
+	var peers []Peer
+	for _, name := range []string{"1", "2", "3", "4", "5", "6", "7", "8", "9"} {
+		peers = append(peers, Peer{Node: name, Address: name, Near: true, Ceiling: 90_000})
+	}
+	peers = append(peers, Peer{Node: "full", Address: "full", Ceiling: 90_000})
+	clock := &bootclock.Fake{}
+	b := NewBorrower(caller, clock, "n", func(string) []Peer { return append([]Peer(nil), peers...) })
+	b.Borrow(context.Background(), "a", 1_000, false)
+	clock.Advance(nothingFor)
+	_, _, ok := b.Borrow(context.Background(), "a", 1_000, false)
+	is.True(ok)
+	is.Equal(asked["full"], 1)
+}
--- a/lending/messages.go
+++ b/lending/messages.go
@@ -16,4 +16,6 @@
 type Reply struct {
 	// Granted tells that the tokens are reserved, or that the loan is settled.
 	Granted bool `json:"g,omitempty"`
+	// Spare is how many tokens of the account the lender could still lend.
+	Spare int64 `json:"s,omitempty"`
 }
--- a/prepaid/line.go
+++ b/prepaid/line.go
@@ -41,6 +41,9 @@
 	l.rateAt = now
 }
 
+// ownNeed is what a lender keeps for its own callers.
+func (l *line) ownNeed() int64 { return int64(l.rate * lendSpare.Seconds()) }
+
 // wantDrawn is the drawn limit that the next report names.
 func (l *line) wantDrawn(s Settings) int64 {
 	ahead := max(s.MinDrawn, l.wish, int64(l.rate*s.DrawnAhead.Seconds()))
--- a/prepaid/share.go
+++ b/prepaid/share.go
@@ -64,7 +64,7 @@
 }
 
 // lendSpare is how long a lender keeps enough for its own callers.
-const lendSpare = time.Second
+const lendSpare = 250 * time.Millisecond
 
 // Lend is Reserve for another node's request. It leaves what this node's own callers
 // need within a second. Where the borrower holds nothing of the account it counts as this
@@ -75,7 +75,7 @@
 	defer s.mu.Unlock()
 	l := s.line(account)
 	l.decay(now, s.settings.RateWindow)
-	spare := int64(l.rate * lendSpare.Seconds())
+	spare := l.ownNeed()
 	if l.ceiling > 0 && !borrowerHolds {
 		l.demand(tokens, now, s.settings.RateWindow)
 	}
@@ -90,6 +90,16 @@
 	return Reserved
 }
 
+// Spare returns how many tokens the node could still lend.
+func (s *Share) Spare(account string) int64 {
+	now := s.clock.Now()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	l := s.line(account)
+	l.decay(now, s.settings.RateWindow)
+	return max(0, l.ceiling-l.used()-l.ownNeed())
+}
+
 // limit is what the incarnation may use now. Caller holds mu.
 func (s *Share) limit(l *line, now time.Duration) int64 {
 	if now >= s.reserveAt {
