--- a/allotment/duty.go
+++ b/allotment/duty.go
@@ -45,6 +45,8 @@
 	fleet    Fleet
 	settings prepaid.Settings
 	events   *event.Recorder
+	// tried is the number of the last term that this node tried to begin.
+	tried uint64
 }
 
 // NewDuty returns a duty that hasn't begun.
@@ -98,7 +100,7 @@
 	if err != nil {
 		return nil, errors.Trace(err)
 	}
-	t := &term{duty: d, epoch: firstEpoch(before), reports: make(map[string]prepaid.Report)}
+	t := &term{duty: d, epoch: d.firstEpoch(before), reports: make(map[string]prepaid.Report)}
 	if err := d.topics.Ledger.Append(ctx, t.fence()); err != nil {
 		return nil, errors.Trace(err)
 	}
@@ -136,11 +138,15 @@
 	randomBits = 12
 )
 
-func firstEpoch(before *prepaid.Ledger) uint64 {
-	number := uint64(0)
+// firstEpoch returns an epoch above the ledger's and above what this node tried before. A
+// planner may have fenced and died before it wrote a ledger: the store then holds a higher
+// epoch than the ledger tells. Counting on from the ledger alone, every later planner was
+// refused for the rest of the day, and nobody was granted anything.
+func (d *Duty) firstEpoch(before *prepaid.Ledger) uint64 {
 	if before != nil {
-		number = before.Epoch >> (roundBits + randomBits)
+		d.tried = max(d.tried, before.Epoch>>(roundBits+randomBits))
 	}
+	d.tried++
 	random := uint64(rand.Uint32N(1 << randomBits))
-	return (number+1)<<(roundBits+randomBits) | random<<roundBits
+	return d.tried<<(roundBits+randomBits) | random<<roundBits
 }
--- a/allotment/duty_test.go
+++ b/allotment/duty_test.go
@@ -164,6 +164,31 @@
 	is.True(total > 0 && total <= 1_000_000)
 }
 
+// Several nodes fence in turn and die before any of them writes a ledger, as when a whole
+// fleet is killed twice. The next planner must get through after a few tries, or nobody is
+// granted anything for the rest of the day and callers are refused though tokens are left.
+func TestPlannersThatDiedEarlyDontLockTheLedger(t *testing.T) {
+	is := is.New(t)
+	ctx, topics := context.Background(), newTopics()
+	const deaths = 6
+	for range deaths {
+		d := newDutyOver(topics)
+		for {
+			if _, err := d.begin(ctx); err == nil {
+				break
+			}
+		}
+	}
+	last := newDutyOver(topics)
+	began := false
+	for range 2*deaths + 2 {
+		_, err := last.begin(ctx)
+		is.True(err == nil || errors.Is(err, keyedlog.ErrFenced))
+		began = began || err == nil
+	}
+	is.True(began)
+}
+
 // The ledger in the store is torn. Granting from nothing could grant the same tokens
 // twice, so nothing is granted and the log says why.
 func TestTornLedgerGrantsNothing(t *testing.T) {
