Read newest records over fresh connections, with time-outs that grow

Cause: after all were killed, 38 nodes of one region fetched the newest records over one link, gave up after 1.7 s and began again; the link stayed full for 8 s. Ruled out: a fixed 5 s, which holds a node as long when the store is silent.

--- a/edgenode/node.go
+++ b/edgenode/node.go
@@ -80,12 +80,16 @@
 	return n, nil
 }
 
+// earlierTimeout bounds one attempt to read what earlier incarnations left, over a link
+// that all nodes may share for it.
+const earlierTimeout = 5 * time.Second
+
 // earlierRetry is the pause between attempts to read what earlier incarnations left.
 const earlierRetry = 200 * time.Millisecond
 
 func (n *Node) readEarlier(ctx context.Context) (allotment.Earlier, error) {
 	for {
-		call, cancel := context.WithTimeout(ctx, 2*time.Second)
+		call, cancel := context.WithTimeout(ctx, earlierTimeout)
 		earlier, err := allotment.ReadEarlier(call, n.deps.Topics.Spend, n.settings.Node, n.settings.Started, n.settings.BootID)
 		cancel()
 		if err == nil {
--- a/keyedlog/follower.go
+++ b/keyedlog/follower.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"math/rand/v2"
 	"time"
 )
 
@@ -26,16 +27,30 @@
 	// Slack is how long an answer may take beyond Wait before its connection counts as
 	// dead.
 	Slack time.Duration
-	// Retry is the pause after a failed reading.
+	// Retry is the mean pause after a failed reading; it varies by half, so that nodes
+	// that failed together don't come back together.
 	Retry time.Duration
 }
 
+const (
+	// resetTimeout bounds the first try to read all newest records.
+	resetTimeout = 2200 * time.Millisecond
+	// resetGrowth is added after each failed try, up to resetMost. After a fault that all
+	// nodes come back from at once they share one link for these readings; nodes that
+	// gave up early and began again only kept it full. A store that is silent, on the
+	// other hand, must not hold a node much longer than it is away.
+	resetGrowth = 1400 * time.Millisecond
+	resetMost   = 5 * time.Second
+)
+
 // Follower reads a topic on and on.
 type Follower struct {
 	topic   Topic
 	handler Handler
 	options Options
 	next    int64
+	// failed counts failed tries to read the newest records in a row.
+	failed int
 	// seen holds each key's newest offset: a reading of the newest records may be older
 	// than what was read before.
 	seen map[string]int64
@@ -52,7 +67,7 @@
 		pause := f.options.Pause
 		if err := f.Step(ctx); err != nil {
 			f.handler.Lost(err)
-			pause = f.options.Retry
+			pause = f.options.Retry/2 + rand.N(f.options.Retry)
 		}
 		sleep(ctx, pause)
 	}
@@ -72,12 +87,13 @@
 	if f.next < 0 {
 		return f.reset(ctx)
 	}
+	outer := ctx
 	ctx, cancel := context.WithTimeout(ctx, f.options.Wait+f.options.Slack)
 	defer cancel()
 	records, next, err := f.topic.Read(ctx, f.next, f.options.Wait)
 	if errors.Is(err, ErrForgotten) {
 		f.next = -1
-		return f.reset(ctx)
+		return f.reset(outer)
 	}
 	if err != nil {
 		// While readings fail the log goes on. Reading all of it afterwards took longer
@@ -95,12 +111,14 @@
 }
 
 func (f *Follower) reset(ctx context.Context) error {
-	ctx, cancel := context.WithTimeout(ctx, f.options.Slack+time.Second)
+	ctx, cancel := context.WithTimeout(ctx, min(resetTimeout+time.Duration(f.failed)*resetGrowth, resetMost))
 	defer cancel()
 	records, next, err := f.topic.Newest(ctx)
 	if err != nil {
+		f.failed++
 		return err
 	}
+	f.failed = 0
 	for _, r := range records {
 		f.seen[r.Key] = max(f.seen[r.Key], r.Offset)
 	}
--- a/keyedlog/topic.go
+++ b/keyedlog/topic.go
@@ -33,7 +33,8 @@
 
 // Topic is one partition of a keyed topic.
 type Topic interface {
-	// Newest returns the newest record of each key and the offset to read on from.
+	// Newest returns the newest record of each key and the offset to read on from. It is
+	// called after losses, so it doesn't rely on connections made before.
 	Newest(ctx context.Context) ([]Record, int64, error)
 	// Read returns the records from an offset on and the next offset. It waits up to
 	// wait for the first one. It fails with ErrForgotten when from isn't held.
