Hold the last tokens of an account in whole, and tell nodes what is left of them

Grants carry what is left, and none was written while ceilings stayed. Ruled out: a smaller part kept back (the same at a smaller size).

--- a/prepaid/allocator.go
+++ b/prepaid/allocator.go
@@ -30,6 +30,9 @@
 type account struct {
 	closed  int64
 	entries map[string]*entry
+	// toldLeft is what nodes were last told to be left, once told is set.
+	toldLeft int64
+	told     bool
 }
 
 // entry is one node's part of an account, in tokens.
@@ -317,7 +320,10 @@
 		return 0
 	}
 	left := float64(available) / float64(prepaid)
-	return int64((a.settings.SpreadLeast + a.settings.SpreadSlope*left) * float64(available))
+	held := int64((a.settings.SpreadLeast + a.settings.SpreadSlope*left) * float64(available))
+	// What is kept back of an account that is nearly used up would never serve anybody:
+	// each part would stay below one prompt.
+	return max(held, min(available, a.settings.MinCeiling))
 }
 
 // plenty raises the holders' needs evenly to a part of what nodes may hold.
@@ -397,6 +403,7 @@
 func (a *Allocator) plan(epoch uint64, members []Member, prepaid map[string]int64, changed map[string]bool) Plan {
 	var p Plan
 	left := a.left(members, prepaid)
+	a.tellLeft(members, left, changed)
 	for _, m := range members {
 		g := a.nodes[m.Report.Node]
 		if changed[m.Report.Node] {
@@ -411,6 +418,24 @@
 	return p
 }
 
+// tellLeft has a grant written for each account that is nearly used up and of which less
+// is left than nodes were told, so that they can tell callers for certain. Ceilings alone
+// may stay as they are while the last tokens are used.
+func (a *Allocator) tellLeft(members []Member, left map[string]int64, changed map[string]bool) {
+	for name, tokens := range left {
+		acc := a.account(name)
+		if tokens >= a.settings.MinCeiling || acc.told && tokens == acc.toldLeft {
+			continue
+		}
+		at := slices.IndexFunc(members, func(m Member) bool { return m.Live && acc.entries[m.Report.Node] != nil })
+		if at < 0 {
+			continue
+		}
+		changed[members[at].Report.Node] = true
+		acc.told, acc.toldLeft = true, tokens
+	}
+}
+
 func (a *Allocator) grant(node string, g *grantee, prepaid, left map[string]int64) Grant {
 	grant := Grant{Node: node, Incarnation: g.incarnation, Epoch: g.grantEpoch}
 	for _, name := range a.byAccount {
--- a/prepaid/allocator_test.go
+++ b/prepaid/allocator_test.go
@@ -125,3 +125,23 @@
 	is.Equal(len(plan.Ended), 1)
 	is.Equal(plan.Ended[0].Counted, int64(1_000))
 }
+
+// An account is nearly used up. What is left covers a few more requests, and they must be
+// served: if a part of it were kept back as usual, the last requests would find parts that
+// are too small and be told to come back for ever.
+func TestTheLastTokensAreServed(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(map[string]int64{"a": 40_000})
+	for i := range 6 {
+		w.start(fmt.Sprintf("n%d", i), "boot")
+	}
+	for range 10 {
+		settleDown(w)
+		for _, n := range w.nodes {
+			if w.serve(n, "a", 9_000) == Reserved {
+				w.settle(n, 100)
+			}
+		}
+	}
+	is.Equal(w.used["a"], int64(36_000))
+}
