--- a/cmd/lavenderedge/run.go
+++ b/cmd/lavenderedge/run.go
@@ -26,6 +26,7 @@
 	"lavenderpin.dev/lavenderpin/event"
 	"lavenderpin.dev/lavenderpin/gateway"
 	"lavenderpin.dev/lavenderpin/httpwire"
+	"lavenderpin.dev/lavenderpin/internal/periodic"
 	"lavenderpin.dev/lavenderpin/lending"
 	"lavenderpin.dev/lavenderpin/logsink"
 	"lavenderpin.dev/lavenderpin/platform"
@@ -161,17 +162,10 @@
 const sweepEvery = time.Second
 
 func (p *process) sweep(ctx context.Context) {
-	ticker := time.NewTicker(sweepEvery)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-			p.sender.Sweep()
-			p.peers.Sweep()
-		}
-	}
+	periodic.Run(ctx, clockwork.NewRealClock(), sweepEvery, func(context.Context) {
+		p.sender.Sweep()
+		p.peers.Sweep()
+	})
 }
 
 // A usual instance has 0.4 of a core and needs 50 Mbit/s to use it on prompts of 12 KB.
--- a/edgenode/loans.go
+++ b/edgenode/loans.go
@@ -4,6 +4,9 @@
 	"context"
 	"time"
 
+	"github.com/jonboulle/clockwork"
+
+	"lavenderpin.dev/lavenderpin/internal/periodic"
 	"lavenderpin.dev/lavenderpin/lending"
 )
 
@@ -28,14 +31,5 @@
 const expireEvery = time.Second
 
 func (n *Node) expireLoans(ctx context.Context) {
-	ticker := time.NewTicker(expireEvery)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-			n.lender.Expire()
-		}
-	}
+	periodic.Run(ctx, clockwork.NewRealClock(), expireEvery, func(context.Context) { n.lender.Expire() })
 }
