--- a/allotment/predecessors.go
+++ b/allotment/predecessors.go
@@ -18,7 +18,7 @@
 }
 
 // ReadEarlier reads what earlier incarnations of a node reported last. started is the
-// machine's boot clock when this process began.
+// instance's boot clock when this process began.
 func ReadEarlier(ctx context.Context, spend keyedlog.Topic, node string, started time.Duration, bootID string) (Earlier, error) {
 	records, _, err := spend.Newest(ctx)
 	if err != nil {
--- a/bootclock/clock.go
+++ b/bootclock/clock.go
@@ -7,12 +7,12 @@
 	"golang.org/x/sys/unix"
 )
 
-// Clock tells how long ago the machine booted, suspensions included.
+// Clock tells how long ago the instance booted, suspensions included.
 type Clock interface {
 	Now() time.Duration
 }
 
-// System is the machine's own clock.
+// System is the instance's own clock.
 type System struct{}
 
 // Now returns the time since boot. Where the kernel doesn't know the clock, which no
--- a/cmd/lavenderedge/main.go
+++ b/cmd/lavenderedge/main.go
@@ -18,8 +18,8 @@
 	k := kong.Parse(&c, kong.Name("lavenderedge"),
 		kong.Description("A router node before LLM engines and plain services, paid from prepaid token budgets."),
 		kong.ShortUsageOnError())
-	// Half a machine's time goes to other things when garbage is collected at every
-	// doubling of a 5 MB heap; the limit below bounds what a larger target could take.
+	// A heap of a few MB may double twice before it is collected: that costs less memory
+	// than collecting costs processor time, and the memory limit bounds it.
 	debug.SetGCPercent(200)
 	k.FatalIfErrorf(run(c))
 	os.Exit(0)
--- a/cmd/lavenderedge/run.go
+++ b/cmd/lavenderedge/run.go
@@ -34,7 +34,7 @@
 )
 
 const (
-	// memoryShare is the part of the machine's memory that the heap may take before
+	// memoryShare is the part of the instance's memory that the heap may take before
 	// garbage is collected harder.
 	memoryShare = 0.5
 	// eventRing is how many events are held for the time line.
@@ -123,7 +123,7 @@
 	return hex.EncodeToString(b[:])
 }
 
-// bootID names the machine's boot; empty where the kernel doesn't tell.
+// bootID names the instance's boot; empty where the kernel doesn't tell.
 func bootID() string {
 	raw, err := os.ReadFile("/proc/sys/kernel/random/boot_id")
 	if err != nil {
--- a/edgenode/deps.go
+++ b/edgenode/deps.go
@@ -17,7 +17,7 @@
 type Settings struct {
 	Node        string
 	Incarnation string
-	// BootID names the machine's boot, Started is its boot clock at the process's start.
+	// BootID names the instance's boot, Started is its boot clock at the process's start.
 	BootID  string
 	Started time.Duration
 	Address string
--- a/prepaid/doc.go
+++ b/prepaid/doc.go
@@ -11,7 +11,7 @@
 // used. To keep that small, a node uses only up to its drawn limit, which it reports
 // ahead of use and raises as it goes. The rest of its ceiling is a reserve that it opens
 // only after some seconds without an acknowledged report, at a time that its last report
-// named by the machine's boot clock. If the next incarnation on that machine started
+// named by the instance's boot clock. If the next incarnation on that instance started
 // before that time, the reserve was never opened, and it goes back to the account.
 //
 // Invariant, for each account: the sum over live incarnations of what they may use, plus
--- a/prepaid/predecessors.go
+++ b/prepaid/predecessors.go
@@ -3,7 +3,7 @@
 import "time"
 
 // Predecessors turns the last reports that a node's earlier incarnations left in the
-// store into what each may have used at most. started is the machine's boot clock when
+// store into what each may have used at most. started is the instance's boot clock when
 // the present process began; the earlier ones had ended by then.
 func Predecessors(last []Report, started time.Duration, bootID string) []Closing {
 	var closings []Closing
--- a/prepaid/records.go
+++ b/prepaid/records.go
@@ -7,12 +7,12 @@
 	Incarnation string `json:"i,omitempty"`
 	// Region is where the node stands.
 	Region string `json:"r,omitempty"`
-	// SentAtMs is the machine's boot clock when the report was made, in milliseconds.
+	// SentAtMs is the instance's boot clock when the report was made, in milliseconds.
 	SentAtMs int64 `json:"sam,omitempty"`
-	// ReserveAtMs is the reading of the machine's boot clock, in milliseconds, before
+	// ReserveAtMs is the reading of the instance's boot clock, in milliseconds, before
 	// which the incarnation doesn't go beyond the drawn limits of this report.
 	ReserveAtMs int64 `json:"ram,omitempty"`
-	// BootID names the machine's boot; a boot clock is comparable within one boot only.
+	// BootID names the instance's boot; a boot clock is comparable within one boot only.
 	BootID string `json:"bid,omitempty"`
 	// SeenEpoch is the epoch of the newest grant that the incarnation applied.
 	SeenEpoch uint64 `json:"se,omitempty"`
