--- a/prepaid/allocator_test.go
+++ b/prepaid/allocator_test.go
@@ -145,3 +145,21 @@
 	}
 	is.Equal(w.used["a"], int64(36_000))
 }
+
+// A whole fleet loses power while it has used little of an account. Nothing proves that the
+// nodes hadn't opened their reserves, so all that they held counts as used, and twelve
+// seconds later callers are refused though most of the account is left. What was not used
+// should be served again.
+func TestPowerLossOfAllStrandsNothing(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(map[string]int64{"a": 1_000_000})
+	for i := range 6 {
+		w.start(fmt.Sprintf("n%d", i), "boot")
+	}
+	settleDown(w)
+	for i := range 6 {
+		w.start(fmt.Sprintf("n%d", i), "another boot")
+	}
+	settleDown(w)
+	is.True(w.allocator.account("a").closed <= 100_000)
+}
