--- a/directory/stats.go
+++ b/directory/stats.go
@@ -15,6 +15,10 @@
 	// failureWeight is what one failure adds to the failure estimate: two in a row
 	// outweigh a queue of any usual length.
 	failureWeight = 0.35
+	// successKeeps is the part of the failure estimate that outlives a whole answer:
+	// after three in a row half of it is left, so that an upstream that fails two
+	// requests in five stays suspect.
+	successKeeps = 0.8
 )
 
 // Stats is what this node learned of one incarnation of an upstream from its own
@@ -68,7 +72,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.decay(now)
-	s.failure *= 0.8
+	s.failure *= successKeeps
 	s.darkInARow = 0
 	s.darkUntil = 0
 }
--- a/placement/picker.go
+++ b/placement/picker.go
@@ -93,6 +93,11 @@
 	return tokens
 }
 
+// warmupPart divides what is left of an upstream's warm-up into the wait that a request
+// there must expect: one that is warming up works at a half or two thirds of its speed, so
+// a request of some hundred milliseconds loses a small part of the seconds left.
+const warmupPart = 8
+
 func (p *Picker) score(q *Query, u *directory.Upstream, missing int) time.Duration {
 	s := &p.settings
 	score := time.Duration(u.Failure(q.Now) * float64(s.Failure))
@@ -106,7 +111,7 @@
 	if u.DoubtedUntil != 0 {
 		score += s.Doubted
 	}
-	score += u.Warmup / 8
+	score += u.Warmup / warmupPart
 	score += p.loadTime(u)
 	return score + p.promptTime(q, u, missing)
 }
--- a/prepaid/allocator_test.go
+++ b/prepaid/allocator_test.go
@@ -1,7 +1,6 @@
 package prepaid
 
 import (
-	"fmt"
 	"testing"
 	"time"
 
@@ -36,9 +35,7 @@
 func TestPowerLossOfAllLeavesSomeToServe(t *testing.T) {
 	is := is.New(t)
 	w := newWorld(map[string]int64{"a": 1_000_000})
-	for i := range 6 {
-		w.start(fmt.Sprintf("n%d", i), "boot")
-	}
+	w.startAll(6, "boot")
 	settleDown(w)
 	for _, n := range w.nodes {
 		for w.serve(n, "a", 10_000) == Reserved {
@@ -46,9 +43,7 @@
 	}
 	settleDown(w)
 	left := 1_000_000 - w.used["a"]
-	for i := range 6 {
-		w.start(fmt.Sprintf("n%d", i), "another boot")
-	}
+	w.startAll(6, "another boot")
 	settleDown(w)
 	holds := int64(0)
 	for _, n := range w.nodes {
@@ -79,9 +74,7 @@
 func TestFewNodesHoldAnAccount(t *testing.T) {
 	is := is.New(t)
 	w := newWorld(map[string]int64{"a": 400_000})
-	for i := range 86 {
-		w.start(fmt.Sprintf("n%02d", i), "boot")
-	}
+	w.startAll(86, "boot")
 	settleDown(w)
 	holders, largest := 0, int64(0)
 	for _, n := range w.nodes {
@@ -132,9 +125,7 @@
 func TestTheLastTokensAreServed(t *testing.T) {
 	is := is.New(t)
 	w := newWorld(map[string]int64{"a": 40_000})
-	for i := range 6 {
-		w.start(fmt.Sprintf("n%d", i), "boot")
-	}
+	w.startAll(6, "boot")
 	for range 10 {
 		settleDown(w)
 		for _, n := range w.nodes {
@@ -153,13 +144,9 @@
 func TestPowerLossOfAllStrandsNothing(t *testing.T) {
 	is := is.New(t)
 	w := newWorld(map[string]int64{"a": 1_000_000})
-	for i := range 6 {
-		w.start(fmt.Sprintf("n%d", i), "boot")
-	}
+	w.startAll(6, "boot")
 	settleDown(w)
-	for i := range 6 {
-		w.start(fmt.Sprintf("n%d", i), "another boot")
-	}
+	w.startAll(6, "another boot")
 	settleDown(w)
 	is.True(w.allocator.account("a").closed <= 100_000)
 }
--- a/prepaid/main_test.go
+++ b/prepaid/main_test.go
@@ -59,6 +59,13 @@
 	return n
 }
 
+// startAll begins a new incarnation of each of n nodes.
+func (w *world) startAll(n int, bootID string) {
+	for i := range n {
+		w.start(fmt.Sprintf("n%02d", i), bootID)
+	}
+}
+
 // report writes a node's report; lost tells that its acknowledgement doesn't arrive.
 func (w *world) report(n *simNode, lost bool) {
 	r := n.share.Compose(false)
