--- a/allotment/duty.go
+++ b/allotment/duty.go
@@ -8,6 +8,7 @@
 	"github.com/juju/errors"
 
 	"lavenderpin.dev/lavenderpin/event"
+	"lavenderpin.dev/lavenderpin/internal/periodic"
 	"lavenderpin.dev/lavenderpin/keyedlog"
 	"lavenderpin.dev/lavenderpin/prepaid"
 )
@@ -62,16 +63,7 @@
 				d.events.Record(event.LeaseLost, "lease", producer, "reason", err)
 			}
 		}
-		pause(ctx, roundEvery)
-	}
-}
-
-func pause(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
+		periodic.Pause(ctx, roundEvery)
 	}
 }
 
@@ -86,7 +78,7 @@
 		if err := t.round(ctx); err != nil {
 			return errors.Trace(err)
 		}
-		pause(ctx, roundEvery)
+		periodic.Pause(ctx, roundEvery)
 	}
 	return nil
 }
--- a/gateway/settings.go
+++ b/gateway/settings.go
@@ -15,8 +15,8 @@
 	BusyRetry time.Duration
 	// StartRetry is when a caller may return to a node that knows no configuration yet.
 	StartRetry time.Duration
-	// MaxSends bounds how often one request is sent, also to upstreams that refuse it:
-	// where four in a row had no room a fifth rarely has, and each counts as a repeat.
+	// MaxSends bounds how often one request is sent, also to upstreams that refuse it.
+	// Each send beyond the first is a repeat, and one request must not take many of them.
 	MaxSends int
 	// SilenceFactor times the route's objective is how long an upstream may take to
 	// answer before a request that may be repeated is sent to another one.
--- /dev/null
+++ b/internal/periodic/pause.go
@@ -0,0 +1,16 @@
+package periodic
+
+import (
+	"context"
+	"time"
+)
+
+// Pause waits for d, or until ctx ends.
+func Pause(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
--- a/keyedlog/follower.go
+++ b/keyedlog/follower.go
@@ -5,6 +5,8 @@
 	"errors"
 	"math/rand/v2"
 	"time"
+
+	"lavenderpin.dev/lavenderpin/internal/periodic"
 )
 
 // Handler takes what a follower reads. Its methods are called from one goroutine.
@@ -69,16 +71,7 @@
 			f.handler.Lost(err)
 			pause = f.options.Retry/2 + rand.N(f.options.Retry)
 		}
-		sleep(ctx, pause)
-	}
-}
-
-func sleep(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
+		periodic.Pause(ctx, pause)
 	}
 }
 
