Bound what a dead process used by how long it can have lived, also after a power loss

Cause: after a power loss of all nodes each one's whole ceiling counted as used, since the boot clock starts anew and nothing else showed when the process had ended.

Change: a report is a promise of limits that grow with the time since it, at 1.25 times the demand, and give way to the ceilings after six seconds. The next process knows how long the one before can have lived: by the boot clock on the same boot, otherwise by the time of day plus three seconds that it may have been set back, and not at all if another node's report bears a time that this one hasn't reached. Limits follow the slower of both clocks. An unacknowledged promise is repeated and not replaced, so the reserve with its two time-outs and the question whether the store was seen are gone.

Of the reserve's tests four are replaced by ones on promises that ask the same or more (served on when cut off, first reports after a cut, refused reports, killed process); new: power loss with its four doubts, slower clock, clock behind.

--- a/allotment/duty_test.go
+++ b/allotment/duty_test.go
@@ -100,11 +100,11 @@
 	grants   *keyedlog.Follower
 }
 
-func newNode(topics Topics, clock bootclock.Clock, name, incarnation string) *node {
-	share := prepaid.NewShare(prepaid.DefaultSettings(), clock, name, "r", incarnation, "boot", nil)
+func newNode(topics Topics, clock *bootclock.Fake, name, incarnation string) *node {
+	share := prepaid.NewShare(prepaid.DefaultSettings(), prepaid.Clocks{Boot: clock, TimeOfDay: clock.TimeOfDay()}, prepaid.Holder{Node: name, Region: "r", Incarnation: incarnation, BootID: "boot"}, nil)
 	events := recorder()
 	return &node{share: share,
-		reporter: NewReporter(share, topics.Spend, name, incarnation, nil, func() bool { return true }, events),
+		reporter: NewReporter(share, topics.Spend, name, incarnation, nil, events),
 		grants:   keyedlog.NewFollower(topics.Grants, NewGrants(share, name, events), keyedlog.Options{Slack: time.Second})}
 }
 
@@ -205,7 +205,7 @@
 	is := is.New(t)
 	ctx, topics := context.Background(), newTopics()
 	is.NoErr(topics.Spend.Append(ctx, keyedlog.Fence{}, keyedlog.Record{Key: reportKey("n1", "old"), Value: []byte("torn")}))
-	earlier, err := ReadEarlier(ctx, topics.Spend, "n1", time.Hour, "boot")
+	earlier, err := ReadEarlier(ctx, topics.Spend, "n1", prepaid.Start{BootID: "boot"}, clockwork.NewFakeClock())
 	is.NoErr(err)
 	is.Equal(len(earlier.Closings), 1)
 	is.Equal(earlier.Closings[0].Incarnation, "old")
--- a/allotment/predecessors.go
+++ b/allotment/predecessors.go
@@ -17,21 +17,26 @@
 	Keys     []string
 }
 
-// ReadEarlier reads what earlier incarnations of a node reported last. started is the
-// instance's boot clock when this process began.
-func ReadEarlier(ctx context.Context, spend keyedlog.Topic, node string, started time.Duration, bootID string) (Earlier, error) {
+// ReadEarlier reads what earlier incarnations of a node reported last. start is read when
+// the process begins, now tells the time of day once the reports are read.
+func ReadEarlier(ctx context.Context, spend keyedlog.Topic, node string, start prepaid.Start, now prepaid.TimeOfDay) (Earlier, error) {
 	records, _, err := spend.Newest(ctx)
 	if err != nil {
 		return Earlier{}, errors.Trace(err)
 	}
 	var earlier Earlier
 	var last []prepaid.Report
+	timeOfDay := time.Duration(now.Now().UnixNano())
 	for _, r := range records {
-		if !strings.HasPrefix(r.Key, node+"/") || r.Deleted {
+		if r.Deleted {
 			continue
 		}
-		earlier.Keys = append(earlier.Keys, r.Key)
 		report, err := DecodeReport(r.Value)
+		start.Behind = start.Behind || err == nil && prepaid.IsBehind(timeOfDay, &report)
+		if !strings.HasPrefix(r.Key, node+"/") {
+			continue
+		}
+		earlier.Keys = append(earlier.Keys, r.Key)
 		if err != nil {
 			// Nothing bounds its use but its ceilings.
 			earlier.Closings = append(earlier.Closings, prepaid.Closing{Incarnation: strings.TrimPrefix(r.Key, node+"/")})
@@ -39,6 +44,6 @@
 		}
 		last = append(last, report)
 	}
-	earlier.Closings = append(earlier.Closings, prepaid.Predecessors(last, started, bootID)...)
+	earlier.Closings = append(earlier.Closings, prepaid.Predecessors(last, start)...)
 	return earlier, nil
 }
--- a/allotment/reporter.go
+++ b/allotment/reporter.go
@@ -28,8 +28,6 @@
 	topic  keyedlog.Topic
 	events *event.Recorder
 	key    string
-	// storeSeen tells whether the store answered a reading just now.
-	storeSeen func() bool
 	// stale are the report keys of the node's earlier incarnations.
 	stale []string
 
@@ -42,8 +40,8 @@
 
 // NewReporter returns a reporter of a share. stale are the report keys of the node's
 // earlier incarnations, deleted once a grant shows that they are closed.
-func NewReporter(share *prepaid.Share, topic keyedlog.Topic, node, incarnation string, stale []string, storeSeen func() bool, events *event.Recorder) *Reporter {
-	r := &Reporter{share: share, topic: topic, key: reportKey(node, incarnation), stale: stale, storeSeen: storeSeen, events: events, turn: make(chan struct{}, 1)}
+func NewReporter(share *prepaid.Share, topic keyedlog.Topic, node, incarnation string, stale []string, events *event.Recorder) *Reporter {
+	r := &Reporter{share: share, topic: topic, key: reportKey(node, incarnation), stale: stale, events: events, turn: make(chan struct{}, 1)}
 	r.turn <- struct{}{}
 	return r
 }
@@ -79,14 +77,26 @@
 	return err
 }
 
-// report composes and writes. Caller holds the turn.
+// report writes until the store holds a new promise. A report that only repeats one would
+// leave a request waiting whose tokens go beyond it. Caller holds the turn.
 func (r *Reporter) report(ctx context.Context) error {
+	for fresh := false; !fresh; {
+		var err error
+		if fresh, err = r.write(ctx); err != nil {
+			return errors.Trace(err)
+		}
+	}
+	return nil
+}
+
+// write composes and writes one report. Caller holds the turn.
+func (r *Reporter) write(ctx context.Context) (fresh bool, err error) {
 	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
 	defer cancel()
-	report := r.share.Compose(r.storeSeen())
+	report, fresh := r.share.Compose()
 	value, err := encode(&report)
 	if err != nil {
-		return errors.Trace(err)
+		return false, errors.Trace(err)
 	}
 	records := []keyedlog.Record{{Key: r.key, Value: value}}
 	clean := r.share.Granted() && len(r.stale) > 0
@@ -97,13 +107,13 @@
 	}
 	r.epoch++
 	if err := r.topic.Append(ctx, keyedlog.Fence{Producer: r.key, Epoch: r.epoch}, records...); err != nil {
-		return errors.Trace(err)
+		return false, errors.Trace(err)
 	}
-	r.share.Acknowledge(report)
+	r.share.Acknowledge()
 	if clean {
 		r.stale = nil
 	}
-	return nil
+	return fresh, nil
 }
 
 // note logs when reports begin or cease to fail. Caller holds the turn.
--- a/cmd/lavenderedge/run.go
+++ b/cmd/lavenderedge/run.go
@@ -30,6 +30,7 @@
 	"lavenderpin.dev/lavenderpin/lending"
 	"lavenderpin.dev/lavenderpin/logsink"
 	"lavenderpin.dev/lavenderpin/platform"
+	"lavenderpin.dev/lavenderpin/prepaid"
 	"lavenderpin.dev/lavenderpin/repeats"
 )
 
@@ -90,11 +91,12 @@
 	signals := make(chan os.Signal, 8)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
 	incarnation := newIncarnation()
-	p.events.Record(event.NodeStarting, "incarnation", incarnation, "data_centre", p.settings.DataCentre, "memory_mb", p.settings.Limits.MemoryMB, "cores", p.settings.Limits.Cores, "link_mbps", p.settings.Limits.LinkMbps, "boot_clock", p.clock.Now())
+	start := prepaid.Start{Reading: p.clocks().Read(), BootID: bootID()}
+	p.events.Record(event.NodeStarting, "incarnation", incarnation, "data_centre", p.settings.DataCentre, "memory_mb", p.settings.Limits.MemoryMB, "cores", p.settings.Limits.Cores, "link_mbps", p.settings.Limits.LinkMbps, "boot_clock", start.Boot, "boot", start.BootID)
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	begun := make(chan error, 1)
-	go func() { begun <- p.begin(ctx, incarnation) }()
+	go func() { begun <- p.begin(ctx, incarnation, start) }()
 	for {
 		select {
 		case err := <-begun:
@@ -117,6 +119,10 @@
 	}
 }
 
+func (p *process) clocks() prepaid.Clocks {
+	return prepaid.Clocks{Boot: p.clock, TimeOfDay: clockwork.NewRealClock()}
+}
+
 func newIncarnation() string {
 	var b [8]byte
 	_, _ = rand.Read(b[:]) // never fails
@@ -133,7 +139,7 @@
 }
 
 // begin starts the node and its listeners.
-func (p *process) begin(ctx context.Context, incarnation string) error {
+func (p *process) begin(ctx context.Context, incarnation string, start prepaid.Start) error {
 	store := platform.NewStore(p.settings.Store.Address, p.clock)
 	calls := expvar.NewMap("store_calls")
 	store.OnCall = func(call string, status int) { calls.Add(fmt.Sprintf("%s_%d", call, status), 1) }
@@ -141,11 +147,11 @@
 	p.peers = httpwire.NewClient(httpwire.Options{Clock: p.clock, DialTimeout: peerDialTimeout})
 	p.sender = platform.NewUpstreams(p.clock, func() { dials.Add(1) })
 	node, err := edgenode.Start(ctx, edgenode.Settings{
-		Node: p.settings.Node, Incarnation: incarnation, BootID: bootID(), Started: p.clock.Now(),
+		Node: p.settings.Node, Incarnation: incarnation, Start: start,
 		Address: p.settings.Frontend, Peer: p.peerAddress(), Capacity: capacity(p.settings.Limits), DataCentre: p.settings.DataCentre, Region: p.settings.Region, Regions: p.settings.Regions,
 		Repeats: repeats.Limits{Ratio: p.settings.Bounds.RepeatRatio, Extra: p.settings.Bounds.RepeatExtra, Window: p.settings.Bounds.RepeatWindow},
 	}, edgenode.Deps{
-		Clock: p.clock, Upstreams: p.sender, Lending: &lending.Client{Wire: p.peers}, Events: p.events, Metrics: gateway.NewMetrics(true),
+		Clock: p.clock, TimeOfDay: p.clocks().TimeOfDay, Upstreams: p.sender, Lending: &lending.Client{Wire: p.peers}, Events: p.events, Metrics: gateway.NewMetrics(true),
 		Topics: edgenode.Topics{Operators: store.Operators(), Upstreams: store.Upstreams(), Presence: store.Topic("presence"),
 			Spend: store.Topic("spend"), Ledger: store.Topic("ledger"), Grants: store.Topic("grants")},
 		DecodeConfig: platform.DecodeConfig, DecodeUpstream: platform.DecodeUpstream,
--- a/edgenode/deps.go
+++ b/edgenode/deps.go
@@ -1,8 +1,6 @@
 package edgenode
 
 import (
-	"time"
-
 	"lavenderpin.dev/lavenderpin/bootclock"
 	"lavenderpin.dev/lavenderpin/catalog"
 	"lavenderpin.dev/lavenderpin/directory"
@@ -10,6 +8,7 @@
 	"lavenderpin.dev/lavenderpin/gateway"
 	"lavenderpin.dev/lavenderpin/keyedlog"
 	"lavenderpin.dev/lavenderpin/lending"
+	"lavenderpin.dev/lavenderpin/prepaid"
 	"lavenderpin.dev/lavenderpin/repeats"
 )
 
@@ -17,9 +16,8 @@
 type Settings struct {
 	Node        string
 	Incarnation string
-	// BootID names the instance's boot, Started is its boot clock at the process's start.
-	BootID  string
-	Started time.Duration
+	// Start is what the process read of the clocks when it began.
+	Start   prepaid.Start
 	Address string
 	// Peer is where other nodes connect.
 	Peer string
@@ -42,7 +40,9 @@
 
 // Deps are what a node works with.
 type Deps struct {
-	Clock     bootclock.Clock
+	Clock bootclock.Clock
+	// TimeOfDay is the instance's time of day.
+	TimeOfDay prepaid.TimeOfDay
 	Topics    Topics
 	Upstreams gateway.Upstreams
 	// Lending carries asks to other nodes.
--- a/edgenode/node.go
+++ b/edgenode/node.go
@@ -58,8 +58,10 @@
 		stop()
 		return nil, errors.Trace(err)
 	}
-	n.share = prepaid.NewShare(prepaid.DefaultSettings(), deps.Clock, settings.Node, settings.Region, settings.Incarnation, settings.BootID, earlier.Closings)
-	n.reporter = allotment.NewReporter(n.share, deps.Topics.Spend, settings.Node, settings.Incarnation, earlier.Keys, n.storeSeen, deps.Events)
+	clocks := prepaid.Clocks{Boot: deps.Clock, TimeOfDay: deps.TimeOfDay}
+	holder := prepaid.Holder{Node: settings.Node, Region: settings.Region, Incarnation: settings.Incarnation, BootID: settings.Start.BootID}
+	n.share = prepaid.NewShare(prepaid.DefaultSettings(), clocks, holder, earlier.Closings)
+	n.reporter = allotment.NewReporter(n.share, deps.Topics.Spend, settings.Node, settings.Incarnation, earlier.Keys, deps.Events)
 	n.announcer = &announcer{node: n}
 	n.grants = allotment.NewGrants(n.share, settings.Node, deps.Events)
 	n.lender = lending.NewLender(n.share, deps.Clock, n.reporter.Report)
@@ -90,7 +92,7 @@
 func (n *Node) readEarlier(ctx context.Context) (allotment.Earlier, error) {
 	for {
 		call, cancel := context.WithTimeout(ctx, earlierTimeout)
-		earlier, err := allotment.ReadEarlier(call, n.deps.Topics.Spend, n.settings.Node, n.settings.Started, n.settings.BootID)
+		earlier, err := allotment.ReadEarlier(call, n.deps.Topics.Spend, n.settings.Node, n.settings.Start, n.deps.TimeOfDay)
 		cancel()
 		if err == nil {
 			return earlier, nil
@@ -168,9 +170,3 @@
 	return presence.Record{Node: n.settings.Node, Incarnation: n.settings.Incarnation, Address: n.settings.Address, Peer: n.settings.Peer, Capacity: n.settings.Capacity,
 		DataCentre: n.settings.DataCentre, Region: n.settings.Region, Ready: n.Ready(), Leaving: n.leaving.Load()}
 }
-
-// storeSeenWithin is how old the last reading of the store may be for it to count as in
-// reach: one reading's wait and pause.
-const storeSeenWithin = 900 * time.Millisecond
-
-func (n *Node) storeSeen() bool { return n.roster.StoreSeen(storeSeenWithin) }
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -194,7 +194,7 @@
 	if c.account != nil && c.account.HasPrepaid {
 		s := c.g.Share.Standing(c.account.Name)
 		pairs = append(pairs, "account", c.account.Name, "tokens", c.r.most(), "spent", s.Spent, "held", s.Held,
-			"limit", s.Limit, "ceiling", s.Ceiling, "left", s.Left, "prepaid", c.account.Prepaid, "reserve_in", s.ReserveIn,
+			"limit", s.Limit, "ceiling", s.Ceiling, "left", s.Left, "prepaid", c.account.Prepaid, "promise_age", s.PromiseAge,
 			"lenders", c.tally.Lenders, "asked", c.tally.Asked, "asks_lost", c.tally.Lost, "known_short", c.tally.Known)
 	}
 	c.g.Events.Record(event.RequestRefused, pairs...)
--- a/prepaid/admission.go
+++ b/prepaid/admission.go
@@ -66,7 +66,7 @@
 
 // closeEnded closes an incarnation by its own last report.
 func (a *Allocator) closeEnded(r Report) {
-	own := closing(&r, 0, r.BootID)
+	own := closing(&r, Start{})
 	r.Predecessors = []Closing{own}
 	a.close(r, r.Incarnation)
 }
--- a/prepaid/doc.go
+++ b/prepaid/doc.go
@@ -8,11 +8,12 @@
 // that a request can use before the request is sent, and settles what it did use.
 //
 // What a dead incarnation used isn't known, so all that it could have used counts as
-// used. To keep that small, a node uses only up to its drawn limit, which it reports
-// ahead of use and raises as it goes. The rest of its ceiling is a reserve that it opens
-// only after some seconds without an acknowledged report, at a time that its last report
-// named by the instance's boot clock. If the next incarnation on that instance started
-// before that time, the reserve was never opened, and it goes back to the account.
+// used. To keep that small, each report is a promise: limits ahead of use that grow with
+// the time since the report, along the callers' demand, and give way to the ceilings after
+// some seconds. A node that is cut off serves on along them. The next incarnation on the
+// instance tells by its own start how long the earlier one can have lived, and so what it
+// can have used; the rest goes back to the account. The boot clock proves that after a
+// kill, the time of day, less what it may have been set back, after a power loss.
 //
 // Invariant, for each account: the sum over live incarnations of what they may use, plus
 // what ended incarnations may have used, is at most what the account prepaid.
--- a/prepaid/line.go
+++ b/prepaid/line.go
@@ -9,9 +9,9 @@
 type line struct {
 	spent, held int64
 	ceiling     int64
-	// drawn is the limit in force before the reserve opens. pending is the limit of a
-	// report that isn't acknowledged yet.
-	drawn, pending int64
+	// acked is the part in the last acknowledged report, composed the part in the newest
+	// one that was made.
+	acked, composed pledge
 	// wish is the largest request that the drawn limit was too low for since the last
 	// report.
 	wish int64
@@ -26,7 +26,7 @@
 func (l *line) used() int64 { return l.spent + l.held }
 
 // idle tells that the node holds nothing of the account and used nothing of it.
-func (l *line) idle() bool { return l.ceiling == 0 && l.used() == 0 && l.drawn == 0 }
+func (l *line) idle() bool { return l.ceiling == 0 && l.used() == 0 && l.acked == (pledge{}) }
 
 // demand adds a request's largest use to the demand estimate.
 func (l *line) demand(tokens int64, now, window time.Duration) {
@@ -44,8 +44,8 @@
 // ownNeed is what a lender keeps for its own callers.
 func (l *line) ownNeed() int64 { return int64(l.rate * lendSpare.Seconds()) }
 
-// wantDrawn is the drawn limit that the next report names.
-func (l *line) wantDrawn(s Settings) int64 {
+// pledge is the line's part in a new promise.
+func (l *line) pledge(s Settings) pledge {
 	ahead := max(s.MinDrawn, l.wish, int64(l.rate*s.DrawnAhead.Seconds()))
-	return min(l.ceiling, l.used()+ahead)
+	return pledge{drawn: min(l.ceiling, l.used()+ahead), pace: int64(l.rate * s.PaceOver)}
 }
--- a/prepaid/main_test.go
+++ b/prepaid/main_test.go
@@ -10,8 +10,10 @@
 // world is a fleet with its store: every report and grant goes through it, may be lost,
 // and what each incarnation really used is counted on the side.
 type world struct {
-	prepaid   map[string]int64
-	clock     *bootclock.Fake
+	prepaid map[string]int64
+	clock   *bootclock.Fake
+	// setOff is how far each node's time of day is off.
+	setOff    map[string]time.Duration
 	allocator *Allocator
 	epoch     uint64
 	// reports is the newest report of each incarnation in the store.
@@ -25,6 +27,14 @@
 	grants map[string][]Grant
 }
 
+// nodeTime is a node's time of day.
+type nodeTime struct {
+	w    *world
+	node string
+}
+
+func (t nodeTime) Now() time.Time { return time.Unix(1e9, 0).Add(t.w.clock.Now() + t.w.setOff[t.node]) }
+
 // simNode is one running incarnation.
 type simNode struct {
 	name, incarnation string
@@ -38,7 +48,7 @@
 }
 
 func newWorld(prepaid map[string]int64) *world {
-	w := &world{prepaid: prepaid, clock: &bootclock.Fake{}, allocator: NewAllocator(DefaultSettings(), nil),
+	w := &world{prepaid: prepaid, clock: &bootclock.Fake{}, setOff: make(map[string]time.Duration), allocator: NewAllocator(DefaultSettings(), nil),
 		reports: make(map[string]Report), nodes: make(map[string]*simNode), used: make(map[string]int64), grants: make(map[string][]Grant)}
 	w.clock.Advance(time.Hour)
 	return w
@@ -54,7 +64,9 @@
 			earlier = append(earlier, r)
 		}
 	}
-	n.share = NewShare(DefaultSettings(), w.clock, name, "region", n.incarnation, bootID, Predecessors(earlier, w.clock.Now(), bootID))
+	clocks := Clocks{Boot: w.clock, TimeOfDay: nodeTime{w, name}}
+	start := Start{Reading: clocks.Read(), BootID: bootID}
+	n.share = NewShare(DefaultSettings(), clocks, Holder{Node: name, Region: "region", Incarnation: n.incarnation, BootID: bootID}, Predecessors(earlier, start))
 	w.nodes[name] = n
 	return n
 }
@@ -68,10 +80,10 @@
 
 // report writes a node's report; lost tells that its acknowledgement doesn't arrive.
 func (w *world) report(n *simNode, lost bool) {
-	r := n.share.Compose(false)
+	r, _ := n.share.Compose()
 	w.write(r)
 	if !lost {
-		n.share.Acknowledge(r)
+		n.share.Acknowledge()
 	}
 }
 
--- a/prepaid/property_test.go
+++ b/prepaid/property_test.go
@@ -9,7 +9,7 @@
 )
 
 // Nodes are killed, cut off, restarted on the same or another boot, lose
-// acknowledgements and grants, while callers press on and the planner changes. However
+// acknowledgements and grants, their times of day jump, while callers press on and the planner changes. However
 // this falls together, a client account must never get more than it prepaid; a user
 // would notice as tokens given away that nobody paid for.
 func TestNeverOverspends(t *testing.T) {
@@ -58,6 +58,12 @@
 			"time": func(t *rapid.T) {
 				w.clock.Advance(time.Duration(rapid.IntRange(1, 4000).Draw(t, "ms")) * time.Millisecond)
 			},
+			// However the steps of one node add up, they set its time of day back by no more
+			// than is taken into account.
+			"timeOfDay": func(t *rapid.T) {
+				half := int(mostSetBack.Milliseconds() / 2)
+				w.setOff[rapid.SampledFrom(names).Draw(t, "node")] = time.Duration(rapid.IntRange(-half, half).Draw(t, "off")) * time.Millisecond
+			},
 			"kill": func(t *rapid.T) { n := pick("node"); w.start(n.name, bootID(n.name)) },
 			"power": func(t *rapid.T) {
 				n := pick("node")
--- a/prepaid/records.go
+++ b/prepaid/records.go
@@ -7,11 +7,15 @@
 	Incarnation string `json:"i,omitempty"`
 	// Region is where the node stands.
 	Region string `json:"r,omitempty"`
-	// SentAtMs is the instance's boot clock when the report was made, in milliseconds.
-	SentAtMs int64 `json:"sam,omitempty"`
-	// ReserveAtMs is the reading of the instance's boot clock, in milliseconds, before
-	// which the incarnation doesn't go beyond the drawn limits of this report.
-	ReserveAtMs int64 `json:"ram,omitempty"`
+	// SentTimeMs is the instance's time of day when the report was made, in Unix
+	// milliseconds.
+	SentTimeMs int64 `json:"stm,omitempty"`
+	// FromMs and FromTimeMs are the instance's boot clock and time of day, in
+	// milliseconds, from which the limits of Lines grow. OpensAfterMs later the
+	// incarnation is bound by its ceilings alone.
+	FromMs       int64 `json:"fm,omitempty"`
+	FromTimeMs   int64 `json:"ftm,omitempty"`
+	OpensAfterMs int64 `json:"oam,omitempty"`
 	// BootID names the instance's boot; a boot clock is comparable within one boot only.
 	BootID string `json:"bid,omitempty"`
 	// SeenEpoch is the epoch of the newest grant that the incarnation applied.
@@ -30,8 +34,10 @@
 	// Spent is settled use, Held the most that open requests may still add.
 	Spent int64 `json:"s,omitempty"`
 	Held  int64 `json:"h,omitempty"`
-	// Drawn is the limit on Spent plus Held before the reserve is opened.
+	// Drawn is the limit on Spent plus Held when the limits begin to grow, Pace what it
+	// grows by each second.
 	Drawn int64 `json:"d,omitempty"`
+	Pace  int64 `json:"p,omitempty"`
 	// Ceiling is the limit that the incarnation holds itself to for good.
 	Ceiling int64 `json:"c,omitempty"`
 	// Rate is the recent demand in tokens a second, refused requests included.
--- a/prepaid/settings.go
+++ b/prepaid/settings.go
@@ -8,22 +8,17 @@
 	// seen out of reach for up to 12 s at a time; two seconds more cover the report and
 	// the grant after it.
 	Horizon time.Duration
-	// DrawnAhead is how many seconds of demand the drawn limit runs ahead of use. It
-	// must outlast ReserveAfter plus ExtendWithin, or a cut node refuses requests before
-	// it may open its reserve; all of it is stranded when the node dies.
+	// DrawnAhead is how many seconds of demand a report's limits run ahead of use. All of
+	// it is stranded when the node dies.
 	DrawnAhead time.Duration
-	// ReserveAfter is how long after its last acknowledged report a node may open its
-	// reserve. A process that is killed and started again within that time gives its
-	// reserve back; killed processes were seen back after 0.6 s. After a power loss the
-	// boot clock starts anew and proves nothing, so a longer time gains nothing.
-	ReserveAfter time.Duration
-	// ExtendWithin is how old the last acknowledged report may be for a new report to
-	// put off the opening of the reserve: two report intervals.
-	ExtendWithin time.Duration
-	// ReopenAfter is how long after such a report another one may put it off although
-	// the store hasn't acknowledged any in between: a store that answers readings and
-	// refuses writes must not keep the reserve closed for long.
-	ReopenAfter time.Duration
+	// PaceOver times its demand is what a node's limits grow by while it can't report.
+	// Demand isn't steady, and a node that is cut off can't ask for more.
+	PaceOver float64
+	// OpensAfter is how long after its last report a node is bound by its ceilings alone.
+	// An incarnation whose successor starts sooner is counted by its limits, others by
+	// their ceilings. Instances that lost power were seen back 2.4 s after their last
+	// report; mostSetBack comes on top.
+	OpensAfter time.Duration
 	// HoldersPerRegion is how many nodes of each region hold a part of an account. The
 	// others borrow from them for each request. Spread over 86 nodes, the parts of small
 	// accounts were too small for one long prompt, and refused it on most nodes.
@@ -50,10 +45,9 @@
 func DefaultSettings() Settings {
 	return Settings{
 		Horizon:          12 * time.Second,
-		DrawnAhead:       3 * time.Second,
-		ReserveAfter:     1500 * time.Millisecond,
-		ExtendWithin:     700 * time.Millisecond,
-		ReopenAfter:      6 * time.Second,
+		DrawnAhead:       time.Second,
+		PaceOver:         1.25,
+		OpensAfter:       6 * time.Second,
 		PlentyShare:      0.75,
 		MinDrawn:         10_000,
 		MinCeiling:       60_000,
--- a/prepaid/share.go
+++ b/prepaid/share.go
@@ -3,52 +3,51 @@
 import (
 	"sync"
 	"time"
-
-	"lavenderpin.dev/lavenderpin/bootclock"
 )
 
 // Share is the part of every client account that one incarnation of a node may use. It
 // is safe for concurrent use.
 type Share struct {
-	settings    Settings
-	clock       bootclock.Clock
-	node        string
-	incarnation string
-	region      string
-	bootID      string
+	settings Settings
+	clocks   Clocks
+	holder   Holder
 
 	mu           sync.Mutex
 	lines        map[string]*line
 	predecessors []Closing
 	seenEpoch    uint64
 	ended        bool
-	// lastAck is when the last acknowledged report was made.
-	lastAck time.Duration
-	// extended is when a report last put off the opening of the reserve.
-	extended time.Duration
-	// reserveAt is the latest opening of the reserve that any report named. Using the
-	// reserve earlier would make a report of it false.
-	reserveAt time.Duration
+	// acked is the last acknowledged promise, composed the newest that was made. Both may
+	// be what the store holds, so the lower limit of the two is in force.
+	acked, composed promise
+	// open tells that composed isn't acknowledged.
+	open bool
+}
+
+// Holder is the incarnation that a share belongs to.
+type Holder struct {
+	Node, Region, Incarnation string
+	// BootID names the instance's boot.
+	BootID string
 }
 
 // NewShare returns a share that holds nothing. predecessors are the node's earlier
 // incarnations, as Predecessors read them from the store.
-func NewShare(settings Settings, clock bootclock.Clock, node, region, incarnation, bootID string, predecessors []Closing) *Share {
-	return &Share{
-		settings: settings, clock: clock, node: node, region: region, incarnation: incarnation, bootID: bootID,
-		lines: make(map[string]*line), predecessors: predecessors,
-		lastAck: clock.Now(), reserveAt: clock.Now() + settings.ReserveAfter,
-	}
+func NewShare(settings Settings, clocks Clocks, holder Holder, predecessors []Closing) *Share {
+	s := &Share{settings: settings, clocks: clocks, holder: holder, lines: make(map[string]*line), predecessors: predecessors}
+	s.acked = promise{from: clocks.Read(), opensAfter: settings.OpensAfter}
+	s.composed = s.acked
+	return s
 }
 
 // Reserve sets aside the most tokens that a request can use. prepaid is what the
 // account has prepaid by the configuration in force.
 func (s *Share) Reserve(account string, tokens, prepaid int64) Verdict {
-	now := s.clock.Now()
+	now := s.clocks.Read()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	l := s.line(account)
-	l.demand(tokens, now, s.settings.RateWindow)
+	l.demand(tokens, now.Boot, s.settings.RateWindow)
 	if l.used()+tokens <= s.limit(l, now) && !s.ended {
 		l.held += tokens
 		return Reserved
@@ -70,14 +69,14 @@
 // need within a second. Where the borrower holds nothing of the account it counts as this
 // node's demand, so that the nodes which others always borrow from are granted more.
 func (s *Share) Lend(account string, tokens int64, borrowerHolds bool) Verdict {
-	now := s.clock.Now()
+	now := s.clocks.Read()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	l := s.line(account)
-	l.decay(now, s.settings.RateWindow)
+	l.decay(now.Boot, s.settings.RateWindow)
 	spare := l.ownNeed()
 	if l.ceiling > 0 && !borrowerHolds {
-		l.demand(tokens, now, s.settings.RateWindow)
+		l.demand(tokens, now.Boot, s.settings.RateWindow)
 	}
 	if s.ended || l.used()+tokens+spare > l.ceiling {
 		return ShortHere
@@ -92,7 +91,7 @@
 
 // Spare returns how many tokens the node could still lend.
 func (s *Share) Spare(account string) int64 {
-	now := s.clock.Now()
+	now := s.clocks.Boot.Now()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	l := s.line(account)
@@ -100,12 +99,9 @@
 	return max(0, l.ceiling-l.used()-l.ownNeed())
 }
 
-// limit is what the incarnation may use now. Caller holds mu.
-func (s *Share) limit(l *line, now time.Duration) int64 {
-	if now >= s.reserveAt {
-		return l.ceiling
-	}
-	return min(l.ceiling, l.drawn)
+// limit is what the incarnation may use of a line now. Caller holds mu.
+func (s *Share) limit(l *line, now Reading) int64 {
+	return min(s.acked.limit(l.acked, l.ceiling, now), s.composed.limit(l.composed, l.ceiling, now))
 }
 
 // Settle ends a reservation of tokens of which spent were used; spent above the
@@ -119,44 +115,58 @@
 }
 
 // Compose makes the next report and, before anyone sees it, holds the share to it: the
-// report may take effect even if its acknowledgement is lost, so until then the lower
-// of the old and the new drawn limit is in force. storeSeen tells that the store answered
-// a reading just now.
-func (s *Share) Compose(storeSeen bool) Report {
-	now := s.clock.Now()
+// report may take effect even if its acknowledgement is lost. fresh tells that it carries a
+// new promise. Until one is acknowledged it is only repeated: each new one would begin with
+// low limits again, and a node without the store would never get beyond them.
+func (s *Share) Compose() (r Report, fresh bool) {
+	now := s.clocks.Read()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if now-s.lastAck <= s.settings.ExtendWithin || storeSeen && now-s.extended >= s.settings.ReopenAfter {
-		s.reserveAt = max(s.reserveAt, now+s.settings.ReserveAfter)
-		s.extended = now
+	if fresh = !s.open; fresh {
+		s.promise(now)
 	}
-	r := Report{
-		Node: s.node, Region: s.region, Incarnation: s.incarnation, BootID: s.bootID,
-		SentAtMs: now.Milliseconds(), ReserveAtMs: s.reserveAt.Milliseconds(),
+	r = Report{
+		Node: s.holder.Node, Region: s.holder.Region, Incarnation: s.holder.Incarnation, BootID: s.holder.BootID,
+		SentTimeMs: now.TimeOfDay.Milliseconds(), FromMs: s.composed.from.Boot.Milliseconds(),
+		FromTimeMs: s.composed.from.TimeOfDay.Milliseconds(), OpensAfterMs: s.composed.opensAfter.Milliseconds(),
 		SeenEpoch: s.seenEpoch, Ended: s.ended, Predecessors: s.predecessors,
 	}
 	for name, l := range s.lines {
 		if l.idle() {
 			continue
 		}
-		l.decay(now, s.settings.RateWindow)
-		l.pending = l.wantDrawn(s.settings)
-		l.drawn = min(l.drawn, l.pending)
-		l.wish = 0
+		l.decay(now.Boot, s.settings.RateWindow)
 		r.Lines = append(r.Lines, ReportLine{Account: name, Spent: l.spent, Held: l.held,
-			Drawn: l.pending, Ceiling: l.ceiling, Rate: int64(l.rate)})
+			Drawn: l.composed.drawn, Pace: l.composed.pace, Ceiling: l.ceiling, Rate: int64(l.rate)})
 	}
-	return r
+	return r, fresh
 }
 
-// Acknowledge puts the drawn limits of a report in force. Only the newest composed
-// report may be acknowledged.
-func (s *Share) Acknowledge(r Report) {
+// promise makes a new promise. Caller holds mu.
+func (s *Share) promise(now Reading) {
+	s.open = true
+	// Reports hold milliseconds; the share keeps to the same figures.
+	from := Reading{Boot: now.Boot.Truncate(time.Millisecond), TimeOfDay: now.TimeOfDay.Truncate(time.Millisecond)}
+	s.composed = promise{from: from, opensAfter: s.settings.OpensAfter}
+	for _, l := range s.lines {
+		l.decay(now.Boot, s.settings.RateWindow)
+		l.composed = pledge{}
+		if !l.idle() {
+			l.composed = l.pledge(s.settings)
+		}
+		l.wish = 0
+	}
+}
+
+// Acknowledge puts the newest promise in force. Only the newest composed report may be
+// acknowledged.
+func (s *Share) Acknowledge() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.lastAck = time.Duration(r.SentAtMs) * time.Millisecond
-	for _, rl := range r.Lines {
-		s.line(rl.Account).drawn = rl.Drawn
+	s.open = false
+	s.acked = s.composed
+	for _, l := range s.lines {
+		l.acked = l.composed
 	}
 }
 
@@ -165,7 +175,7 @@
 func (s *Share) Apply(g Grant) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if g.Incarnation != s.incarnation || g.Epoch <= s.seenEpoch {
+	if g.Incarnation != s.holder.Incarnation || g.Epoch <= s.seenEpoch {
 		return false
 	}
 	s.seenEpoch = g.Epoch
@@ -174,7 +184,6 @@
 	for _, gl := range g.Lines {
 		l := s.line(gl.Account)
 		l.ceiling = max(gl.Ceiling, l.used())
-		l.drawn = min(l.drawn, l.ceiling)
 		l.left, l.prepaid, l.hasLeft = gl.Left, gl.Prepaid, true
 	}
 	return true
@@ -226,24 +235,24 @@
 // Standing is an account's figures on this node, for logs.
 type Standing struct {
 	Spent, Held, Limit, Ceiling, Left int64
-	// ReserveIn is how long until the reserve opens; negative once it is open.
-	ReserveIn time.Duration
+	// PromiseAge is how long ago the limits began to grow.
+	PromiseAge time.Duration
 }
 
 // Standing returns an account's figures.
 func (s *Share) Standing(account string) Standing {
-	now := s.clock.Now()
+	now := s.clocks.Read()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	l := s.line(account)
 	return Standing{Spent: l.spent, Held: l.held, Limit: s.limit(l, now), Ceiling: l.ceiling,
-		Left: l.left, ReserveIn: s.reserveAt - now}
+		Left: l.left, PromiseAge: now.Boot - s.composed.from.Boot}
 }
 
 func (s *Share) line(account string) *line {
 	l, ok := s.lines[account]
 	if !ok {
-		l = &line{rateAt: s.clock.Now()}
+		l = &line{rateAt: s.clocks.Boot.Now()}
 		s.lines[account] = l
 	}
 	return l
--- a/prepaid/share_test.go
+++ b/prepaid/share_test.go
@@ -12,91 +12,173 @@
 func grantedShare(ceiling int64) (*Share, *bootclock.Fake) {
 	clock := &bootclock.Fake{}
 	clock.Advance(time.Hour)
-	s := NewShare(DefaultSettings(), clock, "n1", "region", "i1", "boot", nil)
+	s := NewShare(DefaultSettings(), Clocks{Boot: clock, TimeOfDay: clock.TimeOfDay()}, Holder{Node: "n1", Region: "region", Incarnation: "i1", BootID: "boot"}, nil)
 	s.Apply(Grant{Node: "n1", Incarnation: "i1", Epoch: 1, Lines: []GrantLine{{Account: "a", Ceiling: ceiling, Left: 1_000_000, Prepaid: 1_000_000}}})
 	return s, clock
 }
 
+// report makes a report that the store takes.
+func report(s *Share) Report {
+	r, _ := s.Compose()
+	s.Acknowledge()
+	return r
+}
+
+// startAt is a process's start at a reading of its clocks.
+func startAt(clock *bootclock.Fake, bootID string) Start {
+	return Start{Reading: Clocks{Boot: clock, TimeOfDay: clock.TimeOfDay()}.Read(), BootID: bootID}
+}
+
 // A node gets a grant and is killed before its next report. Had it used the grant at
 // once, nobody could tell how much; so it uses nothing that it hasn't reported ahead.
 func TestUsesOnlyWhatItReported(t *testing.T) {
 	is := is.New(t)
 	s, _ := grantedShare(200_000)
 	is.Equal(s.Reserve("a", 5_000, 1_000_000), ReportFirst)
-	s.Acknowledge(s.Compose(false))
+	report(s)
 	is.Equal(s.Reserve("a", 5_000, 1_000_000), Reserved)
 }
 
-// The store goes away for eight seconds. After a short while the node serves out of its
-// reserve, or its callers would be refused although their tokens are paid for.
-func TestOpensItsReserveWhenCutOff(t *testing.T) {
+// The store goes away for eight seconds. The node must go on at its callers' pace and at
+// last out of its whole part, or they would be refused although their tokens are paid for.
+func TestServesOnWhenCutOff(t *testing.T) {
 	is := is.New(t)
 	s, clock := grantedShare(200_000)
-	s.Acknowledge(s.Compose(false))
-	is.Equal(s.Reserve("a", 100_000, 1_000_000), ReportFirst)
-	clock.Advance(DefaultSettings().ReserveAfter)
-	is.Equal(s.Reserve("a", 100_000, 1_000_000), Reserved)
+	for range 12 {
+		s.Reserve("a", 10_000, 1_000_000)
+		report(s)
+		clock.Advance(500 * time.Millisecond)
+	}
+	for range 4 {
+		clock.Advance(time.Second)
+		s.Compose()
+		is.Equal(s.Reserve("a", 10_000, 1_000_000), Reserved)
+	}
+	is.Equal(s.Reserve("a", 40_000, 1_000_000), ReportFirst)
+	clock.Advance(DefaultSettings().OpensAfter)
+	is.Equal(s.Reserve("a", 40_000, 1_000_000), Reserved)
 }
 
-// A report takes effect in the store, but its answer is lost, and it names a lower drawn
-// limit than before. If the node dies now, the store's figure counts; so the node must
-// keep to the lower of both until it knows.
+// A report takes effect in the store, but its answer is lost, and it names lower limits
+// than before. If the node dies now, the store's figure counts; so the node must keep to
+// the lower of both until it knows.
 func TestKeepsToTheLowerLimitUntilAcknowledged(t *testing.T) {
 	is := is.New(t)
 	s, clock := grantedShare(1_000_000)
 	for range 20 {
 		s.Reserve("a", 20_000, 1_000_000)
 	}
-	s.Acknowledge(s.Compose(false))
+	report(s)
+	report(s)
 	high := s.Standing("a").Limit
-	clock.Advance(time.Second)
-	s.Acknowledge(s.Compose(false))
 	clock.Advance(time.Minute)
-	low := s.Compose(true).Lines[0].Drawn
-	is.True(low < high)
-	is.Equal(s.Standing("a").Limit, low)
+	r, _ := s.Compose()
+	is.True(r.Lines[0].Drawn < high)
+	is.Equal(s.Standing("a").Limit, r.Lines[0].Drawn)
 }
 
-// A node that was cut off comes back and is killed right after. Its first report after
-// the cut must already close the reserve again, or the next incarnation can't prove
-// anything and the whole reserve is stranded.
-func TestFirstReportAfterACutClosesTheReserve(t *testing.T) {
+// A node that was cut off comes back and is killed right after. Its first reports after
+// the cut must already bind it to low limits again, or the next incarnation can't prove
+// anything and the whole part is stranded.
+func TestFirstReportsAfterACutBindAgain(t *testing.T) {
 	is := is.New(t)
 	s, clock := grantedShare(200_000)
-	s.Acknowledge(s.Compose(false))
+	report(s)
+	s.Compose()
 	clock.Advance(9 * time.Second)
-	r := s.Compose(true)
-	closing := Predecessors([]Report{r}, clock.Now()+600*time.Millisecond, "boot")
-	is.Equal(len(closing), 1)
-	is.True(closing[0].Known)
+	r, fresh := s.Compose()
+	is.True(!fresh) // what the store may hold already says that the part is open
+	is.True(!Predecessors([]Report{r}, startAt(clock, "boot"))[0].Known)
+	s.Acknowledge()
+	r, fresh = s.Compose()
+	is.True(fresh)
+	clock.Advance(600 * time.Millisecond)
+	is.True(Predecessors([]Report{r}, startAt(clock, "boot"))[0].Known)
 }
 
-// A store that answers readings but refuses all writes must not keep the reserve closed
-// for ever: callers would be refused for as long as that lasts.
-func TestRefusedReportsDontKeepTheReserveClosed(t *testing.T) {
+// A store that answers readings but refuses all writes must not hold a node to its low
+// limits for ever: callers would be refused for as long as that lasts.
+func TestRefusedReportsDontBindForEver(t *testing.T) {
 	is := is.New(t)
 	s, clock := grantedShare(200_000)
-	s.Acknowledge(s.Compose(false))
-	opened := false
-	for range 10 {
+	report(s)
+	for range 13 {
 		clock.Advance(500 * time.Millisecond)
-		s.Compose(true)
-		opened = opened || s.Standing("a").ReserveIn <= 0
+		s.Compose()
 	}
-	is.True(opened)
+	is.Equal(s.Standing("a").Limit, int64(200_000))
 }
 
-// A killed process is back after 0.6 s on the same boot: its reserve can't have been
-// opened, and what it hadn't drawn goes back. After another boot the clock tells nothing.
-func TestReserveOfAKilledProcessGoesBack(t *testing.T) {
+// A killed process is back after 0.6 s on the same boot. What it can't have used by then
+// goes back; after more time than its promise covers, its whole part counts as used.
+func TestPartOfAKilledProcessGoesBack(t *testing.T) {
 	is := is.New(t)
 	s, clock := grantedShare(200_000)
-	r := s.Compose(false)
-	started := clock.Now() + 600*time.Millisecond
-	is.True(Predecessors([]Report{r}, started, "boot")[0].Known)
-	is.True(!Predecessors([]Report{r}, started, "other boot")[0].Known)
-	is.True(!Predecessors([]Report{r}, clock.Now()+DefaultSettings().ReserveAfter, "boot")[0].Known)
-	is.True(!Predecessors([]Report{r}, clock.Now()-time.Minute, "boot")[0].Known)
+	r := report(s)
+	clock.Advance(600 * time.Millisecond)
+	c := Predecessors([]Report{r}, startAt(clock, "boot"))[0]
+	is.True(c.Known)
+	is.True(c.Lines[0].Used <= DefaultSettings().MinDrawn)
+	long := startAt(clock, "boot")
+	long.Boot += DefaultSettings().OpensAfter
+	is.True(!Predecessors([]Report{r}, long)[0].Known)
+	earlier := startAt(clock, "boot")
+	earlier.Boot -= 2 * time.Second
+	is.True(!Predecessors([]Report{r}, earlier)[0].Known)
+}
+
+// An instance loses power for a second; its boot clock starts anew. The time of day tells
+// that the earlier process can't have lived long after its last report, and what that
+// can't have used goes back. Where the time of day can't be trusted, nothing goes back, or
+// tokens might be given out twice.
+func TestPartAfterAPowerLossGoesBack(t *testing.T) {
+	is := is.New(t)
+	s, clock := grantedShare(200_000)
+	for range 5 {
+		s.Reserve("a", 2_000, 1_000_000)
+	}
+	r := report(s)
+	clock.Advance(time.Second)
+	start := startAt(clock, "another boot")
+	start.Boot = 20 * time.Second
+	c := Predecessors([]Report{r}, start)[0]
+	is.True(c.Known)
+	is.Equal(Predecessors([]Report{r}, Start{Reading: start.Reading, BootID: "boot"})[0], c) // the kernel runs on
+	is.Equal(c.Lines[0].Used, pledge{r.Lines[0].Drawn, r.Lines[0].Pace}.bound(start.TimeOfDay-millis(r.FromTimeMs)+mostSetBack))
+	is.True(c.Lines[0].Used < 50_000)
+
+	behind := start
+	behind.Behind = true
+	is.True(!Predecessors([]Report{r}, behind)[0].Known)
+	setBack := start
+	setBack.TimeOfDay -= 2 * time.Second
+	is.True(!Predecessors([]Report{r}, setBack)[0].Known)
+	late := start
+	late.TimeOfDay += DefaultSettings().OpensAfter - mostSetBack
+	is.True(!Predecessors([]Report{r}, late)[0].Known)
+}
+
+// A node is cut off, opens its part, and its time of day is set back. Its limits must not
+// seem untouched: as long as the time of day shows less than has passed, they follow it.
+func TestLimitsFollowTheSlowerClock(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(map[string]int64{"a": 1_000_000})
+	n := w.start("n1", "boot")
+	settleDown(w)
+	w.setOff["n1"] = -2 * time.Second
+	w.clock.Advance(DefaultSettings().OpensAfter + time.Second)
+	is.True(n.share.Standing("a").Limit < n.share.Standing("a").Ceiling)
+	w.clock.Advance(time.Second)
+	is.Equal(n.share.Standing("a").Limit, n.share.Standing("a").Ceiling)
+}
+
+// Another node reports from a time that this instance's time of day hasn't reached: it was
+// set back, and what it says about the time since the last report is worth nothing.
+func TestKnowsATimeOfDayThatIsBehind(t *testing.T) {
+	is := is.New(t)
+	other := &Report{SentTimeMs: 10_000}
+	is.True(!IsBehind(10*time.Second, other))
+	is.True(IsBehind(9*time.Second, other))
 }
 
 // An account has used all that it prepaid. Telling its caller to come back would only
@@ -127,11 +209,11 @@
 func TestOneReportMakesRoomForALongPrompt(t *testing.T) {
 	is := is.New(t)
 	s, _ := grantedShare(200_000)
-	s.Acknowledge(s.Compose(false))
+	report(s)
 	is.Equal(s.Reserve("a", 60_000, 1_000_000), ReportFirst)
-	s.Acknowledge(s.Compose(false))
+	report(s)
 	is.Equal(s.Reserve("a", 60_000, 1_000_000), Reserved)
 	is.Equal(s.Lend("a", 70_000, true), ReportFirst)
-	s.Acknowledge(s.Compose(false))
+	report(s)
 	is.Equal(s.Lend("a", 70_000, true), Reserved)
 }
--- a/presence/roster.go
+++ b/presence/roster.go
@@ -103,10 +103,3 @@
 	m, ok := r.nodes[node]
 	return ok && m.Incarnation == incarnation && !m.Leaving && r.readable-m.heard <= SilentAfter
 }
-
-// StoreSeen tells whether the store was read within the last moments.
-func (r *Roster) StoreSeen(within time.Duration) bool {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return r.caught && r.clock.Now()-r.caughtAt <= within
-}
