--- a/prepaid/promise.go
+++ b/prepaid/promise.go
@@ -12,13 +12,19 @@
 	opensAfter time.Duration
 }
 
-// pledge is a promise's part for one account: drawn tokens at once, and pace tokens more
-// with each second.
+// growsAfter is how long limits stay as they are: a node in touch with the store makes
+// the next promise before, so that growth only serves one that is not. Without this pause
+// a process that was killed and is back after two seconds had half a second more of its
+// demand counted as used.
+const growsAfter = 1500 * time.Millisecond
+
+// pledge is a promise's part for one account: drawn tokens at once, and after growsAfter
+// pace tokens more with each second.
 type pledge struct{ drawn, pace int64 }
 
 // bound returns the limit after a time, without the ceiling.
 func (p pledge) bound(after time.Duration) int64 {
-	return p.drawn + int64(float64(p.pace)*after.Seconds())
+	return p.drawn + int64(float64(p.pace)*max(0, after-growsAfter).Seconds())
 }
 
 // limit returns what a line may use at a reading of the clocks.
--- a/prepaid/settings.go
+++ b/prepaid/settings.go
@@ -8,8 +8,8 @@
 	// seen out of reach for up to 12 s at a time; two seconds more cover the report and
 	// the grant after it.
 	Horizon time.Duration
-	// DrawnAhead is how many seconds of demand a report's limits run ahead of use. All of
-	// it is stranded when the node dies.
+	// DrawnAhead is how many seconds of demand a report's limits run ahead of use: until
+	// they grow. All of it is stranded when the node dies.
 	DrawnAhead time.Duration
 	// PaceOver times its demand is what a node's limits grow by while it can't report.
 	// Demand isn't steady, and a node that is cut off can't ask for more.
@@ -45,7 +45,7 @@
 func DefaultSettings() Settings {
 	return Settings{
 		Horizon:          12 * time.Second,
-		DrawnAhead:       time.Second,
+		DrawnAhead:       1500 * time.Millisecond,
 		PaceOver:         1.25,
 		OpensAfter:       6 * time.Second,
 		PlentyShare:      0.75,
