Ask lenders where there is room, and don't wait for reports without the store

Cut off, a lender answered an ask beyond its limits only after a report had timed out; the asker counted it as lost. Change: grants tell what a node hadn't used; lenders are drawn by it. Without an acknowledged last report a node refuses at once what is beyond its limits. An account is left to fewer holders by what nodes hold of it, not by what is left.

--- a/allotment/duty_test.go
+++ b/allotment/duty_test.go
@@ -119,6 +119,8 @@
 	is.NoErr(term.round(ctx))
 	is.NoErr(n.grants.Step(ctx))
 	is.NoErr(n.reporter.Report(ctx))
+	is.Equal(n.share.Reserve("a", 5_000, 1_000_000), prepaid.ReportFirst)
+	is.NoErr(n.reporter.Report(ctx))
 	is.Equal(n.share.Reserve("a", 5_000, 1_000_000), prepaid.Reserved)
 }
 
--- a/allotment/grants.go
+++ b/allotment/grants.go
@@ -16,30 +16,37 @@
 	events *event.Recorder
 
 	mu sync.Mutex
-	// ceilings holds what every node was last granted, by account and node.
-	ceilings map[string]map[string]int64
+	// holdings holds what every node was last granted, by account and node.
+	holdings map[string]map[string]Holding
 }
 
 // NewGrants returns the handler of a node's grants.
 func NewGrants(share *prepaid.Share, node string, events *event.Recorder) *Grants {
-	return &Grants{share: share, node: node, events: events, ceilings: make(map[string]map[string]int64)}
+	return &Grants{share: share, node: node, events: events, holdings: make(map[string]map[string]Holding)}
 }
 
-// Ceilings returns what each node was last granted of an account, in tokens.
-func (g *Grants) Ceilings(account string) map[string]int64 {
+// Holding is what a node was last granted of an account, in tokens.
+type Holding struct {
+	Ceiling int64
+	// Room is what the node hadn't used of it then.
+	Room int64
+}
+
+// Holdings returns what each node was last granted of an account.
+func (g *Grants) Holdings(account string) map[string]Holding {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return maps.Clone(g.ceilings[account])
+	return maps.Clone(g.holdings[account])
 }
 
 func (g *Grants) remember(grant prepaid.Grant) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	for _, l := range grant.Lines {
-		if g.ceilings[l.Account] == nil {
-			g.ceilings[l.Account] = make(map[string]int64)
+		if g.holdings[l.Account] == nil {
+			g.holdings[l.Account] = make(map[string]Holding)
 		}
-		g.ceilings[l.Account][grant.Node] = l.Ceiling
+		g.holdings[l.Account][grant.Node] = Holding{Ceiling: l.Ceiling, Room: l.Room}
 	}
 }
 
--- a/edgenode/loans.go
+++ b/edgenode/loans.go
@@ -16,13 +16,14 @@
 // lenders returns the nodes that hold some of an account. While the store is out of
 // reach these are the ones known before.
 func (n *Node) lenders(account string) []lending.Peer {
-	ceilings := n.grants.Ceilings(account)
+	holdings := n.grants.Holdings(account)
 	var peers []lending.Peer
 	for _, r := range n.roster.Live() {
-		if r.Node == n.settings.Node || r.Peer == "" || ceilings[r.Node] == 0 {
+		holding := holdings[r.Node]
+		if r.Node == n.settings.Node || r.Peer == "" || holding.Ceiling == 0 {
 			continue
 		}
-		peers = append(peers, lending.Peer{Node: r.Node, Address: r.Peer, Near: r.Region == n.settings.Region, Ceiling: ceilings[r.Node]})
+		peers = append(peers, lending.Peer{Node: r.Node, Address: r.Peer, Near: r.Region == n.settings.Region, Ceiling: holding.Ceiling, Room: holding.Room})
 	}
 	return peers
 }
--- a/lending/borrower.go
+++ b/lending/borrower.go
@@ -24,6 +24,9 @@
 	// nothingFor is how long an account that no asked peer had tokens of isn't asked
 	// for again, so that an exhausted account doesn't cost six asks a request.
 	nothingFor = 300 * time.Millisecond
+	// leastRoom divides a peer's ceiling into the room that it may have though it had none
+	// when it was granted: requests end with less than they reserved.
+	leastRoom = 50
 	// settleTries bounds the tries to settle a loan; then it counts as used.
 	settleTries = 4
 	// settlePause is the pause between them.
@@ -36,8 +39,9 @@
 	Address string
 	// Near tells that it stands in this node's region.
 	Near bool
-	// Ceiling is what it was last granted of the account, in tokens.
-	Ceiling int64
+	// Ceiling is what it was last granted of the account, in tokens, Room what of it was
+	// not used then.
+	Ceiling, Room int64
 }
 
 // Caller carries an ask to a peer.
@@ -139,15 +143,15 @@
 	return b.name + "/" + strconv.FormatUint(b.loans, 10)
 }
 
-// order returns the peers that may cover a request: near ones first, drawn by their ceilings, so that all
-// borrowers don't drain the largest one while others are full.
+// order returns the peers that may cover a request: near ones first, drawn by their room,
+// so that borrowers rarely ask where little is left, and don't all drain the fullest one.
 func (b *Borrower) order(account string, tokens int64) []Peer {
 	peers := slices.DeleteFunc(b.peers(account), func(p Peer) bool {
 		return p.Ceiling < tokens || b.saidLess(lenderOf{account, p.Node}, tokens)
 	})
 	keys := make(map[string]float64, len(peers))
 	for _, p := range peers {
-		keys[p.Node] = -math.Log(1-rand.Float64()) / float64(p.Ceiling)
+		keys[p.Node] = -math.Log(1-rand.Float64()) / float64(max(p.Room, p.Ceiling/leastRoom))
 	}
 	slices.SortFunc(peers, func(x, y Peer) int {
 		if x.Near != y.Near {
--- a/lending/lending_test.go
+++ b/lending/lending_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net/http/httptest"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -149,3 +150,23 @@
 	is.True(ok)
 	is.Equal(asked["full"], 1)
 }
+
+// Of ten lenders with equal ceilings nine have used theirs up. The one that has room must
+// be found within the few asks, or the request is refused while it holds plenty.
+func TestAsksWhereThereIsRoom(t *testing.T) {
+	is := is.New(t)
+	caller := callerFunc(func(address string, ask Ask) (Reply, error) { return Reply{Granted: address == "roomy"}, nil })
+	peers := []Peer{{Node: "roomy", Address: "roomy", Ceiling: 500_000, Room: 400_000}}
+	for i := range 9 {
+		name := strconv.Itoa(i)
+		peers = append(peers, Peer{Node: name, Address: name, Ceiling: 500_000})
+	}
+	found := 0
+	for i := range 100 {
+		b := NewBorrower(caller, &bootclock.Fake{}, strconv.Itoa(i), func(string) []Peer { return append([]Peer(nil), peers...) })
+		if _, _, ok := b.Borrow(context.Background(), "a", 10_000, false); ok {
+			found++
+		}
+	}
+	is.True(found >= 90) // drawn by ceilings alone, six of ten are asked
+}
--- a/prepaid/allocator.go
+++ b/prepaid/allocator.go
@@ -110,8 +110,8 @@
 		}
 	}
 	available -= base
-	a.concentrate(name, wants, available)
 	held := a.held(available, prepaid)
+	a.concentrate(name, wants, held)
 	a.plenty(wants, held)
 	spread(wants, held)
 	free := prepaid - committed
--- a/prepaid/plan.go
+++ b/prepaid/plan.go
@@ -36,7 +36,7 @@
 			g.grantEpoch = epoch
 		}
 		if changed[m.Report.Node] || m.Live && m.Report.SeenEpoch < g.grantEpoch {
-			p.Grants = append(p.Grants, a.grant(m.Report.Node, g, prepaid, left))
+			p.Grants = append(p.Grants, a.grant(&m.Report, g, prepaid, left))
 		}
 	}
 	p.Ledger = a.ledger(epoch)
@@ -62,14 +62,18 @@
 	}
 }
 
-func (a *Allocator) grant(node string, g *grantee, prepaid, left map[string]int64) Grant {
-	grant := Grant{Node: node, Incarnation: g.incarnation, Epoch: g.grantEpoch}
+func (a *Allocator) grant(report *Report, g *grantee, prepaid, left map[string]int64) Grant {
+	grant := Grant{Node: report.Node, Incarnation: g.incarnation, Epoch: g.grantEpoch}
 	for _, name := range a.byAccount {
-		e, ok := a.accounts[name].entries[node]
+		e, ok := a.accounts[name].entries[report.Node]
 		if !ok {
 			continue
 		}
-		grant.Lines = append(grant.Lines, GrantLine{Account: name, Ceiling: e.target, Left: left[name], Prepaid: prepaid[name]})
+		line := GrantLine{Account: name, Ceiling: e.target, Room: e.target, Left: left[name], Prepaid: prepaid[name]}
+		if l := findLine(report, name); l != nil {
+			line.Room = max(0, e.target-l.Spent-l.Held)
+		}
+		grant.Lines = append(grant.Lines, line)
 	}
 	return grant
 }
--- a/prepaid/records.go
+++ b/prepaid/records.go
@@ -74,6 +74,9 @@
 type GrantLine struct {
 	Account string `json:"a,omitempty"`
 	Ceiling int64  `json:"c,omitempty"`
+	// Room is what the node hadn't used of its ceiling by its last report: whoever looks
+	// for a lender asks where there is most.
+	Room int64 `json:"r,omitempty"`
 	// Left bounds from above what all nodes together could still use when the account
 	// had prepaid Prepaid: settled use is subtracted, open requests aren't.
 	Left    int64 `json:"l,omitempty"`
--- a/prepaid/share.go
+++ b/prepaid/share.go
@@ -57,7 +57,7 @@
 	if l.hasLeft && tokens > l.left+(prepaid-l.prepaid) {
 		return Exhausted
 	}
-	if l.used()+tokens <= l.ceiling && !s.ended {
+	if l.used()+tokens <= l.ceiling && !s.ended && s.inTouch(now) {
 		l.wish = max(l.wish, tokens)
 		return ReportFirst
 	}
@@ -84,6 +84,9 @@
 		return ShortHere
 	}
 	if l.used()+tokens > s.limit(l, now) {
+		if !s.inTouch(now) {
+			return ShortHere
+		}
 		l.wish = max(l.wish, tokens)
 		return ReportFirst
 	}
@@ -93,12 +96,23 @@
 
 // Spare returns how many tokens the node could still lend.
 func (s *Share) Spare(account string) int64 {
-	now := s.clocks.Boot.Now()
+	now := s.clocks.Read()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	l := s.line(account)
-	l.decay(now, s.settings.RateWindow)
-	return max(0, l.ceiling-l.used()-l.ownNeed())
+	l.decay(now.Boot, s.settings.RateWindow)
+	limit := l.ceiling
+	if !s.inTouch(now) {
+		limit = s.limit(l, now)
+	}
+	return max(0, limit-l.used()-l.ownNeed())
+}
+
+// inTouch tells whether a report would soon be acknowledged, for all that is known: the
+// last one was, or is under way. Without the store, waiting for one costs a caller or a
+// borrower the time in which another node would serve it. Caller holds mu.
+func (s *Share) inTouch(now Reading) bool {
+	return !s.open || now.Boot-s.acked.from.Boot <= growsAfter
 }
 
 // limit is what the incarnation may use of a line now. Caller holds mu.
--- a/prepaid/want.go
+++ b/prepaid/want.go
@@ -72,14 +72,14 @@
 // concentrate leaves an account that is nearly used up to so few holders that each part
 // still covers a long prompt. Split among six nodes, the last 50,000 tokens served no
 // prompt of 12,000, and all its callers were refused.
-func (a *Allocator) concentrate(name string, wants []want, available int64) {
+func (a *Allocator) concentrate(name string, wants []want, held int64) {
 	var holders []*want
 	for i := range wants {
 		if wants[i].need > 0 {
 			holders = append(holders, &wants[i])
 		}
 	}
-	most := max(1, int(available/a.settings.MinCeiling))
+	most := max(1, int(held/a.settings.MinCeiling))
 	if len(holders) <= most {
 		return
 	}
