Report demand without a part, so that busy small nodes get one; write rarely from quiet ones

That node held nothing, and since it had used nothing, its demand wasn't in any report: each request took a loan, found none in cuts, and was refused. Change: a node without a part reports a demand of 1,000 tokens a second or more; nodes with a twelfth of their region's demand are taken as holders like large ones. Nodes whose addresses callers aren't told write about themselves every two seconds, and read grants more rarely while nobody wants any; the interval grows with the fleet, 200 records a second at most. The senior node by capacity plans, not the first by name. Tests: TestBusySmallNodeGetsAPart, TestSmallNodesWriteRarely, TestRecordsOfALargeFleetAreBounded.

--- a/edgenode/announcer.go
+++ b/edgenode/announcer.go
@@ -8,11 +8,10 @@
 	"github.com/juju/errors"
 
 	"lavenderpin.dev/lavenderpin/keyedlog"
+	"lavenderpin.dev/lavenderpin/presence"
 )
 
 const (
-	// announceEvery is the interval of a node's records about itself.
-	announceEvery = 500 * time.Millisecond
 	// announceCheck is how often a change of its readiness is looked for.
 	announceCheck = 100 * time.Millisecond
 	// announceTimeout bounds one record's writing.
@@ -32,7 +31,7 @@
 	ready := false
 	for {
 		now := a.node.deps.Clock.Now()
-		if changed := a.node.Ready() != ready; changed || last == 0 || now-last >= announceEvery {
+		if changed := a.node.Ready() != ready; changed || last == 0 || now-last >= a.every() {
 			ready, last = a.node.Ready(), now
 			_ = a.announce(ctx) // the next record follows within half a second
 		}
@@ -44,11 +43,17 @@
 	}
 }
 
+// every is the interval of records now.
+func (a *announcer) every() time.Duration {
+	return presence.Every(a.node.roster.Live(), a.node.record())
+}
+
 // announce writes one record.
 func (a *announcer) announce(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, announceTimeout)
 	defer cancel()
 	rec := a.node.record()
+	rec.EveryMs = a.every().Milliseconds()
 	value, err := json.Marshal(&rec)
 	if err != nil {
 		return errors.Trace(err)
--- a/edgenode/fleet.go
+++ b/edgenode/fleet.go
@@ -1,14 +1,17 @@
 package edgenode
 
-import "lavenderpin.dev/lavenderpin/catalog"
+import (
+	"lavenderpin.dev/lavenderpin/catalog"
+	"lavenderpin.dev/lavenderpin/presence"
+)
 
 // fleet is what planning shares asks of the node.
 type fleet Node
 
-// Mine tells whether this node is the first active one by name.
+// Mine tells whether this node is the senior one of those that are active.
 func (f *fleet) Mine() bool {
-	active := f.roster.Active()
-	return len(active) > 0 && active[0].Node == f.settings.Node && active[0].Incarnation == f.settings.Incarnation
+	senior, ok := presence.Senior(f.roster.Active())
+	return ok && senior.Node == f.settings.Node && senior.Incarnation == f.settings.Incarnation
 }
 
 // IsLive tells whether an incarnation was heard of lately.
--- a/edgenode/node.go
+++ b/edgenode/node.go
@@ -73,7 +73,9 @@
 		Report:   n.reporter.Report, Nodes: n.nodes, Repeats: settings.Repeats,
 		DataCentre: settings.DataCentre, Region: settings.Region,
 	})
-	n.follow(loops, deps.Topics.Grants, n.grants, grantPace)
+	pace := grantPace
+	pace.Extra = n.grantExtra
+	n.follow(loops, deps.Topics.Grants, n.grants, pace)
 	n.run(loops, n.expireLoans)
 	n.run(loops, n.reporter.Run)
 	n.run(loops, n.announcer.run)
--- a/edgenode/pace.go
+++ b/edgenode/pace.go
@@ -19,3 +19,15 @@
 	// grantPace: a caller that was told to return after a second should find the grant.
 	grantPace = keyedlog.Options{Wait: 1500 * time.Millisecond, Pause: 150 * time.Millisecond, Slack: 700 * time.Millisecond, Retry: 250 * time.Millisecond}
 )
+
+// quietGrants lengthens the pause between readings of grants on a node that holds no
+// tokens and has no callers who want any.
+const quietGrants = 850 * time.Millisecond
+
+// grantExtra is what lengthens the pause between readings of grants.
+func (n *Node) grantExtra() time.Duration {
+	if !n.share.Granted() || n.share.InUse() {
+		return 0
+	}
+	return quietGrants
+}
--- a/keyedlog/follower.go
+++ b/keyedlog/follower.go
@@ -26,6 +26,8 @@
 	Wait time.Duration
 	// Pause is the time between two readings, which bounds their number.
 	Pause time.Duration
+	// Extra, where given, lengthens the pause by what it returns.
+	Extra func() time.Duration
 	// Slack is how long an answer may take beyond Wait before its connection counts as
 	// dead.
 	Slack time.Duration
@@ -67,6 +69,9 @@
 func (f *Follower) Run(ctx context.Context) {
 	for ctx.Err() == nil {
 		pause := f.options.Pause
+		if f.options.Extra != nil {
+			pause += f.options.Extra()
+		}
 		if err := f.Step(ctx); err != nil {
 			f.handler.Lost(err)
 			pause = f.options.Retry/2 + rand.N(f.options.Retry)
--- a/prepaid/allocator_test.go
+++ b/prepaid/allocator_test.go
@@ -105,6 +105,29 @@
 	}
 }
 
+// A caller sticks to a small node whatever it is told. Its requests are many, so that node
+// must get a part too.
+func TestBusySmallNodeGetsAPart(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(map[string]int64{"a": 4_000_000})
+	w.capacity = func(name string) int {
+		if name < "n06" {
+			return 200
+		}
+		return 20
+	}
+	w.startAll(40, "boot")
+	settleDown(w)
+	small := w.nodes["n30"]
+	is.Equal(small.share.Standing("a").Ceiling, int64(0))
+	for range 20 {
+		small.share.Reserve("a", 2_000, 4_000_000)
+		w.clock.Advance(100 * time.Millisecond)
+	}
+	settleDown(w)
+	is.True(small.share.Standing("a").Ceiling > 0)
+}
+
 // A node is cut off and keeps serving. The planner can't know how much it uses, so
 // nothing of its ceiling may go to others until it is back.
 func TestCutNodeKeepsItsCeiling(t *testing.T) {
--- a/prepaid/line.go
+++ b/prepaid/line.go
@@ -25,8 +25,15 @@
 
 func (l *line) used() int64 { return l.spent + l.held }
 
-// idle tells that the node holds nothing of the account and used nothing of it.
-func (l *line) idle() bool { return l.ceiling == 0 && l.used() == 0 && l.acked == (pledge{}) }
+// busyRate is the demand in tokens a second from which on a node without a part of the
+// account reports it: a tenth of what callers who stick to one node were seen to want.
+const busyRate = 1_000
+
+// idle tells that the node holds nothing of the account, used nothing of it and has no
+// callers to speak of who want some.
+func (l *line) idle() bool {
+	return l.rate < busyRate && l.ceiling == 0 && l.used() == 0 && l.acked == (pledge{})
+}
 
 // demand adds a request's largest use to the demand estimate.
 func (l *line) demand(tokens int64, now, window time.Duration) {
--- a/prepaid/share.go
+++ b/prepaid/share.go
@@ -221,6 +221,21 @@
 	return s.line(account).ceiling > 0
 }
 
+// InUse tells whether the node has a part of any account, or had callers just now who
+// wanted one.
+func (s *Share) InUse() bool {
+	now := s.clocks.Boot.Now()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, l := range s.lines {
+		l.decay(now, s.settings.RateWindow)
+		if l.ceiling > 0 || l.rate >= 1 {
+			return true
+		}
+	}
+	return false
+}
+
 // Holding tells whether the share has anything to report.
 func (s *Share) Holding() bool {
 	s.mu.Lock()
--- a/prepaid/want.go
+++ b/prepaid/want.go
@@ -10,8 +10,9 @@
 // want is a live node's need of one account, in tokens.
 type want struct {
 	node, region string
-	// large tells that callers are sent to the node before smaller ones.
-	large bool
+	// busy tells that the node has many callers, or that callers are sent to it before
+	// others.
+	busy bool
 	// used is settled and open use, which can't be taken away.
 	used int64
 	// need is what it should hold beyond that.
@@ -35,7 +36,7 @@
 		if !m.Live {
 			continue
 		}
-		w := want{node: m.Report.Node, region: m.Report.Region, need: a.settings.MinCeiling, large: 2*m.Report.Capacity >= most}
+		w := want{node: m.Report.Node, region: m.Report.Region, need: a.settings.MinCeiling, busy: 2*m.Report.Capacity >= most}
 		if l := findLine(&m.Report, name); l != nil {
 			w.used = l.Spent + l.Held
 			w.rate = float64(l.Rate)
@@ -49,17 +50,17 @@
 	return wants, base
 }
 
-// chooseHolders takes the needs of all but the account's holders away: large nodes before
-// small ones, since callers are sent there, and among equals by rendezvous hashing, so that
-// few parts move when nodes come and go. Where small nodes held the parts, nearly each
-// request was served out of a loan over their slow links, and in a cut of the store two in
-// five of them were refused.
+// chooseHolders takes the needs of all but the account's holders away: nodes with callers
+// before others, and among equals by rendezvous hashing, so that few parts move when nodes
+// come and go. Where nodes without callers held the parts, nearly each request was served
+// out of a loan over their slow links, and in a cut of the store two in five were refused.
 func (a *Allocator) chooseHolders(name string, wants []want) {
 	byRegion := make(map[string][]*want)
 	for i := range wants {
 		byRegion[wants[i].region] = append(byRegion[wants[i].region], &wants[i])
 	}
 	for _, region := range byRegion {
+		noteBusy(region)
 		slices.SortFunc(region, func(x, y *want) int { return before(name, x, y) })
 		holders := region[:min(len(region), a.settings.HoldersPerRegion)]
 		a.needs(holders, region)
@@ -89,10 +90,25 @@
 	}
 }
 
+// busyPart divides a region's demand into what makes a small node busy: a caller that
+// sticks to one was seen to send a sixth of its region's requests.
+const busyPart = 12
+
+// noteBusy marks nodes with much of their region's demand as busy.
+func noteBusy(region []*want) {
+	total := 0.0
+	for _, w := range region {
+		total += w.rate
+	}
+	for _, w := range region {
+		w.busy = w.busy || w.rate > total/busyPart
+	}
+}
+
 // before orders nodes as an account's holders.
 func before(account string, x, y *want) int {
-	if x.large != y.large {
-		if x.large {
+	if x.busy != y.busy {
+		if x.busy {
 			return -1
 		}
 		return 1
--- a/presence/record.go
+++ b/presence/record.go
@@ -1,5 +1,7 @@
 package presence
 
+import "time"
+
 // Record is what a node writes about itself.
 type Record struct {
 	Node        string `json:"n,omitempty"`
@@ -14,6 +16,14 @@
 	Ready bool `json:"re,omitempty"`
 	// Peer is where other nodes connect.
 	Peer string `json:"p,omitempty"`
+	// EveryMs is the interval of the node's records in milliseconds.
+	EveryMs int64 `json:"e,omitempty"`
 	// Leaving: the node finishes what it has and ends.
 	Leaving bool `json:"l,omitempty"`
 }
+
+// late returns how much longer than usual the node may be silent, for a number of its
+// records left out.
+func (r *Record) late(records int) time.Duration {
+	return time.Duration(records) * max(0, time.Duration(r.EveryMs)*time.Millisecond-leastEvery)
+}
--- a/presence/roster.go
+++ b/presence/roster.go
@@ -11,10 +11,11 @@
 
 const (
 	// SilentAfter is how long a node may be silent while the store can be read before
-	// callers aren't sent to it any more: five of its records.
+	// callers aren't sent to it any more: five records of one that writes at the least
+	// interval; one that writes more rarely may leave two more out.
 	SilentAfter = 2600 * time.Millisecond
 	// IdleAfter is how long it may be silent before another node takes its duties up:
-	// three of its records. Doing so too early costs a few calls and nothing else, since
+	// three records, and one more of a node that writes more rarely. Doing so too early costs a few calls and nothing else, since
 	// every write of a duty is fenced.
 	IdleAfter = 1600 * time.Millisecond
 )
@@ -78,17 +79,23 @@
 }
 
 // Live returns the nodes that serve, by name.
-func (r *Roster) Live() []Record { return r.heardWithin(SilentAfter) }
+func (r *Roster) Live() []Record { return r.heardWithin(SilentAfter, silentRecords) }
 
 // Active returns the nodes that may have duties, by name.
-func (r *Roster) Active() []Record { return r.heardWithin(IdleAfter) }
+func (r *Roster) Active() []Record { return r.heardWithin(IdleAfter, idleRecords) }
 
-func (r *Roster) heardWithin(silence time.Duration) []Record {
+// How many records of a longer interval a node may leave out.
+const (
+	silentRecords = 2
+	idleRecords   = 1
+)
+
+func (r *Roster) heardWithin(silence time.Duration, records int) []Record {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	var live []Record
 	for _, m := range r.nodes {
-		if !m.Leaving && r.readable-m.heard <= silence {
+		if !m.Leaving && r.readable-m.heard <= silence+m.late(records) {
 			live = append(live, m.Record)
 		}
 	}
@@ -101,5 +108,5 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	m, ok := r.nodes[node]
-	return ok && m.Incarnation == incarnation && !m.Leaving && r.readable-m.heard <= SilentAfter
+	return ok && m.Incarnation == incarnation && !m.Leaving && r.readable-m.heard <= SilentAfter+m.late(silentRecords)
 }
--- a/presence/roster_test.go
+++ b/presence/roster_test.go
@@ -72,3 +72,49 @@
 	leaving.Ready = false
 	is.Equal(len(Addresses([]Record{leaving}, "r")), 0)
 }
+
+// A fleet has a few large nodes and many small ones, which callers aren't sent to. The
+// small ones write rarely, or nearly all calls to the store are theirs; and none of them
+// may be dropped for it, or have the fleet's duties while a large one is there.
+func TestSmallNodesWriteRarely(t *testing.T) {
+	is := is.New(t)
+	clock := &bootclock.Fake{}
+	r := NewRoster(clock)
+	r.Caught()
+	hear := func(node string, capacity int) {
+		rec := record(node, capacity)
+		rec.EveryMs = Every(r.Live(), rec).Milliseconds()
+		r.Hear(rec)
+	}
+	for i := range 5 {
+		hear(fmt.Sprintf("large%d", i), 200)
+	}
+	hear("a-small", 20)
+	hear("a-small", 20)
+	is.Equal(Every(r.Live(), record("large1", 200)), leastEvery)
+	is.Equal(Every(r.Live(), record("a-small", 20)), quietEvery)
+	for range 6 {
+		clock.Advance(500 * time.Millisecond)
+		for i := range 4 {
+			hear(fmt.Sprintf("large%d", i), 200)
+		}
+		r.Caught()
+	}
+	clock.Advance(200 * time.Millisecond)
+	r.Caught()
+	is.Equal(len(r.Live()), 5) // the large one that fell silent is gone, the small one is not
+	senior, ok := Senior(r.Active())
+	is.True(ok)
+	is.Equal(senior.Node, "large0")
+}
+
+// At hundreds of equal nodes their records must not take up what the store can write.
+func TestRecordsOfALargeFleetAreBounded(t *testing.T) {
+	is := is.New(t)
+	var live []Record
+	for i := range 376 {
+		live = append(live, record(fmt.Sprintf("n%03d", i), 100))
+	}
+	perSecond := float64(len(live)) / Every(live, live[0]).Seconds()
+	is.True(perSecond <= 200)
+}
