--- a/allotment/term.go
+++ b/allotment/term.go
@@ -46,7 +46,7 @@
 		return errors.Trace(err)
 	}
 	for _, e := range plan.Ended {
-		t.duty.events.Record(event.IncarnationClosed, "member", e.Node, "incarnation", e.Incarnation, "known", e.Known, "counted", e.Counted, "returned", e.Returned)
+		t.duty.events.Record(event.IncarnationClosed, "member", e.Node, "incarnation", e.Incarnation, "known", e.Known, "reported", e.Reported, "counted", e.Counted, "returned", e.Returned)
 	}
 	return t.writeGrants(ctx, plan.Grants)
 }
--- a/prepaid/admission.go
+++ b/prepaid/admission.go
@@ -41,9 +41,9 @@
 func (a *Allocator) close(successor Report, incarnation string) {
 	at := slices.IndexFunc(successor.Predecessors, func(c Closing) bool { return c.Incarnation == incarnation })
 	evidence := successor.Predecessors[at]
-	used := make(map[string]int64, len(evidence.Lines))
+	lines := make(map[string]ClosingLine, len(evidence.Lines))
 	for _, l := range evidence.Lines {
-		used[l.Account] = l.Used
+		lines[l.Account] = l
 	}
 	ended := Ended{Node: successor.Node, Incarnation: incarnation, Known: evidence.Known}
 	for name, acc := range a.accounts {
@@ -53,9 +53,10 @@
 		}
 		counted := e.committed
 		if evidence.Known {
-			counted = min(used[name], e.committed)
+			counted = min(lines[name].Used, e.committed)
 		}
 		acc.closed += counted
+		ended.Reported += lines[name].Reported
 		ended.Counted += counted
 		ended.Returned += e.committed - counted
 		delete(acc.entries, successor.Node)
--- a/prepaid/plan.go
+++ b/prepaid/plan.go
@@ -19,9 +19,9 @@
 	// Known tells that its last report bounds its use; otherwise its whole ceilings
 	// count as used.
 	Known bool
-	// Counted is what counts as used, Returned what went back to the accounts, in
+	// Reported is what it told last to have used and held, if known. Counted is what counts as used, Returned what went back to the accounts, in
 	// tokens over all accounts.
-	Counted, Returned int64
+	Reported, Counted, Returned int64
 }
 
 // plan writes down the state and the grants of the nodes that changed, and repeats the
--- a/prepaid/predecessors.go
+++ b/prepaid/predecessors.go
@@ -50,12 +50,12 @@
 	case last.Ended:
 		c.Known = true
 		for _, l := range last.Lines {
-			c.Lines = append(c.Lines, ClosingLine{Account: l.Account, Used: l.Spent + l.Held})
+			c.Lines = append(c.Lines, ClosingLine{Account: l.Account, Used: l.Spent + l.Held, Reported: l.Spent + l.Held})
 		}
 	case proved:
 		c.Known = true
 		for _, l := range last.Lines {
-			c.Lines = append(c.Lines, ClosingLine{Account: l.Account, Used: pledge{l.Drawn, l.Pace}.bound(lived)})
+			c.Lines = append(c.Lines, ClosingLine{Account: l.Account, Used: pledge{l.Drawn, l.Pace}.bound(lived), Reported: l.Spent + l.Held})
 		}
 	}
 	return c
--- a/prepaid/records.go
+++ b/prepaid/records.go
@@ -59,6 +59,8 @@
 type ClosingLine struct {
 	Account string `json:"a,omitempty"`
 	Used    int64  `json:"u,omitempty"`
+	// Reported is what it reported last as used and held, for logs.
+	Reported int64 `json:"r,omitempty"`
 }
 
 // Grant sets the ceilings of one incarnation. A grant of a higher epoch replaces one of
