Take the nodes with most callers as holders before large ones

Change: a twelfth of the region's demand comes before size. TestBusySmallNodeGetsAPart asks for four such nodes now.

--- a/prepaid/allocator_test.go
+++ b/prepaid/allocator_test.go
@@ -118,14 +118,16 @@
 	}
 	w.startAll(40, "boot")
 	settleDown(w)
-	small := w.nodes["n30"]
-	is.Equal(small.share.Standing("a").Ceiling, int64(0))
-	for range 20 {
-		small.share.Reserve("a", 2_000, 4_000_000)
-		w.clock.Advance(100 * time.Millisecond)
+	for _, name := range []string{"n10", "n20", "n30", "n39"} {
+		small := w.nodes[name]
+		is.Equal(small.share.Standing("a").Ceiling, int64(0))
+		for range 20 {
+			small.share.Reserve("a", 2_000, 4_000_000)
+			w.clock.Advance(100 * time.Millisecond)
+		}
+		settleDown(w)
+		is.True(small.share.Standing("a").Ceiling > 0)
 	}
-	settleDown(w)
-	is.True(small.share.Standing("a").Ceiling > 0)
 }
 
 // A node is cut off and keeps serving. The planner can't know how much it uses, so
--- a/prepaid/want.go
+++ b/prepaid/want.go
@@ -10,9 +10,8 @@
 // want is a live node's need of one account, in tokens.
 type want struct {
 	node, region string
-	// busy tells that the node has many callers, or that callers are sent to it before
-	// others.
-	busy bool
+	// large tells that callers are sent to the node before others, busy that it has many.
+	large, busy bool
 	// used is settled and open use, which can't be taken away.
 	used int64
 	// need is what it should hold beyond that.
@@ -36,7 +35,7 @@
 		if !m.Live {
 			continue
 		}
-		w := want{node: m.Report.Node, region: m.Report.Region, need: a.settings.MinCeiling, busy: 2*m.Report.Capacity >= most}
+		w := want{node: m.Report.Node, region: m.Report.Region, need: a.settings.MinCeiling, large: 2*m.Report.Capacity >= most}
 		if l := findLine(&m.Report, name); l != nil {
 			w.used = l.Spent + l.Held
 			w.rate = float64(l.Rate)
@@ -50,8 +49,8 @@
 	return wants, base
 }
 
-// chooseHolders takes the needs of all but the account's holders away: nodes with callers
-// before others, and among equals by rendezvous hashing, so that few parts move when nodes
+// chooseHolders takes the needs of all but the account's holders away: nodes with many
+// callers before large ones, these before others, and among equals by rendezvous hashing, so that few parts move when nodes
 // come and go. Where nodes without callers held the parts, nearly each request was served
 // out of a loan over their slow links, and in a cut of the store two in five were refused.
 func (a *Allocator) chooseHolders(name string, wants []want) {
@@ -101,19 +100,25 @@
 		total += w.rate
 	}
 	for _, w := range region {
-		w.busy = w.busy || w.rate > total/busyPart
+		w.busy = w.rate > total/busyPart
 	}
 }
 
 // before orders nodes as an account's holders.
 func before(account string, x, y *want) int {
-	if x.busy != y.busy {
-		if x.busy {
-			return -1
-		}
+	return cmp.Or(first(x.busy, y.busy), first(x.large, y.large), cmp.Compare(rank(account, y), rank(account, x)))
+}
+
+// first compares by a property that comes first.
+func first(x, y bool) int {
+	switch {
+	case x == y:
+		return 0
+	case x:
+		return -1
+	default:
 		return 1
 	}
-	return cmp.Compare(rank(account, y), rank(account, x))
 }
 
 // rank orders nodes as an account's holders, by rendezvous hashing.
