Let callers that wait for a report at the same time share one

Each request beyond the drawn limit wrote a report of its own, one after the other, 70 ms each; then lenders were asked, whose reports queued in the same way. Ruled out: engines (their expected time was below 400 ms), the link of the node. Change: a call returns once any report composed after it is acknowledged. Test: TestCallersThatWaitTogetherShareAReport (20 reports before, 2 at most now).

--- a/allotment/duty_test.go
+++ b/allotment/duty_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/go-kit/log"
@@ -25,6 +26,10 @@
 	fail    error
 	// lose makes appends take effect and fail.
 	lose bool
+	// gate, where set, holds appends up until it is closed.
+	gate chan struct{}
+	// appends counts them.
+	appends int
 }
 
 func newMemory() *memory { return &memory{epochs: make(map[string]uint64)} }
@@ -52,8 +57,12 @@
 }
 
 func (m *memory) Append(_ context.Context, fence keyedlog.Fence, records ...keyedlog.Record) error {
+	if m.gate != nil {
+		<-m.gate
+	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	m.appends++
 	if m.fail != nil {
 		return m.fail
 	}
@@ -229,3 +238,26 @@
 		_, _ = DecodeLedger(raw)
 	})
 }
+
+// The store is far, and many callers wait for limits that cover their prompts. Each report
+// after the other would make the last of them late; those that wait together share one.
+func TestCallersThatWaitTogetherShareAReport(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		topics := newTopics()
+		spend := topics.Spend.(*memory)
+		spend.gate = make(chan struct{})
+		n := newNode(topics, &bootclock.Fake{}, "n1", "i1")
+		const callers = 20
+		results := make(chan error, callers)
+		for range callers {
+			go func() { results <- n.reporter.Report(context.Background()) }()
+		}
+		synctest.Wait()
+		close(spend.gate)
+		for range callers {
+			is.NoErr(<-results)
+		}
+		is.True(spend.appends <= 2)
+	})
+}
--- a/allotment/reporter.go
+++ b/allotment/reporter.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
 	"github.com/juju/errors"
@@ -36,6 +37,9 @@
 	// epoch and lost are guarded by turn.
 	epoch uint64
 	lost  bool
+	// begun counts the reports that were composed; kept is the number of the newest one
+	// whose new promise was acknowledged. Both are written under turn.
+	begun, kept atomic.Uint64
 }
 
 // NewReporter returns a reporter of a share. stale are the report keys of the node's
@@ -64,14 +68,21 @@
 	}
 }
 
-// Report writes a report and returns once it is acknowledged.
+// Report returns once a report that was composed after the call is acknowledged. Calls
+// that wait at the same time share one: written one after the other, reports from another
+// region than the store's took 70 ms each, and a prompt that waited for its turn was late
+// by up to 1.5 s (one in twenty that began late, on a grown fleet).
 func (r *Reporter) Report(ctx context.Context) error {
+	before := r.begun.Load()
 	select {
 	case <-ctx.Done():
 		return errors.Trace(ctx.Err())
 	case <-r.turn:
 	}
 	defer func() { r.turn <- struct{}{} }()
+	if r.kept.Load() > before {
+		return nil
+	}
 	err := r.report(ctx)
 	r.note(err)
 	return err
@@ -93,6 +104,7 @@
 func (r *Reporter) write(ctx context.Context) (fresh bool, err error) {
 	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
 	defer cancel()
+	number := r.begun.Add(1)
 	report, fresh := r.share.Compose()
 	value, err := encode(&report)
 	if err != nil {
@@ -110,6 +122,9 @@
 		return false, errors.Trace(err)
 	}
 	r.share.Acknowledge()
+	if fresh {
+		r.kept.Store(number)
+	}
 	if clean {
 		r.stale = nil
 	}
