Bind promises for ten seconds, and let limits grow at 1.8 times the demand

Change: ceilings alone bind after 10 s; limits grow 1.8 times as fast as the demand, so that a node that can't report serves a rising demand until then.

--- a/prepaid/settings.go
+++ b/prepaid/settings.go
@@ -16,8 +16,8 @@
 	PaceOver float64
 	// OpensAfter is how long after its last report a node is bound by its ceilings alone.
 	// An incarnation whose successor starts sooner is counted by its limits, others by
-	// their ceilings. Instances that lost power were seen back 2.4 s after their last
-	// report; mostSetBack comes on top.
+	// their ceilings. The store was seen out of reach for up to 9 s, and instances that
+	// lost power were seen back 2.4 s after their last report; mostSetBack comes on top.
 	OpensAfter time.Duration
 	// HoldersPerRegion is how many nodes of each region hold a part of an account. The
 	// others borrow from them for each request. Spread over 86 nodes, the parts of small
@@ -46,8 +46,8 @@
 	return Settings{
 		Horizon:          12 * time.Second,
 		DrawnAhead:       1500 * time.Millisecond,
-		PaceOver:         1.25,
-		OpensAfter:       6 * time.Second,
+		PaceOver:         1.8,
+		OpensAfter:       10 * time.Second,
 		PlentyShare:      0.4,
 		MinDrawn:         4_000,
 		MinCeiling:       60_000,
