Add a soak: nodes as processes, faults from outside by a seeded plan, promises judged

It judges from what callers and upstreams saw: at most once, true refusals, whole answers, only what was asked, within what was prepaid, recovery. Not judged yet: planned stops, configuration in force, leaving upstreams, the budget for repeats; clocks are not stepped.

--- /dev/null
+++ b/internal/soak/judge_test.go
@@ -0,0 +1,87 @@
+package soak
+
+import (
+	"net/http"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"lavenderpin.dev/lavenderpin/platform/standin"
+)
+
+// good is a call that went well, with its run.
+func good(id string, route standin.RouteKind) (record, standin.Run) {
+	r := record{call: standin.Call{ID: id, Route: route}, account: "one", at: time.Unix(100, 0),
+		outcome: standin.Outcome{Status: http.StatusOK, Stamped: true, Whole: true, Body: standin.PlainAnswer(id)}}
+	if route.Engine {
+		for i := range eventsOfStream {
+			r.outcome.Events = append(r.outcome.Events, i+1)
+		}
+	}
+	return r, standin.Run{ID: id, Account: "one", Target: route.Path(), Body: "body of " + id}
+}
+
+// calmEvidence is a run in which nothing went wrong.
+func calmEvidence() *evidence {
+	e := &evidence{runs: make(map[string][]standin.Run), prepaid: map[string]int64{"one": 10_000}, calmSince: time.Unix(99, 0)}
+	for _, route := range []standin.RouteKind{standin.Streams, standin.Fixed, standin.Orders, standin.Lookups} {
+		r, run := good("id-"+route.Name, route)
+		e.records = append(e.records, r)
+		e.runs[run.ID] = append(e.runs[run.ID], run)
+	}
+	return e
+}
+
+func (e *evidence) of(route standin.RouteKind) *record {
+	at := slices.IndexFunc(e.records, func(r record) bool { return r.call.Route.Name == route.Name })
+	return &e.records[at]
+}
+
+func TestNothingIsFoundInAGoodRun(t *testing.T) {
+	is := is.New(t)
+	is.Equal(len(judge(calmEvidence())), 0)
+}
+
+// A check that can't fail shows nothing. Each of these runs breaks one promise in the way
+// that a defect of the fleet would, and the judge must name that promise.
+func TestEachPromiseCanBeFoundBroken(t *testing.T) {
+	for _, c := range []struct {
+		name, promise string
+		spoil         func(*evidence)
+	}{
+		{"an order runs twice", "at most once", func(e *evidence) { e.runs["id-orders"] = append(e.runs["id-orders"], e.runs["id-orders"][0]) }},
+		{"a refused order ran", "true refusals", func(e *evidence) {
+			e.of(standin.Orders).outcome = standin.Outcome{Status: http.StatusServiceUnavailable}
+		}},
+		{"a stream lacks its end", "whole answers", func(e *evidence) { o := &e.of(standin.Fixed).outcome; o.Events = o.Events[:5] }},
+		{"an event comes twice", "whole answers", func(e *evidence) { e.of(standin.Streams).outcome.Events[3] = 3 }},
+		{"an answer is another request's", "whole answers", func(e *evidence) { e.of(standin.Lookups).outcome.Body = standin.PlainAnswer("x") }},
+		{"an answer is nobody's", "whole answers", func(e *evidence) { e.of(standin.Orders).outcome.Stamped = false }},
+		{"a request runs for another account", "only what was asked", func(e *evidence) { e.runs["id-fixed"][0].Account = "two" }},
+		{"a request runs that nobody sent", "only what was asked", func(e *evidence) { e.runs["x"] = []standin.Run{{ID: "x"}} }},
+		{"an account overspends", "within what was prepaid", func(e *evidence) { e.prepaid["one"] = 700 }},
+		{"nothing is served after the faults", "recovery", func(e *evidence) {
+			for i := range e.records {
+				e.records[i].outcome = standin.Outcome{}
+			}
+		}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			e := calmEvidence()
+			c.spoil(e)
+			is.Equal(promises(judge(e)), []string{c.promise})
+		})
+	}
+}
+
+// A seed must give the same plan each time, or a failure can't be played again.
+func TestPlansRepeat(t *testing.T) {
+	is := is.New(t)
+	one, two := Draw(7, time.Minute, 5, 5), Draw(7, time.Minute, 5, 5)
+	is.Equal(one, two)
+	is.True(len(one) > 50)
+	is.True(!slices.Equal(one, Draw(8, time.Minute, 5, 5)))
+}
