Read upstreams' entries more rarely on quiet nodes, too

Cause: on a grown site 72 of 86 nodes hold no tokens and have no callers who want any, and their readings of entries, 2.4 a second each, are a fifth of all calls to the store. Change: the longer pause of grants holds for entries as well; whether a node is quiet is looked at ten times a second in one place.

--- a/edgenode/announcer.go
+++ b/edgenode/announcer.go
@@ -33,6 +33,7 @@
 	ready := false
 	for {
 		now := a.node.deps.Clock.Now()
+		a.node.noteQuiet()
 		if changed := a.node.Ready() != ready; changed || last == 0 || now-last >= a.every() {
 			ready, last = a.node.Ready(), now
 			_ = a.announce(ctx) // the next record follows within half a second
--- a/edgenode/node.go
+++ b/edgenode/node.go
@@ -40,7 +40,9 @@
 	begun    time.Duration
 	leaving  atomic.Bool
 	refusing atomic.Bool
-	loops    sync.WaitGroup
+	// quiet tells that nobody wants tokens of this node and that it holds none.
+	quiet atomic.Bool
+	loops sync.WaitGroup
 	// stop ends the loops.
 	stop context.CancelFunc
 }
@@ -56,7 +58,9 @@
 	loops, stop := context.WithCancel(context.WithoutCancel(ctx))
 	n.stop = stop
 	n.follow(loops, deps.Topics.Operators, &configHandler{n}, configPace)
-	n.follow(loops, deps.Topics.Upstreams, &upstreamHandler{n}, upstreamPace)
+	upstreams := upstreamPace
+	upstreams.Extra = n.quietExtra
+	n.follow(loops, deps.Topics.Upstreams, &upstreamHandler{n}, upstreams)
 	n.follow(loops, deps.Topics.Presence, &presenceHandler{node: n}, presencePace)
 	earlier, err := n.readEarlier(ctx)
 	if err != nil {
@@ -78,9 +82,9 @@
 		Report:   n.reporter.Report, Nodes: n.nodes, Repeats: settings.Repeats,
 		DataCentre: settings.DataCentre, Region: settings.Region,
 	})
-	pace := grantPace
-	pace.Extra = n.grantExtra
-	n.follow(loops, deps.Topics.Grants, n.grants, pace)
+	grants := grantPace
+	grants.Extra = n.quietExtra
+	n.follow(loops, deps.Topics.Grants, n.grants, grants)
 	n.run(loops, n.expireLoans)
 	n.run(loops, n.reporter.Run)
 	n.run(loops, n.announcer.run)
--- a/edgenode/pace.go
+++ b/edgenode/pace.go
@@ -20,14 +20,18 @@
 	grantPace = keyedlog.Options{Wait: 1500 * time.Millisecond, Pause: 150 * time.Millisecond, Slack: 700 * time.Millisecond, Retry: 250 * time.Millisecond}
 )
 
-// quietGrants lengthens the pause between readings of grants on a node that holds no
-// tokens and has no callers who want any.
-const quietGrants = 850 * time.Millisecond
+// quietPause lengthens the pause between readings on a node that holds no tokens and has no
+// callers who want any. A leaving upstream gets nothing new from it two seconds after, at
+// the latest. At 86 nodes, 72 of them quiet, it saves 180 calls to the store a second.
+const quietPause = 850 * time.Millisecond
 
-// grantExtra is what lengthens the pause between readings of grants.
-func (n *Node) grantExtra() time.Duration {
-	if !n.share.Granted() || n.share.InUse() {
-		return 0
+// noteQuiet notes whether the node is quiet now.
+func (n *Node) noteQuiet() { n.quiet.Store(n.share.Granted() && !n.share.InUse()) }
+
+// quietExtra is what lengthens the pause between readings.
+func (n *Node) quietExtra() time.Duration {
+	if n.quiet.Load() {
+		return quietPause
 	}
-	return quietGrants
+	return 0
 }
