Let the limits of idle nodes grow to their ceilings, so that they can lend when cut off

A user is refused while a node of the fleet holds plenty. Ruled out: load (it failed alone as well). Change: the pace is at least a 25th of what is unused of the ceiling each second. The test passes with -race beside load.

--- a/prepaid/line.go
+++ b/prepaid/line.go
@@ -54,5 +54,6 @@
 // pledge is the line's part in a new promise.
 func (l *line) pledge(s Settings) pledge {
 	ahead := max(s.MinDrawn, l.wish, int64(l.rate*s.DrawnAhead.Seconds()))
-	return pledge{drawn: min(l.ceiling, l.used()+ahead), pace: int64(l.rate * s.PaceOver)}
+	pace := max(l.rate*s.PaceOver, float64(l.ceiling-l.used())/s.IdleOver.Seconds())
+	return pledge{drawn: min(l.ceiling, l.used()+ahead), pace: int64(pace)}
 }
--- a/prepaid/settings.go
+++ b/prepaid/settings.go
@@ -14,6 +14,10 @@
 	// PaceOver times its demand is what a node's limits grow by while it can't report.
 	// Demand isn't steady, and a node that is cut off can't ask for more.
 	PaceOver float64
+	// IdleOver is the time over which the limits of a node without demand grow to its
+	// ceiling: it must be able to lend to a busy one that is cut off with it. Growing with
+	// demand alone, an idle node lent nothing before its ceilings bound it.
+	IdleOver time.Duration
 	// OpensAfter is how long after its last report a node is bound by its ceilings alone.
 	// An incarnation whose successor starts sooner is counted by its limits, others by
 	// their ceilings. The store was seen out of reach for up to 9 s, and instances that
@@ -47,6 +51,7 @@
 		Horizon:          12 * time.Second,
 		DrawnAhead:       1500 * time.Millisecond,
 		PaceOver:         1.8,
+		IdleOver:         25 * time.Second,
 		OpensAfter:       10 * time.Second,
 		PlentyShare:      0.4,
 		MinDrawn:         4_000,
