--- a/internal/soak/fleet.go
+++ b/internal/soak/fleet.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -30,8 +31,9 @@
 	nodes     []*node
 
 	mu sync.Mutex
-	// routes are the routes in force since when they were written.
+	// routes are the routes that were added, spans the steps that were played.
 	routes []addedRoute
+	spans  []span
 	stop   chan struct{}
 }
 
@@ -106,8 +108,18 @@
 	f.store.Close()
 }
 
-// apply does one step and ends it after its time.
+// apply does one step and notes when it was.
 func (f *fleet) apply(s Step) error {
+	begin := time.Now()
+	err := f.do(s)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.spans = append(f.spans, span{Step: s, begin: begin, end: time.Now()})
+	return err
+}
+
+// do does one step and ends it after its time.
+func (f *fleet) do(s Step) error {
 	hold := func(begin, end func()) {
 		begin()
 		time.Sleep(s.For)
@@ -191,6 +203,13 @@
 	f.routes = append(f.routes, addedRoute{kind: route, at: time.Now()})
 }
 
+// added returns the routes that were added by now.
+func (f *fleet) added() []addedRoute {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return slices.Clone(f.routes)
+}
+
 // prepaid returns what each account has prepaid by now.
 func (f *fleet) prepaid() map[string]int64 {
 	f.mu.Lock()
--- a/internal/soak/judge.go
+++ b/internal/soak/judge.go
@@ -22,6 +22,11 @@
 	// runs holds the runs of each request at upstreams.
 	runs    map[string][]standin.Run
 	prepaid map[string]int64
+	// routes are those that were added, spans the faults as they were played, nodes the
+	// numbers of the nodes by where callers connect.
+	routes []addedRoute
+	spans  []span
+	nodes  map[string]int
 	// calmSince is when the last fault had ended and the fleet had its time to recover.
 	calmSince time.Time
 }
@@ -35,6 +40,9 @@
 		found = append(found, e.trueRefusal(r)...)
 		found = append(found, whole(r)...)
 	}
+	found = append(found, e.gracefulStops()...)
+	found = append(found, e.inForce()...)
+	found = append(found, e.neverBack()...)
 	found = append(found, e.asked()...)
 	found = append(found, e.withinPrepaid()...)
 	return append(found, e.recovered()...)
--- a/internal/soak/judge_test.go
+++ b/internal/soak/judge_test.go
@@ -62,6 +62,22 @@
 		{"a request runs for another account", "only what was asked", func(e *evidence) { e.runs["id-fixed"][0].Account = "two" }},
 		{"a request runs that nobody sent", "only what was asked", func(e *evidence) { e.runs["x"] = []standin.Run{{ID: "x"}} }},
 		{"an account overspends", "within what was prepaid", func(e *evidence) { e.prepaid["one"] = 700 }},
+		{"a planned stop cuts a stream", "planned stops", func(e *evidence) {
+			e.nodes = map[string]int{"n": 2}
+			e.spans = []span{{Step: Step{Kind: StopNode, Target: 2}, begin: time.Unix(99, 0), end: time.Unix(103, 0)}}
+			r := e.of(standin.Fixed)
+			r.node, r.end, r.outcome.Whole = "n", time.Unix(101, 0), false
+		}},
+		{"a new route isn't in force", "configuration in force", func(e *evidence) {
+			e.routes = []addedRoute{{kind: standin.Lookups, at: time.Unix(96, 0)}}
+			e.of(standin.Lookups).outcome = standin.Outcome{Status: http.StatusNotFound}
+		}},
+		{"a node goes back to an older configuration", "configuration stays", func(e *evidence) {
+			r, run := good("later", standin.Lookups)
+			r.at, r.outcome = time.Unix(105, 0), standin.Outcome{Status: http.StatusNotFound}
+			e.records = append(e.records, r)
+			e.runs[run.ID] = append(e.runs[run.ID], run)
+		}},
 		{"nothing is served after the faults", "recovery", func(e *evidence) {
 			for i := range e.records {
 				e.records[i].outcome = standin.Outcome{}
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -114,7 +114,10 @@
 }
 
 func (f *fleet) evidence(l *load, calm time.Time) *evidence {
-	e := &evidence{records: l.records, runs: make(map[string][]standin.Run), prepaid: f.prepaid(), calmSince: calm}
+	e := &evidence{records: l.records, runs: make(map[string][]standin.Run), prepaid: f.prepaid(), calmSince: calm, routes: f.added(), spans: f.spans, nodes: make(map[string]int)}
+	for i, n := range f.nodes {
+		e.nodes[n.frontend] = i
+	}
 	for _, u := range f.upstreams {
 		for _, run := range u.Runs() {
 			e.runs[run.ID] = append(e.runs[run.ID], run)
