--- a/prepaid/allocator_test.go
+++ b/prepaid/allocator_test.go
@@ -87,10 +87,8 @@
 	is.True(largest >= 50_000)
 }
 
-// Most instances of a fleet are small and get hardly any callers. Held by them, each
-// request of the large ones would wait for a loan over a slow link.
-func TestLargeNodesHoldTheParts(t *testing.T) {
-	is := is.New(t)
+// fewLargeNodes is a fleet of 40 nodes, of which n00 to n05 are large.
+func fewLargeNodes() *world {
 	w := newWorld(map[string]int64{"a": 4_000_000})
 	w.capacity = func(name string) int {
 		if name < "n06" {
@@ -100,6 +98,14 @@
 	}
 	w.startAll(40, "boot")
 	settleDown(w)
+	return w
+}
+
+// Most instances of a fleet are small and get hardly any callers. Held by them, each
+// request of the large ones would wait for a loan over a slow link.
+func TestLargeNodesHoldTheParts(t *testing.T) {
+	is := is.New(t)
+	w := fewLargeNodes()
 	for name, n := range w.nodes {
 		is.Equal(n.share.Standing("a").Ceiling > 0, name < "n06")
 	}
@@ -109,15 +115,7 @@
 // must get a part too.
 func TestBusySmallNodeGetsAPart(t *testing.T) {
 	is := is.New(t)
-	w := newWorld(map[string]int64{"a": 4_000_000})
-	w.capacity = func(name string) int {
-		if name < "n06" {
-			return 200
-		}
-		return 20
-	}
-	w.startAll(40, "boot")
-	settleDown(w)
+	w := fewLargeNodes()
 	for _, name := range []string{"n10", "n20", "n30", "n39"} {
 		small := w.nodes[name]
 		is.Equal(small.share.Standing("a").Ceiling, int64(0))
--- a/prepaid/share.go
+++ b/prepaid/share.go
@@ -68,7 +68,7 @@
 const lendSpare = 250 * time.Millisecond
 
 // Lend is Reserve for another node's request. It leaves what this node's own callers
-// need within a second. Where the borrower holds nothing of the account it counts as this
+// need within lendSpare. Where the borrower holds nothing of the account it counts as this
 // node's demand, so that the nodes which others always borrow from are granted more.
 func (s *Share) Lend(account string, tokens int64, borrowerHolds bool) Verdict {
 	now := s.clocks.Read()
