--- a/internal/soak/fleet.go
+++ b/internal/soak/fleet.go
@@ -45,7 +45,7 @@
 
 func newFleet(program, dir string, nodes int) (*fleet, error) {
 	f := &fleet{store: standin.NewStore(), stop: make(chan struct{})}
-	f.operator = &standin.Operator{Store: f.store, Accounts: []standin.Account{{Name: "one", Key: "key-one", Prepaid: prepaidAtFirst}, {Name: "two", Key: "key-two", Prepaid: prepaidAtFirst}}}
+	f.operator = &standin.Operator{Store: f.store, Accounts: []standin.Account{{Name: "one", Keys: []string{"key-one"}, Prepaid: prepaidAtFirst}, {Name: "two", Keys: []string{"key-two"}, Prepaid: prepaidAtFirst}}}
 	f.operator.Configure()
 	for i := range 5 {
 		service, events := standin.EngineService, eventsOfStream
