--- a/allotment/duty_test.go
+++ b/allotment/duty_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -14,72 +13,11 @@
 
 	"lavenderpin.dev/lavenderpin/bootclock"
 	"lavenderpin.dev/lavenderpin/event"
+	"lavenderpin.dev/lavenderpin/internal/memtopic"
 	"lavenderpin.dev/lavenderpin/keyedlog"
 	"lavenderpin.dev/lavenderpin/prepaid"
 )
 
-// memory is a keyed topic with fences.
-type memory struct {
-	mu      sync.Mutex
-	records []keyedlog.Record
-	epochs  map[string]uint64
-	fail    error
-	// lose makes appends take effect and fail.
-	lose bool
-	// gate, where set, holds appends up until it is closed.
-	gate chan struct{}
-	// appends counts them.
-	appends int
-}
-
-func newMemory() *memory { return &memory{epochs: make(map[string]uint64)} }
-
-func (m *memory) Newest(context.Context) ([]keyedlog.Record, int64, error) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	newest := make(map[string]keyedlog.Record)
-	for _, r := range m.records {
-		newest[r.Key] = r
-	}
-	var out []keyedlog.Record
-	for _, r := range newest {
-		if !r.Deleted {
-			out = append(out, r)
-		}
-	}
-	return out, int64(len(m.records)), m.fail
-}
-
-func (m *memory) Read(_ context.Context, from int64, _ time.Duration) ([]keyedlog.Record, int64, error) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	return append([]keyedlog.Record(nil), m.records[from:]...), int64(len(m.records)), m.fail
-}
-
-func (m *memory) Append(_ context.Context, fence keyedlog.Fence, records ...keyedlog.Record) error {
-	if m.gate != nil {
-		<-m.gate
-	}
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	m.appends++
-	if m.fail != nil {
-		return m.fail
-	}
-	if fence.Epoch < m.epochs[fence.Producer] {
-		return keyedlog.ErrFenced
-	}
-	m.epochs[fence.Producer] = fence.Epoch
-	for _, r := range records {
-		r.Offset = int64(len(m.records))
-		m.records = append(m.records, r)
-	}
-	if m.lose {
-		return errors.New("answer lost")
-	}
-	return nil
-}
-
 // oneFleet says that everybody lives and who plans.
 type oneFleet struct {
 	mine   bool
@@ -95,7 +33,7 @@
 }
 
 func newTopics() Topics {
-	return Topics{Spend: newMemory(), Ledger: newMemory(), Grants: newMemory()}
+	return Topics{Spend: memtopic.New(), Ledger: memtopic.New(), Grants: memtopic.New()}
 }
 
 func newDutyOver(topics Topics) *Duty {
@@ -161,10 +99,10 @@
 	}
 	first, err := newDutyOver(topics).begin(ctx)
 	is.NoErr(err)
-	ledger := topics.Ledger.(*memory)
-	ledger.lose = true
+	ledger := topics.Ledger.(*memtopic.Topic)
+	ledger.Lose = true
 	is.True(first.round(ctx) != nil)
-	ledger.lose = false
+	ledger.Lose = false
 	second, err := newDutyOver(topics).begin(ctx)
 	is.NoErr(err)
 	is.NoErr(second.round(ctx))
@@ -245,8 +183,8 @@
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		topics := newTopics()
-		spend := topics.Spend.(*memory)
-		spend.gate = make(chan struct{})
+		spend := topics.Spend.(*memtopic.Topic)
+		spend.Gate = make(chan struct{})
 		n := newNode(topics, &bootclock.Fake{}, "n1", "i1")
 		const callers = 20
 		results := make(chan error, callers)
@@ -254,10 +192,10 @@
 			go func() { results <- n.reporter.Report(context.Background()) }()
 		}
 		synctest.Wait()
-		close(spend.gate)
+		close(spend.Gate)
 		for range callers {
 			is.NoErr(<-results)
 		}
-		is.True(spend.appends <= 2)
+		is.True(spend.Appends() <= 2)
 	})
 }
--- a/digest/digest_test.go
+++ b/digest/digest_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"slices"
 	"testing"
 	"time"
 
@@ -13,38 +12,10 @@
 	"lavenderpin.dev/lavenderpin/bootclock"
 	"lavenderpin.dev/lavenderpin/directory"
 	"lavenderpin.dev/lavenderpin/event"
+	"lavenderpin.dev/lavenderpin/internal/memtopic"
 	"lavenderpin.dev/lavenderpin/keyedlog"
 )
 
-// memory is a keyed topic.
-type memory struct{ records []keyedlog.Record }
-
-func (m *memory) Newest(context.Context) ([]keyedlog.Record, int64, error) {
-	newest := make(map[string]keyedlog.Record)
-	for _, r := range m.records {
-		newest[r.Key] = r
-	}
-	var out []keyedlog.Record
-	for _, r := range newest {
-		if !r.Deleted {
-			out = append(out, r)
-		}
-	}
-	return out, int64(len(m.records)), nil
-}
-
-func (m *memory) Read(_ context.Context, from int64, _ time.Duration) ([]keyedlog.Record, int64, error) {
-	return slices.Clone(m.records[from:]), int64(len(m.records)), nil
-}
-
-func (m *memory) Append(_ context.Context, _ keyedlog.Fence, records ...keyedlog.Record) error {
-	for _, r := range records {
-		r.Offset = int64(len(m.records))
-		m.records = append(m.records, r)
-	}
-	return nil
-}
-
 func recorder() *event.Recorder {
 	return event.NewRecorder(event.NewHLC(clockwork.NewFakeClock()), "n", 16, log.NewNopLogger())
 }
@@ -77,7 +48,7 @@
 // those that read all entries, and heartbeats alone must not be written.
 func TestDigestTellsWhatChanged(t *testing.T) {
 	is := is.New(t)
-	ctx, topic := context.Background(), &memory{}
+	ctx, topic := context.Background(), memtopic.New()
 	ready := []directory.Entry{entry("a", 1), entry("b", 1)}
 	k := keeper(topic, "k1", &ready)
 	is.NoErr(k.Step(ctx))
@@ -86,10 +57,10 @@
 	is.Equal(ids(r), []string{"a", "b"})
 	is.True(r.Fresh())
 
-	length := len(topic.records)
+	length := topic.Len()
 	ready = []directory.Entry{entry("a", 2), entry("b", 2)}
 	is.NoErr(k.Step(ctx))
-	is.Equal(len(topic.records), length)
+	is.Equal(topic.Len(), length)
 
 	ready = []directory.Entry{entry("b", 3), entry("c", 1)}
 	is.NoErr(k.Step(ctx))
@@ -101,7 +72,7 @@
 // know no upstream, or send work to those that left long ago.
 func TestUnkeptDigestIsNotBelieved(t *testing.T) {
 	is := is.New(t)
-	ctx, topic := context.Background(), &memory{}
+	ctx, topic := context.Background(), memtopic.New()
 	f, r, clock := follower(topic)
 	r.Table.Put(entry("known", 1))
 	is.NoErr(f.Step(ctx))
@@ -119,10 +90,10 @@
 // one wrote must not keep the upstream alive.
 func TestNextKeeperTakesOutWhatIsGone(t *testing.T) {
 	is := is.New(t)
-	ctx, topic := context.Background(), &memory{}
+	ctx, topic := context.Background(), memtopic.New()
 	first := []directory.Entry{entry("a", 1), entry("b", 1)}
 	is.NoErr(keeper(topic, "k1", &first).Step(ctx))
-	topic.records = append(topic.records, keyedlog.Record{Key: "torn", Value: []byte("{"), Offset: int64(len(topic.records))})
+	is.NoErr(topic.Append(ctx, keyedlog.Fence{}, keyedlog.Record{Key: "torn", Value: []byte("{")}))
 	second := []directory.Entry{entry("b", 2)}
 	is.NoErr(keeper(topic, "k2", &second).Step(ctx))
 	f, r, _ := follower(topic)
