--- a/prepaid/plan.go
+++ b/prepaid/plan.go
@@ -19,8 +19,8 @@
 	// Known tells that its last report bounds its use; otherwise its whole ceilings
 	// count as used.
 	Known bool
-	// Reported is what it told last to have used and held, if known. Counted is what counts as used, Returned what went back to the accounts, in
-	// tokens over all accounts.
+	// Reported is what it told last to have used and held, if known; Counted is what counts
+	// as used, Returned what went back to the accounts: tokens over all accounts.
 	Reported, Counted, Returned int64
 }
 
--- a/presence/roster.go
+++ b/presence/roster.go
@@ -15,8 +15,8 @@
 	// interval; one that writes more rarely may leave two more out.
 	SilentAfter = 2600 * time.Millisecond
 	// IdleAfter is how long it may be silent before another node takes its duties up:
-	// three records, and one more of a node that writes more rarely. Doing so too early costs a few calls and nothing else, since
-	// every write of a duty is fenced.
+	// three records, and one more of a node that writes more rarely. Doing so too early
+	// costs a few calls and nothing else, since every write of a duty is fenced.
 	IdleAfter = 1600 * time.Millisecond
 )
 
