--- a/digest/reader.go
+++ b/digest/reader.go
@@ -1,8 +1,6 @@
 package digest
 
 import (
-	"maps"
-	"slices"
 	"sync/atomic"
 	"time"
 
@@ -17,81 +15,58 @@
 	Table  *directory.Table
 	Clock  bootclock.Clock
 	Events *event.Recorder
-	// marked is when the last mark was read, or the digest at first, by the boot clock; zero
-	// if nobody has kept it yet.
+	// marked is when the last mark was read, by the boot clock; zero if never.
 	marked atomic.Int64
-	// pending is the digest as read at first, until a new mark tells that it is still kept.
-	// What keepers left long ago would send callers to upstreams that are gone.
-	pending map[string]directory.Entry
 }
 
-// Fresh tells whether the digest is kept, or was read at first just now.
+// Fresh tells whether the digest is complete and kept.
 func (r *Reader) Fresh() bool {
 	at := r.marked.Load()
 	return at != 0 && r.Clock.Now()-time.Duration(at) <= StaleAfter
 }
 
-// Reset reads the digest at first. The table stays as it is until the next mark.
+// Reset replaces the table by the digest, unless nobody has kept it yet.
 func (r *Reader) Reset(records []keyedlog.Record) {
-	r.pending = make(map[string]directory.Entry, len(records))
-	r.marked.Store(0)
+	var entries []directory.Entry
+	marked := false
 	for _, rec := range records {
-		if rec.Key == markKey {
-			r.marked.Store(int64(r.Clock.Now()))
+		e, isEntry, err := Decode(rec)
+		switch {
+		case err != nil:
+			r.Events.Record(event.BatchVoid, "topic", "digest", "key", rec.Key, "error", err)
+		case isEntry:
+			entries = append(entries, e)
+		default:
+			marked = true
 		}
-		r.hold(rec)
 	}
+	if !marked {
+		return
+	}
+	r.Table.Replace(entries)
+	r.marked.Store(int64(r.Clock.Now()))
+	r.Events.Record(event.UpstreamListed, "entries", len(entries), "digest", true)
 }
 
 // Apply takes changes in order.
 func (r *Reader) Apply(records []keyedlog.Record) {
 	for _, rec := range records {
-		switch {
-		case rec.Key == markKey:
-			r.marked.Store(int64(r.Clock.Now()))
-			r.believe()
-		case r.pending != nil:
-			r.hold(rec)
-		case rec.Deleted:
+		if rec.Deleted {
 			r.Table.Remove(rec.Key)
+			continue
+		}
+		e, isEntry, err := Decode(rec)
+		switch {
+		case err != nil:
+			r.Events.Record(event.BatchVoid, "topic", "digest", "key", rec.Key, "error", err)
+		case isEntry:
+			r.Table.Put(e)
 		default:
-			if e, ok := r.decode(rec); ok {
-				r.Table.Put(e)
-			}
+			r.marked.Store(int64(r.Clock.Now()))
 		}
 	}
 }
 
-// hold takes a record into what is pending.
-func (r *Reader) hold(rec keyedlog.Record) {
-	if rec.Deleted {
-		delete(r.pending, rec.Key)
-		return
-	}
-	if e, ok := r.decode(rec); ok {
-		r.pending[rec.Key] = e
-	}
-}
-
-// believe replaces the table by what is pending.
-func (r *Reader) believe() {
-	if r.pending == nil {
-		return
-	}
-	r.Table.Replace(slices.Collect(maps.Values(r.pending)))
-	r.Events.Record(event.UpstreamListed, "entries", len(r.pending), "digest", true)
-	r.pending = nil
-}
-
-func (r *Reader) decode(rec keyedlog.Record) (directory.Entry, bool) {
-	e, isEntry, err := Decode(rec)
-	if err != nil {
-		r.Events.Record(event.BatchVoid, "topic", "digest", "key", rec.Key, "error", err)
-		return e, false
-	}
-	return e, isEntry
-}
-
 // Lost notes that entries may lapse with the store.
 func (r *Reader) Lost(err error) {
 	r.Table.StoreLost()
