--- a/cmd/lavenderedge/run.go
+++ b/cmd/lavenderedge/run.go
@@ -149,12 +149,11 @@
 	node, err := edgenode.Start(ctx, edgenode.Settings{
 		Node: p.settings.Node, Incarnation: incarnation, Start: start,
 		Address: p.settings.Frontend, Peer: p.peerAddress(), Capacity: capacity(p.settings.Limits), DataCentre: p.settings.DataCentre, Region: p.settings.Region, Regions: p.settings.Regions,
-		Repeats:    repeats.Limits{Ratio: p.settings.Bounds.RepeatRatio, Extra: p.settings.Bounds.RepeatExtra, Window: p.settings.Bounds.RepeatWindow},
-		DigestFrom: edgenode.DigestFrom,
+		Repeats: repeats.Limits{Ratio: p.settings.Bounds.RepeatRatio, Extra: p.settings.Bounds.RepeatExtra, Window: p.settings.Bounds.RepeatWindow},
 	}, edgenode.Deps{
 		Clock: p.clock, TimeOfDay: p.clocks().TimeOfDay, Upstreams: p.sender, Lending: &lending.Client{Wire: p.peers}, Events: p.events, Metrics: gateway.NewMetrics(true),
 		Topics: edgenode.Topics{Operators: store.Operators(), Upstreams: store.Upstreams(), Presence: store.Topic("presence"),
-			Spend: store.Topic("spend"), Ledger: store.Topic("ledger"), Grants: store.Topic("grants"), Digest: store.Topic("digest")},
+			Spend: store.Topic("spend"), Ledger: store.Topic("ledger"), Grants: store.Topic("grants")},
 		DecodeConfig: platform.DecodeConfig, DecodeUpstream: platform.DecodeUpstream,
 	})
 	if err != nil {
--- a/directory/table.go
+++ b/directory/table.go
@@ -28,17 +28,6 @@
 // Upstreams returns those of a service that are ready or doubted.
 func (s *Snapshot) Upstreams(service string) []*Upstream { return s.services[service] }
 
-// Ready returns the entries of all upstreams in the snapshot.
-func (s *Snapshot) Ready() []Entry {
-	var entries []Entry
-	for _, list := range s.services {
-		for _, u := range list {
-			entries = append(entries, u.Entry)
-		}
-	}
-	return entries
-}
-
 // Table follows the upstreams' entries. It is safe for concurrent use.
 type Table struct {
 	clock bootclock.Clock
--- a/edgenode/deps.go
+++ b/edgenode/deps.go
@@ -28,17 +28,14 @@
 	// Regions maps each data centre to its region.
 	Regions map[string]string
 	Repeats repeats.Limits
-	// DigestFrom is from how many live nodes on most of them follow the digest of upstreams
-	// and not the upstreams' own entries.
-	DigestFrom int
 }
 
 // Topics are where the fleet's records stand in the store.
 type Topics struct {
 	// Operators and Upstreams are written by others.
 	Operators, Upstreams keyedlog.Topic
-	// Presence, Spend, Ledger, Grants and Digest are the fleet's own.
-	Presence, Spend, Ledger, Grants, Digest keyedlog.Topic
+	// Presence, Spend, Ledger and Grants are the fleet's own.
+	Presence, Spend, Ledger, Grants keyedlog.Topic
 }
 
 // Deps are what a node works with.
--- a/edgenode/node.go
+++ b/edgenode/node.go
@@ -60,8 +60,7 @@
 	n.follow(loops, deps.Topics.Operators, &configHandler{n}, configPace)
 	upstreams := upstreamPace
 	upstreams.Extra = n.quietExtra
-	n.run(loops, newUpstreamSource(n, upstreams).run)
-	n.run(loops, n.newKeeper().Run)
+	n.follow(loops, deps.Topics.Upstreams, &upstreamHandler{n}, upstreams)
 	n.follow(loops, deps.Topics.Presence, &presenceHandler{node: n}, presencePace)
 	earlier, err := n.readEarlier(ctx)
 	if err != nil {
--- a/presence/pace.go
+++ b/presence/pace.go
@@ -50,20 +50,12 @@
 // link for all that they read. A node there took up the duties 2.3 s later than one beside
 // the store would have.
 func Senior(active []Record) (Record, bool) {
-	first := Seniors(active, 1)
-	if len(first) == 0 {
+	if len(active) == 0 {
 		return Record{}, false
 	}
-	return first[0], true
-}
-
-// Seniors returns the first count nodes in the order in which duties fall to them.
-func Seniors(active []Record, count int) []Record {
-	ranked := slices.Clone(active)
-	slices.SortFunc(ranked, func(a, b Record) int {
+	return slices.MinFunc(active, func(a, b Record) int {
 		return cmp.Or(cmp.Compare(a.distance(), b.distance()), cmp.Compare(b.Capacity, a.Capacity), cmp.Compare(a.Node, b.Node))
-	})
-	return ranked[:min(count, len(ranked))]
+	}), true
 }
 
 // distance ranks nodes by how far the store is.
