--- a/internal/soak/callers.go
+++ b/internal/soak/callers.go
@@ -11,12 +11,16 @@
 )
 
 const (
+	// callers is how many call at once: with callEvery some 130 calls a second, which leaves
+	// a few dozen processes room on one machine.
 	callers = 8
 	// callEvery is a caller's mean pause between two calls.
 	callEvery = 60 * time.Millisecond
-	// keepAddresses is how long callers keep an answer about addresses.
+	// keepAddresses is how long callers keep an answer about addresses: as long as nodes
+	// allow.
 	keepAddresses = 2 * time.Second
-	// deadline is how long callers wait for an answer.
+	// deadline is how long callers wait for an answer: longer than most faults of a plan
+	// last, so that calls meet their ends too.
 	deadline = 3 * time.Second
 	// prompt and mostOutput are the tokens of a call.
 	prompt     = 300
--- a/internal/soak/fleet.go
+++ b/internal/soak/fleet.go
@@ -17,7 +17,8 @@
 	eventsOfStream = 20
 	// heartbeatEvery is the interval of the upstreams' entries.
 	heartbeatEvery = time.Second
-	// prepaidAtFirst is little, so that accounts run out within a run.
+	// prepaidAtFirst and topUpTokens, in tokens, are little: accounts run out within a run
+	// and go on after a top-up.
 	prepaidAtFirst = 150_000
 	topUpTokens    = 100_000
 )
--- a/prepaid/promise.go
+++ b/prepaid/promise.go
@@ -12,7 +12,7 @@
 	opensAfter time.Duration
 }
 
-// growsAfter is how long limits stay as they are: a node in touch with the store makes
+// growsAfter is how long limits stay as they are, two reports and their answers: a node in touch with the store makes
 // the next promise before, so that growth only serves one that is not. Without this pause
 // a process that was killed and is back after two seconds had half a second more of its
 // demand counted as used.
--- a/prepaid/want.go
+++ b/prepaid/want.go
@@ -95,15 +95,21 @@
 
 // noteBusy marks nodes with much of their region's demand as busy.
 func noteBusy(region []*want) {
-	total := 0.0
-	for _, w := range region {
-		total += w.rate
-	}
+	total := demand(region)
 	for _, w := range region {
 		w.busy = w.rate > total/busyPart
 	}
 }
 
+// demand is what nodes want together, in tokens a second.
+func demand(nodes []*want) float64 {
+	total := 0.0
+	for _, w := range nodes {
+		total += w.rate
+	}
+	return total
+}
+
 // before orders nodes as an account's holders.
 func before(account string, x, y *want) int {
 	return cmp.Or(first(x.busy, y.busy), first(x.large, y.large), cmp.Compare(rank(account, y), rank(account, x)))
@@ -127,11 +133,7 @@
 // needs sets what holders need: their own demand, or an even part of their region's.
 // They lend to each other and to all others, and which of them is asked is chance.
 func (a *Allocator) needs(holders []*want, region []*want) {
-	total := 0.0
-	for _, w := range region {
-		total += w.rate
-	}
-	even := total / float64(len(holders))
+	even := demand(region) / float64(len(holders))
 	for _, w := range holders {
 		w.need = max(w.need, int64(max(w.rate, even)*a.settings.Horizon.Seconds()))
 	}
