Log how topics of the log are read; serve metrics where the monitoring can fetch them

Cause: a node that was seconds behind in the configuration left no line. The configuration's follower logged no failure, no line told how long a reading took or how large it was, and the deploy file named no address for metrics, so a full link, a silent store and a busy node couldn't be told apart.

Change: a follower describes each successful reading (took, since, late, records, bytes). Config, upstreams and presence log the first failure in a row (201), the return (202, with these figures) and late successes (208). The metrics hold each topic's age and failures and are served on a port of their own; a port that is taken is logged (109) and stops nothing.

Ruled out: a line for each failed reading, as the upstreams had: a long outage filled the log.

--- a/allotment/grants.go
+++ b/allotment/grants.go
@@ -78,4 +78,4 @@
 func (g *Grants) Lost(error) {}
 
 // Caught does nothing.
-func (g *Grants) Caught() {}
+func (g *Grants) Caught(keyedlog.Reading) {}
--- a/allotment/term.go
+++ b/allotment/term.go
@@ -134,4 +134,4 @@
 func (t *reports) Lost(error) {}
 
 // Caught does nothing.
-func (t *reports) Caught() {}
+func (t *reports) Caught(keyedlog.Reading) {}
--- a/cmd/lavenderedge/main.go
+++ b/cmd/lavenderedge/main.go
@@ -11,6 +11,8 @@
 type cli struct {
 	Config string `help:"Path of the settings file." env:"LAVENDERPIN_CONFIG" required:""`
 	Check  bool   `help:"Check the settings and end."`
+	// MetricsPort is a port of the instance's own address.
+	MetricsPort int `help:"Port that serves the metrics alone, beside the ready address; 0 for none." env:"LAVENDERPIN_METRICS_PORT" default:"0"`
 }
 
 func main() {
--- a/cmd/lavenderedge/run.go
+++ b/cmd/lavenderedge/run.go
@@ -55,13 +55,15 @@
 // process is one node's process.
 type process struct {
 	settings platform.Settings
-	events   *event.Recorder
-	clock    bootclock.System
-	node     *edgenode.Node
-	sender   *platform.Upstreams
-	peers    *httpwire.Client
-	frontend *http.Server
-	open     openRequests
+	// metricsPort serves the metrics alone; 0 for none.
+	metricsPort int
+	events      *event.Recorder
+	clock       bootclock.System
+	node        *edgenode.Node
+	sender      *platform.Upstreams
+	peers       *httpwire.Client
+	frontend    *http.Server
+	open        openRequests
 }
 
 func run(c cli) error {
@@ -75,7 +77,7 @@
 	}
 	lines := logsink.New(os.Stdout)
 	defer func() { _ = lines.Close() }()
-	p := &process{settings: settings, events: newRecorder(settings, lines)}
+	p := &process{settings: settings, metricsPort: c.MetricsPort, events: newRecorder(settings, lines)}
 	if settings.Limits.MemoryMB > 0 {
 		debug.SetMemoryLimit(int64(memoryShare * float64(settings.Limits.MemoryMB) * (1 << 20)))
 	}
@@ -160,6 +162,8 @@
 		return errors.Trace(err)
 	}
 	p.node = node
+	expvar.Publish("log_readings", expvar.Func(func() any { return node.Readings() }))
+	p.serveMetrics()
 	go p.sweep(ctx)
 	return p.listen()
 }
--- a/edgenode/confighandler.go
+++ b/edgenode/confighandler.go
@@ -6,7 +6,10 @@
 )
 
 // configHandler puts configurations in force.
-type configHandler struct{ node *Node }
+type configHandler struct {
+	node     *Node
+	readings *readingLog
+}
 
 // Reset takes the newest records.
 func (h *configHandler) Reset(records []keyedlog.Record) { h.Apply(records) }
@@ -31,8 +34,8 @@
 	}
 }
 
-// Lost and Caught do nothing: the upstreams' follower logs the store's loss.
-func (h *configHandler) Lost(error) {}
+// Lost keeps the configuration in force.
+func (h *configHandler) Lost(err error) { h.readings.lost(err) }
 
-// Caught does nothing.
-func (h *configHandler) Caught() {}
+// Caught logs a reading that came late.
+func (h *configHandler) Caught(r keyedlog.Reading) { h.readings.caught(r) }
--- a/edgenode/node.go
+++ b/edgenode/node.go
@@ -44,7 +44,9 @@
 	refusing     atomic.Bool
 	// quiet tells that nobody wants tokens of this node and that it holds none.
 	quiet atomic.Bool
-	loops sync.WaitGroup
+	// readings tells of each topic how it was last read.
+	readings []*readingLog
+	loops    sync.WaitGroup
 	// stop ends the loops.
 	stop context.CancelFunc
 }
@@ -60,13 +62,13 @@
 	}
 	loops, stop := context.WithCancel(context.WithoutCancel(ctx))
 	n.stop = stop
-	n.follow(loops, deps.Topics.Operators, &configHandler{n}, configPace)
+	n.follow(loops, deps.Topics.Operators, &configHandler{n, n.logReadings("config")}, configPace)
 	upstreams := upstreamPace
 	upstreams.Extra = n.quietExtra
-	n.follow(loops, deps.Topics.Upstreams, &upstreamHandler{n}, upstreams)
+	n.follow(loops, deps.Topics.Upstreams, &upstreamHandler{n, n.logReadings("upstreams")}, upstreams)
 	nodes := presencePace
 	nodes.Extra = n.presenceExtra
-	n.follow(loops, deps.Topics.Presence, &presenceHandler{node: n}, nodes)
+	n.follow(loops, deps.Topics.Presence, &presenceHandler{node: n, readings: n.logReadings("presence")}, nodes)
 	clocks := prepaid.Clocks{Boot: deps.Clock, TimeOfDay: deps.TimeOfDay}
 	holder := prepaid.Holder{Node: settings.Node, Region: settings.Region, Capacity: settings.Capacity, Incarnation: settings.Incarnation, BootID: settings.Start.BootID}
 	n.share = prepaid.NewShare(prepaid.DefaultSettings(), clocks, holder)
--- a/edgenode/presencehandler.go
+++ b/edgenode/presencehandler.go
@@ -10,7 +10,8 @@
 
 // presenceHandler keeps the roster of nodes.
 type presenceHandler struct {
-	node *Node
+	node     *Node
+	readings *readingLog
 	// known holds the live nodes' incarnations as last logged.
 	known map[string]string
 }
@@ -35,10 +36,14 @@
 }
 
 // Lost stops the clock by which silent nodes are dropped.
-func (h *presenceHandler) Lost(error) { h.node.roster.Lost() }
+func (h *presenceHandler) Lost(err error) {
+	h.node.roster.Lost()
+	h.readings.lost(err)
+}
 
 // Caught lets it run and logs which nodes came or went.
-func (h *presenceHandler) Caught() {
+func (h *presenceHandler) Caught(r keyedlog.Reading) {
+	h.readings.caught(r)
 	h.node.roster.Caught()
 	now := make(map[string]string)
 	for _, r := range h.node.roster.Live() {
--- a/edgenode/upstreamhandler.go
+++ b/edgenode/upstreamhandler.go
@@ -7,7 +7,10 @@
 )
 
 // upstreamHandler keeps the table of upstreams.
-type upstreamHandler struct{ node *Node }
+type upstreamHandler struct {
+	node     *Node
+	readings *readingLog
+}
 
 // Reset replaces the table by the newest entries.
 func (h *upstreamHandler) Reset(records []keyedlog.Record) {
@@ -65,8 +68,11 @@
 func (h *upstreamHandler) Lost(err error) {
 	h.node.directory.StoreLost()
 	h.node.directory.Expire()
-	h.node.deps.Events.Record(event.LogUnreachable, "topic", "upstreams", "error", err)
+	h.readings.lost(err)
 }
 
 // Caught drops doubted upstreams whose time is over.
-func (h *upstreamHandler) Caught() { h.node.directory.Expire() }
+func (h *upstreamHandler) Caught(r keyedlog.Reading) {
+	h.node.directory.Expire()
+	h.readings.caught(r)
+}
--- a/event/log.go
+++ b/event/log.go
@@ -9,6 +9,7 @@
 	ConfigInForce   Number = 205
 	OperatorRefused Number = 206
 	BatchVoid       Number = 207
+	LogReadLate     Number = 208
 	GathererFailed  Number = 210
 	// OperatorCalled is the first of the audit events.
 	OperatorCalled Number = 240
@@ -23,5 +24,6 @@
 	ConfigInForce:   {"ConfigInForce", "A change took effect on this node."},
 	OperatorRefused: {"OperatorRefused", "An operator call was refused for its token or role."},
 	GathererFailed:  {"GathererFailed", "The node that appends for this data centre gave no answer; this node appends for itself for a while."},
+	LogReadLate:     {"LogReadLate", "A topic of the log was read later than usual, though no reading had failed."},
 	BatchVoid:       {"BatchVoid", "A batch was void because its sequence had passed."},
 }
--- a/event/node.go
+++ b/event/node.go
@@ -10,6 +10,7 @@
 	PanicRecovered Number = 106
 	LinesDropped   Number = 107
 	SettingsRead   Number = 108
+	MetricsAbsent  Number = 109
 )
 
 var nodeKinds = map[Number]Kind{
@@ -20,5 +21,6 @@
 	NodeClosed:     {"NodeClosed", "The node learned that the fleet closed its incarnation."},
 	LinesDropped:   {"LinesDropped", "Log lines were dropped because the output took them too slowly; the count follows."},
 	SettingsRead:   {"SettingsRead", "The settings were read again; what changed is in force or named."},
+	MetricsAbsent:  {"MetricsAbsent", "The metrics can't be served on the address set for them; the node serves callers all the same."},
 	PanicRecovered: {"PanicRecovered", "A request hit a defect; the node goes on."},
 }
--- a/keyedlog/follower.go
+++ b/keyedlog/follower.go
@@ -17,7 +17,7 @@
 	Apply(records []Record)
 	// Lost is called for each failed reading, Caught after each successful one.
 	Lost(err error)
-	Caught()
+	Caught(Reading)
 }
 
 // Options set a follower's pace.
@@ -58,6 +58,8 @@
 	// seen holds each key's newest offset: a reading of the newest records may be older
 	// than what was read before.
 	seen map[string]int64
+	// caughtAt is when a reading last succeeded.
+	caughtAt time.Time
 }
 
 // NewFollower returns a follower that has read nothing.
@@ -68,10 +70,7 @@
 // Run follows the topic until ctx ends.
 func (f *Follower) Run(ctx context.Context) {
 	for ctx.Err() == nil {
-		pause := f.options.Pause
-		if f.options.Extra != nil {
-			pause += f.options.Extra()
-		}
+		pause := f.pause()
 		if err := f.Step(ctx); err != nil {
 			f.handler.Lost(err)
 			pause = f.options.Retry/2 + rand.N(f.options.Retry)
@@ -80,11 +79,20 @@
 	}
 }
 
+// pause is the time between two readings that succeed.
+func (f *Follower) pause() time.Duration {
+	if f.options.Extra == nil {
+		return f.options.Pause
+	}
+	return f.options.Pause + f.options.Extra()
+}
+
 // Step does one reading.
 func (f *Follower) Step(ctx context.Context) error {
 	if f.next < 0 {
 		return f.reset(ctx)
 	}
+	begun := time.Now()
 	outer := ctx
 	ctx, cancel := context.WithTimeout(ctx, f.options.Wait+f.options.Slack)
 	defer cancel()
@@ -101,14 +109,16 @@
 		return err
 	}
 	f.next = next
+	reading := f.reading(begun, records)
 	if fresh := f.fresh(records); len(fresh) > 0 {
 		f.handler.Apply(fresh)
 	}
-	f.handler.Caught()
+	f.handler.Caught(reading)
 	return nil
 }
 
 func (f *Follower) reset(ctx context.Context) error {
+	begun := time.Now()
 	ctx, cancel := context.WithTimeout(ctx, min(resetTimeout+time.Duration(f.failed)*resetGrowth, resetMost))
 	defer cancel()
 	records, next, err := ReadNewest(ctx, f.topic)
@@ -121,8 +131,9 @@
 		f.seen[r.Key] = max(f.seen[r.Key], r.Offset)
 	}
 	f.next = next
+	reading := f.reading(begun, records)
 	f.handler.Reset(records)
-	f.handler.Caught()
+	f.handler.Caught(reading)
 	return nil
 }
 
--- a/keyedlog/follower_test.go
+++ b/keyedlog/follower_test.go
@@ -68,8 +68,8 @@
 	}
 }
 
-func (s *sink) Lost(error) { s.lost++ }
-func (s *sink) Caught()    {}
+func (s *sink) Lost(error)     { s.lost++ }
+func (s *sink) Caught(Reading) {}
 
 // The store forgets its history while a node is cut off. The node must learn what changed
 // meanwhile all the same, and what is gone.
