--- /dev/null
+++ b/edgenode/fulllink_test.go
@@ -0,0 +1,85 @@
+package edgenode
+
+import (
+	"fmt"
+	"strconv"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"lavenderpin.dev/lavenderpin/catalog"
+)
+
+// decodePadded reads a version that padding follows.
+func decodePadded(_ string, raw []byte) (*catalog.View, bool, error) {
+	digits, _, _ := strings.Cut(string(raw), " ")
+	version, err := strconv.ParseInt(digits, 10, 64)
+	if err != nil {
+		return nil, true, err
+	}
+	return catalog.NewView(version, catalog.Limits{}, nil, nil, nil, nil), true, nil
+}
+
+// padded is a configuration of a version and a size in bytes.
+func padded(version, bytes int) string {
+	return strconv.Itoa(version) + " " + strings.Repeat("x", bytes)
+}
+
+// farFleet starts a fleet of two regions; the nodes of one reach the store over a link.
+func (b *bubble) farFleet(l *link, dataCentres, nodes int) (far []*Node) {
+	beyond := func(t Topics) Topics {
+		return Topics{Operators: &farTopic{t.Operators, l}, Upstreams: &farTopic{t.Upstreams, l}, Presence: &farTopic{t.Presence, l},
+			Spend: &farTopic{t.Spend, l}, Ledger: &farTopic{t.Ledger, l}, Grants: &farTopic{t.Grants, l}}
+	}
+	for i := range 4 {
+		b.startAt(site{dataCentre: "near", region: "near", capacity: 200, topics: b.topics}, fmt.Sprintf("near-%d", i), decodePadded)
+	}
+	for d := range dataCentres {
+		for i := range nodes {
+			s := site{dataCentre: fmt.Sprintf("far-%d", d), region: "far", capacity: 50, topics: beyond(b.topics)}
+			if i < 2 {
+				s.capacity = 200
+			}
+			far = append(far, b.startAt(s, fmt.Sprintf("far-%d-%d", d, i), decodePadded))
+		}
+	}
+	return far
+}
+
+// inForceAt counts the nodes that have a version in force and know no upstream of a service.
+func inForceAt(nodes []*Node, version int64, service string) int {
+	n := 0
+	for _, node := range nodes {
+		if node.catalog.Current().Version == version && len(node.directory.Current().Upstreams(service)) == 0 {
+			n++
+		}
+	}
+	return n
+}
+
+// Every node of a region reads a large configuration over the same narrow link: it comes late,
+// and so does the news that an upstream leaves.
+func TestLargeConfigurationFillsTheLinkBetweenRegions(t *testing.T) {
+	const (
+		configBytes = 600 << 10
+		aim         = 4 * time.Second
+	)
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		b := newBubble(t)
+		defer b.stop()
+		b.put(b.topics.Upstreams, "e1", "llm")
+		far := b.farFleet(&link{perSecond: 60e6 / 8, delay: 60 * time.Millisecond}, 3, 14)
+		time.Sleep(10 * time.Second)
+		is.Equal(len(far[0].directory.Current().Upstreams("llm")), 1)
+		b.put(b.topics.Operators, "config", padded(2, configBytes))
+		time.Sleep(1400 * time.Millisecond)
+		b.put(b.topics.Operators, "config", padded(3, configBytes))
+		b.put(b.topics.Upstreams, "e1", leaves)
+		time.Sleep(aim)
+		is.Equal(inForceAt(far, 3, "llm"), len(far))
+	})
+}
--- a/edgenode/start_test.go
+++ b/edgenode/start_test.go
@@ -128,7 +128,13 @@
 		[]*catalog.Account{{Name: "one", Prepaid: 10_000_000, HasPrepaid: true}}, map[string]string{apiKey: "one"}), true, nil
 }
 
+// leaves is what an upstream that drains writes.
+const leaves = "leaves"
+
 func decodeEntry(id string, raw []byte) (directory.Entry, error) {
+	if string(raw) == leaves {
+		return directory.Entry{ID: id, Service: "llm", Address: id, DataCentre: "dc", Slots: 8, State: directory.Draining}, nil
+	}
 	return directory.Entry{ID: id, Service: string(raw), Address: id, DataCentre: "dc", Slots: 8, State: directory.Ready}, nil
 }
 
@@ -147,13 +153,27 @@
 }
 
 func (b *bubble) start(name string) *Node {
+	return b.startAt(site{dataCentre: "dc", region: "region", capacity: 100, topics: b.topics}, name, view)
+}
+
+// site is where a node of a bubble stands and how it reaches the store.
+type site struct {
+	dataCentre, region string
+	capacity           int
+	topics             Topics
+}
+
+// configDecoder reads a configuration.
+type configDecoder func(key string, raw []byte) (*catalog.View, bool, error)
+
+func (b *bubble) startAt(s site, name string, decode configDecoder) *Node {
 	clocks := prepaid.Clocks{Boot: bubbleClock{}, TimeOfDay: clockwork.NewRealClock()}
 	n, err := Start(context.Background(), Settings{Node: name, Incarnation: "new-" + name, Start: prepaid.Start{Reading: clocks.Read(), BootID: "boot-" + name},
-		Address: name, Peer: name, Capacity: 100, DataCentre: "dc", Region: "region", Regions: map[string]string{"dc": "region"},
+		Address: name, Peer: name, Capacity: s.capacity, DataCentre: s.dataCentre, Region: s.region, Regions: map[string]string{s.dataCentre: s.region},
 		Repeats: repeats.Limits{Ratio: 0.2, Extra: 50, Window: 10 * time.Second}},
-		Deps{Clock: bubbleClock{}, TimeOfDay: clocks.TimeOfDay, Topics: b.topics, Upstreams: answering{}, Lending: noLender{},
+		Deps{Clock: bubbleClock{}, TimeOfDay: clocks.TimeOfDay, Topics: s.topics, Upstreams: answering{}, Lending: noLender{},
 			Events:  event.NewRecorder(event.NewHLC(clockwork.NewRealClock()), name, 64, log.NewNopLogger()),
-			Metrics: gateway.NewMetrics(false), DecodeConfig: view, DecodeUpstream: decodeEntry})
+			Metrics: gateway.NewMetrics(false), DecodeConfig: decode, DecodeUpstream: decodeEntry})
 	if err != nil {
 		b.t.Fatal(err)
 	}
--- /dev/null
+++ b/keyedlog/silence_test.go
@@ -0,0 +1,130 @@
+package keyedlog
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// span is a time in which a store is silent.
+type span struct{ from, to time.Duration }
+
+// lossyStore holds a topic. Whatever is under way when it falls silent is never answered, also
+// not when it is back. An answer arrives in pieces.
+type lossyStore struct {
+	memoryTopic
+	begun  time.Time
+	silent []span
+	// pieces is how many pieces an answer has, a twentieth of a second apart.
+	pieces int
+}
+
+const betweenPieces = 50 * time.Millisecond
+
+// pass waits for d and then tells whether the store answered all the while; it hangs if not.
+func (s *lossyStore) pass(ctx context.Context, d time.Duration) error {
+	from := time.Since(s.begun)
+	if !sleep(ctx, d) {
+		return ctx.Err()
+	}
+	for _, silent := range s.silent {
+		if from < silent.to && time.Since(s.begun) >= silent.from {
+			<-ctx.Done()
+			return ctx.Err()
+		}
+	}
+	return nil
+}
+
+func (s *lossyStore) Newest(ctx context.Context, begun func()) ([]Record, int64, error) {
+	for i := range s.pieces {
+		if err := s.pass(ctx, betweenPieces); err != nil {
+			return nil, 0, err
+		}
+		if i == 0 {
+			begun()
+		}
+	}
+	return s.memoryTopic.Newest(ctx, func() {})
+}
+
+func (s *lossyStore) Probe(ctx context.Context) error { return s.pass(ctx, time.Millisecond) }
+
+func (s *lossyStore) Read(ctx context.Context, from int64, wait time.Duration) ([]Record, int64, error) {
+	for waited := time.Duration(0); waited < wait && int64(len(s.records)) <= from; waited += betweenPieces {
+		if err := s.pass(ctx, betweenPieces); err != nil {
+			return nil, 0, err
+		}
+	}
+	return s.memoryTopic.Read(ctx, from, wait)
+}
+
+// lateness returns how long after the store's last return a follower knew what was written then.
+func (s *lossyStore) lateness(t *testing.T) time.Duration {
+	values := make(chan string, 1000)
+	f := NewFollower(s, &valueSink{values: values}, Options{Wait: 1500 * time.Millisecond, Pause: 50 * time.Millisecond, Slack: time.Second, Retry: 250 * time.Millisecond})
+	s.put("config", "old")
+	ctx, cancel := context.WithCancel(t.Context())
+	var ended sync.WaitGroup
+	ended.Go(func() { f.Run(ctx) })
+	back := s.silent[len(s.silent)-1].to
+	time.Sleep(back - time.Since(s.begun))
+	s.put("config", "new")
+	for v := range values {
+		if v == "new" {
+			break
+		}
+	}
+	late := time.Since(s.begun) - back
+	cancel()
+	ended.Wait()
+	synctest.Wait()
+	return late
+}
+
+// valueSink hands on the values that a follower reads.
+type valueSink struct{ values chan string }
+
+func (s *valueSink) Reset(records []Record) { s.Apply(records) }
+func (s *valueSink) Apply(records []Record) {
+	for _, r := range records {
+		s.values <- string(r.Value)
+	}
+}
+func (s *valueSink) Lost(error)     {}
+func (s *valueSink) Caught(Reading) {}
+
+// inForceAim is within what time of its acknowledgement a change must be in force.
+const inForceAim = 3 * time.Second
+
+// A reading that meets a silent store must not outlive the silence.
+func TestSilentStoreDelaysNewsAfterItsReturn(t *testing.T) {
+	for silence := 100 * time.Millisecond; silence <= 12*time.Second; silence += 300 * time.Millisecond {
+		synctest.Test(t, func(t *testing.T) {
+			is := is.New(t)
+			s := &lossyStore{begun: time.Now(), pieces: 4, silent: []span{{2 * time.Second, 2*time.Second + silence}}}
+			is.True(s.lateness(t) < inForceAim)
+		})
+	}
+}
+
+// The store falls silent once more while it answers what was asked after its return.
+func TestStoreLostWithinAnAnswerDelaysNews(t *testing.T) {
+	for _, answering := range []time.Duration{200, 400, 600, 800, 1000} {
+		for _, silence := range []time.Duration{100, 300, 1000} {
+			t.Run(fmt.Sprintf("%d-%d", answering, silence), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					is := is.New(t)
+					again := 11*time.Second + answering*time.Millisecond
+					s := &lossyStore{begun: time.Now(), pieces: 16, silent: []span{{2 * time.Second, 11 * time.Second}, {again, again + silence*time.Millisecond}}}
+					is.True(s.lateness(t) < inForceAim)
+				})
+			})
+		}
+	}
+}
