Give a reading up for silence, not for its length

What callers saw: after the store's return a node answered by a configuration seconds old. Cause: the limits of a reading bounded the whole answer, and nothing watched an answer that had begun. One that stalled midway (the store was lost once more, a connection died) held the node for up to 5 s; one that merely was long was dropped after 2.2 to 5 s and asked for anew, from the start. The class: a time-out that bounds the work where it should bound the lack of news.

Ruled out: asking the small question beside a begun answer, too. On a full link its answer overtakes the pieces of a long one, and a healthy reading would be dropped.

Change: the limit until an answer begins stays; from then on each piece that arrives renews a limit of 1.2 s, for readings from an offset, too. A lost reading begins anew at once.

TestKeepsAReadingThatHasBegun asked that an answer which had begun and then brought nothing for 4 s isn't asked for again, which is just this fault; TestKeepsAReadingThatArrives replaces it: 30 pieces a second apart, 13 times as long as a reading was allowed to take, are never asked for again.

--- a/edgenode/link_test.go
+++ b/edgenode/link_test.go
@@ -24,8 +24,8 @@
 // linkPiece is how many bytes of an answer are handed to a link at once.
 const linkPiece = 16 << 10
 
-// carry returns once so many bytes have crossed the link.
-func (l *link) carry(ctx context.Context, bytes int) error {
+// carry returns once so many bytes have crossed the link. progress is called for each piece.
+func (l *link) carry(ctx context.Context, bytes int, progress func()) error {
 	if err := pause(ctx, l.delay); err != nil {
 		return err
 	}
@@ -33,6 +33,7 @@
 		if err := pause(ctx, l.enqueue(min(bytes, linkPiece))); err != nil {
 			return err
 		}
+		progress()
 	}
 	return nil
 }
@@ -78,34 +79,30 @@
 	return bytes
 }
 
-func (t *farTopic) Newest(ctx context.Context, begun func()) ([]keyedlog.Record, int64, error) {
+func (t *farTopic) Newest(ctx context.Context, progress func()) ([]keyedlog.Record, int64, error) {
 	records, next, err := t.Topic.Newest(ctx, func() {})
 	if err != nil {
 		return nil, 0, err
 	}
-	if err := t.link.carry(ctx, answerHead); err != nil {
-		return nil, 0, err
-	}
-	begun()
-	return records, next, t.link.carry(ctx, size(records))
+	return records, next, t.link.carry(ctx, size(records), progress)
 }
 
 func (t *farTopic) Probe(ctx context.Context) error {
-	if err := t.link.carry(ctx, answerHead); err != nil {
+	if err := t.link.carry(ctx, answerHead, func() {}); err != nil {
 		return err
 	}
 	return t.Topic.Probe(ctx)
 }
 
-func (t *farTopic) Read(ctx context.Context, from int64, wait time.Duration) ([]keyedlog.Record, int64, error) {
+func (t *farTopic) Read(ctx context.Context, from int64, wait time.Duration, progress func()) ([]keyedlog.Record, int64, error) {
 	const look = 20 * time.Millisecond
 	for waited := time.Duration(0); ; waited += look {
-		records, next, err := t.Topic.Read(ctx, from, 0)
+		records, next, err := t.Topic.Read(ctx, from, 0, progress)
 		if err != nil {
 			return nil, 0, err
 		}
 		if len(records) > 0 || waited >= wait {
-			return records, next, t.link.carry(ctx, size(records))
+			return records, next, t.link.carry(ctx, size(records), progress)
 		}
 		if err := pause(ctx, look); err != nil {
 			return nil, 0, err
@@ -114,7 +111,7 @@
 }
 
 func (t *farTopic) Append(ctx context.Context, fence keyedlog.Fence, records ...keyedlog.Record) error {
-	if err := t.link.carry(ctx, answerHead); err != nil {
+	if err := t.link.carry(ctx, answerHead, func() {}); err != nil {
 		return err
 	}
 	return t.Topic.Append(ctx, fence, records...)
--- a/edgenode/pace.go
+++ b/edgenode/pace.go
@@ -10,8 +10,9 @@
 // time that it waits. Upstreams and nodes write several records a second, so readings of
 // these would return at once; a pause bounds their number.
 var (
-	// configPace: a change must be in force within three seconds of its writing.
-	configPace = keyedlog.Options{Wait: 1500 * time.Millisecond, Pause: 50 * time.Millisecond, Slack: 1000 * time.Millisecond, Retry: 250 * time.Millisecond}
+	// configPace: a change must be in force within three seconds of its writing, also if the
+	// reading before it was lost and all must be read again.
+	configPace = keyedlog.Options{Wait: time.Second, Pause: 50 * time.Millisecond, Slack: 700 * time.Millisecond, Retry: 250 * time.Millisecond}
 	// upstreamPace: a leaving upstream must get nothing new three seconds after.
 	upstreamPace = keyedlog.Options{Wait: 1500 * time.Millisecond, Pause: 400 * time.Millisecond, Slack: 700 * time.Millisecond, Retry: 250 * time.Millisecond}
 	// presencePace: callers keep addresses for two seconds, so half a second more matters little.
--- a/edgenode/start_test.go
+++ b/edgenode/start_test.go
@@ -54,21 +54,21 @@
 	reads   atomic.Int64
 }
 
-func (q *quietable) Newest(ctx context.Context, begun func()) ([]keyedlog.Record, int64, error) {
+func (q *quietable) Newest(ctx context.Context, progress func()) ([]keyedlog.Record, int64, error) {
 	if err := q.silence.pass(ctx); err != nil {
 		return nil, 0, err
 	}
-	return q.Topic.Newest(ctx, begun)
+	return q.Topic.Newest(ctx, progress)
 }
 
 func (q *quietable) Probe(ctx context.Context) error { return q.silence.pass(ctx) }
 
-func (q *quietable) Read(ctx context.Context, from int64, wait time.Duration) ([]keyedlog.Record, int64, error) {
+func (q *quietable) Read(ctx context.Context, from int64, wait time.Duration, progress func()) ([]keyedlog.Record, int64, error) {
 	q.reads.Add(1)
 	if err := q.silence.pass(ctx); err != nil {
 		return nil, 0, err
 	}
-	return q.Topic.Read(ctx, from, wait)
+	return q.Topic.Read(ctx, from, wait, progress)
 }
 
 func (q *quietable) Append(ctx context.Context, fence keyedlog.Fence, records ...keyedlog.Record) error {
--- a/internal/memtopic/topic.go
+++ b/internal/memtopic/topic.go
@@ -44,8 +44,8 @@
 }
 
 // Newest returns the newest record of each key.
-func (t *Topic) Newest(_ context.Context, begun func()) ([]keyedlog.Record, int64, error) {
-	begun()
+func (t *Topic) Newest(_ context.Context, progress func()) ([]keyedlog.Record, int64, error) {
+	progress()
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	newest := make(map[string]keyedlog.Record)
@@ -65,7 +65,7 @@
 func (t *Topic) Probe(context.Context) error { return t.Fail }
 
 // Read returns the records from an offset on at once.
-func (t *Topic) Read(_ context.Context, from int64, _ time.Duration) ([]keyedlog.Record, int64, error) {
+func (t *Topic) Read(_ context.Context, from int64, _ time.Duration, _ func()) ([]keyedlog.Record, int64, error) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	return slices.Clone(t.records[from:]), int64(len(t.records)), t.Fail
--- a/keyedlog/follower.go
+++ b/keyedlog/follower.go
@@ -28,8 +28,8 @@
 	Pause time.Duration
 	// Extra, where given, lengthens the pause by what it returns.
 	Extra func() time.Duration
-	// Slack is how long an answer may take beyond Wait before its connection counts as
-	// dead.
+	// Slack is how long an answer may take to begin beyond Wait before its connection
+	// counts as dead.
 	Slack time.Duration
 	// Retry is the mean pause after a failed reading; it varies by half, so that nodes
 	// that failed together don't come back together.
@@ -37,12 +37,11 @@
 }
 
 const (
-	// resetTimeout bounds the first try to read all newest records.
+	// resetTimeout bounds the time until the newest records begin to arrive at the first try.
 	resetTimeout = 2200 * time.Millisecond
 	// resetGrowth is added after each failed try, up to resetMost. After a fault that all
 	// nodes come back from at once they share one link for these readings; nodes that
-	// gave up early and began again only kept it full. A store that is silent, on the
-	// other hand, must not hold a node much longer than it is away.
+	// gave up early and began again only kept it full.
 	resetGrowth = 1400 * time.Millisecond
 	resetMost   = 5 * time.Second
 )
@@ -93,18 +92,16 @@
 		return f.reset(ctx)
 	}
 	begun := time.Now()
-	outer := ctx
-	ctx, cancel := context.WithTimeout(ctx, f.options.Wait+f.options.Slack)
+	limited, progress, cancel := withStallLimit(ctx, f.options.Wait+f.options.Slack, stalledAfter)
 	defer cancel()
-	records, next, err := f.topic.Read(ctx, f.next, f.options.Wait)
+	records, next, err := f.topic.Read(limited, f.next, f.options.Wait, progress)
 	if errors.Is(err, ErrForgotten) {
 		f.next = -1
-		return f.reset(outer)
+		return f.reset(ctx)
 	}
 	if err != nil {
-		// While readings fail the log goes on. Reading all of it afterwards took longer
-		// than one reading may on a slow link, and the next one began again from the same
-		// place: a node stayed seconds behind. The newest records are all that is needed.
+		// While readings fail the log goes on. Reading all of it afterwards would keep a
+		// node on a slow link seconds behind. The newest records are all that is needed.
 		f.next = -1
 		return err
 	}
@@ -119,13 +116,13 @@
 
 func (f *Follower) reset(ctx context.Context) error {
 	begun := time.Now()
-	ctx, cancel := context.WithTimeout(ctx, min(resetTimeout+time.Duration(f.failed)*resetGrowth, resetMost))
-	defer cancel()
-	records, next, err := ReadNewest(ctx, f.topic)
-	if err != nil {
+	patience := min(resetTimeout+time.Duration(f.failed)*resetGrowth, resetMost)
+	newest := usualWatch.read(ctx, f.topic, patience)
+	if newest.err != nil {
 		f.failed++
-		return err
+		return newest.err
 	}
+	records, next := newest.records, newest.next
 	f.failed = 0
 	for _, r := range records {
 		f.seen[r.Key] = max(f.seen[r.Key], r.Offset)
--- a/keyedlog/follower_test.go
+++ b/keyedlog/follower_test.go
@@ -20,8 +20,8 @@
 	m.records = append(m.records, Record{Key: key, Value: []byte(value), Offset: int64(len(m.records)), Deleted: value == ""})
 }
 
-func (m *memoryTopic) Newest(_ context.Context, begun func()) ([]Record, int64, error) {
-	begun()
+func (m *memoryTopic) Newest(_ context.Context, progress func()) ([]Record, int64, error) {
+	progress()
 	newest := make(map[string]Record)
 	for _, r := range m.records {
 		newest[r.Key] = r
@@ -35,7 +35,7 @@
 	return out, int64(len(m.records)), m.fail
 }
 
-func (m *memoryTopic) Read(_ context.Context, from int64, _ time.Duration) ([]Record, int64, error) {
+func (m *memoryTopic) Read(_ context.Context, from int64, _ time.Duration, _ func()) ([]Record, int64, error) {
 	if from < m.first {
 		return nil, 0, ErrForgotten
 	}
--- a/keyedlog/newest.go
+++ b/keyedlog/newest.go
@@ -46,15 +46,20 @@
 }
 
 // ReadNewest reads the newest record of each key of a topic. It waits as long as ctx lasts
-// and begins anew when the store was silent and is back.
+// and begins anew when the store was silent and is back, or the answer stalls.
 func ReadNewest(ctx context.Context, topic Topic) ([]Record, int64, error) {
-	n := usualWatch.read(ctx, topic)
+	n := usualWatch.read(ctx, topic, unlimited)
 	return n.records, n.next, n.err
 }
 
-func (w watch) read(ctx context.Context, topic Topic) newest {
+// read reads until an answer is whole. patience bounds the time in which none begins to
+// arrive.
+func (w watch) read(ctx context.Context, topic Topic, patience time.Duration) newest {
+	patient, begun, cancel := withStallLimit(ctx, patience, patience)
+	defer cancel()
 	for {
-		if n, answered := w.try(ctx, topic); answered {
+		n, answered := w.try(patient, topic, begun)
+		if answered {
 			return n
 		}
 		w.grace *= 2
@@ -62,23 +67,30 @@
 }
 
 // try reads once; false tells that the reading was lost.
-func (w watch) try(ctx context.Context, topic Topic) (newest, bool) {
-	own, cancel := context.WithCancel(ctx)
+func (w watch) try(ctx context.Context, topic Topic, begun func()) (newest, bool) {
+	own, arriving, cancel := withStallLimit(ctx, unlimited, stalledAfter)
 	defer cancel()
-	begun, done := make(chan struct{}), make(chan newest, 1)
+	heard, done := make(chan struct{}, 1), make(chan newest, 1)
 	go func() {
-		records, next, err := topic.Newest(own, func() { close(begun) })
+		records, next, err := topic.Newest(own, func() {
+			arriving()
+			begun()
+			select {
+			case heard <- struct{}{}:
+			default:
+			}
+		})
 		done <- newest{records, next, err}
 	}()
 	answers := w.storeAnswers(own, topic)
 	for {
 		select {
 		case n := <-done:
-			return n, true
+			return n, n.err == nil || !stalled(own)
 		case <-ctx.Done():
 			return newest{err: context.Cause(ctx)}, true
-		case <-begun:
-			answers, begun = nil, nil
+		case <-heard:
+			answers = nil
 		case <-answers:
 			return newest{}, false
 		}
--- a/keyedlog/newest_test.go
+++ b/keyedlog/newest_test.go
@@ -19,8 +19,9 @@
 	questions int
 	// wakeAfter is how many questions are lost before the store is back.
 	wakeAfter int
-	// slow, where set, is when the rest of a begun answer comes.
-	slow chan struct{}
+	// pieces is how many pieces an answer has, each of which takes apart to come.
+	pieces int
+	apart  time.Duration
 }
 
 // counts returns how many readings and questions there were, once nothing runs any more.
@@ -31,7 +32,7 @@
 	return s.readings, s.questions
 }
 
-func (s *silentTopic) Newest(ctx context.Context, begun func()) ([]Record, int64, error) {
+func (s *silentTopic) Newest(ctx context.Context, progress func()) ([]Record, int64, error) {
 	s.mu.Lock()
 	s.readings++
 	silent := s.silent
@@ -40,12 +41,13 @@
 		<-ctx.Done()
 		return nil, 0, ctx.Err()
 	}
-	if s.slow != nil {
-		begun()
-		<-s.slow
-		begun = func() {}
+	for range s.pieces {
+		progress()
+		if !sleep(ctx, s.apart) {
+			return nil, 0, ctx.Err()
+		}
 	}
-	return s.memoryTopic.Newest(ctx, begun)
+	return s.memoryTopic.Newest(ctx, progress)
 }
 
 func (s *silentTopic) Probe(ctx context.Context) error {
@@ -79,19 +81,15 @@
 	})
 }
 
-// All nodes share one slow link after a fault. An answer that has begun to arrive must not
-// be asked for again, however long the rest takes: that would only fill the link.
-func TestKeepsAReadingThatHasBegun(t *testing.T) {
+// All nodes share one slow link after a fault. An answer that keeps arriving must not be asked
+// for again, however long the whole takes: that would only fill the link.
+func TestKeepsAReadingThatArrives(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
-		topic := &silentTopic{slow: make(chan struct{})}
+		topic := &silentTopic{pieces: 30, apart: time.Second}
 		topic.put("a", "1")
-		go func() {
-			time.Sleep(20 * usualWatch.after)
-			close(topic.slow)
-		}()
-		_, _, err := ReadNewest(t.Context(), topic)
-		is.NoErr(err)
+		f := NewFollower(topic, &sink{}, Options{})
+		is.NoErr(f.Step(t.Context()))
 		readings, _ := topic.counts()
 		is.Equal(readings, 1)
 	})
--- a/keyedlog/silence_test.go
+++ b/keyedlog/silence_test.go
@@ -18,6 +18,7 @@
 // not when it is back. An answer arrives in pieces.
 type lossyStore struct {
 	memoryTopic
+	mu     sync.Mutex
 	begun  time.Time
 	silent []span
 	// pieces is how many pieces an answer has, a twentieth of a second apart.
@@ -41,40 +42,55 @@
 	return nil
 }
 
-func (s *lossyStore) Newest(ctx context.Context, begun func()) ([]Record, int64, error) {
-	for i := range s.pieces {
+func (s *lossyStore) Newest(ctx context.Context, progress func()) ([]Record, int64, error) {
+	for range s.pieces {
 		if err := s.pass(ctx, betweenPieces); err != nil {
 			return nil, 0, err
 		}
-		if i == 0 {
-			begun()
-		}
+		progress()
 	}
-	return s.memoryTopic.Newest(ctx, func() {})
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.memoryTopic.Newest(ctx, progress)
 }
 
 func (s *lossyStore) Probe(ctx context.Context) error { return s.pass(ctx, time.Millisecond) }
 
-func (s *lossyStore) Read(ctx context.Context, from int64, wait time.Duration) ([]Record, int64, error) {
-	for waited := time.Duration(0); waited < wait && int64(len(s.records)) <= from; waited += betweenPieces {
+func (s *lossyStore) Read(ctx context.Context, from int64, wait time.Duration, progress func()) ([]Record, int64, error) {
+	for waited := time.Duration(0); waited < wait && s.end() <= from; waited += betweenPieces {
 		if err := s.pass(ctx, betweenPieces); err != nil {
 			return nil, 0, err
 		}
 	}
-	return s.memoryTopic.Read(ctx, from, wait)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.memoryTopic.Read(ctx, from, wait, progress)
+}
+
+func (s *lossyStore) end() int64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return int64(len(s.records))
+}
+
+// write adds a record.
+func (s *lossyStore) write(key, value string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.put(key, value)
 }
 
 // lateness returns how long after the store's last return a follower knew what was written then.
 func (s *lossyStore) lateness(t *testing.T) time.Duration {
 	values := make(chan string, 1000)
-	f := NewFollower(s, &valueSink{values: values}, Options{Wait: 1500 * time.Millisecond, Pause: 50 * time.Millisecond, Slack: time.Second, Retry: 250 * time.Millisecond})
-	s.put("config", "old")
+	f := NewFollower(s, &valueSink{values: values}, Options{Wait: time.Second, Pause: 50 * time.Millisecond, Slack: 700 * time.Millisecond, Retry: 250 * time.Millisecond})
+	s.write("config", "old")
 	ctx, cancel := context.WithCancel(t.Context())
 	var ended sync.WaitGroup
 	ended.Go(func() { f.Run(ctx) })
 	back := s.silent[len(s.silent)-1].to
 	time.Sleep(back - time.Since(s.begun))
-	s.put("config", "new")
+	s.write("config", "new")
 	for v := range values {
 		if v == "new" {
 			break
--- a/keyedlog/topic.go
+++ b/keyedlog/topic.go
@@ -34,15 +34,16 @@
 // Topic is one partition of a keyed topic.
 type Topic interface {
 	// Newest returns the newest record of each key and the offset to read on from. It is
-	// called after losses, so it doesn't rely on connections made before. begun is called
-	// once, when the answer begins to arrive.
-	Newest(ctx context.Context, begun func()) ([]Record, int64, error)
+	// called after losses, so it doesn't rely on connections made before. progress is called
+	// whenever a part of the answer arrives.
+	Newest(ctx context.Context, progress func()) ([]Record, int64, error)
 	// Probe returns nil when the store answers for the topic now, over a new connection. It
 	// asks for next to nothing.
 	Probe(ctx context.Context) error
 	// Read returns the records from an offset on and the next offset. It waits up to
-	// wait for the first one. It fails with ErrForgotten when from isn't held.
-	Read(ctx context.Context, from int64, wait time.Duration) ([]Record, int64, error)
+	// wait for the first one. It fails with ErrForgotten when from isn't held. progress is
+	// called whenever a part of the answer arrives.
+	Read(ctx context.Context, from int64, wait time.Duration, progress func()) ([]Record, int64, error)
 	// Append adds records, all or none. After an error other than ErrFenced they may
 	// still be added later.
 	Append(ctx context.Context, fence Fence, records ...Record) error
