Let the nodes of a data centre fetch configurations from each other

Cause: every node read each configuration from the store, over one link that all nodes of the region share with all other traffic. 43 copies of 335 KB are 115 Mbit on 60 Mbit/s. News of upstreams, reports and new connections to the store waited behind them, readings timed out and were begun anew. The store itself served 86 copies before it acknowledged what upstreams wrote. The class: work that grows with the fleet on a link that doesn't, on the path of small urgent news.

Ruled out: slow nodes (those beside the store had it in 0.1 s). Reading only at random moments spreads the copies over longer than the 4 s in which they must be in force.

Change: package peerfetch. The node of a data centre that ranks first by capacity follows the store; the others ask the store where the log ends (a small call, 850 ms on average) and fetch what is new from the first two, else, after a patience that grows with the place, from the store. Whether it is up to date a node learns from the store alone, so a peer that is cut off or wrong can delay it by 1.7 s at most, not keep it behind. Data centres of fewer than four nodes read as before. Configurations hold callers' keys: only live nodes' addresses are served.

--- a/cmd/lavenderedge/run.go
+++ b/cmd/lavenderedge/run.go
@@ -29,6 +29,7 @@
 	"lavenderpin.dev/lavenderpin/internal/periodic"
 	"lavenderpin.dev/lavenderpin/lending"
 	"lavenderpin.dev/lavenderpin/logsink"
+	"lavenderpin.dev/lavenderpin/peerfetch"
 	"lavenderpin.dev/lavenderpin/platform"
 	"lavenderpin.dev/lavenderpin/prepaid"
 	"lavenderpin.dev/lavenderpin/repeats"
@@ -153,7 +154,7 @@
 		Address: p.settings.Frontend, Peer: p.peerAddress(), Capacity: capacity(p.settings.Limits), DataCentre: p.settings.DataCentre, Region: p.settings.Region, Regions: p.settings.Regions,
 		Repeats: repeats.Limits{Ratio: p.settings.Bounds.RepeatRatio, Extra: p.settings.Bounds.RepeatExtra, Window: p.settings.Bounds.RepeatWindow},
 	}, edgenode.Deps{
-		Clock: p.clock, TimeOfDay: p.clocks().TimeOfDay, Upstreams: p.sender, Lending: &lending.Client{Wire: p.peers}, Events: p.events, Metrics: gateway.NewMetrics(true),
+		Clock: p.clock, TimeOfDay: p.clocks().TimeOfDay, Upstreams: p.sender, Lending: &lending.Client{Wire: p.peers}, Peers: &peerfetch.Client{Wire: p.peers}, Events: p.events, Metrics: gateway.NewMetrics(true),
 		Topics: edgenode.Topics{Operators: store.Operators(), Upstreams: store.Upstreams(), Presence: store.Topic("presence"),
 			Spend: store.Topic("spend"), Ledger: store.Topic("ledger"), Grants: store.Topic("grants")},
 		DecodeConfig: platform.DecodeConfig, DecodeUpstream: platform.DecodeUpstream,
@@ -198,6 +199,14 @@
 	return net.JoinHostPort(p.settings.IP, strconv.Itoa(p.settings.PeerPorts[0]))
 }
 
+// peerRoutes is what other nodes may ask.
+func (p *process) peerRoutes() http.Handler {
+	mux := http.NewServeMux()
+	mux.Handle("/", lending.Handler(p.node.Lender()))
+	mux.Handle(peerfetch.Path, p.node.RecordsHandler())
+	return mux
+}
+
 func (p *process) listen() error {
 	handler := &platform.Frontend{Gateway: p.node.Gateway(), Catalog: p.node.Catalog(), Clock: p.clock, Node: p.node}
 	p.frontend = p.server(p.open.count(handler))
@@ -207,7 +216,7 @@
 		server  *http.Server
 	}{
 		{p.settings.Frontend, p.frontend},
-		{p.peerAddress(), p.server(lending.Handler(p.node.Lender()))},
+		{p.peerAddress(), p.server(p.peerRoutes())},
 		{p.settings.Directory, p.server(directory.Routes())},
 		{p.settings.Ready, p.server(platform.ReadyRoutes(p.node, expvar.Handler()))},
 	} {
--- a/edgenode/deps.go
+++ b/edgenode/deps.go
@@ -8,6 +8,7 @@
 	"lavenderpin.dev/lavenderpin/gateway"
 	"lavenderpin.dev/lavenderpin/keyedlog"
 	"lavenderpin.dev/lavenderpin/lending"
+	"lavenderpin.dev/lavenderpin/peerfetch"
 	"lavenderpin.dev/lavenderpin/prepaid"
 	"lavenderpin.dev/lavenderpin/repeats"
 )
@@ -47,6 +48,9 @@
 	Upstreams gateway.Upstreams
 	// Lending carries asks to other nodes.
 	Lending lending.Caller
+	// Peers carries asks for records to nodes of the data centre; nil lets the node read
+	// everything from the store.
+	Peers   peerfetch.Caller
 	Events  *event.Recorder
 	Metrics *gateway.Metrics
 	// DecodeConfig reads a configuration; false tells that the record is none.
--- a/edgenode/fulllink_test.go
+++ b/edgenode/fulllink_test.go
@@ -28,6 +28,16 @@
 	return strconv.Itoa(version) + " " + strings.Repeat("x", bytes)
 }
 
+// mute lets nodes answer no other node.
+func (b *bubble) mute(nodes ...string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.dark = make(map[string]bool)
+	for _, n := range nodes {
+		b.dark[n] = true
+	}
+}
+
 // farFleet starts a fleet of two regions; the nodes of one reach the store over a link.
 func (b *bubble) farFleet(l *link, dataCentres, nodes int) (far []*Node) {
 	beyond := func(t Topics) Topics {
@@ -60,26 +70,55 @@
 	return n
 }
 
+// configBytes is a configuration of some 2,800 routes.
+const configBytes = 600 << 10
+
+// newsAim is within what time a change must be in force and a leaving upstream known.
+const newsAim = 4 * time.Second
+
+// tellAndWait writes two large configurations and the leaving of an upstream, and returns how
+// many nodes beyond a link know all of it in time.
+func tellAndWait(b *bubble, far []*Node) int {
+	b.put(b.topics.Operators, "config", padded(2, configBytes))
+	time.Sleep(1400 * time.Millisecond)
+	b.put(b.topics.Operators, "config", padded(3, configBytes))
+	b.put(b.topics.Upstreams, "e1", leaves)
+	time.Sleep(newsAim)
+	return inForceAt(far, 3, "llm")
+}
+
+// regionLink is a narrow link between two regions.
+func regionLink() *link { return &link{perSecond: 60e6 / 8, delay: 60 * time.Millisecond} }
+
 // Every node of a region reads a large configuration over the same narrow link: it comes late,
 // and so does the news that an upstream leaves.
 func TestLargeConfigurationFillsTheLinkBetweenRegions(t *testing.T) {
-	const (
-		configBytes = 600 << 10
-		aim         = 4 * time.Second
-	)
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		b := newBubble(t)
 		defer b.stop()
 		b.put(b.topics.Upstreams, "e1", "llm")
-		far := b.farFleet(&link{perSecond: 60e6 / 8, delay: 60 * time.Millisecond}, 3, 14)
+		far := b.farFleet(regionLink(), 3, 14)
 		time.Sleep(10 * time.Second)
 		is.Equal(len(far[0].directory.Current().Upstreams("llm")), 1)
-		b.put(b.topics.Operators, "config", padded(2, configBytes))
-		time.Sleep(1400 * time.Millisecond)
-		b.put(b.topics.Operators, "config", padded(3, configBytes))
-		b.put(b.topics.Upstreams, "e1", leaves)
-		time.Sleep(aim)
-		is.Equal(inForceAt(far, 3, "llm"), len(far))
+		is.Equal(tellAndWait(b, far), len(far))
 	})
 }
+
+// The nodes that others fetch from look alive in the store and answer no node.
+func TestSilentPeersKeepNodesBehind(t *testing.T) {
+	for _, silent := range [][]string{{"far-0-0"}, {"far-0-0", "far-0-1"}} {
+		t.Run(fmt.Sprint(len(silent)), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				b := newBubble(t)
+				defer b.stop()
+				b.put(b.topics.Upstreams, "e1", "llm")
+				far := b.farFleet(regionLink(), 3, 8)
+				time.Sleep(10 * time.Second)
+				b.mute(silent...)
+				is.Equal(tellAndWait(b, far), len(far))
+			})
+		})
+	}
+}
--- a/edgenode/link_test.go
+++ b/edgenode/link_test.go
@@ -94,6 +94,14 @@
 	return t.Topic.Probe(ctx)
 }
 
+func (t *farTopic) End(ctx context.Context) (int64, error) {
+	end, err := t.Topic.End(ctx)
+	if err != nil {
+		return 0, err
+	}
+	return end, t.link.carry(ctx, answerHead, func() {})
+}
+
 func (t *farTopic) Read(ctx context.Context, from int64, wait time.Duration, progress func()) ([]keyedlog.Record, int64, error) {
 	const look = 20 * time.Millisecond
 	for waited := time.Duration(0); ; waited += look {
--- a/edgenode/node.go
+++ b/edgenode/node.go
@@ -16,6 +16,7 @@
 	"lavenderpin.dev/lavenderpin/internal/periodic"
 	"lavenderpin.dev/lavenderpin/keyedlog"
 	"lavenderpin.dev/lavenderpin/lending"
+	"lavenderpin.dev/lavenderpin/peerfetch"
 	"lavenderpin.dev/lavenderpin/placement"
 	"lavenderpin.dev/lavenderpin/prepaid"
 	"lavenderpin.dev/lavenderpin/presence"
@@ -46,7 +47,9 @@
 	quiet atomic.Bool
 	// readings tells of each topic how it was last read.
 	readings []*readingLog
-	loops    sync.WaitGroup
+	// configs holds the newest configuration for nodes of the data centre.
+	configs *peerfetch.Copy
+	loops   sync.WaitGroup
 	// stop ends the loops.
 	stop context.CancelFunc
 }
@@ -55,14 +58,14 @@
 // which need no tokens, are served as soon as a configuration is known. On a small instance it
 // returns after a pause, until which callers are told at once to go elsewhere: nobody listens.
 func Start(ctx context.Context, settings Settings, deps Deps) (*Node, error) {
-	n := &Node{settings: settings, deps: deps, catalog: &catalog.Holder{},
+	n := &Node{settings: settings, deps: deps, catalog: &catalog.Holder{}, configs: peerfetch.NewCopy(),
 		directory: directory.NewTable(deps.Clock), roster: presence.NewRoster(deps.Clock), begun: deps.Clock.Now()}
 	if settings.Capacity < smallCapacity {
 		periodic.Pause(ctx, rand.N(smallStartDelay))
 	}
 	loops, stop := context.WithCancel(context.WithoutCancel(ctx))
 	n.stop = stop
-	n.follow(loops, deps.Topics.Operators, &configHandler{n, n.logReadings("config")}, configPace)
+	n.follow(loops, n.operators(), &configHandler{n, n.logReadings("config")}, configPace)
 	upstreams := upstreamPace
 	upstreams.Extra = n.quietExtra
 	n.follow(loops, deps.Topics.Upstreams, &upstreamHandler{n, n.logReadings("upstreams")}, upstreams)
--- a/edgenode/start_test.go
+++ b/edgenode/start_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net/http"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -22,6 +23,7 @@
 	"lavenderpin.dev/lavenderpin/internal/memtopic"
 	"lavenderpin.dev/lavenderpin/keyedlog"
 	"lavenderpin.dev/lavenderpin/lending"
+	"lavenderpin.dev/lavenderpin/peerfetch"
 	"lavenderpin.dev/lavenderpin/prepaid"
 	"lavenderpin.dev/lavenderpin/presence"
 	"lavenderpin.dev/lavenderpin/repeats"
@@ -83,7 +85,33 @@
 	t       *testing.T
 	topics  Topics
 	silence silence
-	nodes   []*Node
+
+	mu sync.Mutex
+	// dark holds the nodes that answer no other node.
+	dark  map[string]bool
+	nodes []*Node
+}
+
+// reachable returns the node at an address, or nil if it answers no other node.
+func (b *bubble) reachable(address string) *Node {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for _, n := range b.nodes {
+		if n.settings.Peer == address && !b.dark[address] {
+			return n
+		}
+	}
+	return nil
+}
+
+// Fetch asks a node of the bubble for records.
+func (b *bubble) Fetch(ctx context.Context, address string, ask peerfetch.Ask, progress func()) (peerfetch.Reply, error) {
+	if n := b.reachable(address); n != nil {
+		progress()
+		return n.configs.Answer(ctx, ask), nil
+	}
+	<-ctx.Done()
+	return peerfetch.Reply{}, ctx.Err()
 }
 
 const host, apiKey = "host", "key"
@@ -171,12 +199,14 @@
 	n, err := Start(context.Background(), Settings{Node: name, Incarnation: "new-" + name, Start: prepaid.Start{Reading: clocks.Read(), BootID: "boot-" + name},
 		Address: name, Peer: name, Capacity: s.capacity, DataCentre: s.dataCentre, Region: s.region, Regions: map[string]string{s.dataCentre: s.region},
 		Repeats: repeats.Limits{Ratio: 0.2, Extra: 50, Window: 10 * time.Second}},
-		Deps{Clock: bubbleClock{}, TimeOfDay: clocks.TimeOfDay, Topics: s.topics, Upstreams: answering{}, Lending: noLender{},
+		Deps{Clock: bubbleClock{}, TimeOfDay: clocks.TimeOfDay, Topics: s.topics, Upstreams: answering{}, Lending: noLender{}, Peers: b,
 			Events:  event.NewRecorder(event.NewHLC(clockwork.NewRealClock()), name, 64, log.NewNopLogger()),
 			Metrics: gateway.NewMetrics(false), DecodeConfig: decode, DecodeUpstream: decodeEntry})
 	if err != nil {
 		b.t.Fatal(err)
 	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
 	b.nodes = append(b.nodes, n)
 	return n
 }
--- a/internal/memtopic/topic.go
+++ b/internal/memtopic/topic.go
@@ -64,6 +64,13 @@
 // Probe answers at once.
 func (t *Topic) Probe(context.Context) error { return t.Fail }
 
+// End returns how many records were appended.
+func (t *Topic) End(context.Context) (int64, error) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return int64(len(t.records)), t.Fail
+}
+
 // Read returns the records from an offset on at once.
 func (t *Topic) Read(_ context.Context, from int64, _ time.Duration, _ func()) ([]keyedlog.Record, int64, error) {
 	t.mu.Lock()
--- a/keyedlog/follower.go
+++ b/keyedlog/follower.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"lavenderpin.dev/lavenderpin/internal/periodic"
+	"lavenderpin.dev/lavenderpin/internal/stall"
 )
 
 // Handler takes what a follower reads. Its methods are called from one goroutine.
@@ -46,6 +47,10 @@
 	resetMost   = 5 * time.Second
 )
 
+// stalledAfter is how long an answer that has begun may bring nothing. It leaves time for a
+// second reading within the three seconds in which a change must be in force.
+const stalledAfter = 1200 * time.Millisecond
+
 // Follower reads a topic on and on.
 type Follower struct {
 	topic   Topic
@@ -92,7 +97,7 @@
 		return f.reset(ctx)
 	}
 	begun := time.Now()
-	limited, progress, cancel := withStallLimit(ctx, f.options.Wait+f.options.Slack, stalledAfter)
+	limited, progress, cancel := stall.Limit(ctx, f.options.Wait+f.options.Slack, stalledAfter)
 	defer cancel()
 	records, next, err := f.topic.Read(limited, f.next, f.options.Wait, progress)
 	if errors.Is(err, ErrForgotten) {
--- a/keyedlog/follower_test.go
+++ b/keyedlog/follower_test.go
@@ -42,6 +42,8 @@
 	return append([]Record(nil), m.records[min(from, int64(len(m.records))):]...), int64(len(m.records)), m.fail
 }
 
+func (m *memoryTopic) End(context.Context) (int64, error) { return int64(len(m.records)), m.fail }
+
 func (m *memoryTopic) Probe(context.Context) error { return m.fail }
 
 func (m *memoryTopic) Append(context.Context, Fence, ...Record) error { return nil }
--- a/keyedlog/newest.go
+++ b/keyedlog/newest.go
@@ -4,6 +4,8 @@
 	"context"
 	"sync"
 	"time"
+
+	"lavenderpin.dev/lavenderpin/internal/stall"
 )
 
 // watch is how a reading of the newest records is watched for a store that is silent.
@@ -48,14 +50,14 @@
 // ReadNewest reads the newest record of each key of a topic. It waits as long as ctx lasts
 // and begins anew when the store was silent and is back, or the answer stalls.
 func ReadNewest(ctx context.Context, topic Topic) ([]Record, int64, error) {
-	n := usualWatch.read(ctx, topic, unlimited)
+	n := usualWatch.read(ctx, topic, stall.Unlimited)
 	return n.records, n.next, n.err
 }
 
 // read reads until an answer is whole. patience bounds the time in which none begins to
 // arrive.
 func (w watch) read(ctx context.Context, topic Topic, patience time.Duration) newest {
-	patient, begun, cancel := withStallLimit(ctx, patience, patience)
+	patient, begun, cancel := stall.Limit(ctx, patience, patience)
 	defer cancel()
 	for {
 		n, answered := w.try(patient, topic, begun)
@@ -68,7 +70,7 @@
 
 // try reads once; false tells that the reading was lost.
 func (w watch) try(ctx context.Context, topic Topic, begun func()) (newest, bool) {
-	own, arriving, cancel := withStallLimit(ctx, unlimited, stalledAfter)
+	own, arriving, cancel := stall.Limit(ctx, stall.Unlimited, stalledAfter)
 	defer cancel()
 	heard, done := make(chan struct{}, 1), make(chan newest, 1)
 	go func() {
@@ -86,7 +88,7 @@
 	for {
 		select {
 		case n := <-done:
-			return n, n.err == nil || !stalled(own)
+			return n, n.err == nil || !stall.Ended(own)
 		case <-ctx.Done():
 			return newest{err: context.Cause(ctx)}, true
 		case <-heard:
--- a/keyedlog/topic.go
+++ b/keyedlog/topic.go
@@ -40,6 +40,8 @@
 	// Probe returns nil when the store answers for the topic now, over a new connection. It
 	// asks for next to nothing.
 	Probe(ctx context.Context) error
+	// End returns the offset at which the log ends now. It asks for next to nothing.
+	End(ctx context.Context) (int64, error)
 	// Read returns the records from an offset on and the next offset. It waits up to
 	// wait for the first one. It fails with ErrForgotten when from isn't held. progress is
 	// called whenever a part of the answer arrives.
--- /dev/null
+++ b/peerfetch/copy_test.go
@@ -0,0 +1,64 @@
+package peerfetch
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"lavenderpin.dev/lavenderpin/keyedlog"
+)
+
+func record(key string, offset int64) keyedlog.Record {
+	return keyedlog.Record{Key: key, Value: []byte(key), Offset: offset}
+}
+
+// A deletion that a peer doesn't pass on would leave a withdrawn key in force.
+func TestDeletionsArePassedOn(t *testing.T) {
+	is := is.New(t)
+	c := NewCopy()
+	c.Reset([]keyedlog.Record{record("a", 3), record("b", 4)}, 5)
+	c.Extend(5, []keyedlog.Record{{Key: "a", Offset: 5, Deleted: true}, record("b", 6)}, 7)
+	reply := c.Answer(t.Context(), Ask{From: 5, End: 7})
+	is.Equal(reply, Reply{Records: []keyedlog.Record{{Key: "a", Offset: 5, Deleted: true}, record("b", 6)}, Next: 7})
+	is.Equal(c.Answer(t.Context(), Ask{From: -1, End: 7}), Reply{Records: []keyedlog.Record{record("b", 6)}, Next: 7})
+}
+
+// What was deleted before a copy began isn't known to it; a node that was further behind must
+// begin anew.
+func TestRecordsBeforeACopyAreForgotten(t *testing.T) {
+	is := is.New(t)
+	c := NewCopy()
+	c.Reset([]keyedlog.Record{record("b", 4)}, 5)
+	is.True(c.Answer(t.Context(), Ask{From: 3, End: 5}).Forgotten)
+	is.True(!c.Answer(t.Context(), Ask{From: 5, End: 5}).Forgotten)
+}
+
+// A reading that took long must not take a copy back, and one with a gap must not extend it.
+func TestCopyNeverGoesBack(t *testing.T) {
+	is := is.New(t)
+	c := NewCopy()
+	c.Extend(0, []keyedlog.Record{record("a", 0)}, 1)
+	is.True(c.Answer(t.Context(), Ask{End: 1}).Behind)
+	c.Reset([]keyedlog.Record{record("a", 7)}, 8)
+	c.Reset([]keyedlog.Record{record("a", 3)}, 4)
+	c.Extend(9, []keyedlog.Record{record("a", 9)}, 10)
+	c.Extend(2, []keyedlog.Record{record("a", 2)}, 3)
+	is.Equal(c.Answer(t.Context(), Ask{From: -1, End: 8}), Reply{Records: []keyedlog.Record{record("a", 7)}, Next: 8})
+}
+
+// A peer that hasn't read far enough answers as soon as it has, and says so if it takes long.
+func TestWaitsForWhatItHasntRead(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		c := NewCopy()
+		c.Reset(nil, 1)
+		begun := time.Now()
+		time.AfterFunc(100*time.Millisecond, func() { c.Extend(1, []keyedlog.Record{record("a", 1)}, 2) })
+		is.Equal(len(c.Answer(t.Context(), Ask{From: 1, End: 2, WaitMs: 250}).Records), 1)
+		is.Equal(time.Since(begun), 100*time.Millisecond)
+		is.True(c.Answer(t.Context(), Ask{From: 2, End: 3, WaitMs: 250}).Behind)
+		is.Equal(time.Since(begun), 350*time.Millisecond)
+	})
+}
--- /dev/null
+++ b/peerfetch/http.go
@@ -0,0 +1,86 @@
+package peerfetch
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/juju/errors"
+
+	"lavenderpin.dev/lavenderpin/httpwire"
+)
+
+const (
+	// Path is where a node takes asks.
+	Path = "/records"
+	// maxAsk and maxReply bound messages in bytes. A configuration has 4 MB at most.
+	maxAsk   = 4 << 10
+	maxReply = 8 << 20
+	// replyTimeout bounds the writing of a reply to a peer that takes it too slowly.
+	replyTimeout = 5 * time.Second
+)
+
+// Client carries asks over kept connections.
+type Client struct{ Wire *httpwire.Client }
+
+// Fetch sends an ask and reads its reply.
+func (c *Client) Fetch(ctx context.Context, address string, ask Ask, progress func()) (Reply, error) {
+	body, err := json.Marshal(&ask)
+	if err != nil {
+		return Reply{}, errors.Trace(err)
+	}
+	answer, err := c.Wire.Do(ctx, address, &httpwire.Request{Method: http.MethodPost, Target: Path, Host: address, Body: body})
+	if err != nil {
+		return Reply{}, errors.Trace(err)
+	}
+	defer answer.Close()
+	raw, err := io.ReadAll(io.LimitReader(&httpwire.ProgressReader{R: answer, Progress: progress}, maxReply))
+	if err != nil {
+		return Reply{}, errors.Trace(err)
+	}
+	if answer.Status != http.StatusOK {
+		return Reply{}, errors.Errorf("the peer answers %d", answer.Status)
+	}
+	var reply Reply
+	return reply, errors.Trace(json.Unmarshal(raw, &reply))
+}
+
+// Handler answers the asks of peers out of copies by topic. A configuration holds callers' keys,
+// so only addresses that known names are answered.
+func Handler(copies map[string]*Copy, known func(ip string) bool) http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST "+Path, func(w http.ResponseWriter, req *http.Request) {
+		ip, _, err := net.SplitHostPort(req.RemoteAddr)
+		if err != nil || !known(ip) {
+			http.Error(w, "not a node of this fleet", http.StatusForbidden)
+			return
+		}
+		raw, err := io.ReadAll(io.LimitReader(req.Body, maxAsk))
+		if err != nil {
+			http.Error(w, "unreadable", http.StatusBadRequest)
+			return
+		}
+		var ask Ask
+		if err := json.Unmarshal(raw, &ask); err != nil {
+			http.Error(w, "not an ask", http.StatusBadRequest)
+			return
+		}
+		held, ok := copies[ask.Topic]
+		if !ok {
+			http.Error(w, "unknown topic", http.StatusNotFound)
+			return
+		}
+		ask.WaitMs = min(ask.WaitMs, peerWait.Milliseconds())
+		out, err := json.Marshal(held.Answer(req.Context(), ask))
+		if err != nil {
+			http.Error(w, err.Error(), http.StatusInternalServerError)
+			return
+		}
+		_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(replyTimeout)) // a connection without deadlines is bounded by the asker
+		_, _ = w.Write(out)                                                              // a peer that left asks another
+	})
+	return mux
+}
--- /dev/null
+++ b/peerfetch/messages.go
@@ -0,0 +1,35 @@
+package peerfetch
+
+import (
+	"context"
+
+	"lavenderpin.dev/lavenderpin/keyedlog"
+)
+
+// Ask asks a peer for the records of a topic.
+type Ask struct {
+	Topic string `json:"topic"`
+	// From is the first offset that the asker hasn't read; negative asks for each key's
+	// newest record.
+	From int64 `json:"from"`
+	// End is the offset up to which the peer must have read.
+	End int64 `json:"end"`
+	// WaitMs is how long the peer may wait until it has, in milliseconds.
+	WaitMs int64 `json:"wait_ms"`
+}
+
+// Reply is what a peer holds.
+type Reply struct {
+	// Behind tells that the peer hasn't read as far as was asked.
+	Behind bool `json:"behind,omitempty"`
+	// Forgotten tells that the peer doesn't hold all records since From.
+	Forgotten bool              `json:"forgotten,omitempty"`
+	Records   []keyedlog.Record `json:"records,omitempty"`
+	// Next is the offset to read on from.
+	Next int64 `json:"next"`
+}
+
+// Caller carries an ask to a peer. progress is called whenever a part of the reply arrives.
+type Caller interface {
+	Fetch(ctx context.Context, address string, ask Ask, progress func()) (Reply, error)
+}
--- /dev/null
+++ b/peerfetch/topic.go
@@ -0,0 +1,148 @@
+package peerfetch
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"lavenderpin.dev/lavenderpin/bootclock"
+	"lavenderpin.dev/lavenderpin/event"
+	"lavenderpin.dev/lavenderpin/internal/periodic"
+	"lavenderpin.dev/lavenderpin/internal/stall"
+	"lavenderpin.dev/lavenderpin/keyedlog"
+)
+
+const (
+	// fewest is how many nodes a data centre must have for its nodes to fetch from each other:
+	// below it, three copies at most cross the link.
+	fewest = 4
+	// asked is how many nodes of a data centre the others fetch from.
+	asked = 2
+	// look is the mean time between two questions where the log ends; it varies by a quarter.
+	look = 850 * time.Millisecond
+	// endTimeout bounds such a question: several round trips between regions.
+	endTimeout = 500 * time.Millisecond
+	// peerWait is how long a peer may wait for what it was asked for.
+	peerWait = 250 * time.Millisecond
+	// peerTimeout bounds the time until a peer's reply begins, and that in which nothing of
+	// it arrives.
+	peerTimeout = peerWait + 250*time.Millisecond
+	// peerPause is the pause between two rounds of asks.
+	peerPause = 60 * time.Millisecond
+	// secondPatience is how long the node that ranks second tries peers before it reads the
+	// store itself.
+	secondPatience = 300 * time.Millisecond
+	// laterPatience is how long the next ones try, placePatience is added for each place up to
+	// mostPatience: the second node's reading shall reach them before they fill the link.
+	laterPatience = 700 * time.Millisecond
+	placePatience = 50 * time.Millisecond
+	mostPatience  = 1200 * time.Millisecond
+)
+
+// Topic reads a topic of the store with the help of peers.
+type Topic struct {
+	keyedlog.Topic
+	Name string
+	// Self is this node's name, Peers returns the nodes of its data centre, itself included.
+	Self   string
+	Peers  func() []Peer
+	Caller Caller
+	Copy   *Copy
+	Clock  bootclock.Clock
+	Events *event.Recorder
+}
+
+// Newest reads the newest records from peers that are up to date, or from the store.
+func (t *Topic) Newest(ctx context.Context, progress func()) ([]keyedlog.Record, int64, error) {
+	place, sources := rank(t.Self, t.Peers())
+	if place > 0 {
+		end, err := t.end(ctx)
+		if err != nil {
+			return nil, 0, err
+		}
+		progress()
+		if reply, ok := t.fetch(ctx, place, sources, Ask{From: -1, End: end}, progress); ok {
+			t.Copy.Reset(reply.Records, reply.Next)
+			return reply.Records, reply.Next, nil
+		}
+	}
+	records, next, err := t.Topic.Newest(ctx, progress)
+	if err == nil {
+		t.Copy.Reset(records, next)
+	}
+	return records, next, err
+}
+
+// Read reads from an offset on.
+func (t *Topic) Read(ctx context.Context, from int64, wait time.Duration, progress func()) ([]keyedlog.Record, int64, error) {
+	place, sources := rank(t.Self, t.Peers())
+	if place > 0 {
+		end, err := t.end(ctx)
+		if err != nil {
+			return nil, 0, err
+		}
+		progress()
+		if end == from {
+			periodic.Pause(ctx, min(wait, look*3/4+rand.N(look/2)))
+			return nil, from, ctx.Err()
+		}
+		// A log that ends before what was read is another one; the store says so itself.
+		if reply, ok := t.fetch(ctx, place, sources, Ask{From: from, End: max(end, from)}, progress); ok {
+			if reply.Forgotten {
+				return nil, 0, keyedlog.ErrForgotten
+			}
+			t.Copy.Extend(from, reply.Records, reply.Next)
+			return reply.Records, reply.Next, nil
+		}
+	}
+	records, next, err := t.Topic.Read(ctx, from, wait, progress)
+	if err == nil {
+		t.Copy.Extend(from, records, next)
+	}
+	return records, next, err
+}
+
+func (t *Topic) end(ctx context.Context) (int64, error) {
+	ctx, cancel := context.WithTimeout(ctx, endTimeout)
+	defer cancel()
+	return t.Topic.End(ctx)
+}
+
+// fetch asks peers until one is far enough or the patience is over.
+func (t *Topic) fetch(ctx context.Context, place int, sources []Peer, ask Ask, progress func()) (Reply, bool) {
+	ask.Topic, ask.WaitMs = t.Name, peerWait.Milliseconds()
+	begun := t.Clock.Now()
+	first := rand.N(len(sources))
+	for t.Clock.Now()-begun < patience(place) && ctx.Err() == nil {
+		for i := range sources {
+			source := sources[(first+i)%len(sources)]
+			reply, err := t.ask(ctx, source, ask, progress)
+			if err != nil || reply.Behind {
+				continue
+			}
+			t.Events.Record(event.RecordsFetched, "topic", t.Name, "peer", source.Node, "end", ask.End, "records", len(reply.Records), "ms", (t.Clock.Now() - begun).Milliseconds())
+			return reply, true
+		}
+		progress()
+		periodic.Pause(ctx, peerPause)
+	}
+	t.Events.Record(event.RelayFailed, "topic", t.Name, "peers", len(sources), "end", ask.End, "ms", (t.Clock.Now() - begun).Milliseconds())
+	return Reply{}, false
+}
+
+func (t *Topic) ask(ctx context.Context, source Peer, ask Ask, progress func()) (Reply, error) {
+	limited, arriving, cancel := stall.Limit(ctx, peerTimeout, peerTimeout)
+	defer cancel()
+	return t.Caller.Fetch(limited, source.Address, ask, func() {
+		arriving()
+		progress()
+	})
+}
+
+// patience is how long a node tries peers before it reads the store itself.
+func patience(place int) time.Duration {
+	if place == 1 {
+		return secondPatience
+	}
+	return min(mostPatience, laterPatience+time.Duration(place)*placePatience)
+}
--- /dev/null
+++ b/peerfetch/topic_test.go
@@ -0,0 +1,187 @@
+package peerfetch
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/jonboulle/clockwork"
+	"github.com/matryer/is"
+
+	"lavenderpin.dev/lavenderpin/bootclock"
+	"lavenderpin.dev/lavenderpin/event"
+	"lavenderpin.dev/lavenderpin/httpwire"
+	"lavenderpin.dev/lavenderpin/internal/memtopic"
+	"lavenderpin.dev/lavenderpin/keyedlog"
+)
+
+// bubbleClock is a boot clock in a test's own time.
+type bubbleClock struct{}
+
+func (bubbleClock) Now() time.Duration { return time.Duration(time.Now().UnixNano()) }
+
+// countingTopic counts the records that were read from the store.
+type countingTopic struct {
+	*memtopic.Topic
+	read atomic.Int64
+}
+
+func (c *countingTopic) Newest(ctx context.Context, progress func()) ([]keyedlog.Record, int64, error) {
+	records, next, err := c.Topic.Newest(ctx, progress)
+	c.read.Add(int64(len(records)))
+	return records, next, err
+}
+
+func (c *countingTopic) Read(ctx context.Context, from int64, wait time.Duration, progress func()) ([]keyedlog.Record, int64, error) {
+	records, next, err := c.Topic.Read(ctx, from, wait, progress)
+	c.read.Add(int64(len(records)))
+	return records, next, err
+}
+
+// copies answers asks out of peers' copies; a peer without one is dark.
+type copies map[string]*Copy
+
+func (c copies) Fetch(ctx context.Context, address string, ask Ask, progress func()) (Reply, error) {
+	held, ok := c[address]
+	if !ok {
+		<-ctx.Done()
+		return Reply{}, ctx.Err()
+	}
+	progress()
+	return held.Answer(ctx, ask), nil
+}
+
+// fourth returns the topic of the fourth of a data centre's nodes.
+func fourth(store keyedlog.Topic, held copies) *Topic {
+	peers := make([]Peer, 5)
+	for i := range peers {
+		name := fmt.Sprintf("n%d", i)
+		peers[i] = Peer{Node: name, Address: name, Capacity: 100}
+	}
+	return &Topic{Topic: store, Name: "config", Self: "n3", Peers: func() []Peer { return peers }, Caller: held, Copy: NewCopy(), Clock: bubbleClock{},
+		Events: event.NewRecorder(event.NewHLC(clockwork.NewRealClock()), "n3", 64, log.NewNopLogger())}
+}
+
+func write(t *testing.T, store keyedlog.Topic, value string) {
+	t.Helper()
+	if err := store.Append(t.Context(), keyedlog.Fence{}, keyedlog.Record{Key: "config", Value: []byte(value)}); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// A node that reads what a peer holds takes a second copy over the link to the store.
+func TestReadsFromThePeerAlone(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		store := &countingTopic{Topic: memtopic.New()}
+		first := NewCopy()
+		n := fourth(store, copies{"n0": first})
+		write(t, store, "1")
+		first.Reset([]keyedlog.Record{record("config", 0)}, 1)
+		_, next, err := n.Newest(t.Context(), func() {})
+		is.NoErr(err)
+		is.Equal(next, int64(1))
+		write(t, store, "2")
+		first.Extend(1, []keyedlog.Record{record("config", 1)}, 2)
+		records, next, err := n.Read(t.Context(), next, time.Second, func() {})
+		is.NoErr(err)
+		is.Equal(len(records), 1)
+		is.Equal(next, int64(2))
+		is.Equal(store.read.Load(), int64(0))
+	})
+}
+
+// Peers that are dark, or that are cut off from the store and don't know it, must not keep a
+// node behind.
+func TestReadsTheStoreWhenPeersAreBehind(t *testing.T) {
+	for name, held := range map[string]copies{"dark": {}, "behind": {"n0": NewCopy(), "n1": NewCopy()}} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				store := &countingTopic{Topic: memtopic.New()}
+				write(t, store, "1")
+				for _, c := range held {
+					c.Reset(nil, 0)
+				}
+				n := fourth(store, held)
+				begun := time.Now()
+				records, _, err := n.Read(t.Context(), 0, time.Second, func() {})
+				is.NoErr(err)
+				is.Equal(string(records[0].Value), "1")
+				is.True(time.Since(begun) <= mostPatience+asked*peerTimeout)
+			})
+		})
+	}
+}
+
+// The log was begun anew. A node that waits for it to reach the old end would never hear more.
+func TestLogThatEndsEarlierIsReadFromTheStore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		store := memtopic.New()
+		store.Fail = keyedlog.ErrForgotten
+		n := fourth(endsAt{store, 3}, copies{})
+		_, _, err := n.Read(t.Context(), 9, time.Second, func() {})
+		is.Equal(err, keyedlog.ErrForgotten)
+	})
+}
+
+// endsAt is a topic whose end is known though nothing else of it is.
+type endsAt struct {
+	*memtopic.Topic
+	end int64
+}
+
+func (e endsAt) End(context.Context) (int64, error) { return e.end, nil }
+
+func (e endsAt) Read(ctx context.Context, _ int64, _ time.Duration, _ func()) ([]keyedlog.Record, int64, error) {
+	return nil, 0, e.Fail
+}
+
+// Nodes with the most room send what the others fetch; a small data centre needs none of it.
+func TestRanksByCapacity(t *testing.T) {
+	is := is.New(t)
+	peers := []Peer{{Node: "a", Capacity: 48}, {Node: "b", Capacity: 200}, {Node: "c", Capacity: 48}, {Node: "d", Capacity: 200}}
+	place, sources := rank("c", peers)
+	is.Equal(place, 3)
+	is.Equal([]string{sources[0].Node, sources[1].Node}, []string{"b", "d"})
+	place, sources = rank("d", peers)
+	is.Equal(place, 1)
+	is.Equal(len(sources), 1)
+	place, _ = rank("b", peers)
+	is.Equal(place, 0)
+	place, _ = rank("c", peers[:3])
+	is.Equal(place, 0)
+	place, _ = rank("unlisted", peers)
+	is.Equal(place, 0)
+}
+
+// A configuration holds callers' keys: whoever isn't a node of the fleet must not get it.
+func TestRecordsAreForNodesOnly(t *testing.T) {
+	is := is.New(t)
+	held := NewCopy()
+	held.Reset([]keyedlog.Record{record("config", 0)}, 1)
+	node := true
+	server := httptest.NewServer(Handler(map[string]*Copy{"config": held}, func(string) bool { return node }))
+	defer server.Close()
+	client := &Client{Wire: httpwire.NewClient(httpwire.Options{Clock: bootclock.System{}, DialTimeout: time.Second})}
+	address := server.Listener.Addr().String()
+	reply, err := client.Fetch(t.Context(), address, Ask{Topic: "config", From: -1, End: 1}, func() {})
+	is.NoErr(err)
+	is.Equal(reply, Reply{Records: []keyedlog.Record{record("config", 0)}, Next: 1})
+	_, err = client.Fetch(t.Context(), address, Ask{Topic: "spend", From: -1}, func() {})
+	is.True(err != nil)
+	node = false
+	_, err = client.Fetch(t.Context(), address, Ask{Topic: "config", From: -1, End: 1}, func() {})
+	is.True(err != nil)
+	resp, err := http.Get(server.URL + Path)
+	is.NoErr(err)
+	is.Equal(resp.StatusCode, http.StatusMethodNotAllowed)
+	_ = resp.Body.Close()
+}
