Let starting nodes take the configuration from peers, and wait for a peer that receives it

What callers saw: after a power loss of all, nodes of the far region answer 503 or 404 for up to 10 s where the configuration is large.

Cause: a starting node knew no peers yet and read the whole configuration from the store, with all other nodes of its region. Then peers that were themselves receiving it counted as behind, and those who waited for them read the store beside them.

Change: the first reading waits up to 1 s for the nodes' records, which are small; a node that has read nothing takes what a peer has, and asks the store after it. A peer says when records are on their way to it; others wait for it while they are, 5 s at most.

--- a/edgenode/fulllink_test.go
+++ b/edgenode/fulllink_test.go
@@ -49,21 +49,29 @@
 	}
 	for d := range dataCentres {
 		for i := range nodes {
-			s := site{dataCentre: fmt.Sprintf("far-%d", d), region: "far", capacity: 50, topics: beyond(b.topics)}
-			if i < 2 {
-				s.capacity = 200
-			}
-			far = append(far, b.startAt(s, fmt.Sprintf("far-%d-%d", d, i), decodePadded))
+			far = append(far, b.startAt(farSite(d, i, beyond(b.topics)), farName(d, i), decodePadded))
 		}
 	}
 	return far
 }
 
+func farName(dataCentre, i int) string { return fmt.Sprintf("far-%d-%d", dataCentre, i) }
+
+// farSite is where a node of the far region stands; two of a data centre are large.
+func farSite(dataCentre, i int, topics Topics) site {
+	s := site{dataCentre: fmt.Sprintf("far-%d", dataCentre), region: "far", capacity: 50, topics: topics}
+	if i < 2 {
+		s.capacity = 200
+	}
+	return s
+}
+
 // inForceAt counts the nodes that have a version in force and know no upstream of a service.
 func inForceAt(nodes []*Node, version int64, service string) int {
 	n := 0
 	for _, node := range nodes {
-		if node.catalog.Current().Version == version && len(node.directory.Current().Upstreams(service)) == 0 {
+		view := node.catalog.Current()
+		if view != nil && view.Version == version && len(node.directory.Current().Upstreams(service)) == 0 {
 			n++
 		}
 	}
@@ -122,3 +130,23 @@
 		})
 	}
 }
+
+// All nodes lose power and come back at once: each reads the whole configuration, and the ones
+// beyond the link know none for seconds.
+func TestPowerLossFillsTheLinkWithConfigurations(t *testing.T) {
+	const dataCentres, nodes = 3, 14
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		b := newBubble(t)
+		defer b.stop()
+		b.put(b.topics.Operators, "config", padded(2, 3*configBytes/2))
+		for d := range dataCentres {
+			for i := range nodes {
+				b.lostIncarnation(farName(d, i), farSite(d, i, b.topics))
+			}
+		}
+		far := b.farFleet(regionLink(), dataCentres, nodes)
+		time.Sleep(newsAim)
+		is.Equal(inForceAt(far, 2, "llm"), len(far))
+	})
+}
--- a/edgenode/node.go
+++ b/edgenode/node.go
@@ -47,6 +47,8 @@
 	quiet atomic.Bool
 	// readings tells of each topic how it was last read.
 	readings []*readingLog
+	// rosterTried is closed once the first reading of the nodes' records has ended.
+	rosterTried chan struct{}
 	// configs holds the newest configuration for nodes of the data centre.
 	configs *peerfetch.Copy
 	loops   sync.WaitGroup
@@ -58,7 +60,7 @@
 // which need no tokens, are served as soon as a configuration is known. On a small instance it
 // returns after a pause, until which callers are told at once to go elsewhere: nobody listens.
 func Start(ctx context.Context, settings Settings, deps Deps) (*Node, error) {
-	n := &Node{settings: settings, deps: deps, catalog: &catalog.Holder{}, configs: peerfetch.NewCopy(),
+	n := &Node{settings: settings, deps: deps, catalog: &catalog.Holder{}, configs: peerfetch.NewCopy(deps.Clock), rosterTried: make(chan struct{}),
 		directory: directory.NewTable(deps.Clock), roster: presence.NewRoster(deps.Clock), begun: deps.Clock.Now()}
 	if settings.Capacity < smallCapacity {
 		periodic.Pause(ctx, rand.N(smallStartDelay))
--- a/edgenode/presencehandler.go
+++ b/edgenode/presencehandler.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"sync"
 
 	"lavenderpin.dev/lavenderpin/event"
 	"lavenderpin.dev/lavenderpin/keyedlog"
@@ -12,6 +13,7 @@
 type presenceHandler struct {
 	node     *Node
 	readings *readingLog
+	first    sync.Once
 	// known holds the live nodes' incarnations as last logged.
 	known map[string]string
 }
@@ -35,16 +37,21 @@
 	}
 }
 
+// tried tells those who wait for the first reading that it is over.
+func (h *presenceHandler) tried() { h.first.Do(func() { close(h.node.rosterTried) }) }
+
 // Lost stops the clock by which silent nodes are dropped.
 func (h *presenceHandler) Lost(err error) {
 	h.node.roster.Lost()
 	h.readings.lost(err)
+	h.tried()
 }
 
 // Caught lets it run and logs which nodes came or went.
 func (h *presenceHandler) Caught(r keyedlog.Reading) {
 	h.readings.caught(r)
 	h.node.roster.Caught()
+	h.tried()
 	now := make(map[string]string)
 	for _, r := range h.node.roster.Live() {
 		now[r.Node] = r.Incarnation
--- a/edgenode/records.go
+++ b/edgenode/records.go
@@ -18,7 +18,7 @@
 	if n.deps.Peers == nil {
 		return n.deps.Topics.Operators
 	}
-	return &peerfetch.Topic{Topic: n.deps.Topics.Operators, Name: configTopic, Self: n.settings.Node, Peers: n.neighbours,
+	return &peerfetch.Topic{Topic: n.deps.Topics.Operators, Name: configTopic, Self: n.settings.Node, Peers: n.neighbours, Known: n.rosterTried,
 		Caller: n.deps.Peers, Copy: n.configs, Clock: n.deps.Clock, Events: n.deps.Events}
 }
 
--- a/edgenode/start_test.go
+++ b/edgenode/start_test.go
@@ -132,14 +132,14 @@
 }
 
 // lostIncarnation leaves what a node that has lost power left in the store.
-func (b *bubble) lostIncarnation(node string) {
-	record, err := json.Marshal(presence.Record{Node: node, Incarnation: "lost", Region: "region", DataCentre: "dc", Address: node, Peer: node, Capacity: 100, StoreMs: 4, Ready: true})
+func (b *bubble) lostIncarnation(node string, s site) {
+	record, err := json.Marshal(presence.Record{Node: node, Incarnation: "lost", Region: s.region, DataCentre: s.dataCentre, Address: node, Peer: node, Capacity: s.capacity, StoreMs: 4, Ready: true})
 	if err != nil {
 		b.t.Fatal(err)
 	}
 	b.put(b.topics.Presence, node, string(record))
 	now := time.Now().UnixMilli()
-	report, err := json.Marshal(prepaid.Report{Node: node, Incarnation: "lost", Region: "region", Capacity: 100, SentTimeMs: now, FromMs: now, FromTimeMs: now, OpensAfterMs: 10_000, BootID: "earlier"})
+	report, err := json.Marshal(prepaid.Report{Node: node, Incarnation: "lost", Region: s.region, Capacity: s.capacity, SentTimeMs: now, FromMs: now, FromTimeMs: now, OpensAfterMs: 10_000, BootID: "earlier"})
 	if err != nil {
 		b.t.Fatal(err)
 	}
@@ -181,7 +181,12 @@
 }
 
 func (b *bubble) start(name string) *Node {
-	return b.startAt(site{dataCentre: "dc", region: "region", capacity: 100, topics: b.topics}, name, view)
+	return b.startAt(b.usualSite(), name, view)
+}
+
+// usualSite is beside the store.
+func (b *bubble) usualSite() site {
+	return site{dataCentre: "dc", region: "region", capacity: 100, topics: b.topics}
 }
 
 // site is where a node of a bubble stands and how it reaches the store.
@@ -220,7 +225,7 @@
 // comeBack starts a fleet whose earlier incarnations have lost power.
 func (b *bubble) comeBack(size int) {
 	for i := range size {
-		b.lostIncarnation(fmt.Sprintf("n%02d", i))
+		b.lostIncarnation(fmt.Sprintf("n%02d", i), b.usualSite())
 	}
 	for i := range size {
 		b.start(fmt.Sprintf("n%02d", i))
@@ -286,7 +291,7 @@
 		b := newBubble(t)
 		b.put(b.topics.Upstreams, "e1", "llm")
 		for i := range 6 {
-			b.lostIncarnation(fmt.Sprintf("n%02d", i))
+			b.lostIncarnation(fmt.Sprintf("n%02d", i), b.usualSite())
 		}
 		const away = 1400 * time.Millisecond
 		b.silence.begin(away)
@@ -327,7 +332,7 @@
 		is := is.New(t)
 		b := newBubble(t)
 		b.put(b.topics.Upstreams, "e1", "llm")
-		b.lostIncarnation("n00")
+		b.lostIncarnation("n00", b.usualSite())
 		n := b.start("n00")
 		defer b.stop()
 		time.Sleep(20 * time.Millisecond)
--- a/peerfetch/copy.go
+++ b/peerfetch/copy.go
@@ -5,8 +5,10 @@
 	"context"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
+	"lavenderpin.dev/lavenderpin/bootclock"
 	"lavenderpin.dev/lavenderpin/keyedlog"
 )
 
@@ -20,10 +22,45 @@
 	complete, next int64
 	// grown is closed and replaced whenever next grows.
 	grown chan struct{}
+
+	clock bootclock.Clock
+	// readings is how many readings run, arrivedAt when a part of one came last.
+	readings  atomic.Int64
+	arrivedAt atomic.Int64
 }
 
+// arrivingFor is how long after a part of a reading the rest counts as on its way.
+const arrivingFor = 600 * time.Millisecond
+
 // NewCopy returns a copy that holds nothing.
-func NewCopy() *Copy { return &Copy{complete: -1, next: -1, grown: make(chan struct{})} }
+func NewCopy(clock bootclock.Clock) *Copy {
+	return &Copy{complete: -1, next: -1, grown: make(chan struct{}), clock: clock}
+}
+
+// reading is a reading of the store, which calls progress for each part that arrives.
+type reading func(progress func()) (records []keyedlog.Record, next int64, err error)
+
+// receive runs a reading and notes what arrives.
+func (c *Copy) receive(progress func(), read reading) ([]keyedlog.Record, int64, error) {
+	c.readings.Add(1)
+	defer c.readings.Add(-1)
+	return read(func() {
+		c.arrivedAt.Store(int64(c.clock.Now()))
+		progress()
+	})
+}
+
+// arriving tells whether records are on their way.
+func (c *Copy) arriving() bool {
+	return c.readings.Load() > 0 && c.clock.Now()-time.Duration(c.arrivedAt.Load()) < arrivingFor
+}
+
+// Empty tells whether nothing was read yet.
+func (c *Copy) Empty() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.next < 0
+}
 
 // Reset replaces everything by the newest records.
 func (c *Copy) Reset(records []keyedlog.Record, next int64) {
@@ -69,13 +106,12 @@
 	defer cancel()
 	for {
 		reply, grown := c.answer(ask)
-		if !reply.Behind {
+		if !reply.Behind || ctx.Err() != nil {
 			return reply
 		}
 		select {
 		case <-grown:
 		case <-ctx.Done():
-			return reply
 		}
 	}
 }
@@ -85,7 +121,7 @@
 	defer c.mu.Unlock()
 	switch {
 	case c.next < 0 || c.next < ask.End:
-		return Reply{Behind: true, Next: c.next}, c.grown
+		return Reply{Behind: true, Arriving: c.arriving(), Next: c.next}, c.grown
 	case ask.From >= 0 && ask.From < c.complete:
 		return Reply{Forgotten: true, Next: c.next}, nil
 	}
--- a/peerfetch/copy_test.go
+++ b/peerfetch/copy_test.go
@@ -17,7 +17,7 @@
 // A deletion that a peer doesn't pass on would leave a withdrawn key in force.
 func TestDeletionsArePassedOn(t *testing.T) {
 	is := is.New(t)
-	c := NewCopy()
+	c := NewCopy(bubbleClock{})
 	c.Reset([]keyedlog.Record{record("a", 3), record("b", 4)}, 5)
 	c.Extend(5, []keyedlog.Record{{Key: "a", Offset: 5, Deleted: true}, record("b", 6)}, 7)
 	reply := c.Answer(t.Context(), Ask{From: 5, End: 7})
@@ -29,7 +29,7 @@
 // begin anew.
 func TestRecordsBeforeACopyAreForgotten(t *testing.T) {
 	is := is.New(t)
-	c := NewCopy()
+	c := NewCopy(bubbleClock{})
 	c.Reset([]keyedlog.Record{record("b", 4)}, 5)
 	is.True(c.Answer(t.Context(), Ask{From: 3, End: 5}).Forgotten)
 	is.True(!c.Answer(t.Context(), Ask{From: 5, End: 5}).Forgotten)
@@ -38,7 +38,7 @@
 // A reading that took long must not take a copy back, and one with a gap must not extend it.
 func TestCopyNeverGoesBack(t *testing.T) {
 	is := is.New(t)
-	c := NewCopy()
+	c := NewCopy(bubbleClock{})
 	c.Extend(0, []keyedlog.Record{record("a", 0)}, 1)
 	is.True(c.Answer(t.Context(), Ask{End: 1}).Behind)
 	c.Reset([]keyedlog.Record{record("a", 7)}, 8)
@@ -52,7 +52,7 @@
 func TestWaitsForWhatItHasntRead(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
-		c := NewCopy()
+		c := NewCopy(bubbleClock{})
 		c.Reset(nil, 1)
 		begun := time.Now()
 		time.AfterFunc(100*time.Millisecond, func() { c.Extend(1, []keyedlog.Record{record("a", 1)}, 2) })
--- a/peerfetch/messages.go
+++ b/peerfetch/messages.go
@@ -20,8 +20,10 @@
 
 // Reply is what a peer holds.
 type Reply struct {
-	// Behind tells that the peer hasn't read as far as was asked.
-	Behind bool `json:"behind,omitempty"`
+	// Behind tells that the peer hasn't read as far as was asked, Arriving that it is
+	// receiving records at the moment.
+	Behind   bool `json:"behind,omitempty"`
+	Arriving bool `json:"arriving,omitempty"`
 	// Forgotten tells that the peer doesn't hold all records since From.
 	Forgotten bool              `json:"forgotten,omitempty"`
 	Records   []keyedlog.Record `json:"records,omitempty"`
--- a/peerfetch/topic.go
+++ b/peerfetch/topic.go
@@ -37,6 +37,11 @@
 	laterPatience = 700 * time.Millisecond
 	placePatience = 50 * time.Millisecond
 	mostPatience  = 1200 * time.Millisecond
+	// arrivingPatience bounds the patience with a peer that is receiving the records itself:
+	// asking the store for them beside it would delay both.
+	arrivingPatience = 5 * time.Second
+	// knownPatience is how long a starting node waits until it knows its peers.
+	knownPatience = time.Second
 )
 
 // Topic reads a topic of the store with the help of peers.
@@ -44,8 +49,10 @@
 	keyedlog.Topic
 	Name string
 	// Self is this node's name, Peers returns the nodes of its data centre, itself included.
-	Self   string
-	Peers  func() []Peer
+	Self  string
+	Peers func() []Peer
+	// Known is closed once the peers were read for the first time, or couldn't be.
+	Known  <-chan struct{}
 	Caller Caller
 	Copy   *Copy
 	Clock  bootclock.Clock
@@ -54,9 +61,10 @@
 
 // Newest reads the newest records from peers that are up to date, or from the store.
 func (t *Topic) Newest(ctx context.Context, progress func()) ([]keyedlog.Record, int64, error) {
+	t.awaitPeers(ctx)
 	place, sources := rank(t.Self, t.Peers())
 	if place > 0 {
-		end, err := t.end(ctx)
+		end, err := t.startAt(ctx)
 		if err != nil {
 			return nil, 0, err
 		}
@@ -66,13 +74,37 @@
 			return reply.Records, reply.Next, nil
 		}
 	}
-	records, next, err := t.Topic.Newest(ctx, progress)
+	records, next, err := t.Copy.receive(progress, func(progress func()) ([]keyedlog.Record, int64, error) {
+		return t.Topic.Newest(ctx, progress)
+	})
 	if err == nil {
 		t.Copy.Reset(records, next)
 	}
 	return records, next, err
 }
 
+// startAt returns how far a peer must have read for its newest records to be taken. A node that
+// has read nothing yet takes whatever a peer has, and asks the store afterwards: while all
+// nodes start, the answer would wait behind what they all read.
+func (t *Topic) startAt(ctx context.Context) (int64, error) {
+	if t.Copy.Empty() {
+		return 0, nil
+	}
+	return t.end(ctx)
+}
+
+// awaitPeers waits until the peers are known. After a power loss of all, nodes that began to
+// read before they knew them would each take a copy of their own.
+func (t *Topic) awaitPeers(ctx context.Context) {
+	timer := time.NewTimer(knownPatience)
+	defer timer.Stop()
+	select {
+	case <-t.Known:
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
+
 // Read reads from an offset on.
 func (t *Topic) Read(ctx context.Context, from int64, wait time.Duration, progress func()) ([]keyedlog.Record, int64, error) {
 	place, sources := rank(t.Self, t.Peers())
@@ -95,7 +127,9 @@
 			return reply.Records, reply.Next, nil
 		}
 	}
-	records, next, err := t.Topic.Read(ctx, from, wait, progress)
+	records, next, err := t.Copy.receive(progress, func(progress func()) ([]keyedlog.Record, int64, error) {
+		return t.Topic.Read(ctx, from, wait, progress)
+	})
 	if err == nil {
 		t.Copy.Extend(from, records, next)
 	}
@@ -112,11 +146,15 @@
 func (t *Topic) fetch(ctx context.Context, place int, sources []Peer, ask Ask, progress func()) (Reply, bool) {
 	ask.Topic, ask.WaitMs = t.Name, peerWait.Milliseconds()
 	begun := t.Clock.Now()
+	until := begun + patience(place)
 	first := rand.N(len(sources))
-	for t.Clock.Now()-begun < patience(place) && ctx.Err() == nil {
+	for t.Clock.Now() < until && ctx.Err() == nil {
 		for i := range sources {
 			source := sources[(first+i)%len(sources)]
 			reply, err := t.ask(ctx, source, ask, progress)
+			if err == nil && reply.Arriving {
+				until = min(begun+arrivingPatience, max(until, t.Clock.Now()+secondPatience))
+			}
 			if err != nil || reply.Behind {
 				continue
 			}
--- a/peerfetch/topic_test.go
+++ b/peerfetch/topic_test.go
@@ -64,7 +64,9 @@
 		name := fmt.Sprintf("n%d", i)
 		peers[i] = Peer{Node: name, Address: name, Capacity: 100}
 	}
-	return &Topic{Topic: store, Name: "config", Self: "n3", Peers: func() []Peer { return peers }, Caller: held, Copy: NewCopy(), Clock: bubbleClock{},
+	known := make(chan struct{})
+	close(known)
+	return &Topic{Known: known, Topic: store, Name: "config", Self: "n3", Peers: func() []Peer { return peers }, Caller: held, Copy: NewCopy(bubbleClock{}), Clock: bubbleClock{},
 		Events: event.NewRecorder(event.NewHLC(clockwork.NewRealClock()), "n3", 64, log.NewNopLogger())}
 }
 
@@ -80,7 +82,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		store := &countingTopic{Topic: memtopic.New()}
-		first := NewCopy()
+		first := NewCopy(bubbleClock{})
 		n := fourth(store, copies{"n0": first})
 		write(t, store, "1")
 		first.Reset([]keyedlog.Record{record("config", 0)}, 1)
@@ -97,10 +99,30 @@
 	})
 }
 
+// All nodes start while the link to the store is full, and the store's word on where the log
+// ends doesn't come through. A node that waits for it knows no configuration for seconds.
+func TestStartsFromAPeerWithoutTheStore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		store := memtopic.New()
+		store.Fail = context.DeadlineExceeded
+		first := NewCopy(bubbleClock{})
+		first.Reset([]keyedlog.Record{record("config", 4)}, 5)
+		n := fourth(store, copies{"n0": first})
+		records, next, err := n.Newest(t.Context(), func() {})
+		is.NoErr(err)
+		is.Equal(len(records), 1)
+		_, _, err = n.Read(t.Context(), next, time.Second, func() {})
+		is.Equal(err, context.DeadlineExceeded) // it doesn't count as up to date
+		_, _, err = n.Newest(t.Context(), func() {})
+		is.Equal(err, context.DeadlineExceeded)
+	})
+}
+
 // Peers that are dark, or that are cut off from the store and don't know it, must not keep a
 // node behind.
 func TestReadsTheStoreWhenPeersAreBehind(t *testing.T) {
-	for name, held := range map[string]copies{"dark": {}, "behind": {"n0": NewCopy(), "n1": NewCopy()}} {
+	for name, held := range map[string]copies{"dark": {}, "behind": {"n0": NewCopy(bubbleClock{}), "n1": NewCopy(bubbleClock{})}} {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				is := is.New(t)
@@ -120,6 +142,58 @@
 	}
 }
 
+// A peer takes long to receive a large configuration itself. Nodes that read the store
+// meanwhile delay it and themselves.
+func TestWaitsForAPeerThatIsReceiving(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		store := &countingTopic{Topic: memtopic.New()}
+		write(t, store, "1")
+		first := NewCopy(bubbleClock{})
+		first.Reset(nil, 0)
+		go func() {
+			records, next, _ := first.receive(func() {}, func(progress func()) ([]keyedlog.Record, int64, error) {
+				for range 30 {
+					time.Sleep(100 * time.Millisecond)
+					progress()
+				}
+				return []keyedlog.Record{record("config", 0)}, 1, nil
+			})
+			first.Extend(0, records, next)
+		}()
+		n := fourth(store, copies{"n0": first, "n1": NewCopy(bubbleClock{})})
+		records, _, err := n.Read(t.Context(), 0, time.Second, func() {})
+		is.NoErr(err)
+		is.Equal(len(records), 1)
+		is.Equal(store.read.Load(), int64(0))
+	})
+}
+
+// A peer's reading stalls. It must not be waited for any longer than one that never began.
+func TestReadsTheStoreWhenAPeerStalls(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		store := &countingTopic{Topic: memtopic.New()}
+		write(t, store, "1")
+		first := NewCopy(bubbleClock{})
+		first.Reset(nil, 0)
+		stalled, end := context.WithTimeout(t.Context(), 10*time.Second)
+		defer end()
+		go func() {
+			_, _, _ = first.receive(func() {}, func(progress func()) ([]keyedlog.Record, int64, error) {
+				progress()
+				<-stalled.Done()
+				return nil, 0, stalled.Err()
+			}) // the reading fails on purpose
+		}()
+		n := fourth(store, copies{"n0": first})
+		begun := time.Now()
+		_, _, err := n.Read(t.Context(), 0, time.Second, func() {})
+		is.NoErr(err)
+		is.True(time.Since(begun) <= arrivingFor+mostPatience+asked*peerTimeout)
+	})
+}
+
 // The log was begun anew. A node that waits for it to reach the old end would never hear more.
 func TestLogThatEndsEarlierIsReadFromTheStore(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
@@ -165,7 +239,7 @@
 // A configuration holds callers' keys: whoever isn't a node of the fleet must not get it.
 func TestRecordsAreForNodesOnly(t *testing.T) {
 	is := is.New(t)
-	held := NewCopy()
+	held := NewCopy(bubbleClock{})
 	held.Reset([]keyedlog.Record{record("config", 0)}, 1)
 	node := true
 	server := httptest.NewServer(Handler(map[string]*Copy{"config": held}, func(string) bool { return node }))
