--- a/cmd/lavenderedge/run.go
+++ b/cmd/lavenderedge/run.go
@@ -199,14 +199,6 @@
 	return net.JoinHostPort(p.settings.IP, strconv.Itoa(p.settings.PeerPorts[0]))
 }
 
-// peerRoutes is what other nodes may ask.
-func (p *process) peerRoutes() http.Handler {
-	mux := http.NewServeMux()
-	mux.Handle("/", lending.Handler(p.node.Lender()))
-	mux.Handle(peerfetch.Path, p.node.RecordsHandler())
-	return mux
-}
-
 func (p *process) listen() error {
 	handler := &platform.Frontend{Gateway: p.node.Gateway(), Catalog: p.node.Catalog(), Clock: p.clock, Node: p.node}
 	p.frontend = p.server(p.open.count(handler))
@@ -216,7 +208,7 @@
 		server  *http.Server
 	}{
 		{p.settings.Frontend, p.frontend},
-		{p.peerAddress(), p.server(p.peerRoutes())},
+		{p.peerAddress(), p.server(p.node.PeerRoutes())},
 		{p.settings.Directory, p.server(directory.Routes())},
 		{p.settings.Ready, p.server(platform.ReadyRoutes(p.node, expvar.Handler()))},
 	} {
--- a/edgenode/loans.go
+++ b/edgenode/loans.go
@@ -10,9 +10,6 @@
 	"lavenderpin.dev/lavenderpin/lending"
 )
 
-// Lender returns what lends to other nodes.
-func (n *Node) Lender() *lending.Lender { return n.lender }
-
 // lenders returns the nodes that hold some of an account. While the store is out of
 // reach these are the ones known before.
 func (n *Node) lenders(account string) []lending.Peer {
--- a/edgenode/records.go
+++ b/edgenode/records.go
@@ -5,6 +5,7 @@
 	"net/http"
 
 	"lavenderpin.dev/lavenderpin/keyedlog"
+	"lavenderpin.dev/lavenderpin/lending"
 	"lavenderpin.dev/lavenderpin/peerfetch"
 	"lavenderpin.dev/lavenderpin/presence"
 )
@@ -33,9 +34,12 @@
 	return peers
 }
 
-// RecordsHandler answers nodes that ask for records.
-func (n *Node) RecordsHandler() http.Handler {
-	return peerfetch.Handler(map[string]*peerfetch.Copy{configTopic: n.configs}, n.isNode)
+// PeerRoutes answers other nodes.
+func (n *Node) PeerRoutes() http.Handler {
+	mux := http.NewServeMux()
+	mux.Handle("/", lending.Handler(n.lender))
+	mux.Handle(peerfetch.Path, peerfetch.Handler(map[string]*peerfetch.Copy{configTopic: n.configs}, n.isNode))
+	return mux
 }
 
 // isNode tells whether a live node has an IP address.
