--- a/peerfetch/topic.go
+++ b/peerfetch/topic.go
@@ -118,13 +118,11 @@
 			periodic.Pause(ctx, min(wait, look*3/4+rand.N(look/2)))
 			return nil, from, ctx.Err()
 		}
-		// A log that ends before what was read is another one; the store says so itself.
-		if reply, ok := t.fetch(ctx, place, sources, Ask{From: from, End: max(end, from)}, progress); ok {
-			if reply.Forgotten {
-				return nil, 0, keyedlog.ErrForgotten
+		// An end before what was read is stale; a reading of the store waits for news.
+		if end > from {
+			if reply, ok := t.fetch(ctx, place, sources, Ask{From: from, End: end}, progress); ok {
+				return t.extend(from, reply)
 			}
-			t.Copy.Extend(from, reply.Records, reply.Next)
-			return reply.Records, reply.Next, nil
 		}
 	}
 	records, next, err := t.Copy.receive(progress, func(progress func()) ([]keyedlog.Record, int64, error) {
@@ -136,6 +134,15 @@
 	return records, next, err
 }
 
+// extend takes over what a peer has since an offset.
+func (t *Topic) extend(from int64, reply Reply) ([]keyedlog.Record, int64, error) {
+	if reply.Forgotten {
+		return nil, 0, keyedlog.ErrForgotten
+	}
+	t.Copy.Extend(from, reply.Records, reply.Next)
+	return reply.Records, reply.Next, nil
+}
+
 func (t *Topic) end(ctx context.Context) (int64, error) {
 	ctx, cancel := context.WithTimeout(ctx, endTimeout)
 	defer cancel()
