Wait a whole round longer for a peer that receives records

A peer that said that records were on their way was waited for 0.3 s longer, less than a round of asks takes where the other one is behind (0.56 s) or dark (1.06 s): by chance of whom was asked first, nodes read the store beside it. Found by TestWaitsForAPeerThatIsReceiving, which failed once in a few hundred runs and was traced, not rerun; 100 runs with -race pass now.

--- a/peerfetch/topic.go
+++ b/peerfetch/topic.go
@@ -29,6 +29,8 @@
 	peerTimeout = peerWait + 250*time.Millisecond
 	// peerPause is the pause between two rounds of asks.
 	peerPause = 60 * time.Millisecond
+	// longestRound is how long a round takes if no peer answers.
+	longestRound = asked*peerTimeout + peerPause
 	// secondPatience is how long the node that ranks second tries peers before it reads the
 	// store itself.
 	secondPatience = 300 * time.Millisecond
@@ -160,7 +162,7 @@
 			source := sources[(first+i)%len(sources)]
 			reply, err := t.ask(ctx, source, ask, progress)
 			if err == nil && reply.Arriving {
-				until = min(begun+arrivingPatience, max(until, t.Clock.Now()+secondPatience))
+				until = min(begun+arrivingPatience, max(until, t.Clock.Now()+longestRound))
 			}
 			if err != nil || reply.Behind {
 				continue
