Take changes that peers have learned while the store can't be asked

There the link between the regions is full in calm, since every node reads all upstreams, nodes and grants; the small question where the log ends times out, and a node asked no peer without its answer.

Change: when the store can't be asked, a node takes what its peers have read beyond itself. It doesn't count as up to date by that.

Test: TestTakesNewsFromPeersWithoutTheStore.

--- a/peerfetch/copy.go
+++ b/peerfetch/copy.go
@@ -55,11 +55,11 @@
 	return c.readings.Load() > 0 && c.clock.Now()-time.Duration(c.arrivedAt.Load()) < arrivingFor
 }
 
-// Empty tells whether nothing was read yet.
-func (c *Copy) Empty() bool {
+// Next returns the offset up to which the topic was read; negative before the first reading.
+func (c *Copy) Next() int64 {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.next < 0
+	return c.next
 }
 
 // Reset replaces everything by the newest records.
--- a/peerfetch/topic.go
+++ b/peerfetch/topic.go
@@ -67,11 +67,15 @@
 	place, sources := rank(t.Self, t.Peers())
 	if place > 0 {
 		end, err := t.startAt(ctx)
-		if err != nil {
+		progress()
+		var reply Reply
+		var ok bool
+		if err == nil {
+			reply, ok = t.fetch(ctx, place, sources, Ask{From: -1, End: end}, progress)
+		} else if reply, ok = t.newer(ctx, sources, Ask{From: -1, End: t.Copy.Next() + 1}, progress); !ok {
 			return nil, 0, err
 		}
-		progress()
-		if reply, ok := t.fetch(ctx, place, sources, Ask{From: -1, End: end}, progress); ok {
+		if ok {
 			t.Copy.Reset(reply.Records, reply.Next)
 			return reply.Records, reply.Next, nil
 		}
@@ -89,7 +93,7 @@
 // has read nothing yet takes whatever a peer has, and asks the store afterwards: while all
 // nodes start, the answer would wait behind what they all read.
 func (t *Topic) startAt(ctx context.Context) (int64, error) {
-	if t.Copy.Empty() {
+	if t.Copy.Next() < 0 {
 		return 0, nil
 	}
 	return t.end(ctx)
@@ -112,10 +116,13 @@
 	place, sources := rank(t.Self, t.Peers())
 	if place > 0 {
 		end, err := t.end(ctx)
+		progress()
 		if err != nil {
+			if reply, ok := t.newer(ctx, sources, Ask{From: from, End: from + 1}, progress); ok {
+				return t.extend(from, reply)
+			}
 			return nil, 0, err
 		}
-		progress()
 		if end == from {
 			periodic.Pause(ctx, min(wait, look*3/4+rand.N(look/2)))
 			return nil, from, ctx.Err()
@@ -151,6 +158,19 @@
 	return t.Topic.End(ctx)
 }
 
+// newer asks each peer once. A node that can't ask the store, since it is cut off or its link is
+// full, takes what its peers have learned meanwhile.
+func (t *Topic) newer(ctx context.Context, sources []Peer, ask Ask, progress func()) (Reply, bool) {
+	ask.Topic = t.Name
+	for _, source := range sources {
+		if reply, err := t.ask(ctx, source, ask, progress); err == nil && !reply.Behind {
+			t.Events.Record(event.RecordsFetched, "topic", t.Name, "peer", source.Node, "end", reply.Next, "records", len(reply.Records), "store", false)
+			return reply, true
+		}
+	}
+	return Reply{}, false
+}
+
 // fetch asks peers until one is far enough or the patience is over.
 func (t *Topic) fetch(ctx context.Context, place int, sources []Peer, ask Ask, progress func()) (Reply, bool) {
 	ask.Topic, ask.WaitMs = t.Name, peerWait.Milliseconds()
--- a/peerfetch/topic_test.go
+++ b/peerfetch/topic_test.go
@@ -119,6 +119,31 @@
 	})
 }
 
+// A node is cut off from the store, or its link is full, while its peers learn of a change. It
+// must not stay behind them.
+func TestTakesNewsFromPeersWithoutTheStore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		store := memtopic.New()
+		store.Fail = context.DeadlineExceeded
+		second := NewCopy(bubbleClock{})
+		second.Reset([]keyedlog.Record{record("config", 4)}, 5)
+		n := fourth(store, copies{"n1": second})
+		n.Copy.Reset([]keyedlog.Record{record("config", 4)}, 5)
+		_, _, err := n.Read(t.Context(), 5, time.Second, func() {})
+		is.Equal(err, context.DeadlineExceeded)
+		second.Extend(5, []keyedlog.Record{record("config", 5)}, 6)
+		records, next, err := n.Read(t.Context(), 5, time.Second, func() {})
+		is.NoErr(err)
+		is.Equal(len(records), 1)
+		is.Equal(next, int64(6))
+		second.Extend(6, []keyedlog.Record{record("config", 6)}, 7)
+		_, next, err = n.Newest(t.Context(), func() {})
+		is.NoErr(err)
+		is.Equal(next, int64(7))
+	})
+}
+
 // Peers that are dark, or that are cut off from the store and don't know it, must not keep a
 // node behind.
 func TestReadsTheStoreWhenPeersAreBehind(t *testing.T) {
