--- a/peerfetch/topic.go
+++ b/peerfetch/topic.go
@@ -64,15 +64,9 @@
 // Newest reads the newest records from peers that are up to date, or from the store.
 func (t *Topic) Newest(ctx context.Context, progress func()) ([]keyedlog.Record, int64, error) {
 	t.awaitPeers(ctx)
-	place, sources := rank(t.Self, t.Peers())
-	if place > 0 {
-		end, err := t.startAt(ctx)
-		progress()
-		var reply Reply
-		var ok bool
-		if err == nil {
-			reply, ok = t.fetch(ctx, place, sources, Ask{From: -1, End: end}, progress)
-		} else if reply, ok = t.newer(ctx, sources, Ask{From: -1, End: t.Copy.Next() + 1}, progress); !ok {
+	if place, sources := rank(t.Self, t.Peers()); place > 0 {
+		reply, ok, err := t.newestOfPeers(ctx, place, sources, progress)
+		if err != nil {
 			return nil, 0, err
 		}
 		if ok {
@@ -89,6 +83,20 @@
 	return records, next, err
 }
 
+// newestOfPeers returns what peers hold; false leaves it to the store.
+func (t *Topic) newestOfPeers(ctx context.Context, place int, sources []Peer, progress func()) (Reply, bool, error) {
+	end, err := t.startAt(ctx)
+	progress()
+	if err == nil {
+		reply, ok := t.fetch(ctx, place, sources, Ask{From: -1, End: end}, progress)
+		return reply, ok, nil
+	}
+	if reply, ok := t.newer(ctx, sources, Ask{From: -1, End: t.Copy.Next() + 1}, progress); ok {
+		return reply, true, nil
+	}
+	return Reply{}, false, err
+}
+
 // startAt returns how far a peer must have read for its newest records to be taken. A node that
 // has read nothing yet takes whatever a peer has, and asks the store afterwards: while all
 // nodes start, the answer would wait behind what they all read.
@@ -158,7 +166,7 @@
 	return t.Topic.End(ctx)
 }
 
-// newer asks each peer once. A node that can't ask the store, since it is cut off or its link is
+// newer asks each peer once for more than is known. A node that can't ask the store, since it is cut off or its link is
 // full, takes what its peers have learned meanwhile.
 func (t *Topic) newer(ctx context.Context, sources []Peer, ask Ask, progress func()) (Reply, bool) {
 	ask.Topic = t.Name
