Count only records as on their way to a peer, not refusals

The store turned away a third of the nodes with 429, among them the first of a data centre; the second is to read the store itself after 0.3 s.

Cause: each refusal's head counted as a part of the records arriving, also for the next try of the peer, so the others took the peer for receiving and waited for it, up to 5 s.

--- a/peerfetch/copy.go
+++ b/peerfetch/copy.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"context"
+	"math"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -24,7 +25,7 @@
 	grown chan struct{}
 
 	clock bootclock.Clock
-	// readings is how many readings run, arrivedAt when a part of one came last.
+	// readings is how many readings run, arrivedAt when a part of the last one came.
 	readings  atomic.Int64
 	arrivedAt atomic.Int64
 }
@@ -32,6 +33,9 @@
 // arrivingFor is how long after a part of a reading the rest counts as on its way.
 const arrivingFor = 600 * time.Millisecond
 
+// neverArrived is the time of a part that hasn't come.
+const neverArrived = math.MinInt64
+
 // NewCopy returns a copy that holds nothing.
 func NewCopy(clock bootclock.Clock) *Copy {
 	return &Copy{complete: -1, next: -1, grown: make(chan struct{}), clock: clock}
@@ -42,6 +46,7 @@
 
 // receive runs a reading and notes what arrives.
 func (c *Copy) receive(progress func(), read reading) ([]keyedlog.Record, int64, error) {
+	c.arrivedAt.Store(neverArrived)
 	c.readings.Add(1)
 	defer c.readings.Add(-1)
 	return read(func() {
@@ -52,7 +57,8 @@
 
 // arriving tells whether records are on their way.
 func (c *Copy) arriving() bool {
-	return c.readings.Load() > 0 && c.clock.Now()-time.Duration(c.arrivedAt.Load()) < arrivingFor
+	at := c.arrivedAt.Load()
+	return c.readings.Load() > 0 && at != neverArrived && c.clock.Now()-time.Duration(at) < arrivingFor
 }
 
 // Next returns the offset up to which the topic was read; negative before the first reading.
--- a/peerfetch/copy_test.go
+++ b/peerfetch/copy_test.go
@@ -1,6 +1,7 @@
 package peerfetch
 
 import (
+	"context"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -62,3 +63,22 @@
 		is.Equal(time.Since(begun), 350*time.Millisecond)
 	})
 }
+
+// The store turns a peer away again and again. Its refusals are no records on their way; those
+// who wait for them stay behind with it.
+func TestTurnedAwayPeerIsNotWaitedFor(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		c := NewCopy(bubbleClock{})
+		c.Reset(nil, 1)
+		_, _, err := c.receive(func() {}, func(progress func()) ([]keyedlog.Record, int64, error) {
+			progress()
+			return nil, 0, context.DeadlineExceeded
+		})
+		is.True(err != nil)
+		_, _, _ = c.receive(func() {}, func(func()) ([]keyedlog.Record, int64, error) {
+			is.True(!c.Answer(t.Context(), Ask{From: 1, End: 2}).Arriving)
+			return nil, 0, context.DeadlineExceeded
+		}) // fails on purpose
+	})
+}
