--- a/lending/http.go
+++ b/lending/http.go
@@ -6,8 +6,6 @@
 	"io"
 	"net/http"
 
-	"github.com/juju/errors"
-
 	"lavenderpin.dev/lavenderpin/httpwire"
 )
 
@@ -22,24 +20,9 @@
 
 // Call sends an ask and reads its reply.
 func (c *Client) Call(ctx context.Context, address string, ask Ask) (Reply, error) {
-	body, err := json.Marshal(&ask)
-	if err != nil {
-		return Reply{}, errors.Trace(err)
-	}
-	answer, err := c.Wire.Do(ctx, address, &httpwire.Request{Method: http.MethodPost, Target: path, Host: address, Body: body})
-	if err != nil {
-		return Reply{}, errors.Trace(err)
-	}
-	defer answer.Close()
-	raw, err := io.ReadAll(io.LimitReader(answer, maxMessage))
-	if err != nil {
-		return Reply{}, errors.Trace(err)
-	}
-	if answer.Status != http.StatusOK {
-		return Reply{}, errors.Errorf("the peer answers %d", answer.Status)
-	}
 	var reply Reply
-	return reply, errors.Trace(json.Unmarshal(raw, &reply))
+	err := c.Wire.PostJSON(ctx, address, path, &ask, &reply, maxMessage, func() {})
+	return reply, err
 }
 
 // Handler serves a lender.
--- a/peerfetch/http.go
+++ b/peerfetch/http.go
@@ -8,8 +8,6 @@
 	"net/http"
 	"time"
 
-	"github.com/juju/errors"
-
 	"lavenderpin.dev/lavenderpin/httpwire"
 )
 
@@ -28,24 +26,9 @@
 
 // Fetch sends an ask and reads its reply.
 func (c *Client) Fetch(ctx context.Context, address string, ask Ask, progress func()) (Reply, error) {
-	body, err := json.Marshal(&ask)
-	if err != nil {
-		return Reply{}, errors.Trace(err)
-	}
-	answer, err := c.Wire.Do(ctx, address, &httpwire.Request{Method: http.MethodPost, Target: Path, Host: address, Body: body})
-	if err != nil {
-		return Reply{}, errors.Trace(err)
-	}
-	defer answer.Close()
-	raw, err := io.ReadAll(io.LimitReader(&httpwire.ProgressReader{R: answer, Progress: progress}, maxReply))
-	if err != nil {
-		return Reply{}, errors.Trace(err)
-	}
-	if answer.Status != http.StatusOK {
-		return Reply{}, errors.Errorf("the peer answers %d", answer.Status)
-	}
 	var reply Reply
-	return reply, errors.Trace(json.Unmarshal(raw, &reply))
+	err := c.Wire.PostJSON(ctx, address, Path, &ask, &reply, maxReply, progress)
+	return reply, err
 }
 
 // Handler answers the asks of peers out of copies by topic. A configuration holds callers' keys,
