--- a/event/fleet.go
+++ b/event/fleet.go
@@ -36,7 +36,7 @@
 	UpstreamLeaving:    {"UpstreamLeaving", "The platform's list shows an upstream as leaving; it gets no new work."},
 	InstancesDown:      {"InstancesDown", "The platform's instance list does not answer; the last one known stays in use."},
 	ServingWithoutLog:  {"ServingWithoutLog", "The log is out of reach; the node serves with the highest configuration its peers hold."},
-	RecordsFetched:     {"RecordsFetched", "A node of the data centre gave this one records of the log; the store was asked only where the log ends."},
+	RecordsFetched:     {"RecordsFetched", "A node of the data centre gave this one records of the log; the store was asked at most where the log ends."},
 	ProcessStalled:     {"ProcessStalled", "The process was stopped for a while; what it missed is not held against the other nodes."},
 	PeerJoined:         {"PeerJoined", "Another node answers."},
 	PeerSuspect:        {"PeerSuspect", "Another node stopped answering."},
--- a/peerfetch/topic_test.go
+++ b/peerfetch/topic_test.go
@@ -70,6 +70,13 @@
 		Events: event.NewRecorder(event.NewHLC(clockwork.NewRealClock()), "n3", 64, log.NewNopLogger())}
 }
 
+// unreachable is a store that answers nothing.
+func unreachable() *memtopic.Topic {
+	store := memtopic.New()
+	store.Fail = context.DeadlineExceeded
+	return store
+}
+
 func write(t *testing.T, store keyedlog.Topic, value string) {
 	t.Helper()
 	if err := store.Append(t.Context(), keyedlog.Fence{}, keyedlog.Record{Key: "config", Value: []byte(value)}); err != nil {
@@ -104,8 +111,7 @@
 func TestStartsFromAPeerWithoutTheStore(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
-		store := memtopic.New()
-		store.Fail = context.DeadlineExceeded
+		store := unreachable()
 		first := NewCopy(bubbleClock{})
 		first.Reset([]keyedlog.Record{record("config", 4)}, 5)
 		n := fourth(store, copies{"n0": first})
@@ -124,8 +130,7 @@
 func TestTakesNewsFromPeersWithoutTheStore(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
-		store := memtopic.New()
-		store.Fail = context.DeadlineExceeded
+		store := unreachable()
 		second := NewCopy(bubbleClock{})
 		second.Reset([]keyedlog.Record{record("config", 4)}, 5)
 		n := fourth(store, copies{"n1": second})
