Let upstreams refuse requests that arrive after the right to send them

Cause: the end of the right to spend was known to the sender alone. A process stopped between its last check and the first byte, a suspended machine or a cut link delivers the request later, and nobody can tell.

Ruled out: checks nearer to the send and deadlines on the call (the process stands wherever it was stopped), a kernel timer that kills the process (not bytes that the network holds), waiting longer before tokens are released (no overdraft already, but the order still runs).

Change: each request carries X-Request-Not-After, the end of the right that covers it, parts of lenders included; an upstream refuses it later (408, X-Request-Expired), which is code 4013 RequestExpired, truly not run.

On the users' platform a part is never taken from a node that may live: TestStoppedNodesLateSendIsCovered passes without a change.

TestFindsSpendingALapsedShare shows that the checker sees a node whose clock stands still.

--- a/budget/grant.go
+++ b/budget/grant.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync/atomic"
+	"time"
 
 	fleetv1 "lavenderpin.dev/lavenderpin/api/fleet/v1"
 )
@@ -14,6 +15,10 @@
 	// fails when the right to spend has lapsed since the reservation; nothing may
 	// be sent then.
 	Dispatch(ctx context.Context, upstream string) error
+	// NotAfter returns when the right that covers the request ends, by the wall clock. It
+	// goes with the request to the upstream: after Dispatch the node may be stopped for
+	// any time before its bytes leave.
+	NotAfter() time.Time
 	// Progress notes the tokens delivered to the caller so far.
 	Progress(delivered uint64)
 	// Finish bills the tokens used and gives the rest back; only the first call counts.
@@ -71,6 +76,16 @@
 	return nil
 }
 
+// NotAfter implements Grant: the earliest end of the rights that cover the request.
+func (g *grant) NotAfter() time.Time {
+	holder := g.own.holder
+	left := holder.RightLeft()
+	for _, part := range g.parts {
+		left = min(left, part.right.left())
+	}
+	return holder.clock.Now().Add(left)
+}
+
 // openRequests lists the request under each id that it is billed under.
 func (g *grant) openRequests(upstream string) []*fleetv1.OpenRequest {
 	id := g.own.ID.String()
--- a/budget/right_test.go
+++ b/budget/right_test.go
@@ -63,3 +63,18 @@
 	_, err := h.Reserve("b", 1)
 	is.Equal(result.CodeOf(err), result.SpendRightLapsed)
 }
+
+// Guards against a request that carries a later end than the right of a lender that pays
+// for a part of it.
+func TestRequestCarriesTheEarliestEndOfItsRights(t *testing.T) {
+	is := is.New(t)
+	h, clock := newSuspendedHolder()
+	own, err := h.Reserve("b", 10)
+	is.NoErr(err)
+	part := &borrowedPart{right: newSpendRight(clock)}
+	part.right.extend(clock.Now().Add(time.Minute))
+	is.True((&grant{own: own}).NotAfter().Equal(clock.Now().Add(time.Hour)))
+	is.True((&grant{own: own, parts: []*borrowedPart{part}}).NotAfter().Equal(clock.Now().Add(time.Minute)))
+	clock.Advance(2 * time.Minute)
+	is.True((&grant{own: own, parts: []*borrowedPart{part}}).NotAfter().Before(clock.Now()))
+}
--- a/internal/check/defect_test.go
+++ b/internal/check/defect_test.go
@@ -80,19 +80,9 @@
 // answers that it gave are never billed.
 func TestFindsSpendingALapsedShare(t *testing.T) {
 	is := is.New(t)
-	cut, _ := FaultNamed("two-way cut")
-	cut.strike = func(h *Harness, _ *Member) { h.Network.Isolate(fake.LogEndpoint, true, true) }
-	cut.Lasts = 2 * time.Minute
-	cell := Cell{Strikes: []Strike{{Fault: cut, Step: fake.StepDispatch, Nth: 1}}, Seed: 1}
-	violations := withDefect(t, cell, func(h *Harness) {
-		address := "127.0.0.1:9000"
-		began := h.clock.Now()
-		h.nodeClock = func(at string) clockwork.Clock {
-			if at == address {
-				return stoppedClock{h.clock, began}
-			}
-			return h.clock
-		}
+	violations := withDefect(t, cutWithAStoppedClock(), func(h *Harness) {
+		stopClock(h)
+		h.Upstreams.SetFaults(fake.UpstreamFaults{IgnoreNotAfter: true})
 	})
 	is.True(broke(violations, SpendRight))
 }
--- a/internal/fake/client.go
+++ b/internal/fake/client.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"time"
 
 	operatorv1 "lavenderpin.dev/lavenderpin/api/operator/v1"
 	"lavenderpin.dev/lavenderpin/result"
@@ -38,6 +39,14 @@
 	return nil
 }
 
+// refuse answers for an upstream whether a request that has arrived is too late to run.
+func (c *Client) refuse(to *operatorv1.Upstream, notAfter time.Time) error {
+	if notAfter.IsZero() || c.upstreams.currentFaults().IgnoreNotAfter || !c.upstreams.clock.Now().After(notAfter) {
+		return nil
+	}
+	return result.New(result.RequestExpired, "the request reached %s too late", to.GetName())
+}
+
 // back brings an answer home, or loses it.
 func (c *Client) back(ctx context.Context, to *operatorv1.Upstream) error {
 	if err := c.gate.Enter(ctx); err != nil {
@@ -56,6 +65,9 @@
 	if err := c.send(ctx, to); err != nil {
 		return nil, err
 	}
+	if err := c.refuse(to, r.NotAfter); err != nil {
+		return nil, err
+	}
 	run := c.upstreams.newRun(to.GetName(), r.ID, r.Body)
 	s := &stream{client: c, ctx: ctx, to: to, run: run, chunks: make(chan upstream.Chunk, len(run.Answer)+2)}
 	go s.generate()
@@ -74,6 +86,9 @@
 	if err := c.send(ctx, to); err != nil {
 		return upstream.CallAnswer{}, err
 	}
+	if err := c.refuse(to, r.NotAfter); err != nil {
+		return upstream.CallAnswer{}, err
+	}
 	run := ServiceRun{Upstream: to.GetName(), Request: r.ID, Method: r.Method, Body: string(r.Body), At: c.upstreams.clock.Now()}
 	c.upstreams.ran(run)
 	if c.upstreams.currentFaults().RunTwice {
--- a/internal/fake/upstreams.go
+++ b/internal/fake/upstreams.go
@@ -43,6 +43,8 @@
 	RunTwice bool
 	// SkipOnResume plants a defect: a stream that is read on lacks so many chunks.
 	SkipOnResume uint64
+	// IgnoreNotAfter makes upstreams run requests that arrive too late.
+	IgnoreNotAfter bool
 	// IgnoreFencing makes engines that check fencing numbers take any order.
 	IgnoreFencing bool
 }
--- /dev/null
+++ b/internal/standin/notafter.go
@@ -0,0 +1,23 @@
+package standin
+
+import (
+	"context"
+	"strconv"
+	"time"
+
+	"github.com/cloudwego/hertz/pkg/app"
+)
+
+// refuseLate refuses a request that arrives after its sender's right to have it run has
+// ended.
+func refuseLate(ctx context.Context, c *app.RequestContext) {
+	limit, err := strconv.ParseInt(string(c.GetHeader("X-Request-Not-After")), 10, 64)
+	if err != nil || time.Now().UnixMilli() <= limit {
+		c.Next(ctx)
+		return
+	}
+	c.Header("X-Request-Id", string(c.GetHeader("X-Request-Id")))
+	c.Header("X-Request-Expired", "true")
+	c.String(408, "too late")
+	c.Abort()
+}
--- a/internal/standin/server.go
+++ b/internal/standin/server.go
@@ -11,7 +11,7 @@
 const maxBody = 8 << 20
 
 func newServer(listener net.Listener) *server.Hertz {
-	return server.New(
+	s := server.New(
 		server.WithListener(listener),
 		server.WithTransport(standard.NewTransporter),
 		server.WithMaxRequestBodySize(maxBody),
@@ -19,4 +19,6 @@
 		server.WithExitWaitTime(100*time.Millisecond),
 		server.WithDisableDefaultDate(true),
 	)
+	s.Use(refuseLate)
+	return s
 }
--- a/prepaid/allocator_test.go
+++ b/prepaid/allocator_test.go
@@ -145,6 +145,28 @@
 	is.True(before+w.nodes["n2"].share.Standing("a").Ceiling <= 300_000)
 }
 
+// Guards against tokens of a request that a stopped node sends an hour later having been
+// granted to others meanwhile.
+func TestStoppedNodesLateSendIsCovered(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(map[string]int64{"a": 300_000})
+	stopped, other := w.start("n1", "boot"), w.start("n2", "boot")
+	settleDown(w)
+	w.serveReporting(stopped, "a", 20_000) // reserved, and stopped before its bytes leave
+	is.Equal(len(stopped.open), 1)
+	for range 3600 {
+		w.clock.Advance(time.Second)
+		w.report(other, false)
+		w.round(map[string]bool{"n2": true})
+		w.apply(other)
+		w.serveReporting(other, "a", 10_000)
+	}
+	is.True(w.used["a"] > 20_000)
+	is.True(w.used["a"] <= 300_000)
+	w.settle(stopped, 100)
+	is.True(w.used["a"] <= 300_000)
+}
+
 // A process stops in an orderly way. All that it didn't use goes back at once.
 func TestStoppedNodeGivesItsPartBack(t *testing.T) {
 	is := is.New(t)
--- a/request/bench_test.go
+++ b/request/bench_test.go
@@ -140,6 +140,8 @@
 	return nil
 }
 
+func (g holderGrant) NotAfter() time.Time { return time.Now().Add(g.holder.RightLeft()) }
+
 func (g holderGrant) Progress(uint64) {}
 
 // inOrder picks the first upstream by name that wasn't tried.
--- a/request/call.go
+++ b/request/call.go
@@ -155,10 +155,10 @@
 	s.Events.Record(event.RequestDispatched, "request", id, "upstream", to.GetName())
 	answer, err := s.Client.Call(ctx, to, upstream.CallRequest{
 		ID: id, Method: p.call.Method, Path: p.call.Path, Headers: p.call.Headers, Body: p.call.Body,
-		Once: !p.rule.GetIdempotent(),
+		Once: !p.rule.GetIdempotent(), NotAfter: grant.NotAfter(),
 	})
 	switch {
-	case err == nil || result.CodeOf(err) == result.NoUpstream:
+	case err == nil || refusedUnrun(err):
 		return answer, err
 	case !p.rule.GetIdempotent():
 		// It may have run: a caller that takes this for a refusal would file the
@@ -170,12 +170,19 @@
 	return answer, err
 }
 
-// mayCallAgain tells that a call may be sent to another upstream: when nothing was
-// sent, or when the call is declared idempotent.
+// refusedUnrun tells that nothing was sent, or that the upstream refused it unread.
+func refusedUnrun(err error) bool {
+	code := result.CodeOf(err)
+	return code == result.NoUpstream || code == result.RequestExpired
+}
+
+// mayCallAgain tells that a call may be sent to another upstream: when it surely
+// hasn't run, or when it is declared idempotent.
 func mayCallAgain(err error, rule *operatorv1.Call) bool {
-	switch result.CodeOf(err) {
-	case result.NoUpstream:
+	if refusedUnrun(err) {
 		return true
+	}
+	switch result.CodeOf(err) {
 	case result.UpstreamFailed, result.AnswerCut, result.AnswerCrossed:
 		return rule.GetIdempotent()
 	}
--- a/request/chatrun.go
+++ b/request/chatrun.go
@@ -122,7 +122,7 @@
 func worthAnother(err error) bool {
 	switch result.CodeOf(err) {
 	case result.NoUpstream, result.UpstreamFailed, result.AnswerCut, result.AnswerCrossed, result.StreamLost,
-		result.UpstreamSilent:
+		result.UpstreamSilent, result.RequestExpired:
 		return true
 	}
 	return false
@@ -137,7 +137,7 @@
 	}
 	r.server.Events.Record(event.RequestDispatched, "request", id, "upstream", to.GetName())
 	r.begin(to)
-	stream, err := r.server.Client.Chat(ctx, to, upstream.ChatRequest{ID: id.String(), Body: r.body})
+	stream, err := r.server.Client.Chat(ctx, to, upstream.ChatRequest{ID: id.String(), Body: r.body, NotAfter: r.grant.NotAfter()})
 	if err != nil {
 		return err
 	}
--- a/result/upstream.go
+++ b/result/upstream.go
@@ -14,6 +14,7 @@
 	StreamLost       Code = 4010
 	AnswerDiffers    Code = 4011
 	UpstreamSilent   Code = 4012
+	RequestExpired   Code = 4013
 )
 
 var upstreamInfos = map[Code]Info{
@@ -27,4 +28,5 @@
 	StreamLost:       {"StreamLost", 502, codes.DataLoss, false, false, "The engine no longer holds the rest of the stream; send a new request."},
 	AnswerDiffers:    {"AnswerDiffers", 502, codes.Aborted, false, false, "The engine was lost within the answer, and another one answers differently; send a new request."},
 	UpstreamSilent:   {"UpstreamSilent", 504, codes.Unavailable, true, false, "The engine went silent within an answer and was given up on."},
+	RequestExpired:   {"RequestExpired", 503, codes.Unavailable, true, true, "The upstream refused the request: the node's right to have it run had ended before it arrived."},
 }
--- a/upstream/client.go
+++ b/upstream/client.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	operatorv1 "lavenderpin.dev/lavenderpin/api/operator/v1"
 )
@@ -12,6 +13,9 @@
 	ID string
 	// Body is the OpenAI-style request body, with streaming and usage switched on.
 	Body []byte
+	// NotAfter is when the node's right to have the request run ends; zero for never.
+	// An upstream that checks it refuses a request that arrives later.
+	NotAfter time.Time
 }
 
 // ChatStream is an answer in progress. Close must be called once.
@@ -70,6 +74,8 @@
 	Body    []byte
 	// Once is set for a call that must not be sent twice.
 	Once bool
+	// NotAfter is as in ChatRequest.
+	NotAfter time.Time
 }
 
 // CallAnswer is a plain service's whole answer.
@@ -80,7 +86,8 @@
 }
 
 // Client asks upstreams. Errors are result errors: NoUpstream when nothing was
-// sent, UpstreamFailed or OutcomeUnknown when something may have run.
+// sent, RequestExpired when the upstream refused it as too late, UpstreamFailed or
+// OutcomeUnknown when something may have run.
 type Client interface {
 	Chat(ctx context.Context, to *operatorv1.Upstream, r ChatRequest) (ChatStream, error)
 	Call(ctx context.Context, to *operatorv1.Upstream, r CallRequest) (CallAnswer, error)
--- a/upstream/http.go
+++ b/upstream/http.go
@@ -91,18 +91,31 @@
 	request.Header.SetContentTypeBytes([]byte("application/json"))
 	request.Header.Set(HeaderRequestID, r.ID)
 	request.SetBody(r.Body)
-	return c.stream(ctx, to, request, r.ID, 0)
+	setNotAfter(request, r.NotAfter)
+	return c.stream(ctx, to, request, streamAsk{id: r.ID, notAfter: r.NotAfter})
+}
+
+// streamAsk is what was asked of an engine that answers with an event stream.
+type streamAsk struct {
+	id string
+	// from is the number of the first chunk wanted.
+	from     uint64
+	notAfter time.Time
 }
 
 // stream sends a request that an event stream answers; it takes the request over.
-func (c *HTTPClient) stream(ctx context.Context, to *operatorv1.Upstream, request *protocol.Request, id string, from uint64) (ChatStream, error) {
+func (c *HTTPClient) stream(ctx context.Context, to *operatorv1.Upstream, request *protocol.Request, ask streamAsk) (ChatStream, error) {
 	response, err := send(ctx, c.client, request)
 	if err != nil {
 		return nil, sendError(to, err)
 	}
+	if late := expired(to, response, ask.notAfter); late != nil {
+		protocol.ReleaseResponse(response)
+		return nil, late
+	}
 	switch status := response.StatusCode(); status {
 	case statusOK:
-		return newHTTPStream(ctx, to.GetName(), id, from, response)
+		return newHTTPStream(ctx, to.GetName(), ask.id, ask.from, response)
 	case statusNotFound, statusGone:
 		protocol.ReleaseResponse(response)
 		return nil, result.New(result.StreamLost, "%s doesn't hold the stream", to.GetName())
@@ -161,6 +174,7 @@
 	}
 	request.Header.Set(HeaderRequestID, r.ID)
 	request.SetBody(r.Body)
+	setNotAfter(request, r.NotAfter)
 	by := c.client
 	if r.Once {
 		by = c.once
@@ -170,6 +184,9 @@
 		return CallAnswer{}, sendError(to, err)
 	}
 	defer protocol.ReleaseResponse(response)
+	if late := expired(to, response, r.NotAfter); late != nil {
+		return CallAnswer{}, late
+	}
 	body, err := readAnswer(response)
 	if err != nil {
 		return CallAnswer{}, result.New(result.AnswerCut, "%s: %v", to.GetName(), err)
--- a/upstream/resume.go
+++ b/upstream/resume.go
@@ -24,5 +24,5 @@
 	request.SetMethod("GET")
 	request.SetRequestURI(fmt.Sprintf("http://%s/v1/streams/%s?from=%d", to.GetAddress(), id, from))
 	request.Header.Set(HeaderRequestID, id)
-	return c.stream(ctx, to, request, id, from)
+	return c.stream(ctx, to, request, streamAsk{id: id, from: from})
 }
