--- a/internal/ci/gate/knownred.go
+++ b/internal/ci/gate/knownred.go
@@ -7,7 +7,7 @@
 )
 
 const (
-	knownRedFile  = "KNOWN-RED.txt"
+	knownRedFile = "KNOWN-RED.txt"
 	// knownRedLimit bounds the tests that may fail.
 	knownRedLimit = 3
 )
