Keep what is known of a dead node beyond its last witness

Cause: two nodes know of each request while its node lives. Once it is dead nobody restores the second; the survivor kept what it knew to itself until the close and its turn in the recovery, and died after five seconds in which it could have told others.

Change: from when a node is suspected (1 to 2 s), its witnesses settle in the log what it had itself said of finished requests (recovery.SilentSettler; the ledger takes this for an open incarnation now, each request once), and hand all they remember to one more node (witness.Copier). An engine's count waits for the close as before, since the answer may have failed at a node that lives; the node's own word now replaces such a count. Recovery also asks nodes that opened after the close. Programs of before refuse settlements for an open incarnation, so they are written only while all open nodes announce record_forms 2.

--- a/budget/settlement.go
+++ b/budget/settlement.go
@@ -33,17 +33,18 @@
 	return RequestID{Incarnation: text[:dot], Counter: counter}, true
 }
 
-// settle bills requests. A request that is settled already is passed over: after
-// a crash both the dead node's late batch and the recovering node may settle it,
-// which would show as one request billed twice.
+// settle bills requests. A request that is settled already is passed over: its own node,
+// witnesses and whoever recovers may all settle it, which would show as one request
+// billed twice. While the incarnation is open, others settle only what it told them to
+// be finished, so whoever comes first writes the same figure.
 func (l *Ledger) settle(at fold.Position, batch *recordv1.SettlementBatch) fold.Verdict {
 	i := l.incarnations[batch.GetIncarnation()]
 	if i == nil {
 		return fold.Refuse(at, result.IncarnationClosed, "the incarnation's shares are released")
 	}
 	own := at.Writer == batch.GetIncarnation()
-	if !own && !i.Closed {
-		return fold.Refuse(at, result.NotHolder, "only the incarnation settles while it is open")
+	if !own && !i.Closed && l.open(at.Writer) == nil {
+		return fold.Refuse(at, result.NotHolder, "only open incarnations settle for one that is open")
 	}
 	billed := uint64(0)
 	for _, s := range batch.GetSettlements() {
--- a/event/budget.go
+++ b/event/budget.go
@@ -21,6 +21,7 @@
 	ShareWrittenOff   Number = 319
 	Unwitnessed       Number = 320
 	WitnessChanged    Number = 321
+	SettledForSilent  Number = 322
 )
 
 var budgetKinds = map[Number]Kind{
@@ -43,4 +44,5 @@
 	ShareWrittenOff:   {"ShareWrittenOff", "A closed incarnation's tokens are written off: nobody could tell in time what it spent of them."},
 	Unwitnessed:       {"Unwitnessed", "A request is dispatched though no other node could be told of it."},
 	WitnessChanged:    {"WitnessChanged", "This node tells its open requests to another node from now on."},
+	SettledForSilent:  {"SettledForSilent", "This node put into the log what a node that doesn't answer had told it of finished requests."},
 }
--- a/internal/check/knownseeds_test.go
+++ b/internal/check/knownseeds_test.go
@@ -24,6 +24,14 @@
 // what the first two had answered in their last moments, and it is billed to nobody.
 func TestThreeDeathsWithinSeconds(t *testing.T) { judgeReachedPair(t, 5110) }
 
+// Guards against an answer that its caller read on at another node going unbilled, since
+// the dead node's witness is cut off.
+func TestAnswerReadOnWhileAWitnessIsCutOff(t *testing.T) {
+	cell := Pair(testTiming(), 1007)
+	cell.ReadOn = true
+	judgeCell(t, cell)
+}
+
 // A node is stopped after it has looked at its right to spend and before the first byte
 // of a call leaves it. Its right ends meanwhile, it goes on, and the call reaches its
 // service late. In this history the spend stays within what was prepaid all the same.
--- a/membership/members.go
+++ b/membership/members.go
@@ -342,6 +342,13 @@
 	}
 }
 
+// Suspects tells whether a node doesn't answer; true for one that isn't a member.
+func (m *Members) Suspects(incarnation string) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.table.Suspects(incarnation)
+}
+
 // All returns the other nodes, sorted by incarnation.
 func (m *Members) All() []Member {
 	m.mu.Lock()
--- a/membership/table.go
+++ b/membership/table.go
@@ -166,6 +166,12 @@
 // Raise makes this node's own view outweigh all earlier ones.
 func (t *Table) Raise() { t.beat++ }
 
+// Suspects tells whether a node doesn't answer; true for one that isn't a member.
+func (t *Table) Suspects(incarnation string) bool {
+	m := t.members[incarnation]
+	return m == nil || m.Suspect
+}
+
 // All returns the members, sorted by incarnation.
 func (t *Table) All() []Member {
 	all := make([]Member, 0, len(t.members))
--- a/node/budgets.go
+++ b/node/budgets.go
@@ -28,6 +28,8 @@
 	teller    *witness.Teller
 	watcher   *recovery.Watcher
 	recoverer *recovery.Recoverer
+	silent    *recovery.SilentSettler
+	copier    *witness.Copier
 	stopped   chan struct{}
 }
 
@@ -47,12 +49,16 @@
 	})
 	b.sizer = budget.NewSizer(n.settings.Policy, b.reserver)
 	b.recoverer = n.newRecoverer(b)
+	b.silent = n.newSilentSettler(b)
+	b.copier = witness.NewCopier(witness.CopierConfig{
+		Clock: n.deps.Clock, Memory: b.memory, Candidates: n.witnesses, Suspect: n.isSuspect, Send: b.teller.PassTo,
+	})
 	return b
 }
 
 func (b *budgets) run(ctx context.Context) {
 	var wait sync.WaitGroup
-	for _, loop := range []func(context.Context){b.borrower.Run, b.sizer.Run, b.teller.Run, b.recoverer.Run} {
+	for _, loop := range []func(context.Context){b.borrower.Run, b.sizer.Run, b.teller.Run, b.recoverer.Run, b.silent.Run, b.copier.Run} {
 		wait.Go(func() { loop(ctx) })
 	}
 	wait.Wait()
@@ -95,7 +101,7 @@
 	case *fleetv1.Request_ShareAsk:
 		response.Body = &fleetv1.Response_ShareAnswer{ShareAnswer: n.budgets.reserver.Move(r.GetFrom(), body.ShareAsk)}
 	case *fleetv1.Request_Witness:
-		err = n.remember(body.Witness)
+		err = n.remember(r.GetFrom(), body.Witness)
 		response.Body = &fleetv1.Response_Witnessed{Witnessed: &fleetv1.Witnessed{}}
 	case *fleetv1.Request_WitnessQuery:
 		var report *fleetv1.WitnessReport
--- a/node/node.go
+++ b/node/node.go
@@ -50,7 +50,7 @@
 	writer     *recordlog.Writer
 	gatherer   *gather.Gatherer
 	appender   *gather.Appender
-	forms      atomic.Pointer[formsRead]
+	forms      atomic.Pointer[formsFound]
 	follower   *recordlog.Follower
 	leaseTable *lease.Table
 	leases     *lease.Keeper
--- a/node/recovery.go
+++ b/node/recovery.go
@@ -36,13 +36,13 @@
 	})
 }
 
-func (n *Node) isSuspect(incarnation string) bool {
-	for _, member := range n.members.All() {
-		if member.Node.GetIncarnation() == incarnation {
-			return member.Suspect
-		}
-	}
-	return true
+func (n *Node) isSuspect(incarnation string) bool { return n.members.Suspects(incarnation) }
+
+func (n *Node) newSilentSettler(b budgets) *recovery.SilentSettler {
+	return recovery.NewSilentSettler(recovery.SilentSettlerConfig{
+		Clock: n.deps.Clock, Ledger: n.ledger, Journal: n.writer, Memory: b.memory, Events: n.events,
+		Suspect: n.isSuspect, MayWrite: func() bool { return n.logReachable() && n.allFoldWitnessed() },
+	})
 }
 
 // settleClosed lets a closed node put into the log what it alone knows for sure:
--- a/node/witness.go
+++ b/node/witness.go
@@ -55,11 +55,11 @@
 
 // remember takes in what another node says of its requests. A node that is leaving
 // or closed refuses: what it remembered would go with it.
-func (n *Node) remember(said *fleetv1.Witness) error {
+func (n *Node) remember(from string, said *fleetv1.Witness) error {
 	if n.State() != StateServing && n.State() != StateStarting {
 		return result.New(result.Draining, "the node is leaving")
 	}
-	return n.budgets.memory.Remember(said)
+	return n.budgets.memory.RememberFrom(from, said)
 }
 
 func (n *Node) witnessReport(query *fleetv1.WitnessQuery) (*fleetv1.WitnessReport, error) {
--- a/record/decode.go
+++ b/record/decode.go
@@ -8,10 +8,18 @@
 )
 
 // Forms is which forms of records this version reads, as nodes announce it in their
-// heartbeats. A program that announces less takes gathered and packed records for empty
-// ones: it would fold nothing of them and bill and grant otherwise than all others. So
-// they are written only while every open node announces this.
-const Forms = 1
+// heartbeats. A form is written only while every open node announces it: a program that
+// doesn't know it would bill and grant otherwise than all others.
+const Forms = FormsWitnessed
+
+// What a program reads that announces at least so much.
+const (
+	// FormsGathered: gathered and packed records. Others take them for empty ones.
+	FormsGathered = 1
+	// FormsWitnessed: settlements that a witness writes for an incarnation that is open
+	// and silent. Others refuse them.
+	FormsWitnessed = 2
+)
 
 // Decode returns the batches that a record holds, in the order in which they are
 // folded. It never returns a batch that holds others, so that a record has one
--- a/recovery/inquiry.go
+++ b/recovery/inquiry.go
@@ -32,8 +32,14 @@
 	// silence is how long the subject had been silent when the inquiry began.
 	silence time.Duration
 
-	// unasked holds the peer addresses of nodes that may know something, by incarnation.
+	// closed is the offset of the subject's close.
+	closed uint64
+	// unasked holds the peer addresses of nodes that may know something, by incarnation,
+	// met all that were ever in it.
 	unasked map[string]string
+	met     map[string]bool
+	// later holds nodes that opened after the close: they know only what others do or did.
+	later map[string]bool
 	// gone is set when a node that may have known something surely ended.
 	gone bool
 	// left is set when a node was found to have passed on what it knew and left.
@@ -42,20 +48,30 @@
 	outcomes map[string]outcome
 }
 
-// newInquiry asks all nodes that were open at an offset of the log; a node that
-// opened later can't have been told.
-func (r *Recoverer) newInquiry(subject string, offset uint64) *inquiry {
+// newInquiry asks all nodes that the log holds, for a subject that was closed at an offset.
+func (r *Recoverer) newInquiry(subject string, closed uint64) *inquiry {
 	q := &inquiry{
-		r: r, subject: subject, started: r.c.Clock.Now(), silence: r.c.Watcher.Silence(subject),
-		unasked: map[string]string{}, found: map[string]*fleetv1.OpenRequest{}, outcomes: map[string]outcome{},
+		r: r, subject: subject, closed: closed, started: r.c.Clock.Now(), silence: r.c.Watcher.Silence(subject),
+		unasked: map[string]string{}, met: map[string]bool{}, later: map[string]bool{},
+		found: map[string]*fleetv1.OpenRequest{}, outcomes: map[string]outcome{},
 	}
-	for id, i := range r.c.Ledger.Incarnations() {
+	q.meet()
+	return q
+}
+
+// meet adds the nodes that the log has opened since. One that opened after the close
+// can't have been told by the subject, but a witness may have handed on to it what it
+// remembered, and died.
+func (q *inquiry) meet() {
+	for id, i := range q.r.c.Ledger.Incarnations() {
 		// A lender asks itself too: it may be the witness of the node that borrowed.
-		if (id != subject || id == r.c.Incarnation) && i.Opened < offset {
-			q.unasked[id] = i.Node.GetPeerAddress()
+		if q.met[id] || id == q.subject && id != q.r.c.Incarnation {
+			continue
 		}
+		q.met[id] = true
+		q.later[id] = i.Opened >= q.closed
+		q.unasked[id] = i.Node.GetPeerAddress()
 	}
-	return q
 }
 
 func (q *inquiry) age() time.Duration { return q.r.c.Clock.Since(q.started) }
@@ -69,6 +85,7 @@
 // ask asks the nodes that haven't answered yet. An answer is final: the subject's
 // right has run out, so nothing that it tells anybody later is dispatched.
 func (q *inquiry) ask(ctx context.Context) {
+	q.meet()
 	var wait sync.WaitGroup
 	var mu sync.Mutex
 	for id, address := range maps.Clone(q.unasked) {
@@ -111,7 +128,7 @@
 		return
 	}
 	delete(q.unasked, id)
-	q.gone = q.gone || state == nodeGone
+	q.gone = q.gone || state == nodeGone && !q.later[id]
 	q.left = q.left || state == nodeLeft
 	for _, o := range open {
 		if held := q.found[o.GetRequest()]; !held.GetFinished() {
--- a/witness/memory.go
+++ b/witness/memory.go
@@ -20,17 +20,27 @@
 // incarnation that a request is billed to. It is safe for concurrent use.
 type Memory struct {
 	mu      sync.Mutex
-	entries map[string]map[string]*fleetv1.OpenRequest
+	entries map[string]map[string]remembered
 	count   int
 }
 
+// remembered is what is known of one request.
+type remembered struct {
+	*fleetv1.OpenRequest
+	// own tells that its own node said that it has finished.
+	own bool
+}
+
 // NewMemory returns an empty memory.
 func NewMemory() *Memory {
-	return &Memory{entries: map[string]map[string]*fleetv1.OpenRequest{}}
+	return &Memory{entries: map[string]map[string]remembered{}}
 }
 
-// Remember takes in what a node said of its requests.
-func (m *Memory) Remember(said *fleetv1.Witness) error {
+// Remember takes in what some node said of requests.
+func (m *Memory) Remember(said *fleetv1.Witness) error { return m.RememberFrom("", said) }
+
+// RememberFrom takes in what an incarnation said of its own requests or passed on of others'.
+func (m *Memory) RememberFrom(from string, said *fleetv1.Witness) error {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	for _, request := range said.GetForget() {
@@ -40,35 +50,37 @@
 		return result.New(result.NoWitness, "the witness's memory is full")
 	}
 	for _, open := range said.GetOpen() {
-		m.put(open)
+		m.put(from, open)
 	}
 	return nil
 }
 
 // put keeps the first word that a request has finished: messages can overtake each
-// other, and an older "open" must not undo it.
-func (m *Memory) put(open *fleetv1.OpenRequest) {
+// other, and an older "open" must not undo it. The word of its own node goes before an
+// engine's count: the node may have billed less than the engine produced.
+func (m *Memory) put(from string, open *fleetv1.OpenRequest) {
 	id, ok := budget.ParseRequestID(open.GetRequest())
 	if !ok {
 		return
 	}
 	held := m.entries[id.Incarnation]
 	if held == nil {
-		held = map[string]*fleetv1.OpenRequest{}
+		held = map[string]remembered{}
 		m.entries[id.Incarnation] = held
 	}
-	before := held[open.GetRequest()]
-	if before == nil {
+	before, known := held[open.GetRequest()]
+	if !known {
 		m.count++
 	}
-	if !before.GetFinished() {
-		held[open.GetRequest()] = open
+	own := from == id.Incarnation && open.GetFinished()
+	if !before.GetFinished() || own && !before.own {
+		held[open.GetRequest()] = remembered{open, own}
 	}
 }
 
 func (m *Memory) forget(request string) {
 	id, ok := budget.ParseRequestID(request)
-	if !ok || m.entries[id.Incarnation][request] == nil {
+	if _, known := m.entries[id.Incarnation][request]; !ok || !known {
 		return
 	}
 	delete(m.entries[id.Incarnation], request)
@@ -84,11 +96,24 @@
 	defer m.mu.Unlock()
 	var open []*fleetv1.OpenRequest
 	for _, held := range m.entries[incarnation] {
-		open = append(open, proto.CloneOf(held))
+		open = append(open, proto.CloneOf(held.OpenRequest))
 	}
 	return open
 }
 
+// Finished returns the requests that an incarnation itself said to have finished.
+func (m *Memory) Finished(incarnation string) []*fleetv1.OpenRequest {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	var finished []*fleetv1.OpenRequest
+	for _, held := range m.entries[incarnation] {
+		if held.own {
+			finished = append(finished, proto.CloneOf(held.OpenRequest))
+		}
+	}
+	return finished
+}
+
 // Incarnations returns for which incarnations something is remembered.
 func (m *Memory) Incarnations() []string {
 	m.mu.Lock()
@@ -161,11 +186,11 @@
 	if !ok {
 		return
 	}
-	if held := m.entries[id.Incarnation][request]; held != nil && !held.GetFinished() {
-		counted := proto.CloneOf(held)
+	if held, known := m.entries[id.Incarnation][request]; known && !held.GetFinished() {
+		counted := proto.CloneOf(held.OpenRequest)
 		counted.Finished = true
 		counted.Used = used
-		m.entries[id.Incarnation][request] = counted
+		m.entries[id.Incarnation][request] = remembered{OpenRequest: counted}
 	}
 }
 
--- a/witness/memory_test.go
+++ b/witness/memory_test.go
@@ -41,3 +41,24 @@
 	}}, []fold.Verdict{{}})
 	is.Equal(m.Len(), 0)
 }
+
+// Guards against a witness that bills an engine's count, or what another witness passed
+// on, in a living node's name: the answer may have failed there.
+func TestOnlyANodesOwnWordIsFinished(t *testing.T) {
+	is := is.New(t)
+	m := NewMemory()
+	finished := func(id string, used uint64) *fleetv1.Witness {
+		return &fleetv1.Witness{Open: []*fleetv1.OpenRequest{{Request: id, Finished: true, Used: used}}}
+	}
+	is.NoErr(m.RememberFrom("n", finished("n.1", 7)))
+	is.NoErr(m.RememberFrom("other", finished("n.2", 7)))
+	is.NoErr(m.RememberFrom("n", &fleetv1.Witness{Open: []*fleetv1.OpenRequest{openRequest("n.3")}}))
+	m.Counted("n.3", 9)
+	is.Equal(len(m.Report("n")), 3)
+	is.Equal(len(m.Finished("n")), 1)
+	is.NoErr(m.RememberFrom("n", finished("n.3", 4))) // the node's word replaces the count
+	is.Equal(len(m.Finished("n")), 2)
+	for _, r := range m.Report("n") {
+		is.True(r.GetUsed() != 9)
+	}
+}
--- a/witness/teller.go
+++ b/witness/teller.go
@@ -222,14 +222,15 @@
 	}
 	err := error(result.New(result.NoWitness, "no other node answers"))
 	for _, candidate := range t.c.Candidates() {
-		if err = t.passTo(ctx, candidate, remembered); err == nil {
+		if err = t.PassTo(ctx, candidate, remembered); err == nil {
 			return nil
 		}
 	}
 	return err
 }
 
-func (t *Teller) passTo(ctx context.Context, to Candidate, remembered []*fleetv1.OpenRequest) error {
+// PassTo hands requests to one node, in as many messages as they need.
+func (t *Teller) PassTo(ctx context.Context, to Candidate, remembered []*fleetv1.OpenRequest) error {
 	for len(remembered) > 0 {
 		n := min(maxPerMessage, len(remembered))
 		if err := t.exchange(ctx, to, &fleetv1.Witness{Open: remembered[:n]}); err != nil {
