Fetch the upstreams' entries from neighbours at a start

Cause: a node that starts reads all upstreams. 3,004 entries of 400 bytes are 1.2 MB; 150 nodes beyond the link read 1.4 Gbit over 60 Mbit/s while callers come 14 s after the machines.

Ruled out: processor time (mended before), calls to the store (4 a second and node, of 6,000), the nodes' own records alone (24 Mbit/s at 300).

Change: peerfetch.Topic.NewestOnly for the upstreams. A node of a large fleet waits until its own record is read back (at most a second), since neighbours refuse one that they don't know; small fleets don't wait.

--- a/edgenode/bubble_test.go
+++ b/edgenode/bubble_test.go
@@ -106,7 +106,7 @@
 func (b *bubble) Fetch(ctx context.Context, address string, ask peerfetch.Ask, progress func()) (peerfetch.Reply, error) {
 	if n := b.reachable(address); n != nil {
 		progress()
-		return n.configs.Answer(ctx, ask), nil
+		return n.copies[ask.Topic].Answer(ctx, ask), nil
 	}
 	<-ctx.Done()
 	return peerfetch.Reply{}, ctx.Err()
--- a/edgenode/fulllink_test.go
+++ b/edgenode/fulllink_test.go
@@ -40,16 +40,12 @@
 
 // farFleet starts a fleet of two regions; the nodes of one reach the store over a link.
 func (b *bubble) farFleet(l *link, dataCentres, nodes int) (far []*Node) {
-	beyond := func(t Topics) Topics {
-		return Topics{Operators: &farTopic{t.Operators, l}, Upstreams: &farTopic{t.Upstreams, l}, Presence: &farTopic{t.Presence, l},
-			Spend: &farTopic{t.Spend, l}, Ledger: &farTopic{t.Ledger, l}, Grants: &farTopic{t.Grants, l}}
-	}
 	for i := range 4 {
 		b.startAt(site{dataCentre: "near", region: "near", capacity: 200, topics: b.topics}, fmt.Sprintf("near-%d", i), decodePadded)
 	}
 	for d := range dataCentres {
 		for i := range nodes {
-			far = append(far, b.startAt(farSite(d, i, beyond(b.topics)), farName(d, i), decodePadded))
+			far = append(far, b.startAt(farSite(d, i, beyond(b.topics, l)), farName(d, i), decodePadded))
 		}
 	}
 	return far
--- a/edgenode/link_test.go
+++ b/edgenode/link_test.go
@@ -68,6 +68,12 @@
 	link *link
 }
 
+// beyond returns the topics of a store as they are seen over a link.
+func beyond(t Topics, l *link) Topics {
+	return Topics{Operators: &farTopic{t.Operators, l}, Upstreams: &farTopic{t.Upstreams, l}, Presence: &farTopic{t.Presence, l},
+		Spend: &farTopic{t.Spend, l}, Ledger: &farTopic{t.Ledger, l}, Grants: &farTopic{t.Grants, l}}
+}
+
 // answerHead is the size of an answer without its records, in bytes.
 const answerHead = 200
 
--- a/edgenode/node.go
+++ b/edgenode/node.go
@@ -49,9 +49,9 @@
 	readings []*readingLog
 	// rosterTried is closed once the first reading of the nodes' records has ended.
 	rosterTried chan struct{}
-	// configs holds the newest configuration for nodes of the data centre.
-	configs *peerfetch.Copy
-	loops   sync.WaitGroup
+	// copies holds the newest records of topics, by name, for nodes of the data centre.
+	copies map[string]*peerfetch.Copy
+	loops  sync.WaitGroup
 	// stop ends the loops.
 	stop context.CancelFunc
 }
@@ -60,8 +60,9 @@
 // which need no tokens, are served as soon as a configuration is known. On a small instance it
 // returns after a pause, until which callers are told at once to go elsewhere: nobody listens.
 func Start(ctx context.Context, settings Settings, deps Deps) (*Node, error) {
-	n := &Node{settings: settings, deps: deps, catalog: &catalog.Holder{}, configs: peerfetch.NewCopy(deps.Clock), rosterTried: make(chan struct{}),
+	n := &Node{settings: settings, deps: deps, catalog: &catalog.Holder{}, rosterTried: make(chan struct{}),
 		directory: directory.NewTable(deps.Clock), roster: presence.NewRoster(deps.Clock), begun: deps.Clock.Now()}
+	n.copies = map[string]*peerfetch.Copy{configTopic: peerfetch.NewCopy(deps.Clock), upstreamTopic: peerfetch.NewCopy(deps.Clock)}
 	if settings.Capacity < smallCapacity {
 		periodic.Pause(ctx, rand.N(smallStartDelay))
 	}
@@ -70,7 +71,7 @@
 	n.follow(loops, n.operators(), &configHandler{n, n.logReadings("config")}, configPace)
 	upstreams := upstreamPace
 	upstreams.Extra = n.quietExtra
-	n.follow(loops, deps.Topics.Upstreams, &upstreamHandler{n, n.logReadings("upstreams")}, upstreams)
+	n.follow(loops, n.upstreams(), &upstreamHandler{n, n.logReadings("upstreams")}, upstreams)
 	nodes := presencePace
 	nodes.Extra = n.presenceExtra
 	n.follow(loops, deps.Topics.Presence, &presenceHandler{node: n, readings: n.logReadings("presence")}, nodes)
--- a/edgenode/records.go
+++ b/edgenode/records.go
@@ -10,17 +10,32 @@
 	"lavenderpin.dev/lavenderpin/presence"
 )
 
-// configTopic names the operators' topic between nodes.
-const configTopic = "config"
+// Names of topics between nodes.
+const (
+	configTopic   = "config"
+	upstreamTopic = "upstreams"
+)
 
 // operators returns the operators' topic. Its records are the only large ones: a whole
 // configuration each.
 func (n *Node) operators() keyedlog.Topic {
+	return n.shared(configTopic, n.deps.Topics.Operators, false)
+}
+
+// upstreams returns the topic of the upstreams' entries. Each is small, but a node that
+// starts reads all of them: at 3,000 upstreams the nodes of a region which start together
+// would fill the link to the store for half a minute.
+func (n *Node) upstreams() keyedlog.Topic {
+	return n.shared(upstreamTopic, n.deps.Topics.Upstreams, true)
+}
+
+// shared lets the nodes of a data centre fetch a topic's records from each other.
+func (n *Node) shared(name string, topic keyedlog.Topic, newestOnly bool) keyedlog.Topic {
 	if n.deps.Peers == nil {
-		return n.deps.Topics.Operators
+		return topic
 	}
-	return &peerfetch.Topic{Topic: n.deps.Topics.Operators, Name: configTopic, Self: n.settings.Node, Peers: n.neighbours, Known: n.rosterTried,
-		Caller: n.deps.Peers, Copy: n.configs, Clock: n.deps.Clock, Events: n.deps.Events}
+	return &peerfetch.Topic{Topic: topic, Name: name, Self: n.settings.Node, Peers: n.neighbours, Fleet: func() int { return len(n.roster.Live()) }, Known: n.rosterTried, NewestOnly: newestOnly,
+		Caller: n.deps.Peers, Copy: n.copies[name], Clock: n.deps.Clock, Events: n.deps.Events}
 }
 
 // neighbours returns the nodes of this data centre, this one included.
@@ -38,7 +53,7 @@
 func (n *Node) PeerRoutes() http.Handler {
 	mux := http.NewServeMux()
 	mux.Handle("/", lending.Handler(n.lender))
-	mux.Handle(peerfetch.Path, peerfetch.Handler(map[string]*peerfetch.Copy{configTopic: n.configs}, n.isNode))
+	mux.Handle(peerfetch.Path, peerfetch.Handler(n.copies, n.isNode))
 	return mux
 }
 
--- a/peerfetch/topic.go
+++ b/peerfetch/topic.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"lavenderpin.dev/lavenderpin/bootclock"
@@ -44,6 +45,13 @@
 	arrivingPatience = 5 * time.Second
 	// knownPatience is how long a starting node waits until it knows its peers.
 	knownPatience = time.Second
+	// peersLook is how often it looks for them.
+	peersLook = 20 * time.Millisecond
+	// manyRecords is the length of a log from which on it is worth waiting for peers that
+	// nobody has heard of yet, manyNodes a fleet's size from which on a data centre surely has
+	// more nodes than a few.
+	manyRecords = 1000
+	manyNodes   = 3 * fewest
 )
 
 // Topic reads a topic of the store with the help of peers.
@@ -53,8 +61,14 @@
 	// Self is this node's name, Peers returns the nodes of its data centre, itself included.
 	Self  string
 	Peers func() []Peer
+	// Fleet returns how many nodes are known in all.
+	Fleet func() int
 	// Known is closed once the peers were read for the first time, or couldn't be.
-	Known  <-chan struct{}
+	Known <-chan struct{}
+	// NewestOnly leaves it to the store what follows the newest records: for topics whose
+	// records are small, and many only together.
+	NewestOnly bool
+
 	Caller Caller
 	Copy   *Copy
 	Clock  bootclock.Clock
@@ -108,21 +122,42 @@
 }
 
 // awaitPeers waits until the peers are known. After a power loss of all, nodes that began to
-// read before they knew them would each take a copy of their own.
+// read before they knew them would each take a copy of their own. In a fleet that starts for
+// the first time nobody is known before the nodes have written their first records.
 func (t *Topic) awaitPeers(ctx context.Context) {
 	timer := time.NewTimer(knownPatience)
 	defer timer.Stop()
 	select {
 	case <-t.Known:
 	case <-timer.C:
+		return
 	case <-ctx.Done():
+		return
+	}
+	for begun := t.Clock.Now(); t.NewestOnly && ctx.Err() == nil && t.Clock.Now()-begun < knownPatience && t.expectsPeers(ctx); {
+		periodic.Pause(ctx, peersLook)
+	}
+}
+
+// expectsPeers tells whether more peers will be known soon: this node's own record isn't read
+// back yet, which is when peers begin to answer it, or too few of its data centre are known.
+// A small fleet has no more, and must not wait for them.
+func (t *Topic) expectsPeers(ctx context.Context) bool {
+	peers := t.Peers()
+	if len(peers) >= fewest {
+		return !slices.ContainsFunc(peers, func(p Peer) bool { return p.Node == t.Self })
+	}
+	if len(peers) > 0 {
+		return t.Fleet() >= manyNodes
 	}
+	end, err := t.end(ctx)
+	return err == nil && end >= manyRecords // the reading itself tells what is wrong with the store
 }
 
 // Read reads from an offset on.
 func (t *Topic) Read(ctx context.Context, from int64, wait time.Duration, progress func()) ([]keyedlog.Record, int64, error) {
 	place, sources := rank(t.Self, t.Peers())
-	if place > 0 {
+	if place > 0 && !t.NewestOnly {
 		end, err := t.end(ctx)
 		progress()
 		if err != nil {
