Report a raised ceiling soon: without the store a new grant was of no use

Callers saw (TestBorrowsFromAnotherNode): after the store went away 173 of 175 prompts of 9,010 tokens were refused for 9 s, while two nodes held 60,000 of the account's 399,876 tokens each.

Cause: a node uses and lends what it promised in its last report, and a grant that came after it is promised by none. An unused node reports every 1.5 s, since a raised ceiling didn't count as news: one that lost the store in between had a limit of 0 until its ceilings alone bound it, ten seconds after that report.

Evidence: 402 of a request sent to the lender beside the test: limit=0 ceiling=60000 promise_age=1.1s when the store goes, limit=0 until 8.9 s later, then 60000. Ruled out: a slow machine, a borrower that doesn't ask (asked=1 asks_lost=0), limits that grow slowly.

Change: Share.Calm is false while a ceiling is above the promised one, so the next report follows within half a second.

--- a/prepaid/line.go
+++ b/prepaid/line.go
@@ -8,9 +8,10 @@
 // line is a node's own account of one client account, in tokens.
 type line struct {
 	spent, held int64
-	// reported is what the newest promise told as spent.
-	reported int64
-	ceiling  int64
+	// reported is what the newest promise told as spent, promised the ceiling that it was
+	// made under.
+	reported, promised int64
+	ceiling            int64
 	// acked is the part in the last acknowledged report, composed the part in the newest
 	// one that was made.
 	acked, composed pledge
@@ -25,6 +26,13 @@
 	hasLeft       bool
 }
 
+// calm tells that a new promise would be what the newest one is. A ceiling raised since is
+// out of reach until it is promised: a node that lost the store just then could neither use
+// nor lend it until its ceilings alone bound it.
+func (l *line) calm() bool {
+	return l.held == 0 && l.rate < busyRate && l.spent == l.reported && l.ceiling <= l.promised
+}
+
 func (l *line) used() int64 { return l.spent + l.held }
 
 // busyRate is the demand in tokens a second from which on a node without a part of the
--- a/prepaid/share.go
+++ b/prepaid/share.go
@@ -85,14 +85,14 @@
 }
 
 // Calm tells that a report would say what the last acknowledged one did: nothing was used
-// since, nothing is open, and there are no callers to speak of.
+// since, nothing is open, no ceiling was raised, and there are no callers to speak of.
 func (s *Share) Calm() bool {
 	now := s.clocks.Boot.Now()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, l := range s.lines {
 		l.decay(now, s.settings.RateWindow)
-		if l.held > 0 || l.rate >= busyRate || l.spent != l.reported {
+		if !l.calm() {
 			return false
 		}
 	}
@@ -206,7 +206,7 @@
 			l.composed = l.pledge(s.settings)
 		}
 		l.wish = 0
-		l.reported = l.spent
+		l.reported, l.promised = l.spent, l.ceiling
 	}
 }
 
--- a/prepaid/share_test.go
+++ b/prepaid/share_test.go
@@ -256,6 +256,27 @@
 	is.True(s.Calm())
 }
 
+// Guards against a node that takes a new grant for no news: without the store it could
+// neither use nor lend any of it for ten seconds.
+func TestRaisedCeilingIsReportedSoon(t *testing.T) {
+	is := is.New(t)
+	s, clock := grantedShare(0)
+	report(s)
+	is.True(s.Calm())
+	s.Apply(Grant{Node: "n1", Incarnation: "i1", Epoch: 2, Lines: []GrantLine{{Account: "a", Ceiling: 60_000, Left: 1_000_000, Prepaid: 1_000_000}}})
+	is.True(!s.Calm())
+	is.Equal(s.Spare("a"), int64(60_000)) // after a report, which a borrower waits for
+	report(s)
+	is.True(s.Calm())
+	s.Compose() // the store is away
+	clock.Advance(5 * time.Second)
+	is.Equal(s.Lend("a", 9_000, true), Reserved)
+	s.Apply(Grant{Node: "n1", Incarnation: "i1", Epoch: 3, Lines: []GrantLine{{Account: "a", Ceiling: 40_000, Left: 1_000_000, Prepaid: 1_000_000}}})
+	s.Settle("a", 9_000, 0)
+	s.Acknowledge()
+	is.True(s.Calm()) // a lowered one can wait for the usual report
+}
+
 // A node that could not cover a request looks for its next grant as often as it can, so that
 // the caller who comes back finds it; one that has enough reads more rarely.
 func TestKnowsThatItWasShort(t *testing.T) {
