--- a/peerfetch/topic.go
+++ b/peerfetch/topic.go
@@ -4,6 +4,7 @@
 	"context"
 	"math/rand/v2"
 	"slices"
+	"sync"
 	"time"
 
 	"lavenderpin.dev/lavenderpin/bootclock"
@@ -134,15 +135,26 @@
 	case <-ctx.Done():
 		return
 	}
-	for begun := t.Clock.Now(); t.NewestOnly && ctx.Err() == nil && t.Clock.Now()-begun < knownPatience && t.expectsPeers(ctx); {
+	if !t.NewestOnly {
+		return
+	}
+	isLong := sync.OnceValue(func() bool { return t.isLong(ctx) })
+	for begun := t.Clock.Now(); ctx.Err() == nil && t.Clock.Now()-begun < knownPatience && t.expectsPeers(isLong); {
 		periodic.Pause(ctx, peersLook)
 	}
 }
 
+// isLong tells whether the log is long enough to wait for peers that nobody has heard of. If
+// the store doesn't answer, the reading itself tells so.
+func (t *Topic) isLong(ctx context.Context) bool {
+	end, err := t.end(ctx)
+	return err == nil && end >= manyRecords
+}
+
 // expectsPeers tells whether more peers will be known soon: this node's own record isn't read
 // back yet, which is when peers begin to answer it, or too few of its data centre are known.
 // A small fleet has no more, and must not wait for them.
-func (t *Topic) expectsPeers(ctx context.Context) bool {
+func (t *Topic) expectsPeers(isLong func() bool) bool {
 	peers := t.Peers()
 	if len(peers) >= fewest {
 		return !slices.ContainsFunc(peers, func(p Peer) bool { return p.Node == t.Self })
@@ -150,8 +162,7 @@
 	if len(peers) > 0 {
 		return t.Fleet() >= manyNodes
 	}
-	end, err := t.end(ctx)
-	return err == nil && end >= manyRecords // the reading itself tells what is wrong with the store
+	return isLong()
 }
 
 // Read reads from an offset on.
--- a/recovery/silentsettler.go
+++ b/recovery/silentsettler.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"sort"
 	"time"
 
@@ -55,7 +57,11 @@
 }
 
 func (s *SilentSettler) step() {
-	for _, incarnation := range s.c.Memory.Incarnations() {
+	remembered := s.c.Memory.Incarnations()
+	maps.DeleteFunc(s.pending, func(incarnation string, _ *recordlog.Ticket) bool {
+		return !slices.Contains(remembered, incarnation)
+	})
+	for _, incarnation := range remembered {
 		if s.c.Suspect(incarnation) && s.c.Ledger.Known(incarnation) && !s.awaits(incarnation) && s.c.MayWrite() {
 			s.settle(incarnation)
 		}
