Keep one map of the nodes that an inquiry has met

The map of nodes that opened after the close tells also which were met, and asking everybody again is meeting them anew. No behaviour changes.

--- a/recovery/inquiry.go
+++ b/recovery/inquiry.go
@@ -34,11 +34,10 @@
 
 	// closed is the offset of the subject's close.
 	closed uint64
-	// unasked holds the peer addresses of nodes that may know something, by incarnation,
-	// met all that were ever in it.
+	// unasked holds the peer addresses of nodes that may know something, by incarnation.
 	unasked map[string]string
-	met     map[string]bool
-	// later holds nodes that opened after the close: they know only what others do or did.
+	// later tells of each node that is or was in unasked whether it opened after the close:
+	// it knows only what others do or did.
 	later map[string]bool
 	// gone is set when a node that may have known something surely ended.
 	gone bool
@@ -52,7 +51,7 @@
 func (r *Recoverer) newInquiry(subject string, closed uint64) *inquiry {
 	q := &inquiry{
 		r: r, subject: subject, closed: closed, started: r.c.Clock.Now(), silence: r.c.Watcher.Silence(subject),
-		unasked: map[string]string{}, met: map[string]bool{}, later: map[string]bool{},
+		unasked: map[string]string{}, later: map[string]bool{},
 		found: map[string]*fleetv1.OpenRequest{}, outcomes: map[string]outcome{},
 	}
 	q.meet()
@@ -65,10 +64,9 @@
 func (q *inquiry) meet() {
 	for id, i := range q.r.c.Ledger.Incarnations() {
 		// A lender asks itself too: it may be the witness of the node that borrowed.
-		if q.met[id] || id == q.subject && id != q.r.c.Incarnation {
+		if _, met := q.later[id]; met || id == q.subject && id != q.r.c.Incarnation {
 			continue
 		}
-		q.met[id] = true
 		q.later[id] = i.Opened >= q.closed
 		q.unasked[id] = i.Node.GetPeerAddress()
 	}
@@ -107,11 +105,8 @@
 // knew, maybe to a node that had answered before: its answer then wasn't final after
 // all, and what was passed on would be billed to nobody.
 func (q *inquiry) askAgain() {
-	for id, i := range q.r.c.Ledger.Incarnations() {
-		if id != q.subject || id == q.r.c.Incarnation {
-			q.unasked[id] = i.Node.GetPeerAddress()
-		}
-	}
+	clear(q.later)
+	q.meet()
 }
 
 type answerState int
