Build settlement entries in one place; one Remember and one walk over what is remembered

The settler of silent nodes wrote again what a recovery does: sort, cut to the size of an entry, wrap. Memory had two ways to take in a message and two walks over its entries. Tests call Remember with the sender's name; their checks are as they were. The interval of the settler has its reason beside it.

--- a/internal/bench/capacity/witness.go
+++ b/internal/bench/capacity/witness.go
@@ -26,7 +26,7 @@
 // Call implements peer.Caller.
 func (w *witnessed) Call(_ context.Context, _ string, r *fleetv1.Request) (*fleetv1.Response, error) {
 	answer := &fleetv1.Response{Hlc: r.GetHlc(), Body: &fleetv1.Response_Witnessed{Witnessed: &fleetv1.Witnessed{}}}
-	if err := w.memory.Remember(proto.CloneOf(r.GetWitness())); err != nil {
+	if err := w.memory.Remember(r.GetFrom(), proto.CloneOf(r.GetWitness())); err != nil {
 		return nil, err
 	}
 	w.messages.Add(1)
--- a/node/witness.go
+++ b/node/witness.go
@@ -59,7 +59,7 @@
 	if n.State() != StateServing && n.State() != StateStarting {
 		return result.New(result.Draining, "the node is leaving")
 	}
-	return n.budgets.memory.RememberFrom(from, said)
+	return n.budgets.memory.Remember(from, said)
 }
 
 func (n *Node) witnessReport(query *fleetv1.WitnessQuery) (*fleetv1.WitnessReport, error) {
--- a/recovery/recoverer.go
+++ b/recovery/recoverer.go
@@ -219,15 +219,7 @@
 			settlements = append(settlements, &recordv1.Settlement{Request: request, Budget: c.found[request].GetBudget(), Tokens: o.tokens})
 		}
 	}
-	sort.Slice(settlements, func(i, j int) bool { return settlements[i].Request < settlements[j].Request })
-	var entries []*recordv1.Entry
-	for len(settlements) > 0 {
-		n := min(maxPerEntry, len(settlements))
-		entries = append(entries, &recordv1.Entry{Body: &recordv1.Entry_Settlements{Settlements: &recordv1.SettlementBatch{
-			Incarnation: c.subject, Settlements: settlements[:n],
-		}}})
-		settlements = settlements[n:]
-	}
+	entries := settlementEntries(c.subject, settlements)
 	return append(entries, &recordv1.Entry{Body: &recordv1.Entry_RecoveryDone{RecoveryDone: &recordv1.RecoveryDone{
 		Incarnation: c.subject, Lost: c.lost(),
 	}}})
--- a/recovery/silentsettler.go
+++ b/recovery/silentsettler.go
@@ -4,7 +4,6 @@
 	"context"
 	"maps"
 	"slices"
-	"sort"
 	"time"
 
 	"github.com/jonboulle/clockwork"
@@ -17,7 +16,8 @@
 	"lavenderpin.dev/lavenderpin/witness"
 )
 
-// silentInterval is how often a node looks for members that don't answer.
+// silentInterval is how often a node looks for members that don't answer: as often as
+// nodes flush their own settlements.
 const silentInterval = 200 * time.Millisecond
 
 // SilentSettlerConfig is what a SilentSettler works with.
@@ -87,19 +87,19 @@
 // settle writes one entry; what doesn't fit follows once its verdict is known.
 func (s *SilentSettler) settle(incarnation string) {
 	var settlements []*recordv1.Settlement
-	tokens := uint64(0)
 	for _, open := range s.c.Memory.Finished(incarnation) {
-		if billed := budget.BilledTo(open, open.GetUsed()); billed > 0 && len(settlements) < maxPerEntry {
+		if billed := budget.BilledTo(open, open.GetUsed()); billed > 0 {
 			settlements = append(settlements, &recordv1.Settlement{Request: open.GetRequest(), Budget: open.GetBudget(), Tokens: billed})
-			tokens += billed
 		}
 	}
 	if len(settlements) == 0 {
 		return
 	}
-	sort.Slice(settlements, func(i, j int) bool { return settlements[i].Request < settlements[j].Request })
-	s.pending[incarnation] = s.c.Journal.Submit(&recordv1.Entry{Body: &recordv1.Entry_Settlements{
-		Settlements: &recordv1.SettlementBatch{Incarnation: incarnation, Settlements: settlements},
-	}})
-	s.c.Events.Record(event.SettledForSilent, "incarnation", incarnation, "requests", len(settlements), "tokens", tokens)
+	first := settlementEntries(incarnation, settlements)[0]
+	s.pending[incarnation] = s.c.Journal.Submit(first)
+	tokens := uint64(0)
+	for _, settled := range first.GetSettlements().GetSettlements() {
+		tokens += settled.GetTokens()
+	}
+	s.c.Events.Record(event.SettledForSilent, "incarnation", incarnation, "requests", len(first.GetSettlements().GetSettlements()), "tokens", tokens)
 }
--- a/witness/copier_test.go
+++ b/witness/copier_test.go
@@ -47,7 +47,7 @@
 func TestCopiesWhatASilentNodeSaid(t *testing.T) {
 	is := is.New(t)
 	copier, memory, c := newCopies("w1", "w2")
-	is.NoErr(memory.Remember(&fleetv1.Witness{Open: []*fleetv1.OpenRequest{openRequest("n.1")}}))
+	is.NoErr(memory.Remember("", &fleetv1.Witness{Open: []*fleetv1.OpenRequest{openRequest("n.1")}}))
 	copier.step(t.Context())
 	is.Equal(len(c.sent), 0) // it answers and tells its witnesses itself
 	c.silent["n"] = true
--- a/witness/memory.go
+++ b/witness/memory.go
@@ -36,11 +36,8 @@
 	return &Memory{entries: map[string]map[string]remembered{}}
 }
 
-// Remember takes in what some node said of requests.
-func (m *Memory) Remember(said *fleetv1.Witness) error { return m.RememberFrom("", said) }
-
-// RememberFrom takes in what an incarnation said of its own requests or passed on of others'.
-func (m *Memory) RememberFrom(from string, said *fleetv1.Witness) error {
+// Remember takes in what an incarnation said of its own requests or passed on of others'.
+func (m *Memory) Remember(from string, said *fleetv1.Witness) error {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	for _, request := range said.GetForget() {
@@ -92,26 +89,24 @@
 
 // Report returns what is remembered of requests billed to an incarnation.
 func (m *Memory) Report(incarnation string) []*fleetv1.OpenRequest {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	var open []*fleetv1.OpenRequest
-	for _, held := range m.entries[incarnation] {
-		open = append(open, proto.CloneOf(held.OpenRequest))
-	}
-	return open
+	return m.report(incarnation, func(remembered) bool { return true })
 }
 
 // Finished returns the requests that an incarnation itself said to have finished.
 func (m *Memory) Finished(incarnation string) []*fleetv1.OpenRequest {
+	return m.report(incarnation, func(r remembered) bool { return r.own })
+}
+
+func (m *Memory) report(incarnation string, wanted func(remembered) bool) []*fleetv1.OpenRequest {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	var finished []*fleetv1.OpenRequest
+	var requests []*fleetv1.OpenRequest
 	for _, held := range m.entries[incarnation] {
-		if held.own {
-			finished = append(finished, proto.CloneOf(held.OpenRequest))
+		if wanted(held) {
+			requests = append(requests, proto.CloneOf(held.OpenRequest))
 		}
 	}
-	return finished
+	return requests
 }
 
 // Incarnations returns for which incarnations something is remembered.
--- a/witness/memory_test.go
+++ b/witness/memory_test.go
@@ -17,8 +17,8 @@
 func TestFinishedStaysFinished(t *testing.T) {
 	is := is.New(t)
 	m := NewMemory()
-	is.NoErr(m.Remember(&fleetv1.Witness{Open: []*fleetv1.OpenRequest{{Request: "n.1", Finished: true, Used: 7}}}))
-	is.NoErr(m.Remember(&fleetv1.Witness{Open: []*fleetv1.OpenRequest{openRequest("n.1")}}))
+	is.NoErr(m.Remember("", &fleetv1.Witness{Open: []*fleetv1.OpenRequest{{Request: "n.1", Finished: true, Used: 7}}}))
+	is.NoErr(m.Remember("", &fleetv1.Witness{Open: []*fleetv1.OpenRequest{openRequest("n.1")}}))
 	is.Equal(m.Report("n")[0].GetUsed(), uint64(7))
 }
 
@@ -27,7 +27,7 @@
 func TestMemoryIsBounded(t *testing.T) {
 	is := is.New(t)
 	m := NewMemory()
-	is.NoErr(m.Remember(&fleetv1.Witness{Open: []*fleetv1.OpenRequest{
+	is.NoErr(m.Remember("", &fleetv1.Witness{Open: []*fleetv1.OpenRequest{
 		openRequest("n.1"), openRequest("n.2"), openRequest("n.3"), openRequest("n.4"), openRequest("o.1"),
 	}}))
 	settled := &recordv1.SettlementBatch{Incarnation: "n", OldestOpen: 3, Settlements: []*recordv1.Settlement{{Request: "n.3"}}}
@@ -35,7 +35,7 @@
 		{Body: &recordv1.Entry_Settlements{Settlements: settled}},
 	}}, []fold.Verdict{{}})
 	is.Equal(m.Len(), 2) // n.4 and o.1
-	is.NoErr(m.Remember(&fleetv1.Witness{Forget: []string{"n.4"}}))
+	is.NoErr(m.Remember("", &fleetv1.Witness{Forget: []string{"n.4"}}))
 	m.Folded(&recordv1.Batch{Writer: "n", Entries: []*recordv1.Entry{
 		{Body: &recordv1.Entry_RecoveryDone{RecoveryDone: &recordv1.RecoveryDone{Incarnation: "o"}}},
 	}}, []fold.Verdict{{}})
@@ -50,13 +50,13 @@
 	finished := func(id string, used uint64) *fleetv1.Witness {
 		return &fleetv1.Witness{Open: []*fleetv1.OpenRequest{{Request: id, Finished: true, Used: used}}}
 	}
-	is.NoErr(m.RememberFrom("n", finished("n.1", 7)))
-	is.NoErr(m.RememberFrom("other", finished("n.2", 7)))
-	is.NoErr(m.RememberFrom("n", &fleetv1.Witness{Open: []*fleetv1.OpenRequest{openRequest("n.3")}}))
+	is.NoErr(m.Remember("n", finished("n.1", 7)))
+	is.NoErr(m.Remember("other", finished("n.2", 7)))
+	is.NoErr(m.Remember("n", &fleetv1.Witness{Open: []*fleetv1.OpenRequest{openRequest("n.3")}}))
 	m.Counted("n.3", 9)
 	is.Equal(len(m.Report("n")), 3)
 	is.Equal(len(m.Finished("n")), 1)
-	is.NoErr(m.RememberFrom("n", finished("n.3", 4))) // the node's word replaces the count
+	is.NoErr(m.Remember("n", finished("n.3", 4))) // the node's word replaces the count
 	is.Equal(len(m.Finished("n")), 2)
 	for _, r := range m.Report("n") {
 		is.True(r.GetUsed() != 9)
--- a/witness/teller_test.go
+++ b/witness/teller_test.go
@@ -34,7 +34,7 @@
 	m.mu.Unlock()
 	select {
 	case <-time.After(delay):
-		return &fleetv1.Response{}, node.Remember(r.GetWitness())
+		return &fleetv1.Response{}, node.Remember(r.GetFrom(), r.GetWitness())
 	case <-ctx.Done():
 		return nil, errors.Trace(ctx.Err())
 	}
