Share the tests' setup and the planted defect; status codes in one list

The history of a node and its witness lost within one flush stood in two tests, a fleet with one billed request in three, upstreams that run whatever arrives in three. What is checked is as it was.

--- a/internal/check/defect_test.go
+++ b/internal/check/defect_test.go
@@ -82,7 +82,7 @@
 	is := is.New(t)
 	violations := withDefect(t, cutWithAStoppedClock(), func(h *Harness) {
 		stopClock(h)
-		h.Upstreams.SetFaults(fake.UpstreamFaults{IgnoreNotAfter: true})
+		ignoreNotAfter(h)
 	})
 	is.True(broke(violations, SpendRight))
 }
--- a/internal/check/latecall_test.go
+++ b/internal/check/latecall_test.go
@@ -17,7 +17,7 @@
 func TestLateCallAtUpstreamsThatDoNotCheck(t *testing.T) {
 	for _, seed := range []uint64{5060, 5061, 5062, 5063} {
 		cell := lateCall(seed)
-		violations := withDefect(t, cell, func(h *Harness) { h.Upstreams.SetFaults(fake.UpstreamFaults{IgnoreNotAfter: true}) })
+		violations := withDefect(t, cell, ignoreNotAfter)
 		for _, v := range violations {
 			if v.Promise != SpendRight {
 				t.Errorf("seed %d: %s", seed, v)
@@ -26,10 +26,13 @@
 	}
 }
 
+// ignoreNotAfter plants upstreams that run whatever arrives, however late.
+func ignoreNotAfter(h *Harness) { h.Upstreams.SetFaults(fake.UpstreamFaults{IgnoreNotAfter: true}) }
+
 // Guards against a checker that doesn't see a late call.
 func TestFindsALateCall(t *testing.T) {
 	is := is.New(t)
-	violations := withDefect(t, lateCall(5060), func(h *Harness) { h.Upstreams.SetFaults(fake.UpstreamFaults{IgnoreNotAfter: true}) })
+	violations := withDefect(t, lateCall(5060), ignoreNotAfter)
 	is.True(broke(violations, SpendRight))
 }
 
--- a/internal/standin/notafter.go
+++ b/internal/standin/notafter.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/http"
 	"strconv"
 	"time"
 
@@ -18,6 +19,6 @@
 	}
 	c.Header("X-Request-Id", string(c.GetHeader("X-Request-Id")))
 	c.Header("X-Request-Expired", "true")
-	c.String(408, "too late")
+	c.String(http.StatusRequestTimeout, "too late")
 	c.Abort()
 }
--- a/node/lastwitness_test.go
+++ b/node/lastwitness_test.go
@@ -8,6 +8,28 @@
 	"github.com/matryer/is"
 )
 
+// startFleetWithShare starts two near nodes and a far one, of which one holds a share and
+// has served a request that is billed.
+func startFleetWithShare(t *testing.T, i int) *testFleet {
+	f := startFleet(t, testPolicy, near, near, far)
+	f.topUp(50_000)
+	is.New(t).NoErr(f.request(i, 300, 100))
+	time.Sleep(10 * time.Second)
+	return f
+}
+
+// loseWithinOneFlush has the first node answer a request that it can't put into the log, and
+// ends it and the second one before the next flush, with no engine left to ask.
+func (f *testFleet) loseWithinOneFlush() {
+	f.log.SetDown(true)
+	is.New(f.t).NoErr(f.request(0, 300, 120))
+	time.Sleep(flushInterval / 2)
+	f.crash(0)
+	f.crash(1)
+	f.log.SetDown(false)
+	f.engines.down = true
+}
+
 // replace starts a new node at a crashed one's place.
 func (f *testFleet) replace(i int, region string) {
 	f.nodes[i] = f.start(i, region)
@@ -18,18 +40,8 @@
 // seconds later, the other one die before anybody replaces them.
 func TestLastWitnessDiesBeforeAnyReplacement(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		is := is.New(t)
-		f := startFleet(t, testPolicy, near, near, far)
-		f.topUp(50_000)
-		is.NoErr(f.request(0, 300, 100))
-		time.Sleep(10 * time.Second)
-		f.log.SetDown(true) // the flush doesn't come through any more
-		is.NoErr(f.request(0, 300, 120))
-		time.Sleep(flushInterval / 2)
-		f.crash(0)
-		f.crash(1)
-		f.log.SetDown(false)
-		f.engines.down = true
+		f := startFleetWithShare(t, 0)
+		f.loseWithinOneFlush()
 		time.Sleep(8 * time.Second)
 		f.crash(2)
 		f.replace(0, near)
@@ -43,11 +55,7 @@
 // last node that knew which engine to ask died before it had been settled.
 func TestLastWitnessOfAnOpenRequestDies(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		is := is.New(t)
-		f := startFleet(t, testPolicy, near, near, far)
-		f.topUp(50_000)
-		is.NoErr(f.request(0, 300, 100))
-		time.Sleep(10 * time.Second)
+		f := startFleetWithShare(t, 0)
 		grant := f.dispatch(0)
 		time.Sleep(flushInterval / 2)
 		f.crash(0)
@@ -67,10 +75,7 @@
 func TestNodeBehindACutBillsNothingForAFailedAnswer(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
-		f := startFleet(t, testPolicy, near, near, far)
-		f.topUp(50_000)
-		is.NoErr(f.request(1, 300, 100))
-		time.Sleep(10 * time.Second)
+		f := startFleetWithShare(t, 1)
 		grant := f.dispatch(1)
 		address := f.nodes[1].settings.PeerAddress
 		f.net.silence(address)
--- a/node/twofaults_test.go
+++ b/node/twofaults_test.go
@@ -73,13 +73,7 @@
 		is.NoErr(f.request(0, 300, 100))
 		is.NoErr(f.request(1, 300, 100))
 		time.Sleep(10 * time.Second)
-		f.log.SetDown(true) // the flush doesn't come through any more
-		is.NoErr(f.request(0, 300, 120))
-		time.Sleep(flushInterval / 2)
-		f.crash(0)
-		f.crash(1)
-		f.log.SetDown(false)
-		f.engines.down = true
+		f.loseWithinOneFlush()
 		is.True(f.awaitReleased(2, 0) < testPolicy.SpendRight*106/100+6*time.Minute)
 		is.Equal(f.checkLedger(2).Spent, f.engines.used())
 	})
--- a/upstream/http.go
+++ b/upstream/http.go
@@ -23,6 +23,7 @@
 	statusOK            = 200
 	statusBadRequest    = 400
 	statusNotFound      = 404
+	statusExpired       = 408
 	statusGone          = 410
 	statusUnprocessable = 422
 )
--- a/upstream/notafter.go
+++ b/upstream/notafter.go
@@ -19,8 +19,6 @@
 	// HeaderExpired marks an upstream's refusal of a late request. A service may answer
 	// with the same status for reasons of its own.
 	HeaderExpired = "X-Request-Expired"
-	// statusExpired is the status of such a refusal.
-	statusExpired = 408
 )
 
 // setNotAfter tells an upstream when a request is too late.
