Split the two waits of a starting node; a reason and a unit beside each limit

Waiting until the peers are known and waiting for more of them were one function with a condition in its middle. No behaviour changes.

--- a/peerfetch/topic.go
+++ b/peerfetch/topic.go
@@ -46,13 +46,14 @@
 	arrivingPatience = 5 * time.Second
 	// knownPatience is how long a starting node waits until it knows its peers.
 	knownPatience = time.Second
-	// peersLook is how often it looks for them.
+	// peersLook is how often it looks for them: a small part of what it takes to hear of one.
 	peersLook = 20 * time.Millisecond
-	// manyRecords is the length of a log from which on it is worth waiting for peers that
-	// nobody has heard of yet, manyNodes a fleet's size from which on a data centre surely has
-	// more nodes than a few.
+	// manyRecords is the length of a log, in records, from which on a node waits for peers
+	// though nobody has been heard of: reading it takes longer than to hear of them.
 	manyRecords = 1000
-	manyNodes   = 3 * fewest
+	// manyNodes is how many nodes a fleet has from which on a node waits for peers though
+	// fewer than fewest of its data centre are known: a small fleet has no more.
+	manyNodes = 3 * fewest
 )
 
 // Topic reads a topic of the store with the help of peers.
@@ -78,7 +79,9 @@
 
 // Newest reads the newest records from peers that are up to date, or from the store.
 func (t *Topic) Newest(ctx context.Context, progress func()) ([]keyedlog.Record, int64, error) {
-	t.awaitPeers(ctx)
+	if t.awaitPeers(ctx) && t.NewestOnly {
+		t.awaitMorePeers(ctx)
+	}
 	if place, sources := rank(t.Self, t.Peers()); place > 0 {
 		reply, ok, err := t.newestOfPeers(ctx, place, sources, progress)
 		if err != nil {
@@ -122,22 +125,24 @@
 	return t.end(ctx)
 }
 
-// awaitPeers waits until the peers are known. After a power loss of all, nodes that began to
-// read before they knew them would each take a copy of their own. In a fleet that starts for
-// the first time nobody is known before the nodes have written their first records.
-func (t *Topic) awaitPeers(ctx context.Context) {
+// awaitPeers waits until the peers are known and tells whether they are. After a power loss of all, nodes that began to
+// read before they knew them would each take a copy of their own.
+func (t *Topic) awaitPeers(ctx context.Context) bool {
 	timer := time.NewTimer(knownPatience)
 	defer timer.Stop()
 	select {
 	case <-t.Known:
+		return true
 	case <-timer.C:
-		return
 	case <-ctx.Done():
-		return
-	}
-	if !t.NewestOnly {
-		return
 	}
+	return false
+}
+
+// awaitMorePeers waits while peers that will be known soon aren't: in a fleet that starts for
+// the first time nobody is known before the nodes have written their first records. The
+// records are many, so each node that doesn't wait costs much of a link.
+func (t *Topic) awaitMorePeers(ctx context.Context) {
 	isLong := sync.OnceValue(func() bool { return t.isLong(ctx) })
 	for begun := t.Clock.Now(); ctx.Err() == nil && t.Clock.Now()-begun < knownPatience && t.expectsPeers(isLong); {
 		periodic.Pause(ctx, peersLook)
