Accept a request during a shutdown only if it ends before the node

What callers saw: a stream that was accepted 3.0 to 3.5 s after SIGTERM was cut 7.1 s after it, in the middle of the answer.

Cause: a node accepted every request for a fixed 3.5 s after SIGTERM, whatever its time limit, although it ended 3.6 s later.

Change: the time of a shutdown is a drain.Window. A request is accepted if its time limit ends within it, or, while callers couldn't have known (2.7 s), if requests of its route usually do (95 in 100 of the last 32). Any other is refused at once with 503 and Retry-After 0.1 s, so its caller goes to another node. No request is sent or repeated that the node's end would cut.

Requests that are still open then get until 0.25 s before SIGKILL (0.9 s before), and the node ends them itself: one that didn't run is refused, one that may have run gets its final answer, a stream is aborted; each leaves its line. Refusals during a shutdown are logged, dispatches in it say how much time the node has left. With a grace period below 4.4 s nothing was ever refused before the end; now it is.

--- a/cmd/lavenderedge/run.go
+++ b/cmd/lavenderedge/run.go
@@ -65,6 +65,8 @@
 	peerClient  *httpwire.Client
 	frontend    *http.Server
 	inFlight    inFlightRequests
+	// endRequests cancels the contexts of all open requests.
+	endRequests context.CancelCauseFunc
 }
 
 func run(c cli) error {
@@ -202,6 +204,9 @@
 func (p *process) listen() error {
 	handler := &platform.Frontend{Gateway: p.node.Gateway(), Catalog: p.node.Catalog(), Clock: p.clock, Node: p.node}
 	p.frontend = p.newServer(p.inFlight.count(handler))
+	var requests context.Context
+	requests, p.endRequests = context.WithCancelCause(context.Background())
+	p.frontend.BaseContext = func(net.Listener) context.Context { return requests }
 	directory := &platform.Directory{Node: p.node, TTL: min(addressTTL, p.settings.Bounds.AddressTTL)}
 	for _, l := range []struct {
 		address string
--- a/cmd/lavenderedge/signals.go
+++ b/cmd/lavenderedge/signals.go
@@ -4,42 +4,56 @@
 	"context"
 	"time"
 
+	"lavenderpin.dev/lavenderpin/drain"
 	"lavenderpin.dev/lavenderpin/event"
+	"lavenderpin.dev/lavenderpin/gateway"
 	"lavenderpin.dev/lavenderpin/platform"
 )
 
 const (
-	// minDrainTime is how long after SIGTERM callers may still connect to an address that
-	// they resolved earlier: the address TTL, plus 1.5 s for the other nodes to learn of the
-	// shutdown.
+	// addressPropagation is how long after SIGTERM other nodes still hand out the node's address.
+	addressPropagation = 700 * time.Millisecond
+	// minDrainTime is how long after SIGTERM requests are accepted that certainly end in time:
+	// some callers use an address a little longer than its TTL.
 	minDrainTime = addressTTL + 1500*time.Millisecond
 	// finalReportReserve is the time kept before SIGKILL for the final report.
 	finalReportReserve = 900 * time.Millisecond
+	// endReserve is the time kept before SIGKILL to end requests that are still open.
+	endReserve = 250 * time.Millisecond
+	// maxEndTime bounds the wait until these have told their callers how they ended.
+	maxEndTime = 100 * time.Millisecond
 	// drainPollInterval is how often the requests in flight are checked.
 	drainPollInterval = 20 * time.Millisecond
 )
 
 // drain serves until callers no longer hold the node's address and every request has ended,
-// then returns the node's budget share and stops. A request is cut off only if it outlasts
-// the grace period.
+// returns the node's budget share and stops. Requests that outlast the grace period are ended.
 func (p *process) drain() {
 	start := p.clock.Now()
-	p.node.Leave()
-	for {
+	end := start + p.settings.Bounds.Grace - endReserve
+	p.node.Leave(drain.Window{AddressesExpire: start + addressTTL + addressPropagation, End: end})
+	p.pollUntil(start+min(minDrainTime, p.settings.Bounds.Grace-finalReportReserve), func() bool { return false })
+	p.node.Refuse()
+	p.pollUntil(start+p.settings.Bounds.Grace-finalReportReserve, p.idle)
+	stopped := make(chan struct{})
+	go func() {
+		defer close(stopped)
+		p.node.Stop(context.Background())
+	}()
+	p.pollUntil(end, p.idle)
+	p.endRequests(gateway.ErrNodeEnds)
+	p.pollUntil(p.clock.Now()+maxEndTime, p.idle)
+	<-stopped
+	_ = p.frontend.Close() // every request has ended, or its caller doesn't read
+}
+
+func (p *process) idle() bool { return p.inFlight.n.Load() == 0 }
+
+// pollUntil polls until done returns true or a time is reached.
+func (p *process) pollUntil(at time.Duration, done func() bool) {
+	for !done() && p.clock.Now() < at {
 		time.Sleep(drainPollInterval)
-		elapsed := p.clock.Now() - start
-		if elapsed >= minDrainTime {
-			p.node.Refuse()
-			if p.inFlight.n.Load() == 0 {
-				break
-			}
-		}
-		if elapsed >= p.settings.Bounds.Grace-finalReportReserve {
-			break
-		}
 	}
-	p.node.Stop(context.Background())
-	_ = p.frontend.Close() // requests still open have outlasted the grace period
 }
 
 // reload reads the settings again and logs whether the bounds changed; nothing is applied,
--- /dev/null
+++ b/drain/window.go
@@ -0,0 +1,29 @@
+package drain
+
+import "time"
+
+// Window is the time span of a graceful shutdown. Its times and those passed to its methods are
+// readings of one clock.
+type Window struct {
+	// AddressesExpire is when the addresses that callers were given before the shutdown expire.
+	AddressesExpire time.Duration
+	// End is when the node ends the requests that are still open.
+	End time.Duration
+}
+
+// Left returns the time until the node ends open requests.
+func (w Window) Left(now time.Duration) time.Duration { return w.End - now }
+
+// Accepts reports whether to accept a request that takes at most limit and usually no longer than
+// usual. A limit of zero means that there is none.
+//
+// A request that certainly ends in time is accepted. One that usually does is accepted only
+// while its caller couldn't have known of the shutdown: afterwards a refusal, which lets the
+// caller go to another node at once, costs it less than the risk of an answer that is cut.
+func (w Window) Accepts(now, limit, usual time.Duration) bool {
+	left := w.Left(now)
+	if limit > 0 && limit <= left {
+		return true
+	}
+	return now < w.AddressesExpire && usual <= left
+}
--- a/edgenode/stop.go
+++ b/edgenode/stop.go
@@ -4,16 +4,18 @@
 	"context"
 	"time"
 
+	"lavenderpin.dev/lavenderpin/drain"
 	"lavenderpin.dev/lavenderpin/event"
 )
 
 // Leave makes the node give callers the addresses of other nodes, while it still serves incoming
-// requests.
-func (n *Node) Leave() {
+// requests that end within the window.
+func (n *Node) Leave(w drain.Window) {
 	if n.leaving.Swap(true) {
 		return
 	}
-	n.deps.Events.Record(event.NodeDraining, "node", n.settings.Node)
+	n.gateway.Drain(w)
+	n.deps.Events.Record(event.NodeDraining, "left_ms", w.Left(n.deps.Clock.Now()).Milliseconds())
 }
 
 // Refuse makes the node refuse every new request: by now callers know other addresses.
@@ -22,7 +24,8 @@
 // finalReportTimeout bounds the last report; without it the node's drawn tokens are stranded.
 const finalReportTimeout = 800 * time.Millisecond
 
-// Stop returns the node's share and ends its loops. No request may be open.
+// Stop returns the node's share and ends its loops. The tokens that open requests have reserved
+// count as used.
 func (n *Node) Stop(ctx context.Context) {
 	n.share.End()
 	ctx, cancel := context.WithTimeout(ctx, finalReportTimeout)
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -14,6 +14,9 @@
 	"lavenderpin.dev/lavenderpin/result"
 )
 
+// outcomeServed is the outcome of a request whose caller got the complete response.
+const outcomeServed = "served"
+
 // call is the state of one request in progress.
 type call struct {
 	g       *Gateway
@@ -71,6 +74,9 @@
 	if c.service = c.view.Service(c.route.ChooseService(random())); c.service == nil {
 		return result.New(result.NoUpstream, "the route has no service").WithRetryAfter(c.g.settings.BusyRetryAfter)
 	}
+	if refusal := c.refuseIfDraining(); refusal != nil {
+		return refusal
+	}
 	if c.timeLeft() < c.g.settings.MinTimeLeft {
 		return result.New(result.Overloaded, "too little time is left").WithRetryAfter(c.g.settings.BusyRetryAfter)
 	}
@@ -131,9 +137,9 @@
 	return c.g.Share.Reserve(c.account.Name, c.r.maxTokens(), c.account.Prepaid)
 }
 
-// timeLeft returns the time until the deadline of the caller or of the route, whichever is
-// earlier.
-func (c *call) timeLeft() time.Duration {
+// timeLimit returns the time limit of the caller or of the route, whichever is shorter, counted
+// from the request's arrival.
+func (c *call) timeLimit() time.Duration {
 	limit := c.route.Timeout
 	if c.r.TimeLeft > 0 && (limit <= 0 || c.r.TimeLeft < limit) {
 		limit = c.r.TimeLeft
@@ -141,7 +147,16 @@
 	if limit <= 0 {
 		limit = defaultTimeout
 	}
-	return limit - c.g.since(c.r.Arrived)
+	return limit
+}
+
+// timeLeft returns the time until the request's limit or the node's end, whichever is earlier.
+func (c *call) timeLeft() time.Duration {
+	left := c.timeLimit() - c.g.since(c.r.Arrived)
+	if drainLeft, draining := c.g.drainLeft(); draining {
+		left = min(left, drainLeft)
+	}
+	return left
 }
 
 // defaultTimeout applies if neither the route nor the caller sets a timeout.
@@ -156,10 +171,14 @@
 	if c.loan != nil {
 		go c.g.Borrower.Settle(*c.loan, used)
 	}
-	c.g.Metrics.recordFinished(c.route.Name, c.outcome, c.g.since(c.r.Arrived))
+	took := c.g.since(c.r.Arrived)
+	if c.outcome == outcomeServed {
+		c.g.durations.Record(c.route.Name, took)
+	}
+	c.g.Metrics.recordFinished(c.route.Name, c.outcome, took)
 	c.g.Events.Record(event.RequestEnded, "request", c.r.ID, "route", c.route.Name, "account", c.accountName(),
 		"config", c.view.Version, "outcome", c.outcome, "sends", c.sends, "events", c.events, "first_ms", c.firstEvent.Milliseconds(), "gap_ms", c.longestGap.Milliseconds(), "upstream", c.lastUpstream(),
-		"reserved", c.reserved, "used", used, "ms", c.g.since(c.r.Arrived).Milliseconds())
+		"reserved", c.reserved, "used", used, "ms", took.Milliseconds())
 }
 
 // used returns the tokens charged to the account: none if the request certainly did not run,
--- /dev/null
+++ b/gateway/drain_test.go
@@ -0,0 +1,112 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"lavenderpin.dev/lavenderpin/directory"
+	"lavenderpin.dev/lavenderpin/drain"
+	"lavenderpin.dev/lavenderpin/event"
+	"lavenderpin.dev/lavenderpin/result"
+)
+
+// drainFor starts a shutdown: addresses expire after one time, and the node ends after another.
+func (tg *testGateway) drainFor(addresses, end time.Duration) {
+	now := tg.clock.Now()
+	tg.Drain(drain.Window{AddressesExpire: now + addresses, End: now + end})
+}
+
+func answer(_ context.Context, _ *directory.Upstream, d *Dispatch) (*Response, error) {
+	return newResponse(http.StatusOK, false, strings.NewReader("ok")), nil
+}
+
+// Guards against accepting, during a shutdown, a request that may outlast the node.
+func TestDrainingGatewayRefusesRequestsThatMayOutlastIt(t *testing.T) {
+	is := is.New(t)
+	tg := newTestGateway(10, answer)
+	tg.durations.Record("read", 2*time.Second)
+	tg.drainFor(time.Second, 3*time.Second) // requests take at most 4 s
+
+	is.Equal(tg.serve(context.Background(), "read").status, http.StatusOK) // usually ends in time
+	unknown := tg.serve(context.Background(), "file")
+	is.Equal(unknown.refusal.Code, result.Draining) // nothing is known of this route
+	is.True(unknown.refusal.NotRun())
+	is.True(unknown.refusal.RetryAfter > 0)
+
+	tg.clock.Advance(time.Second) // addresses have expired
+	is.Equal(tg.serve(context.Background(), "read").refusal.Code, result.Draining)
+	short := tg.request("read")
+	short.TimeLeft = time.Second
+	sink := &recordingSink{}
+	tg.Serve(context.Background(), short, sink)
+	is.Equal(sink.status, http.StatusOK) // certainly ends in time
+	is.Equal(tg.Events.Counts()[event.RequestRefused.Kind().Name], uint64(2))
+}
+
+// Guards against giving an upstream more time than the node has left.
+func TestUpstreamsReceiveTimeUntilNodeEnds(t *testing.T) {
+	is := is.New(t)
+	tg := newTestGateway(10, answer)
+	tg.durations.Record("read", 100*time.Millisecond)
+	tg.drainFor(2*time.Second, 3*time.Second)
+	is.Equal(tg.serve(context.Background(), "read").status, http.StatusOK)
+	is.Equal(tg.upstreams.sent[0].Remaining, 3*time.Second)
+}
+
+// Guards against repeating a request on another upstream when the node is about to end.
+func TestNoRetryWhenNodeIsAboutToEnd(t *testing.T) {
+	is := is.New(t)
+	var tg *testGateway
+	tg = newTestGateway(10, func(context.Context, *directory.Upstream, *Dispatch) (*Response, error) {
+		tg.drainFor(0, 10*time.Millisecond)
+		return nil, ErrNotSent
+	})
+	refusal := tg.serve(context.Background(), "file").refusal
+	is.True(refusal.NotRun())
+	is.Equal(len(tg.upstreams.sent), 1)
+}
+
+// Guards against requests that end with the node without a final answer or a log line.
+func TestOpenRequestsEndWithTheNode(t *testing.T) {
+	is := is.New(t)
+	ctx, end := context.WithCancelCause(context.Background())
+	tg := newTestGateway(10, func(ctx context.Context, u *directory.Upstream, d *Dispatch) (*Response, error) {
+		end(ErrNodeEnds)
+		return hang(ctx, u, d)
+	})
+	c := tg.serve(ctx, "file")
+	is.True(!c.aborted)
+	is.Equal(c.refusal.Code, result.OutcomeUnknown)
+	is.True(strings.Contains(c.refusal.Message, ErrNodeEnds.Error()))
+
+	ctx, end = context.WithCancelCause(context.Background())
+	tg.upstreams.respond = func(context.Context, *directory.Upstream, *Dispatch) (*Response, error) {
+		return newResponse(http.StatusOK, true, &endingBody{head: numberedEvents(1, 3), end: func() { end(ErrNodeEnds) }}), nil
+	}
+	c = tg.serve(ctx, "once")
+	is.True(c.aborted) // a cut stream must not look complete
+	is.Equal(tg.Events.Counts()[event.RequestFailed.Kind().Name], uint64(1))
+	is.Equal(tg.share.Status("one").Reserved, int64(0))
+}
+
+// endingBody is a body during which the node ends.
+type endingBody struct {
+	head string
+	end  func()
+}
+
+func (b *endingBody) Read(p []byte) (int, error) {
+	if b.head == "" {
+		b.end()
+		return 0, errors.New("closed")
+	}
+	n := copy(p, b.head)
+	b.head = b.head[n:]
+	return n, nil
+}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -4,11 +4,13 @@
 	"context"
 	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"lavenderpin.dev/lavenderpin/bootclock"
 	"lavenderpin.dev/lavenderpin/catalog"
 	"lavenderpin.dev/lavenderpin/directory"
+	"lavenderpin.dev/lavenderpin/drain"
 	"lavenderpin.dev/lavenderpin/event"
 	"lavenderpin.dev/lavenderpin/lending"
 	"lavenderpin.dev/lavenderpin/placement"
@@ -41,6 +43,10 @@
 type Gateway struct {
 	Deps
 	settings Settings
+	// drainWindow is set during a graceful shutdown.
+	drainWindow atomic.Pointer[drain.Window]
+	// durations tracks how long the requests of each route take.
+	durations drain.Durations
 
 	mu           sync.Mutex
 	retryBudgets map[string]*repeats.Budget
--- a/gateway/run.go
+++ b/gateway/run.go
@@ -76,9 +76,13 @@
 	if load.At != 0 {
 		age = c.g.since(load.At).Milliseconds()
 	}
-	c.g.Events.Record(event.RequestDispatched, "request", c.r.ID, "upstream", choice.Upstream.ID, "send", c.sends,
+	pairs := []any{"request", c.r.ID, "upstream", choice.Upstream.ID, "send", c.sends,
 		"expected_ms", choice.Expected.Milliseconds(), "candidates", choice.Candidates, "unread", choice.Uncached,
-		"running", load.Running, "waiting", load.Waiting, "load_age_ms", age, "left_ms", c.timeLeft().Milliseconds(), "after", c.lastEvent)
+		"running", load.Running, "waiting", load.Waiting, "load_age_ms", age, "left_ms", c.timeLeft().Milliseconds(), "after", c.lastEvent}
+	if left, draining := c.g.drainLeft(); draining {
+		pairs = append(pairs, "drain_left_ms", left.Milliseconds())
+	}
+	c.g.Events.Record(event.RequestDispatched, pairs...)
 }
 
 func (c *call) maySendAgain(ctx context.Context, res sendResult) bool {
@@ -97,6 +101,9 @@
 
 // giveUp sends the final response immediately.
 func (c *call) giveUp(ctx context.Context, reason string) {
+	if errors.Is(context.Cause(ctx), ErrNodeEnds) {
+		reason = ErrNodeEnds.Error()
+	}
 	switch {
 	case c.callerGone || errors.Is(context.Cause(ctx), context.Canceled):
 		c.outcome = "caller_left"
