Drain a node that listens when SIGTERM comes during its start

What callers could see: a connection closed without an answer, if SIGTERM arrived after the node had begun to listen and before its main loop had read the result of the start. The process then exited at once, although requests could be open.

Change: the main loop ends the start first: a start that doesn't listen yet is canceled, one that does is followed by a drain.

--- a/cmd/lavenderedge/run.go
+++ b/cmd/lavenderedge/run.go
@@ -100,28 +100,11 @@
 	p.events.Record(event.NodeStarting, "incarnation", incarnation, "data_centre", p.settings.DataCentre, "memory_mb", p.settings.Limits.MemoryMB, "cores", p.settings.Limits.Cores, "link_mbps", p.settings.Limits.LinkMbps, "boot_clock", start.Boot, "boot", start.BootID)
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
+	startCtx, cancelStart := context.WithCancel(ctx)
+	defer cancelStart()
 	started := make(chan error, 1)
-	go func() { started <- p.startNode(ctx, incarnation, start) }()
-	for {
-		select {
-		case err := <-started:
-			if err != nil {
-				return errors.Trace(err)
-			}
-			started = nil
-			p.events.Record(event.NodeServing, "frontend", p.settings.Frontend)
-		case s := <-signals:
-			if s == syscall.SIGHUP {
-				p.reload(path)
-				continue
-			}
-			if started != nil {
-				return nil // the node hasn't served any request yet
-			}
-			p.drain()
-			return nil
-		}
-	}
+	go func() { started <- p.startNode(ctx, startCtx, incarnation, start) }()
+	return p.serve(lifecycle{started: started, cancelStart: cancelStart, signals: signals, reload: func() { p.reload(path) }, drain: p.drain})
 }
 
 func (p *process) clocks() prepaid.Clocks {
@@ -143,15 +126,16 @@
 	return strings.TrimSpace(string(raw))
 }
 
-// startNode starts the node and its listeners.
-func (p *process) startNode(ctx context.Context, incarnation string, start prepaid.ProcessStart) error {
+// startNode starts the node and its listeners, unless startCtx is canceled before any of them
+// listens.
+func (p *process) startNode(ctx, startCtx context.Context, incarnation string, start prepaid.ProcessStart) error {
 	store := platform.NewStore(p.settings.Store.Address, p.clock)
 	calls := expvar.NewMap("store_calls")
 	store.OnCall = func(call string, status int) { calls.Add(fmt.Sprintf("%s_%d", call, status), 1) }
 	dials := expvar.NewInt("upstream_connections_made")
 	p.peerClient = httpwire.NewClient(httpwire.Options{Clock: p.clock, DialTimeout: peerDialTimeout})
 	p.upstreams = platform.NewUpstreamClient(p.clock, func() { dials.Add(1) })
-	node, err := edgenode.Start(ctx, edgenode.Settings{
+	node, err := edgenode.Start(startCtx, edgenode.Settings{
 		Node: p.settings.Node, Incarnation: incarnation, Start: start,
 		Address: p.settings.Frontend, Peer: p.peerAddress(), Capacity: capacityPercent(p.settings.Limits), DataCentre: p.settings.DataCentre, Region: p.settings.Region, Regions: p.settings.Regions,
 		Repeats: repeats.Limits{Ratio: p.settings.Bounds.RetryBudgetRatio, Extra: p.settings.Bounds.RetryBudgetExtra, Window: p.settings.Bounds.RetryBudgetWindow},
@@ -165,6 +149,9 @@
 		return errors.Trace(err)
 	}
 	p.node = node
+	if err := startCtx.Err(); err != nil {
+		return errors.Trace(err)
+	}
 	expvar.Publish("log_readings", expvar.Func(func() any { return node.TopicStats() }))
 	p.serveMetrics()
 	go p.sweep(ctx)
--- a/cmd/lavenderedge/shutdown_test.go
+++ b/cmd/lavenderedge/shutdown_test.go
@@ -71,7 +71,7 @@
 	p := &process{settings: settings, events: newRecorder(settings, logsink.New(io.Discard))}
 	ctx, cancel := context.WithCancel(context.Background())
 	t.Cleanup(cancel)
-	is.NoErr(p.startNode(ctx, newIncarnation(), prepaid.ProcessStart{ClockReading: p.clocks().Read(), BootID: "boot"}))
+	is.NoErr(p.startNode(ctx, ctx, newIncarnation(), prepaid.ProcessStart{ClockReading: p.clocks().Read(), BootID: "boot"}))
 	for end := time.Now().Add(10 * time.Second); !p.node.Ready(); time.Sleep(5 * time.Millisecond) {
 		is.True(time.Now().Before(end)) // the node gets ready
 	}
