Judge a request in a shutdown by enough history, before each send

Now 8 requests are needed, from longer ago than the node has left, and error responses don't count. - A request that certainly hadn't run was sent again 30 ms before the node's end and came back as "may have run". Now each send of a request that hasn't run is judged like an arrival; its caller is told to go elsewhere. - The context of a request accepted during the shutdown ended at the node's end by itself, so that its line and its status named the caller's deadline. Now it ends with the node, like the others.

A request can still be cut: 1 in 20 takes longer than the usual duration, and one that was open at SIGTERM may outlast the grace period.

--- a/drain/durations.go
+++ b/drain/durations.go
@@ -1,59 +1,78 @@
 package drain
 
 import (
+	"math"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
 const (
 	// durationWindow is how many of the last requests of a kind are considered.
 	durationWindow = 32
+	// minDurations is how many of them must be known for an estimate.
+	minDurations = 8
 	// usualQuantile is the fraction of them that took no longer than the usual duration.
 	usualQuantile = 0.95
 	// maxKinds bounds the memory for kinds that operators have since removed.
 	maxKinds = 4096
 )
 
-// Durations tracks how long complete requests of each kind took. The zero value is ready to use.
-// It is safe for concurrent use.
+// Durations tracks how long successful requests of each kind took. The zero value is ready to
+// use. It is safe for concurrent use.
 type Durations struct {
-	mu    sync.Mutex
-	kinds map[string]*recentDurations
+	kinds sync.Map // kind -> *recentDurations
+	count atomic.Int64
 }
 
 // recentDurations is a ring of the last durations of one kind.
 type recentDurations struct {
-	values [durationWindow]time.Duration
-	count  int
+	// firstStart is when the first recorded request started.
+	firstStart time.Duration
+	count      atomic.Int64
+	values     [durationWindow]atomic.Int64
 }
 
-// Record adds a complete request.
-func (d *Durations) Record(kind string, took time.Duration) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	recent, found := d.kinds[kind]
+// Record adds a successful request that ended now.
+func (d *Durations) Record(kind string, took, now time.Duration) {
+	recent, found := d.kinds.Load(kind)
 	if !found {
-		if d.kinds == nil || len(d.kinds) >= maxKinds {
-			d.kinds = make(map[string]*recentDurations)
-		}
-		recent = &recentDurations{}
-		d.kinds[kind] = recent
+		recent = d.add(kind, now-took)
 	}
-	recent.values[recent.count%durationWindow] = took
-	recent.count++
+	r := recent.(*recentDurations)
+	r.values[(r.count.Add(1)-1)%durationWindow].Store(int64(took))
 }
 
-// Usual returns the duration that few of the recent requests of a kind exceeded; false if none
-// is known.
-func (d *Durations) Usual(kind string) (time.Duration, bool) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	recent, found := d.kinds[kind]
+func (d *Durations) add(kind string, firstStart time.Duration) any {
+	if d.count.Load() >= maxKinds {
+		d.kinds.Clear()
+		d.count.Store(0)
+	}
+	recent, loaded := d.kinds.LoadOrStore(kind, &recentDurations{firstStart: firstStart})
+	if !loaded {
+		d.count.Add(1)
+	}
+	return recent
+}
+
+// Usual returns the duration that few of the recent requests of a kind exceeded. It returns
+// false if too few are known, or if the kind was first seen less than horizon ago: requests that
+// take as long as that haven't ended yet and are missing among them.
+func (d *Durations) Usual(kind string, now, horizon time.Duration) (time.Duration, bool) {
+	recent, found := d.kinds.Load(kind)
 	if !found {
 		return 0, false
 	}
-	sorted := slices.Clone(recent.values[:min(recent.count, durationWindow)])
+	r := recent.(*recentDurations)
+	n := min(r.count.Load(), durationWindow)
+	if n < minDurations || now-r.firstStart < horizon {
+		return 0, false
+	}
+	sorted := make([]time.Duration, n)
+	for i := range sorted {
+		sorted[i] = time.Duration(r.values[i].Load())
+	}
 	slices.Sort(sorted)
-	return sorted[int(usualQuantile*float64(len(sorted)-1)+0.5)], true
+	return sorted[int(math.Ceil(usualQuantile*float64(n)))-1], true
 }
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -14,8 +14,12 @@
 	"lavenderpin.dev/lavenderpin/result"
 )
 
-// outcomeServed is the outcome of a request whose caller got the complete response.
-const outcomeServed = "served"
+const (
+	// outcomeServed is the outcome of a request whose caller got the complete response.
+	outcomeServed = "served"
+	// outcomeRefused is the outcome of a request that certainly did not run.
+	outcomeRefused = "refused"
+)
 
 // call is the state of one request in progress.
 type call struct {
@@ -55,6 +59,8 @@
 	// fallback is an upstream's error response, forwarded if no other upstream does better.
 	fallback *bufferedResponse
 	outcome  string
+	// succeeded reports that the caller got a complete response without an error status.
+	succeeded bool
 }
 
 // admit decides whether the request may be sent at all.
@@ -74,8 +80,8 @@
 	if c.service = c.view.Service(c.route.ChooseService(random())); c.service == nil {
 		return result.New(result.NoUpstream, "the route has no service").WithRetryAfter(c.g.settings.BusyRetryAfter)
 	}
-	if refusal := c.refuseIfDraining(); refusal != nil {
-		return refusal
+	if c.mayOutlastNode() {
+		return drainRefusal()
 	}
 	if c.timeLeft() < c.g.settings.MinTimeLeft {
 		return result.New(result.Overloaded, "too little time is left").WithRetryAfter(c.g.settings.BusyRetryAfter)
@@ -150,14 +156,8 @@
 	return limit
 }
 
-// timeLeft returns the time until the request's limit or the node's end, whichever is earlier.
-func (c *call) timeLeft() time.Duration {
-	left := c.timeLimit() - c.g.since(c.r.Arrived)
-	if drainLeft, draining := c.g.drainLeft(); draining {
-		left = min(left, drainLeft)
-	}
-	return left
-}
+// timeLeft returns the time until the request's limit.
+func (c *call) timeLeft() time.Duration { return c.timeLimit() - c.g.since(c.r.Arrived) }
 
 // defaultTimeout applies if neither the route nor the caller sets a timeout.
 const defaultTimeout = 30 * time.Second
@@ -172,8 +172,8 @@
 		go c.g.Borrower.Settle(*c.loan, used)
 	}
 	took := c.g.since(c.r.Arrived)
-	if c.outcome == outcomeServed {
-		c.g.durations.Record(c.route.Name, took)
+	if c.succeeded {
+		c.g.durations.Record(c.route.Name, took, c.g.Clock.Now())
 	}
 	c.g.Metrics.recordFinished(c.route.Name, c.outcome, took)
 	c.g.Events.Record(event.RequestEnded, "request", c.r.ID, "route", c.route.Name, "account", c.accountName(),
--- a/gateway/run.go
+++ b/gateway/run.go
@@ -26,8 +26,7 @@
 // run sends the request until a response is delivered or it gives up.
 func (c *call) run(ctx context.Context) {
 	if refusal := c.shed(c.upstreams()); refusal != nil {
-		c.outcome = "refused"
-		c.refuse(refusal)
+		c.refuseUnsent(refusal)
 		return
 	}
 	for {
@@ -35,6 +34,10 @@
 			c.giveUp(ctx, "the time is over")
 			return
 		}
+		if c.possibleRuns == 0 && c.mayOutlastNode() {
+			c.refuseUnsent(drainRefusal())
+			return
+		}
 		choice, ok := c.g.Picker.Pick(c.query(), c.upstreams())
 		if !ok {
 			c.giveUp(ctx, "no upstream is left")
@@ -101,7 +104,8 @@
 
 // giveUp sends the final response immediately.
 func (c *call) giveUp(ctx context.Context, reason string) {
-	if errors.Is(context.Cause(ctx), ErrNodeEnds) {
+	nodeEnds := errors.Is(context.Cause(ctx), ErrNodeEnds)
+	if nodeEnds {
 		reason = ErrNodeEnds.Error()
 	}
 	switch {
@@ -119,12 +123,19 @@
 	case c.possibleRuns > 0:
 		c.outcome = "unknown"
 		c.refuse(c.unknownOutcome(ctx, reason))
+	case nodeEnds:
+		c.refuseUnsent(drainRefusal())
 	default:
-		c.outcome = "refused"
-		c.refuse(result.New(result.NoUpstream, "%s", reason).WithRetryAfter(c.g.settings.BusyRetryAfter))
+		c.refuseUnsent(result.New(result.NoUpstream, "%s", reason).WithRetryAfter(c.g.settings.BusyRetryAfter))
 	}
 }
 
+// refuseUnsent refuses an admitted request that certainly did not run.
+func (c *call) refuseUnsent(e *result.Error) {
+	c.outcome = outcomeRefused
+	c.refuse(e)
+}
+
 // unknownOutcome returns the error for a request that may have run.
 func (c *call) unknownOutcome(ctx context.Context, reason string) *result.Error {
 	code := result.UpstreamFailed
--- a/gateway/send.go
+++ b/gateway/send.go
@@ -140,7 +140,7 @@
 	}
 	u.RecordSuccess(c.g.Clock.Now())
 	c.possibleRuns++
-	c.outcome = outcomeServed
+	c.outcome, c.succeeded = outcomeServed, resp.Status < 300
 	buffered.deliver(c.sink)
 	return delivered
 }
@@ -160,7 +160,7 @@
 		return mayHaveRun
 	}
 	c.possibleRuns++
-	c.outcome = outcomeServed
+	c.outcome, c.succeeded = outcomeServed, resp.Status < 300
 	return delivered
 }
 
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -88,7 +88,7 @@
 	}
 	u.RecordSuccess(c.g.Clock.Now())
 	c.possibleRuns++
-	c.outcome = outcomeServed
+	c.outcome, c.succeeded = outcomeServed, true
 	return delivered
 }
 
