Close connections of a node that ends only once responses are written

What a caller could see: a connection closed without the end of its answer, as the node's last act.

Cause: the count of requests in flight falls when a handler returns, before net/http writes the buffered end of the response; Close followed at once. Change: Shutdown with a limit, then Close, which leaves event 110.

--- a/cmd/lavenderedge/signals.go
+++ b/cmd/lavenderedge/signals.go
@@ -20,7 +20,7 @@
 	finalReportReserve = 900 * time.Millisecond
 	// endReserve is the time kept before SIGKILL to end requests that are still open.
 	endReserve = 250 * time.Millisecond
-	// maxEndTime bounds the wait until these have told their callers how they ended.
+	// maxEndTime bounds the wait until the last responses have been written.
 	maxEndTime = 100 * time.Millisecond
 	// drainPollInterval is how often the requests in flight are checked.
 	drainPollInterval = 20 * time.Millisecond
@@ -42,9 +42,19 @@
 	}()
 	p.pollUntil(end, p.idle)
 	p.endRequests(gateway.ErrNodeEnds)
-	p.pollUntil(p.clock.Now()+maxEndTime, p.idle)
+	p.closeFrontend(maxEndTime)
 	<-stopped
-	_ = p.frontend.Close() // every request has ended, or its caller doesn't read
+}
+
+// closeFrontend closes connections once their responses have been written: a handler returns
+// before its last bytes are.
+func (p *process) closeFrontend(timeout time.Duration) {
+	ctx, cancel := context.WithTimeout(context.Background(), timeout)
+	defer cancel()
+	if err := p.frontend.Shutdown(ctx); err != nil {
+		p.events.Record(event.ConnectionsCut, "in_flight", p.inFlight.n.Load(), "error", err)
+		_ = p.frontend.Close() // what is still open now isn't read by its caller
+	}
 }
 
 func (p *process) idle() bool { return p.inFlight.n.Load() == 0 }
--- a/event/node.go
+++ b/event/node.go
@@ -11,6 +11,7 @@
 	LinesDropped   Number = 107
 	SettingsRead   Number = 108
 	MetricsAbsent  Number = 109
+	ConnectionsCut Number = 110
 )
 
 var nodeKinds = map[Number]Kind{
@@ -22,5 +23,6 @@
 	LinesDropped:   {"LinesDropped", "Log lines were dropped because the output was too slow; the count follows."},
 	SettingsRead:   {"SettingsRead", "The settings were reloaded; each changed setting is in force or named."},
 	MetricsAbsent:  {"MetricsAbsent", "The metrics can't be served on their configured address; the node still serves callers."},
+	ConnectionsCut: {"ConnectionsCut", "Connections were still open when the node ended; callers may lack the end of a response."},
 	PanicRecovered: {"PanicRecovered", "A request caused a panic; the node continues."},
 }
