Open all ports of a node before any request is accepted

What a caller could see: a connection closed without an answer, if a node could open its frontend port but not another one: it served on the first and exited. A start that fails while SIGTERM arrives now reports its error. Test: TestNothingIsServedIfAPortIsInUse.

--- /dev/null
+++ b/cmd/lavenderedge/endpoint.go
@@ -0,0 +1,34 @@
+package main
+
+import (
+	"net"
+	"net/http"
+
+	"github.com/juju/errors"
+)
+
+// endpoint is an address and what is served on it.
+type endpoint struct {
+	address string
+	server  *http.Server
+}
+
+// serveAll serves on all endpoints until the process exits, or on none: a node that can't open
+// one of its ports exits, and must not have accepted requests on another.
+func serveAll(endpoints []endpoint) error {
+	listeners := make([]net.Listener, 0, len(endpoints))
+	for _, e := range endpoints {
+		listener, err := net.Listen("tcp", e.address)
+		if err != nil {
+			for _, opened := range listeners {
+				_ = opened.Close() // the error above is the one to report
+			}
+			return errors.Trace(err)
+		}
+		listeners = append(listeners, listener)
+	}
+	for i, e := range endpoints {
+		go func() { _ = e.server.Serve(listeners[i]) }() // until the process exits
+	}
+	return nil
+}
--- /dev/null
+++ b/cmd/lavenderedge/endpoint_test.go
@@ -0,0 +1,23 @@
+package main
+
+import (
+	"net"
+	"net/http"
+	"strconv"
+	"testing"
+
+	"github.com/matryer/is"
+)
+
+// Guards against a node that accepts requests and then exits because another port is in use.
+func TestNothingIsServedIfAPortIsInUse(t *testing.T) {
+	is := is.New(t)
+	used, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	defer func() { _ = used.Close() }()
+	frontend := net.JoinHostPort("127.0.0.1", strconv.Itoa(freePort(t)))
+	err = serveAll([]endpoint{{frontend, &http.Server{}}, {used.Addr().String(), &http.Server{}}})
+	is.True(err != nil)
+	_, err = net.Dial("tcp", frontend)
+	is.True(err != nil)
+}
--- a/cmd/lavenderedge/lifecycle.go
+++ b/cmd/lavenderedge/lifecycle.go
@@ -37,8 +37,10 @@
 				l.reload()
 				continue
 			}
-			if !serving && !l.finishStart() {
-				return nil
+			if !serving {
+				if listens, err := l.finishStart(); !listens {
+					return err
+				}
 			}
 			l.drain()
 			return nil
@@ -47,8 +49,16 @@
 }
 
 // finishStart cancels the start and reports whether the node listens nevertheless: requests may
-// then be open, although the start hasn't been reported yet.
-func (l *lifecycle) finishStart() bool {
+// then be open, although the start hasn't been reported yet. It returns an error if the start
+// failed by itself.
+func (l *lifecycle) finishStart() (listens bool, err error) {
 	l.cancelStart()
-	return <-l.started == nil
+	switch err := <-l.started; {
+	case err == nil:
+		return true, nil
+	case errors.Is(err, context.Canceled):
+		return false, nil
+	default:
+		return false, errors.Trace(err)
+	}
 }
--- a/cmd/lavenderedge/run.go
+++ b/cmd/lavenderedge/run.go
@@ -195,22 +195,12 @@
 	requests, p.endRequests = context.WithCancelCause(context.Background())
 	p.frontend.BaseContext = func(net.Listener) context.Context { return requests }
 	directory := &platform.Directory{Node: p.node, TTL: min(addressTTL, p.settings.Bounds.AddressTTL)}
-	for _, l := range []struct {
-		address string
-		server  *http.Server
-	}{
+	return serveAll([]endpoint{
 		{p.settings.Frontend, p.frontend},
 		{p.peerAddress(), p.newServer(p.node.PeerRoutes())},
 		{p.settings.Directory, p.newServer(directory.Routes())},
 		{p.settings.Ready, p.newServer(platform.ReadyRoutes(p.node, expvar.Handler()))},
-	} {
-		listener, err := net.Listen("tcp", l.address)
-		if err != nil {
-			return errors.Trace(err)
-		}
-		go func() { _ = l.server.Serve(listener) }() // until the process exits
-	}
-	return nil
+	})
 }
 
 func (p *process) newServer(handler http.Handler) *http.Server {
