Test that a shutdown serves what certainly ends in time

The shutdown test would also have passed if a node refused everything. It now sends a short call too. A process registers its metrics with expvar only where it is told to, so that the test can run more than once in a process.

--- a/cmd/lavenderedge/metrics.go
+++ b/cmd/lavenderedge/metrics.go
@@ -9,6 +9,13 @@
 	"lavenderpin.dev/lavenderpin/event"
 )
 
+// publish registers a metric with expvar.
+func (p *process) publish(name string, v expvar.Var) {
+	if p.publishMetrics {
+		expvar.Publish(name, v)
+	}
+}
+
 // serveMetrics serves the metrics on a separate port, if one is set. A port that can't be
 // opened is recorded as an event and doesn't stop the node.
 func (p *process) serveMetrics() {
--- a/cmd/lavenderedge/run.go
+++ b/cmd/lavenderedge/run.go
@@ -58,13 +58,15 @@
 	settings platform.Settings
 	// metricsPort serves only the metrics; 0 disables it.
 	metricsPort int
-	events      *event.Recorder
-	clock       bootclock.System
-	node        *edgenode.Node
-	upstreams   *platform.UpstreamClient
-	peerClient  *httpwire.Client
-	frontend    *http.Server
-	inFlight    inFlightRequests
+	// publishMetrics registers the metrics with expvar, which a process can do only once.
+	publishMetrics bool
+	events         *event.Recorder
+	clock          bootclock.System
+	node           *edgenode.Node
+	upstreams      *platform.UpstreamClient
+	peerClient     *httpwire.Client
+	frontend       *http.Server
+	inFlight       inFlightRequests
 	// endRequests cancels the contexts of all open requests.
 	endRequests context.CancelCauseFunc
 }
@@ -80,7 +82,7 @@
 	}
 	logWriter := logsink.New(os.Stdout)
 	defer func() { _ = logWriter.Close() }()
-	p := &process{settings: settings, metricsPort: c.MetricsPort, events: newRecorder(settings, logWriter)}
+	p := &process{settings: settings, metricsPort: c.MetricsPort, publishMetrics: true, events: newRecorder(settings, logWriter)}
 	if settings.Limits.MemoryMB > 0 {
 		debug.SetMemoryLimit(int64(memoryLimitFraction * float64(settings.Limits.MemoryMB) * (1 << 20)))
 	}
@@ -130,9 +132,11 @@
 // listens.
 func (p *process) startNode(ctx, startCtx context.Context, incarnation string, start prepaid.ProcessStart) error {
 	store := platform.NewStore(p.settings.Store.Address, p.clock)
-	calls := expvar.NewMap("store_calls")
+	calls := new(expvar.Map).Init()
+	p.publish("store_calls", calls)
 	store.OnCall = func(call string, status int) { calls.Add(fmt.Sprintf("%s_%d", call, status), 1) }
-	dials := expvar.NewInt("upstream_connections_made")
+	dials := new(expvar.Int)
+	p.publish("upstream_connections_made", dials)
 	p.peerClient = httpwire.NewClient(httpwire.Options{Clock: p.clock, DialTimeout: peerDialTimeout})
 	p.upstreams = platform.NewUpstreamClient(p.clock, func() { dials.Add(1) })
 	node, err := edgenode.Start(startCtx, edgenode.Settings{
@@ -140,7 +144,7 @@
 		Address: p.settings.Frontend, Peer: p.peerAddress(), Capacity: capacityPercent(p.settings.Limits), DataCentre: p.settings.DataCentre, Region: p.settings.Region, Regions: p.settings.Regions,
 		Repeats: repeats.Limits{Ratio: p.settings.Bounds.RetryBudgetRatio, Extra: p.settings.Bounds.RetryBudgetExtra, Window: p.settings.Bounds.RetryBudgetWindow},
 	}, edgenode.Deps{
-		Clock: p.clock, WallClock: p.clocks().Wall, Upstreams: p.upstreams, Lending: &lending.Client{Wire: p.peerClient}, Peers: &peerfetch.Client{HTTP: p.peerClient}, Events: p.events, Metrics: gateway.NewMetrics(true),
+		Clock: p.clock, WallClock: p.clocks().Wall, Upstreams: p.upstreams, Lending: &lending.Client{Wire: p.peerClient}, Peers: &peerfetch.Client{HTTP: p.peerClient}, Events: p.events, Metrics: gateway.NewMetrics(p.publishMetrics),
 		Topics: edgenode.Topics{Operators: store.Operators(), Upstreams: store.Upstreams(), Presence: store.Topic("presence"),
 			Spend: store.Topic("spend"), Ledger: store.Topic("ledger"), Grants: store.Topic("grants")},
 		DecodeConfig: platform.DecodeConfig, DecodeUpstream: platform.DecodeUpstream,
@@ -152,7 +156,7 @@
 	if err := startCtx.Err(); err != nil {
 		return errors.Trace(err)
 	}
-	expvar.Publish("log_readings", expvar.Func(func() any { return node.TopicStats() }))
+	p.publish("log_readings", expvar.Func(func() any { return node.TopicStats() }))
 	p.serveMetrics()
 	go p.sweep(ctx)
 	return p.listen()
--- a/cmd/lavenderedge/shutdown_test.go
+++ b/cmd/lavenderedge/shutdown_test.go
@@ -22,9 +22,10 @@
 func TestStreamAcceptedLateInShutdownIsNotCut(t *testing.T) {
 	is := is.New(t)
 	chat := standin.Route{Name: "chats", Kind: "streaming", Engine: true, MaxAttempts: 1, Timeout: 30 * time.Second}
-	engine := standin.NewEngine("e1", standin.EngineService, "dc", 100)
+	engine, app := standin.NewEngine("e1", standin.EngineService, "dc", 100), standin.NewEngine("a1", standin.PlainService, "dc", 0)
 	defer engine.Close()
-	p := startTestProcess(t, []standin.Route{chat}, engine)
+	defer app.Close()
+	p := startTestProcess(t, []standin.Route{chat}, engine, app)
 	caller := standin.NewCaller()
 	defer caller.Close()
 	send := func(id string) standin.Outcome {
@@ -46,8 +47,14 @@
 			outcomes[i] = send(fmt.Sprintf("late-%d", i))
 		})
 	}
+	var lookup standin.Outcome
+	calls.Go(func() {
+		time.Sleep(100 * time.Millisecond)
+		lookup = caller.Do(context.Background(), p.settings.Frontend, standin.Call{ID: "lookup", Route: standin.LookupRoute, Key: "key-1", Deadline: time.Second})
+	})
 	calls.Wait()
 	<-stopped
+	is.Equal(lookup.Status, http.StatusOK) // certainly ends in time
 	for _, o := range outcomes {
 		is.True(o.Complete)                                                             // neither cut nor closed without an answer
 		is.True(o.Status == http.StatusOK || o.Status == http.StatusServiceUnavailable) // served, or promised not to run
