Log the pause that a refusing upstream asks for

Event 503 of a 503 answer did not say whether it asked for a pause (Retry-After), so a later request to the same upstream could not be held against it.

Event 503 says pause_ms, 0 if no pause was asked for. Nothing acts on it yet.

--- a/gateway/ports.go
+++ b/gateway/ports.go
@@ -38,6 +38,9 @@
 	NotRun bool
 	// AddressReassigned reports that the address now belongs to another upstream.
 	AddressReassigned bool
+	// Pause is how long the upstream, which refused the request, wants no others; zero if it
+	// didn't say.
+	Pause time.Duration
 	// Signed reports that the response carries the upstream's signature.
 	Signed bool
 	// IsEventStream reports that the body is a stream of events.
--- a/gateway/send.go
+++ b/gateway/send.go
@@ -104,7 +104,7 @@
 		return 0, false
 	}
 	c.recordFailure(u, resp.AddressReassigned)
-	c.g.Events.Record(event.AnswerRejected, "request", c.r.ID, "upstream", u.ID, "status", resp.Status, "elsewhere", resp.AddressReassigned, "not_run", true)
+	c.g.Events.Record(event.AnswerRejected, "request", c.r.ID, "upstream", u.ID, "status", resp.Status, "elsewhere", resp.AddressReassigned, "not_run", true, "pause_ms", resp.Pause.Milliseconds())
 	return notRun, true
 }
 
@@ -127,7 +127,7 @@
 	buffered := &bufferedResponse{status: resp.Status, header: resp.Header, body: body}
 	if resp.Status >= 500 {
 		c.recordFailure(u, false)
-		c.g.Events.Record(event.AnswerRejected, "request", c.r.ID, "upstream", u.ID, "status", resp.Status)
+		c.g.Events.Record(event.AnswerRejected, "request", c.r.ID, "upstream", u.ID, "status", resp.Status, "pause_ms", resp.Pause.Milliseconds())
 		if !c.responseStarted {
 			c.fallback = buffered
 		}
