Keep the statistics of an upstream whose entry is gone

A node dropped all it knew of an upstream when its entry vanished: failures, load, and its own open requests there. An entry that expired in an outage of the store returns some seconds later with the same incarnation, which then looked idle and without fault, and answers to requests sent before were counted nowhere.

An entry that returns with the same start, address and service gets its statistics back, a new incarnation starts afresh as before.

With the entries forgotten as before (the result of take ignored): go test -race -count=1 ./directory -run "TestReturning|TestRestartAfter|TestDeparted" departed_test.go:47: not true: only(table).Stats == before.Stats in all three cases of TestReturningUpstreamKeepsItsStatistics The other two tests pass either way: they guard the bounds of the change.

--- a/directory/table.go
+++ b/directory/table.go
@@ -34,6 +34,8 @@
 
 	mu      sync.Mutex
 	entries map[string]*Upstream
+	// departed remembers the upstreams whose entries are gone.
+	departed *departed
 	// storeFailedAt is when reading the store last failed; zero if never.
 	storeFailedAt time.Duration
 	current       atomic.Pointer[Snapshot]
@@ -44,7 +46,7 @@
 
 // NewTable returns an empty table.
 func NewTable(clock bootclock.Clock) *Table {
-	t := &Table{clock: clock, entries: make(map[string]*Upstream), synced: make(chan struct{})}
+	t := &Table{clock: clock, entries: make(map[string]*Upstream), departed: newDeparted(), synced: make(chan struct{})}
 	t.current.Store(&Snapshot{})
 	return t
 }
@@ -112,10 +114,14 @@
 	if exists && !e.supersedes(old.Entry) {
 		return Unchanged
 	}
+	known := old
+	if !exists {
+		known = t.departed.take(e.ID, t.clock.Now())
+	}
 	u := &Upstream{Entry: e, Stats: &Stats{}}
-	restarted := exists && (e.StartedAt != old.StartedAt || e.Address != old.Address || e.Service != old.Service)
-	if exists && !restarted {
-		u.Stats = old.Stats
+	restarted := known != nil && (e.StartedAt != known.StartedAt || e.Address != known.Address || e.Service != known.Service)
+	if known != nil && !restarted {
+		u.Stats = known.Stats
 	}
 	t.entries[e.ID] = u
 	switch {
@@ -136,7 +142,7 @@
 	now := t.clock.Now()
 	expiredWithStore := t.storeFailedAt != 0 && now-t.storeFailedAt < storeFailureWindow && old.State == Ready
 	if !expiredWithStore {
-		delete(t.entries, id)
+		t.depart(old, now)
 		return true
 	}
 	if old.StaleUntil == 0 {
@@ -147,6 +153,12 @@
 	return true
 }
 
+// depart moves an upstream whose entry is gone to the departed ones. The caller must hold mu.
+func (t *Table) depart(u *Upstream, now time.Duration) {
+	delete(t.entries, u.ID)
+	t.departed.add(u, now)
+}
+
 // Replace replaces all entries at once, for example after the store lost its history.
 func (t *Table) Replace(entries []Entry) {
 	t.mu.Lock()
@@ -174,9 +186,9 @@
 	defer t.mu.Unlock()
 	now := t.clock.Now()
 	expired := false
-	for id, u := range t.entries {
+	for _, u := range t.entries {
 		if u.StaleUntil != 0 && now >= u.StaleUntil {
-			delete(t.entries, id)
+			t.depart(u, now)
 			expired = true
 		}
 	}
