Send nothing to an upstream in the pause that it asked for

Cause: the node did not read Retry-After. A 503 only raised the failure score, which adds half a second to the expected time and decays, and the upstream stayed a candidate for every retry and whenever it was the only one left.

Change: the statistics of an upstream hold until when it wants nothing. Nothing shortens that: neither successes nor shorter values, nor a new entry, its removal and return, a full read, or a restart under the same ID. An answer to a request of a former incarnation counts for the present one. - The picker never picks a paused upstream, not even as the last resort, and all sends go through it: first sends, retries, resumed streams.

Each new test failed with its part of the change taken out by go test -overlay. go test -race -count=1 ./directory ./gateway ./placement ./platform passes.

--- a/directory/stats.go
+++ b/directory/stats.go
@@ -28,6 +28,11 @@
 	// without a response so far.
 	InFlight, PromptInFlight atomic.Int64
 
+	// pausedUntil, by the boot clock, is the end of the pause that the upstream asked for.
+	pausedUntil atomic.Int64
+	// successor holds the statistics of the next incarnation; nil if there is none.
+	successor atomic.Pointer[Stats]
+
 	mu                     sync.Mutex
 	running                int
 	waiting                int
--- a/directory/table.go
+++ b/directory/table.go
@@ -118,9 +118,14 @@
 	if !exists {
 		known = t.departed.take(e.ID, t.clock.Now())
 	}
-	u := &Upstream{Entry: e, Stats: &Stats{}}
+	u := &Upstream{Entry: e}
 	restarted := known != nil && (e.StartedAt != known.StartedAt || e.Address != known.Address || e.Service != known.Service)
-	if known != nil && !restarted {
+	switch {
+	case known == nil:
+		u.Stats = &Stats{}
+	case restarted:
+		u.Stats = known.nextIncarnation()
+	default:
 		u.Stats = known.Stats
 	}
 	t.entries[e.ID] = u
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -86,6 +86,9 @@
 	if c.timeLeft() < c.g.settings.MinTimeLeft {
 		return result.New(result.Overloaded, "too little time is left").WithRetryAfter(c.g.settings.BusyRetryAfter)
 	}
+	if refusal := c.refuseIfPaused(); refusal != nil {
+		return refusal
+	}
 	return c.reserve(ctx)
 }
 
--- /dev/null
+++ b/gateway/pause.go
@@ -0,0 +1,79 @@
+package gateway
+
+import (
+	"slices"
+	"time"
+
+	"lavenderpin.dev/lavenderpin/directory"
+	"lavenderpin.dev/lavenderpin/result"
+)
+
+// The reasons of refusals for lack of an upstream.
+const (
+	reasonNoneLeft  = "no upstream is left"
+	reasonAllPaused = "every upstream left asked for a pause"
+)
+
+// refuseIfPaused refuses a request if all upstreams asked for a pause.
+func (c *call) refuseIfPaused() *result.Error {
+	if !c.onlyPausedLeft() {
+		return nil
+	}
+	return result.New(result.NoUpstream, "%s", reasonAllPaused).WithRetryAfter(c.capacityRetryAfter())
+}
+
+// noUpstreamReason returns why no upstream could be picked.
+func (c *call) noUpstreamReason() string {
+	if c.onlyPausedLeft() {
+		return reasonAllPaused
+	}
+	return reasonNoneLeft
+}
+
+// onlyPausedLeft reports whether all upstreams that the request hasn't been sent to asked for a
+// pause.
+func (c *call) onlyPausedLeft() bool {
+	now, paused := c.g.Clock.Now(), false
+	for _, u := range c.upstreams() {
+		switch {
+		case c.wasSentTo(u):
+		case u.Paused(now):
+			paused = true
+		default:
+			return false
+		}
+	}
+	return paused
+}
+
+func (c *call) wasSentTo(u *directory.Upstream) bool {
+	return c.upstream != nil && c.upstream.ID == u.ID ||
+		slices.ContainsFunc(c.tried, func(t *directory.Upstream) bool { return t.ID == u.ID })
+}
+
+// capacityRetryAfter returns the retry delay if no upstream had capacity: until the first pause
+// ends if all upstreams asked for one.
+func (c *call) capacityRetryAfter() time.Duration {
+	now, earliest := c.g.Clock.Now(), time.Duration(0)
+	for _, u := range c.upstreams() {
+		left := u.PauseLeft(now)
+		if left == 0 {
+			return c.g.settings.BusyRetryAfter
+		}
+		if earliest == 0 || left < earliest {
+			earliest = left
+		}
+	}
+	if earliest == 0 {
+		return c.g.settings.BusyRetryAfter
+	}
+	return roundUp(earliest, retryAfterPrecision)
+}
+
+// retryAfterPrecision is the precision with which callers are told a delay. Rounded up, it doesn't
+// bring them back within the pause.
+const retryAfterPrecision = time.Millisecond
+
+func roundUp(d, precision time.Duration) time.Duration {
+	return (d + precision - 1).Truncate(precision)
+}
--- a/gateway/run.go
+++ b/gateway/run.go
@@ -40,7 +40,7 @@
 		}
 		choice, ok := c.g.Picker.Pick(c.query(), c.upstreams())
 		if !ok {
-			c.giveUp(ctx, "no upstream is left")
+			c.giveUp(ctx, c.noUpstreamReason())
 			return
 		}
 		if c.sends > 0 && !c.takeRetry() {
@@ -126,7 +126,7 @@
 	case nodeEnds:
 		c.refuseUnsent(drainRefusal())
 	default:
-		c.refuseUnsent(result.New(result.NoUpstream, "%s", reason).WithRetryAfter(c.g.settings.BusyRetryAfter))
+		c.refuseUnsent(result.New(result.NoUpstream, "%s", reason).WithRetryAfter(c.capacityRetryAfter()))
 	}
 }
 
--- a/gateway/send.go
+++ b/gateway/send.go
@@ -53,7 +53,11 @@
 		return c.handleSendError(ctx, u, err)
 	}
 	defer resp.Close()
-	u.RecordReceived(c.g.Clock.Now())
+	now := c.g.Clock.Now()
+	u.RecordReceived(now)
+	if resp.Pause > 0 {
+		u.RecordPause(now + resp.Pause)
+	}
 	if res, final := c.handleNotRun(u, resp); final {
 		return res
 	}
--- a/gateway/silence.go
+++ b/gateway/silence.go
@@ -20,7 +20,7 @@
 // these start again elsewhere, at the end of other queues, and used up the retry budget; later
 // requests were then canceled with no retry left, although their upstreams would have responded.
 // So a send is canceled only if this node received nothing from the upstream for any request,
-// and only after a retry has been granted.
+// not while all other upstreams asked for a pause, and only after a retry has been granted.
 type silenceMonitor struct {
 	c      *call
 	u      *directory.Upstream
@@ -33,8 +33,7 @@
 	stopped bool
 }
 
-// recheckInterval is the pause before the next check if the upstream was found busy or the retry
-// budget exhausted.
+// recheckInterval is the pause before the next check if the send was not canceled.
 const recheckInterval = 200 * time.Millisecond
 
 // monitorSilence starts to monitor a send for the start of its response.
@@ -88,7 +87,7 @@
 	if m.stopped || m.timer == nil {
 		return
 	}
-	if m.u.ReceivedWithin(m.timeout/silenceDivisor, m.c.g.Clock.Now()) || !m.c.takeRetry() {
+	if m.u.ReceivedWithin(m.timeout/silenceDivisor, m.c.g.Clock.Now()) || m.c.onlyPausedLeft() || !m.c.takeRetry() {
 		m.timer.Reset(recheckInterval)
 		return
 	}
--- a/placement/picker.go
+++ b/placement/picker.go
@@ -33,13 +33,13 @@
 }
 
 // Pick returns the upstream with the lowest score, or false if there is none. Unreachable
-// upstreams are only used if there is no other.
+// upstreams are only used if there is no other, paused ones never.
 func (p *Picker) Pick(r *Request, upstreams []*directory.Upstream) (PickResult, bool) {
 	best := PickResult{}
 	for _, lastResort := range []bool{false, true} {
 		affinity := p.affinityUpstream(r, upstreams)
 		for _, u := range upstreams {
-			if r.wasTried(u) || u.InBackoff(r.Now) != lastResort {
+			if r.wasTried(u) || u.Paused(r.Now) || u.InBackoff(r.Now) != lastResort {
 				continue
 			}
 			best.Candidates++
@@ -63,8 +63,8 @@
 
 // affinityUpstream returns the engine to which all nodes send a shared prompt, so that it is
 // cached on one engine without coordination. It is chosen by rendezvous hashing: when an engine
-// joins or leaves, only its own prompts move. A long shared prompt has one affinity upstream in
-// the fleet, a short one has one in each data centre.
+// joins, leaves or pauses, only its own prompts move. A long shared prompt has one affinity
+// upstream in the fleet, a short one has one in each data centre.
 func (p *Picker) affinityUpstream(r *Request, upstreams []*directory.Upstream) *directory.Upstream {
 	shared := r.shared()
 	if len(shared) == 0 {
@@ -75,7 +75,7 @@
 	var chosen *directory.Upstream
 	var topRank uint64
 	for _, u := range upstreams {
-		if !fleetWide && u.DataCentre != r.DataCentre || u.InBackoff(r.Now) || u.StaleUntil != 0 {
+		if !fleetWide && u.DataCentre != r.DataCentre || u.Paused(r.Now) || u.InBackoff(r.Now) || u.StaleUntil != 0 {
 			continue
 		}
 		if rank := xxhash.Sum64String(key + "\x00" + u.ID); chosen == nil || rank > topRank {
--- a/placement/picker_test.go
+++ b/placement/picker_test.go
@@ -101,6 +101,40 @@
 	is.True(!ok)
 }
 
+// Guards against sending requests to an upstream that asked for a pause, even if it is the only one
+// left.
+func TestPausedUpstreamIsNotEvenLastResort(t *testing.T) {
+	is := is.New(t)
+	list := []*directory.Upstream{upstream("paused", "a"), upstream("dark", "c")}
+	p := NewPicker(DefaultSettings(), regions)
+	r := newRequest("a")
+	list[0].RecordPause(r.Now + time.Second)
+	list[1].RecordUnreachable(r.Now)
+	is.Equal(mustPick(t, p, r, list).ID, "dark")
+	_, ok := p.Pick(r, list[:1])
+	is.True(!ok)
+	r.Now += time.Second
+	is.Equal(mustPick(t, p, r, list).ID, "paused")
+}
+
+// Guards against prefilling a shared prompt once more after each pause: it must move to one other
+// engine, and back.
+func TestSharedPromptReturnsAfterPause(t *testing.T) {
+	is := is.New(t)
+	list := nineUpstreams()
+	shared, own := PromptPart{"shared", 5_000}, PromptPart{"own", 800}
+	r := newRequest("a", shared, own)
+	first := mustPick(t, NewPicker(DefaultSettings(), regions), r, list)
+	first.RecordPause(r.Now + time.Second)
+	second := mustPick(t, NewPicker(DefaultSettings(), regions), r, list)
+	is.True(second.ID != first.ID)
+	for _, dc := range []string{"b", "c"} {
+		is.Equal(mustPick(t, NewPicker(DefaultSettings(), regions), newRequest(dc, shared, own), list).ID, second.ID)
+	}
+	r.Now += time.Second
+	is.Equal(mustPick(t, NewPicker(DefaultSettings(), regions), r, list).ID, first.ID)
+}
+
 // BenchmarkPick measures one pick among 140 engines.
 func BenchmarkPick(b *testing.B) {
 	var list []*directory.Upstream
