Tell a caller to retry soon although this node's upstreams pause

A pause that an upstream asked for holds for one node, and a refused caller picks another one. Told the end of a pause of seconds, callers with a time limit of 1.5 s would be late or lost wherever they came back. TestRetryAfterIsShortDespiteLongPauses: 1 min before.

--- a/gateway/pause.go
+++ b/gateway/pause.go
@@ -51,23 +51,19 @@
 		slices.ContainsFunc(c.tried, func(t *directory.Upstream) bool { return t.ID == u.ID })
 }
 
-// capacityRetryAfter returns the retry delay if no upstream had capacity: until the first pause
-// ends if all upstreams asked for one.
+// capacityRetryAfter returns the retry delay if no upstream had capacity. The end of the first
+// pause shortens it, but a later one doesn't lengthen it: upstreams pause for each node alone, and
+// the caller picks another node.
 func (c *call) capacityRetryAfter() time.Duration {
-	now, earliest := c.g.Clock.Now(), time.Duration(0)
+	now, delay := c.g.Clock.Now(), c.g.settings.BusyRetryAfter
 	for _, u := range c.upstreams() {
 		left := u.PauseLeft(now)
 		if left == 0 {
 			return c.g.settings.BusyRetryAfter
 		}
-		if earliest == 0 || left < earliest {
-			earliest = left
-		}
-	}
-	if earliest == 0 {
-		return c.g.settings.BusyRetryAfter
+		delay = min(delay, left)
 	}
-	return roundUp(earliest, retryAfterPrecision)
+	return roundUp(delay, retryAfterPrecision)
 }
 
 // retryAfterPrecision is the precision with which callers are told a delay. Rounded up, it doesn't
--- a/gateway/pause_test.go
+++ b/gateway/pause_test.go
@@ -122,3 +122,14 @@
 	is.True(tg.serve(context.Background(), "stream").aborted)
 	is.Equal(len(tg.upstreams.sent), 1)
 }
+
+// Guards against sending a caller away for the whole of a long pause: other nodes may have none.
+func TestRetryAfterIsShortDespiteLongPauses(t *testing.T) {
+	is := is.New(t)
+	tg := newTestGateway(100, func(context.Context, *directory.Upstream, *Dispatch) (*Response, error) {
+		return refuseWithPause(time.Minute), nil
+	})
+	for range 2 {
+		is.Equal(tg.serve(context.Background(), "file").refusal.RetryAfter, tg.settings.BusyRetryAfter)
+	}
+}
