--- a/node/streams_test.go
+++ b/node/streams_test.go
@@ -61,8 +61,12 @@
 }
 
 // Resume makes testEngines an upstream.Resumer.
-func (e *testEngines) Resume(_ context.Context, _ *operatorv1.Upstream, id string, from uint64) (upstream.ChatStream, error) {
-	return &generatedStream{engine: e.Client.(*streamEngine), id: id, next: int(from)}, nil
+func (e *testEngines) Resume(ctx context.Context, to *operatorv1.Upstream, id string, from uint64) (upstream.ChatStream, error) {
+	return e.Client.(upstream.Resumer).Resume(ctx, to, id, from)
+}
+
+func (s *streamEngine) Resume(_ context.Context, _ *operatorv1.Upstream, id string, from uint64) (upstream.ChatStream, error) {
+	return &generatedStream{engine: s, id: id, next: int(from)}, nil
 }
 
 // generatedStream reads one stored stream.
