Accept a request during a drain of the embedded fleet only if it ends in time

What callers saw: a node that must end at a deadline accepted completions, calls, stream resumptions and forwarded calls of any length, and cut them. It also claimed keys and issued tickets for calls that no other node may run.

Cause: Node.Drain knew the deadline only as the end of its own wait; nothing on the path of a request asked for it.

A completion, call or resumption is accepted if its deadline lies within the window, or, while callers may still hold the node's address, if requests of its kind usually end in time. A kind of which nothing is known counts as long as its deadline, or as MaxTimeout. A key that the node doesn't hold is refused before it is claimed (it may have run elsewhere); a call whose key is held gets its answer. A call with a ticket of this node is accepted for as long as it usually ends in time, since no other node may run it; no new tickets are issued. Without a deadline the node accepts as before.

Why it works: what is accepted ends before the node, or usually does and its caller couldn't have known.

--- a/idempotency/runner.go
+++ b/idempotency/runner.go
@@ -71,6 +71,13 @@
 // submitted to the log: a graceful shutdown before that would leave the outcome unknown.
 func (r *Runner) Active() int64 { return r.activeCalls.Load() }
 
+// Holds reports whether this node owns a call or is claiming it.
+func (r *Runner) Holds(id ID) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.calls[id] != nil
+}
+
 // Do runs a call under its key, or returns its result. forward is nil if another node
 // forwarded the call to this one: two nodes that each take the other for the owner would
 // otherwise forward it back and forth.
--- a/node/drain.go
+++ b/node/drain.go
@@ -22,9 +22,11 @@
 
 // Drain stops the node gracefully: no node hands out its address any more, callers that still
 // hold it are served, running requests finish and are settled, and the shares are released.
-// It returns when all that is in the log, or when ctx is done. It may be called concurrently;
-// each call returns when the node has drained.
+// It returns when all that is in the log, or when ctx is done. If ctx has a deadline, the node
+// accepts only requests that end before it. Drain may be called concurrently; each call returns
+// when the node has drained, and the earliest deadline counts.
 func (n *Node) Drain(ctx context.Context) {
+	n.boundDrain(ctx)
 	if !n.drainStarted.CompareAndSwap(false, true) {
 		awaitClosed(ctx, n.drained)
 		return
@@ -34,11 +36,13 @@
 }
 
 func (n *Node) drain(ctx context.Context) {
-	n.fire(triggerDrain)
+	n.fire(triggerDrain, n.drainFields()...)
 	linger := n.settings.AddressLifetime + addressGrace
 	if n.members.AnnounceDrain(ctx) > 0 {
 		linger += unannouncedGrace
 	}
+	n.drainSchedule.setAddressesExpire(n.deps.Clock.Now().Add(linger))
+	n.applyDrainWindow()
 	n.pollUntil(ctx, func() bool { return false }, linger)
 	n.pollUntil(ctx, n.idle, 0)
 	if n.ledger.IsOpen(n.Incarnation()) {
@@ -47,6 +51,37 @@
 	n.fire(triggerStop)
 }
 
+// boundDrain applies the deadline of ctx, if any, to the drain.
+func (n *Node) boundDrain(ctx context.Context) {
+	deadline, bounded := ctx.Deadline()
+	now := n.deps.Clock.Now()
+	if !bounded || !n.drainSchedule.bound(now, deadline) {
+		return
+	}
+	if n.drainStarted.Load() {
+		n.events.Record(event.NodeDraining, n.drainFields()...)
+	} else {
+		n.drainSchedule.setAddressesExpire(now.Add(n.settings.AddressLifetime + addressGrace + unannouncedGrace))
+	}
+	n.applyDrainWindow()
+}
+
+// applyDrainWindow makes the node refuse requests that a drain with a deadline would cut.
+func (n *Node) applyDrainWindow() {
+	if addressesExpire, end, bounded := n.drainSchedule.window(); bounded {
+		n.requests.Drain(addressesExpire, end)
+	}
+}
+
+// drainFields says when the node will end, unless the drain has no deadline.
+func (n *Node) drainFields() []any {
+	_, end, bounded := n.drainSchedule.window()
+	if !bounded {
+		return nil
+	}
+	return []any{"left_ms", end.Sub(n.deps.Clock.Now()).Milliseconds()}
+}
+
 // idle reports whether no request is running, for this node's callers or for its peers.
 func (n *Node) idle() bool { return n.requests.InFlight() == 0 && n.holder.OpenReservations() == 0 }
 
--- a/node/drain_test.go
+++ b/node/drain_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"slices"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -10,9 +11,11 @@
 
 	"github.com/matryer/is"
 
+	fleetv1 "lavenderpin.dev/lavenderpin/api/fleet/v1"
 	operatorv1 "lavenderpin.dev/lavenderpin/api/operator/v1"
 	recordv1 "lavenderpin.dev/lavenderpin/api/record/v1"
 	"lavenderpin.dev/lavenderpin/event"
+	"lavenderpin.dev/lavenderpin/idempotency"
 	"lavenderpin.dev/lavenderpin/request"
 	"lavenderpin.dev/lavenderpin/result"
 	"lavenderpin.dev/lavenderpin/upstream"
@@ -204,6 +207,10 @@
 		}
 		is.Equal(n.count(event.RequestRefused), uint64(4))
 		is.Equal(upstreams.sends(), 1) // the first one, which the other node served
+		draining, _ := n.events.Find("")
+		is.True(slices.ContainsFunc(draining, func(e event.Event) bool {
+			return e.Number == event.NodeDraining && e.Fields["left_ms"] != ""
+		}))
 
 		is.True((<-f.chat(n, time.Second)).err == nil) // certainly end in time
 		is.True((<-f.call(n, time.Second)).err == nil)
@@ -211,6 +218,49 @@
 	})
 }
 
+// forward sends a call with a key to a node as another node would.
+func (f *testFleet) forward(n *testNode, key string) *fleetv1.Response {
+	return n.HandlePeer(f.t.Context(), &fleetv1.Request{Body: &fleetv1.Request_CallForward{CallForward: &fleetv1.CallForward{
+		Account: "a", Service: testService, Method: "POST", Path: "/order", Key: key,
+	}}})
+}
+
+// Guards against claiming keys and issuing tickets for calls that only a node can run that is
+// about to end, and against refusing a caller the answer of a call that runs there.
+func TestDrainingNodeClaimsNoKeysAndIssuesNoTickets(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f, upstreams := startDrainFleet(t)
+		n := f.nodes[1]
+		upstreams.set(10*time.Second, nil)
+		running := run(func() error {
+			if response := f.forward(n, "before"); response.GetCode() != 0 {
+				return result.New(result.Code(response.GetCode()), "%s", response.GetMessage())
+			}
+			return nil
+		})
+		ticket, _, err := n.Requests().NewTicket(streamKey)
+		is.NoErr(err)
+		time.Sleep(time.Second)
+		f.drainFor(n, drainTime)
+
+		refused := f.forward(n, "after")
+		is.Equal(result.Code(refused.GetCode()), result.Draining)
+		is.True(refused.GetCallForwarded().GetRan()) // an earlier try may have run elsewhere
+		_, claimed := n.claims.Get(idempotency.ID{Account: "a", Key: "after"})
+		is.True(!claimed)
+		_, _, err = n.Requests().NewTicket(streamKey)
+		is.Equal(result.CodeOf(err), result.Draining)
+
+		is.True((<-running).err == nil)
+		is.Equal(f.forward(n, "before").GetCode(), uint32(0)) // the answer is still there
+		call := postCall()
+		call.Key, call.Ticket = streamKey, ticket
+		_, err = n.Requests().Call(t.Context(), call)
+		is.NoErr(err) // no other node may run it, and it usually ends in time
+	})
+}
+
 // Guards against requests that end with the process, without a final answer, a settlement or a
 // log line, and against leaving the incarnation open.
 func TestOpenRequestsEndWithTheDrainingNode(t *testing.T) {
--- a/node/lifecycle.go
+++ b/node/lifecycle.go
@@ -34,8 +34,8 @@
 func newLifecycle(events *event.Recorder) *stateless.StateMachine {
 	m := stateless.NewStateMachine(StateStarting)
 	record := func(number event.Number) stateless.ActionFunc {
-		return func(context.Context, ...any) error {
-			events.Record(number)
+		return func(_ context.Context, fields ...any) error {
+			events.Record(number, fields...)
 			return nil
 		}
 	}
--- a/node/node.go
+++ b/node/node.go
@@ -72,6 +72,7 @@
 	closeStarted      atomic.Bool
 	drained           chan struct{}
 	drainStarted      atomic.Bool
+	drainSchedule     drainSchedule
 }
 
 // New assembles a node; Run starts it.
@@ -223,8 +224,9 @@
 	n.watchers.notify(r)
 }
 
-func (n *Node) fire(t trigger) {
-	if err := n.lifecycle.Fire(t); err != nil {
+// fire triggers a transition; fields are added to its event.
+func (n *Node) fire(t trigger, fields ...any) {
+	if err := n.lifecycle.Fire(t, fields...); err != nil {
 		n.events.Record(event.PanicRecovered, "why", err)
 	}
 }
--- a/request/call.go
+++ b/request/call.go
@@ -95,9 +95,24 @@
 	return &preparedCall{call: call, account: account, service: service, rule: matchRule(service, call.Method, path)}, nil
 }
 
+// kind identifies calls that usually take about as long as this one.
+func (p *preparedCall) kind() string {
+	return p.service.GetName() + " " + p.rule.GetMethod() + " " + p.rule.GetPath()
+}
+
+func (s *Server) refuseCallIfDraining(ctx context.Context, p *preparedCall) error {
+	if p.call.Ticket != "" {
+		return s.refuseTicketIfDraining(ctx, p.kind())
+	}
+	return s.refuseIfDraining(ctx, p.kind())
+}
+
 // runCall admits a call, reserves its tokens, sends it and settles it.
 func (s *Server) runCall(ctx context.Context, p *preparedCall) (upstream.CallResponse, error) {
-	account := p.account.GetName()
+	account, started := p.account.GetName(), s.Clock.Now()
+	if err := s.refuseCallIfDraining(ctx, p); err != nil {
+		return upstream.CallResponse{}, s.recordRefusal(account, err)
+	}
 	release, err := s.admit(ctx, s.newRoutingRequest(ctx, p.account, p.service))
 	if err != nil {
 		return upstream.CallResponse{}, s.recordRefusal(account, err)
@@ -116,6 +131,7 @@
 		return response, withRequestID(grant.Request().String(), err)
 	}
 	grant.Finish(p.rule.GetTokens())
+	s.durations.Record(p.kind(), s.Clock.Since(started))
 	s.Events.Record(event.RequestFinished, "request", grant.Request(), "tokens", p.rule.GetTokens())
 	return response, nil
 }
@@ -153,7 +169,7 @@
 		return upstream.CallResponse{}, err
 	}
 	id := grant.Request().String()
-	s.Events.Record(event.RequestDispatched, "request", id, "upstream", target.GetName())
+	s.recordDispatch(id, target.GetName())
 	response, err := s.Client.Call(ctx, target, upstream.CallRequest{
 		ID: id, Method: p.call.Method, Path: p.call.Path, Headers: p.call.Headers, Body: p.call.Body,
 		NoResend: !p.rule.GetIdempotent(), NotAfter: grant.NotAfter(),
--- a/request/callonce.go
+++ b/request/callonce.go
@@ -28,6 +28,9 @@
 	if s.Tickets == nil || s.Runner == nil {
 		return "", nil, result.New(result.InternalError, "this node hands out no tickets")
 	}
+	if err := s.refuseNewTicketIfDraining(); err != nil {
+		return "", nil, s.recordRefusal(account.GetName(), err)
+	}
 	ticket = s.Runner.NewTicket(account.GetName(), s.PeerAddress)
 	return s.Tickets.Sign(ticket), ticket, nil
 }
@@ -76,6 +79,9 @@
 		ID:     idempotency.ID{Account: p.account.GetName(), Key: p.call.IdempotencyKey},
 		Digest: callDigest(p.call),
 	}
+	if err := s.refuseKeyIfDraining(ctx, keyedCall.ID, p.kind()); err != nil {
+		return idempotency.Response{}, err
+	}
 	if forward == nil {
 		return s.Runner.Do(ctx, keyedCall, run, nil)
 	}
--- a/request/chat.go
+++ b/request/chat.go
@@ -48,12 +48,17 @@
 
 // runChat admits a completion, reserves its tokens, sends it and settles it.
 func (s *Server) runChat(ctx context.Context, account *operatorv1.Account, body []byte, sink Sink) error {
+	started := s.Clock.Now()
 	run, release, err := s.prepareChat(ctx, account, body, sink)
 	if err != nil {
 		return s.recordRefusal(account.GetName(), err)
 	}
 	defer release()
-	return withRequestID(run.grant.Request().String(), run.run(ctx))
+	if err := run.run(ctx); err != nil {
+		return withRequestID(run.grant.Request().String(), err)
+	}
+	s.durations.Record(run.service.GetName(), s.Clock.Since(started))
+	return nil
 }
 
 func (s *Server) prepareChat(ctx context.Context, account *operatorv1.Account, raw []byte, sink Sink) (*chatRun, func(), error) {
@@ -65,6 +70,9 @@
 	if service == nil {
 		return nil, nil, result.New(result.UnknownService, "no service has model %q", body.Model)
 	}
+	if err := s.refuseIfDraining(ctx, service.GetName()); err != nil {
+		return nil, nil, err
+	}
 	run := &chatRun{server: s, account: account, service: service, model: body.Model, sink: sink}
 	release, err := s.admitAndReserve(ctx, run, body)
 	return run, release, err
--- a/request/chatonce.go
+++ b/request/chatonce.go
@@ -53,6 +53,11 @@
 		ID:     idempotency.ID{Account: account.GetName(), Key: call.IdempotencyKey},
 		Digest: callDigest(call.asServiceCall()),
 	}
+	if service := s.chatService(call.Body); service != nil {
+		if err := s.refuseKeyIfDraining(ctx, keyedCall.ID, service.GetName()); err != nil {
+			return idempotency.Response{}, err
+		}
+	}
 	return s.Runner.Do(ctx, keyedCall, func(ctx context.Context) (idempotency.Response, error) {
 		if err := s.runChat(ctx, account, call.Body, recorded); err != nil {
 			return idempotency.Response{}, err
@@ -62,6 +67,15 @@
 	}, forward)
 }
 
+// chatService returns the service that runs a completion; nil if the body names none.
+func (s *Server) chatService(raw []byte) *operatorv1.Service {
+	body, err := parseChat(raw)
+	if err != nil {
+		return nil
+	}
+	return s.Config().ServiceByModel(body.Model)
+}
+
 // followRecording writes a recording to the sink while it grows. An answer that another try
 // recorded is written when it is complete.
 func followRecording(recorded *recording, outcome <-chan chatOutcome, sink Sink) error {
--- a/request/chatrun.go
+++ b/request/chatrun.go
@@ -136,7 +136,7 @@
 	if err := r.grant.Dispatch(ctx, target.GetName()); err != nil {
 		return err
 	}
-	r.server.Events.Record(event.RequestDispatched, "request", id, "upstream", target.GetName())
+	r.server.recordDispatch(id.String(), target.GetName())
 	r.beginAnswer(target)
 	stream, err := r.server.Client.Chat(ctx, target, upstream.ChatRequest{ID: id.String(), Body: r.body, NotAfter: r.grant.NotAfter()})
 	if err != nil {
--- /dev/null
+++ b/request/drain.go
@@ -0,0 +1,135 @@
+package request
+
+import (
+	"context"
+	"time"
+
+	"lavenderpin.dev/lavenderpin/drain"
+	"lavenderpin.dev/lavenderpin/event"
+	"lavenderpin.dev/lavenderpin/idempotency"
+	"lavenderpin.dev/lavenderpin/result"
+)
+
+// drainRetryAfter is the retry delay of a request that a draining node refuses: the caller only
+// needs to connect to another node.
+const drainRetryAfter = 100 * time.Millisecond
+
+// drainState is the state of a graceful shutdown. It is immutable.
+type drainState struct {
+	// start is the time from which the window's times are counted.
+	start time.Time
+	// window is nil if the shutdown has no deadline.
+	window *drain.Window
+	// refuseAll is set once the node accepts nothing more.
+	refuseAll bool
+}
+
+// Drain makes the server accept only requests that end before the node does. addressesExpire is
+// when callers no longer hold the node's address.
+func (s *Server) Drain(addressesExpire, end time.Time) {
+	now := s.Clock.Now()
+	s.updateDrain(func(d *drainState) {
+		d.start = now
+		d.window = &drain.Window{AddressesExpire: addressesExpire.Sub(now), End: end.Sub(now)}
+	})
+}
+
+// Refuse makes the server refuse every new request.
+func (s *Server) Refuse() { s.updateDrain(func(d *drainState) { d.refuseAll = true }) }
+
+func (s *Server) updateDrain(change func(*drainState)) {
+	for {
+		old := s.drainState.Load()
+		updated := drainState{}
+		if old != nil {
+			updated = *old
+		}
+		change(&updated)
+		if s.drainState.CompareAndSwap(old, &updated) {
+			return
+		}
+	}
+}
+
+func drainRefusal() *result.Error {
+	return result.New(result.Draining, "this node is leaving").WithRetryAfter(drainRetryAfter)
+}
+
+// refuseIfDraining refuses a request of a kind that may outlast the node. The request ends at
+// the deadline of ctx, if it has one.
+func (s *Server) refuseIfDraining(ctx context.Context, kind string) error {
+	return s.refuseUnless(ctx, kind, drain.Window.Accepts)
+}
+
+// refuseTicketIfDraining is refuseIfDraining for a call with a ticket. As no other node may run
+// it, it is accepted for as long as it usually ends in time.
+func (s *Server) refuseTicketIfDraining(ctx context.Context, kind string) error {
+	return s.refuseUnless(ctx, kind, func(w drain.Window, now, limit, usual time.Duration) bool {
+		return usual <= w.Left(now)
+	})
+}
+
+func (s *Server) refuseUnless(ctx context.Context, kind string, accepts func(w drain.Window, now, limit, usual time.Duration) bool) error {
+	d := s.drainState.Load()
+	switch {
+	case d == nil:
+		return nil
+	case d.refuseAll:
+		return drainRefusal()
+	case d.window == nil:
+		return nil
+	}
+	limit, usual := time.Duration(0), MaxTimeout
+	if deadline, limited := ctx.Deadline(); limited {
+		limit = deadline.Sub(s.Clock.Now())
+		usual = limit
+	}
+	if known, found := s.durations.Usual(kind); found {
+		usual = known
+	}
+	if accepts(*d.window, s.Clock.Since(d.start), limit, usual) {
+		return nil
+	}
+	return drainRefusal()
+}
+
+// refuseKeyIfDraining refuses a request with an idempotency key that this node doesn't hold yet,
+// before the key is claimed. Such a request runs on when its caller leaves, so it has no limit.
+// An earlier try with the key may have run elsewhere.
+func (s *Server) refuseKeyIfDraining(ctx context.Context, id idempotency.ID, kind string) error {
+	if s.drainState.Load() == nil || s.Runner.Holds(id) {
+		return nil
+	}
+	if err := s.refuseIfDraining(context.WithoutCancel(ctx), kind); err != nil {
+		return s.recordRefusal(id.Account, result.From(err).WithMayHaveRun())
+	}
+	return nil
+}
+
+// refuseNewTicketIfDraining refuses to issue a ticket that may outlast the only node that may
+// run its call.
+func (s *Server) refuseNewTicketIfDraining() error {
+	if d := s.drainState.Load(); d != nil && (d.refuseAll || d.window != nil) {
+		return drainRefusal()
+	}
+	return nil
+}
+
+// drainLeft returns the time until a draining node ends open requests.
+func (s *Server) drainLeft() (left time.Duration, draining bool) {
+	d := s.drainState.Load()
+	if d == nil || d.window == nil {
+		return 0, false
+	}
+	return d.window.Left(s.Clock.Since(d.start)), true
+}
+
+// recordDispatch records that a request was sent and, while the node drains, how much time the
+// node has left.
+func (s *Server) recordDispatch(request, upstream string) {
+	fields := []any{"request", request, "upstream", upstream}
+	if left, draining := s.drainLeft(); draining {
+		fields = append(fields, "drain_left_ms", left.Milliseconds())
+	}
+	s.Events.Record(event.RequestDispatched, fields...)
+}
--- a/request/resume.go
+++ b/request/resume.go
@@ -54,6 +54,9 @@
 	if err != nil {
 		return s.recordRefusal(account.GetName(), err)
 	}
+	if err := s.refuseIfDraining(ctx, cursor.GetService()); err != nil {
+		return s.recordRefusal(account.GetName(), result.From(err).WithMayHaveRun())
+	}
 	s.notifyStreamMoved(ctx, cursor)
 	err = run.run(ctx)
 	if err != nil && ctx.Err() != nil {
--- a/request/server.go
+++ b/request/server.go
@@ -10,6 +10,7 @@
 	operatorv1 "lavenderpin.dev/lavenderpin/api/operator/v1"
 	"lavenderpin.dev/lavenderpin/budget"
 	"lavenderpin.dev/lavenderpin/config"
+	"lavenderpin.dev/lavenderpin/drain"
 	"lavenderpin.dev/lavenderpin/event"
 	"lavenderpin.dev/lavenderpin/idempotency"
 	"lavenderpin.dev/lavenderpin/result"
@@ -55,6 +56,10 @@
 	inFlight     atomic.Int64
 	refusals     atomic.Uint64
 	contradicted contradictedLimits
+	// drainState is nil unless the node drains.
+	drainState atomic.Pointer[drainState]
+	// durations tracks how long the requests of each kind take.
+	durations drain.Durations
 	// streams holds the running completions by request id.
 	streams sync.Map
 }
