Refuse requests as Draining while a drained node closes its incarnation

What callers saw: between the last check for open requests and the end of the node, requests were accepted: completions and calls failed with SpendRightLapsed and Retry-After 5 s, stream resumptions were served and cut with the process.

Cause: a draining node accepted requests until it had stopped, although it gives up its right to spend before it closes its incarnation, which waits for the log.

Evidence: go test -race -count=1 ./node -run TestRequestDuringTheClose on the code before: drain_test.go:256, SpendRightLapsed != Draining.

Change: once idle, the node refuses every new request with Draining, which is true as 'not run' and sends the caller to another node, and checks again that it is idle; the same after it gave up its right, for tokens that a peer reserved in between.

Why it works: a request is counted as in flight before it is checked, so either the check refuses it or the node waits for it.

--- a/node/drain.go
+++ b/node/drain.go
@@ -45,6 +45,8 @@
 	n.applyDrainWindow()
 	n.pollUntil(ctx, func() bool { return false }, linger)
 	n.pollUntil(ctx, n.idle, 0)
+	n.requests.Refuse()
+	n.pollUntil(ctx, n.idle, 0) // a request may have arrived just before
 	if n.ledger.IsOpen(n.Incarnation()) {
 		n.closeIncarnation(ctx)
 	}
@@ -139,6 +141,7 @@
 func (n *Node) closeIncarnation(ctx context.Context) {
 	n.leases.ReleaseAll()
 	n.holder.RevokeRight()
+	n.pollUntil(ctx, n.idle, 0) // a peer may have reserved tokens just before
 	if !n.flushAll(ctx) {
 		return
 	}
