End open requests of the embedded fleet before the node's drain is over

What callers saw: a request that was still open when the drain's time was over ended with the process: no final answer, no settlement, no log line. The node left its incarnation open, so others had to find out that it was gone.

Cause: a drain waited for its requests until its context ended, and then had no time left for anything.

Change: 5 s before the deadline, or with a quarter of a shorter drain left, the node cancels the contexts of all open requests with a cause. One that no upstream may have run gets Draining as 'not run'; a completion or idempotent call that may have run gets Draining without that claim; any other call OutcomeUnknown. They are settled and logged as failed: a cut answer isn't billed. The engine is canceled before the request counts as ended, so the process doesn't end first. 2 s before the deadline (an eighth of a shorter drain) the incarnation is closed.

A resumed stream ends with event 418 and its engine goes on, as the caller can read on elsewhere; so does a stream that its caller reads through another node. If a reservation is open at the close, a moved stream or tokens lent to a peer, the incarnation isn't closed, so that others bill it as after a crash; event 104 says how many are open.

Why it works: every request registers its cancellation before it is checked against the drain, and one that registers late sees that the node has ended.

--- a/event/request.go
+++ b/event/request.go
@@ -23,6 +23,7 @@
 	RetryDenied       Number = 415
 	AnswerRerun       Number = 416
 	RequestEnded      Number = 417
+	StreamLeft        Number = 418
 )
 
 var requestKinds = map[Number]Kind{
@@ -39,6 +40,7 @@
 	CallForwarded:     {"CallForwarded", "A call was forwarded to the node that owns its key or ticket."},
 	StreamResumed:     {"StreamResumed", "A caller resumed on this node a stream that another node began."},
 	StreamMoved:       {"StreamMoved", "The caller of a stream resumed it on another node; this one still settles it."},
+	StreamLeft:        {"StreamLeft", "This node ended while a caller read a resumed stream; the caller can read on through another node."},
 	AttemptRetried:    {"AttemptRetried", "A request is retried on another upstream."},
 	RetryDenied:       {"RetryDenied", "A request is not retried: the node's retry budget is exhausted."},
 	RequestEnded:      {"RequestEnded", "A request ended; outcome tells how, and used what its account is billed."},
--- a/node/drain.go
+++ b/node/drain.go
@@ -23,7 +23,7 @@
 // Drain stops the node gracefully: no node hands out its address any more, callers that still
 // hold it are served, running requests finish and are settled, and the shares are released.
 // It returns when all that is in the log, or when ctx is done. If ctx has a deadline, the node
-// accepts only requests that end before it. Drain may be called concurrently; each call returns
+// accepts only requests that end before it, and ends those that are open shortly before. Drain may be called concurrently; each call returns
 // when the node has drained, and the earliest deadline counts.
 func (n *Node) Drain(ctx context.Context) {
 	n.boundDrain(ctx)
@@ -43,14 +43,26 @@
 	}
 	n.drainSchedule.setAddressesExpire(n.deps.Clock.Now().Add(linger))
 	n.applyDrainWindow()
-	n.pollUntil(ctx, func() bool { return false }, linger)
-	n.pollUntil(ctx, n.idle, 0)
+	n.pollUntil(ctx, n.endDue, linger)
+	n.pollUntil(ctx, n.idleOrEndDue, 0)
 	n.requests.Refuse()
-	n.pollUntil(ctx, n.idle, 0) // a request may have arrived just before
+	n.pollUntil(ctx, n.idleOrEndDue, 0) // a request may have arrived just before
+	if n.endDue() && !n.idle() {
+		n.requests.End()
+		n.pollUntil(ctx, n.idleOrClosingDue, 0)
+	}
 	if n.ledger.IsOpen(n.Incarnation()) {
 		n.closeIncarnation(ctx)
 	}
-	n.fire(triggerStop)
+	n.fire(triggerStop, "open", n.holder.OpenReservations())
+}
+
+func (n *Node) endDue() bool { return n.drainSchedule.endDue(n.deps.Clock.Now()) }
+
+func (n *Node) idleOrEndDue() bool { return n.idle() || n.endDue() }
+
+func (n *Node) idleOrClosingDue() bool {
+	return n.idle() || n.drainSchedule.closingDue(n.deps.Clock.Now())
 }
 
 // boundDrain applies the deadline of ctx, if any, to the drain.
@@ -141,11 +153,14 @@
 func (n *Node) closeIncarnation(ctx context.Context) {
 	n.leases.ReleaseAll()
 	n.holder.RevokeRight()
-	n.pollUntil(ctx, n.idle, 0) // a peer may have reserved tokens just before
+	n.pollUntil(ctx, n.idleOrClosingDue, 0) // a peer may have reserved tokens just before
 	if !n.flushAll(ctx) {
 		return
 	}
 	_ = n.handOverWitnessed(ctx)
+	if n.holder.OpenReservations() > 0 {
+		return // others bill what is still open; the close would release it unbilled
+	}
 	_, _ = n.writer.Submit(&recordv1.Entry{Body: &recordv1.Entry_Close{Close: &recordv1.IncarnationClose{
 		Incarnation: n.Incarnation(), Reason: "stopped",
 	}}}).Wait(ctx)
--- a/node/drain_test.go
+++ b/node/drain_test.go
@@ -184,13 +184,14 @@
 
 func (n *testNode) count(number event.Number) uint64 { return n.events.Counts()[number.Kind().Name] }
 
-// checkDraining asserts that a request was refused because the node drains.
-func checkDraining(is *is.I, ended <-chan outcome) {
+// checkDraining asserts that a request was refused or ended because the node drains.
+func checkDraining(is *is.I, ended <-chan outcome) *result.Error {
 	is.Helper()
 	refused := (<-ended).err
 	is.True(refused != nil)
 	is.Equal(refused.Code, result.Draining)
 	is.True(refused.RetryAfter > 0)
+	return refused
 }
 
 // Guards against accepting requests that a draining node will cut.
@@ -276,9 +277,7 @@
 		drained := f.drainFor(n, drainTime)
 		<-drained
 		is.True(time.Since(started) < drainTime)
-		cut := <-chat
-		is.Equal(cut.err.Code, result.Draining)
-		is.True(!cut.err.NotRun())
+		is.True(!checkDraining(is, chat).NotRun())
 		lost := <-call
 		is.Equal(lost.err.Code, result.OutcomeUnknown)
 		is.Equal(n.count(event.RequestFailed), uint64(2))
@@ -289,6 +288,86 @@
 	})
 }
 
+// Guards against a drain without a deadline that goes on when the process has to end.
+func TestDeadlineAppliesToDrainInProgress(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f, upstreams := startDrainFleet(t)
+		upstreams.set(slowAnswer, nil)
+		n := f.nodes[1]
+		go n.Drain(t.Context())
+		time.Sleep(time.Second)
+		chat := f.chat(n, 0) // accepted, as the drain has no deadline
+		time.Sleep(time.Second)
+		drained := f.drainFor(n, drainTime)
+		checkDraining(is, f.chat(n, 0))
+		<-drained
+		checkDraining(is, chat)
+		is.Equal(n.State(), StateStopped)
+		is.Equal(n.count(event.NodeDraining), uint64(2)) // the second one says when the node ends
+	})
+}
+
+// firstCursor is a caller that passes on the cursor of the first chunk.
+type firstCursor struct {
+	*streamCaller
+	cursor chan string
+}
+
+func (c firstCursor) Chunk(cursor string, _ upstream.Chunk) error {
+	select {
+	case c.cursor <- cursor:
+	default:
+	}
+	return nil
+}
+
+// Guards against canceling a stream whose caller reads it through another node, and against
+// billing it twice or not at all.
+func TestMovedStreamOutlastsDrainingNode(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f, upstreams := startDrainFleet(t)
+		upstreams.set(slowAnswer, nil)
+		n := f.nodes[1]
+		caller := firstCursor{newStreamCaller(-1), make(chan string, 1)}
+		go func() {
+			_ = n.Requests().Chat(t.Context(), request.ChatCall{Key: streamKey, Body: []byte(chatBody)}, caller)
+		}()
+		moved := f.resume(f.nodes[0], <-caller.cursor)
+		time.Sleep(time.Second)
+		<-f.drainFor(n, drainTime)
+		is.Equal(n.State(), StateStopped)
+		f.crash(1)
+		f.engines.mu.Lock()
+		is.Equal(len(f.engines.cancelled), 0)
+		f.engines.mu.Unlock()
+		is.True((<-moved).err == nil)
+		f.awaitBilled(0)
+	})
+}
+
+// Guards against canceling the engine of a resumed stream when the node that resumed it ends:
+// its caller can read on through another node.
+func TestResumedStreamEndsWithDrainingNode(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f, upstreams := startDrainFleet(t)
+		caller := newStreamCaller(-1)
+		is.NoErr(f.nodes[0].Requests().Chat(t.Context(), request.ChatCall{Key: streamKey, Body: []byte(chatBody)}, caller))
+		upstreams.set(slowAnswer, nil)
+		n := f.nodes[1]
+		resumed := f.resume(n, caller.cursors[0])
+		time.Sleep(time.Second)
+		<-f.drainFor(n, drainTime)
+		is.True(!checkDraining(is, resumed).NotRun())
+		is.Equal(n.count(event.StreamLeft), uint64(1))
+		f.engines.mu.Lock()
+		defer f.engines.mu.Unlock()
+		is.Equal(len(f.engines.cancelled), 0)
+	})
+}
+
 // Guards against accepting requests between the last check for open ones and the end of the
 // node.
 func TestRequestDuringTheCloseIsRefusedAsDraining(t *testing.T) {
--- a/node/drainschedule.go
+++ b/node/drainschedule.go
@@ -46,6 +46,20 @@
 	s.addressesExpire = at
 }
 
+// endDue reports whether requests that are still open are to be ended.
+func (s *drainSchedule) endDue(now time.Time) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return !s.deadline.IsZero() && !now.Before(s.end)
+}
+
+// closingDue reports whether the incarnation is to be closed, whatever is still open.
+func (s *drainSchedule) closingDue(now time.Time) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return !s.deadline.IsZero() && !now.Before(s.closing)
+}
+
 // window returns when callers no longer hold the address and when open requests are ended; false
 // if the drain has no deadline.
 func (s *drainSchedule) window() (addressesExpire, end time.Time, bounded bool) {
--- a/request/admission.go
+++ b/request/admission.go
@@ -20,6 +20,9 @@
 		return func() {}, nil
 	}
 	release, err = s.Admission.Admit(ctx, params)
+	if err != nil && nodeEnds(ctx) {
+		return nil, drainRefusal() // nothing was sent
+	}
 	if err != nil && ctx.Err() != nil {
 		return nil, contextError(ctx)
 	}
--- a/request/call.go
+++ b/request/call.go
@@ -126,6 +126,9 @@
 	defer grant.Finish(0)
 	response, err := s.callAttempts(ctx, grant, p)
 	if err != nil {
+		if nodeEnds(ctx) && result.From(err).NotRun() {
+			err = drainRefusal()
+		}
 		grant.Finish(0)
 		s.Events.Record(event.RequestFailed, "request", grant.Request(), "code", uint32(result.CodeOf(err)), "why", err)
 		return response, withRequestID(grant.Request().String(), err)
@@ -177,6 +180,8 @@
 	switch {
 	case err == nil || rejectedBeforeExecution(err):
 		return response, err
+	case !p.rule.GetIdempotent() && nodeEnds(ctx):
+		return response, result.New(result.OutcomeUnknown, "%v", errNodeEnds)
 	case !p.rule.GetIdempotent():
 		// The call may have run. A caller that took this for a refusal would submit the
 		// work order again.
--- a/request/callonce.go
+++ b/request/callonce.go
@@ -44,6 +44,8 @@
 		return upstream.CallResponse{}, s.recordRefusal(p.account.GetName(), err)
 	}
 	run := func(ctx context.Context) (idempotency.Response, error) {
+		ctx, done := s.untilNodeEnds(ctx)
+		defer done()
 		response, err := s.runCall(ctx, p)
 		return idempotency.Response(response), err
 	}
@@ -136,6 +138,8 @@
 func (s *Server) HandleForwarded(ctx context.Context, f *fleetv1.CallForward) (upstream.CallResponse, error) {
 	s.inFlight.Add(1)
 	defer s.inFlight.Add(-1)
+	ctx, done := s.untilNodeEnds(ctx)
+	defer done()
 	view := s.Config()
 	account := view.Account(f.GetAccount())
 	if account == nil {
--- a/request/chatonce.go
+++ b/request/chatonce.go
@@ -59,6 +59,8 @@
 		}
 	}
 	return s.Runner.Do(ctx, keyedCall, func(ctx context.Context) (idempotency.Response, error) {
+		ctx, done := s.untilNodeEnds(ctx)
+		defer done()
 		if err := s.runChat(ctx, account, call.Body, recorded); err != nil {
 			return idempotency.Response{}, err
 		}
--- a/request/chatrun.go
+++ b/request/chatrun.go
@@ -31,7 +31,9 @@
 	caller   callerTracker
 
 	started bool
-	usage   upstream.Usage
+	// mayHaveRun is set once an engine may have run the completion.
+	mayHaveRun bool
+	usage      upstream.Usage
 	// prompt is the routing input of the request.
 	prompt routing.Request
 	pick   routing.PickResult
@@ -69,6 +71,9 @@
 	err := r.attempts(ctx)
 	if err != nil && ctx.Err() != nil {
 		err = contextError(callerCtx)
+		if nodeEnds(callerCtx) && !r.mayHaveRun {
+			err = drainRefusal()
+		}
 	}
 	settled = true
 	r.settle(err)
@@ -139,6 +144,7 @@
 	r.server.recordDispatch(id.String(), target.GetName())
 	r.beginAnswer(target)
 	stream, err := r.server.Client.Chat(ctx, target, upstream.ChatRequest{ID: id.String(), Body: r.body, NotAfter: r.grant.NotAfter()})
+	r.mayHaveRun = r.mayHaveRun || err == nil || !result.From(err).NotRun()
 	if err != nil {
 		return err
 	}
@@ -300,11 +306,15 @@
 		r.checkTokenBound(used)
 		r.server.Events.Record(event.CallerLeft, "request", id, "tokens", tokens)
 	default:
-		if r.target != nil {
-			go r.cancel(r.target)
-		}
 		r.grant.Finish(0)
 		r.server.Events.Record(event.RequestFailed, "request", id, "code", uint32(result.CodeOf(err)), "why", err)
+		switch {
+		case r.target == nil:
+		case result.CodeOf(err) == result.Draining:
+			r.cancel(r.target) // a goroutine might not run before the process ends
+		default:
+			go r.cancel(r.target)
+		}
 	}
 }
 
--- a/request/drain.go
+++ b/request/drain.go
@@ -4,12 +4,18 @@
 	"context"
 	"time"
 
+	"github.com/juju/errors"
+
 	"lavenderpin.dev/lavenderpin/drain"
 	"lavenderpin.dev/lavenderpin/event"
 	"lavenderpin.dev/lavenderpin/idempotency"
 	"lavenderpin.dev/lavenderpin/result"
 )
 
+// errNodeEnds is the cause with which the contexts of requests are canceled that are still open
+// when the node ends.
+var errNodeEnds = errors.New("the node ends")
+
 // drainRetryAfter is the retry delay of a request that a draining node refuses: the caller only
 // needs to connect to another node.
 const drainRetryAfter = 100 * time.Millisecond
@@ -37,6 +43,17 @@
 // Refuse makes the server refuse every new request.
 func (s *Server) Refuse() { s.updateDrain(func(d *drainState) { d.refuseAll = true }) }
 
+// End refuses new requests and ends those that are open. A stream whose caller reads on through
+// another node is left to the node that recovers this one's requests.
+func (s *Server) End() {
+	s.Refuse()
+	s.ended.Store(true)
+	s.open.Range(func(key, _ any) bool {
+		key.(*openRequest).cancel(errNodeEnds)
+		return true
+	})
+}
+
 func (s *Server) updateDrain(change func(*drainState)) {
 	for {
 		old := s.drainState.Load()
@@ -55,6 +72,11 @@
 	return result.New(result.Draining, "this node is leaving").WithRetryAfter(drainRetryAfter)
 }
 
+// nodeEndsError returns the error of a request that may have run when the node ended.
+func nodeEndsError() *result.Error {
+	return result.New(result.Draining, "%v", errNodeEnds).WithRetryAfter(drainRetryAfter).WithMayHaveRun()
+}
+
 // refuseIfDraining refuses a request of a kind that may outlast the node. The request ends at
 // the deadline of ctx, if it has one.
 func (s *Server) refuseIfDraining(ctx context.Context, kind string) error {
--- a/request/resume.go
+++ b/request/resume.go
@@ -41,6 +41,8 @@
 func (s *Server) ResumeChat(ctx context.Context, call ResumeCall, sink Sink) error {
 	s.inFlight.Add(1)
 	defer s.inFlight.Add(-1)
+	ctx, done := s.untilNodeEnds(ctx)
+	defer done()
 	view := s.Config()
 	account, err := s.authenticate(view, call.Key)
 	if err != nil {
@@ -59,6 +61,12 @@
 	}
 	s.notifyStreamMoved(ctx, cursor)
 	err = run.run(ctx)
+	if err != nil && nodeEnds(ctx) {
+		// The caller can read on through another node, so the engine isn't canceled.
+		err = nodeEndsError()
+		s.Events.Record(event.StreamLeft, "request", cursor.GetRequest(), "position", run.position, "why", err)
+		return err
+	}
 	if err != nil && ctx.Err() != nil {
 		run.cancel()
 		return contextError(ctx)
--- a/request/server.go
+++ b/request/server.go
@@ -60,6 +60,9 @@
 	drainState atomic.Pointer[drainState]
 	// durations tracks how long the requests of each kind take.
 	durations drain.Durations
+	// open holds the *openRequest of each request; ended is set when the node ends.
+	open  sync.Map
+	ended atomic.Bool
 	// streams holds the running completions by request id.
 	streams sync.Map
 }
--- a/request/timeout.go
+++ b/request/timeout.go
@@ -13,16 +13,24 @@
 // MaxTimeout is the longest timeout that a caller can request.
 const MaxTimeout = time.Hour
 
-// withTimeout applies a caller's timeout; 0 for none.
+// withTimeout applies a caller's timeout, 0 for none, and the end of the node.
 func (s *Server) withTimeout(ctx context.Context, timeout time.Duration) (context.Context, context.CancelFunc) {
+	ctx, done := s.untilNodeEnds(ctx)
 	if timeout <= 0 {
-		return context.WithCancel(ctx)
+		return ctx, done
+	}
+	ctx, cancel := clockwork.WithTimeout(ctx, s.Clock, min(timeout, MaxTimeout))
+	return ctx, func() {
+		cancel()
+		done()
 	}
-	return clockwork.WithTimeout(ctx, s.Clock, min(timeout, MaxTimeout))
 }
 
 // contextError returns the reason why a request's context ended.
 func contextError(ctx context.Context) error {
+	if nodeEnds(ctx) {
+		return nodeEndsError()
+	}
 	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
 		return result.New(result.DeadlineExceeded, "the request's deadline passed")
 	}
