Don't retry a request that the end of a draining node would cut

What callers saw: a request whose first attempt failed late in a drain was sent to another upstream and cut there, so that it counted as one that may have run.

Cause: a retry asked only for the retry budget, not for the time left.

Evidence: go test -race -count=1 ./node -run TestNoRetryThatDrainingNodeWouldCut on the code before: drain_test.go:390, 3 != 2 (sends). It passes now.

Change: while the node drains with a deadline, a request is retried only if its own deadline lies before the end of open requests or requests of its kind usually take less time than is left.

Why it works: the caller can send the request to another node, which has time. TestDrainingNodeRetriesRequestsThatEndInTime holds that a request with a short deadline is still retried.

--- a/event/request.go
+++ b/event/request.go
@@ -42,7 +42,7 @@
 	StreamMoved:       {"StreamMoved", "The caller of a stream resumed it on another node; this one still settles it."},
 	StreamLeft:        {"StreamLeft", "This node ended while a caller read a resumed stream; the caller can read on through another node."},
 	AttemptRetried:    {"AttemptRetried", "A request is retried on another upstream."},
-	RetryDenied:       {"RetryDenied", "A request is not retried: the node's retry budget is exhausted."},
+	RetryDenied:       {"RetryDenied", "A request is not retried: the node's retry budget is exhausted, or the node ends too soon."},
 	RequestEnded:      {"RequestEnded", "A request ended; outcome tells how, and used what its account is billed."},
 	AnswerRerun:       {"AnswerRerun", "An engine was lost during a response; another one repeats the response from the start."},
 }
--- a/node/drain_test.go
+++ b/node/drain_test.go
@@ -368,6 +368,56 @@
 	})
 }
 
+func (f *testFleet) declareSecondEngine() {
+	second := &operatorv1.Upstream{Name: "engine-2", Service: "chat", Address: "127.0.0.1:4"}
+	f.append(&recordv1.Entry{Body: &recordv1.Entry_Config{Config: &recordv1.ConfigChange{ChangeId: "second", Changes: []*operatorv1.Change{
+		{AnyVersion: true, Resource: &operatorv1.Resource{Kind: &operatorv1.Resource_Upstream{Upstream: second}}}}}}})
+	time.Sleep(time.Second)
+}
+
+// Guards against repeating a request on another upstream when too little of the drain is left.
+func TestNoRetryThatDrainingNodeWouldCut(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f, upstreams := startDrainFleet(t)
+		f.declareSecondEngine()
+		n := f.nodes[1]
+		upstreams.set(10*time.Second, nil)
+		is.True((<-f.chat(n, 0)).err == nil) // such requests take 10 s
+		upstreams.set(drainTime*2/3, result.New(result.NoUpstream, "unreachable"))
+		ended := f.chat(n, 0)
+		time.Sleep(time.Second)
+		<-f.drainFor(n, drainTime)
+		failed := (<-ended).err
+		is.True(failed != nil)
+		is.True(failed.NotRun())
+		is.Equal(upstreams.sends(), 2)
+		is.Equal(n.count(event.RetryDenied), uint64(1))
+	})
+}
+
+// Guards against giving up a request that its own deadline ends before the node.
+func TestDrainingNodeRetriesRequestsThatEndInTime(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f, upstreams := startDrainFleet(t)
+		f.declareSecondEngine()
+		n := f.nodes[1]
+		upstreams.set(10*time.Second, nil)
+		is.True((<-f.chat(n, 0)).err == nil) // such requests take 10 s
+		hold := f.call(n, 0)                 // keeps the node from closing
+		time.Sleep(time.Second)
+		upstreams.set(0, result.New(result.NoUpstream, "unreachable"))
+		f.drainFor(n, 15*time.Second)
+		time.Sleep(5 * time.Second) // less than 10 s are left
+		before := upstreams.sends()
+		is.True((<-f.chat(n, time.Second)).err != nil)
+		is.True(upstreams.sends() > before+1)
+		is.Equal(n.count(event.RetryDenied), uint64(0))
+		is.True((<-hold).err == nil)
+	})
+}
+
 // Guards against accepting requests between the last check for open ones and the end of the
 // node.
 func TestRequestDuringTheCloseIsRefusedAsDraining(t *testing.T) {
--- a/request/call.go
+++ b/request/call.go
@@ -145,7 +145,7 @@
 	retryBackoff := newRetryBackoff()
 	var last error
 	for n := range maxAttempts {
-		if n > 0 && !s.acquireRetry(ctx, grant.Request().String(), retryBackoff) {
+		if n > 0 && !s.acquireRetry(ctx, grant.Request().String(), p.kind(), params.Deadline, retryBackoff) {
 			break
 		}
 		pick, err := s.Picker.Pick(params, s.candidateUpstreams(p.service.GetName()))
--- a/request/chatrun.go
+++ b/request/chatrun.go
@@ -98,7 +98,7 @@
 	retryBackoff := newRetryBackoff()
 	var last error
 	for n := range maxAttempts {
-		if n > 0 && !r.server.acquireRetry(ctx, r.grant.Request().String(), retryBackoff) {
+		if n > 0 && !r.server.acquireRetry(ctx, r.grant.Request().String(), r.service.GetName(), r.prompt.Deadline, retryBackoff) {
 			return last
 		}
 		pick, err := r.server.Picker.Pick(r.routingRequest(tried), r.server.candidateUpstreams(r.service.GetName()))
--- a/request/drain.go
+++ b/request/drain.go
@@ -137,6 +137,16 @@
 	return nil
 }
 
+// mayOutlast reports whether a request of a kind that is sent now usually takes longer than the
+// node has left and doesn't end earlier at its deadline, which is zero if there is none.
+func (s *Server) mayOutlast(kind string, deadline time.Time, left time.Duration) bool {
+	if !deadline.IsZero() && deadline.Sub(s.Clock.Now()) <= left {
+		return false
+	}
+	usual, _ := s.durations.Usual(kind)
+	return usual >= left
+}
+
 // drainLeft returns the time until a draining node ends open requests.
 func (s *Server) drainLeft() (left time.Duration, draining bool) {
 	d := s.drainState.Load()
--- a/request/retry.go
+++ b/request/retry.go
@@ -42,11 +42,16 @@
 }
 
 // acquireRetry takes a retry from the node's retry budget and waits for the backoff delay.
-// It returns false if the request must not be sent again.
-func (s *Server) acquireRetry(ctx context.Context, request string, retryBackoff *backoff.ExponentialBackOff) bool {
+// It returns false if the request, which is of a kind and may have a deadline, must not be sent
+// again.
+func (s *Server) acquireRetry(ctx context.Context, request, kind string, deadline time.Time, retryBackoff *backoff.ExponentialBackOff) bool {
 	if ctx.Err() != nil {
 		return false
 	}
+	if left, draining := s.drainLeft(); draining && s.mayOutlast(kind, deadline, left) {
+		s.Events.Record(event.RetryDenied, "request", request, "drain_left_ms", left.Milliseconds())
+		return false
+	}
 	if s.Retries != nil && !s.Retries.TryRetry() {
 		s.Events.Record(event.RetryDenied, "request", request)
 		return false
