End a node's process although an operator watches its configuration

What operators saw: a node that was asked to stop never ended, as long as one of them had a watch open, for example in lavenderctl.

Cause: grpc.Server.GracefulStop waits for every stream, and a watch ends only with its client.

Evidence: go test -race -timeout 60s ./daemon on the code before: 'panic: test timed out after 1m0s' in devfleet.(*Fleet).Stop.

Change: operators' requests get 1 s, at most until the deadline of the drain, and are then ended.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -30,6 +30,9 @@
 // incarnationPollInterval is how long after an incarnation's end the next one is looked up.
 const incarnationPollInterval = 50 * time.Millisecond
 
+// operatorStopTimeout is how long operators' open requests may go on once the node has stopped.
+const operatorStopTimeout = time.Second
+
 // Config is what a daemon needs in addition to the node's settings.
 type Config struct {
 	Settings  node.Settings
@@ -199,10 +202,19 @@
 	defer cancel()
 	d.Node().Drain(ctx)
 	_ = d.http.Shutdown(ctx)
-	d.grpc.GracefulStop()
+	d.stopOperators(ctx)
 	_ = d.peers.Close()
 	d.upstreams.Close()
 	if d.admin != nil {
 		_ = d.admin.Close()
 	}
 }
+
+// stopOperators waits for operators' open requests to end, then ends them: a watch doesn't end by
+// itself.
+func (d *Daemon) stopOperators(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, operatorStopTimeout)
+	defer cancel()
+	defer context.AfterFunc(ctx, d.grpc.Stop)()
+	d.grpc.GracefulStop()
+}
