Record the refusals of a node that accepts no requests

What callers saw: a node that was starting, closed or stopped refused requests without a line, and without an id to look the refusal up. One that tried to resume a stream was told 'not run', although the stream's request may run on elsewhere.

Cause: the HTTP API answered from Node.Serving without recording anything.

Evidence: go test -race -count=1 ./httpapi -run TestRefusalsOfANode on the code before: server_test.go:330, not true: got.header.Get("X-Request-Id") != "". It passes now.

--- a/httpapi/server.go
+++ b/httpapi/server.go
@@ -104,10 +104,7 @@
 		return
 	}
 	key := string(c.GetHeader(headerIdempotencyKey))
-	if err := s.node().Serving(); err != nil {
-		if key != "" {
-			err = result.From(err).WithMayHaveRun() // an earlier try may have run elsewhere
-		}
+	if err := s.refusal(key != ""); err != nil {
 		writeError(c, err)
 		return
 	}
@@ -128,7 +125,7 @@
 
 // resume continues a stream after the last event id that the caller got.
 func (s *Server) resume(ctx context.Context, c *app.RequestContext) {
-	if err := s.node().Serving(); err != nil {
+	if err := s.refusal(true); err != nil {
 		writeError(c, err)
 		return
 	}
@@ -143,10 +140,7 @@
 		writeError(c, err)
 		return
 	}
-	if err := s.node().Serving(); err != nil {
-		if call.IdempotencyKey != "" || call.Ticket != "" {
-			err = result.From(err).WithMayHaveRun() // an earlier try may have run elsewhere
-		}
+	if err := s.refusal(call.IdempotencyKey != "" || call.Ticket != ""); err != nil {
 		writeError(c, err)
 		return
 	}
@@ -158,6 +152,20 @@
 	c.Data(answer.Status, answer.ContentType, answer.Body)
 }
 
+// refusal returns the recorded refusal of a node that accepts no requests; nil if it does.
+// mayHaveRun says that the request may have run elsewhere, by an earlier try.
+func (s *Server) refusal(mayHaveRun bool) error {
+	n := s.node()
+	err := n.Serving()
+	if err == nil {
+		return nil
+	}
+	if mayHaveRun {
+		err = result.From(err).WithMayHaveRun()
+	}
+	return n.Requests().RecordRefusal(err)
+}
+
 func bearerToken(c *app.RequestContext) string {
 	key, found := strings.CutPrefix(string(c.GetHeader("Authorization")), "Bearer ")
 	if !found {
--- a/httpapi/server_test.go
+++ b/httpapi/server_test.go
@@ -17,6 +17,8 @@
 	"github.com/matryer/is"
 
 	"lavenderpin.dev/lavenderpin/devfleet"
+	"lavenderpin.dev/lavenderpin/event"
+	"lavenderpin.dev/lavenderpin/httpapi"
 	"lavenderpin.dev/lavenderpin/internal/standin"
 	"lavenderpin.dev/lavenderpin/request"
 	"lavenderpin.dev/lavenderpin/result"
@@ -291,3 +293,41 @@
 	}
 	is.Equal(fleet.Daemons[0].Node().Ledger().Budget("dev-budget").Spent, uint64(40))
 }
+
+// refusingNode accepts no requests.
+type refusingNode struct{ httpapi.Node }
+
+func (refusingNode) Serving() error { return result.New(result.Draining, "leaving") }
+
+func TestRefusalsOfANodeThatDoesNotServeAreRecorded(t *testing.T) {
+	// Guards against refusals that nobody can look up, and against telling a caller whose
+	// request runs elsewhere that it did not run.
+	is := is.New(t)
+	fleet := startFleet(t, devfleet.Options{})
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	node := fleet.Daemons[0].Node()
+	server := httpapi.New(listener, func() httpapi.Node { return refusingNode{node} })
+	go func() { _ = server.Run() }()
+	t.Cleanup(func() { _ = server.Shutdown(context.Background()) })
+	base := "http://" + listener.Addr().String()
+	key := map[string]string{"Idempotency-Key": "k"}
+	for i, c := range []struct {
+		method, path string
+		header       map[string]string
+		notRun       bool
+	}{
+		{"POST", chatPath, nil, true},
+		{"POST", chatPath, key, false},
+		{"POST", "/s/orders/work", nil, true},
+		{"POST", "/s/orders/work", key, false},
+		{"POST", "/v1/tickets", nil, true},
+		{"GET", "/v1/streams", nil, false},
+	} {
+		got := send(t, c.method, base+c.path, c.header, "{}")
+		is.Equal(got.code, result.Draining)
+		is.Equal(got.notRun, c.notRun)
+		is.True(got.header.Get("X-Request-Id") != "")
+		is.Equal(node.Events().Counts()[event.RequestRefused.Kind().Name], uint64(i+1))
+	}
+}
--- a/httpapi/ticket.go
+++ b/httpapi/ticket.go
@@ -14,7 +14,7 @@
 }
 
 func (s *Server) ticket(_ context.Context, c *app.RequestContext) {
-	if err := s.node().Serving(); err != nil {
+	if err := s.refusal(false); err != nil {
 		writeError(c, err)
 		return
 	}
--- a/request/refusal.go
+++ b/request/refusal.go
@@ -30,6 +30,10 @@
 	return refusal
 }
 
+// RecordRefusal records that this node accepts no requests and returns the error with an id for
+// the caller to look it up.
+func (s *Server) RecordRefusal(err error) error { return s.recordRefusal("", err) }
+
 // withRequestID adds the id of an admitted request to its error; nil stays nil.
 func withRequestID(request string, err error) error {
 	if err == nil {
