Tell callers of a stopped node of the embedded fleet to go to another one

What callers saw: once a node had drained and stopped, it answered requests on open connections and calls from other nodes with IncarnationClosed, 'the node is being replaced', Retry-After 1 s. It isn't: its process ends.

Cause: Node.Serving treated a stopped node like a closed one.

Evidence: go test -race -count=1 ./node -run TestStoppedNode on the code before: drain_test.go:430, IncarnationClosed != Draining. It passes now.

Forwarded calls that it refuses leave a line, too.

--- a/node/calls.go
+++ b/node/calls.go
@@ -89,7 +89,7 @@
 	if err == nil {
 		callResponse, err = n.requests.HandleForwarded(ctx, call)
 	} else {
-		err = result.From(err).WithMayHaveRun()
+		err = n.requests.RecordRefusal(result.From(err).WithMayHaveRun())
 	}
 	if err != nil {
 		failure := result.From(err)
--- a/node/drain_test.go
+++ b/node/drain_test.go
@@ -418,6 +418,24 @@
 	})
 }
 
+// Guards against sending callers of a node that has ended back to it, and against refusals that
+// leave no line.
+func TestStoppedNodeRefusesAsDraining(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f, _ := startDrainFleet(t)
+		n := f.nodes[1]
+		<-f.drainFor(n, drainTime)
+		is.Equal(n.State(), StateStopped)
+		is.Equal(result.CodeOf(n.Serving()), result.Draining)
+		is.True(result.From(n.Serving()).RetryAfter < time.Second)
+		forwarded := f.forward(n, "key")
+		is.Equal(result.Code(forwarded.GetCode()), result.Draining)
+		is.True(forwarded.GetCallForwarded().GetRan())
+		is.Equal(n.count(event.RequestRefused), uint64(1))
+	})
+}
+
 // Guards against accepting requests between the last check for open ones and the end of the
 // node.
 func TestRequestDuringTheCloseIsRefusedAsDraining(t *testing.T) {
--- a/node/status.go
+++ b/node/status.go
@@ -5,6 +5,7 @@
 
 	operatorv1 "lavenderpin.dev/lavenderpin/api/operator/v1"
 	recordv1 "lavenderpin.dev/lavenderpin/api/record/v1"
+	"lavenderpin.dev/lavenderpin/request"
 	"lavenderpin.dev/lavenderpin/result"
 )
 
@@ -44,6 +45,8 @@
 			return errDrained()
 		}
 		return result.New(result.NotServing, "the node holds no configuration yet").WithRetryAfter(time.Second)
+	case StateStopped:
+		return request.DrainRefusal()
 	default:
 		return result.New(result.IncarnationClosed, "the node is being replaced").WithRetryAfter(time.Second)
 	}
--- a/request/admission.go
+++ b/request/admission.go
@@ -21,7 +21,7 @@
 	}
 	release, err = s.Admission.Admit(ctx, params)
 	if err != nil && nodeEnds(ctx) {
-		return nil, drainRefusal() // nothing was sent
+		return nil, DrainRefusal() // nothing was sent
 	}
 	if err != nil && ctx.Err() != nil {
 		return nil, contextError(ctx)
--- a/request/call.go
+++ b/request/call.go
@@ -127,7 +127,7 @@
 	response, err := s.callAttempts(ctx, grant, p)
 	if err != nil {
 		if nodeEnds(ctx) && result.From(err).NotRun() {
-			err = drainRefusal()
+			err = DrainRefusal()
 		}
 		grant.Finish(0)
 		s.Events.Record(event.RequestFailed, "request", grant.Request(), "code", uint32(result.CodeOf(err)), "why", err)
--- a/request/chatrun.go
+++ b/request/chatrun.go
@@ -72,7 +72,7 @@
 	if err != nil && ctx.Err() != nil {
 		err = contextError(callerCtx)
 		if nodeEnds(callerCtx) && !r.mayHaveRun {
-			err = drainRefusal()
+			err = DrainRefusal()
 		}
 	}
 	settled = true
--- a/request/drain.go
+++ b/request/drain.go
@@ -68,7 +68,8 @@
 	}
 }
 
-func drainRefusal() *result.Error {
+// DrainRefusal returns the error of a request that a draining or stopped node refuses.
+func DrainRefusal() *result.Error {
 	return result.New(result.Draining, "this node is leaving").WithRetryAfter(drainRetryAfter)
 }
 
@@ -97,7 +98,7 @@
 	case d == nil:
 		return nil
 	case d.refuseAll:
-		return drainRefusal()
+		return DrainRefusal()
 	case d.window == nil:
 		return nil
 	}
@@ -112,7 +113,7 @@
 	if accepts(*d.window, s.Clock.Since(d.start), limit, usual) {
 		return nil
 	}
-	return drainRefusal()
+	return DrainRefusal()
 }
 
 // refuseKeyIfDraining refuses a request with an idempotency key that this node doesn't hold yet,
@@ -132,7 +133,7 @@
 // run its call.
 func (s *Server) refuseNewTicketIfDraining() error {
 	if d := s.drainState.Load(); d != nil && (d.refuseAll || d.window != nil) {
-		return drainRefusal()
+		return DrainRefusal()
 	}
 	return nil
 }
