Judge requests of a draining node of the embedded fleet by enough history

The estimate of how long requests take now needs 8 of them and a history, as on lavenderedge (at most 30 s, so that a long drain doesn't refuse everything on a young node). A call with a ticket, which no other node may run, is accepted if nothing is known of its kind.

--- a/drain/durations.go
+++ b/drain/durations.go
@@ -15,6 +15,8 @@
 	minDurations = 8
 	// usualQuantile is the fraction of them that took no longer than the usual duration.
 	usualQuantile = 0.95
+	// maxHistory is for how long a kind must have been observed at most.
+	maxHistory = 30 * time.Second
 	// maxKinds bounds the memory for kinds that operators have since removed.
 	maxKinds = 4096
 )
@@ -57,8 +59,9 @@
 }
 
 // Usual returns the duration that few of the recent requests of a kind exceeded. It returns
-// false if too few are known, or if the kind was first seen less than horizon ago: requests that
-// take as long as that haven't ended yet and are missing among them.
+// false if too few are known, or if the kind was first seen less than horizon (at most
+// maxHistory) ago: requests that take as long as that haven't ended yet and are missing among
+// them.
 func (d *Durations) Usual(kind string, now, horizon time.Duration) (time.Duration, bool) {
 	recent, found := d.kinds.Load(kind)
 	if !found {
@@ -66,7 +69,7 @@
 	}
 	r := recent.(*recentDurations)
 	n := min(r.count.Load(), durationWindow)
-	if n < minDurations || now-r.firstStart < horizon {
+	if n < minDurations || now-r.firstStart < min(horizon, maxHistory) {
 		return 0, false
 	}
 	sorted := make([]time.Duration, n)
--- a/request/call.go
+++ b/request/call.go
@@ -102,7 +102,7 @@
 
 func (s *Server) refuseCallIfDraining(ctx context.Context, p *preparedCall) error {
 	if p.call.Ticket != "" {
-		return s.refuseTicketIfDraining(ctx, p.kind())
+		return s.refuseTicketIfDraining(p.kind())
 	}
 	return s.refuseIfDraining(ctx, p.kind())
 }
@@ -134,7 +134,7 @@
 		return response, withRequestID(grant.Request().String(), err)
 	}
 	grant.Finish(p.rule.GetTokens())
-	s.durations.Record(p.kind(), s.Clock.Since(started))
+	s.recordDuration(p.kind(), started)
 	s.Events.Record(event.RequestFinished, "request", grant.Request(), "tokens", p.rule.GetTokens())
 	return response, nil
 }
--- a/request/drain.go
+++ b/request/drain.go
@@ -81,39 +81,39 @@
 // refuseIfDraining refuses a request of a kind that may outlast the node. The request ends at
 // the deadline of ctx, if it has one.
 func (s *Server) refuseIfDraining(ctx context.Context, kind string) error {
-	return s.refuseUnless(ctx, kind, drain.Window.Accepts)
-}
-
-// refuseTicketIfDraining is refuseIfDraining for a call with a ticket. As no other node may run
-// it, it is accepted for as long as it usually ends in time.
-func (s *Server) refuseTicketIfDraining(ctx context.Context, kind string) error {
-	return s.refuseUnless(ctx, kind, func(w drain.Window, now, limit, usual time.Duration) bool {
-		return usual <= w.Left(now)
-	})
-}
-
-func (s *Server) refuseUnless(ctx context.Context, kind string, accepts func(w drain.Window, now, limit, usual time.Duration) bool) error {
 	d := s.drainState.Load()
-	switch {
-	case d == nil:
+	if d == nil || d.window == nil && !d.refuseAll {
 		return nil
-	case d.refuseAll:
+	}
+	if d.refuseAll {
 		return DrainRefusal()
-	case d.window == nil:
-		return nil
 	}
 	limit, usual := time.Duration(0), MaxTimeout
 	if deadline, limited := ctx.Deadline(); limited {
 		limit = deadline.Sub(s.Clock.Now())
 		usual = limit
 	}
-	if known, found := s.durations.Usual(kind); found {
+	now := s.Clock.Since(d.start)
+	if known, found := s.usualDuration(kind, d.window.Left(now)); found {
 		usual = known
 	}
-	if accepts(*d.window, s.Clock.Since(d.start), limit, usual) {
-		return nil
+	if !d.window.Accepts(now, limit, usual) {
+		return DrainRefusal()
+	}
+	return nil
+}
+
+// refuseTicketIfDraining refuses a call with a ticket that usually outlasts the node. As no other
+// node may run it, it is accepted if nothing is known of its kind.
+func (s *Server) refuseTicketIfDraining(kind string) error {
+	d := s.drainState.Load()
+	if d != nil && d.refuseAll {
+		return DrainRefusal()
 	}
-	return DrainRefusal()
+	if left, draining := s.drainLeft(); draining && s.mayOutlast(kind, time.Time{}, left) {
+		return DrainRefusal()
+	}
+	return nil
 }
 
 // refuseKeyIfDraining refuses a request with an idempotency key that this node doesn't hold yet,
@@ -144,10 +144,24 @@
 	if !deadline.IsZero() && deadline.Sub(s.Clock.Now()) <= left {
 		return false
 	}
-	usual, _ := s.durations.Usual(kind)
+	usual, _ := s.usualDuration(kind, left)
 	return usual >= left
 }
 
+// recordDuration records how long a successful request took.
+func (s *Server) recordDuration(kind string, started time.Time) {
+	now := s.Clock.Now()
+	s.durations.Record(kind, now.Sub(started), sinceEpoch(now))
+}
+
+// usualDuration returns how long requests of a kind usually take; false if that isn't known well
+// enough for a node that ends in the given time.
+func (s *Server) usualDuration(kind string, left time.Duration) (time.Duration, bool) {
+	return s.durations.Usual(kind, sinceEpoch(s.Clock.Now()), left)
+}
+
+func sinceEpoch(at time.Time) time.Duration { return time.Duration(at.UnixNano()) }
+
 // drainLeft returns the time until a draining node ends open requests.
 func (s *Server) drainLeft() (left time.Duration, draining bool) {
 	d := s.drainState.Load()
