Send nothing new to an upstream that says that it leaves

What callers saw: requests went on to an upstream whose answers said Server-Leaving: 1, for as long as its entry in the store said ready or could not be read (DRAIN).

Cause: a node learned only from the entry that an upstream leaves. The header was not read.

The statistics of the incarnation (ID and start time) hold it, whatever its entry says, also across the removal and return of the entry, a full read and a change of the address. Such an upstream gets no requests, retries or resumed streams, and counts neither for affinity, shedding nor Retry-After. Its running streams go on. A new start time under the same ID is used again. Event 505 with left=true announced=true names the request whose answer said so first; later answers leave no line. An answer from a reassigned address (421) is not attributed. What callers get is unchanged.

--- a/directory/pause.go
+++ b/directory/pause.go
@@ -6,8 +6,9 @@
 // successful response nor a request for a shorter pause ends it earlier. A response to a former
 // incarnation also counts for the later ones.
 func (s *Stats) RecordPause(until time.Duration) {
-	for ; s != nil; s = s.successor.Load() {
-		s.extendPause(until)
+	s.extendPause(until)
+	if next := s.successor.Load(); next != nil {
+		next.RecordPause(until)
 	}
 }
 
@@ -27,12 +28,3 @@
 
 // Paused reports whether the upstream wants no requests now.
 func (s *Stats) Paused(now time.Duration) bool { return s.PauseLeft(now) > 0 }
-
-// nextIncarnation returns the statistics of the incarnation that follows. Its pause goes on: the
-// node may not know yet which incarnation asked for it.
-func (s *Stats) nextIncarnation() *Stats {
-	next := &Stats{}
-	s.successor.Store(next) // before the pause is read, so that RecordPause misses neither
-	next.extendPause(time.Duration(s.pausedUntil.Load()))
-	return next
-}
--- a/directory/stats.go
+++ b/directory/stats.go
@@ -30,8 +30,10 @@
 
 	// pausedUntil, by the boot clock, is the end of the pause that the upstream asked for.
 	pausedUntil atomic.Int64
-	// successor holds the statistics of the next incarnation; nil if there is none.
-	successor atomic.Pointer[Stats]
+	// leaving is set once this incarnation announced that it leaves.
+	leaving atomic.Bool
+	// successor is what replaced these statistics; nil if nothing did.
+	successor atomic.Pointer[successor]
 
 	mu                     sync.Mutex
 	running                int
--- a/directory/table.go
+++ b/directory/table.go
@@ -119,12 +119,12 @@
 		known = t.departed.take(e.ID, t.clock.Now())
 	}
 	u := &Upstream{Entry: e}
-	restarted := known != nil && (e.StartedAt != known.StartedAt || e.Address != known.Address || e.Service != known.Service)
+	replaced := known != nil && (e.StartedAt != known.StartedAt || e.Address != known.Address || e.Service != known.Service)
 	switch {
 	case known == nil:
 		u.Stats = &Stats{}
-	case restarted:
-		u.Stats = known.nextIncarnation()
+	case replaced:
+		u.Stats = known.succeed(e.isRestart(known.Entry))
 	default:
 		u.Stats = known.Stats
 	}
@@ -132,7 +132,9 @@
 	switch {
 	case e.State == Draining && (!exists || old.State != Draining):
 		return Left
-	case !exists || restarted || old.StaleUntil != 0 || old.State != e.State:
+	case u.Leaving():
+		return Unchanged
+	case !exists || replaced || old.StaleUntil != 0 || old.State != e.State:
 		return Joined
 	default:
 		return Unchanged
--- a/directory/upstream.go
+++ b/directory/upstream.go
@@ -38,6 +38,10 @@
 	return e.Sequence >= old.Sequence
 }
 
+// isRestart reports whether e is another incarnation than old. Without a start time, a change of
+// the address or service tells.
+func (e Entry) isRestart(old Entry) bool { return e.StartedAt != old.StartedAt || e.StartedAt == 0 }
+
 // Upstream is one incarnation of an upstream with this node's statistics about it.
 type Upstream struct {
 	Entry
--- a/gateway/pause.go
+++ b/gateway/pause.go
@@ -30,13 +30,13 @@
 	return reasonNoneLeft
 }
 
-// onlyPausedLeft reports whether all upstreams that the request hasn't been sent to asked for a
-// pause.
+// onlyPausedLeft reports whether all upstreams that the request hasn't been sent to, and that don't
+// leave, asked for a pause.
 func (c *call) onlyPausedLeft() bool {
 	now, paused := c.g.Clock.Now(), false
 	for _, u := range c.upstreams() {
 		switch {
-		case c.wasSentTo(u):
+		case c.wasSentTo(u), u.Leaving():
 		case u.Paused(now):
 			paused = true
 		default:
@@ -57,6 +57,9 @@
 func (c *call) capacityRetryAfter() time.Duration {
 	now, delay := c.g.Clock.Now(), c.g.settings.BusyRetryAfter
 	for _, u := range c.upstreams() {
+		if u.Leaving() {
+			continue
+		}
 		left := u.PauseLeft(now)
 		if left == 0 {
 			return c.g.settings.BusyRetryAfter
--- a/gateway/ports.go
+++ b/gateway/ports.go
@@ -41,6 +41,8 @@
 	// Pause is how long the upstream, which refused the request, wants no others; zero if it
 	// didn't say.
 	Pause time.Duration
+	// Leaving reports that the upstream, or the one at the reassigned address, said that it leaves.
+	Leaving bool
 	// Signed reports that the response carries the upstream's signature.
 	Signed bool
 	// IsEventStream reports that the body is a stream of events.
--- a/gateway/send.go
+++ b/gateway/send.go
@@ -53,11 +53,7 @@
 		return c.handleSendError(ctx, u, err)
 	}
 	defer resp.Close()
-	now := c.g.Clock.Now()
-	u.RecordReceived(now)
-	if resp.Pause > 0 {
-		u.RecordPause(now + resp.Pause)
-	}
+	c.recordAnnouncements(u, resp)
 	if res, final := c.handleNotRun(u, resp); final {
 		return res
 	}
@@ -68,6 +64,19 @@
 	return c.forwardBuffered(ctx, u, resp)
 }
 
+// recordAnnouncements records what a response says about the upstream itself.
+func (c *call) recordAnnouncements(u *directory.Upstream, resp *Response) {
+	now := c.g.Clock.Now()
+	u.RecordReceived(now)
+	if resp.Pause > 0 {
+		u.RecordPause(now + resp.Pause)
+	}
+	if resp.Leaving && !resp.AddressReassigned && u.RecordLeaving() {
+		c.g.Events.Record(event.UpstreamListed, "request", c.r.ID, "upstream", u.ID, "service", u.Service, "address", u.Address,
+			"left", true, "announced", true, "born", u.StartedAt)
+	}
+}
+
 func (c *call) newDispatch() *Dispatch {
 	d := &Dispatch{Request: c.r, Account: c.accountName(), Remaining: c.timeLeft(), LastEventID: c.r.ResumeAfter, HasLastEventID: c.r.HasResumeAfter, Urgency: c.urgency()}
 	if c.hasEvent {
--- a/gateway/shed.go
+++ b/gateway/shed.go
@@ -17,7 +17,7 @@
 	now := c.g.Clock.Now()
 	var waits []time.Duration
 	for _, u := range upstreams {
-		if !u.Paused(now) && !u.InBackoff(now) {
+		if u.Accepts(now) && !u.InBackoff(now) {
 			waits = append(waits, u.EstimatedWait(now))
 		}
 	}
--- a/placement/picker.go
+++ b/placement/picker.go
@@ -33,13 +33,13 @@
 }
 
 // Pick returns the upstream with the lowest score, or false if there is none. Unreachable
-// upstreams are only used if there is no other, paused ones never.
+// upstreams are only used if there is no other; those that leave or asked for a pause never.
 func (p *Picker) Pick(r *Request, upstreams []*directory.Upstream) (PickResult, bool) {
 	best := PickResult{}
 	for _, lastResort := range []bool{false, true} {
 		affinity := p.affinityUpstream(r, upstreams)
 		for _, u := range upstreams {
-			if r.wasTried(u) || u.Paused(r.Now) || u.InBackoff(r.Now) != lastResort {
+			if r.wasTried(u) || !u.Accepts(r.Now) || u.InBackoff(r.Now) != lastResort {
 				continue
 			}
 			best.Candidates++
@@ -75,7 +75,7 @@
 	var chosen *directory.Upstream
 	var topRank uint64
 	for _, u := range upstreams {
-		if !fleetWide && u.DataCentre != r.DataCentre || u.Paused(r.Now) || u.InBackoff(r.Now) || u.StaleUntil != 0 {
+		if !fleetWide && u.DataCentre != r.DataCentre || !u.Accepts(r.Now) || u.InBackoff(r.Now) || u.StaleUntil != 0 {
 			continue
 		}
 		if rank := xxhash.Sum64String(key + "\x00" + u.ID); chosen == nil || rank > topRank {
--- a/placement/picker_test.go
+++ b/placement/picker_test.go
@@ -117,6 +117,19 @@
 	is.Equal(mustPick(t, p, r, list).ID, "paused")
 }
 
+// Guards against sending requests to an upstream that announced that it leaves.
+func TestLeavingUpstreamIsNotEvenLastResort(t *testing.T) {
+	is := is.New(t)
+	list := []*directory.Upstream{upstream("leaving", "a"), upstream("dark", "c")}
+	p := NewPicker(DefaultSettings(), regions)
+	r := newRequest("a")
+	list[0].RecordLeaving()
+	list[1].RecordUnreachable(r.Now)
+	is.Equal(mustPick(t, p, r, list).ID, "dark")
+	_, ok := p.Pick(r, list[:1])
+	is.True(!ok)
+}
+
 // Guards against prefilling a shared prompt once more after each pause: it must move to one other
 // engine, and back.
 func TestSharedPromptReturnsAfterPause(t *testing.T) {
