Reproduce: requests to an upstream that asked for a pause

One node of the embedded fleet, two instances of a plain service or two engines. One of them answers 503 with Retry-After: 2 until the node has got that answer once. The test counts what reaches it from half a second after that answer to the end of the two seconds: at most two requests may.

The stand-ins get a switch that refuses requests and asks for a pause.

--- /dev/null
+++ b/devfleet/pause_test.go
@@ -0,0 +1,80 @@
+package devfleet
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"lavenderpin.dev/lavenderpin/internal/standin"
+)
+
+const (
+	testPause = 2 * time.Second
+	// maxDuringPause is how many requests of one node may reach an upstream that asked for a
+	// pause.
+	maxDuringPause = 2
+	testSendDelay  = 2 * time.Millisecond
+	// maxRequestsToReturn is large compared with the share of requests that each of two
+	// upstreams gets.
+	maxRequestsToReturn = 500
+)
+
+// startPauseFleet starts one node with two engines and two instances of a plain service.
+func startPauseFleet(t *testing.T) *Fleet {
+	t.Helper()
+	is := is.New(t)
+	here := Location{"gulf-maine", "casco"}
+	fleet, err := Start(Options{Nodes: []Location{here}, Engines: []Location{here, here}, PlainServices: []Location{here, here}})
+	is.NoErr(err)
+	t.Cleanup(fleet.Stop)
+	is.NoErr(fleet.Apply(context.Background(), fleet.SampleConfig()))
+	awaitConfig(t, fleet)
+	return fleet
+}
+
+// Guards against requests to an upstream that has answered 503 with Retry-After, before that
+// time is over.
+func TestRequestsDespiteRetryAfter(t *testing.T) {
+	t.Run("plain service", func(t *testing.T) {
+		fleet := startPauseFleet(t)
+		sendThroughPause(t, fleet.PlainServices[0].Shedding(), func(n int) {
+			fleet.post(t, 0, "/s/orders/work", SampleAccountKey, fmt.Sprint("order-", n))
+		})
+	})
+	t.Run("engine", func(t *testing.T) {
+		fleet := startPauseFleet(t)
+		body := `{"model":"` + SampleModel + `","max_tokens":1,"messages":[{"role":"user","content":"one"}]}`
+		sendThroughPause(t, fleet.Engines[0].Shedding(), func(int) {
+			fleet.post(t, 0, chatPath, SampleAccountKey, body)
+		})
+	})
+}
+
+// sendThroughPause sends requests one after the other until a pause that the upstream asked for
+// is over, and checks how many reached the upstream meanwhile.
+func sendThroughPause(t *testing.T, shedding *standin.Shedding, send func(n int)) {
+	t.Helper()
+	shedding.Refuse(testPause)
+	n := 0
+	for ; shedding.Refused() == 0; n++ {
+		send(n)
+	}
+	shedding.Refuse(0) // an answer to a later request must not end the pause
+	for ; shedding.Paused(); n++ {
+		send(n)
+		time.Sleep(testSendDelay)
+	}
+	if count := shedding.DuringPause(); count > maxDuringPause {
+		t.Fatalf("%d requests reached the upstream during its pause, at most %d may", count, maxDuringPause)
+	}
+	before := shedding.Arrivals()
+	for last := n + maxRequestsToReturn; shedding.Arrivals() == before; n++ {
+		if n == last {
+			t.Fatalf("the upstream got none of %d requests after its pause", maxRequestsToReturn)
+		}
+		send(n)
+	}
+}
--- a/internal/standin/engine.go
+++ b/internal/standin/engine.go
@@ -46,6 +46,8 @@
 	WordPrefix string
 }
 
+const cancelPath = "/v1/cancel"
+
 // hangPollInterval is how often a hanging engine checks whether the request was cancelled.
 const hangPollInterval = time.Millisecond
 
@@ -63,6 +65,7 @@
 	load      *engineLoad
 	queue     *engineQueue
 	streams   map[string]*engineStream
+	shedding  Shedding
 	// streamIDs lists the ids in streams, oldest first.
 	streamIDs []string
 }
@@ -80,8 +83,9 @@
 		usages: map[string]engineUsage{}, streams: map[string]*engineStream{}, load: newEngineLoad(),
 		queue: &engineQueue{slots: options.Slots}}
 	e.server = newServer(listener)
+	e.server.Use(e.shedding.handle)
 	e.server.POST("/v1/chat/completions", e.serveChat)
-	e.server.POST("/v1/cancel", e.serveCancel)
+	e.server.POST(cancelPath, e.serveCancel)
 	e.server.GET("/v1/usage", e.serveUsage)
 	e.server.GET("/v1/models", e.serveModels)
 	e.server.POST("/v1/models", e.serveOrder)
@@ -97,6 +101,9 @@
 // Close stops serving at once.
 func (e *Engine) Close() { _ = e.server.Close() }
 
+// Shedding returns the engine's refusals, which tests switch on and off.
+func (e *Engine) Shedding() *Shedding { return &e.shedding }
+
 // Runs returns how many completions each request id got.
 func (e *Engine) Runs() map[string]int {
 	e.mu.Lock()
--- a/internal/standin/service.go
+++ b/internal/standin/service.go
@@ -13,8 +13,9 @@
 // Service is a stand-in plain service. It counts how often each request body ran
 // and echoes the body.
 type Service struct {
-	server *server.Hertz
-	delay  time.Duration
+	server   *server.Hertz
+	delay    time.Duration
+	shedding Shedding
 
 	mu              sync.Mutex
 	runs            map[string]int
@@ -25,6 +26,7 @@
 // each response by delay.
 func NewService(listener net.Listener, delay time.Duration) *Service {
 	s := &Service{server: newServer(listener), delay: delay, runs: map[string]int{}}
+	s.server.Use(s.shedding.handle)
 	s.server.Any("/*path", s.call)
 	return s
 }
@@ -35,6 +37,9 @@
 // Close stops serving at once.
 func (s *Service) Close() { _ = s.server.Close() }
 
+// Shedding returns the service's refusals, which tests switch on and off.
+func (s *Service) Shedding() *Shedding { return &s.shedding }
+
 // Runs returns how often each body ran: a body represents one observation or work
 // order, so a count above one is a duplicate.
 func (s *Service) Runs() map[string]int {
