Send nothing to an upstream that asked for a pause

What callers saw: an upstream of the embedded fleet that answered 503 with Retry-After got the node's requests all the same, refused them, and each cost its caller an answer or a retry.

Cause: upstream.HTTPClient didn't read the header. A 503 to a completion was a failure, of which three open the breaker; a plain service's 503 counted as a success.

Change: the client reports the pause in the answer to anything it sent, also when its caller no longer waits, as a Notice to the observer of the context, and the error of a refused completion carries it. The balancer holds until when each address is paused, copy-on-write and apart from the tables, so no change of the configuration, later answer or shorter time ends it early. eligible checks it, through which every pick goes: sample, scan, probe and the fallback to unhealthy upstreams. A node sends everything through upstream.Guard, which checks again just before: a request may wait for a witness after its pick.

Decided for each thing a node sends: - Completions, plain calls, keyed calls, tickets: not sent; NoUpstream, true as "not run", tried elsewhere like any call that wasn't sent. It counts neither as success nor as failure of the upstream. A 503 stays "may have run", as the protocol has nothing that says otherwise; a plain service's 503 is passed on. - Resumption: not sent; the node reruns the answer elsewhere. A caller's own resumption is refused at once until the end of the pause, without the claim that its completion didn't run. - Load, cache events, models, orders, usage: not sent. Without a count, a caller that left is billed what was delivered; recovery asks again later. - Cancellations of requests that may run go out: they end work that nobody waits for, which is what the upstream wants. A request that the upstream refused with a pause isn't cancelled. While all upstreams of a service are paused, its requests are refused at once, before they are queued or hold tokens, with the earliest end as Retry-After.

--- a/event/upstream.go
+++ b/event/upstream.go
@@ -8,12 +8,14 @@
 	TokenBoundExceeded Number = 504
 	UpstreamListed     Number = 505
 	UpstreamProbed     Number = 520
+	UpstreamPaused     Number = 521
 )
 
 var upstreamKinds = map[Number]Kind{
 	UpstreamUnhealthy:  {"UpstreamUnhealthy", "An upstream gets no new requests."},
 	UpstreamHealthy:    {"UpstreamHealthy", "An upstream gets new requests again."},
 	UpstreamProbed:     {"UpstreamProbed", "An upstream that got no new requests is probed with one request at a time."},
+	UpstreamPaused:     {"UpstreamPaused", "An upstream asked for no requests for a time; this node sends it none, except what cancels a request."},
 	UpstreamListed:     {"UpstreamListed", "The list of upstreams changed for this node: one joined or left, or all were read again."},
 	TokenBoundExceeded: {"TokenBoundExceeded", "An engine counted more tokens than its service declares; this node uses the byte-based bound until the declaration is changed."},
 	AnswerRejected:     {"AnswerRejected", "An upstream's response was truncated or for another request."},
--- a/node/node.go
+++ b/node/node.go
@@ -27,6 +27,7 @@
 	"lavenderpin.dev/lavenderpin/request"
 	"lavenderpin.dev/lavenderpin/routing"
 	"lavenderpin.dev/lavenderpin/snapshot"
+	"lavenderpin.dev/lavenderpin/upstream"
 )
 
 // ErrClosed is returned by Run when the fleet has closed the node's incarnation. The daemon
@@ -61,6 +62,7 @@
 	snapshots    *snapshot.Tracker
 	requests     *request.Server
 	balancer     *routing.Balancer
+	upstreams    *upstream.Guard
 	admission    *admission.Controller
 	claims       *idempotency.Claims
 	metrics      *expvar.Map
@@ -108,11 +110,12 @@
 	n.newFollower(engine)
 	n.budgets = n.newBudgets()
 	n.balancer = n.newBalancer()
+	n.upstreams = n.newUpstreamGuard()
 	n.admission = n.newAdmission()
 	n.requests = &request.Server{
 		Config: n.config.View, Reserver: n.budgets.reserver, Picker: n.balancer, Admission: n.admission,
-		Client: deps.Upstreams, Events: n.events, Clock: deps.Clock, Region: settings.Region,
-		ExcludeLeaving: n.excludeLeaving,
+		Client: n.upstreams, Events: n.events, Clock: deps.Clock, Region: settings.Region,
+		ExcludeLeaving: n.excludeLeaving, CheckPauses: n.balancer.CheckPauses,
 	}
 	n.configureRequests()
 	n.metrics = n.newMetrics()
--- a/node/orders.go
+++ b/node/orders.go
@@ -7,7 +7,7 @@
 func (n *Node) newOrderExecutor() *orders.Executor {
 	return &orders.Executor{
 		LeaseHolder: n.leases,
-		Client:      orders.HTTPClient{Upstreams: n.deps.Upstreams},
+		Client:      orders.HTTPClient{Upstreams: n.upstreams},
 		Weights:     n.deps.Weights,
 		Config:      n.config.View,
 		Clock:       n.deps.Clock,
--- a/node/recovery.go
+++ b/node/recovery.go
@@ -144,7 +144,7 @@
 	}
 	ctx, cancel := clockwork.WithTimeout(ctx, e.node.deps.Clock, engineQueryTimeout)
 	defer cancel()
-	return e.node.deps.Upstreams.Usage(ctx, engine, request)
+	return e.node.upstreams.Usage(ctx, engine, request)
 }
 
 // Cancel implements recovery.Engines.
@@ -155,5 +155,5 @@
 	}
 	ctx, cancel := clockwork.WithTimeout(ctx, e.node.deps.Clock, engineQueryTimeout)
 	defer cancel()
-	return e.node.deps.Upstreams.Cancel(ctx, engine, request)
+	return e.node.upstreams.Cancel(ctx, engine, request)
 }
--- a/node/resume.go
+++ b/node/resume.go
@@ -6,7 +6,6 @@
 	"lavenderpin.dev/lavenderpin/admission"
 	"lavenderpin.dev/lavenderpin/request"
 	"lavenderpin.dev/lavenderpin/signed"
-	"lavenderpin.dev/lavenderpin/upstream"
 )
 
 // configureRequests sets the request server's dependencies for call tickets, idempotency keys
@@ -26,7 +25,7 @@
 	if n.requests.Retries == nil {
 		n.requests.Retries = admission.NewRetryBudget()
 	}
-	if resumer, ok := n.deps.Upstreams.(upstream.Resumer); ok {
-		n.requests.Resumer = resumer
+	if n.upstreams.Streams != nil {
+		n.requests.Resumer = n.upstreams
 	}
 }
--- a/node/routing.go
+++ b/node/routing.go
@@ -81,7 +81,7 @@
 func (n *Node) readLoad(ctx context.Context, u *operatorv1.Upstream) {
 	ctx, cancel := clockwork.WithTimeout(ctx, n.deps.Clock, loadTimeout)
 	defer cancel()
-	reader := upstream.LoadReader{Client: n.deps.Upstreams}
+	reader := upstream.LoadReader{Client: n.upstreams}
 	if report, err := reader.Load(ctx, u); err == nil {
 		n.balancer.Report(u.GetService(), u.GetName(), report)
 	}
--- a/request/admission.go
+++ b/request/admission.go
@@ -14,8 +14,14 @@
 }
 
 // admit asks the node's admission controller, if there is one. It runs before the
-// reservation, so that a queued request holds no tokens that another could use.
+// reservation, so that a queued request holds no tokens that another could use. A request that
+// no upstream wants now isn't queued.
 func (s *Server) admit(ctx context.Context, params routing.Request) (release func(), err error) {
+	if s.CheckPauses != nil {
+		if err := s.CheckPauses(params.Service, s.candidateUpstreams(params.Service)); err != nil {
+			return nil, err
+		}
+	}
 	if s.Admission == nil {
 		return func() {}, nil
 	}
--- a/request/chatrun.go
+++ b/request/chatrun.go
@@ -37,7 +37,8 @@
 	// prompt is the routing input of the request.
 	prompt routing.Request
 	pick   routing.PickResult
-	// target is the upstream that runs the completion now; nil before the first attempt.
+	// target is the upstream that may run the completion now; nil before the first attempt and
+	// after a refusal.
 	target *operatorv1.Upstream
 	// deliveredHashes holds the hash of each delivered chunk, indexed by chunk number.
 	deliveredHashes []uint64
@@ -119,7 +120,9 @@
 			return last
 		}
 		tried[pick.Upstream.GetName()] = true
-		go r.cancel(pick.Upstream)
+		if r.target != nil {
+			go r.cancel(r.target)
+		}
 	}
 	return last
 }
@@ -146,6 +149,9 @@
 	stream, err := r.server.Client.Chat(ctx, target, upstream.ChatRequest{ID: id.String(), Body: r.body, NotAfter: r.grant.NotAfter()})
 	r.mayHaveRun = r.mayHaveRun || err == nil || !result.From(err).NotRun()
 	if err != nil {
+		if result.From(err).Pause > 0 {
+			r.target = nil // it refused the request, so there is nothing to cancel during its pause
+		}
 		return err
 	}
 	position, err := r.consume(ctx, stream, 0)
@@ -322,7 +328,7 @@
 // of delivered content chunks if the engine reports none.
 func (r *chatRun) cancelAndCount() upstream.Usage {
 	if r.target == nil {
-		return upstream.Usage{}
+		return upstream.Usage{CompletionTokens: r.contentChunks}
 	}
 	r.cancel(r.target)
 	ctx, done := clockwork.WithTimeout(context.Background(), r.server.Clock, cancelTimeout)
--- a/request/resume.go
+++ b/request/resume.go
@@ -121,8 +121,11 @@
 	}
 }
 
-// isResumable reports whether the engine may send the rest if it is asked again.
+// isResumable reports whether the engine may send the rest if it is asked again soon.
 func isResumable(err error) bool {
+	if result.From(err).Pause > 0 {
+		return false
+	}
 	switch result.CodeOf(err) {
 	case result.AnswerCut, result.AnswerCrossed, result.UpstreamFailed, result.NoUpstream:
 		return true
--- a/request/server.go
+++ b/request/server.go
@@ -35,6 +35,9 @@
 	Region   string
 	// ExcludeLeaving filters out upstreams that the platform reports as leaving; may be nil.
 	ExcludeLeaving func([]*operatorv1.Upstream) []*operatorv1.Upstream
+	// CheckPauses returns the error of a request whose candidates all want no requests now; may
+	// be nil.
+	CheckPauses func(service string, candidates []*operatorv1.Upstream) error
 	// PeerAddress is the address at which other nodes reach this one.
 	PeerAddress string
 
--- a/result/error.go
+++ b/result/error.go
@@ -14,6 +14,9 @@
 	// RetryAfter is how long to wait before a retry. It is zero if a retry can't succeed or
 	// no wait is needed.
 	RetryAfter time.Duration
+	// Pause is set if the upstream asked for no requests during that time, or if this node sent
+	// it none for that reason.
+	Pause time.Duration
 	// MayHaveRun is set if one attempt was refused but the call may have run in an earlier
 	// one, so that the code's "not run" doesn't apply to the call.
 	MayHaveRun bool
@@ -59,6 +62,13 @@
 	return &copied
 }
 
+// WithPause returns a copy of the error with Pause set.
+func (e *Error) WithPause(d time.Duration) *Error {
+	copied := *e
+	copied.Pause = d
+	return &copied
+}
+
 // From returns the Error in the chain of err, or an InternalError if there is none.
 func From(err error) *Error {
 	if err == nil {
--- a/routing/attempt.go
+++ b/routing/attempt.go
@@ -68,6 +68,13 @@
 		a.target.serviceTime.observe(now.Sub(a.start).Seconds(), serviceTimeWeight)
 		return
 	}
+	if failure := result.From(err); failure.Code == result.NoUpstream && failure.Pause > 0 {
+		// This node didn't send the request, which says nothing about the upstream's health.
+		if a.probe {
+			breaker.AbandonProbe()
+		}
+		return
+	}
 	switch result.CodeOf(err) {
 	case result.NoUpstream, result.UpstreamFailed, result.AnswerCut, result.OutcomeUnknown:
 		breaker.RecordFailure(now, a.probe, false)
--- a/routing/balancer.go
+++ b/routing/balancer.go
@@ -9,7 +9,6 @@
 	"github.com/jonboulle/clockwork"
 
 	operatorv1 "lavenderpin.dev/lavenderpin/api/operator/v1"
-	"lavenderpin.dev/lavenderpin/result"
 	"lavenderpin.dev/lavenderpin/routing/cache"
 	"lavenderpin.dev/lavenderpin/routing/health"
 )
@@ -25,6 +24,7 @@
 	index     *cache.Index
 	attempts  sync.Pool
 	services  atomic.Pointer[map[string]*service]
+	pauses    atomic.Pointer[pauses]
 	eventGaps atomic.Uint64
 
 	mu          sync.Mutex
@@ -56,9 +56,10 @@
 		s = b.rebuildTable(request.Service, candidates)
 	}
 	c := pickCall{balancer: b, service: s, table: s.table.Load(), request: request, now: b.clock.Now()}
+	c.pauses = b.pauses.Load().active(c.now)
 	index := c.selectUpstream()
 	if index < 0 {
-		return PickResult{}, result.New(result.NoUpstream, "no upstream of %s is left to try", request.Service).WithRetryAfter(c.retryAfter())
+		return PickResult{}, c.noUpstreamError()
 	}
 	return b.startAttempt(&c, index), nil
 }
--- a/routing/pick_call.go
+++ b/routing/pick_call.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"lavenderpin.dev/lavenderpin/result"
 	"lavenderpin.dev/lavenderpin/routing/cache"
 	"lavenderpin.dev/lavenderpin/routing/score"
 )
@@ -21,6 +22,8 @@
 	request  Request
 	now      time.Time
 	cached   cache.MatchLengths
+	// pauses is nil if no upstream is paused.
+	pauses *pauses
 	// probe is set when the request is to probe an unhealthy upstream.
 	probe      bool
 	sawStalled bool
@@ -205,10 +208,32 @@
 	return z ^ z>>31
 }
 
-func (c *pickCall) retryAfter() time.Duration { return noUpstreamRetryAfter }
+// noUpstreamError returns the error of a pick that found no upstream. If some are paused, a retry
+// can succeed once the first pause ends.
+func (c *pickCall) noUpstreamError() error {
+	var earliest time.Duration
+	for i := range c.table.entries {
+		e := &c.table.entries[i]
+		left := c.pauses.left(e.target.pauseKey, c.now)
+		if left > 0 && c.servable(e) && (earliest == 0 || left < earliest) {
+			earliest = left
+		}
+	}
+	if earliest > 0 {
+		return allPausedError(c.request.Service, earliest)
+	}
+	return result.New(result.NoUpstream, "no upstream of %s is left to try", c.request.Service).WithRetryAfter(noUpstreamRetryAfter)
+}
 
-// eligible reports whether the upstream may serve the request, regardless of its health.
+// eligible reports whether the upstream may get the request now, regardless of its health. Every
+// pick checks it, also one that probes or falls back to unhealthy upstreams.
 func (c *pickCall) eligible(e *entry) bool {
+	return c.pauses.left(e.target.pauseKey, c.now) == 0 && c.servable(e)
+}
+
+// servable reports whether the upstream may serve the request, regardless of its health and of
+// a pause.
+func (c *pickCall) servable(e *entry) bool {
 	if e.draining || !e.target.serves(&c.request) {
 		return false
 	}
--- a/routing/pressure.go
+++ b/routing/pressure.go
@@ -20,13 +20,14 @@
 	table := s.table.Load()
 	localRegion := table.regionMeans[region]
 	now := b.clock.Now()
+	paused := b.pauses.Load().active(now)
 	for i := range table.entries {
 		e := &table.entries[i]
 		r := e.target.report.Load()
 		if e.draining || r == nil || now.Sub(r.sampled) > b.settings.MaxReportAge {
 			continue
 		}
-		if !e.target.breaker.IsClosed() || e.target.stalled(b.settings.StallTimeout, now) {
+		if paused.left(e.target.pauseKey, now) > 0 || !e.target.breaker.IsClosed() || e.target.stalled(b.settings.StallTimeout, now) {
 			continue
 		}
 		p := &remote
--- a/routing/target.go
+++ b/routing/target.go
@@ -25,8 +25,10 @@
 
 // target is this node's state of one upstream. All fields are safe for concurrent use.
 type target struct {
-	name  string
-	slots float64
+	name string
+	// pauseKey is the upstream's key in the balancer's pauses.
+	pauseKey string
+	slots    float64
 	// cacheID is the upstream's number in the prefix index.
 	cacheID    int
 	joined     time.Time
@@ -59,7 +61,7 @@
 }
 
 func newTarget(u *operatorv1.Upstream, cacheID int, joined time.Time, breaker *health.Breaker, regionMean *meanLoad) *target {
-	t := &target{name: u.GetName(), slots: float64(u.GetSlots()), cacheID: cacheID, joined: joined, breaker: breaker, regionMean: regionMean}
+	t := &target{name: u.GetName(), pauseKey: pauseKey(u), slots: float64(u.GetSlots()), cacheID: cacheID, joined: joined, breaker: breaker, regionMean: regionMean}
 	if t.slots == 0 {
 		t.slots = defaultSlots
 	}
--- a/upstream/http.go
+++ b/upstream/http.go
@@ -26,6 +26,7 @@
 	statusExpired       = 408
 	statusGone          = 410
 	statusUnprocessable = 422
+	statusUnavailable   = 503
 )
 
 const (
@@ -107,7 +108,7 @@
 // stream sends a request that is answered with an event stream; it takes ownership of the
 // request.
 func (c *HTTPClient) stream(ctx context.Context, to *operatorv1.Upstream, request *protocol.Request, params streamParams) (ChatStream, error) {
-	response, err := send(ctx, c.pooled, request)
+	response, err := send(ctx, c.pooled, to, request)
 	if err != nil {
 		return nil, sendError(to, err)
 	}
@@ -126,16 +127,16 @@
 		protocol.ReleaseResponse(response)
 		return nil, result.New(result.MalformedRequest, "%s refused the request: %s", to.GetName(), truncate(body))
 	default:
-		body := string(response.Body())
+		body, pause := string(response.Body()), pauseOf(response)
 		protocol.ReleaseResponse(response)
-		return nil, result.New(result.UpstreamFailed, "%s answered %d: %s", to.GetName(), status, truncate(body))
+		return nil, result.New(result.UpstreamFailed, "%s answered %d: %s", to.GetName(), status, truncate(body)).WithPause(pause)
 	}
 }
 
 // send sends a request and returns as soon as the response header has arrived or ctx ends. The
 // library ignores the context once it has started, so the tokens of a caller that disconnects
 // would stay reserved until a hanging engine times out.
-func send(ctx context.Context, httpClient *client.Client, request *protocol.Request) (*protocol.Response, error) {
+func send(ctx context.Context, httpClient *client.Client, to *operatorv1.Upstream, request *protocol.Request) (*protocol.Response, error) {
 	results := make(chan sendResult, 1)
 	go func() {
 		response := protocol.AcquireResponse()
@@ -144,6 +145,9 @@
 		if err != nil {
 			protocol.ReleaseResponse(response)
 			response = nil
+		} else {
+			// Here, as a response also counts whose caller no longer waits for it.
+			Report(ctx, to, noticeOf(response))
 		}
 		results <- sendResult{response, err}
 	}()
@@ -181,7 +185,7 @@
 	if r.NoResend {
 		httpClient = c.unpooled
 	}
-	response, err := send(ctx, httpClient, request)
+	response, err := send(ctx, httpClient, to, request)
 	if err != nil {
 		return CallResponse{}, sendError(to, err)
 	}
--- /dev/null
+++ b/upstream/notice.go
@@ -0,0 +1,70 @@
+package upstream
+
+import (
+	"context"
+	"math"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/cloudwego/hertz/pkg/protocol"
+
+	operatorv1 "lavenderpin.dev/lavenderpin/api/operator/v1"
+)
+
+const (
+	// HeaderRetryAfter is how long, in seconds, an upstream that answers 503 wants no request
+	// from this node.
+	HeaderRetryAfter = "Retry-After"
+	// maxPause bounds a pause: an upstream that sends nonsense must come back into use some day.
+	maxPause = 24 * time.Hour
+)
+
+// Notice is what an upstream's response says about further requests to it.
+type Notice struct {
+	// Pause is how long the upstream wants no request from this node; 0 if it asks for none.
+	Pause time.Duration
+}
+
+// Observer is told the notices of upstreams.
+type Observer interface {
+	Observe(to *operatorv1.Upstream, notice Notice)
+}
+
+type observerKey struct{}
+
+// WithObserver returns a context with which a Client reports the notices of its responses,
+// also of one that arrives after the context has ended.
+func WithObserver(ctx context.Context, o Observer) context.Context {
+	return context.WithValue(ctx, observerKey{}, o)
+}
+
+// Report passes a notice to the observer of the context, if it has one.
+func Report(ctx context.Context, to *operatorv1.Upstream, notice Notice) {
+	if observer, ok := ctx.Value(observerKey{}).(Observer); ok && notice != (Notice{}) {
+		observer.Observe(to, notice)
+	}
+}
+
+// noticeOf returns the notice in a response.
+func noticeOf(response *protocol.Response) Notice {
+	return Notice{Pause: pauseOf(response)}
+}
+
+// pauseOf returns the pause that a response asks for.
+func pauseOf(response *protocol.Response) time.Duration {
+	if response.StatusCode() != statusUnavailable {
+		return 0
+	}
+	return parsePause(response.Header.Get(HeaderRetryAfter))
+}
+
+// parsePause returns the duration of a number of seconds, or 0 if it is none. The header's
+// other form, a date, isn't part of the protocol.
+func parsePause(text string) time.Duration {
+	seconds, err := strconv.ParseFloat(strings.TrimSpace(text), 64)
+	if err != nil || math.IsNaN(seconds) || seconds <= 0 {
+		return 0
+	}
+	return time.Duration(min(seconds, maxPause.Seconds()) * float64(time.Second))
+}
