Send nothing new to an upstream that says it is leaving

What callers saw: the embedded fleet learned only from the platform's list that an upstream leaves. Until the list showed it, its requests went on arriving there, and what it didn't finish was lost with it.

Cause: the fleet's upstream protocol had no way to say so.

Change: an upstream says so in each of its answers, X-Upstream-Leaving: true. The client reports it as a Notice, like a pause. membership.Instances keeps it by address beside the list, so candidates and their cache leave the upstream out, and upstream.Guard checks again before each send: no request, retry, resumption, question for load or models, or order. Streams that run there go on; cancellations and questions for usage go out, so they are settled by the engine's count. A stream that breaks off is run elsewhere; a caller's own resumption gets StreamLost at once instead of refusals that never end.

When it is used again: at another address, or once the list has shown it as leaving, or no more after it was listed, and then as serving. A list that only shows it as serving lags. The list names no process, so one that is replaced at its address between two lists stays left out until the list shows a change or the node starts anew.

Upstreams that only the list shows as leaving are treated as before. Event 617 says in its field source where the news came from.

--- a/event/fleet.go
+++ b/event/fleet.go
@@ -33,7 +33,7 @@
 	PeerReplaced:       {"PeerReplaced", "A new incarnation took over the address of another node."},
 	DrainOrdered:       {"DrainOrdered", "An operator's drain of this node took effect or was cancelled."},
 	DrainAnnounced:     {"DrainAnnounced", "The other nodes were told that this one is leaving."},
-	UpstreamLeaving:    {"UpstreamLeaving", "The platform's list shows an upstream as leaving; it gets no new requests."},
+	UpstreamLeaving:    {"UpstreamLeaving", "The platform's list shows an upstream as leaving, or an answer of its own says so; it gets no new requests."},
 	InstancesDown:      {"InstancesDown", "The platform's instance list is unavailable; the last known list stays in use."},
 	ServingWithoutLog:  {"ServingWithoutLog", "The log is unreachable; the node serves with the latest configuration that its peers hold."},
 	RecordsFetched:     {"RecordsFetched", "A node of the data centre sent this one records of the log; the store was asked at most for the end of the log."},
--- a/internal/standin/engine.go
+++ b/internal/standin/engine.go
@@ -66,6 +66,7 @@
 	queue     *engineQueue
 	streams   map[string]*engineStream
 	shedding  Shedding
+	leaving   Leaving
 	// streamIDs lists the ids in streams, oldest first.
 	streamIDs []string
 }
@@ -83,7 +84,7 @@
 		usages: map[string]engineUsage{}, streams: map[string]*engineStream{}, load: newEngineLoad(),
 		queue: &engineQueue{slots: options.Slots}}
 	e.server = newServer(listener)
-	e.server.Use(e.shedding.handle)
+	e.server.Use(e.leaving.handle, e.shedding.handle)
 	e.server.POST("/v1/chat/completions", e.serveChat)
 	e.server.POST(cancelPath, e.serveCancel)
 	e.server.GET("/v1/usage", e.serveUsage)
@@ -104,6 +105,9 @@
 // Shedding returns the engine's refusals, which tests switch on and off.
 func (e *Engine) Shedding() *Shedding { return &e.shedding }
 
+// Leaving returns the engine's announcement that it is leaving, which tests switch on and off.
+func (e *Engine) Leaving() *Leaving { return &e.leaving }
+
 // Runs returns how many completions each request id got.
 func (e *Engine) Runs() map[string]int {
 	e.mu.Lock()
--- a/internal/standin/service.go
+++ b/internal/standin/service.go
@@ -16,6 +16,7 @@
 	server   *server.Hertz
 	delay    time.Duration
 	shedding Shedding
+	leaving  Leaving
 
 	mu              sync.Mutex
 	runs            map[string]int
@@ -26,7 +27,7 @@
 // each response by delay.
 func NewService(listener net.Listener, delay time.Duration) *Service {
 	s := &Service{server: newServer(listener), delay: delay, runs: map[string]int{}}
-	s.server.Use(s.shedding.handle)
+	s.server.Use(s.leaving.handle, s.shedding.handle)
 	s.server.Any("/*path", s.call)
 	return s
 }
@@ -40,6 +41,9 @@
 // Shedding returns the service's refusals, which tests switch on and off.
 func (s *Service) Shedding() *Shedding { return &s.shedding }
 
+// Leaving returns the service's announcement that it is leaving, which tests switch on and off.
+func (s *Service) Leaving() *Leaving { return &s.leaving }
+
 // Runs returns how often each body ran: a body represents one observation or work
 // order, so a count above one is a duplicate.
 func (s *Service) Runs() map[string]int {
--- a/membership/instances.go
+++ b/membership/instances.go
@@ -48,11 +48,17 @@
 type listing struct {
 	peers   []string
 	leaving map[string]bool
+	// saidLeaving holds the upstreams that said themselves that they are leaving.
+	saidLeaving map[string]departure
+	// upstreams is the set of addresses of all upstreams in the response, and pastUpstreams of
+	// those in any response.
+	upstreams     map[string]bool
+	pastUpstreams map[string]bool
 	// entries is the set of addresses of all entry instances, live or leaving.
 	entries map[string]bool
 	// receivedAt is when the response arrived, zero before the first.
 	receivedAt time.Time
-	// leavingVersion counts the changes of leaving.
+	// leavingVersion counts the changes of leaving and saidLeaving.
 	leavingVersion uint64
 }
 
@@ -109,8 +115,12 @@
 func (i *Instances) apply(instances []*platformv1.Instance) {
 	before := i.last.Load()
 	// An upstream that was leaving and is no longer listed is gone, so it stays in leaving.
-	current := &listing{leaving: maps.Clone(before.leaving), entries: map[string]bool{}, receivedAt: i.clock.Now()}
+	current := &listing{leaving: maps.Clone(before.leaving), entries: map[string]bool{}, upstreams: map[string]bool{},
+		pastUpstreams: before.pastUpstreams, receivedAt: i.clock.Now()}
 	for _, instance := range instances {
+		if instance.GetRole() == roleUpstream {
+			current.upstreams[instance.GetAddress()] = true
+		}
 		if instance.GetRole() == roleEntry {
 			current.entries[instance.GetAddress()] = true
 		}
@@ -123,12 +133,14 @@
 		case instance.GetRole() == roleUpstream:
 			current.leaving[instance.GetAddress()] = true
 			if !before.leaving[instance.GetAddress()] {
-				i.events.Record(event.UpstreamLeaving, "upstream", instance.GetAddress())
+				i.events.Record(event.UpstreamLeaving, "upstream", instance.GetAddress(), "source", sourceList)
 			}
 		}
 	}
+	current.addPastUpstreams()
+	current.saidLeaving = current.remainingDepartures(before.saidLeaving)
 	current.leavingVersion = before.leavingVersion
-	if !maps.Equal(current.leaving, before.leaving) {
+	if !maps.Equal(current.leaving, before.leaving) || len(current.saidLeaving) != len(before.saidLeaving) {
 		current.leavingVersion++
 	}
 	i.last.Store(current)
@@ -147,5 +159,8 @@
 // LeavingVersion returns a number that increases whenever the set of leaving upstreams changes.
 func (i *Instances) LeavingVersion() uint64 { return i.last.Load().leavingVersion }
 
-// IsLeaving reports whether the upstream at an address is listed as leaving.
-func (i *Instances) IsLeaving(address string) bool { return i.last.Load().leaving[address] }
+// IsLeaving reports whether the upstream at an address is listed as leaving or said that it is.
+func (i *Instances) IsLeaving(address string) bool {
+	last := i.last.Load()
+	return last.leaving[address] || last.saidLeaving[address] != notLeaving
+}
--- a/node/excludeleaving.go
+++ b/node/excludeleaving.go
@@ -27,8 +27,8 @@
 	return l.version == version && len(l.all) == len(all) && &l.all[0] == &all[0]
 }
 
-// get returns all without the upstreams that the platform lists as leaving. All of them must
-// belong to one service.
+// get returns all without the upstreams that are leaving, by the platform's list or by their own
+// word. All of them must belong to one service.
 func (c *nonLeavingCache) get(all []*operatorv1.Upstream, instances *membership.Instances) []*operatorv1.Upstream {
 	if len(all) == 0 {
 		return all
@@ -47,7 +47,7 @@
 	return remaining
 }
 
-// excludeLeaving returns upstreams without those that the platform lists as leaving.
+// excludeLeaving returns upstreams without those that are leaving.
 func (n *Node) excludeLeaving(upstreams []*operatorv1.Upstream) []*operatorv1.Upstream {
 	return n.nonLeaving.get(upstreams, n.instances)
 }
--- a/node/upstreams.go
+++ b/node/upstreams.go
@@ -5,27 +5,33 @@
 
 	operatorv1 "lavenderpin.dev/lavenderpin/api/operator/v1"
 	"lavenderpin.dev/lavenderpin/event"
+	"lavenderpin.dev/lavenderpin/membership"
 	"lavenderpin.dev/lavenderpin/routing"
 	"lavenderpin.dev/lavenderpin/upstream"
 )
 
-// upstreamAccess implements upstream.Access with the pauses that the balancer holds.
+// upstreamAccess implements upstream.Access with the pauses that the balancer holds and the
+// leaving upstreams that are known beside the platform's list.
 type upstreamAccess struct {
-	balancer *routing.Balancer
-	events   *event.Recorder
+	balancer  *routing.Balancer
+	instances *membership.Instances
+	events    *event.Recorder
 }
 
 var _ upstream.Access = upstreamAccess{}
 
 // newUpstreamGuard returns the client for everything that this node sends to upstreams.
 func (n *Node) newUpstreamGuard() *upstream.Guard {
-	guard := &upstream.Guard{Client: n.deps.Upstreams, Access: upstreamAccess{n.balancer, n.events}}
+	guard := &upstream.Guard{Client: n.deps.Upstreams, Access: upstreamAccess{n.balancer, n.instances, n.events}}
 	guard.Streams, _ = n.deps.Upstreams.(upstream.Resumer)
 	return guard
 }
 
 // Observe implements upstream.Observer.
 func (a upstreamAccess) Observe(to *operatorv1.Upstream, notice upstream.Notice) {
+	if notice.Leaving {
+		a.instances.MarkLeaving(to.GetAddress())
+	}
 	if a.balancer.Pause(to, notice.Pause) {
 		a.events.Record(event.UpstreamPaused, "upstream", to.GetName(), "pause_ms", notice.Pause.Milliseconds())
 	}
@@ -35,3 +41,8 @@
 func (a upstreamAccess) PauseLeft(to *operatorv1.Upstream) time.Duration {
 	return a.balancer.PauseLeft(to)
 }
+
+// SaidLeaving implements upstream.Access.
+func (a upstreamAccess) SaidLeaving(to *operatorv1.Upstream) bool {
+	return a.instances.SaidLeaving(to.GetAddress())
+}
--- a/request/candidates.go
+++ b/request/candidates.go
@@ -5,7 +5,8 @@
 )
 
 // candidateUpstreams returns the upstreams of a service that may get new requests. A resumed
-// stream continues at its upstream even while that one is leaving.
+// stream continues at an upstream that only the platform's list shows as leaving; one that says
+// so itself gives no stream again.
 func (s *Server) candidateUpstreams(service string) []*operatorv1.Upstream {
 	all := s.Config().Upstreams(service)
 	if s.ExcludeLeaving == nil {
--- a/request/pause_test.go
+++ b/request/pause_test.go
@@ -17,14 +17,16 @@
 
 // pausedUpstreams is an upstream.Access for tests.
 type pausedUpstreams struct {
-	mu     sync.Mutex
-	paused map[string]time.Duration
+	mu      sync.Mutex
+	paused  map[string]time.Duration
+	leaving map[string]bool
 }
 
 func (p *pausedUpstreams) Observe(to *operatorv1.Upstream, notice upstream.Notice) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.paused[to.GetName()] = notice.Pause
+	p.leaving[to.GetName()] = notice.Leaving
 }
 
 func (p *pausedUpstreams) PauseLeft(to *operatorv1.Upstream) time.Duration {
@@ -33,6 +35,18 @@
 	return p.paused[to.GetName()]
 }
 
+func (p *pausedUpstreams) SaidLeaving(to *operatorv1.Upstream) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.leaving[to.GetName()]
+}
+
+func (p *pausedUpstreams) leave(name string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.leaving[name] = true
+}
+
 func (p *pausedUpstreams) pause(name string) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -62,7 +76,7 @@
 // newGuardedServer returns a server that sends everything through a guard.
 func (s *fixture) newGuardedServer(name string) (*testServer, *pausedUpstreams, *sentRecorder) {
 	n := s.newServer(name)
-	access := &pausedUpstreams{paused: map[string]time.Duration{}}
+	access := &pausedUpstreams{paused: map[string]time.Duration{}, leaving: map[string]bool{}}
 	sent := &sentRecorder{Client: s.client, cancelled: make(chan string, 10), queried: make(chan string, 10)}
 	guard := &upstream.Guard{Client: sent, Streams: s.client, Access: access}
 	n.Client, n.Resumer = guard, guard
--- a/request/server.go
+++ b/request/server.go
@@ -33,7 +33,8 @@
 	Events   *event.Recorder
 	Clock    clockwork.Clock
 	Region   string
-	// ExcludeLeaving filters out upstreams that the platform reports as leaving; may be nil.
+	// ExcludeLeaving filters out upstreams that are leaving, by the platform's list or by their
+	// own word; may be nil.
 	ExcludeLeaving func([]*operatorv1.Upstream) []*operatorv1.Upstream
 	// CheckPauses returns the error of a request whose candidates all want no requests now; may
 	// be nil.
--- a/upstream/notice.go
+++ b/upstream/notice.go
@@ -16,6 +16,10 @@
 	// HeaderRetryAfter is how long, in seconds, an upstream that answers 503 wants no request
 	// from this node.
 	HeaderRetryAfter = "Retry-After"
+	// HeaderLeaving is "true" in each answer of an upstream that is leaving: it finishes what it
+	// runs and wants nothing new. The platform's list shows that later.
+	HeaderLeaving = "X-Upstream-Leaving"
+	leavingValue  = "true"
 	// maxPause bounds a pause: an upstream that sends nonsense must come back into use some day.
 	maxPause = 24 * time.Hour
 )
@@ -24,6 +28,8 @@
 type Notice struct {
 	// Pause is how long the upstream wants no request from this node; 0 if it asks for none.
 	Pause time.Duration
+	// Leaving is set if the upstream wants no new work until it is replaced.
+	Leaving bool
 }
 
 // Observer is told the notices of upstreams.
@@ -48,7 +54,7 @@
 
 // noticeOf returns the notice in a response.
 func noticeOf(response *protocol.Response) Notice {
-	return Notice{Pause: pauseOf(response)}
+	return Notice{Pause: pauseOf(response), Leaving: response.Header.Get(HeaderLeaving) == leavingValue}
 }
 
 // pauseOf returns the pause that a response asks for.
--- a/upstream/notice_test.go
+++ b/upstream/notice_test.go
@@ -37,6 +37,12 @@
 	return a.last.Pause
 }
 
+func (a *testAccess) SaidLeaving(*operatorv1.Upstream) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.last.Leaving
+}
+
 // pausingServer answers everything with 503 and Retry-After once release is closed, and records
 // the paths.
 type pausingServer struct {
