Measure the pauses of upstreams by the monotonic clock

A step of the node's time of day would have ended a pause early or prolonged it: the ends were kept as Unix nanoseconds. They are times now, whose monotonic part counts. No test fails before: the clocks that tests inject have no time of day apart from their monotonic time.

--- a/routing/pauses.go
+++ b/routing/pauses.go
@@ -11,11 +11,12 @@
 // replaced as a whole. It isn't part of a table, so that it outlasts changes of the
 // configuration.
 type pauses struct {
-	// until is by address, in Unix nanoseconds: upstreams of several services may share an
-	// address, and at another address is another process.
-	until map[string]int64
+	// until is by address: upstreams of several services may share an address, and at another
+	// address is another process. The times are monotonic, so that a step of the clock neither
+	// ends a pause nor prolongs it.
+	until map[string]time.Time
 	// last is the latest end.
-	last int64
+	last time.Time
 }
 
 // pauseKey returns the key of an upstream in pauses.until.
@@ -28,7 +29,7 @@
 
 // active returns the pauses if any of them hasn't ended, otherwise nil.
 func (p *pauses) active(now time.Time) *pauses {
-	if p == nil || p.last <= now.UnixNano() {
+	if p == nil || !p.last.After(now) {
 		return nil
 	}
 	return p
@@ -39,19 +40,22 @@
 	if p == nil {
 		return 0
 	}
-	return max(0, time.Duration(p.until[key]-now.UnixNano()))
+	return max(0, p.until[key].Sub(now))
 }
 
 // with returns the pauses with another one, without those that have ended.
-func (p *pauses) with(key string, until int64, now time.Time) *pauses {
-	next := &pauses{until: map[string]int64{key: until}, last: until}
+func (p *pauses) with(key string, until, now time.Time) *pauses {
+	next := &pauses{until: map[string]time.Time{key: until}, last: until}
 	if p == nil {
 		return next
 	}
 	for other, end := range p.until {
-		if end > now.UnixNano() && other != key {
-			next.until[other] = end
-			next.last = max(next.last, end)
+		if !end.After(now) || other == key {
+			continue
+		}
+		next.until[other] = end
+		if end.After(next.last) {
+			next.last = end
 		}
 	}
 	return next
@@ -67,7 +71,7 @@
 		if left >= d {
 			return false
 		}
-		if b.pauses.CompareAndSwap(before, before.with(key, now.Add(d).UnixNano(), now)) {
+		if b.pauses.CompareAndSwap(before, before.with(key, now.Add(d), now)) {
 			return left == 0
 		}
 	}
