Tell a caller the end of the pause when its last try failed

What callers saw: the only upstream left refused their request and asked for a pause; the answer (UpstreamFailed, may have run) told them to come back after the default of one second, while the upstream wanted nothing for longer.

Cause: the error of the last attempt is returned, as it is the true one, and the error of the pick, which knows the end of the pause, was dropped with its Retry-After. Evidence: TestCallerLearnsEndOfPauseFromFailure printed "0s != 1m0s" (go test -race -count=1 ./request -run TestCallerLearnsEndOfPauseFromFailure).

Change: if every upstream that may serve such a request is paused, also those that were tried, the last attempt's error gets the earliest end as Retry-After. If one of them isn't paused, nothing changes: it may serve sooner (routing.TestPauseDoesNotDelayRetryAtOtherUpstream).

--- a/request/call.go
+++ b/request/call.go
@@ -150,7 +150,7 @@
 		}
 		pick, err := s.Picker.Pick(params, s.candidateUpstreams(p.service.GetName()))
 		if err != nil {
-			return upstream.CallResponse{}, firstError(last, err)
+			return upstream.CallResponse{}, pickError(last, err)
 		}
 		response, err := s.callAttempt(ctx, grant, p, pick.Upstream)
 		pick.Done(err)
--- a/request/chat.go
+++ b/request/chat.go
@@ -116,11 +116,14 @@
 	return last
 }
 
-func firstError(errs ...error) error {
-	for _, err := range errs {
-		if err != nil {
-			return err
-		}
+// pickError returns the error of a request for which no upstream is left: that of its last
+// attempt, if there was one. If all others are paused, a retry can succeed after the first pause.
+func pickError(last, err error) error {
+	if last == nil {
+		return err
 	}
-	return nil
+	if pause := result.From(err).Pause; pause > 0 {
+		return result.From(last).WithRetryAfter(pause)
+	}
+	return last
 }
--- a/request/chatrun.go
+++ b/request/chatrun.go
@@ -104,7 +104,7 @@
 		}
 		pick, err := r.server.Picker.Pick(r.routingRequest(tried), r.server.candidateUpstreams(r.service.GetName()))
 		if err != nil {
-			return firstError(last, err)
+			return pickError(last, err)
 		}
 		r.pick = pick
 		err = r.attempt(ctx, pick.Upstream)
--- a/request/pause_test.go
+++ b/request/pause_test.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"sync"
 	"testing"
 	"time"
 
+	"github.com/jonboulle/clockwork"
 	"github.com/matryer/is"
 
 	operatorv1 "lavenderpin.dev/lavenderpin/api/operator/v1"
@@ -215,3 +217,34 @@
 	is.Equal(n.billedTokens(t), uint64(0))
 	is.Equal(len(services[0].Runs()), 0)
 }
+
+// balancerAccess is an upstream.Access that keeps pauses in the balancer which picks.
+type balancerAccess struct{ *routing.Balancer }
+
+func (a balancerAccess) Observe(to *operatorv1.Upstream, notice upstream.Notice) {
+	a.Pause(to, notice.Pause)
+}
+
+func (balancerAccess) SaidLeaving(*operatorv1.Upstream) bool { return false }
+
+// Guards against callers that come back too soon: the only upstream refused their request and
+// asked for a pause, but the answer says nothing of its end.
+func TestCallerLearnsEndOfPauseFromFailure(t *testing.T) {
+	is := is.New(t)
+	s := newFixture(t, standin.EngineOptions{})
+	n := s.newServer("a")
+	balancer := routing.NewBalancer(routing.DefaultSettings(), clockwork.NewFakeClock(), rand.Uint64, nil)
+	n.Picker, n.Client = balancer, &upstream.Guard{Client: s.client, Access: balancerAccess{balancer}}
+	s.engines[0].Shedding().Refuse(testPause)
+	body, _ := prompt(3)
+	err := n.Chat(context.Background(), chatCall(body), &testSink{stream: true})
+	is.Equal(result.CodeOf(err), result.UpstreamFailed)
+	is.True(!result.From(err).NotRun())
+	is.Equal(result.From(err).RetryAfter, testPause)
+	err = n.Chat(context.Background(), chatCall(body), &testSink{stream: true})
+	is.Equal(result.CodeOf(err), result.NoUpstream)
+	is.True(result.From(err).NotRun())
+	is.Equal(result.From(err).RetryAfter, testPause)
+	is.Equal(s.engines[0].Shedding().Arrivals(), 1)
+	is.Equal(n.billedTokens(t), uint64(0))
+}
--- a/result/error.go
+++ b/result/error.go
@@ -15,7 +15,7 @@
 	// no wait is needed.
 	RetryAfter time.Duration
 	// Pause is set if the upstream asked for no requests during that time, or if this node sent
-	// it none for that reason.
+	// none for that reason.
 	Pause time.Duration
 	// MayHaveRun is set if one attempt was refused but the call may have run in an earlier
 	// one, so that the code's "not run" doesn't apply to the call.
--- a/routing/pauses.go
+++ b/routing/pauses.go
@@ -115,5 +115,5 @@
 
 func allPausedError(service string, earliest time.Duration) error {
 	return result.New(result.NoUpstream, "all upstreams of %s asked for a pause, the first until in %s", service, earliest.Round(time.Millisecond)).
-		WithRetryAfter(earliest)
+		WithRetryAfter(earliest).WithPause(earliest)
 }
--- a/routing/pauses_test.go
+++ b/routing/pauses_test.go
@@ -163,3 +163,20 @@
 		p.Done(nil)
 	}), 0.0)
 }
+
+// Guards against callers that wait for the end of a pause although an upstream that failed their
+// request may serve them sooner.
+func TestPauseDoesNotDelayRetryAtOtherUpstream(t *testing.T) {
+	is := is.New(t)
+	b, _ := newTestBalancer()
+	list := engines("north", 2)
+	request := testRequest()
+	request.Tried = map[string]bool{"north-1": true}
+	b.Pause(list[0], time.Hour)
+	_, err := b.Pick(request, list)
+	is.Equal(result.CodeOf(err), result.NoUpstream)
+	is.Equal(result.From(err).RetryAfter, noUpstreamRetryAfter)
+	b.Pause(list[1], time.Minute)
+	_, err = b.Pick(request, list)
+	is.Equal(result.From(err).RetryAfter, time.Minute)
+}
--- a/routing/pick_call.go
+++ b/routing/pick_call.go
@@ -208,18 +208,23 @@
 	return z ^ z>>31
 }
 
-// noUpstreamError returns the error of a pick that found no upstream. If some are paused, a retry
-// can succeed once the first pause ends.
+// noUpstreamError returns the error of a pick that found no upstream. If all are paused, also
+// those that were tried, a new request can succeed once the first pause ends.
 func (c *pickCall) noUpstreamError() error {
 	var earliest time.Duration
+	allPaused := true
 	for i := range c.table.entries {
 		e := &c.table.entries[i]
+		if !c.servable(e) {
+			continue
+		}
 		left := c.pauses.left(e.target.pauseKey, c.now)
-		if left > 0 && c.servable(e) && (earliest == 0 || left < earliest) {
+		allPaused = allPaused && left > 0
+		if earliest == 0 || left < earliest {
 			earliest = left
 		}
 	}
-	if earliest > 0 {
+	if allPaused && earliest > 0 {
 		return allPausedError(c.request.Service, earliest)
 	}
 	return result.New(result.NoUpstream, "no upstream of %s is left to try", c.request.Service).WithRetryAfter(noUpstreamRetryAfter)
@@ -228,14 +233,12 @@
 // eligible reports whether the upstream may get the request now, regardless of its health. Every
 // pick checks it, also one that probes or falls back to unhealthy upstreams.
 func (c *pickCall) eligible(e *entry) bool {
-	return c.pauses.left(e.target.pauseKey, c.now) == 0 && c.servable(e)
-}
-
-// servable reports whether the upstream may serve the request, regardless of its health and of
-// a pause.
-func (c *pickCall) servable(e *entry) bool {
-	if e.draining || !e.target.serves(&c.request) {
+	if c.pauses.left(e.target.pauseKey, c.now) > 0 || !c.servable(e) {
 		return false
 	}
 	return len(c.request.Tried) == 0 || !c.request.Tried[e.target.name]
 }
+
+// servable reports whether the upstream may serve such a request, whatever became of this one
+// there, and regardless of its health and of a pause.
+func (c *pickCall) servable(e *entry) bool { return !e.draining && e.target.serves(&c.request) }
