Test a whole node whose upstreams all asked for a pause

Both instances of a plain service refuse one request each and ask for an hour. The next request is refused at once as NoUpstream, not run, with the end of the pause, and reaches neither. The test passes on the code as it is; it holds the wiring from the HTTP client to the answer, which the packages' own tests don't.

--- a/devfleet/pause_test.go
+++ b/devfleet/pause_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"testing"
 	"time"
@@ -78,3 +79,32 @@
 		send(n)
 	}
 }
+
+// Guards against a request that waits, or reaches an upstream, while all upstreams of its service
+// asked for a pause, and against a refusal that doesn't say when to come back.
+func TestAllUpstreamsPausedIsRefusedAsNotRun(t *testing.T) {
+	is := is.New(t)
+	fleet := startPauseFleet(t)
+	for _, service := range fleet.PlainServices {
+		service.Shedding().Refuse(time.Hour)
+	}
+	for n := 0; fleet.PlainServices[0].Shedding().Refused() == 0 || fleet.PlainServices[1].Shedding().Refused() == 0; n++ {
+		fleet.post(t, 0, "/s/orders/work", SampleAccountKey, fmt.Sprint("order-", n))
+	}
+	status, body := fleet.post(t, 0, "/s/orders/work", SampleAccountKey, "order")
+	is.Equal(status, 503)
+	var refusal struct {
+		Error struct {
+			Name         string
+			NotRun       bool  `json:"not_run"`
+			RetryAfterMS int64 `json:"retry_after_ms"`
+		}
+	}
+	is.NoErr(json.Unmarshal(body, &refusal))
+	is.Equal(refusal.Error.Name, "NoUpstream")
+	is.True(refusal.Error.NotRun)
+	is.True(refusal.Error.RetryAfterMS > (time.Hour / 2).Milliseconds())
+	for _, service := range fleet.PlainServices {
+		is.Equal(service.Shedding().Arrivals(), 1)
+	}
+}
