Test that the caller of a request that a drain ends is answered

Guards against the connection that closes before the final answer.

A development fleet takes the drain's time as an option.

--- a/daemon/shutdown_test.go
+++ b/daemon/shutdown_test.go
@@ -2,8 +2,12 @@
 
 import (
 	"context"
+	"encoding/json"
+	"net/http"
 	"os"
+	"strings"
 	"testing"
+	"time"
 
 	"github.com/cloudwego/hertz/pkg/common/hlog"
 	"github.com/matryer/is"
@@ -11,6 +15,8 @@
 
 	operatorv1 "lavenderpin.dev/lavenderpin/api/operator/v1"
 	"lavenderpin.dev/lavenderpin/devfleet"
+	"lavenderpin.dev/lavenderpin/internal/standin"
+	"lavenderpin.dev/lavenderpin/result"
 )
 
 func TestMain(m *testing.M) {
@@ -41,3 +47,46 @@
 	}
 	is.True(ctx.Err() == nil) // the node ended the watch
 }
+
+// Guards against closing the connection of a caller whose request the end of the node cut, before
+// it was told so.
+func TestCallerOfCutRequestIsAnswered(t *testing.T) {
+	is := is.New(t)
+	here := devfleet.Location{Region: "gulf-maine", DataCentre: "casco"}
+	fleet, err := devfleet.Start(devfleet.Options{
+		Nodes: []devfleet.Location{here}, Engines: []devfleet.Location{here},
+		Engine: standin.EngineOptions{TokenTime: time.Minute}, DrainTimeout: 4 * time.Second,
+	})
+	is.NoErr(err)
+	is.NoErr(fleet.Apply(t.Context(), fleet.SampleConfig()))
+	node := fleet.Daemons[0].Node()
+	for node.Ledger().Budget("dev-budget").Prepaid == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	body := `{"model":"` + devfleet.SampleModel + `","messages":[{"role":"user","content":"a b c"}]}`
+	request, err := http.NewRequest("POST", "http://"+node.Settings().HTTPAddress+"/v1/chat/completions", strings.NewReader(body))
+	is.NoErr(err)
+	request.Header.Set("Authorization", "Bearer "+devfleet.SampleAccountKey)
+	stopped := make(chan struct{})
+	go func() {
+		defer close(stopped)
+		for node.Requests().InFlight() == 0 {
+			time.Sleep(time.Millisecond)
+		}
+		fleet.Stop()
+	}()
+	response, err := http.DefaultClient.Do(request)
+	is.NoErr(err)
+	defer func() { _ = response.Body.Close() }()
+	var failure struct {
+		Error struct {
+			Code   result.Code
+			NotRun bool `json:"not_run"`
+		}
+	}
+	is.NoErr(json.NewDecoder(response.Body).Decode(&failure))
+	is.Equal(failure.Error.Code, result.Draining)
+	is.True(!failure.Error.NotRun)
+	is.True(response.Header.Get("Retry-After") != "")
+	<-stopped
+}
--- a/devfleet/fleet.go
+++ b/devfleet/fleet.go
@@ -1,6 +1,7 @@
 package devfleet
 
 import (
+	"cmp"
 	"context"
 	"crypto/rand"
 	"fmt"
@@ -32,7 +33,8 @@
 	startTimeout  = 20 * time.Second
 	pollInterval  = 20 * time.Millisecond
 	// addressLifetime is short so that a development fleet stops quickly.
-	addressLifetime = 200 * time.Millisecond
+	addressLifetime     = 200 * time.Millisecond
+	defaultDrainTimeout = time.Minute
 )
 
 // Location is the region and data centre of a node or an upstream.
@@ -46,7 +48,9 @@
 	Engine        standin.EngineOptions
 	// PlainDelay is the duration of each call of a plain service.
 	PlainDelay time.Duration
-	Logger     log.Logger
+	// DrainTimeout bounds the graceful shutdown of a node; defaultDrainTimeout if zero.
+	DrainTimeout time.Duration
+	Logger       log.Logger
 	// AdjustSettings modifies a node's settings before it starts; may be nil.
 	AdjustSettings func(*node.Settings)
 	// WrapLog and WrapSocket, if not nil, wrap a node's log client and peer socket, for
@@ -159,7 +163,7 @@
 	daemonConfig := daemon.Config{
 		Settings: settings, Log: f.Log, Instances: f.Instances,
 		Weights: standin.NewWeights(clockwork.NewRealClock(), time.Second),
-		PeerTLS: peerTLS, Logger: logger, DrainTimeout: time.Minute, Sockets: sockets,
+		PeerTLS: peerTLS, Logger: logger, DrainTimeout: cmp.Or(options.DrainTimeout, defaultDrainTimeout), Sockets: sockets,
 	}
 	if options.WrapLog != nil {
 		daemonConfig.Log = options.WrapLog(location, f.Log)
