Parse a keyed completion for a drain only while the node drains

The check before a key is claimed parsed the body of every keyed completion once more, drain or not. Now it returns first if the node doesn't drain. Found on reading; its cost wasn't measured. TestDrainingNodeClaimsNoKeyOfCompletion holds what the check is for; it passes with and without this change.

--- a/node/drain.go
+++ b/node/drain.go
@@ -23,8 +23,9 @@
 // Drain stops the node gracefully: no node hands out its address any more, callers that still
 // hold it are served, running requests finish and are settled, and the shares are released.
 // It returns when all that is in the log, or when ctx is done. If ctx has a deadline, the node
-// accepts only requests that end before it, and ends those that are open shortly before. Drain may be called concurrently; each call returns
-// when the node has drained, and the earliest deadline counts.
+// accepts only requests that end before it, and ends those that are open shortly before. Drain
+// may be called concurrently; each call returns when the node has drained, and the earliest
+// deadline counts.
 func (n *Node) Drain(ctx context.Context) {
 	n.boundDrain(ctx)
 	if !n.drainStarted.CompareAndSwap(false, true) {
--- a/node/drain_test.go
+++ b/node/drain_test.go
@@ -288,6 +288,25 @@
 	})
 }
 
+// Guards against claiming the key of a completion that the node will cut.
+func TestDrainingNodeClaimsNoKeyOfCompletion(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f, upstreams := startDrainFleet(t)
+		n := f.nodes[1]
+		f.drainFor(n, drainTime)
+		chat := request.ChatCall{Key: streamKey, Body: []byte(chatBody), Timeout: time.Second, IdempotencyKey: "chat"}
+		refused := result.From(n.Requests().Chat(t.Context(), chat, newStreamCaller(-1)))
+		is.True(refused != nil)
+		is.Equal(refused.Code, result.Draining)
+		is.True(!refused.NotRun()) // an earlier try may have run elsewhere
+		is.Equal(n.count(event.RequestRefused), uint64(1))
+		_, claimed := n.claims.Get(idempotency.ID{Account: "a", Key: "chat"})
+		is.True(!claimed)
+		is.Equal(upstreams.sends(), 0)
+	})
+}
+
 // Guards against requests that end with the process, without a final answer, a settlement or a
 // log line, and against leaving the incarnation open.
 func TestOpenRequestsEndWithTheDrainingNode(t *testing.T) {
--- a/request/chatonce.go
+++ b/request/chatonce.go
@@ -53,10 +53,8 @@
 		ID:     idempotency.ID{Account: account.GetName(), Key: call.IdempotencyKey},
 		Digest: callDigest(call.asServiceCall()),
 	}
-	if service := s.chatService(call.Body); service != nil {
-		if err := s.refuseKeyIfDraining(ctx, keyedCall.ID, service.GetName()); err != nil {
-			return idempotency.Response{}, err
-		}
+	if err := s.refuseKeyedChatIfDraining(ctx, keyedCall.ID, call.Body); err != nil {
+		return idempotency.Response{}, err
 	}
 	return s.Runner.Do(ctx, keyedCall, func(ctx context.Context) (idempotency.Response, error) {
 		ctx, done := s.untilNodeEnds(ctx)
@@ -69,13 +67,21 @@
 	}, forward)
 }
 
-// chatService returns the service that runs a completion; nil if the body names none.
-func (s *Server) chatService(raw []byte) *operatorv1.Service {
+// refuseKeyedChatIfDraining is refuseKeyIfDraining for a completion. One without a service is
+// rejected later.
+func (s *Server) refuseKeyedChatIfDraining(ctx context.Context, id idempotency.ID, raw []byte) error {
+	if s.drainState.Load() == nil {
+		return nil
+	}
 	body, err := parseChat(raw)
 	if err != nil {
 		return nil
 	}
-	return s.Config().ServiceByModel(body.Model)
+	service := s.Config().ServiceByModel(body.Model)
+	if service == nil {
+		return nil
+	}
+	return s.refuseKeyIfDraining(ctx, id, service.GetName())
 }
 
 // followRecording writes a recording to the sink while it grows. An answer that another try
