Accept requests of unknown duration while callers may hold the address

A kind with fewer than 8 known requests now counts as short until the addresses have expired; then only what certainly ends in time is accepted, as before. A new key, which binds a call to the node, is still refused if nothing is known. What this costs: on a node that has just started, a long stream accepted in the first 2.7 s may be cut.

--- a/drain/window.go
+++ b/drain/window.go
@@ -15,7 +15,7 @@
 func (w Window) Left(now time.Duration) time.Duration { return w.End - now }
 
 // Accepts reports whether to accept a request that takes at most limit and usually no longer than
-// usual. A limit of zero means that there is none.
+// usual. A limit of zero means that there is none; usual is zero if it isn't known.
 //
 // A request that certainly ends in time is accepted. One that usually does is accepted only
 // while its caller couldn't have known of the shutdown: afterwards a refusal, which lets the
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -176,7 +176,7 @@
 	}
 	took := c.g.since(c.r.Arrived)
 	if c.succeeded {
-		c.g.durations.Record(c.route.Name, took, c.g.Clock.Now())
+		c.g.durations.Record(c.route.Name, took)
 	}
 	c.g.Metrics.recordFinished(c.route.Name, c.outcome, took)
 	c.g.Events.Record(event.RequestEnded, "request", c.r.ID, "route", c.route.Name, "account", c.accountName(),
--- a/gateway/drain.go
+++ b/gateway/drain.go
@@ -36,12 +36,7 @@
 	if w == nil {
 		return false
 	}
-	now, limit := c.g.Clock.Now(), c.timeLeft()
-	usual, known := c.g.durations.Usual(c.route.Name, now, w.Left(now))
-	if !known {
-		usual = limit
-	}
-	return !w.Accepts(now, limit, usual)
+	return !w.Accepts(c.g.Clock.Now(), c.timeLeft(), c.g.durations.Usual(c.route.Name))
 }
 
 // drainLeft returns the time until a draining node ends open requests.
--- a/request/call.go
+++ b/request/call.go
@@ -134,7 +134,7 @@
 		return response, withRequestID(grant.Request().String(), err)
 	}
 	grant.Finish(p.rule.GetTokens())
-	s.recordDuration(p.kind(), started)
+	s.durations.Record(p.kind(), s.Clock.Since(started))
 	s.Events.Record(event.RequestFinished, "request", grant.Request(), "tokens", p.rule.GetTokens())
 	return response, nil
 }
--- a/request/chat.go
+++ b/request/chat.go
@@ -57,7 +57,7 @@
 	if err := run.run(ctx); err != nil {
 		return withRequestID(run.grant.Request().String(), err)
 	}
-	s.recordDuration(run.service.GetName(), started)
+	s.durations.Record(run.service.GetName(), s.Clock.Since(started))
 	return nil
 }
 
--- a/request/drain.go
+++ b/request/drain.go
@@ -1,6 +1,7 @@
 package request
 
 import (
+	"cmp"
 	"context"
 	"time"
 
@@ -81,6 +82,12 @@
 // refuseIfDraining refuses a request of a kind that may outlast the node. The request ends at
 // the deadline of ctx, if it has one.
 func (s *Server) refuseIfDraining(ctx context.Context, kind string) error {
+	return s.refuseUnlessEnds(ctx, s.durations.Usual(kind))
+}
+
+// refuseUnlessEnds refuses a request that may outlast the node, by how long such requests usually
+// take; zero if that isn't known.
+func (s *Server) refuseUnlessEnds(ctx context.Context, usual time.Duration) error {
 	d := s.drainState.Load()
 	if d == nil || d.window == nil && !d.refuseAll {
 		return nil
@@ -88,16 +95,11 @@
 	if d.refuseAll {
 		return DrainRefusal()
 	}
-	limit, usual := time.Duration(0), MaxTimeout
+	limit := time.Duration(0)
 	if deadline, limited := ctx.Deadline(); limited {
 		limit = deadline.Sub(s.Clock.Now())
-		usual = limit
-	}
-	now := s.Clock.Since(d.start)
-	if known, found := s.usualDuration(kind, d.window.Left(now)); found {
-		usual = known
 	}
-	if !d.window.Accepts(now, limit, usual) {
+	if !d.window.Accepts(s.Clock.Since(d.start), limit, usual) {
 		return DrainRefusal()
 	}
 	return nil
@@ -117,13 +119,15 @@
 }
 
 // refuseKeyIfDraining refuses a request with an idempotency key that this node doesn't hold yet,
-// before the key is claimed. Such a request runs on when its caller leaves, so it has no limit.
-// An earlier try with the key may have run elsewhere.
+// before the key is claimed. Such a request runs on when its caller leaves, so it has no limit,
+// and no other node may run it then, so it is refused if nothing is known of its kind. An earlier
+// try with the key may have run elsewhere.
 func (s *Server) refuseKeyIfDraining(ctx context.Context, id idempotency.ID, kind string) error {
 	if s.drainState.Load() == nil || s.Runner.Holds(id) {
 		return nil
 	}
-	if err := s.refuseIfDraining(context.WithoutCancel(ctx), kind); err != nil {
+	usual := cmp.Or(s.durations.Usual(kind), MaxTimeout)
+	if err := s.refuseUnlessEnds(context.WithoutCancel(ctx), usual); err != nil {
 		return s.recordRefusal(id.Account, result.From(err).WithMayHaveRun())
 	}
 	return nil
@@ -144,24 +148,9 @@
 	if !deadline.IsZero() && deadline.Sub(s.Clock.Now()) <= left {
 		return false
 	}
-	usual, _ := s.usualDuration(kind, left)
-	return usual >= left
+	return s.durations.Usual(kind) >= left
 }
 
-// recordDuration records how long a successful request took.
-func (s *Server) recordDuration(kind string, started time.Time) {
-	now := s.Clock.Now()
-	s.durations.Record(kind, now.Sub(started), sinceEpoch(now))
-}
-
-// usualDuration returns how long requests of a kind usually take; false if that isn't known well
-// enough for a node that ends in the given time.
-func (s *Server) usualDuration(kind string, left time.Duration) (time.Duration, bool) {
-	return s.durations.Usual(kind, sinceEpoch(s.Clock.Now()), left)
-}
-
-func sinceEpoch(at time.Time) time.Duration { return time.Duration(at.UnixNano()) }
-
 // drainLeft returns the time until a draining node ends open requests.
 func (s *Server) drainLeft() (left time.Duration, draining bool) {
 	d := s.drainState.Load()
