Keep a soak's connection silent after it lost bytes

Cause: the proxy in mode Blackhole dropped bytes and forwarded the following ones once the mode ended. TCP never delivers bytes after a gap.

Change: a connection that lost bytes forwards none in that direction afterwards, as if a router had forgotten it, so that a node has to notice that it is dead.

TestConnectionDeliversNothingAfterLoss (go test ./internal/soak -run TestConnection) failed without the change ("soak_test.go:127: 3 != ") and passes.

--- a/internal/soak/proxy.go
+++ b/internal/soak/proxy.go
@@ -17,9 +17,10 @@
 	Pass Mode = iota
 	// Slow forwards each chunk after slowDelay.
 	Slow
-	// Blackhole reads bytes and forwards nothing, in either direction.
+	// Blackhole reads bytes and forwards nothing, in either direction. A connection that lost
+	// bytes forwards none in that direction afterwards either, since TCP leaves no gaps.
 	Blackhole
-	// DropResponses forwards requests but no responses.
+	// DropResponses forwards requests but no responses, otherwise like Blackhole.
 	DropResponses
 	// Refuse resets new and open connections.
 	Refuse
@@ -126,13 +127,15 @@
 // copy forwards bytes until either side ends; isResponse tells their direction.
 func (p *Proxy) copy(to, from net.Conn, isResponse bool) {
 	buffer := make([]byte, 16<<10)
+	lost := false
 	for {
 		n, err := from.Read(buffer)
 		mode := p.currentMode()
 		if mode == Slow {
 			time.Sleep(slowDelay)
 		}
-		if n > 0 && mode != Blackhole && (mode != DropResponses || !isResponse) {
+		lost = lost || n > 0 && (mode == Blackhole || mode == DropResponses && isResponse)
+		if n > 0 && !lost {
 			if _, werr := to.Write(buffer[:n]); werr != nil {
 				err = werr
 			}
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"os"
@@ -89,3 +90,39 @@
 	p.SetMode(Pass)
 	is.NoErr(get(longTimeout))
 }
+
+// Guards against a connection that delivers bytes after it lost earlier ones, which would make
+// a whole answer of it that lacks its middle.
+func TestConnectionDeliversNothingAfterLoss(t *testing.T) {
+	is := is.New(t)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	defer func() { _ = listener.Close() }()
+	p, err := NewProxy(listener.Addr().String())
+	is.NoErr(err)
+	defer p.Close()
+	client, err := net.Dial("tcp", p.Address())
+	is.NoErr(err)
+	defer func() { _ = client.Close() }()
+	server, err := listener.Accept()
+	is.NoErr(err)
+	send := func(text string) {
+		_, err := io.WriteString(server, text)
+		is.NoErr(err)
+	}
+	receive := func(timeout time.Duration) string {
+		is.NoErr(client.SetReadDeadline(time.Now().Add(timeout)))
+		buffer := make([]byte, 10)
+		n, _ := client.Read(buffer) // after a timeout nothing was read
+		return string(buffer[:n])
+	}
+	const longTimeout, shortTimeout = 30 * time.Second, 300 * time.Millisecond
+	send("1")
+	is.Equal(receive(longTimeout), "1")
+	p.SetMode(Blackhole)
+	send("2")
+	is.Equal(receive(shortTimeout), "")
+	p.SetMode(Pass)
+	send("3")
+	is.Equal(receive(shortTimeout), "")
+}
