Let the soak find requests during a pause that an upstream asked for

What was missed: upstreams that had answered 503 with Retry-After got more requests at once (docs/incidents/requests-despite-retry-after.md); the soak never showed it.

Why: its "upstream is full" sent no Retry-After, no check counted what an upstream got while it shed, and it shed everything at one upstream alone, which nodes then avoid for seconds because others answer.

Change: the check counts, for each node and upstream, the requests that arrive between 0.5 s after such an answer and the end of its pause; more than two are a violation. It excuses a kill, pause or restart of the node in that time and a loss of the answer (a reset or dark upstream in the 0.5 s after it). A node that is only cut from the store isn't excused.

--- a/internal/soak/check_test.go
+++ b/internal/soak/check_test.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"fmt"
 	"net/http"
 	"slices"
 	"testing"
@@ -57,6 +58,25 @@
 	}
 }
 
+// send adds a successful call through node 2 that reaches upstream 0.
+func (h *history) send(id string, start float64, arrival standin.Arrival) {
+	r, run := successfulCall(id, standin.LookupRoute)
+	r.node, r.start, r.end = "n", at(start), at(start)
+	h.records = append(h.records, r)
+	h.runs[id] = append(h.runs[id], run)
+	arrival.ID, arrival.At = id, at(start)
+	h.arrivals[0] = append(h.arrivals[0], arrival)
+}
+
+// shedWithPause makes upstream 0 ask node 2 for a pause of 3 s at 100 and lets requests arrive
+// there at the given times.
+func (h *history) shedWithPause(later ...float64) {
+	h.send("shed", 100, standin.Arrival{RetryAfter: 3 * time.Second})
+	for i, seconds := range later {
+		h.send(fmt.Sprintf("later-%d", i), seconds, standin.Arrival{})
+	}
+}
+
 func (h *history) recordOf(route standin.Route) *callRecord {
 	i := slices.IndexFunc(h.records, func(r callRecord) bool { return r.call.Route.Name == route.Name })
 	return &h.records[i]
@@ -108,6 +128,7 @@
 			h.cut(standin.LookupRoute, 101)
 			h.recordOf(standin.LookupRoute).outcome.Status = 0
 		}},
+		{"an upstream gets requests during the pause that it asked for", "requested pauses", func(h *history) { h.shedWithPause(100.6, 101, 102.9) }},
 		{"a new route isn't in force", "configuration in force", func(h *history) {
 			h.routes = []addedRoute{{route: standin.LookupRoute, at: time.Unix(96, 0)}}
 			h.recordOf(standin.LookupRoute).outcome = standin.Outcome{Status: http.StatusNotFound}
@@ -158,6 +179,15 @@
 			h.cut(standin.NonResumableRoute, 101)
 			h.spans = []span{spanOf(Step{Kind: KillNode, Target: 2}, 100.5, 101.5)}
 		}},
+		{"two requests during a pause", func(h *history) { h.shedWithPause(100.3, 100.4, 100.6, 102.9, 103.1) }},
+		{"the answer that asks for a pause is lost", func(h *history) {
+			h.shedWithPause(100.6, 101, 102.9)
+			h.spans = []span{spanOf(Step{Kind: UpstreamReset}, 100, 100.1)}
+		}},
+		{"the node restarts during a pause", func(h *history) {
+			h.shedWithPause(100.6, 101, 102.9)
+			h.stopNode(99, 100.5)
+		}},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			is := is.New(t)
--- a/internal/soak/plannedchecks.go
+++ b/internal/soak/plannedchecks.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"slices"
 	"time"
 )
 
@@ -22,6 +23,13 @@
 	return node, known
 }
 
+// lostState reports whether a node's process ended or was paused in the interval.
+func (h *history) lostState(node int, from, to time.Time) bool {
+	return h.anySpan(from, to, func(s *span) bool { return s.stopsProcess(node) }) || slices.ContainsFunc(h.stopsOf(node), func(s processStop) bool {
+		return s.exited.After(from) && s.exited.Before(to)
+	})
+}
+
 // stopsOf returns a node's planned stops.
 func (h *history) stopsOf(node int) []processStop {
 	if node >= len(h.stops) {
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -23,6 +23,9 @@
 // Guards against planned stops that cut answers, above all of requests that are sent late.
 func TestStopsInSeriesCutNoAnswers(t *testing.T) { testSeed(t, 4) }
 
+// Guards against nodes that send requests to upstreams that asked for a pause.
+func TestNoRequestsDuringRequestedPauses(t *testing.T) { testSeed(t, 184) }
+
 // testSeed runs a seed and reports its violations.
 func testSeed(t *testing.T, seed uint64) {
 	t.Parallel()
--- a/internal/soak/span.go
+++ b/internal/soak/span.go
@@ -47,6 +47,11 @@
 	}
 }
 
+// losesResponses reports whether the step loses responses that an upstream sends.
+func (s *span) losesResponses(upstream int) bool {
+	return (s.Kind == UpstreamReset || s.Kind == UpstreamSilent) && s.Target == upstream
+}
+
 // failsRequests reports whether the step makes its upstream fail requests.
 func (s *span) failsRequests() bool {
 	switch s.Kind {
