Let the soak find requests to upstreams that say that they leave

What was missed: an upstream that leaves says so in its answers (header Server-Leaving) before its entry in the store says it, or without its entry ever saying it.

Change: the check reports each request that reached a leaving upstream from a node and that its caller sent more than 3 s after the end of an answer with that header that the node passed on. An answer counts if its request reached no other upstream. A kill, pause or restart of the node since then and a new incarnation of the upstream excuse it; that the node is cut from the store doesn't.

--- a/internal/soak/check_test.go
+++ b/internal/soak/check_test.go
@@ -77,6 +77,12 @@
 	}
 }
 
+// leave makes upstream 0 say at one time that it leaves and lets a request arrive there later.
+func (h *history) leave(said, sent float64) {
+	h.send("said", said, standin.Arrival{Leaving: true})
+	h.send("sent", sent, standin.Arrival{Leaving: true})
+}
+
 func (h *history) recordOf(route standin.Route) *callRecord {
 	i := slices.IndexFunc(h.records, func(r callRecord) bool { return r.call.Route.Name == route.Name })
 	return &h.records[i]
@@ -129,6 +135,7 @@
 			h.recordOf(standin.LookupRoute).outcome.Status = 0
 		}},
 		{"an upstream gets requests during the pause that it asked for", "requested pauses", func(h *history) { h.shedWithPause(100.6, 101, 102.9) }},
+		{"an upstream leaves and gets a request", "leaving upstreams", func(h *history) { h.leave(100, 103.1) }},
 		{"a new route isn't in force", "configuration in force", func(h *history) {
 			h.routes = []addedRoute{{route: standin.LookupRoute, at: time.Unix(96, 0)}}
 			h.recordOf(standin.LookupRoute).outcome = standin.Outcome{Status: http.StatusNotFound}
@@ -188,6 +195,16 @@
 			h.shedWithPause(100.6, 101, 102.9)
 			h.stopNode(99, 100.5)
 		}},
+		{"a leaving upstream gets a request soon", func(h *history) { h.leave(100, 102.9) }},
+		{"a leaving upstream gets a request after the node was paused", func(h *history) {
+			h.leave(100, 103.1)
+			h.spans = []span{spanOf(Step{Kind: PauseNode, Target: 2}, 101, 102)}
+		}},
+		{"an upstream gets a request after it restarted", func(h *history) {
+			h.leave(100, 103.1)
+			last := &h.arrivals[0][len(h.arrivals[0])-1]
+			last.Incarnation, last.Leaving = 1, false
+		}},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			is := is.New(t)
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -72,7 +72,7 @@
 	maxFaultDuration = 4 * time.Second
 	// minLeaveDuration is how long an upstream at least serves after it began to leave: long
 	// enough for requests to arrive that nodes must no longer send.
-	minLeaveDuration = 4 * time.Second
+	minLeaveDuration = leaveMargin + time.Second
 	// minSeriesInterval and maxSeriesInterval bound the time between two stops of a series: much
 	// less than a stop may take, so that stops overlap.
 	minSeriesInterval = 250 * time.Millisecond
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -26,6 +26,9 @@
 // Guards against nodes that send requests to upstreams that asked for a pause.
 func TestNoRequestsDuringRequestedPauses(t *testing.T) { testSeed(t, 184) }
 
+// Guards against nodes that send requests to upstreams that say in their answers that they leave.
+func TestNoRequestsToLeavingUpstreams(t *testing.T) { testSeed(t, 108) }
+
 // testSeed runs a seed and reports its violations.
 func testSeed(t *testing.T, seed uint64) {
 	t.Parallel()
