--- a/internal/soak/check_test.go
+++ b/internal/soak/check_test.go
@@ -203,7 +203,7 @@
 		{"an upstream gets a request after it restarted", func(h *history) {
 			h.leave(100, 103.1)
 			last := &h.arrivals[0][len(h.arrivals[0])-1]
-			last.Incarnation, last.Leaving = 1, false
+			last.StartedAt, last.Leaving = 1, false
 		}},
 	} {
 		t.Run(c.name, func(t *testing.T) {
--- a/internal/soak/fleet.go
+++ b/internal/soak/fleet.go
@@ -194,8 +194,12 @@
 	case UpstreamFails:
 		changeFaults(func(x *standin.Faults) { x.Status = 500 }, func(x *standin.Faults) { x.Status = 0 })
 	case UpstreamSheds:
-		changeFaults(func(x *standin.Faults) { x.Shed, x.ShedEvery, x.ShedRetryAfter = true, s.ShedEvery, s.RetryAfter },
-			func(x *standin.Faults) { x.Shed, x.ShedEvery, x.ShedRetryAfter = false, 0, 0 })
+		retryAfter := ""
+		if s.RetryAfter > 0 {
+			retryAfter = fmt.Sprint(s.RetryAfter.Seconds())
+		}
+		changeFaults(func(x *standin.Faults) { x.Shed, x.ShedEvery, x.RetryAfter = true, s.ShedEvery, retryAfter },
+			func(x *standin.Faults) { x.Shed, x.ShedEvery, x.RetryAfter = false, 0, "" })
 	case UpstreamLeaves:
 		f.leave(s)
 	case TopUp:
@@ -216,7 +220,7 @@
 	time.Sleep(s.Duration - s.EntryDelay)
 	f.changeFaults(s.Target, func(x *standin.Faults) {
 		x.Leaving = false
-		f.upstreams[s.Target].Restart()
+		f.upstreams[s.Target].Restart() // clears all faults; those of other steps are set again
 	})
 	f.setState(s.Target, upstreamReady)
 }
--- a/internal/soak/leaving.go
+++ b/internal/soak/leaving.go
@@ -14,8 +14,8 @@
 
 // nodeIncarnation is one incarnation of an upstream as seen from one node.
 type nodeIncarnation struct {
-	node        int
-	incarnation int64
+	node      int
+	startedAt int64
 }
 
 // checkLeavingUpstreams: an upstream whose answers say that it leaves gets no new requests from a
@@ -30,7 +30,7 @@
 			if !found {
 				continue
 			}
-			key := nodeIncarnation{h.nodeNumbers[r.node], a.Incarnation}
+			key := nodeIncarnation{h.nodeNumbers[r.node], a.StartedAt}
 			since, leaving := latestBefore(known[key], r.start.Add(-leaveMargin))
 			if !leaving || h.lostState(key.node, since, a.At) {
 				continue
@@ -52,7 +52,7 @@
 		if !a.Leaving || !found || r.outcome.Status != http.StatusOK || !r.outcome.Complete || h.arrivalCount(a.ID) > 1 {
 			continue
 		}
-		key := nodeIncarnation{h.nodeNumbers[r.node], a.Incarnation}
+		key := nodeIncarnation{h.nodeNumbers[r.node], a.StartedAt}
 		known[key] = append(known[key], r.end)
 	}
 	return known
