Ignore a delayed entry of an earlier incarnation of a departed upstream

An upstream's entry was compared with the one in use only. TestDelayedEntryDoesNotEndAnnouncedLeave.

--- a/directory/leaving_test.go
+++ b/directory/leaving_test.go
@@ -67,3 +67,19 @@
 		})
 	}
 }
+
+// Guards against a delayed entry of an earlier incarnation that makes the node forget, while the
+// upstream's entry is gone, that its present incarnation leaves.
+func TestDelayedEntryDoesNotEndAnnouncedLeave(t *testing.T) {
+	is := is.New(t)
+	table, clock := newTestTable()
+	present := ready("a", 1)
+	present.StartedAt = 2000
+	table.Put(present)
+	only(table).RecordLeaving()
+	table.Remove("a")
+	is.Equal(table.Put(ready("a", 9)), Unchanged)
+	is.Equal(len(ids(table)), 0)
+	table.Put(present)
+	is.True(!only(table).Accepts(clock.Now()))
+}
--- a/directory/table.go
+++ b/directory/table.go
@@ -116,7 +116,12 @@
 	}
 	known := old
 	if !exists {
-		known = t.departed.take(e.ID, t.clock.Now())
+		now := t.clock.Now()
+		known = t.departed.take(e.ID, now)
+		if known != nil && e.precedes(known.Entry) {
+			t.departed.add(known, now)
+			return Unchanged
+		}
 	}
 	u := &Upstream{Entry: e}
 	replaced := known != nil && (e.StartedAt != known.StartedAt || e.Address != known.Address || e.Service != known.Service)
--- a/directory/upstream.go
+++ b/directory/upstream.go
@@ -33,11 +33,14 @@
 // entries must not bring it back.
 func (e Entry) supersedes(old Entry) bool {
 	if e.StartedAt != old.StartedAt && e.StartedAt != 0 && old.StartedAt != 0 {
-		return e.StartedAt > old.StartedAt
+		return !e.precedes(old)
 	}
 	return e.Sequence >= old.Sequence
 }
 
+// precedes reports whether e is of an earlier incarnation than old.
+func (e Entry) precedes(old Entry) bool { return e.StartedAt != 0 && e.StartedAt < old.StartedAt }
+
 // isRestart reports whether e is another incarnation than old. Without a start time, a change of
 // the address or service tells.
 func (e Entry) isRestart(old Entry) bool { return e.StartedAt != old.StartedAt || e.StartedAt == 0 }
