Keep a silent send while no other upstream takes the request

What a caller saw, by the review's run: with one upstream slow and the others leaving, its request was canceled for a retry that nobody took (4002, "no upstream is left"). A send is now canceled only if another upstream takes it. TestSilentSendIsKeptWhileOthersLeave.

--- a/gateway/leaving_test.go
+++ b/gateway/leaving_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"strings"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/matryer/is"
@@ -106,3 +107,18 @@
 	is.Equal(tg.serve(context.Background(), "file").refusal.RetryAfter, 300*time.Millisecond)
 	is.Equal(tg.serve(context.Background(), "file").refusal.RetryAfter, 300*time.Millisecond)
 }
+
+// Guards against canceling a send to a silent upstream for a retry that no upstream takes.
+func TestSilentSendIsKeptWhileOthersLeave(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		tg := newSynctestGateway(1000, func(ctx context.Context, _ *directory.Upstream, _ *Dispatch) (*Response, error) {
+			return respondAfter(ctx, time.Second)
+		})
+		for _, u := range tg.Directory.Current().Upstreams("s")[1:] {
+			u.RecordLeaving()
+		}
+		is.Equal(tg.serveNow("read").status, 200)
+		is.Equal(len(tg.upstreams.sent), 1)
+	})
+}
--- a/gateway/pause.go
+++ b/gateway/pause.go
@@ -46,6 +46,12 @@
 	return paused
 }
 
+// noneLeftToTry reports whether no upstream that the request hasn't been sent to takes requests.
+func (c *call) noneLeftToTry() bool {
+	now := c.g.Clock.Now()
+	return !slices.ContainsFunc(c.upstreams(), func(u *directory.Upstream) bool { return u.Accepts(now) && !c.wasSentTo(u) })
+}
+
 func (c *call) wasSentTo(u *directory.Upstream) bool {
 	return c.upstream != nil && c.upstream.ID == u.ID ||
 		slices.ContainsFunc(c.tried, func(t *directory.Upstream) bool { return t.ID == u.ID })
--- a/gateway/silence.go
+++ b/gateway/silence.go
@@ -20,7 +20,7 @@
 // these start again elsewhere, at the end of other queues, and used up the retry budget; later
 // requests were then canceled with no retry left, although their upstreams would have responded.
 // So a send is canceled only if this node received nothing from the upstream for any request,
-// not while all other upstreams asked for a pause, and only after a retry has been granted.
+// not while no other upstream takes it, and only after a retry has been granted.
 type silenceMonitor struct {
 	c      *call
 	u      *directory.Upstream
@@ -87,7 +87,7 @@
 	if m.stopped || m.timer == nil {
 		return
 	}
-	if m.u.ReceivedWithin(m.timeout/silenceDivisor, m.c.g.Clock.Now()) || m.c.onlyPausedLeft() || !m.c.takeRetry() {
+	if m.u.ReceivedWithin(m.timeout/silenceDivisor, m.c.g.Clock.Now()) || m.c.noneLeftToTry() || !m.c.takeRetry() {
 		m.timer.Reset(recheckInterval)
 		return
 	}
