--- a/result/error.go
+++ b/result/error.go
@@ -17,6 +17,8 @@
 	// Pause is set if the upstream asked for no requests during that time, or if this node sent
 	// none for that reason.
 	Pause time.Duration
+	// Unsent is set if this node didn't send the request because the upstream wants none.
+	Unsent bool
 	// MayHaveRun is set if one attempt was refused but the call may have run in an earlier
 	// one, so that the code's "not run" doesn't apply to the call.
 	MayHaveRun bool
@@ -62,6 +64,13 @@
 	return &copied
 }
 
+// WithUnsent returns a copy of the error with Unsent set.
+func (e *Error) WithUnsent() *Error {
+	copied := *e
+	copied.Unsent = true
+	return &copied
+}
+
 // WithPause returns a copy of the error with Pause set.
 func (e *Error) WithPause(d time.Duration) *Error {
 	copied := *e
--- a/routing/attempt.go
+++ b/routing/attempt.go
@@ -68,8 +68,8 @@
 		a.target.serviceTime.observe(now.Sub(a.start).Seconds(), serviceTimeWeight)
 		return
 	}
-	if failure := result.From(err); failure.Code == result.NoUpstream && failure.Pause > 0 {
-		// This node didn't send the request, which says nothing about the upstream's health.
+	if result.From(err).Unsent {
+		// What this node didn't send says nothing about the upstream's health.
 		if a.probe {
 			breaker.AbandonProbe()
 		}
--- a/upstream/guard.go
+++ b/upstream/guard.go
@@ -77,7 +77,7 @@
 // checkNew returns the error of new work that isn't sent because its upstream wants none.
 func (g *Guard) checkNew(to *operatorv1.Upstream) error {
 	if g.Access.SaidLeaving(to) {
-		return result.New(result.NoUpstream, "%s is leaving", to.GetName())
+		return result.New(result.NoUpstream, "%s is leaving", to.GetName()).WithUnsent()
 	}
 	return g.checkPause(to)
 }
@@ -89,5 +89,5 @@
 		return nil
 	}
 	return result.New(result.NoUpstream, "%s asked for a pause, of which %s is left", to.GetName(), left.Round(time.Millisecond)).
-		WithRetryAfter(left).WithPause(left)
+		WithRetryAfter(left).WithPause(left).WithUnsent()
 }
