Use an upstream again that was replaced faster than the list shows

On the embedded fleet an upstream that said that it leaves and was replaced at its address between two readings of the platform's list stayed excluded until the node restarted; a rolling restart at fixed addresses would have taken a service away. The mark now ends after a minute in which the list showed nothing else. TestUnconfirmedDepartureEnds fails without (found by reading).

--- a/membership/departure.go
+++ b/membership/departure.go
@@ -2,16 +2,29 @@
 
 import (
 	"maps"
+	"time"
 
 	"lavenderpin.dev/lavenderpin/event"
 )
 
-// departure is what the platform's list shows of an upstream that said that it is leaving.
-type departure int
+// maxDepartureTime is how long it is held against an upstream that the list never shows as leaving
+// or gone that it said that it is leaving: it may have been replaced at its address faster than
+// the list is read. One that still leaves says so again.
+const maxDepartureTime = time.Minute
+
+// departure is an upstream's own word that it is leaving.
+type departure struct {
+	stage departureStage
+	// saidAt is when the upstream said it.
+	saidAt time.Time
+}
+
+// departureStage is what the platform's list shows of an upstream that said that it is leaving.
+type departureStage int
 
 const (
 	// notLeaving: the upstream didn't say that it is leaving.
-	notLeaving departure = iota
+	notLeaving departureStage = iota
 	// departureUnlisted: the list doesn't show it yet.
 	departureUnlisted
 	// departureListed: the list has shown the upstream as leaving, or no more. If it is then
@@ -27,7 +40,8 @@
 
 // MarkLeaving records that the upstream at an address said that it is leaving. It holds until
 // the list shows the upstream as leaving, or no more, and then as serving: the list lags, so one
-// that just shows it as serving may be older.
+// that just shows it as serving may be older. One that shows nothing else for maxDepartureTime
+// isn't.
 func (i *Instances) MarkLeaving(address string) {
 	if i.SaidLeaving(address) {
 		return
@@ -35,7 +49,7 @@
 	i.mu.Lock()
 	defer i.mu.Unlock()
 	before := i.last.Load()
-	if before.saidLeaving[address] != notLeaving {
+	if before.saidLeaving[address].stage != notLeaving {
 		return
 	}
 	current := *before
@@ -43,7 +57,7 @@
 	if current.saidLeaving == nil {
 		current.saidLeaving = map[string]departure{}
 	}
-	current.saidLeaving[address] = before.nextDeparture(address, departureUnlisted)
+	current.saidLeaving[address] = departure{before.nextStage(address, departureUnlisted), i.clock.Now()}
 	current.leavingVersion++
 	i.last.Store(&current)
 	i.events.Record(event.UpstreamLeaving, "upstream", address, "source", sourceAnswer)
@@ -51,7 +65,7 @@
 
 // SaidLeaving reports whether the upstream at an address said that it is leaving.
 func (i *Instances) SaidLeaving(address string) bool {
-	return i.last.Load().saidLeaving[address] != notLeaving
+	return i.last.Load().saidLeaving[address].stage != notLeaving
 }
 
 // remainingDepartures returns the departures after a response, without those of upstreams that
@@ -59,14 +73,16 @@
 func (l *listing) remainingDepartures(before map[string]departure) map[string]departure {
 	remaining := map[string]departure{}
 	for address, d := range before {
-		if next := l.nextDeparture(address, d); next != notLeaving {
-			remaining[address] = next
+		next := l.nextStage(address, d.stage)
+		expired := next == departureUnlisted && l.receivedAt.Sub(d.saidAt) >= maxDepartureTime
+		if next != notLeaving && !expired {
+			remaining[address] = departure{next, d.saidAt}
 		}
 	}
 	return remaining
 }
 
-func (l *listing) nextDeparture(address string, d departure) departure {
+func (l *listing) nextStage(address string, d departureStage) departureStage {
 	switch {
 	case l.leaving[address], l.pastUpstreams[address] && !l.upstreams[address]:
 		return departureListed
--- a/membership/departure_test.go
+++ b/membership/departure_test.go
@@ -76,3 +76,22 @@
 		})
 	}
 }
+
+// Guards against an upstream that was replaced at its address faster than the list is read and that
+// never gets work again.
+func TestUnconfirmedDepartureEnds(t *testing.T) {
+	is := is.New(t)
+	list, clock := standin.NewInstances(), clockwork.NewFakeClock()
+	i := NewInstances(list, clock, event.NewRecorder(event.NewHLC(clock), "test", 100, golog.NewNopLogger()))
+	list.Set(listed(live))
+	i.Refresh(context.Background())
+	i.MarkLeaving(leavingAddress)
+	version := i.LeavingVersion()
+	clock.Advance(maxDepartureTime - 1)
+	i.Refresh(context.Background())
+	is.True(i.IsLeaving(leavingAddress))
+	clock.Advance(1)
+	i.Refresh(context.Background())
+	is.True(!i.IsLeaving(leavingAddress))
+	is.True(i.LeavingVersion() > version)
+}
--- a/membership/instances.go
+++ b/membership/instances.go
@@ -162,5 +162,5 @@
 // IsLeaving reports whether the upstream at an address is listed as leaving or said that it is.
 func (i *Instances) IsLeaving(address string) bool {
 	last := i.last.Load()
-	return last.leaving[address] || last.saidLeaving[address] != notLeaving
+	return last.leaving[address] || last.saidLeaving[address].stage != notLeaving
 }
