--- a/request/chat.go
+++ b/request/chat.go
@@ -122,8 +122,8 @@
 	if last == nil {
 		return err
 	}
-	if pause := result.From(err).Pause; pause > 0 {
-		return result.From(last).WithRetryAfter(pause)
+	if paused := result.From(err); paused.Pause > 0 {
+		return result.From(last).WithRetryAfter(paused.RetryAfter)
 	}
 	return last
 }
--- a/routing/pauses.go
+++ b/routing/pauses.go
@@ -113,7 +113,9 @@
 	return allPausedError(service, earliest)
 }
 
+// allPausedError returns the error of a request whose upstreams all asked this node for a pause.
+// Its caller isn't kept away for longer than usual: other nodes may not be paused.
 func allPausedError(service string, earliest time.Duration) error {
 	return result.New(result.NoUpstream, "all upstreams of %s asked for a pause, the first until in %s", service, earliest.Round(time.Millisecond)).
-		WithRetryAfter(earliest).WithPause(earliest)
+		WithRetryAfter(min(earliest, noUpstreamRetryAfter)).WithPause(earliest)
 }
--- a/upstream/notice.go
+++ b/upstream/notice.go
@@ -20,8 +20,9 @@
 	// runs and wants nothing new. The platform's list shows that later.
 	HeaderLeaving = "X-Upstream-Leaving"
 	leavingValue  = "true"
-	// maxPause bounds a pause: an upstream that sends nonsense must come back into use some day.
-	maxPause = 24 * time.Hour
+	// maxPause bounds a pause, so that a mistaken value, such as one in milliseconds, doesn't
+	// exclude an upstream for long.
+	maxPause = 5 * time.Minute
 )
 
 // Notice is what an upstream's response says about further requests to it.
