--- a/cmd/lavenderedge/signals.go
+++ b/cmd/lavenderedge/signals.go
@@ -6,7 +6,6 @@
 
 	"lavenderpin.dev/lavenderpin/drain"
 	"lavenderpin.dev/lavenderpin/event"
-	"lavenderpin.dev/lavenderpin/gateway"
 	"lavenderpin.dev/lavenderpin/platform"
 )
 
@@ -41,7 +40,7 @@
 		p.node.Stop(context.Background())
 	}()
 	p.pollUntil(end, p.idle)
-	p.endRequests(gateway.ErrNodeEnds)
+	p.endRequests(drain.ErrNodeEnds)
 	p.closeFrontend(maxEndTime)
 	<-stopped
 }
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -7,6 +7,7 @@
 
 	"lavenderpin.dev/lavenderpin/catalog"
 	"lavenderpin.dev/lavenderpin/directory"
+	"lavenderpin.dev/lavenderpin/drain"
 	"lavenderpin.dev/lavenderpin/event"
 	"lavenderpin.dev/lavenderpin/lending"
 	"lavenderpin.dev/lavenderpin/placement"
@@ -81,7 +82,7 @@
 		return result.New(result.NoUpstream, "the route has no service").WithRetryAfter(c.g.settings.BusyRetryAfter)
 	}
 	if c.mayOutlastNode() {
-		return drainRefusal()
+		return drain.Refusal()
 	}
 	if c.timeLeft() < c.g.settings.MinTimeLeft {
 		return result.New(result.Overloaded, "too little time is left").WithRetryAfter(c.g.settings.BusyRetryAfter)
--- a/gateway/drain_test.go
+++ b/gateway/drain_test.go
@@ -95,7 +95,7 @@
 		is := is.New(t)
 		ctx, end := context.WithCancelCause(context.Background())
 		tg := newTestGateway(10, func(ctx context.Context, u *directory.Upstream, d *Dispatch) (*Response, error) {
-			end(ErrNodeEnds)
+			end(drain.ErrNodeEnds)
 			return hang(ctx, u, d)
 		})
 		if draining { // accepted during the shutdown
@@ -104,11 +104,11 @@
 		c := tg.serve(ctx, "file")
 		is.True(!c.aborted)
 		is.Equal(c.refusal.Code, result.OutcomeUnknown)
-		is.True(strings.Contains(c.refusal.Message, ErrNodeEnds.Error()))
+		is.True(strings.Contains(c.refusal.Message, drain.ErrNodeEnds.Error()))
 
 		ctx, end = context.WithCancelCause(context.Background())
 		tg.upstreams.respond = func(context.Context, *directory.Upstream, *Dispatch) (*Response, error) {
-			return newResponse(http.StatusOK, true, &endingBody{head: numberedEvents(1, 3), end: func() { end(ErrNodeEnds) }}), nil
+			return newResponse(http.StatusOK, true, &endingBody{head: numberedEvents(1, 3), end: func() { end(drain.ErrNodeEnds) }}), nil
 		}
 		c = tg.serve(ctx, "once")
 		is.True(c.aborted) // a cut stream must not look complete
@@ -122,7 +122,7 @@
 	is := is.New(t)
 	ctx, end := context.WithCancelCause(context.Background())
 	tg := newTestGateway(10, func(context.Context, *directory.Upstream, *Dispatch) (*Response, error) {
-		end(ErrNodeEnds)
+		end(drain.ErrNodeEnds)
 		return nil, ErrNotSent
 	})
 	refusal := tg.serve(ctx, "file").refusal
--- a/gateway/run.go
+++ b/gateway/run.go
@@ -6,6 +6,7 @@
 
 	"lavenderpin.dev/lavenderpin/catalog"
 	"lavenderpin.dev/lavenderpin/directory"
+	"lavenderpin.dev/lavenderpin/drain"
 	"lavenderpin.dev/lavenderpin/event"
 	"lavenderpin.dev/lavenderpin/placement"
 	"lavenderpin.dev/lavenderpin/result"
@@ -35,7 +36,7 @@
 			return
 		}
 		if c.possibleRuns == 0 && c.mayOutlastNode() {
-			c.refuseUnsent(drainRefusal())
+			c.refuseUnsent(drain.Refusal())
 			return
 		}
 		choice, ok := c.g.Picker.Pick(c.query(), c.upstreams())
@@ -104,9 +105,9 @@
 
 // giveUp sends the final response immediately.
 func (c *call) giveUp(ctx context.Context, reason string) {
-	nodeEnds := errors.Is(context.Cause(ctx), ErrNodeEnds)
+	nodeEnds := errors.Is(context.Cause(ctx), drain.ErrNodeEnds)
 	if nodeEnds {
-		reason = ErrNodeEnds.Error()
+		reason = drain.ErrNodeEnds.Error()
 	}
 	switch {
 	case c.callerGone || errors.Is(context.Cause(ctx), context.Canceled):
@@ -124,7 +125,7 @@
 		c.outcome = "unknown"
 		c.refuse(c.unknownOutcome(ctx, reason))
 	case nodeEnds:
-		c.refuseUnsent(drainRefusal())
+		c.refuseUnsent(drain.Refusal())
 	default:
 		c.refuseUnsent(result.New(result.NoUpstream, "%s", reason).WithRetryAfter(c.capacityRetryAfter()))
 	}
--- a/node/status.go
+++ b/node/status.go
@@ -5,7 +5,7 @@
 
 	operatorv1 "lavenderpin.dev/lavenderpin/api/operator/v1"
 	recordv1 "lavenderpin.dev/lavenderpin/api/record/v1"
-	"lavenderpin.dev/lavenderpin/request"
+	"lavenderpin.dev/lavenderpin/drain"
 	"lavenderpin.dev/lavenderpin/result"
 )
 
@@ -46,7 +46,7 @@
 		}
 		return result.New(result.NotServing, "the node holds no configuration yet").WithRetryAfter(time.Second)
 	case StateStopped:
-		return request.DrainRefusal()
+		return drain.Refusal()
 	default:
 		return result.New(result.IncarnationClosed, "the node is being replaced").WithRetryAfter(time.Second)
 	}
--- a/request/admission.go
+++ b/request/admission.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 
+	"lavenderpin.dev/lavenderpin/drain"
 	"lavenderpin.dev/lavenderpin/routing"
 )
 
@@ -27,7 +28,7 @@
 	}
 	release, err = s.Admission.Admit(ctx, params)
 	if err != nil && nodeEnds(ctx) {
-		return nil, DrainRefusal() // nothing was sent
+		return nil, drain.Refusal() // nothing was sent
 	}
 	if err != nil && ctx.Err() != nil {
 		return nil, contextError(ctx)
--- a/request/call.go
+++ b/request/call.go
@@ -7,6 +7,7 @@
 	operatorv1 "lavenderpin.dev/lavenderpin/api/operator/v1"
 	"lavenderpin.dev/lavenderpin/budget"
 	"lavenderpin.dev/lavenderpin/config"
+	"lavenderpin.dev/lavenderpin/drain"
 	"lavenderpin.dev/lavenderpin/event"
 	"lavenderpin.dev/lavenderpin/result"
 	"lavenderpin.dev/lavenderpin/upstream"
@@ -127,7 +128,7 @@
 	response, err := s.callAttempts(ctx, grant, p)
 	if err != nil {
 		if nodeEnds(ctx) && result.From(err).NotRun() {
-			err = DrainRefusal()
+			err = drain.Refusal()
 		}
 		grant.Finish(0)
 		s.Events.Record(event.RequestFailed, "request", grant.Request(), "code", uint32(result.CodeOf(err)), "why", err)
@@ -181,7 +182,7 @@
 	case err == nil || rejectedBeforeExecution(err):
 		return response, err
 	case !p.rule.GetIdempotent() && nodeEnds(ctx):
-		return response, result.New(result.OutcomeUnknown, "%v", errNodeEnds)
+		return response, result.New(result.OutcomeUnknown, "%v", drain.ErrNodeEnds)
 	case !p.rule.GetIdempotent():
 		// The call may have run. A caller that took this for a refusal would submit the
 		// work order again.
--- a/request/chatrun.go
+++ b/request/chatrun.go
@@ -10,6 +10,7 @@
 	fleetv1 "lavenderpin.dev/lavenderpin/api/fleet/v1"
 	operatorv1 "lavenderpin.dev/lavenderpin/api/operator/v1"
 	"lavenderpin.dev/lavenderpin/budget"
+	"lavenderpin.dev/lavenderpin/drain"
 	"lavenderpin.dev/lavenderpin/event"
 	"lavenderpin.dev/lavenderpin/result"
 	"lavenderpin.dev/lavenderpin/routing"
@@ -73,7 +74,7 @@
 	if err != nil && ctx.Err() != nil {
 		err = contextError(callerCtx)
 		if nodeEnds(callerCtx) && !r.mayHaveRun {
-			err = DrainRefusal()
+			err = drain.Refusal()
 		}
 	}
 	settled = true
--- a/request/drain.go
+++ b/request/drain.go
@@ -5,22 +5,12 @@
 	"context"
 	"time"
 
-	"github.com/juju/errors"
-
 	"lavenderpin.dev/lavenderpin/drain"
 	"lavenderpin.dev/lavenderpin/event"
 	"lavenderpin.dev/lavenderpin/idempotency"
 	"lavenderpin.dev/lavenderpin/result"
 )
 
-// errNodeEnds is the cause with which the contexts of requests are canceled that are still open
-// when the node ends.
-var errNodeEnds = errors.New("the node ends")
-
-// drainRetryAfter is the retry delay of a request that a draining node refuses: the caller only
-// needs to connect to another node.
-const drainRetryAfter = 100 * time.Millisecond
-
 // drainState is the state of a graceful shutdown. It is immutable.
 type drainState struct {
 	// start is the time from which the window's times are counted.
@@ -50,7 +40,7 @@
 	s.Refuse()
 	s.ended.Store(true)
 	s.open.Range(func(key, _ any) bool {
-		key.(*openRequest).cancel(errNodeEnds)
+		key.(*openRequest).cancel(drain.ErrNodeEnds)
 		return true
 	})
 }
@@ -69,14 +59,9 @@
 	}
 }
 
-// DrainRefusal returns the error of a request that a draining or stopped node refuses.
-func DrainRefusal() *result.Error {
-	return result.New(result.Draining, "this node is leaving").WithRetryAfter(drainRetryAfter)
-}
-
 // nodeEndsError returns the error of a request that may have run when the node ended.
 func nodeEndsError() *result.Error {
-	return result.New(result.Draining, "%v", errNodeEnds).WithRetryAfter(drainRetryAfter).WithMayHaveRun()
+	return result.New(result.Draining, "%v", drain.ErrNodeEnds).WithRetryAfter(drain.RetryAfter).WithMayHaveRun()
 }
 
 // refuseIfDraining refuses a request of a kind that may outlast the node. The request ends at
@@ -93,14 +78,14 @@
 		return nil
 	}
 	if d.refuseAll {
-		return DrainRefusal()
+		return drain.Refusal()
 	}
 	limit := time.Duration(0)
 	if deadline, limited := ctx.Deadline(); limited {
 		limit = deadline.Sub(s.Clock.Now())
 	}
 	if !d.window.Accepts(s.Clock.Since(d.start), limit, usual) {
-		return DrainRefusal()
+		return drain.Refusal()
 	}
 	return nil
 }
@@ -110,10 +95,10 @@
 func (s *Server) refuseTicketIfDraining(kind string) error {
 	d := s.drainState.Load()
 	if d != nil && d.refuseAll {
-		return DrainRefusal()
+		return drain.Refusal()
 	}
 	if left, draining := s.drainLeft(); draining && s.mayOutlast(kind, time.Time{}, left) {
-		return DrainRefusal()
+		return drain.Refusal()
 	}
 	return nil
 }
@@ -137,7 +122,7 @@
 // run its call.
 func (s *Server) refuseNewTicketIfDraining() error {
 	if d := s.drainState.Load(); d != nil && (d.refuseAll || d.window != nil) {
-		return DrainRefusal()
+		return drain.Refusal()
 	}
 	return nil
 }
--- a/request/openrequest.go
+++ b/request/openrequest.go
@@ -4,6 +4,8 @@
 	"context"
 
 	"github.com/juju/errors"
+
+	"lavenderpin.dev/lavenderpin/drain"
 )
 
 // openRequest is a request that the end of the node cancels.
@@ -16,7 +18,7 @@
 	r := &openRequest{cancel}
 	s.open.Store(r, struct{}{})
 	if s.ended.Load() {
-		cancel(errNodeEnds)
+		cancel(drain.ErrNodeEnds)
 	}
 	return ctx, func() {
 		s.open.Delete(r)
@@ -25,4 +27,4 @@
 }
 
 // nodeEnds reports whether a request's context ended because the node ends.
-func nodeEnds(ctx context.Context) bool { return errors.Is(context.Cause(ctx), errNodeEnds) }
+func nodeEnds(ctx context.Context) bool { return errors.Is(context.Cause(ctx), drain.ErrNodeEnds) }
