--- a/cmd/lavenderedge/metrics_test.go
+++ b/cmd/lavenderedge/metrics_test.go
@@ -20,12 +20,22 @@
 
 func freePort(t *testing.T) int {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
+	return freePorts(t, 1)[0]
+}
+
+// freePorts returns different free ports: all are open until the last is drawn.
+func freePorts(t *testing.T, n int) []int {
+	t.Helper()
+	var ports []int
+	for range n {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer func() { _ = l.Close() }() // only the port number is needed
+		ports = append(ports, l.Addr().(*net.TCPAddr).Port)
 	}
-	defer func() { _ = l.Close() }() // only the port number is needed
-	return l.Addr().(*net.TCPAddr).Port
+	return ports
 }
 
 // Guards against a node whose metrics can't be scraped during an incident, and against a node
--- a/cmd/lavenderedge/shutdown_test.go
+++ b/cmd/lavenderedge/shutdown_test.go
@@ -72,7 +72,8 @@
 	}
 	operator := &standin.Operator{Store: store, ExtraRoutes: routes, Accounts: []standin.Account{{Name: "one", Keys: []string{"key-1"}, Prepaid: 1_000_000}}}
 	operator.Configure()
-	addresses := standin.NodeAddresses{IP: "127.0.0.1", FrontendPort: freePort(t), ReadyPort: freePort(t), DirectoryPort: freePort(t), PeerPort: freePort(t)}
+	ports := freePorts(t, 4)
+	addresses := standin.NodeAddresses{IP: "127.0.0.1", FrontendPort: ports[0], ReadyPort: ports[1], DirectoryPort: ports[2], PeerPort: ports[3]}
 	settings, err := platform.ParseSettings(standin.NodeSettings("n1", "dc", store.Address(), addresses))
 	is.NoErr(err)
 	p := &process{settings: settings, events: newRecorder(settings, logsink.New(io.Discard))}
--- a/cmd/lavenderpin/processes_test.go
+++ b/cmd/lavenderpin/processes_test.go
@@ -6,6 +6,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"sync"
 	"syscall"
 	"testing"
 	"time"
@@ -96,8 +97,24 @@
 	return net.IPv4(127, 1+byte(pid>>16), byte(pid>>8), byte(pid)).String()
 }
 
-// freePort returns a loopback address that is free for TCP and UDP.
+// drawnPorts holds the addresses that freePort has returned. A port is closed again before its
+// process binds it, so the system may offer it twice.
+var drawnPorts sync.Map
+
+// freePort returns a loopback address that is free for TCP and UDP and differs from all others
+// that it returned.
 func freePort(t *testing.T) string {
+	t.Helper()
+	for {
+		address := offeredPort(t)
+		if _, drawn := drawnPorts.LoadOrStore(address, struct{}{}); !drawn {
+			return address
+		}
+	}
+}
+
+// offeredPort returns an address that the system offers.
+func offeredPort(t *testing.T) string {
 	t.Helper()
 	is := is.New(t)
 	tcp, err := net.Listen("tcp", net.JoinHostPort(loopbackIP(), "0"))
