Give the retry test of a drain the history that it needs again

TestDrainingNodeRetriesRequestsThatEndInTime served one request of 10 s to make its kind known as slow. Since eight are needed, so the kind was unknown and the test held nothing: with the check of the request's own deadline taken out it still passed. It serves a history now and fails with that check taken out.

--- a/node/drain_test.go
+++ b/node/drain_test.go
@@ -278,8 +278,8 @@
 		f.declareSecondEngine()
 		n := f.nodes[1]
 		upstreams.set(10*time.Second, nil)
-		is.True((<-f.chat(n, 0)).err == nil) // such requests take 10 s
-		hold := f.call(n, 0)                 // keeps the node from closing
+		f.serveHistory(n)    // such requests take 10 s
+		hold := f.call(n, 0) // keeps the node from closing
 		time.Sleep(time.Second)
 		upstreams.set(0, result.New(result.NoUpstream, "unreachable"))
 		f.drainFor(n, 15*time.Second)
