Report rarely from nodes that hold no tokens and were never granted any

Cause: a node that holds no allocation is never granted anything, and such a node counted as starting for ever: it reported twice a second. A report took 575 ms in the middle, a fifth to a half of them ran into their time limit of 700 ms, and prompts that waited for one were refused (2010, 'limit of a node that can't report'): the first 6 s of traffic. Ruled out: the store's rate (1,400 calls/s of 20,000), the link (3 to 5 MB/s of 18).

Change: a share whose last report was acknowledged and that has nothing new to say repeats it each 10 s, granted or not.

--- a/allotment/reporter.go
+++ b/allotment/reporter.go
@@ -18,8 +18,9 @@
 	ReportInterval = 500 * time.Millisecond
 	// idleIntervals is the number of intervals per report of a node without an allocation,
 	// unchangedIntervals that of a node whose tokens nobody currently uses: a report would only
-	// repeat the last one, and at a hundred nodes most are in this state.
-	idleIntervals      = 6
+	// repeat the last one, and at a hundred nodes most are in this state. An idle node reports
+	// nothing but its clock, which tells a starting node whether its own is behind.
+	idleIntervals      = 20
 	unchangedIntervals = 3
 	// reportTimeout bounds one report, so that a dead connection costs one report and not the
 	// expiry of the limits; a store in another region that is sixty times slower than usual
@@ -75,12 +76,12 @@
 // intervals is the number of ticks from one report to the next.
 func (r *Reporter) intervals() int {
 	switch {
-	case !r.share.Reportable():
-		return idleIntervals
-	case r.share.Unchanged():
+	case !r.share.Unchanged():
+		return 1
+	case r.share.Reportable():
 		return unchangedIntervals
 	default:
-		return 1
+		return idleIntervals
 	}
 }
 
--- a/prepaid/share.go
+++ b/prepaid/share.go
@@ -26,6 +26,10 @@
 	acked, latest limitSchedule
 	// unacked is set while latest isn't acknowledged.
 	unacked bool
+	// reported is set once any report was acknowledged. ackedEpoch is the grant epoch in the last
+	// acknowledged report, composedEpoch the one in the newest report.
+	reported                  bool
+	ackedEpoch, composedEpoch uint64
 }
 
 // Holder is the incarnation that a share belongs to.
@@ -86,7 +90,8 @@
 }
 
 // Unchanged reports whether a report would repeat the last acknowledged one: nothing was used
-// since, nothing is reserved, no ceiling was raised, and demand is negligible.
+// since, nothing is reserved, no ceiling was raised, and demand is negligible. A node without an
+// allocation may stay in this state without ever being granted anything.
 func (s *Share) Unchanged() bool {
 	now := s.clocks.Boot.Now()
 	s.mu.Lock()
@@ -97,7 +102,7 @@
 			return false
 		}
 	}
-	return s.appliedEpoch > 0 && !s.unacked
+	return s.reported && !s.unacked
 }
 
 // ownDemandTime is how many seconds of its own callers' demand a lender keeps.
@@ -183,6 +188,7 @@
 		StartTimeMs: s.latest.base.Wall.Milliseconds(), LimitTTLMs: s.latest.ttl.Milliseconds(),
 		AppliedEpoch: s.appliedEpoch, Ended: s.ended, Predecessors: s.predecessors,
 	}
+	s.composedEpoch = s.appliedEpoch
 	for name, u := range s.usages {
 		if u.idle() {
 			continue
@@ -216,8 +222,8 @@
 func (s *Share) Acknowledge() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.unacked = false
-	s.acked = s.latest
+	s.unacked, s.reported = false, true
+	s.acked, s.ackedEpoch = s.latest, s.composedEpoch
 	for _, u := range s.usages {
 		u.acked = u.latest
 	}
@@ -276,7 +282,8 @@
 	return false
 }
 
-// Reportable reports whether the share has anything to report.
+// Reportable reports whether the share has anything to report: an allocation, use or demand, or a
+// grant whose receipt isn't reported yet.
 func (s *Share) Reportable() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -285,7 +292,7 @@
 			return true
 		}
 	}
-	return s.appliedEpoch == 0 || len(s.predecessors) > 0
+	return s.appliedEpoch != s.ackedEpoch
 }
 
 // End permanently forbids new reservations. Once nothing is reserved, the next report returns
