Follow the grants only on nodes whose callers need tokens

Cause: every node read every grant in full.

Change: a node follows the grants while it holds tokens, while its callers want some, or while callers are sent to it; the planner grants to such nodes only (a report says whether callers are sent to its node). A lender that may have restarted since its grant is asked last.

--- a/allotment/grants.go
+++ b/allotment/grants.go
@@ -18,16 +18,19 @@
 	mu sync.Mutex
 	// allocations holds the newest allocation of every node, by account and node.
 	allocations map[string]map[string]Allocation
+	// changed is closed and replaced when grants were applied.
+	changed chan struct{}
 }
 
 // NewGrantHandler returns a handler of a node's grants.
 func NewGrantHandler(share *prepaid.Share, node string, events *event.Recorder) *GrantHandler {
-	return &GrantHandler{share: share, node: node, events: events, allocations: make(map[string]map[string]Allocation)}
+	return &GrantHandler{share: share, node: node, events: events, allocations: make(map[string]map[string]Allocation), changed: make(chan struct{})}
 }
 
-// Allocation is what a node was last granted of an account, in tokens.
+// Allocation is what a node's incarnation was last granted of an account, in tokens.
 type Allocation struct {
-	Ceiling int64
+	Incarnation string
+	Ceiling     int64
 	// Unused is what the node hadn't used of it at that time.
 	Unused int64
 }
@@ -39,6 +42,20 @@
 	return maps.Clone(g.allocations[account])
 }
 
+// Changed returns a channel that is closed when grants are next applied.
+func (g *GrantHandler) Changed() <-chan struct{} {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.changed
+}
+
+func (g *GrantHandler) signalChange() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	close(g.changed)
+	g.changed = make(chan struct{})
+}
+
 func (g *GrantHandler) recordAllocations(grant prepaid.Grant) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -46,7 +63,7 @@
 		if g.allocations[l.Account] == nil {
 			g.allocations[l.Account] = make(map[string]Allocation)
 		}
-		g.allocations[l.Account][grant.Node] = Allocation{Ceiling: l.Ceiling, Unused: l.Unused}
+		g.allocations[l.Account][grant.Node] = Allocation{Incarnation: grant.Incarnation, Ceiling: l.Ceiling, Unused: l.Unused}
 	}
 }
 
@@ -55,6 +72,7 @@
 
 // Apply applies grants in order.
 func (g *GrantHandler) Apply(records []keyedlog.Record) {
+	defer g.signalChange()
 	for _, r := range records {
 		if r.Deleted {
 			continue
--- a/allotment/planner_test.go
+++ b/allotment/planner_test.go
@@ -48,7 +48,7 @@
 }
 
 func newNode(topics Topics, clock *bootclock.Fake, name, incarnation string) *node {
-	share := prepaid.NewShare(prepaid.DefaultSettings(), prepaid.Clocks{Boot: clock, Wall: clock.WallClock()}, prepaid.Holder{Node: name, Region: "r", Incarnation: incarnation, BootID: "boot"})
+	share := prepaid.NewShare(prepaid.DefaultSettings(), prepaid.Clocks{Boot: clock, Wall: clock.WallClock()}, prepaid.Holder{Node: name, Region: "r", Incarnation: incarnation, BootID: "boot", Listed: func() bool { return true }})
 	events := recorder()
 	return &node{share: share,
 		reporter: NewReporter(share, topics.Spend, name, incarnation, nil, events),
--- a/allotment/reporter_test.go
+++ b/allotment/reporter_test.go
@@ -22,7 +22,7 @@
 
 func newRealTimeShare(name string) *prepaid.Share {
 	clocks := prepaid.Clocks{Boot: realClock{}, Wall: clockwork.NewRealClock()}
-	return prepaid.NewShare(prepaid.DefaultSettings(), clocks, prepaid.Holder{Node: name, Region: "r", Incarnation: "i-" + name, BootID: "boot"})
+	return prepaid.NewShare(prepaid.DefaultSettings(), clocks, prepaid.Holder{Node: name, Region: "r", Incarnation: "i-" + name, BootID: "boot", Listed: func() bool { return false }})
 }
 
 // Guards against nodes without callers whose reports fill the queue of the partition: prompts on
--- a/edgenode/loans.go
+++ b/edgenode/loans.go
@@ -20,7 +20,8 @@
 		if r.Node == n.settings.Node || r.PeerAddress == "" || allocation.Ceiling == 0 {
 			continue
 		}
-		peers = append(peers, lending.Peer{Node: r.Node, Address: r.PeerAddress, SameRegion: r.Region == n.settings.Region, Ceiling: allocation.Ceiling, Unused: allocation.Unused})
+		peers = append(peers, lending.Peer{Node: r.Node, Address: r.PeerAddress, SameRegion: r.Region == n.settings.Region,
+			Restarted: allocation.Incarnation != r.Incarnation, Ceiling: allocation.Ceiling, Unused: allocation.Unused})
 	}
 	return peers
 }
--- a/edgenode/node.go
+++ b/edgenode/node.go
@@ -43,8 +43,11 @@
 	minWriteLatency atomic.Int64
 	leaving         atomic.Bool
 	refusing        atomic.Bool
-	// idle is true if the node is granted and its share isn't in use.
+	// idle is true if the node has started and its share isn't in use.
 	idle atomic.Bool
+	// grantsWanted holds an element if a request needs tokens while the node doesn't follow the
+	// grants.
+	grantsWanted chan struct{}
 	// readMonitors hold the read statistics of each topic.
 	readMonitors []*readMonitor
 	// firstRosterRead is closed once the first read of the nodes' records has succeeded or
@@ -62,7 +65,7 @@
 // after a pause; until then nothing listens, and callers' connections are refused at once so
 // that they try other nodes.
 func Start(ctx context.Context, settings Settings, deps Deps) (*Node, error) {
-	n := &Node{settings: settings, deps: deps, catalog: &catalog.Holder{}, firstRosterRead: make(chan struct{}),
+	n := &Node{settings: settings, deps: deps, catalog: &catalog.Holder{}, firstRosterRead: make(chan struct{}), grantsWanted: make(chan struct{}, 1),
 		directory: directory.NewTable(deps.Clock), roster: presence.NewRoster(deps.Clock), startedAt: deps.Clock.Now()}
 	n.copies = map[string]*peerfetch.Replica{configTopic: peerfetch.NewReplica(deps.Clock), upstreamTopic: peerfetch.NewReplica(deps.Clock)}
 	if settings.Capacity < smallCapacity {
@@ -78,7 +81,7 @@
 	presenceOptions.ExtraPause = n.presenceExtraPause
 	n.startFollower(loopsCtx, deps.Topics.Presence, &presenceHandler{node: n, monitor: n.newReadMonitor("presence")}, presenceOptions)
 	clocks := prepaid.Clocks{Boot: deps.Clock, Wall: deps.WallClock}
-	holder := prepaid.Holder{Node: settings.Node, Region: settings.Region, Capacity: settings.Capacity, Incarnation: settings.Incarnation, BootID: settings.Start.BootID}
+	holder := prepaid.Holder{Node: settings.Node, Region: settings.Region, Capacity: settings.Capacity, Incarnation: settings.Incarnation, BootID: settings.Start.BootID, Listed: n.isListed}
 	n.share = prepaid.NewShare(prepaid.DefaultSettings(), clocks, holder)
 	n.announcer = &announcer{node: n}
 	n.grants = allotment.NewGrantHandler(n.share, settings.Node, deps.Events)
@@ -88,11 +91,11 @@
 		Picker: placement.NewPicker(placement.DefaultSettings(), settings.Regions),
 		Share:  n.share, Upstreams: deps.Upstreams, Events: deps.Events, Metrics: deps.Metrics,
 		Borrower:    lending.NewBorrower(deps.Lending, deps.Clock, settings.Incarnation, n.lenders),
-		ReportUsage: n.report, LiveNodes: n.nodeCount, RetryLimits: settings.Repeats,
+		AwaitTokens: n.awaitTokens, ReportUsage: n.report, LiveNodes: n.nodeCount, RetryLimits: settings.Repeats,
 		DataCentre: settings.DataCentre, Region: settings.Region,
 	})
 	grantOptions := grantReadOptions
-	grantOptions.ExtraPause = n.grantExtraPause
+	grantOptions.ExtraPause, grantOptions.Await = n.grantExtraPause, n.awaitGrantNeed
 	n.startFollower(loopsCtx, deps.Topics.Grants, n.grants, grantOptions)
 	n.startLoop(loopsCtx, n.expireLoans)
 	n.startLoop(loopsCtx, n.runReporter)
--- a/edgenode/readoptions.go
+++ b/edgenode/readoptions.go
@@ -27,7 +27,12 @@
 const idlePause = 850 * time.Millisecond
 
 // updateIdle records whether the node is currently idle.
-func (n *Node) updateIdle() { n.idle.Store(n.share.Granted() && !n.share.InUse()) }
+func (n *Node) updateIdle() { n.idle.Store(!n.starting() && !n.share.InUse()) }
+
+// starting reports whether the node has just started and still waits for its first grant.
+func (n *Node) starting() bool {
+	return !n.share.Granted() && n.deps.Clock.Now()-n.startedAt < firstGrantTimeout
+}
 
 // idleExtraPause returns the extra pause between reads of an idle node.
 func (n *Node) idleExtraPause() time.Duration {
@@ -59,8 +64,7 @@
 
 // grantExtraPause returns the extra pause between reads of the grants.
 func (n *Node) grantExtraPause() time.Duration {
-	starting := !n.share.Granted() && n.deps.Clock.Now()-n.startedAt < firstGrantTimeout
-	if starting || n.share.ShortfallWithin(shortfallWindow) {
+	if n.starting() || n.share.ShortfallWithin(shortfallWindow) {
 		return 0
 	}
 	return max(n.idleExtraPause(), min(maxGrantPause, time.Duration(len(n.roster.Live()))*grantPausePerNode))
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -98,7 +98,7 @@
 	if c.account == nil || !c.account.HasPrepaid || c.service.Engine == nil || c.r.maxTokens() == 0 {
 		return nil
 	}
-	c.awaitFirstGrant(ctx)
+	c.awaitTokens(ctx)
 	outcome := c.g.Share.Reserve(c.account.Name, c.r.maxTokens(), c.account.Prepaid)
 	if outcome == prepaid.ReportRequired {
 		outcome = c.reserveAfterReport(ctx)
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -30,6 +30,9 @@
 	Metrics   *Metrics
 	// Borrower borrows tokens from other nodes' shares.
 	Borrower *lending.Borrower
+	// AwaitTokens returns once the node was granted tokens, another node is known that may lend
+	// some of the account, or ctx ended.
+	AwaitTokens func(ctx context.Context, account string)
 	// ReportUsage reports the share's usage immediately and returns once it is acknowledged.
 	ReportUsage func(context.Context) error
 	// LiveNodes returns the number of nodes that currently serve.
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -91,12 +91,12 @@
 	for i := range 4 {
 		table.Put(directory.Entry{ID: fmt.Sprintf("u%d", i), Service: "s", DataCentre: "dc", Slots: 4, State: directory.Ready})
 	}
-	tg.share = prepaid.NewShare(prepaid.DefaultSettings(), prepaid.Clocks{Boot: clock, Wall: clock.WallClock()}, prepaid.Holder{Node: "n", Region: "r", Incarnation: "i", BootID: "boot"})
+	tg.share = prepaid.NewShare(prepaid.DefaultSettings(), prepaid.Clocks{Boot: clock, Wall: clock.WallClock()}, prepaid.Holder{Node: "n", Region: "r", Incarnation: "i", BootID: "boot", Listed: func() bool { return true }})
 	tg.share.Apply(prepaid.Grant{Node: "n", Incarnation: "i", Epoch: 1, Lines: []prepaid.GrantLine{{Account: "one", Ceiling: 500_000, Remaining: 1_000_000, Prepaid: 1_000_000}}})
 	report := func(context.Context) error { tg.share.Compose(); tg.share.Acknowledge(); return nil }
 	tg.Gateway = New(DefaultSettings(), Deps{Clock: clock, Catalog: holder, Directory: table, Picker: placement.NewPicker(placement.DefaultSettings(), nil),
 		Share: tg.share, Upstreams: tg.upstreams, Events: event.NewRecorder(event.NewHLC(clockwork.NewFakeClock()), "n", 64, log.NewNopLogger()), Metrics: NewMetrics(false),
-		Borrower: lending.NewBorrower(nil, clock, "n", func(string) []lending.Peer { return nil }), ReportUsage: report, LiveNodes: func() int { return 1 },
+		Borrower: lending.NewBorrower(nil, clock, "n", func(string) []lending.Peer { return nil }), AwaitTokens: func(context.Context, string) {}, ReportUsage: report, LiveNodes: func() int { return 1 },
 		RetryLimits: repeats.Limits{Ratio: 0.2, Extra: extra, Window: window}, DataCentre: "dc", Region: "r"})
 	return tg
 }
--- a/gateway/startup.go
+++ b/gateway/startup.go
@@ -36,15 +36,13 @@
 	return g.Catalog.Current()
 }
 
-// awaitFirstGrant waits briefly for the node's first grant.
-func (c *call) awaitFirstGrant(ctx context.Context) {
+// awaitTokens waits briefly until the node knows any tokens of the account, its own or another
+// node's.
+func (c *call) awaitTokens(ctx context.Context) {
 	if c.g.Share.Granted() {
 		return
 	}
 	ctx, cancel := context.WithTimeout(ctx, min(c.g.settings.StartupWait, c.route.Objective/objectiveDivisor))
 	defer cancel()
-	select {
-	case <-c.g.Share.FirstGrant():
-	case <-ctx.Done():
-	}
+	c.g.AwaitTokens(ctx, c.account.Name)
 }
--- a/keyedlog/follower.go
+++ b/keyedlog/follower.go
@@ -30,6 +30,10 @@
 	Pause time.Duration
 	// ExtraPause, if set, returns a duration that is added to Pause.
 	ExtraPause func() time.Duration
+	// Await, if set, is called before each read. It blocks while nobody needs the records and
+	// reports whether it did; the follower then goes on with the newest records, since reading
+	// all that were written meanwhile would take longer.
+	Await func(context.Context) (blocked bool)
 	// Slack is how long after Wait a response may take to begin before its connection
 	// is considered dead.
 	Slack time.Duration
@@ -76,6 +80,9 @@
 // Run follows the topic until ctx ends.
 func (f *Follower) Run(ctx context.Context) {
 	for ctx.Err() == nil {
+		if f.options.Await != nil && f.options.Await(ctx) {
+			f.nextOffset = -1
+		}
 		pause := f.pause()
 		if err := f.Poll(ctx); err != nil {
 			f.handler.ReadFailed(err)
--- a/lending/borrower.go
+++ b/lending/borrower.go
@@ -40,6 +40,9 @@
 	Address string
 	// SameRegion reports whether the peer is in this node's region.
 	SameRegion bool
+	// Restarted reports that the grant or what is known of the peer is of an earlier incarnation:
+	// its allocation may be gone.
+	Restarted bool
 	// Ceiling is what the peer was last granted of the account, in tokens; Unused is what was
 	// unused of it at that time.
 	Ceiling, Unused int64
@@ -146,8 +149,8 @@
 	return b.name + "/" + strconv.FormatUint(b.loanCount, 10)
 }
 
-// rankPeers returns the peers that may cover a request: those in the same region first, in an
-// order drawn at random with their unused tokens as weights. So borrowers rarely ask where
+// rankPeers returns the peers that may cover a request: those that have restarted last, those in
+// the same region first, in an order drawn at random with their unused tokens as weights. So borrowers rarely ask where
 // little is left, and don't all drain the peer with the most.
 func (b *Borrower) rankPeers(account string, tokens int64) []Peer {
 	peers := slices.DeleteFunc(b.peers(account), func(p Peer) bool {
@@ -158,17 +161,23 @@
 		ranks[p.Node] = -math.Log(1-rand.Float64()) / float64(max(p.Unused, p.Ceiling/minUnusedDivisor))
 	}
 	slices.SortFunc(peers, func(x, y Peer) int {
-		if x.SameRegion != y.SameRegion {
-			if x.SameRegion {
-				return -1
-			}
-			return 1
-		}
-		return cmp.Compare(ranks[x.Node], ranks[y.Node])
+		return cmp.Or(compareFlags(y.Restarted, x.Restarted), compareFlags(x.SameRegion, y.SameRegion), cmp.Compare(ranks[x.Node], ranks[y.Node]))
 	})
 	return peers
 }
 
+// compareFlags orders true before false.
+func compareFlags(x, y bool) int {
+	switch {
+	case x == y:
+		return 0
+	case x:
+		return -1
+	default:
+		return 1
+	}
+}
+
 // knownInsufficient reports whether a lender recently said that it can lend less than tokens.
 func (b *Borrower) knownInsufficient(key lenderKey, tokens int64) bool {
 	b.mu.Lock()
--- a/lending/lending_test.go
+++ b/lending/lending_test.go
@@ -19,7 +19,7 @@
 func newTestLender(ceiling int64) (*Lender, *prepaid.Share, *bootclock.Fake) {
 	clock := &bootclock.Fake{}
 	clock.Advance(time.Hour)
-	share := prepaid.NewShare(prepaid.DefaultSettings(), prepaid.Clocks{Boot: clock, Wall: clock.WallClock()}, prepaid.Holder{Node: "n1", Region: "r", Incarnation: "i1", BootID: "boot"})
+	share := prepaid.NewShare(prepaid.DefaultSettings(), prepaid.Clocks{Boot: clock, Wall: clock.WallClock()}, prepaid.Holder{Node: "n1", Region: "r", Incarnation: "i1", BootID: "boot", Listed: func() bool { return true }})
 	share.Apply(prepaid.Grant{Node: "n1", Incarnation: "i1", Epoch: 1, Lines: []prepaid.GrantLine{{Account: "a", Ceiling: ceiling}}})
 	report := func(context.Context) error { share.Compose(); share.Acknowledge(); return nil }
 	return NewLender(share, clock, report), share, clock
--- a/prepaid/fleet_test.go
+++ b/prepaid/fleet_test.go
@@ -69,7 +69,7 @@
 		}
 	}
 	clocks := Clocks{Boot: w.clock, Wall: nodeWallClock{w, name}}
-	holder := Holder{Node: name, Region: "region", Incarnation: n.incarnation, BootID: bootID}
+	holder := Holder{Node: name, Region: "region", Incarnation: n.incarnation, BootID: bootID, Listed: func() bool { return true }}
 	if w.capacity != nil {
 		holder.Capacity = w.capacity(name)
 	}
--- a/prepaid/needs.go
+++ b/prepaid/needs.go
@@ -10,8 +10,9 @@
 // need is a live node's need of one account, in tokens.
 type need struct {
 	node, region string
-	// large marks a node that the router prefers, busy one with much of its region's demand.
-	large, busy bool
+	// listed marks a node that callers are sent to, large one of the larger instances, busy one
+	// with much of its region's demand.
+	listed, large, busy bool
 	// used is settled and reserved use, which can't be reclaimed.
 	used int64
 	// tokens is what the node should hold beyond its use.
@@ -35,7 +36,7 @@
 		if !m.Live {
 			continue
 		}
-		n := need{node: m.Report.Node, region: m.Report.Region, tokens: a.settings.MinCeiling, large: 2*m.Report.Capacity >= maxCapacity}
+		n := need{node: m.Report.Node, region: m.Report.Region, tokens: a.settings.MinCeiling, listed: m.Report.Listed, large: 2*m.Report.Capacity >= maxCapacity}
 		if l := findLine(&m.Report, name); l != nil {
 			n.used = l.Spent + l.Reserved
 			n.rate = float64(l.DemandRate)
@@ -49,8 +50,9 @@
 	return needs, total
 }
 
-// chooseHolders clears the needs of all nodes but the account's holders. Nodes with much demand
-// come first, then large ones; ties are broken by rendezvous hashing, so that few allocations
+// chooseHolders clears the needs of all nodes but the account's holders. Only nodes with demand
+// and those that callers are sent to may be holders: the others don't follow the grants, and what
+// they held would be out of reach. Nodes with much demand come first, then large ones; ties are broken by rendezvous hashing, so that few allocations
 // move when nodes come and go. When nodes without callers were holders, nearly every request
 // was served from a loan over their slow links, and while the store was unreachable two in five
 // were refused.
@@ -62,7 +64,7 @@
 	for _, region := range byRegion {
 		markBusy(region)
 		slices.SortFunc(region, func(x, y *need) int { return compareHolders(name, x, y) })
-		holders := region[:min(len(region), a.settings.HoldersPerRegion)]
+		holders := region[:min(countEligible(region), a.settings.HoldersPerRegion)]
 		a.setNeeds(holders, region)
 		for _, n := range region[len(holders):] {
 			n.tokens = 0
@@ -70,6 +72,20 @@
 	}
 }
 
+// eligible reports whether a node may hold tokens of the account.
+func (n *need) eligible() bool { return n.listed || n.rate > 0 }
+
+// countEligible returns how many nodes may be holders; compareHolders orders them first.
+func countEligible(region []*need) int {
+	count := 0
+	for _, n := range region {
+		if n.eligible() {
+			count++
+		}
+	}
+	return count
+}
+
 // limitHolders restricts a nearly exhausted account to so few holders that each allocation
 // still covers a long prompt. Split among six nodes, the last 50,000 tokens served no prompt of
 // 12,000, and all its callers were refused.
@@ -113,7 +129,7 @@
 
 // compareHolders orders nodes by preference as an account's holders.
 func compareHolders(account string, x, y *need) int {
-	return cmp.Or(compareFlags(x.busy, y.busy), compareFlags(x.large, y.large), cmp.Compare(rendezvousHash(account, y), rendezvousHash(account, x)))
+	return cmp.Or(compareFlags(x.eligible(), y.eligible()), compareFlags(x.busy, y.busy), compareFlags(x.large, y.large), cmp.Compare(rendezvousHash(account, y), rendezvousHash(account, x)))
 }
 
 // compareFlags orders true before false.
--- a/prepaid/records.go
+++ b/prepaid/records.go
@@ -9,6 +9,8 @@
 	Region string `json:"r,omitempty"`
 	// Capacity is the capacity of the node's instance, in hundredths of a usual one.
 	Capacity int `json:"ca,omitempty"`
+	// Listed reports that callers are sent to the node.
+	Listed bool `json:"li,omitempty"`
 	// SentTimeMs is the instance's wall-clock time when the report was made, in Unix
 	// milliseconds.
 	SentTimeMs int64 `json:"stm,omitempty"`
--- a/prepaid/share.go
+++ b/prepaid/share.go
@@ -16,9 +16,7 @@
 	usages       map[string]*usage
 	predecessors []FinalUsage
 	appliedEpoch uint64
-	// granted is closed on the first grant.
-	granted chan struct{}
-	ended   bool
+	ended        bool
 	// shortfallAt is when this node last couldn't cover a request; zero if never.
 	shortfallAt time.Duration
 	// acked is the last acknowledged limit schedule, latest the newest one. The store may hold
@@ -39,11 +37,13 @@
 	Capacity int
 	// BootID identifies the instance's boot.
 	BootID string
+	// Listed reports whether callers are sent to the node.
+	Listed func() bool
 }
 
 // NewShare returns a share without any allocation.
 func NewShare(settings Settings, clocks Clocks, holder Holder) *Share {
-	s := &Share{settings: settings, clocks: clocks, holder: holder, usages: make(map[string]*usage), granted: make(chan struct{})}
+	s := &Share{settings: settings, clocks: clocks, holder: holder, usages: make(map[string]*usage)}
 	s.acked = limitSchedule{base: clocks.Read(), ttl: settings.LimitTTL}
 	s.latest = s.acked
 	return s
@@ -177,13 +177,14 @@
 // limits again, and a node without the store would never get beyond them.
 func (s *Share) Compose() (r Report, fresh bool) {
 	now := s.clocks.Read()
+	listed := s.holder.Listed()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if fresh = !s.unacked; fresh {
 		s.renewLimits(now)
 	}
 	r = Report{
-		Node: s.holder.Node, Region: s.holder.Region, Capacity: s.holder.Capacity, Incarnation: s.holder.Incarnation, BootID: s.holder.BootID,
+		Node: s.holder.Node, Region: s.holder.Region, Capacity: s.holder.Capacity, Listed: listed, Incarnation: s.holder.Incarnation, BootID: s.holder.BootID,
 		SentTimeMs: now.Wall.Milliseconds(), StartBootMs: s.latest.base.Boot.Milliseconds(),
 		StartTimeMs: s.latest.base.Wall.Milliseconds(), LimitTTLMs: s.latest.ttl.Milliseconds(),
 		AppliedEpoch: s.appliedEpoch, Ended: s.ended, Predecessors: s.predecessors,
@@ -237,9 +238,6 @@
 	if g.Incarnation != s.holder.Incarnation || g.Epoch <= s.appliedEpoch {
 		return false
 	}
-	if s.appliedEpoch == 0 {
-		close(s.granted)
-	}
 	s.appliedEpoch = g.Epoch
 	// The allocator closes a node's earlier incarnations before it grants to a new one.
 	s.predecessors = nil
@@ -310,9 +308,6 @@
 	return s.appliedEpoch > 0
 }
 
-// FirstGrant returns a channel that is closed once any grant has arrived.
-func (s *Share) FirstGrant() <-chan struct{} { return s.granted }
-
 // AccountStatus is an account's state on this node, for logs.
 type AccountStatus struct {
 	Spent, Reserved, Limit, Ceiling, Remaining int64
--- a/prepaid/share_test.go
+++ b/prepaid/share_test.go
@@ -12,7 +12,7 @@
 func grantedShare(ceiling int64) (*Share, *bootclock.Fake) {
 	clock := &bootclock.Fake{}
 	clock.Advance(time.Hour)
-	s := NewShare(DefaultSettings(), Clocks{Boot: clock, Wall: clock.WallClock()}, Holder{Node: "n1", Region: "region", Incarnation: "i1", BootID: "boot"})
+	s := NewShare(DefaultSettings(), Clocks{Boot: clock, Wall: clock.WallClock()}, Holder{Node: "n1", Region: "region", Incarnation: "i1", BootID: "boot", Listed: func() bool { return true }})
 	s.Apply(Grant{Node: "n1", Incarnation: "i1", Epoch: 1, Lines: []GrantLine{{Account: "a", Ceiling: ceiling, Remaining: 1_000_000, Prepaid: 1_000_000}}})
 	return s, clock
 }
--- a/presence/interval.go
+++ b/presence/interval.go
@@ -18,8 +18,8 @@
 	unlistedInterval = 2 * time.Second
 )
 
-// isListed reports whether a node's address is given to callers in its region while it is ready.
-func isListed(live []Record, own Record) bool {
+// IsListed reports whether a node's address is given to callers in its region while it is ready.
+func IsListed(live []Record, own Record) bool {
 	sameRegion := []Record{own}
 	for _, r := range live {
 		if r.Region == own.Region && r.Node != own.Node {
@@ -32,7 +32,7 @@
 // RecordInterval returns the interval at which a node should write its own record.
 func RecordInterval(live []Record, own Record) time.Duration {
 	interval := max(minInterval, min(unlistedInterval, time.Duration(len(live))*intervalPerNode))
-	if !isListed(live, own) {
+	if !IsListed(live, own) {
 		return max(interval, unlistedInterval)
 	}
 	return interval
