Cover all requests that wait for a report, and see the demand of the first seconds

A report raised the limit by the largest request that waited for it, so of several one was served; those that still found too little were refused without asking another node. And an average over six seconds shows a fifth of the demand after the first of them, so limits and allocations were as much too small.

Change: a report covers the sum of the waiting requests; a request whose tokens others took reports again within its time limit, and then asks other nodes; the demand of the first seconds is averaged over the time that it covers (2 s at least). A request that waits counts once as demand.

--- a/gateway/call.go
+++ b/gateway/call.go
@@ -101,7 +101,7 @@
 	c.awaitTokens(ctx)
 	outcome := c.g.Share.Reserve(c.account.Name, c.r.maxTokens(), c.account.Prepaid)
 	if outcome == prepaid.ReportRequired {
-		outcome = c.reserveAfterReport(ctx)
+		outcome = c.reserveAfterReports(ctx)
 	}
 	if outcome == prepaid.Insufficient && c.borrow(ctx) {
 		return nil
@@ -138,13 +138,19 @@
 	return true
 }
 
-func (c *call) reserveAfterReport(ctx context.Context) prepaid.Outcome {
+// reserveAfterReports reports until the limit covers the request: other requests may take what one
+// report allowed.
+func (c *call) reserveAfterReports(ctx context.Context) prepaid.Outcome {
 	ctx, cancel := context.WithTimeout(ctx, c.g.settings.ReportTimeout)
 	defer cancel()
-	if err := c.g.ReportUsage(ctx); err != nil {
-		return prepaid.Insufficient // the reporter logs the error
+	for {
+		if err := c.g.ReportUsage(ctx); err != nil {
+			return prepaid.Insufficient // the reporter logs the error
+		}
+		if outcome := c.g.Share.ReserveAgain(c.account.Name, c.r.maxTokens(), c.account.Prepaid); outcome != prepaid.ReportRequired {
+			return outcome
+		}
 	}
-	return c.g.Share.Reserve(c.account.Name, c.r.maxTokens(), c.account.Prepaid)
 }
 
 // timeLimit returns the time limit of the caller or of the route, whichever is shorter, counted
--- a/lending/lender.go
+++ b/lending/lender.go
@@ -49,7 +49,7 @@
 
 func (l *Lender) lend(ctx context.Context, request Request) bool {
 	outcome := l.share.Lend(request.Account, request.Tokens, request.HasAllocation)
-	if outcome == prepaid.ReportRequired && l.report(ctx) == nil {
+	for outcome == prepaid.ReportRequired && l.report(ctx) == nil {
 		outcome = l.share.Lend(request.Account, request.Tokens, true)
 	}
 	if outcome != prepaid.Reserved {
--- a/prepaid/share.go
+++ b/prepaid/share.go
@@ -64,7 +64,21 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	u := s.usage(account)
-	u.addDemand(tokens, now.Boot, s.settings.RateWindow)
+	u.demand.add(tokens, now.Boot, s.settings.RateWindow)
+	return s.reserve(u, now, tokens, prepaid)
+}
+
+// ReserveAgain is Reserve for a request that was told to wait for a report; its demand is counted
+// already.
+func (s *Share) ReserveAgain(account string, tokens, prepaid int64) Outcome {
+	now := s.clocks.Read()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.reserve(s.usage(account), now, tokens, prepaid)
+}
+
+// reserve reserves tokens at a clock reading. Caller holds mu.
+func (s *Share) reserve(u *usage, now ClockReading, tokens, prepaid int64) Outcome {
 	if u.used()+tokens <= s.limit(u, now) && !s.ended {
 		u.reserved += tokens
 		return Reserved
@@ -73,7 +87,7 @@
 		return Exhausted
 	}
 	if u.used()+tokens <= u.ceiling && !s.ended && s.canReport(now) {
-		u.largestBlocked = max(u.largestBlocked, tokens)
+		u.blocked += tokens
 		return ReportRequired
 	}
 	s.shortfallAt = now.Boot
@@ -97,7 +111,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, u := range s.usages {
-		u.decayDemand(now, s.settings.RateWindow)
+		u.demand.decay(now, s.settings.RateWindow)
 		if !u.unchanged() {
 			return false
 		}
@@ -116,10 +130,10 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	u := s.usage(account)
-	u.decayDemand(now.Boot, s.settings.RateWindow)
+	u.demand.decay(now.Boot, s.settings.RateWindow)
 	kept := u.ownDemand()
 	if u.ceiling > 0 && !borrowerHasAllocation {
-		u.addDemand(tokens, now.Boot, s.settings.RateWindow)
+		u.demand.add(tokens, now.Boot, s.settings.RateWindow)
 	}
 	if s.ended || u.used()+tokens+kept > u.ceiling {
 		return Insufficient
@@ -128,7 +142,7 @@
 		if !s.canReport(now) {
 			return Insufficient
 		}
-		u.largestBlocked = max(u.largestBlocked, tokens)
+		u.blocked += tokens
 		return ReportRequired
 	}
 	u.reserved += tokens
@@ -141,7 +155,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	u := s.usage(account)
-	u.decayDemand(now.Boot, s.settings.RateWindow)
+	u.demand.decay(now.Boot, s.settings.RateWindow)
 	limit := u.ceiling
 	if !s.canReport(now) {
 		limit = s.limit(u, now)
@@ -194,9 +208,9 @@
 		if u.idle() {
 			continue
 		}
-		u.decayDemand(now.Boot, s.settings.RateWindow)
+		u.demand.decay(now.Boot, s.settings.RateWindow)
 		r.Lines = append(r.Lines, ReportLine{Account: name, Spent: u.spent, Reserved: u.reserved,
-			InitialLimit: u.latest.initial, Growth: u.latest.growth, Ceiling: u.ceiling, DemandRate: int64(u.demandRate)})
+			InitialLimit: u.latest.initial, Growth: u.latest.growth, Ceiling: u.ceiling, DemandRate: int64(u.demand.rate)})
 	}
 	return r, fresh
 }
@@ -208,12 +222,12 @@
 	base := ClockReading{Boot: now.Boot.Truncate(time.Millisecond), Wall: now.Wall.Truncate(time.Millisecond)}
 	s.latest = limitSchedule{base: base, ttl: s.settings.LimitTTL}
 	for _, u := range s.usages {
-		u.decayDemand(now.Boot, s.settings.RateWindow)
+		u.demand.decay(now.Boot, s.settings.RateWindow)
 		u.latest = limitRamp{}
 		if !u.idle() {
 			u.latest = u.limitRamp(s.settings)
 		}
-		u.largestBlocked = 0
+		u.blocked = 0
 		u.reportedSpent, u.reportedCeiling = u.spent, u.ceiling
 	}
 }
@@ -272,8 +286,8 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, u := range s.usages {
-		u.decayDemand(now, s.settings.RateWindow)
-		if u.ceiling > 0 || u.demandRate >= 1 {
+		u.demand.decay(now, s.settings.RateWindow)
+		if u.ceiling > 0 || u.demand.rate >= 1 {
 			return true
 		}
 	}
@@ -328,7 +342,7 @@
 func (s *Share) usage(account string) *usage {
 	u, ok := s.usages[account]
 	if !ok {
-		u = &usage{demandRateAt: s.clocks.Boot.Now()}
+		u = &usage{}
 		s.usages[account] = u
 	}
 	return u
--- a/prepaid/share_test.go
+++ b/prepaid/share_test.go
@@ -290,3 +290,34 @@
 	clock.Advance(2 * time.Second)
 	is.True(!s.ShortfallWithin(time.Second))
 }
+
+// Guards against a report that covers only one of the requests that wait for it: after a start or
+// a burst the others were refused although the node's ceiling covered them.
+func TestReportCoversAllWaitingRequests(t *testing.T) {
+	is := is.New(t)
+	const requests, tokens = 5, 20_000
+	s, _ := grantedShare(200_000)
+	report(s)
+	for range requests {
+		is.Equal(s.Reserve("a", tokens, 1_000_000), ReportRequired)
+	}
+	report(s)
+	for range requests {
+		is.Equal(s.Reserve("a", tokens, 1_000_000), Reserved)
+	}
+}
+
+// Guards against underrating the demand of the first seconds after a start: limits and
+// allocations that were too small for it blocked prompts while the account had plenty.
+func TestDemandIsSeenInFirstSeconds(t *testing.T) {
+	is := is.New(t)
+	const pace, tokens, rate = 100 * time.Millisecond, 2_000, 20_000
+	s, clock := grantedShare(1_000_000)
+	for range 2 * time.Second / pace {
+		s.Reserve("a", tokens, 1_000_000)
+		clock.Advance(pace)
+	}
+	seen := report(s).Lines[0].DemandRate
+	is.True(seen >= rate*3/4)
+	is.True(seen <= rate*5/4)
+}
