Let all nodes with callers hold allocations, by their demand

Change: every node with more than a 24th of its region's demand for an account is a holder, six at least; a holder's need is its own demand and a part of that of the nodes that aren't; what is held beyond the needs is split by demand, evenly only before any is seen.

Failed before: TestAllNodesWithCallersHoldAllocations, TestAllocationsFollowCallersOfOneNode.

--- a/prepaid/allocator_test.go
+++ b/prepaid/allocator_test.go
@@ -242,3 +242,55 @@
 	is.True(stranded > 0)
 	is.True(stranded <= 7*demand)
 }
+
+// serveEvenly serves an account's requests on some nodes for a time.
+func serveEvenly(w *world, names []string, tokens int64, every, duration time.Duration) {
+	for i := range int(duration / every) {
+		for _, name := range names {
+			w.serveWithReport(w.nodes[name], "a", tokens)
+			w.settle(w.nodes[name], 100)
+		}
+		w.clock.Advance(every)
+		if i%5 == 0 {
+			converge(w)
+		}
+	}
+}
+
+// unused returns what a node holds beyond its use.
+func unused(n *simNode) int64 {
+	s := n.share.Status("a")
+	return s.Ceiling - s.Spent - s.Reserved
+}
+
+// Guards against holders that are fewer than the nodes with callers: a third of all prompts had
+// to be covered by loans, and were refused when lenders were slow.
+func TestAllNodesWithCallersHoldAllocations(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(map[string]int64{"a": 40_000_000})
+	w.startAll(18, "boot")
+	var names []string
+	for name := range w.nodes {
+		names = append(names, name)
+	}
+	converge(w)
+	serveEvenly(w, names, 2_000, 200*time.Millisecond, 6*time.Second)
+	for _, n := range w.nodes {
+		is.True(unused(n) >= 60_000)
+	}
+}
+
+// Guards against spreading an account over nodes whose callers don't use it: a client account that
+// sends everything to one node found most of its tokens elsewhere while the store was unreachable.
+func TestAllocationsFollowCallersOfOneNode(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(map[string]int64{"a": 20_000_000})
+	w.startAll(18, "boot")
+	converge(w)
+	serveEvenly(w, []string{"n05"}, 10_000, 100*time.Millisecond, 6*time.Second)
+	total := int64(0)
+	for _, n := range w.nodes {
+		total += unused(n)
+	}
+	is.True(unused(w.nodes["n05"]) >= total*2/3)
+}
--- a/prepaid/needs.go
+++ b/prepaid/needs.go
@@ -64,7 +64,7 @@
 	for _, region := range byRegion {
 		markBusy(region)
 		slices.SortFunc(region, func(x, y *need) int { return compareHolders(name, x, y) })
-		holders := region[:min(countEligible(region), a.settings.HoldersPerRegion)]
+		holders := region[:min(countEligible(region), max(countBusy(region), a.settings.HoldersPerRegion))]
 		a.setNeeds(holders, region)
 		for _, n := range region[len(holders):] {
 			n.tokens = 0
@@ -75,6 +75,17 @@
 // eligible reports whether a node may hold tokens of the account.
 func (n *need) eligible() bool { return n.listed || n.rate > 0 }
 
+// countBusy returns how many nodes are busy.
+func countBusy(region []*need) int {
+	count := 0
+	for _, n := range region {
+		if n.busy {
+			count++
+		}
+	}
+	return count
+}
+
 // countEligible returns how many nodes may be holders; compareHolders orders them first.
 func countEligible(region []*need) int {
 	count := 0
@@ -106,9 +117,9 @@
 	}
 }
 
-// busyDivisor: a node is busy with more than 1/12 of its region's demand. A caller that sticks
-// to one node was seen to send a sixth of its region's requests.
-const busyDivisor = 12
+// busyDivisor: a node is busy with more than 1/24 of its region's demand, so that up to 23 nodes
+// that share a region's callers hold allocations.
+const busyDivisor = 24
 
 // markBusy marks nodes with much of their region's demand as busy.
 func markBusy(region []*need) {
@@ -149,13 +160,12 @@
 	return xxhash.Sum64String(account + "\x00" + n.node)
 }
 
-// setNeeds sets each holder's need from its own demand or an even part of its region's,
-// whichever is larger: holders lend to each other and to all other nodes, and which of them is
-// asked is random.
+// setNeeds sets each holder's need from its own demand and an even part of the demand of the
+// region's other nodes, which borrow from the holders.
 func (a *Allocator) setNeeds(holders []*need, region []*need) {
-	even := totalRate(region) / float64(len(holders))
+	borrowed := (totalRate(region) - totalRate(holders)) / float64(len(holders))
 	for _, n := range holders {
-		n.tokens = max(n.tokens, int64(max(n.rate, even)*a.settings.DemandHorizon.Seconds()))
+		n.tokens = max(n.tokens, int64((n.rate+borrowed)*a.settings.DemandHorizon.Seconds()))
 	}
 }
 
@@ -171,18 +181,30 @@
 	return max(distributable, min(available, a.settings.MinCeiling))
 }
 
-// raiseNeeds raises the holders' needs to an even split of MinNeededFraction of what nodes may
-// hold.
+// raiseNeeds raises the holders' needs to MinNeededFraction of what nodes may hold together. It
+// splits what is missing by demand: a node that is cut off from the store soon has only what it
+// holds. Before any demand was seen, it splits evenly.
 func (a *Allocator) raiseNeeds(needs []need, distributable int64) {
-	holders := int64(0)
+	holders, needed, rate := 0, int64(0), 0.0
 	for _, n := range needs {
 		if n.tokens > 0 {
 			holders++
+			needed += n.tokens
+			rate += n.rate
 		}
 	}
+	missing := a.settings.MinNeededFraction*float64(distributable) - float64(needed)
+	if holders == 0 || missing <= 0 {
+		return
+	}
 	for i := range needs {
-		if n := &needs[i]; n.tokens > 0 {
-			n.tokens = max(n.tokens, int64(a.settings.MinNeededFraction*float64(distributable))/holders)
+		n := &needs[i]
+		switch {
+		case n.tokens == 0:
+		case rate > 0:
+			n.tokens += int64(missing * n.rate / rate)
+		default:
+			n.tokens += int64(missing) / int64(holders)
 		}
 	}
 }
