Spread the reports over partitions, and read only the own one at a start

Cause: after a power loss of all, each node reads all reports of the topic before its first own one.

The planner reads all, goes on while some can't be read, and logs which. A node that finds nothing of its earlier incarnations looks in the others, as the number may have changed, except when the fleet starts for the first time. Nodes that callers aren't sent to no longer follow the grants in their first seconds.

--- a/allotment/planner.go
+++ b/allotment/planner.go
@@ -34,7 +34,8 @@
 
 // Topics are the topics of the records.
 type Topics struct {
-	Spend, Ledger, Grants keyedlog.Topic
+	Spend          Partitions
+	Ledger, Grants keyedlog.Topic
 }
 
 // Fleet provides the planner with the state of nodes and the configuration.
@@ -104,7 +105,7 @@
 	if err != nil {
 		return nil, errors.Trace(err)
 	}
-	t := &term{planner: p, epoch: p.firstEpoch(previous), reports: make(map[string]prepaid.Report)}
+	t := &term{planner: p, epoch: p.firstEpoch(previous), reports: newReports(p.topics.Spend, p.events)}
 	if err := p.topics.Ledger.Append(ctx, t.fence()); err != nil {
 		return nil, errors.Trace(err)
 	}
@@ -113,7 +114,6 @@
 		return nil, errors.Trace(err)
 	}
 	t.allocator = prepaid.NewAllocator(p.settings, ledger)
-	t.follower = keyedlog.NewFollower(p.topics.Spend, (*reportHandler)(t), keyedlog.Options{Wait: 0, Slack: callTimeout})
 	return t, nil
 }
 
--- a/allotment/planner_test.go
+++ b/allotment/planner_test.go
@@ -33,7 +33,7 @@
 }
 
 func newTopics() Topics {
-	return Topics{Spend: memtopic.New(), Ledger: memtopic.New(), Grants: memtopic.New()}
+	return Topics{Spend: NewPartitions([]keyedlog.Topic{memtopic.New()}, 1), Ledger: memtopic.New(), Grants: memtopic.New()}
 }
 
 func newTestPlanner(topics Topics) *Planner {
@@ -51,7 +51,7 @@
 	share := prepaid.NewShare(prepaid.DefaultSettings(), prepaid.Clocks{Boot: clock, Wall: clock.WallClock()}, prepaid.Holder{Node: name, Region: "r", Incarnation: incarnation, BootID: "boot", Listed: func() bool { return true }})
 	events := recorder()
 	return &node{share: share,
-		reporter: NewReporter(share, topics.Spend, name, incarnation, nil, events),
+		reporter: NewReporter(share, topics.Spend.Of(name), name, incarnation, nil, events),
 		grants:   keyedlog.NewFollower(topics.Grants, NewGrantHandler(share, name, events), keyedlog.Options{Slack: time.Second})}
 }
 
@@ -153,7 +153,7 @@
 func TestCorruptReportOfPredecessor(t *testing.T) {
 	is := is.New(t)
 	ctx, topics := context.Background(), newTopics()
-	is.NoErr(topics.Spend.Append(ctx, keyedlog.Fence{}, keyedlog.Record{Key: reportKey("n1", "old"), Value: []byte("torn")}))
+	is.NoErr(topics.Spend.Of("n1").Append(ctx, keyedlog.Fence{}, keyedlog.Record{Key: reportKey("n1", "old"), Value: []byte("torn")}))
 	earlier, err := ReadPredecessors(ctx, topics.Spend, "n1", prepaid.ProcessStart{BootID: "boot"}, clockwork.NewFakeClock())
 	is.NoErr(err)
 	is.Equal(len(earlier.FinalUsages), 1)
@@ -183,7 +183,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		topics := newTopics()
-		spend := topics.Spend.(*memtopic.Topic)
+		spend := topics.Spend.Of("n1").(*memtopic.Topic)
 		spend.AppendGate = make(chan struct{})
 		n := newNode(topics, &bootclock.Fake{}, "n1", "i1")
 		const callers = 20
--- a/allotment/predecessors.go
+++ b/allotment/predecessors.go
@@ -18,32 +18,64 @@
 }
 
 // ReadPredecessors reads the last reports of a node's earlier incarnations. start is read when
-// the process starts; now gives the wall-clock time once the reports are read.
-func ReadPredecessors(ctx context.Context, spend keyedlog.Topic, node string, start prepaid.ProcessStart, now prepaid.WallClock) (PredecessorRecords, error) {
-	records, _, err := keyedlog.ReadNewest(ctx, spend)
-	if err != nil {
+// the process starts; now gives the wall-clock time once the reports are read. A node that finds
+// none in its partition looks in the others, unless the fleet starts for the first time: the number
+// of partitions may have changed since.
+func ReadPredecessors(ctx context.Context, spend Partitions, node string, start prepaid.ProcessStart, now prepaid.WallClock) (PredecessorRecords, error) {
+	p := predecessorReader{node: node, start: start, now: now}
+	if err := p.read(ctx, spend.Of(node)); err != nil {
 		return PredecessorRecords{}, errors.Trace(err)
 	}
-	var predecessors PredecessorRecords
-	var last []prepaid.Report
-	timeOfDay := time.Duration(now.Now().UnixNano())
-	for _, r := range records {
-		if r.Deleted {
-			continue
-		}
-		report, err := DecodeReport(r.Value)
-		start.ClockBehind = start.ClockBehind || err == nil && prepaid.ClockIsBehind(timeOfDay, &report)
-		if !strings.HasPrefix(r.Key, node+"/") {
-			continue
+	if !p.found() && !start.FleetIsNew {
+		for _, topic := range spend.others(node) {
+			if err := p.read(ctx, topic); err != nil {
+				return PredecessorRecords{}, errors.Trace(err)
+			}
 		}
-		predecessors.ReportKeys = append(predecessors.ReportKeys, r.Key)
-		if err != nil {
-			// Only its ceilings bound its use.
-			predecessors.FinalUsages = append(predecessors.FinalUsages, prepaid.FinalUsage{Incarnation: strings.TrimPrefix(r.Key, node+"/")})
-			continue
+	}
+	p.records.FinalUsages = append(p.records.FinalUsages, prepaid.FinalUsages(p.last, p.start)...)
+	return p.records, nil
+}
+
+// predecessorReader collects what one node's earlier incarnations left.
+type predecessorReader struct {
+	node    string
+	start   prepaid.ProcessStart
+	now     prepaid.WallClock
+	records PredecessorRecords
+	// last holds the last reports that could be decoded.
+	last []prepaid.Report
+}
+
+func (p *predecessorReader) found() bool { return len(p.records.ReportKeys) > 0 }
+
+// read reads one partition.
+func (p *predecessorReader) read(ctx context.Context, topic keyedlog.Topic) error {
+	records, _, err := keyedlog.ReadNewest(ctx, topic)
+	if err != nil {
+		return errors.Trace(err)
+	}
+	timeOfDay := time.Duration(p.now.Now().UnixNano())
+	for _, r := range records {
+		if !r.Deleted {
+			p.add(r, timeOfDay)
 		}
-		last = append(last, report)
 	}
-	predecessors.FinalUsages = append(predecessors.FinalUsages, prepaid.FinalUsages(last, start)...)
-	return predecessors, nil
+	return nil
+}
+
+// add adds a node's newest report.
+func (p *predecessorReader) add(r keyedlog.Record, timeOfDay time.Duration) {
+	report, err := DecodeReport(r.Value)
+	p.start.ClockBehind = p.start.ClockBehind || err == nil && prepaid.ClockIsBehind(timeOfDay, &report)
+	if !strings.HasPrefix(r.Key, p.node+"/") {
+		return
+	}
+	p.records.ReportKeys = append(p.records.ReportKeys, r.Key)
+	if err != nil {
+		// Only its ceilings bound its use.
+		p.records.FinalUsages = append(p.records.FinalUsages, prepaid.FinalUsage{Incarnation: strings.TrimPrefix(r.Key, p.node+"/")})
+		return
+	}
+	p.last = append(p.last, report)
 }
--- a/allotment/term.go
+++ b/allotment/term.go
@@ -18,9 +18,7 @@
 	planner   *Planner
 	epoch     uint64
 	allocator *prepaid.Allocator
-	follower  *keyedlog.Follower
-	// reports holds the newest report of each incarnation by its key.
-	reports map[string]prepaid.Report
+	reports   *reports
 	// written is the last acknowledged ledger.
 	written prepaid.Ledger
 }
@@ -37,7 +35,7 @@
 	if !known {
 		return nil
 	}
-	if err := t.follower.Poll(ctx); err != nil {
+	if err := t.reports.poll(ctx); err != nil {
 		return errors.Trace(err)
 	}
 	t.epoch++
@@ -53,8 +51,9 @@
 
 func (t *term) members() []prepaid.Member {
 	var members []prepaid.Member
-	for _, key := range slices.Sorted(maps.Keys(t.reports)) {
-		r := t.reports[key]
+	newest := t.reports.newest()
+	for _, key := range slices.Sorted(maps.Keys(newest)) {
+		r := newest[key]
 		members = append(members, prepaid.Member{Report: r, Live: t.isLive(&r)})
 	}
 	return members
@@ -104,34 +103,3 @@
 	t.planner.events.Record(event.ShareGranted, "epoch", t.epoch, "nodes", len(grants))
 	return nil
 }
-
-// reportHandler applies what the follower reads to the term.
-type reportHandler term
-
-// Reset applies the newest reports.
-func (t *reportHandler) Reset(records []keyedlog.Record) {
-	clear(t.reports)
-	t.Apply(records)
-}
-
-// Apply applies reports in order.
-func (t *reportHandler) Apply(records []keyedlog.Record) {
-	for _, r := range records {
-		if r.Deleted {
-			delete(t.reports, r.Key)
-			continue
-		}
-		report, err := DecodeReport(r.Value)
-		if err != nil {
-			t.planner.events.Record(event.BatchVoid, "topic", "spend", "key", r.Key, "error", err)
-			continue
-		}
-		t.reports[r.Key] = report
-	}
-}
-
-// ReadFailed does nothing: a failed round ends the term, which is logged.
-func (t *reportHandler) ReadFailed(error) {}
-
-// ReadSucceeded does nothing.
-func (t *reportHandler) ReadSucceeded(keyedlog.ReadStats) {}
--- a/cmd/lavenderedge/run.go
+++ b/cmd/lavenderedge/run.go
@@ -21,6 +21,7 @@
 	"github.com/jonboulle/clockwork"
 	"github.com/juju/errors"
 
+	"lavenderpin.dev/lavenderpin/allotment"
 	"lavenderpin.dev/lavenderpin/bootclock"
 	"lavenderpin.dev/lavenderpin/edgenode"
 	"lavenderpin.dev/lavenderpin/event"
@@ -98,7 +99,7 @@
 	signals := make(chan os.Signal, 8)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
 	incarnation := newIncarnation()
-	start := prepaid.ProcessStart{ClockReading: p.clocks().Read(), BootID: bootID()}
+	start := prepaid.ProcessStart{ClockReading: p.clocks().Read(), BootID: bootID(), FleetIsNew: p.settings.FleetIsNew}
 	p.events.Record(event.NodeStarting, "incarnation", incarnation, "data_centre", p.settings.DataCentre, "memory_mb", p.settings.Limits.MemoryMB, "cores", p.settings.Limits.Cores, "link_mbps", p.settings.Limits.LinkMbps, "boot_clock", start.Boot, "boot", start.BootID)
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
@@ -146,7 +147,7 @@
 	}, edgenode.Deps{
 		Clock: p.clock, WallClock: p.clocks().Wall, Upstreams: p.upstreams, Lending: &lending.Client{Wire: p.peerClient}, Peers: &peerfetch.Client{HTTP: p.peerClient}, Events: p.events, Metrics: gateway.NewMetrics(p.publishMetrics),
 		Topics: edgenode.Topics{Operators: store.Operators(), Upstreams: store.Upstreams(), Presence: store.Topic("presence"),
-			Spend: store.Topic("spend"), Ledger: store.Topic("ledger"), Grants: store.Topic("grants")},
+			Spend: allotment.NewPartitions(store.Partitions("spend", p.settings.Store.Partitions), p.settings.Store.WritablePartitions()), Ledger: store.Topic("ledger"), Grants: store.Topic("grants")},
 		DecodeConfig: platform.DecodeConfig, DecodeUpstream: platform.DecodeUpstream,
 	})
 	if err != nil {
--- a/edgenode/deps.go
+++ b/edgenode/deps.go
@@ -1,6 +1,7 @@
 package edgenode
 
 import (
+	"lavenderpin.dev/lavenderpin/allotment"
 	"lavenderpin.dev/lavenderpin/bootclock"
 	"lavenderpin.dev/lavenderpin/catalog"
 	"lavenderpin.dev/lavenderpin/directory"
@@ -36,7 +37,8 @@
 	// Operators and Upstreams are written by other systems.
 	Operators, Upstreams keyedlog.Topic
 	// Presence, Spend, Ledger and Grants are written by the fleet.
-	Presence, Spend, Ledger, Grants keyedlog.Topic
+	Presence, Ledger, Grants keyedlog.Topic
+	Spend                    allotment.Partitions
 }
 
 // Deps are the dependencies of a node.
--- a/edgenode/grantneed.go
+++ b/edgenode/grantneed.go
@@ -15,15 +15,21 @@
 // some, or callers are sent to it, so that it may be granted some before they come. Grants are
 // long and change several times a second. When all nodes of a large fleet read them, the copies
 // filled the link between the regions, and reports, readings and connections beyond it timed out.
-func (n *Node) needsGrants() bool {
-	return n.starting() || n.share.InUse() || n.isListed()
-}
+func (n *Node) needsGrants() bool { return n.share.InUse() || n.isListed() }
 
 // isListed reports whether the addresses of this node are given to callers.
 func (n *Node) isListed() bool { return presence.IsListed(n.roster.Live(), n.presenceRecord()) }
 
-// awaitGrantNeed blocks until the node needs the grants, and reports whether it blocked.
+// awaitGrantNeed blocks until the node needs the grants, and reports whether it blocked. A starting
+// node first learns of the others, which tells whether callers are sent to it.
 func (n *Node) awaitGrantNeed(ctx context.Context) (blocked bool) {
+	select {
+	case <-n.firstRosterRead:
+	case <-n.grantsWanted:
+		return true
+	case <-ctx.Done():
+		return true
+	}
 	timer := time.NewTimer(0)
 	defer timer.Stop()
 	for ; !n.needsGrants(); blocked = true {
--- a/edgenode/link_test.go
+++ b/edgenode/link_test.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"lavenderpin.dev/lavenderpin/allotment"
 	"lavenderpin.dev/lavenderpin/keyedlog"
 )
 
@@ -71,7 +72,7 @@
 // throughLink wraps the topics of a store so that all access crosses a link.
 func throughLink(t Topics, l *link) Topics {
 	return Topics{Operators: &linkedTopic{t.Operators, l}, Upstreams: &linkedTopic{t.Upstreams, l}, Presence: &linkedTopic{t.Presence, l},
-		Spend: &linkedTopic{t.Spend, l}, Ledger: &linkedTopic{t.Ledger, l}, Grants: &linkedTopic{t.Grants, l}}
+		Spend: allotment.NewPartitions([]keyedlog.Topic{&linkedTopic{t.Spend.Of(""), l}}, 1), Ledger: &linkedTopic{t.Ledger, l}, Grants: &linkedTopic{t.Grants, l}}
 }
 
 // responseOverhead is the size of a response without its records, in bytes.
--- a/edgenode/reports.go
+++ b/edgenode/reports.go
@@ -9,6 +9,7 @@
 	"lavenderpin.dev/lavenderpin/allotment"
 	"lavenderpin.dev/lavenderpin/event"
 	"lavenderpin.dev/lavenderpin/internal/periodic"
+	"lavenderpin.dev/lavenderpin/keyedlog"
 )
 
 // errPredecessorsUnknown is returned until the records of earlier incarnations have been read.
@@ -23,6 +24,9 @@
 	return errors.Trace(reporter.Report(ctx))
 }
 
+// spendTopic returns the partition that holds this node's reports.
+func (n *Node) spendTopic() keyedlog.Topic { return n.deps.Topics.Spend.Of(n.settings.Node) }
+
 // runReporter reads the records of earlier incarnations and then reports at intervals. Without
 // these records spending could not be bounded: a node is granted nothing before its first
 // report, which names its earlier incarnations.
@@ -32,7 +36,7 @@
 		return // the node has stopped
 	}
 	n.share.SetPredecessors(predecessors.FinalUsages)
-	reporter := allotment.NewReporter(n.share, n.deps.Topics.Spend, n.settings.Node, n.settings.Incarnation, predecessors.ReportKeys, n.deps.Events)
+	reporter := allotment.NewReporter(n.share, n.spendTopic(), n.settings.Node, n.settings.Incarnation, predecessors.ReportKeys, n.deps.Events)
 	n.reporter.Store(reporter)
 	reporter.Run(ctx)
 }
--- a/edgenode/start_test.go
+++ b/edgenode/start_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/matryer/is"
 
+	"lavenderpin.dev/lavenderpin/allotment"
 	"lavenderpin.dev/lavenderpin/internal/memtopic"
 	"lavenderpin.dev/lavenderpin/keyedlog"
 	"lavenderpin.dev/lavenderpin/prepaid"
@@ -68,7 +69,7 @@
 		f.put(f.topics.Upstreams, "e1", "llm")
 		spendOutage := &storeOutage{}
 		spendOutage.begin(time.Hour)
-		f.topics.Spend = &outageTopic{Topic: memtopic.New(), outage: spendOutage}
+		f.topics.Spend = allotment.NewPartitions([]keyedlog.Topic{&outageTopic{Topic: memtopic.New(), outage: spendOutage}}, 1)
 		n := f.start("n00")
 		defer f.stop()
 		time.Sleep(maxStartTime)
--- a/edgenode/testfleet_test.go
+++ b/edgenode/testfleet_test.go
@@ -14,6 +14,7 @@
 	"github.com/go-kit/log"
 	"github.com/jonboulle/clockwork"
 
+	"lavenderpin.dev/lavenderpin/allotment"
 	"lavenderpin.dev/lavenderpin/catalog"
 	"lavenderpin.dev/lavenderpin/directory"
 	"lavenderpin.dev/lavenderpin/event"
@@ -119,7 +120,7 @@
 func newTestFleet(t *testing.T) *testFleet {
 	f := &testFleet{t: t, lending: unreachableLenders{}}
 	topic := func() keyedlog.Topic { return &outageTopic{Topic: memtopic.New(), outage: &f.outage} }
-	f.topics = Topics{Operators: topic(), Upstreams: topic(), Presence: topic(), Spend: topic(), Ledger: topic(), Grants: topic()}
+	f.topics = Topics{Operators: topic(), Upstreams: topic(), Presence: topic(), Spend: allotment.NewPartitions([]keyedlog.Topic{topic()}, 1), Ledger: topic(), Grants: topic()}
 	f.put(f.topics.Operators, "config", "1")
 	return f
 }
@@ -143,7 +144,7 @@
 	if err != nil {
 		f.t.Fatal(err)
 	}
-	f.put(f.topics.Spend, node+"/lost", string(report))
+	f.put(f.topics.Spend.Of(node), node+"/lost", string(report))
 }
 
 func testConfig(string, []byte) (*catalog.View, bool, error) {
--- a/prepaid/predecessors.go
+++ b/prepaid/predecessors.go
@@ -21,6 +21,9 @@
 	ClockReading
 	// BootID identifies the instance's boot.
 	BootID string
+	// FleetIsNew is set if the whole fleet starts for the first time, so that no node has earlier
+	// incarnations.
+	FleetIsNew bool
 	// ClockBehind is set if another node's report has a timestamp that this instance's wall
 	// clock hasn't reached, so that its wall clock can't be trusted.
 	ClockBehind bool
