Let records of nodes that no caller is sent to grow rarer with their number

Change: the interval of nodes that callers aren't sent to grows with their number (at most 50 records a second of all of them), that of the others only with the number of these.

TestRecordsOfUnlistedNodesAreBounded failed before.

--- a/presence/interval.go
+++ b/presence/interval.go
@@ -10,12 +10,16 @@
 	// minInterval is the shortest interval between a node's records: a dead node is detected
 	// after five of them.
 	minInterval = 500 * time.Millisecond
-	// intervalPerNode lengthens the interval with the size of the fleet, up to unlistedInterval,
-	// so that up to 160 nodes together write at most about 80 records a second.
-	intervalPerNode = 12 * time.Millisecond
-	// unlistedInterval is the interval of nodes whose addresses are not given to callers: nobody
-	// waits for news of them.
-	unlistedInterval = 2 * time.Second
+	// intervalPerListed lengthens the interval with the number of nodes whose addresses are given
+	// to callers, up to maxListedInterval, so that up to 160 of them together write at most about
+	// 80 records a second.
+	intervalPerListed = 12 * time.Millisecond
+	maxListedInterval = 2 * time.Second
+	// unlistedInterval is the interval of the other nodes: nobody waits for news of them.
+	// intervalPerUnlisted lengthens it, so that all of them together write at most about 50 records
+	// a second: each node reads them all.
+	unlistedInterval    = 2 * time.Second
+	intervalPerUnlisted = 20 * time.Millisecond
 )
 
 // IsListed reports whether a node's address is given to callers in its region while it is ready.
@@ -29,13 +33,26 @@
 	return slices.ContainsFunc(largeInstances(sameRegion), func(r Record) bool { return r.Node == own.Node })
 }
 
+// countListed returns how many nodes' addresses are given to callers in any region.
+func countListed(live []Record) int {
+	regions := make(map[string][]Record)
+	for _, r := range live {
+		regions[r.Region] = append(regions[r.Region], r)
+	}
+	count := 0
+	for _, region := range regions {
+		count += len(largeInstances(region))
+	}
+	return count
+}
+
 // RecordInterval returns the interval at which a node should write its own record.
 func RecordInterval(live []Record, own Record) time.Duration {
-	interval := max(minInterval, min(unlistedInterval, time.Duration(len(live))*intervalPerNode))
+	listed := countListed(live)
 	if !IsListed(live, own) {
-		return max(interval, unlistedInterval)
+		return max(unlistedInterval, time.Duration(len(live)-listed)*intervalPerUnlisted)
 	}
-	return interval
+	return max(minInterval, min(maxListedInterval, time.Duration(listed)*intervalPerListed))
 }
 
 // maxNearWriteTime is the longest time that a write takes from the store's own region: the
--- a/presence/roster_test.go
+++ b/presence/roster_test.go
@@ -154,6 +154,23 @@
 	is.True(perSecond <= 200)
 }
 
+// Guards against records that grow with the square of the fleet's size: every node reads the records
+// of all others.
+func TestRecordsOfUnlistedNodesAreBounded(t *testing.T) {
+	is := is.New(t)
+	for _, small := range []int{30, 277, 1000} {
+		var live []Record
+		for i := range 18 {
+			live = append(live, record(fmt.Sprintf("large%02d", i), 200))
+		}
+		for i := range small {
+			live = append(live, record(fmt.Sprintf("small%03d", i), 20))
+		}
+		is.Equal(RecordInterval(live, live[0]), minInterval) // news of these is as fresh as in a small fleet
+		is.True(float64(small)/RecordInterval(live, live[18]).Seconds() <= 50)
+	}
+}
+
 // All nodes restart at once and read what they need. The tasks must fall to a node near the
 // store: one behind the link that half of the fleet reads over starts seconds later, and until
 // then no node is granted tokens.
