Ask lenders of the other region too, and take no silence for a shortage

Six lenders were asked, those of the node's region first, of which there are nine; when they had too little, the account was taken to be short everywhere for 0.3 s.

Change: up to eight are asked, five of the same region if the other one has any; an account counts as short only once every known lender has answered that it has too little.

Failed before: TestShortageNeedsAnAnswerOfAllLenders, TestAsksOtherRegionWithinOneRequest.

--- a/lending/borrower.go
+++ b/lending/borrower.go
@@ -14,15 +14,17 @@
 )
 
 const (
-	// maxPeersAsked bounds the peers that are asked for one request.
-	maxPeersAsked = 6
+	// maxPeersAsked bounds the peers that are asked for one request. maxNearAsked of them are of the
+	// same region; what these hold may be used up while the other region has plenty.
+	maxPeersAsked = 8
+	maxNearAsked  = 5
 	// callTimeout bounds one call to a lender: a round trip between regions and a report.
 	callTimeout = 200 * time.Millisecond
 	// lendableTTL is how long a lender's statement of what it can lend is used: its next grant
 	// comes after about that time.
 	lendableTTL = 500 * time.Millisecond
-	// shortageTTL is how long an account isn't asked for again after no asked peer had enough
-	// tokens, so that an exhausted account doesn't cost six calls per request.
+	// shortageTTL is how long an account isn't asked for again after no peer had enough tokens, so
+	// that an exhausted account doesn't cost several calls per request.
 	shortageTTL = 300 * time.Millisecond
 	// minUnusedDivisor: a peer counts as having at least 1/50 of its ceiling unused, even if
 	// nothing was unused when it was granted, because requests end with less than they
@@ -71,8 +73,8 @@
 // lenderKey identifies a lender of an account.
 type lenderKey struct{ account, node string }
 
-// estimate is a number of tokens that is valid until expires: the smallest amount that no asked
-// peer had, or what one peer had left.
+// estimate is a number of tokens that is valid until expires: the smallest amount that no peer had,
+// or what one peer had left.
 type estimate struct {
 	tokens  int64
 	expires time.Duration
@@ -108,7 +110,7 @@
 	}
 	peers := b.rankPeers(account, tokens)
 	stats := BorrowStats{Lenders: len(peers)}
-	for _, peer := range peers[:min(len(peers), maxPeersAsked)] {
+	for _, peer := range choosePeers(peers) {
 		loan := Loan{ID: b.nextLoanID(), Account: account, Peer: peer}
 		stats.Asked++
 		granted, err := b.request(ctx, loan, tokens, hasAllocation)
@@ -119,10 +121,25 @@
 			stats.Unanswered++
 		}
 	}
-	b.recordShortage(account, tokens)
+	if stats.Asked == len(peers) && stats.Unanswered == 0 {
+		b.recordShortage(account, tokens)
+	}
 	return Loan{}, stats, false
 }
 
+// choosePeers returns the ranked peers to ask.
+func choosePeers(ranked []Peer) []Peer {
+	near := 0
+	for near < len(ranked) && ranked[near].SameRegion {
+		near++
+	}
+	if far := len(ranked) - near; near > maxNearAsked && far > 0 {
+		near = max(maxNearAsked, maxPeersAsked-far)
+		ranked = slices.Concat(ranked[:near], ranked[len(ranked)-far:])
+	}
+	return ranked[:min(len(ranked), maxPeersAsked)]
+}
+
 func (b *Borrower) recordShortage(account string, tokens int64) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
