Tell callers to return when a grant may have arrived

Callers that are refused for lack of tokens retry once.

The delay is now a decision of its own (prepaid.Shortage), spread by three tenths to either side: 0.15 s if no other node could be asked, 1 s if a grant may come, 3 s while none can.

--- a/gateway/call.go
+++ b/gateway/call.go
@@ -118,10 +118,11 @@
 }
 
 func (c *call) shortageRetryAfter() time.Duration {
-	if c.borrowStats.KnownShortage || c.borrowStats.Asked > c.borrowStats.Unanswered {
-		return c.g.settings.FleetShortageRetryAfter
+	shortage := prepaid.Shortage{
+		Asked:       c.borrowStats.KnownShortage || c.borrowStats.Asked > c.borrowStats.Unanswered,
+		Partitioned: c.g.Share.Partitioned(),
 	}
-	return c.g.settings.LocalShortageRetryAfter
+	return shortage.RetryAfter(random())
 }
 
 // borrow has another node reserve the tokens. Otherwise a node that has used up its share of an
--- a/gateway/settings.go
+++ b/gateway/settings.go
@@ -8,12 +8,6 @@
 
 // Settings are the gateway's limits.
 type Settings struct {
-	// LocalShortageRetryAfter is the retry delay if the account's tokens are on other nodes: the
-	// node that the caller picks next may hold some.
-	LocalShortageRetryAfter time.Duration
-	// FleetShortageRetryAfter is the retry delay if other nodes had too few tokens of the
-	// account as well: meanwhile open requests end and return what they did not use.
-	FleetShortageRetryAfter time.Duration
 	// BusyRetryAfter is the retry delay if no upstream had capacity: the time in which a full
 	// engine finishes some of its requests.
 	BusyRetryAfter time.Duration
@@ -43,16 +37,14 @@
 // DefaultSettings returns the defaults.
 func DefaultSettings() Settings {
 	return Settings{
-		LocalShortageRetryAfter: 150 * time.Millisecond,
-		FleetShortageRetryAfter: time.Second,
-		BusyRetryAfter:          500 * time.Millisecond,
-		StartupRetryAfter:       500 * time.Millisecond,
-		MaxSends:                4,
-		SilenceFactor:           1.5,
-		GapFactor:               5,
-		MinTimeLeft:             20 * time.Millisecond,
-		ReportTimeout:           300 * time.Millisecond,
-		StartupWait:             400 * time.Millisecond,
-		Shedding:                shedding.DefaultPolicy(),
+		BusyRetryAfter:    500 * time.Millisecond,
+		StartupRetryAfter: 500 * time.Millisecond,
+		MaxSends:          4,
+		SilenceFactor:     1.5,
+		GapFactor:         5,
+		MinTimeLeft:       20 * time.Millisecond,
+		ReportTimeout:     300 * time.Millisecond,
+		StartupWait:       400 * time.Millisecond,
+		Shedding:          shedding.DefaultPolicy(),
 	}
 }
--- a/prepaid/share.go
+++ b/prepaid/share.go
@@ -103,6 +103,14 @@
 	return s.shortfallAt != 0 && now-s.shortfallAt < d
 }
 
+// Partitioned reports whether the node can't currently report to the store.
+func (s *Share) Partitioned() bool {
+	now := s.clocks.Read()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return !s.canReport(now)
+}
+
 // Unchanged reports whether a report would repeat the last acknowledged one: nothing was used
 // since, nothing is reserved, no ceiling was raised, and demand is negligible. A node without an
 // allocation may stay in this state without ever being granted anything.
