--- a/gateway/run.go
+++ b/gateway/run.go
@@ -81,7 +81,7 @@
 		age = c.g.since(load.At).Milliseconds()
 	}
 	pairs := []any{"request", c.r.ID, "upstream", choice.Upstream.ID, "send", c.sends,
-		"expected_ms", choice.Expected.Milliseconds(), "candidates", choice.Candidates, "unread", choice.Uncached,
+		"expected_ms", choice.Expected.Milliseconds(), "candidates", choice.Candidates, "unread", choice.Uncached, "unread_shared", choice.UncachedShared, "affinity", choice.Affinity,
 		"running", load.Running, "waiting", load.Waiting, "load_age_ms", age, "left_ms", c.timeLeft().Milliseconds(), "after", c.lastEvent}
 	if left, draining := c.g.drainLeft(); draining {
 		pairs = append(pairs, "drain_left_ms", left.Milliseconds())
--- a/placement/picker.go
+++ b/placement/picker.go
@@ -26,8 +26,11 @@
 	Upstream *directory.Upstream
 	// Expected is the score: the expected time to the answer, penalties included.
 	Expected time.Duration
-	// Uncached estimates how many prompt tokens the upstream has to prefill.
-	Uncached int
+	// Uncached estimates how many prompt tokens the upstream has to prefill, UncachedShared how many
+	// of them other prompts share.
+	Uncached, UncachedShared int
+	// Affinity reports that the upstream is the prompt's affinity upstream.
+	Affinity bool
 	// Candidates is the number of upstreams that were scored.
 	Candidates int
 }
@@ -47,6 +50,7 @@
 			if score := p.score(r, u, uncachedShared); best.Upstream == nil || score < best.Expected {
 				best.Upstream, best.Expected = u, score
 				best.Uncached = r.PromptTokens - sharedTokens(r.shared()) + uncachedShared
+				best.UncachedShared, best.Affinity = uncachedShared, u == affinity
 			}
 		}
 		if best.Upstream != nil {
