Ask the nodes that hold unused tokens of an account first

Borrowers asked by region and by chance, and gave up before they came to a holder.

TestAsksHoldersWithUnusedTokensFirst failed before.

--- a/lending/borrower.go
+++ b/lending/borrower.go
@@ -127,17 +127,23 @@
 	return Loan{}, stats, false
 }
 
-// choosePeers returns the ranked peers to ask.
+// choosePeers returns the ranked peers to ask, with those of the same region beyond maxNearAsked
+// after all others.
 func choosePeers(ranked []Peer) []Peer {
+	var chosen, later []Peer
 	near := 0
-	for near < len(ranked) && ranked[near].SameRegion {
-		near++
-	}
-	if far := len(ranked) - near; near > maxNearAsked && far > 0 {
-		near = max(maxNearAsked, maxPeersAsked-far)
-		ranked = slices.Concat(ranked[:near], ranked[len(ranked)-far:])
+	for _, p := range ranked {
+		if p.SameRegion {
+			near++
+		}
+		if p.SameRegion && near > maxNearAsked {
+			later = append(later, p)
+			continue
+		}
+		chosen = append(chosen, p)
 	}
-	return ranked[:min(len(ranked), maxPeersAsked)]
+	chosen = append(chosen, later...)
+	return chosen[:min(len(chosen), maxPeersAsked)]
 }
 
 func (b *Borrower) recordShortage(account string, tokens int64) {
@@ -166,9 +172,10 @@
 	return b.name + "/" + strconv.FormatUint(b.loanCount, 10)
 }
 
-// rankPeers returns the peers that may cover a request: those that have restarted last, those in
-// the same region first, in an order drawn at random with their unused tokens as weights. So borrowers rarely ask where
-// little is left, and don't all drain the peer with the most.
+// rankPeers returns the peers that may cover a request: those that have restarted last, those that
+// had enough unused tokens before those that hadn't, then those in the same region, in an order
+// drawn at random with their unused tokens as weights. So borrowers rarely ask where little is
+// left, and don't all drain the peer with the most.
 func (b *Borrower) rankPeers(account string, tokens int64) []Peer {
 	peers := slices.DeleteFunc(b.peers(account), func(p Peer) bool {
 		return p.Ceiling < tokens || b.knownInsufficient(lenderKey{account, p.Node}, tokens)
@@ -178,7 +185,7 @@
 		ranks[p.Node] = -math.Log(1-rand.Float64()) / float64(max(p.Unused, p.Ceiling/minUnusedDivisor))
 	}
 	slices.SortFunc(peers, func(x, y Peer) int {
-		return cmp.Or(compareFlags(y.Restarted, x.Restarted), compareFlags(x.SameRegion, y.SameRegion), cmp.Compare(ranks[x.Node], ranks[y.Node]))
+		return cmp.Or(compareFlags(y.Restarted, x.Restarted), compareFlags(x.Unused >= tokens, y.Unused >= tokens), compareFlags(x.SameRegion, y.SameRegion), cmp.Compare(ranks[x.Node], ranks[y.Node]))
 	})
 	return peers
 }
--- a/lending/lending_test.go
+++ b/lending/lending_test.go
@@ -223,3 +223,23 @@
 	is.True(ok)
 	is.Equal(loan.Peer.Node, "far")
 }
+
+// Guards against asking former holders of an account, which have used up what they held, before the
+// one that holds its last tokens.
+func TestAsksHoldersWithUnusedTokensFirst(t *testing.T) {
+	is := is.New(t)
+	var asked []string
+	transport := transportFunc(func(address string, _ Request) (Reply, error) {
+		asked = append(asked, address)
+		return Reply{Granted: address == "holder"}, nil
+	})
+	peers := []Peer{{Node: "holder", Address: "holder", Ceiling: 60_000, Unused: 60_000}}
+	for i := range 14 {
+		name := strconv.Itoa(i)
+		peers = append(peers, Peer{Node: name, Address: name, SameRegion: true, Ceiling: 500_000})
+	}
+	b := NewBorrower(transport, &bootclock.Fake{}, "n", func(string) []Peer { return append([]Peer(nil), peers...) })
+	_, _, ok := b.Borrow(context.Background(), "a", 10_000, false)
+	is.True(ok)
+	is.Equal(asked, []string{"holder"})
+}
