Let nodes hold nine tenths of what is left, and all of what is soon used up

The rest was kept for a loss of power of all; since limits bound what such a loss strands, most of what is kept serves nobody.

Change: nodes hold 0.75 to 0.9 of what is left, nine tenths of it at any time, and all of an account that its callers use up within twelve seconds; the last tokens go to the nodes with most demand. Limits of nodes without demand grow by 1,500 tokens/s at most, or the larger holdings would strand more.

Failed before: TestAccountThatIsSoonUsedUpIsDistributed, TestLastTokensGoWhereDemandIs. TestPowerLossStrandsFewSecondsOfDemand failed with the larger holdings alone and keeps its bound.

--- a/prepaid/allocator.go
+++ b/prepaid/allocator.go
@@ -112,7 +112,7 @@
 		}
 	}
 	available -= used
-	distributable := a.distributable(available, prepaid)
+	distributable := a.distributable(available, prepaid, needs)
 	a.limitHolders(name, needs, distributable)
 	a.raiseNeeds(needs, distributable)
 	distribute(needs, distributable)
--- a/prepaid/allocator_test.go
+++ b/prepaid/allocator_test.go
@@ -294,3 +294,45 @@
 	}
 	is.True(unused(w.nodes["n05"]) >= total*2/3)
 }
+
+// Guards against withholding tokens from an account that is used up within seconds: while the store
+// is away, none of what is withheld reaches callers, though the account has it.
+func TestAccountThatIsSoonUsedUpIsDistributed(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(map[string]int64{"a": 6_000_000})
+	w.startAll(6, "boot")
+	var names []string
+	for name := range w.nodes {
+		names = append(names, name)
+	}
+	converge(w)
+	serveEvenly(w, names, 10_000, 100*time.Millisecond, 9*time.Second)
+	held := int64(0)
+	for _, n := range w.nodes {
+		held += unused(n)
+	}
+	is.True(held >= (6_000_000-w.used["a"])*9/10)
+}
+
+// Guards against giving the last tokens to nodes that callers don't use: a client account whose
+// callers stick to one small node was refused while large nodes held what it had left.
+func TestLastTokensGoWhereDemandIs(t *testing.T) {
+	is := is.New(t)
+	w := newFleetWithFewLargeNodes()
+	for i := range 340 {
+		w.serveWithReport(w.nodes["n30"], "a", 11_000)
+		w.settle(w.nodes["n30"], 100)
+		if i%10 == 0 { // a few requests elsewhere
+			w.serveWithReport(w.nodes["n02"], "a", 1_000)
+			w.settle(w.nodes["n02"], 100)
+		}
+		w.clock.Advance(50 * time.Millisecond)
+		if i%10 == 0 {
+			converge(w)
+		}
+	}
+	left := int64(4_000_000) - w.used["a"]
+	is.True(left > 0 && left < 300_000)
+	converge(w)
+	is.True(unused(w.nodes["n30"]) >= left/2)
+}
--- a/prepaid/needs.go
+++ b/prepaid/needs.go
@@ -97,8 +97,8 @@
 	return count
 }
 
-// limitHolders restricts a nearly exhausted account to so few holders that each allocation
-// still covers a long prompt. Split among six nodes, the last 50,000 tokens served no prompt of
+// limitHolders restricts a nearly exhausted account to so few holders, those with the most demand,
+// that each allocation still covers a long prompt. Split among six nodes, the last 50,000 tokens served no prompt of
 // 12,000, and all its callers were refused.
 func (a *Allocator) limitHolders(name string, needs []need, distributable int64) {
 	var holders []*need
@@ -111,7 +111,9 @@
 	if len(holders) <= maxHolders {
 		return
 	}
-	slices.SortFunc(holders, func(x, y *need) int { return compareHolders(name, x, y) })
+	slices.SortFunc(holders, func(x, y *need) int {
+		return cmp.Or(cmp.Compare(y.rate, x.rate), compareHolders(name, x, y))
+	})
 	for _, n := range holders[maxHolders:] {
 		n.tokens = 0
 	}
@@ -170,15 +172,20 @@
 }
 
 // distributable returns how many of the available tokens nodes may hold together.
-func (a *Allocator) distributable(available, prepaid int64) int64 {
+func (a *Allocator) distributable(available, prepaid int64, needs []need) int64 {
 	if available <= 0 || prepaid <= 0 {
 		return 0
 	}
 	remainingFraction := float64(available) / float64(prepaid)
 	distributable := int64((a.settings.MinDistributedFraction + a.settings.DistributedSlope*remainingFraction) * float64(available))
-	// Tokens withheld from a nearly exhausted account would never be used: each allocation
-	// would stay below one prompt.
-	return max(distributable, min(available, a.settings.MinCeiling))
+	// Tokens withheld from an account that is used up within seconds only reach their callers
+	// later, and none of them while the store is away.
+	demand := 0.0
+	for _, n := range needs {
+		demand += n.rate
+	}
+	soonUsed := int64(demand * a.settings.DemandHorizon.Seconds())
+	return max(distributable, min(available, max(soonUsed, a.settings.MinCeiling)))
 }
 
 // raiseNeeds raises the holders' needs to MinNeededFraction of what nodes may hold together. It
--- a/prepaid/settings.go
+++ b/prepaid/settings.go
@@ -15,8 +15,9 @@
 	// Demand isn't steady, and a partitioned node can't ask for more.
 	GrowthFactor float64
 	// IdleGrowthTime is the time over which the limits of a node without demand grow to its
-	// ceiling: it must be able to lend to a busy node that is partitioned with it. With growth
-	// by demand alone, an idle node lent nothing until its limits expired.
+	// ceiling, or by MinCeiling if it holds more: it must be able to lend to a busy node that is
+	// partitioned with it. With growth by demand alone, an idle node lent nothing until its
+	// limits expired.
 	IdleGrowthTime time.Duration
 	// LimitTTL is how long after its last report a node's limits apply; then only its ceilings
 	// do. An incarnation whose successor starts sooner is counted by its limits, others by
@@ -28,14 +29,14 @@
 	// accounts were too small for one long prompt, and most nodes refused it.
 	HoldersPerRegion int
 	// MinDistributedFraction and DistributedSlope set the fraction of an account's remaining
-	// tokens that nodes hold at most: MinDistributedFraction when nothing is left, plus
-	// DistributedSlope times the remaining fraction of the prepaid total. What nodes hold
-	// carries them through an outage of the store and is stranded when a whole fleet loses
-	// power; callers are then served from the rest. Early in a day there is enough for both.
+	// tokens that nodes hold at most: MinDistributedFraction when little is left, plus
+	// DistributedSlope times the remaining fraction of the prepaid total. What nodes hold carries
+	// them through an outage of the store. The rest goes to nodes whose demand grows, and serves
+	// callers if nodes are lost with what they hold.
 	MinDistributedFraction, DistributedSlope float64
-	// MinNeededFraction is the fraction of that limit that nodes hold at least, regardless of
-	// demand. Early in a day little demand has been seen while most of an account is left, and
-	// an eight-second partition used up the allocations.
+	// MinNeededFraction is the fraction of that limit that nodes hold at least, also beyond
+	// DemandHorizon: demand may grow while the store is away, and a node that dies strands only
+	// what its limits allowed.
 	MinNeededFraction float64
 	// MinHeadroom and MinCeiling, in tokens, let a node with little demand accept an occasional
 	// request: a usual prompt with its answer is about 12,000 tokens, a long one 60,000. They
@@ -53,12 +54,12 @@
 		GrowthFactor:           1.25,
 		IdleGrowthTime:         40 * time.Second,
 		LimitTTL:               10 * time.Second,
-		MinNeededFraction:      0.4,
+		MinNeededFraction:      0.9,
 		MinHeadroom:            4_000,
 		MinCeiling:             60_000,
 		HoldersPerRegion:       6,
-		MinDistributedFraction: 0.4,
-		DistributedSlope:       0.35,
+		MinDistributedFraction: 0.75,
+		DistributedSlope:       0.15,
 		RateWindow:             6 * time.Second,
 	}
 }
