Name small instances only in place of the large ones that are missing

Change: the large ones are always named, small ones only up to four addresses.

TestSmallInstancesAreListedOnlyWithoutLargeOnes asserted 16 addresses beside three large nodes; TestSmallInstancesAreNamedOnlyInPlaceOfLargeOnes asserts four there, that no large node is ever left out, and 16 only where there is none.

--- a/presence/interval.go
+++ b/presence/interval.go
@@ -22,7 +22,8 @@
 	intervalPerUnlisted = 20 * time.Millisecond
 )
 
-// IsListed reports whether a node's address is given to callers in its region while it is ready.
+// IsListed reports whether a node's address is always given to callers in its region while it is
+// ready.
 func IsListed(live []Record, own Record) bool {
 	sameRegion := []Record{own}
 	for _, r := range live {
@@ -30,10 +31,11 @@
 			sameRegion = append(sameRegion, r)
 		}
 	}
-	return slices.ContainsFunc(largeInstances(sameRegion), func(r Record) bool { return r.Node == own.Node })
+	large, _ := splitBySize(sameRegion)
+	return slices.ContainsFunc(large, func(r Record) bool { return r.Node == own.Node })
 }
 
-// countListed returns how many nodes' addresses are given to callers in any region.
+// countListed returns how many nodes' addresses are always given to callers of their region.
 func countListed(live []Record) int {
 	regions := make(map[string][]Record)
 	for _, r := range live {
@@ -41,7 +43,8 @@
 	}
 	count := 0
 	for _, region := range regions {
-		count += len(largeInstances(region))
+		large, _ := splitBySize(region)
+		count += len(large)
 	}
 	return count
 }
--- a/presence/roster_test.go
+++ b/presence/roster_test.go
@@ -51,18 +51,25 @@
 
 // One caller may send a hundred requests a second to the address it picked. Sent to a small
 // instance, they would saturate its link while large instances idle.
-func TestSmallInstancesAreListedOnlyWithoutLargeOnes(t *testing.T) {
+func TestSmallInstancesAreNamedOnlyInPlaceOfLargeOnes(t *testing.T) {
 	is := is.New(t)
-	var live []Record
+	var small []Record
 	for i := range 20 {
-		live = append(live, record(fmt.Sprintf("small%d", i), 20))
+		small = append(small, record(fmt.Sprintf("small%d", i), 20))
 	}
-	for i := range minLargeInstances - 1 {
-		live = append(live, record(fmt.Sprintf("large%d", i), 200))
+	is.Equal(len(Addresses(small, "r")), maxAddresses)
+	live := small
+	for i := range 6 {
+		name := fmt.Sprintf("large%d", i)
+		live = append(live, record(name, 200))
+		named := Addresses(live, "r")
+		is.Equal(len(named), max(minAddresses, i+1))
+		for j := range i + 1 { // no large one is left out
+			is.True(slices.Contains(named, fmt.Sprintf("large%d:1", j)))
+		}
+		is.True(IsListed(live, live[len(live)-1]))
+		is.True(!IsListed(live, live[0]))
 	}
-	is.Equal(len(Addresses(live, "r")), maxAddresses)
-	live = append(live, record("large", 200))
-	is.Equal(len(Addresses(live, "r")), minLargeInstances)
 }
 
 // A whole region is lost. Its callers must be sent to the other region instead of nowhere.
