--- a/allotment/predecessors.go
+++ b/allotment/predecessors.go
@@ -15,6 +15,8 @@
 type PredecessorRecords struct {
 	FinalUsages []prepaid.FinalUsage
 	ReportKeys  []string
+	// Last is the newest report, by its own timestamp; empty if there is none.
+	Last prepaid.Report
 }
 
 // ReadPredecessors reads the last reports of a node's earlier incarnations. start is read when
@@ -78,4 +80,7 @@
 		return
 	}
 	p.last = append(p.last, report)
+	if report.SentTimeMs >= p.records.Last.SentTimeMs {
+		p.records.Last = report
+	}
 }
--- a/edgenode/reports.go
+++ b/edgenode/reports.go
@@ -36,6 +36,7 @@
 		return // the node has stopped
 	}
 	n.share.SetPredecessors(predecessors.FinalUsages)
+	n.share.SeedDemand(predecessors.Last)
 	reporter := allotment.NewReporter(n.share, n.spendTopic(), n.settings.Node, n.settings.Incarnation, predecessors.ReportKeys, n.deps.Events)
 	n.reporter.Store(reporter)
 	reporter.Run(ctx)
--- a/prepaid/allocator_test.go
+++ b/prepaid/allocator_test.go
@@ -336,3 +336,21 @@
 	converge(w)
 	is.True(unused(w.nodes["n30"]) >= left/2)
 }
+
+// Guards against splitting accounts evenly after a power loss of all nodes: the node that all callers
+// of an account stick to held next to nothing until it had seen them again.
+func TestRestartedFleetRemembersDemand(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(map[string]int64{"a": 20_000_000})
+	w.startAll(18, "boot")
+	converge(w)
+	serveEvenly(w, []string{"n05"}, 10_000, 100*time.Millisecond, 6*time.Second)
+	w.clock.Advance(1500 * time.Millisecond)
+	w.startAll(18, "another boot")
+	converge(w)
+	total := int64(0)
+	for _, n := range w.nodes {
+		total += unused(n)
+	}
+	is.True(unused(w.nodes["n05"]) >= total*2/3)
+}
--- a/prepaid/demand.go
+++ b/prepaid/demand.go
@@ -9,6 +9,10 @@
 // little about the demand of the next seconds.
 const minDemandAge = 2 * time.Second
 
+// seedAge is the age of a seeded estimate. It exceeds all windows, so that the seed is neither
+// overrated at first nor when it decays.
+const seedAge = time.Hour
+
 // demandEstimate is an exponentially weighted estimate of a demand in tokens per second.
 type demandEstimate struct {
 	// rate is the estimate as of updatedAt.
@@ -30,6 +34,11 @@
 	d.rate = d.average(now, window)
 }
 
+// seed starts the estimate from the rate that an earlier incarnation reported.
+func (d *demandEstimate) seed(rate float64, now, window time.Duration) {
+	*d = demandEstimate{rate: rate, updatedAt: now, sum: rate * window.Seconds(), since: now - seedAge, started: true}
+}
+
 // decay brings the estimate up to date.
 func (d *demandEstimate) decay(now, window time.Duration) {
 	if elapsed := now - d.updatedAt; elapsed > 0 {
--- a/prepaid/fleet_test.go
+++ b/prepaid/fleet_test.go
@@ -76,6 +76,9 @@
 	start := ProcessStart{ClockReading: clocks.Read(), BootID: bootID}
 	n.share = NewShare(DefaultSettings(), clocks, holder)
 	n.share.SetPredecessors(FinalUsages(earlier, start))
+	if len(earlier) > 0 {
+		n.share.SeedDemand(earlier[len(earlier)-1])
+	}
 	w.nodes[name] = n
 	return n
 }
--- a/prepaid/share.go
+++ b/prepaid/share.go
@@ -57,6 +57,20 @@
 	s.predecessors = predecessors
 }
 
+// SeedDemand takes the demand in the last report of an earlier incarnation for this one's until its
+// own callers show theirs: after a restart most of them come back. Without it, a restarted fleet
+// splits its accounts evenly, and the nodes with most callers run short in its first seconds.
+func (s *Share) SeedDemand(last Report) {
+	now := s.clocks.Boot.Now()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, l := range last.Lines {
+		if u := s.usage(l.Account); !u.demand.started && l.DemandRate > 0 {
+			u.demand.seed(float64(l.DemandRate), now, s.settings.RateWindow)
+		}
+	}
+}
+
 // Reserve reserves the most tokens that a request can use. prepaid is the account's prepaid
 // total by the configuration in force.
 func (s *Share) Reserve(account string, tokens, prepaid int64) Outcome {
