Take newer records from peers that aren't up to date

Change: once the sources turn out to be behind, a node takes what they have that is newer than its own; its next read goes to the store.

TestTakesNewerRecordsOfPeersThatAreBehind failed before.

--- a/peerfetch/topic.go
+++ b/peerfetch/topic.go
@@ -77,6 +77,9 @@
 	Replica   *Replica
 	Clock     bootclock.Clock
 	Events    *event.Recorder
+
+	// storeNext is set if the next read goes to the store, since the peers were behind.
+	storeNext bool
 }
 
 // Newest reads the newest records from peers that are up to date, or from the store.
@@ -109,6 +112,9 @@
 	progress()
 	if err == nil {
 		reply, ok := t.fetch(ctx, rank, sources, Request{From: -1, End: end}, progress)
+		if !ok {
+			reply, ok = t.fetchPartial(ctx, sources, Request{From: -1, End: t.Replica.Next() + 1}, progress)
+		}
 		return reply, ok, nil
 	}
 	if reply, ok := t.fetchNewer(ctx, sources, Request{From: -1, End: t.Replica.Next() + 1}, progress); ok {
@@ -175,7 +181,9 @@
 // Read reads from an offset on.
 func (t *Topic) Read(ctx context.Context, from int64, wait time.Duration, progress func()) ([]keyedlog.Record, int64, error) {
 	rank, sources := rankNode(t.Self, t.Peers())
-	if rank > 0 && !t.NewestOnly {
+	skipPeers := t.storeNext
+	t.storeNext = false
+	if rank > 0 && !t.NewestOnly && !skipPeers {
 		end, err := t.logEnd(ctx)
 		progress()
 		if err != nil {
@@ -190,7 +198,11 @@
 		}
 		// An end before from is stale; reading the store waits for new records.
 		if end > from {
-			if reply, ok := t.fetch(ctx, rank, sources, Request{From: from, End: end}, progress); ok {
+			reply, ok := t.fetch(ctx, rank, sources, Request{From: from, End: end}, progress)
+			if !ok {
+				reply, ok = t.fetchPartial(ctx, sources, Request{From: from, End: from + 1}, progress)
+			}
+			if ok {
 				return t.applyReply(from, reply)
 			}
 		}
@@ -233,6 +245,15 @@
 	return Reply{}, false
 }
 
+// fetchPartial takes what peers have read that aren't up to date: on a saturated link it may be
+// seconds newer than what this node has, and a read of the store takes as long again. The next read
+// goes to the store, so that the node doesn't stay as far behind as its peers.
+func (t *Topic) fetchPartial(ctx context.Context, sources []Peer, req Request, progress func()) (Reply, bool) {
+	reply, ok := t.fetchNewer(ctx, sources, req, progress)
+	t.storeNext = ok
+	return reply, ok
+}
+
 // fetch asks peers until one has read far enough or the timeout expires.
 func (t *Topic) fetch(ctx context.Context, rank int, sources []Peer, req Request, progress func()) (Reply, bool) {
 	req.Topic, req.WaitMs = t.Name, maxPeerWait.Milliseconds()
--- a/peerfetch/topic_test.go
+++ b/peerfetch/topic_test.go
@@ -172,6 +172,33 @@
 	}
 }
 
+// Guards against staying seconds behind peers that aren't up to date themselves: on a saturated link
+// the store's records arrive too late, and a node whose cut had ended used an old configuration.
+func TestTakesNewerRecordsOfPeersThatAreBehind(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		store := &countingTopic{Topic: memtopic.New()}
+		for _, value := range []string{"1", "2", "3"} {
+			appendRecord(t, store, value)
+		}
+		behind := NewReplica(synctestClock{})
+		behind.Reset([]keyedlog.Record{record("config", 0)}, 1)
+		behind.Extend(1, []keyedlog.Record{record("config", 1)}, 2)
+		n := newFourthNode(store, replicaTransport{"n0": behind})
+		n.Replica.Reset([]keyedlog.Record{record("config", 0)}, 1)
+		records, next, err := n.Read(t.Context(), 1, time.Second, func() {})
+		is.NoErr(err)
+		is.Equal(len(records), 1)
+		is.Equal(next, int64(2))
+		is.Equal(store.read.Load(), int64(0))
+		begun := time.Now()
+		records, _, err = n.Read(t.Context(), next, time.Second, func() {})
+		is.NoErr(err)
+		is.Equal(string(records[0].Value), "3") // and doesn't wait for them again
+		is.Equal(time.Since(begun), time.Duration(0))
+	})
+}
+
 // A peer takes long to receive a large configuration itself. Nodes that read the store meanwhile
 // delay it and themselves.
 func TestWaitsForPeerThatIsReceiving(t *testing.T) {
