--- a/prepaid/allocator_test.go
+++ b/prepaid/allocator_test.go
@@ -354,3 +354,18 @@
 	}
 	is.True(unused(w.nodes["n05"]) >= total*2/3)
 }
+
+// Guards against allocations for a few prompts on small nodes: each node that holds some follows all
+// grants from then on, and together they fill the link between regions.
+func TestFewPromptsDoNotMakeANodeAHolder(t *testing.T) {
+	is := is.New(t)
+	w := newFleetWithFewLargeNodes()
+	for _, name := range []string{"n10", "n20", "n30"} {
+		w.nodes[name].share.Reserve("a", 6_000, 4_000_000)
+		w.nodes[name].share.Reserve("a", 1_500, 4_000_000)
+	}
+	converge(w)
+	for _, name := range []string{"n10", "n20", "n30"} {
+		is.Equal(w.nodes[name].share.Status("a").Ceiling, int64(0))
+	}
+}
--- a/prepaid/needs.go
+++ b/prepaid/needs.go
@@ -62,7 +62,7 @@
 		byRegion[needs[i].region] = append(byRegion[needs[i].region], &needs[i])
 	}
 	for _, region := range byRegion {
-		markBusy(region)
+		a.markBusy(region)
 		slices.SortFunc(region, func(x, y *need) int { return compareHolders(name, x, y) })
 		holders := region[:min(countEligible(region), max(countBusy(region), a.settings.HoldersPerRegion))]
 		a.setNeeds(holders, region)
@@ -123,11 +123,14 @@
 // that share a region's callers hold allocations.
 const busyDivisor = 24
 
-// markBusy marks nodes with much of their region's demand as busy.
-func markBusy(region []*need) {
+// markBusy marks nodes with much of their region's demand as busy, unless it is less than the
+// smallest allocation would cover: a single prompt is much of a quiet account's demand, and nodes
+// that borrow for it need no allocation.
+func (a *Allocator) markBusy(region []*need) {
 	total := totalRate(region)
+	minRate := float64(a.settings.MinCeiling) / a.settings.DemandHorizon.Seconds()
 	for _, n := range region {
-		n.busy = n.rate > total/busyDivisor
+		n.busy = n.rate > total/busyDivisor && n.rate >= minRate
 	}
 }
 
--- a/prepaid/share.go
+++ b/prepaid/share.go
@@ -301,15 +301,15 @@
 	return s.usage(account).ceiling > 0
 }
 
-// InUse reports whether the node has an allocation of any account, or recent callers that
-// wanted one.
+// InUse reports whether the node holds unused tokens of any account, or recent callers wanted
+// some.
 func (s *Share) InUse() bool {
 	now := s.clocks.Boot.Now()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, u := range s.usages {
 		u.demand.decay(now, s.settings.RateWindow)
-		if u.ceiling > 0 || u.demand.rate >= 1 {
+		if u.ceiling > u.used() || u.demand.rate >= minReportedRate {
 			return true
 		}
 	}
--- a/prepaid/share_test.go
+++ b/prepaid/share_test.go
@@ -321,3 +321,23 @@
 	is.True(seen >= rate*3/4)
 	is.True(seen <= rate*5/4)
 }
+
+// Guards against a node that counts as in use for the rest of the day after a single prompt: nodes in
+// use read the store more often and follow all grants.
+func TestUnusedSoonAfterLastPrompt(t *testing.T) {
+	is := is.New(t)
+	s, clock := grantedShare(0)
+	is.True(!s.InUse())
+	s.Reserve("a", 12_000, 1_000_000)
+	is.True(s.InUse())
+	clock.Advance(20 * time.Second)
+	is.True(!s.InUse())
+	s.Apply(Grant{Node: "n1", Incarnation: "i1", Epoch: 2, Lines: []GrantLine{{Account: "a", Ceiling: 60_000, Remaining: 1_000_000, Prepaid: 1_000_000}}})
+	report(s)
+	is.True(s.InUse())
+	is.Equal(s.Reserve("a", 4_000, 1_000_000), Reserved)
+	s.Settle("a", 4_000, 4_000)
+	clock.Advance(20 * time.Second)
+	s.Apply(Grant{Node: "n1", Incarnation: "i1", Epoch: 3, Lines: []GrantLine{{Account: "a", Ceiling: 4_000, Remaining: 1_000_000, Prepaid: 1_000_000}}})
+	is.True(!s.InUse()) // what is left of the allocation is used up
+}
