--- a/gateway/call.go
+++ b/gateway/call.go
@@ -119,7 +119,7 @@
 
 func (c *call) shortageRetryAfter() time.Duration {
 	shortage := prepaid.Shortage{
-		Asked:       c.borrowStats.KnownShortage || c.borrowStats.Asked > c.borrowStats.Unanswered,
+		Asked:       c.borrowStats.KnownShortage || c.borrowStats.Asked > 0,
 		Partitioned: c.g.Share.Partitioned(),
 	}
 	return shortage.RetryAfter(random())
--- a/prepaid/retry.go
+++ b/prepaid/retry.go
@@ -5,15 +5,17 @@
 // Shortage describes why the tokens of a request could not be reserved although its account is not
 // exhausted.
 type Shortage struct {
-	// Asked reports that other nodes answered that they have too little as well.
+	// Asked reports that other nodes were asked, or had just been asked for no more. Those that don't
+	// answer are as little use to a caller who comes back at once: often this node's own link is
+	// saturated, and callers who send everything again make it worse.
 	Asked bool
 	// Partitioned reports that this node can't report to the store, so that it is granted nothing.
 	Partitioned bool
 }
 
 const (
-	// otherNodeDelay is the retry delay if no other node was asked or none answered: the node that
-	// the caller picks next may hold tokens.
+	// otherNodeDelay is the retry delay if no other node is known to hold tokens of the account: the
+	// node that the caller picks next may know more.
 	otherNodeDelay = 150 * time.Millisecond
 	// nextGrantDelay is the time until a node that runs short holds a new grant: a report, a round
 	// of the planner and a read.
