--- a/allotment/partitions.go
+++ b/allotment/partitions.go
@@ -32,3 +32,12 @@
 	own := p.index(node)
 	return append(append([]keyedlog.Topic(nil), p.topics[:own]...), p.topics[own+1:]...)
 }
+
+// Map returns partitions in which each topic is replaced.
+func (p Partitions) Map(replace func(keyedlog.Topic) keyedlog.Topic) Partitions {
+	topics := make([]keyedlog.Topic, len(p.topics))
+	for i, topic := range p.topics {
+		topics[i] = replace(topic)
+	}
+	return Partitions{topics: topics, active: p.active}
+}
--- a/edgenode/link_test.go
+++ b/edgenode/link_test.go
@@ -5,7 +5,6 @@
 	"sync"
 	"time"
 
-	"lavenderpin.dev/lavenderpin/allotment"
 	"lavenderpin.dev/lavenderpin/keyedlog"
 )
 
@@ -52,6 +51,13 @@
 	return l.freeAt.Sub(now)
 }
 
+// total returns how many bytes were sent over the link.
+func (l *link) total() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.carried
+}
+
 func sleep(ctx context.Context, d time.Duration) error {
 	timer := time.NewTimer(d)
 	defer timer.Stop()
@@ -72,7 +78,7 @@
 // throughLink wraps the topics of a store so that all access crosses a link.
 func throughLink(t Topics, l *link) Topics {
 	return Topics{Operators: &linkedTopic{t.Operators, l}, Upstreams: &linkedTopic{t.Upstreams, l}, Presence: &linkedTopic{t.Presence, l},
-		Spend: allotment.NewPartitions([]keyedlog.Topic{&linkedTopic{t.Spend.Of(""), l}}, 1), Ledger: &linkedTopic{t.Ledger, l}, Grants: &linkedTopic{t.Grants, l}}
+		Spend: t.Spend.Map(func(topic keyedlog.Topic) keyedlog.Topic { return &linkedTopic{topic, l} }), Ledger: &linkedTopic{t.Ledger, l}, Grants: &linkedTopic{t.Grants, l}}
 }
 
 // responseOverhead is the size of a response without its records, in bytes.
--- a/edgenode/testfleet_test.go
+++ b/edgenode/testfleet_test.go
@@ -84,8 +84,11 @@
 	t      *testing.T
 	topics Topics
 	outage storeOutage
-	// lending carries loan requests between nodes.
-	lending lending.Transport
+	// lending carries loan requests between nodes; lendingFrom, if set, returns what carries those of
+	// a site's nodes.
+	lending     lending.Transport
+	lendingFrom func(site) lending.Transport
+	upstreams   gateway.Upstreams
 
 	mu sync.Mutex
 	// unreachable holds the nodes that don't answer other nodes.
@@ -118,7 +121,7 @@
 const host, apiKey = "host", "key"
 
 func newTestFleet(t *testing.T) *testFleet {
-	f := &testFleet{t: t, lending: unreachableLenders{}}
+	f := &testFleet{t: t, lending: unreachableLenders{}, upstreams: okUpstreams{}}
 	topic := func() keyedlog.Topic { return &outageTopic{Topic: memtopic.New(), outage: &f.outage} }
 	f.topics = Topics{Operators: topic(), Upstreams: topic(), Presence: topic(), Spend: allotment.NewPartitions([]keyedlog.Topic{topic()}, 1), Ledger: topic(), Grants: topic()}
 	f.put(f.topics.Operators, "config", "1")
@@ -201,11 +204,15 @@
 type configDecoder func(key string, raw []byte) (*catalog.View, bool, error)
 
 func (f *testFleet) startAt(s site, name string, decode configDecoder) *Node {
+	transport := f.lending
+	if f.lendingFrom != nil {
+		transport = f.lendingFrom(s)
+	}
 	clocks := prepaid.Clocks{Boot: testClock{}, Wall: clockwork.NewRealClock()}
 	n, err := Start(context.Background(), Settings{Node: name, Incarnation: "new-" + name, Start: prepaid.ProcessStart{ClockReading: clocks.Read(), BootID: "boot-" + name},
 		Address: name, Peer: name, Capacity: s.capacity, DataCentre: s.dataCentre, Region: s.region, Regions: map[string]string{s.dataCentre: s.region},
 		Repeats: repeats.Limits{Ratio: 0.2, Extra: 50, Window: 10 * time.Second}},
-		Deps{Clock: testClock{}, WallClock: clocks.Wall, Topics: s.topics, Upstreams: okUpstreams{}, Lending: f.lending, Peers: f,
+		Deps{Clock: testClock{}, WallClock: clocks.Wall, Topics: s.topics, Upstreams: f.upstreams, Lending: transport, Peers: f,
 			Events:  event.NewRecorder(event.NewHLC(clockwork.NewRealClock()), name, 64, log.NewNopLogger()),
 			Metrics: gateway.NewMetrics(false), DecodeConfig: decode, DecodeUpstream: decodeEntry})
 	if err != nil {
