Log the software version of upstreams, and which stream a request takes up

No line told a stream that went on at another software version from one that went on at the same. 403 (RequestDispatched) names the version of the upstream, the version and the upstream that began the response, and the attempt that the caller takes up; 505 (UpstreamListed) the version in an entry; the metric streams_continued counts streams that went on by how the versions compare.

No decision goes by the version yet.

--- a/directory/upstream.go
+++ b/directory/upstream.go
@@ -18,8 +18,10 @@
 	Service    string
 	Address    string
 	DataCentre string
-	Slots      int
-	State      State
+	// Version is the version of the upstream's software.
+	Version string
+	Slots   int
+	State   State
 	// Warmup is how much longer the upstream stays slow after its start.
 	Warmup time.Duration
 	// StartedAt is when this incarnation started, in Unix milliseconds; zero if not given. An
--- a/edgenode/upstreamhandler.go
+++ b/edgenode/upstreamhandler.go
@@ -52,7 +52,7 @@
 		return
 	}
 	e := u.Entry
-	h.node.deps.Events.Record(event.UpstreamListed, "upstream", e.ID, "service", e.Service, "address", e.Address, "left", change == directory.Left, "born", e.StartedAt, "sequence", e.Sequence)
+	h.node.deps.Events.Record(event.UpstreamListed, "upstream", e.ID, "service", e.Service, "address", e.Address, "version", e.Version, "left", change == directory.Left, "born", e.StartedAt, "sequence", e.Sequence)
 }
 
 func (h *upstreamHandler) decode(r keyedlog.Record) (directory.Entry, bool) {
--- a/event/request.go
+++ b/event/request.go
@@ -31,7 +31,7 @@
 	OverloadEnded:     {"OverloadEnded", "This node no longer refuses requests of a service for lack of capacity."},
 	RequestAdmitted:   {"RequestAdmitted", "Tokens are reserved for a request."},
 	RequestRefused:    {"RequestRefused", "A request was refused; the code tells why."},
-	RequestDispatched: {"RequestDispatched", "A request was sent to an upstream."},
+	RequestDispatched: {"RequestDispatched", "A request was sent to an upstream; version is that of its software, began_version that of the upstream which began the response, resumes the attempt that began the stream."},
 	RequestFinished:   {"RequestFinished", "The caller got the complete response."},
 	RequestFailed:     {"RequestFailed", "A request failed after it was sent."},
 	RequestSettled:    {"RequestSettled", "The settlement of a request is in the log."},
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -64,6 +64,8 @@
 	firstEvent, longestGap, lastEventAt time.Duration
 	lastEvent                           int64
 	hasEvent                            bool
+	// firstUpstream brought the first event of this response.
+	firstUpstream *directory.Upstream
 	// fallback is an upstream's error response, forwarded if no other upstream does better.
 	fallback *bufferedResponse
 	outcome  string
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -13,15 +13,19 @@
 	finished *expvar.Map
 	refused  *expvar.Map
 	latency  *expvar.Map
+	// continued counts the streams that went on at an upstream, by how its version compares with the one
+	// that began them.
+	continued *expvar.Map
 }
 
 // NewMetrics returns new counters. If publish is set, it registers them with expvar.
 func NewMetrics(publish bool) *Metrics {
-	m := &Metrics{finished: new(expvar.Map).Init(), refused: new(expvar.Map).Init(), latency: new(expvar.Map).Init()}
+	m := &Metrics{finished: new(expvar.Map).Init(), refused: new(expvar.Map).Init(), latency: new(expvar.Map).Init(), continued: new(expvar.Map).Init()}
 	if publish {
 		expvar.Publish("requests_finished", m.finished)
 		expvar.Publish("requests_refused", m.refused)
 		expvar.Publish("request_latency_ms", m.latency)
+		expvar.Publish("streams_continued", m.continued)
 	}
 	return m
 }
@@ -31,6 +35,8 @@
 	m.latency.Add(route+"_le_"+strconv.FormatInt(latencyBucket(took), 10), 1)
 }
 
+func (m *Metrics) recordContinued(version string) { m.continued.Add(version, 1) }
+
 func (m *Metrics) recordRefused(code result.Code) { m.refused.Add(code.String(), 1) }
 
 // latencyBucket rounds a latency up to a power of two in milliseconds.
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -32,6 +32,8 @@
 	// ResumeAfter is the last event that the caller received in an earlier attempt.
 	ResumeAfter    int64
 	HasResumeAfter bool
+	// Resumes is the ID of the caller's attempt that brought the first event of the stream; empty if not given.
+	Resumes string
 }
 
 // maxTokens returns the most tokens that the request can use.
--- a/gateway/run.go
+++ b/gateway/run.go
@@ -97,9 +97,15 @@
 	if load.At != 0 {
 		age = c.g.since(load.At).Milliseconds()
 	}
-	pairs := []any{"request", c.r.ID, "upstream", choice.Upstream.ID, "send", c.sends,
+	pairs := []any{"request", c.r.ID, "upstream", choice.Upstream.ID, "version", choice.Upstream.Version, "send", c.sends,
 		"expected_ms", choice.Expected.Milliseconds(), "candidates", choice.Candidates, "unread", choice.Uncached, "unread_shared", choice.UncachedShared, "affinity", choice.Affinity,
 		"running", load.Running, "waiting", load.Waiting, "load_age_ms", age, "left_ms", c.timeLeft().Milliseconds(), "after", c.lastEvent}
+	if c.r.HasResumeAfter {
+		pairs = append(pairs, "resumes", c.r.Resumes)
+	}
+	if c.firstUpstream != nil {
+		pairs = append(pairs, "began_upstream", c.firstUpstream.ID, "began_version", c.firstUpstream.Version)
+	}
 	if left, draining := c.g.drainLeft(); draining {
 		pairs = append(pairs, "drain_left_ms", left.Milliseconds())
 	}
