Continue a stream within an answer only at the version that began it

Callers got streams whose first events come from one software version of a service and the rest from another. Cause: a stream interrupted midway was sent on to the upstream with the lowest score; nothing compared what began it. The call now keeps where its stream began and picks, waits and gives up among the upstreams of that version only; when none is left the response is cut, as before when no upstream was left.

--- a/gateway/brittle.go
+++ b/gateway/brittle.go
@@ -26,7 +26,7 @@
 		return
 	}
 	c.g.Events.Record(event.UpstreamBrittle, "upstream", u.ID, "service", u.Service, "brittle", true, "limit", resp.BrittleLimit, "slots", u.Slots, "senders", senders)
-	for _, other := range c.upstreams() {
+	for _, other := range c.serviceUpstreams() {
 		if !other.ReceivedWithin(brittle.HeardWindow, now) {
 			other.Brittle.Announce(resp.BrittleLimit, other.Slots, senders, now, random())
 		}
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -13,6 +13,7 @@
 	"lavenderpin.dev/lavenderpin/placement"
 	"lavenderpin.dev/lavenderpin/prepaid"
 	"lavenderpin.dev/lavenderpin/result"
+	"lavenderpin.dev/lavenderpin/streamorigin"
 )
 
 const (
@@ -64,8 +65,8 @@
 	firstEvent, longestGap, lastEventAt time.Duration
 	lastEvent                           int64
 	hasEvent                            bool
-	// firstUpstream brought the first event of this response.
-	firstUpstream *directory.Upstream
+	// origin is where the stream began; nil before its first event.
+	origin atomic.Pointer[streamorigin.Origin]
 	// fallback is an upstream's error response, forwarded if no other upstream does better.
 	fallback *bufferedResponse
 	outcome  string
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -89,7 +89,7 @@
 		[]*catalog.Service{{Name: "s", Engine: &catalog.Engine{TokensPerEvent: 6}}}, []*catalog.Account{{Name: "one", Prepaid: 1_000_000, HasPrepaid: true}}, map[string]string{"k": "one"}))
 	table := directory.NewTable(clock)
 	for i := range 4 {
-		table.Put(directory.Entry{ID: fmt.Sprintf("u%d", i), Service: "s", DataCentre: "dc", Slots: 4, State: directory.Ready})
+		table.Put(directory.Entry{ID: fmt.Sprintf("u%d", i), Service: "s", Version: "v1", DataCentre: "dc", Slots: 4, State: directory.Ready})
 	}
 	tg.share = prepaid.NewShare(prepaid.DefaultSettings(), prepaid.Clocks{Boot: clock, Wall: clock.WallClock()}, prepaid.Holder{Node: "n", Region: "r", Incarnation: "i", BootID: "boot", Listed: func() bool { return true }})
 	tg.share.Apply(prepaid.Grant{Node: "n", Incarnation: "i", Epoch: 1, Lines: []prepaid.GrantLine{{Account: "one", Ceiling: 500_000, Remaining: 1_000_000, Prepaid: 1_000_000}}})
--- a/gateway/pause.go
+++ b/gateway/pause.go
@@ -12,6 +12,7 @@
 const (
 	reasonNoneLeft  = "no upstream is left"
 	reasonAllPaused = "every upstream left asked for a pause"
+	reasonNoVersion = "no upstream of the version that began the stream is left"
 )
 
 // refuseIfPaused refuses a request if all upstreams asked for a pause.
@@ -29,6 +30,8 @@
 		return reasonAllPaused
 	case c.onlyRoomMissing():
 		return reasonNoRoom
+	case c.origin.Load() != nil:
+		return reasonNoVersion
 	default:
 		return reasonNoneLeft
 	}
--- a/gateway/run.go
+++ b/gateway/run.go
@@ -85,10 +85,6 @@
 	return c.callerGone
 }
 
-func (c *call) upstreams() []*directory.Upstream {
-	return c.g.Directory.Current().Upstreams(c.service.Name)
-}
-
 // recordDispatch records the chosen upstream and the inputs of the choice. load_age_ms is -1 if
 // the upstream has not reported its load yet.
 func (c *call) recordDispatch(choice placement.PickResult) {
@@ -103,8 +99,8 @@
 	if c.r.HasResumeAfter {
 		pairs = append(pairs, "resumes", c.r.Resumes)
 	}
-	if c.firstUpstream != nil {
-		pairs = append(pairs, "began_upstream", c.firstUpstream.ID, "began_version", c.firstUpstream.Version)
+	if origin := c.origin.Load(); origin != nil {
+		pairs = append(pairs, "began_version", origin.Version)
 	}
 	if left, draining := c.g.drainLeft(); draining {
 		pairs = append(pairs, "drain_left_ms", left.Milliseconds())
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -28,13 +28,13 @@
 		if first {
 			now := c.g.Clock.Now()
 			u.RecordResponseStart(now-c.lastSentAt, now)
-			c.recordContinuation(u)
+			c.recordStreamBegin(u)
 		}
 		markAnswered()
 		c.recordEventTime()
 		u.RecordReceived(c.lastEventAt)
 		monitor.rearm()
-		c.startResponse(u, resp)
+		c.startResponse(resp)
 		if !c.forwardEvent(e, !events.Buffered()) {
 			return mayHaveRun
 		}
@@ -43,35 +43,14 @@
 
 // startResponse forwards status and headers before the first event. A stream that continues at
 // another upstream keeps those that the caller already has.
-func (c *call) startResponse(u *directory.Upstream, resp *Response) {
+func (c *call) startResponse(resp *Response) {
 	if c.responseStarted {
 		return
 	}
 	c.responseStarted = true
-	c.firstUpstream = u
 	c.sink.Start(resp.Status, resp.Header, -1)
 }
 
-// The version of the upstream that a stream goes on at, compared with the one that began it.
-const (
-	sameVersion    = "same_version"
-	otherVersion   = "other_version"
-	unknownVersion = "unknown_version"
-)
-
-// recordContinuation counts a stream that goes on at another upstream than the one that began it.
-func (c *call) recordContinuation(u *directory.Upstream) {
-	switch {
-	case c.r.HasResumeAfter:
-		c.g.Metrics.recordContinued(unknownVersion)
-	case c.firstUpstream == nil:
-	case c.firstUpstream.Version == u.Version:
-		c.g.Metrics.recordContinued(sameVersion)
-	default:
-		c.g.Metrics.recordContinued(otherVersion)
-	}
-}
-
 // recordEventTime updates the event timings.
 func (c *call) recordEventTime() {
 	now := c.g.Clock.Now()
