Take a stream up only at the version that began it, also after its node died

Callers that took a stream up at another node got events of two software versions: that node didn't know where the stream began and took any upstream.

Package streamorigin: each node keeps where the streams began whose first event it forwarded. While a service has one version nothing is written: the version is declared in the store once, and a node that is asked reads that no other is (one reading, shared by all that wait, begun after the question). With several versions each node writes the origins of its open streams to the store, every 250 ms or rarer with the fleet; what isn't there yet, or while the store is out of reach, is asked of other nodes. A stream of unknown origin is refused before anything is reserved or sent: 503, code 4014 (VersionUnknown), not run, with a Retry-After; one whose version has no upstream left 4015 (VersionMissing). If the store answers nobody and most nodes say so, the only version that they know counts; a node that is cut off alone, or with a minority, refuses.

--- a/catalog/view.go
+++ b/catalog/view.go
@@ -1,6 +1,7 @@
 package catalog
 
 import (
+	"slices"
 	"sort"
 	"strings"
 )
@@ -15,6 +16,8 @@
 	keys     map[string]*Account
 	// hasAccounts reports whether the configuration defines any client accounts.
 	hasAccounts bool
+	// resumable names the services whose streams may be continued at another upstream.
+	resumable []string
 }
 
 // NewView indexes a configuration. keys maps each API key to an account's name.
@@ -30,6 +33,7 @@
 	}
 	for _, r := range routes {
 		v.routes[r.Host] = append(v.routes[r.Host], r)
+		v.addResumable(r)
 	}
 	for _, list := range v.routes {
 		sort.SliceStable(list, func(i, j int) bool { return len(list[i].PathPrefix) > len(list[j].PathPrefix) })
@@ -48,6 +52,20 @@
 	return v
 }
 
+func (v *View) addResumable(r *Route) {
+	if r.Kind != Streaming || !r.Resumable {
+		return
+	}
+	for _, s := range r.Split {
+		if !slices.Contains(v.resumable, s.Service) {
+			v.resumable = append(v.resumable, s.Service)
+		}
+	}
+}
+
+// ResumableServices returns the names of the services whose streams may be continued at another upstream.
+func (v *View) ResumableServices() []string { return v.resumable }
+
 // Match returns the host's route with the longest matching path prefix, or nil.
 func (v *View) Match(host, path string) *Route {
 	for _, r := range v.routes[host] {
--- a/cmd/lavenderedge/run.go
+++ b/cmd/lavenderedge/run.go
@@ -36,6 +36,7 @@
 	"lavenderpin.dev/lavenderpin/prepaid"
 	"lavenderpin.dev/lavenderpin/reach"
 	"lavenderpin.dev/lavenderpin/repeats"
+	"lavenderpin.dev/lavenderpin/streamorigin"
 	"lavenderpin.dev/lavenderpin/tcpconn"
 )
 
@@ -155,8 +156,8 @@
 		Address: p.settings.Frontend, Peer: p.peerAddress(), Capacity: capacityPercent(p.settings.Limits), DataCentre: p.settings.DataCentre, Region: p.settings.Region, Regions: p.settings.Regions,
 		Repeats: repeats.Limits{Ratio: p.settings.Bounds.RetryBudgetRatio, Extra: p.settings.Bounds.RetryBudgetExtra, Window: p.settings.Bounds.RetryBudgetWindow},
 	}, edgenode.Deps{
-		Clock: p.clock, WallClock: p.clocks().Wall, Upstreams: p.upstreams, Paths: p.paths, Lending: &lending.Client{Wire: p.peerClient}, Peers: &peerfetch.Client{HTTP: p.peerClient}, Events: p.events, Metrics: gateway.NewMetrics(p.publishMetrics),
-		Topics: edgenode.Topics{Operators: store.Operators(), Upstreams: store.Upstreams(), Presence: store.Topic("presence"),
+		Clock: p.clock, WallClock: p.clocks().Wall, Upstreams: p.upstreams, Paths: p.paths, Lending: &lending.Client{Wire: p.peerClient}, Peers: &peerfetch.Client{HTTP: p.peerClient}, Origins: &streamorigin.Client{HTTP: p.peerClient}, Events: p.events, Metrics: gateway.NewMetrics(p.publishMetrics),
+		Topics: edgenode.Topics{Operators: store.Operators(), Upstreams: store.Upstreams(), Presence: store.Topic("presence"), Streams: store.Topic(streamorigin.TopicName),
 			Spend: allotment.NewPartitions(store.Partitions("spend", p.settings.Store.Partitions), p.settings.Store.WritablePartitions()), Ledger: store.Topic("ledger"), Grants: store.Topic("grants")},
 		DecodeConfig: platform.DecodeConfig, DecodeUpstream: platform.DecodeUpstream,
 	})
@@ -168,6 +169,7 @@
 		return errors.Trace(err)
 	}
 	p.publish("log_readings", expvar.Func(func() any { return node.TopicStats() }))
+	p.publish("streams_known", expvar.Func(func() any { return node.KnownStreams() }))
 	p.publish("upstream_paths", expvar.Func(func() any { return p.paths.Summary() }))
 	p.publish("path_changes", expvar.Func(func() any { return p.paths.Metrics().Values() }))
 	p.publish("upstream_contact", expvar.Func(func() any { return node.UpstreamContact() }))
--- a/edgenode/deps.go
+++ b/edgenode/deps.go
@@ -13,6 +13,7 @@
 	"lavenderpin.dev/lavenderpin/prepaid"
 	"lavenderpin.dev/lavenderpin/reach"
 	"lavenderpin.dev/lavenderpin/repeats"
+	"lavenderpin.dev/lavenderpin/streamorigin"
 )
 
 // Settings are the settings of one node.
@@ -40,6 +41,8 @@
 	// Presence, Spend, Ledger and Grants are written by the fleet.
 	Presence, Ledger, Grants keyedlog.Topic
 	Spend                    allotment.Partitions
+	// Streams holds where streams began; see package streamorigin.
+	Streams keyedlog.Topic
 }
 
 // Deps are the dependencies of a node.
@@ -54,6 +57,8 @@
 	Paths *reach.Dialer
 	// Lending sends lending requests to other nodes.
 	Lending lending.Transport
+	// Origins asks other nodes where streams began.
+	Origins streamorigin.Transport
 	// Peers fetches records from nodes of the same data centre; if it is nil, the node reads
 	// everything from the store.
 	Peers   peerfetch.Transport
--- a/edgenode/link_test.go
+++ b/edgenode/link_test.go
@@ -77,7 +77,7 @@
 
 // throughLink wraps the topics of a store so that all access crosses a link.
 func throughLink(t Topics, l *link) Topics {
-	return Topics{Operators: &linkedTopic{t.Operators, l}, Upstreams: &linkedTopic{t.Upstreams, l}, Presence: &linkedTopic{t.Presence, l},
+	return Topics{Operators: &linkedTopic{t.Operators, l}, Upstreams: &linkedTopic{t.Upstreams, l}, Presence: &linkedTopic{t.Presence, l}, Streams: &linkedTopic{t.Streams, l},
 		Spend: t.Spend.Map(func(topic keyedlog.Topic) keyedlog.Topic { return &linkedTopic{topic, l} }), Ledger: &linkedTopic{t.Ledger, l}, Grants: &linkedTopic{t.Grants, l}}
 }
 
--- a/edgenode/node.go
+++ b/edgenode/node.go
@@ -20,6 +20,7 @@
 	"lavenderpin.dev/lavenderpin/placement"
 	"lavenderpin.dev/lavenderpin/prepaid"
 	"lavenderpin.dev/lavenderpin/presence"
+	"lavenderpin.dev/lavenderpin/streamorigin"
 )
 
 // Node is a running node.
@@ -37,6 +38,7 @@
 	grants    *allotment.GrantHandler
 	lender    *lending.Lender
 	announcer *announcer
+	origins   *streamorigin.Registry
 
 	startedAt time.Duration
 	// minWriteLatency is the lowest latency of writing a record; zero before the first write.
@@ -71,6 +73,7 @@
 	if settings.Capacity < smallCapacity {
 		periodic.Sleep(ctx, rand.N(maxSmallStartDelay))
 	}
+	n.origins = n.newOrigins()
 	loopsCtx, stop := context.WithCancel(context.WithoutCancel(ctx))
 	n.stop = stop
 	n.startFollower(loopsCtx, n.operatorsTopic(), &configHandler{n, n.newReadMonitor("config")}, configReadOptions)
@@ -91,7 +94,7 @@
 	n.gateway = gateway.New(gateway.DefaultSettings(), gateway.Deps{
 		Clock: deps.Clock, Catalog: n.catalog, Directory: n.directory,
 		Picker: picker,
-		Share:  n.share, Upstreams: deps.Upstreams, Events: deps.Events, Metrics: deps.Metrics,
+		Share:  n.share, Upstreams: deps.Upstreams, Events: deps.Events, Metrics: deps.Metrics, Origins: n.origins,
 		Borrower:    lending.NewBorrower(deps.Lending, deps.Clock, settings.Incarnation, n.lenders),
 		AwaitTokens: n.awaitTokens, ReportUsage: n.report, LiveNodes: n.nodeCount, Senders: n.senders, AwaitReachable: n.awaitReachable, RetryLimits: settings.Repeats,
 		DataCentre: settings.DataCentre, Region: settings.Region,
@@ -106,6 +109,7 @@
 	}
 	n.startLoop(loopsCtx, n.runReporter)
 	n.startLoop(loopsCtx, n.announcer.run)
+	n.startLoop(loopsCtx, n.origins.Run)
 	topics := allotment.Topics{Spend: deps.Topics.Spend, Ledger: deps.Topics.Ledger, Grants: deps.Topics.Grants}
 	n.startLoop(loopsCtx, allotment.NewPlanner(topics, (*fleet)(n), prepaid.DefaultSettings(), deps.Events).Run)
 	return n, nil
--- a/edgenode/records.go
+++ b/edgenode/records.go
@@ -9,6 +9,7 @@
 	"lavenderpin.dev/lavenderpin/peerfetch"
 	"lavenderpin.dev/lavenderpin/presence"
 	"lavenderpin.dev/lavenderpin/reach"
+	"lavenderpin.dev/lavenderpin/streamorigin"
 )
 
 // Names of the topics that nodes fetch from each other.
@@ -54,6 +55,7 @@
 func (n *Node) PeerRoutes() http.Handler {
 	mux := http.NewServeMux()
 	mux.Handle("/", lending.Handler(n.lender))
+	mux.Handle(streamorigin.Path, streamorigin.Handler(n.origins))
 	mux.Handle(peerfetch.Path, peerfetch.Handler(n.copies, n.isNodeIP))
 	if n.deps.Paths == nil {
 		return mux
--- a/edgenode/testfleet_test.go
+++ b/edgenode/testfleet_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"net/http"
 	"strings"
@@ -27,6 +28,7 @@
 	"lavenderpin.dev/lavenderpin/presence"
 	"lavenderpin.dev/lavenderpin/repeats"
 	"lavenderpin.dev/lavenderpin/result"
+	"lavenderpin.dev/lavenderpin/streamorigin"
 )
 
 // testClock is a boot clock that follows a test's fake time.
@@ -108,6 +110,11 @@
 	return nil
 }
 
+// Ask asks no node where a stream began: the streams of this fleet begin at one version.
+func (f *testFleet) Ask(context.Context, string, streamorigin.Request) (streamorigin.Reply, error) {
+	return streamorigin.Reply{}, errors.New("not asked for in these tests")
+}
+
 // Fetch requests records from a node of the fleet.
 func (f *testFleet) Fetch(ctx context.Context, address string, request peerfetch.Request, progress func()) (peerfetch.Reply, error) {
 	if n := f.reachable(address); n != nil {
@@ -123,7 +130,7 @@
 func newTestFleet(t *testing.T) *testFleet {
 	f := &testFleet{t: t, lending: unreachableLenders{}, upstreams: okUpstreams{}}
 	topic := func() keyedlog.Topic { return &outageTopic{Topic: memtopic.New(), outage: &f.outage} }
-	f.topics = Topics{Operators: topic(), Upstreams: topic(), Presence: topic(), Spend: allotment.NewPartitions([]keyedlog.Topic{topic()}, 1), Ledger: topic(), Grants: topic()}
+	f.topics = Topics{Operators: topic(), Upstreams: topic(), Presence: topic(), Streams: topic(), Spend: allotment.NewPartitions([]keyedlog.Topic{topic()}, 1), Ledger: topic(), Grants: topic()}
 	f.put(f.topics.Operators, "config", "1")
 	return f
 }
@@ -212,7 +219,7 @@
 	n, err := Start(context.Background(), Settings{Node: name, Incarnation: "new-" + name, Start: prepaid.ProcessStart{ClockReading: clocks.Read(), BootID: "boot-" + name},
 		Address: name, Peer: name, Capacity: s.capacity, DataCentre: s.dataCentre, Region: s.region, Regions: map[string]string{s.dataCentre: s.region},
 		Repeats: repeats.Limits{Ratio: 0.2, Extra: 50, Window: 10 * time.Second}},
-		Deps{Clock: testClock{}, WallClock: clocks.Wall, Topics: s.topics, Upstreams: f.upstreams, Lending: transport, Peers: f,
+		Deps{Clock: testClock{}, WallClock: clocks.Wall, Topics: s.topics, Upstreams: f.upstreams, Lending: transport, Origins: f, Peers: f,
 			Events:  event.NewRecorder(event.NewHLC(clockwork.NewRealClock()), name, 64, log.NewNopLogger()),
 			Metrics: gateway.NewMetrics(false), DecodeConfig: decode, DecodeUpstream: decodeEntry})
 	if err != nil {
--- a/edgenode/upstreamhandler.go
+++ b/edgenode/upstreamhandler.go
@@ -24,6 +24,7 @@
 		}
 	}
 	h.node.directory.Replace(entries)
+	h.node.origins.UpstreamsChanged()
 	h.node.deps.Events.Record(event.UpstreamListed, "entries", len(entries))
 }
 
@@ -39,7 +40,9 @@
 			updates[i] = directory.Update{Entry: e}
 		}
 	}
-	for i, change := range h.node.directory.Apply(updates) {
+	changes := h.node.directory.Apply(updates)
+	h.node.origins.UpstreamsChanged()
+	for i, change := range changes {
 		if change != directory.Unchanged {
 			h.logChange(updates[i], change)
 		}
--- a/event/request.go
+++ b/event/request.go
@@ -24,6 +24,7 @@
 	AnswerRerun       Number = 416
 	RequestEnded      Number = 417
 	StreamLeft        Number = 418
+	StreamTakenUp     Number = 419
 )
 
 var requestKinds = map[Number]Kind{
@@ -41,6 +42,7 @@
 	StreamResumed:     {"StreamResumed", "A caller resumed on this node a stream that another node began."},
 	StreamMoved:       {"StreamMoved", "The caller of a stream resumed it on another node; this one still settles it."},
 	StreamLeft:        {"StreamLeft", "This node ended while a caller read a resumed stream; the caller can read on through another node."},
+	StreamTakenUp:     {"StreamTakenUp", "A caller took up a stream after its first events; version is the one that began it, and source how this node knows it."},
 	AttemptRetried:    {"AttemptRetried", "A request is retried on another upstream."},
 	RetryDenied:       {"RetryDenied", "A request is not retried: the node's retry budget is exhausted, or the node ends too soon."},
 	RequestEnded:      {"RequestEnded", "A request ended; outcome tells how, and used what its account is billed."},
--- a/event/upstream.go
+++ b/event/upstream.go
@@ -11,6 +11,7 @@
 	UpstreamPath       Number = 507
 	PathsLost          Number = 508
 	UpstreamBrittle    Number = 509
+	VersionDeclared    Number = 510
 	UpstreamProbed     Number = 520
 	UpstreamPaused     Number = 521
 )
@@ -25,6 +26,7 @@
 	UpstreamPath:       {"UpstreamPath", "The way to an upstream changed: the node's own path, through another node, or none."},
 	PathsLost:          {"PathsLost", "This node reaches most upstreams only through other nodes, or again by itself."},
 	UpstreamBrittle:    {"UpstreamBrittle", "An upstream said that it falls over if it has to reject more than a few requests a second, or says so no more; this node limits what it sends there."},
+	VersionDeclared:    {"VersionDeclared", "This node declared in the store that streams of a service may begin at a version of its software, or deleted such a declaration."},
 	TokenBoundExceeded: {"TokenBoundExceeded", "An engine counted more tokens than its service declares; this node uses the byte-based bound until the declaration is changed."},
 	AnswerRejected:     {"AnswerRejected", "An upstream's response was truncated or for another request."},
 }
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -97,6 +97,9 @@
 	if c.timeLeft() < c.g.settings.MinTimeLeft {
 		return result.New(result.Overloaded, "too little time is left").WithRetryAfter(c.g.settings.BusyRetryAfter)
 	}
+	if refusal := c.resolveOrigin(ctx); refusal != nil {
+		return refusal
+	}
 	if refusal := c.refuseIfPaused(); refusal != nil {
 		return refusal
 	}
@@ -194,6 +197,7 @@
 	}
 	took := c.g.since(c.r.Arrived)
 	if c.succeeded {
+		c.g.Origins.Finish(c.streamID())
 		c.g.durations.Record(c.route.Name, took)
 	}
 	c.g.Metrics.recordFinished(c.route.Name, c.outcome, took)
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -28,6 +28,8 @@
 	Upstreams Upstreams
 	Events    *event.Recorder
 	Metrics   *Metrics
+	// Origins knows where streams began.
+	Origins Origins
 	// Borrower borrows tokens from other nodes' shares.
 	Borrower *lending.Borrower
 	// AwaitTokens returns once the node was granted tokens, another node is known that may lend
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -24,6 +24,7 @@
 	"lavenderpin.dev/lavenderpin/prepaid"
 	"lavenderpin.dev/lavenderpin/repeats"
 	"lavenderpin.dev/lavenderpin/result"
+	"lavenderpin.dev/lavenderpin/streamorigin"
 )
 
 // responder determines how an upstream responds.
@@ -71,6 +72,7 @@
 	upstreams *fakeUpstreams
 	clock     *bootclock.Fake
 	share     *prepaid.Share
+	origins   *fakeOrigins
 }
 
 const window = 10 * time.Second
@@ -78,7 +80,7 @@
 func newTestGateway(extra float64, respond responder) *testGateway {
 	clock := &bootclock.Fake{}
 	clock.Advance(time.Hour)
-	tg := &testGateway{upstreams: &fakeUpstreams{respond: respond}, clock: clock}
+	tg := &testGateway{upstreams: &fakeUpstreams{respond: respond}, clock: clock, origins: &fakeOrigins{known: make(map[string]streamorigin.Origin)}}
 	holder := &catalog.Holder{}
 	route := func(name string, kind catalog.Kind, attempts int, resumable bool) *catalog.Route {
 		return &catalog.Route{Name: name, Host: "h", PathPrefix: "/" + name + "/", Kind: kind, Timeout: 5 * time.Second, Objective: 100 * time.Millisecond,
@@ -95,7 +97,7 @@
 	tg.share.Apply(prepaid.Grant{Node: "n", Incarnation: "i", Epoch: 1, Lines: []prepaid.GrantLine{{Account: "one", Ceiling: 500_000, Remaining: 1_000_000, Prepaid: 1_000_000}}})
 	report := func(context.Context) error { tg.share.Compose(); tg.share.Acknowledge(); return nil }
 	tg.Gateway = New(DefaultSettings(), Deps{Clock: clock, Catalog: holder, Directory: table, Picker: placement.NewPicker(placement.DefaultSettings(), nil),
-		Share: tg.share, Upstreams: tg.upstreams, Events: event.NewRecorder(event.NewHLC(clockwork.NewFakeClock()), "n", 64, log.NewNopLogger()), Metrics: NewMetrics(false),
+		Share: tg.share, Upstreams: tg.upstreams, Events: event.NewRecorder(event.NewHLC(clockwork.NewFakeClock()), "n", 64, log.NewNopLogger()), Metrics: NewMetrics(false), Origins: tg.origins,
 		Borrower: lending.NewBorrower(nil, clock, "n", func(string) []lending.Peer { return nil }), AwaitTokens: func(context.Context, string) {}, ReportUsage: report, LiveNodes: func() int { return 1 }, Senders: func() int { return 1 }, AwaitReachable: func(context.Context, []string) bool { return false },
 		RetryLimits: repeats.Limits{Ratio: 0.2, Extra: extra, Window: window}, DataCentre: "dc", Region: "r"})
 	return tg
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -16,16 +16,19 @@
 	// continued counts the streams that went on at an upstream, by how its version compares with the one
 	// that began them.
 	continued *expvar.Map
+	// takenUp counts the streams that callers took up, by how this node knew where they began.
+	takenUp *expvar.Map
 }
 
 // NewMetrics returns new counters. If publish is set, it registers them with expvar.
 func NewMetrics(publish bool) *Metrics {
-	m := &Metrics{finished: new(expvar.Map).Init(), refused: new(expvar.Map).Init(), latency: new(expvar.Map).Init(), continued: new(expvar.Map).Init()}
+	m := &Metrics{finished: new(expvar.Map).Init(), refused: new(expvar.Map).Init(), latency: new(expvar.Map).Init(), continued: new(expvar.Map).Init(), takenUp: new(expvar.Map).Init()}
 	if publish {
 		expvar.Publish("requests_finished", m.finished)
 		expvar.Publish("requests_refused", m.refused)
 		expvar.Publish("request_latency_ms", m.latency)
 		expvar.Publish("streams_continued", m.continued)
+		expvar.Publish("streams_taken_up", m.takenUp)
 	}
 	return m
 }
@@ -37,6 +40,8 @@
 
 func (m *Metrics) recordContinued(version string) { m.continued.Add(version, 1) }
 
+func (m *Metrics) recordTakenUp(source string) { m.takenUp.Add(source, 1) }
+
 func (m *Metrics) recordRefused(code result.Code) { m.refused.Add(code.String(), 1) }
 
 // latencyBucket rounds a latency up to a power of two in milliseconds.
--- a/gateway/origin.go
+++ b/gateway/origin.go
@@ -1,34 +1,80 @@
 package gateway
 
 import (
+	"context"
+	"errors"
 	"slices"
+	"time"
 
+	"lavenderpin.dev/lavenderpin/catalog"
 	"lavenderpin.dev/lavenderpin/directory"
+	"lavenderpin.dev/lavenderpin/event"
+	"lavenderpin.dev/lavenderpin/result"
 	"lavenderpin.dev/lavenderpin/streamorigin"
 )
 
 // The version of the upstream at which a stream goes on, compared with the one that began it, in metrics.
 const (
-	sameVersion    = "same_version"
-	otherVersion   = "other_version"
-	unknownVersion = "unknown_version"
+	sameVersion  = "same_version"
+	otherVersion = "other_version"
 )
 
+// takeUpMargin is how long after the caller's time limit a stream may still be taken up: what callers and nodes
+// take for the time left differs by their round trips.
+const takeUpMargin = 2 * time.Second
+
+// streamID returns the ID of the attempt that brought the stream's first event, as the caller names it when it
+// takes the stream up.
+func (c *call) streamID() string {
+	if c.r.Resumes != "" {
+		return c.r.Resumes
+	}
+	return c.r.ID
+}
+
+// resolveOrigin finds out where a stream that the caller takes up began. A stream of unknown origin is refused:
+// events of another version would not fit, and neither the caller nor the upstream would notice.
+func (c *call) resolveOrigin(ctx context.Context) *result.Error {
+	if c.route.Kind != catalog.Streaming || !c.r.HasResumeAfter {
+		return nil
+	}
+	startedAt := c.g.Clock.Now()
+	found, err := c.g.Origins.Resolve(ctx, c.service.Name, c.r.Resumes)
+	if err == nil && found.Origin.Version == "" {
+		err = errors.New("the upstream that began it had restarted")
+	}
+	if err != nil {
+		c.g.Metrics.recordTakenUp(originUnknown)
+		return result.New(result.VersionUnknown, "where the stream began isn't known: %v", err).WithRetryAfter(c.g.settings.BusyRetryAfter)
+	}
+	c.g.Metrics.recordTakenUp(string(found.Source))
+	c.g.Events.Record(event.StreamTakenUp, "request", c.r.ID, "resumes", c.r.Resumes, "after", c.r.ResumeAfter, "service", found.Origin.Service,
+		"version", found.Origin.Version, "source", string(found.Source), "took_ms", c.g.since(startedAt).Milliseconds())
+	if s := c.view.Service(found.Origin.Service); s != nil && c.route.Serves(s.Name) {
+		c.service = s
+	}
+	c.origin.Store(&found.Origin)
+	return nil
+}
+
+// originUnknown counts, in metrics, the streams that were refused as where they began wasn't known.
+const originUnknown = "unknown"
+
 // recordStreamBegin records where a stream began, or that it goes on at an upstream. It is called for the first
 // event that an upstream sends.
 func (c *call) recordStreamBegin(u *directory.Upstream) {
 	origin := c.origin.Load()
 	switch {
-	case origin == nil && c.r.HasResumeAfter:
-		c.g.Metrics.recordContinued(unknownVersion)
 	case origin == nil:
+		origin = &streamorigin.Origin{Service: u.Service, Version: u.Version}
+		c.origin.Store(origin)
 	case origin.Fits(u.Service, u.Version):
 		c.g.Metrics.recordContinued(sameVersion)
 	default:
 		c.g.Metrics.recordContinued(otherVersion)
 	}
-	if origin == nil {
-		c.origin.Store(&streamorigin.Origin{Service: u.Service, Version: u.Version})
+	if c.streamResumable() {
+		c.g.Origins.Record(c.streamID(), *origin, c.timeLeft()+takeUpMargin)
 	}
 }
 
--- /dev/null
+++ b/gateway/origin_test.go
@@ -0,0 +1,91 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"io"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"lavenderpin.dev/lavenderpin/directory"
+	"lavenderpin.dev/lavenderpin/result"
+	"lavenderpin.dev/lavenderpin/streamorigin"
+)
+
+// fakeOrigins knows the origins that were recorded.
+type fakeOrigins struct {
+	known    map[string]streamorigin.Origin
+	finished []string
+}
+
+func (f *fakeOrigins) Record(attempt string, o streamorigin.Origin, _ time.Duration) {
+	f.known[attempt] = o
+}
+
+func (f *fakeOrigins) Finish(attempt string) { f.finished = append(f.finished, attempt) }
+
+func (f *fakeOrigins) Resolve(_ context.Context, _, attempt string) (streamorigin.Resolution, error) {
+	o, known := f.known[attempt]
+	if !known {
+		return streamorigin.Resolution{}, errors.New("nobody knows")
+	}
+	return streamorigin.Resolution{Origin: o, Source: streamorigin.FromStore}, nil
+}
+
+// takeUp sends a request that takes a stream up after its tenth event.
+func (tg *testGateway) takeUp(attempt string) *recordingSink {
+	r := tg.request("stream")
+	r.ID, r.Resumes, r.ResumeAfter, r.HasResumeAfter = "later", attempt, 10, true
+	sink := &recordingSink{}
+	tg.Serve(context.Background(), r, sink)
+	return sink
+}
+
+// Guards against tokens, attempts and retries spent on a stream of unknown origin, which is refused: nothing of it
+// may reach an upstream.
+func TestStreamOfUnknownOriginIsRefusedUnsent(t *testing.T) {
+	is := is.New(t)
+	tg := newTestGateway(0, func(context.Context, *directory.Upstream, *Dispatch) (*Response, error) {
+		return newResponse(200, true, strings.NewReader(numberedEvents(11, 20))), nil
+	})
+	sink := tg.takeUp("first")
+	is.Equal(sink.refusal.Code, result.VersionUnknown)
+	is.True(sink.refusal.RetryAfter > 0)
+	is.Equal(len(tg.upstreams.sent), 0)
+	is.Equal(tg.share.Status("one").Reserved, int64(0))
+}
+
+// Guards against a stream that goes on at another version, as none of its own is left.
+func TestStreamWithoutUpstreamOfItsVersionIsRefusedUnsent(t *testing.T) {
+	is := is.New(t)
+	tg := newTestGateway(0, func(context.Context, *directory.Upstream, *Dispatch) (*Response, error) {
+		return newResponse(200, true, strings.NewReader(numberedEvents(11, 20))), nil
+	})
+	tg.origins.known["first"] = streamorigin.Origin{Service: "s", Version: "v0"}
+	sink := tg.takeUp("first")
+	is.Equal(sink.refusal.Code, result.VersionMissing)
+	is.Equal(len(tg.upstreams.sent), 0)
+	is.Equal(tg.share.Status("one").Reserved, int64(0))
+}
+
+// Guards against losing where a stream began once it was taken up: it may be taken up again, and its caller then names
+// the same attempt.
+func TestOriginIsKeptUnderTheFirstAttempt(t *testing.T) {
+	is := is.New(t)
+	tg := newTestGateway(0, func(_ context.Context, _ *directory.Upstream, d *Dispatch) (*Response, error) {
+		is.Equal(d.LastEventID, int64(10))
+		return newResponse(200, true, io.MultiReader(strings.NewReader(numberedEvents(11, 20)), failingReader{})), nil
+	})
+	tg.origins.known["first"] = streamorigin.Origin{Service: "s", Version: "v1"}
+	tg.takeUp("first")
+	is.Equal(tg.origins.known, map[string]streamorigin.Origin{"first": {Service: "s", Version: "v1"}})
+	is.Equal(len(tg.origins.finished), 0)
+}
+
+// failingReader is the end of a response that breaks off.
+type failingReader struct{}
+
+func (failingReader) Read([]byte) (int, error) { return 0, errors.New("broken off") }
--- a/gateway/ports.go
+++ b/gateway/ports.go
@@ -9,6 +9,7 @@
 
 	"lavenderpin.dev/lavenderpin/directory"
 	"lavenderpin.dev/lavenderpin/result"
+	"lavenderpin.dev/lavenderpin/streamorigin"
 )
 
 // ErrNotSent wraps errors that occurred before any of the request reached the upstream.
@@ -66,6 +67,18 @@
 	Send(ctx context.Context, u *directory.Upstream, d *Dispatch) (*Response, error)
 }
 
+// Origins knows where streams began, those of other nodes included.
+type Origins interface {
+	// Record records where the stream that an attempt began has its origin, for as long as its caller may take
+	// it up.
+	Record(attempt string, o streamorigin.Origin, life time.Duration)
+	// Finish records that the stream was delivered to its end.
+	Finish(attempt string)
+	// Resolve returns where a stream of a service began; attempt, if known, is the one that brought its first
+	// event.
+	Resolve(ctx context.Context, service, attempt string) (streamorigin.Resolution, error)
+}
+
 // Sink receives the response for the caller.
 type Sink interface {
 	// Refuse sends an error produced by the gateway itself.
--- a/result/upstream.go
+++ b/result/upstream.go
@@ -15,6 +15,8 @@
 	AnswerDiffers    Code = 4011
 	UpstreamSilent   Code = 4012
 	RequestExpired   Code = 4013
+	VersionUnknown   Code = 4014
+	VersionMissing   Code = 4015
 )
 
 var upstreamInfos = map[Code]Info{
@@ -28,5 +30,7 @@
 	StreamLost:       {"StreamLost", 502, codes.DataLoss, false, false, "The engine no longer holds the rest of the stream; send a new request."},
 	AnswerDiffers:    {"AnswerDiffers", 502, codes.Aborted, false, false, "The engine was lost within the answer, and another one answers differently; send a new request."},
 	UpstreamSilent:   {"UpstreamSilent", 504, codes.Unavailable, true, false, "The engine went silent within an answer and was given up on."},
+	VersionUnknown:   {"VersionUnknown", 503, codes.Unavailable, true, true, "This node can't learn which version of the upstreams' software began the stream, and others don't fit; another node may know."},
+	VersionMissing:   {"VersionMissing", 503, codes.Unavailable, true, true, "No upstream of the software version that began the stream can take it now; others don't fit."},
 	RequestExpired:   {"RequestExpired", 503, codes.Unavailable, true, true, "The upstream refused the request: the node's right to have it run had ended before it arrived."},
 }
--- /dev/null
+++ b/streamorigin/reader.go
@@ -0,0 +1,109 @@
+package streamorigin
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/juju/errors"
+
+	"lavenderpin.dev/lavenderpin/bootclock"
+	"lavenderpin.dev/lavenderpin/event"
+	"lavenderpin.dev/lavenderpin/keyedlog"
+)
+
+const (
+	// readTimeout bounds one reading of the topic: a connection and an answer from another region, with room
+	// for a slow store.
+	readTimeout = 400 * time.Millisecond
+	// failurePause is for how long after a failed reading none is begun for a caller that waits.
+	failurePause = time.Second
+)
+
+// errStoreFailedLately is returned while readings are not worth waiting for.
+var errStoreFailedLately = errors.New("the store failed to answer a moment ago")
+
+// reader reads the topic for all that need it. Each of them gets what was read after it asked, so that it learns
+// every version that was declared before; those that ask meanwhile share the next reading.
+type reader struct {
+	topic  keyedlog.Topic
+	clock  bootclock.Clock
+	events *event.Recorder
+
+	mu            sync.Mutex
+	running, next *reading
+	failedAt      time.Duration
+	// last is the latest view; nil before the first.
+	last atomic.Pointer[view]
+}
+
+// reading is one reading of the topic; its results may be used once done is closed.
+type reading struct {
+	done chan struct{}
+	view *view
+	err  error
+}
+
+// read returns what the topic says now.
+func (r *reader) read(ctx context.Context) (*view, error) {
+	current, err := r.join()
+	if err != nil {
+		return nil, err
+	}
+	select {
+	case <-current.done:
+		return current.view, current.err
+	case <-ctx.Done():
+		return nil, errors.Trace(context.Cause(ctx))
+	}
+}
+
+// join returns the first reading that hasn't begun.
+func (r *reader) join() (*reading, error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.failedAt != 0 && r.clock.Now()-r.failedAt < failurePause {
+		return nil, errStoreFailedLately
+	}
+	if r.next == nil {
+		r.next = &reading{done: make(chan struct{})}
+	}
+	joined := r.next
+	if r.running == nil {
+		r.startNext()
+	}
+	return joined, nil
+}
+
+// startNext begins the next reading. The caller must hold mu.
+func (r *reader) startNext() {
+	r.running, r.next = r.next, nil
+	go r.run(r.running)
+}
+
+func (r *reader) run(current *reading) {
+	ctx, cancel := context.WithTimeout(context.Background(), readTimeout)
+	defer cancel()
+	records, _, err := r.topic.Newest(ctx, func() {})
+	current.err = errors.Trace(err)
+	if err == nil {
+		var undecodable []string
+		current.view, undecodable = decodeView(records)
+		r.last.Store(current.view)
+		for _, key := range undecodable {
+			r.events.Record(event.BatchVoid, "topic", TopicName, "key", key)
+		}
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.failedAt = 0
+	if err != nil {
+		r.failedAt = r.clock.Now()
+	}
+	close(current.done)
+	r.running = nil
+	if r.next != nil {
+		r.startNext()
+	}
+}
