--- a/directory/table.go
+++ b/directory/table.go
@@ -40,7 +40,7 @@
 	storeFailedAt time.Duration
 	// versionsGone holds when an upstream of each version last left the table.
 	versionsGone map[serviceVersion]time.Duration
-	current       atomic.Pointer[Snapshot]
+	current      atomic.Pointer[Snapshot]
 	// synced is closed once Replace has been called, which the first full read does.
 	synced     chan struct{}
 	syncedOnce sync.Once
