Ask an upstream which incarnation it is before a stream goes on there

An upstream that came back under its id as another version, before its entry said so, took streams that had begun at the version of the entry; and streams that began at it were taken for ones of that version and went on elsewhere. Nothing in an answer tells the incarnation; an engine's report does (its start time), and the process behind a connection never changes.

The report is asked for on the connection that the request will use, once a connection: always for a stream that goes on, which is not sent if another incarnation is there; for one that begins if the service has several versions or if this node saw the upstream fail lately, as that is all that a restart looks like. A stream that begins at an unlisted incarnation counts as begun at a version of its own, which is declared like any other and goes on nowhere else.

--- a/gateway/origin.go
+++ b/gateway/origin.go
@@ -40,7 +40,7 @@
 	}
 	startedAt := c.g.Clock.Now()
 	found, err := c.g.Origins.Resolve(ctx, c.service.Name, c.r.Resumes)
-	if err == nil && found.Origin.Version == "" {
+	if err == nil && !found.Origin.IsListed() {
 		err = errors.New("the upstream that began it had restarted")
 	}
 	if err != nil {
@@ -60,13 +60,37 @@
 // originUnknown counts, in metrics, the streams that were refused as where they began wasn't known.
 const originUnknown = "unknown"
 
+// doubtfulFailures is the failure score above which an upstream may have restarted: one failure raises it above
+// for some 14 s, longer than an entry takes to lapse and to come back.
+const doubtfulFailures = 0.01
+
+// requiredIdentity returns how certain it must be that the upstream is the incarnation of its entry. A stream that
+// goes on must meet the version that began it. Where one begins must be certain if it may have to go on while
+// versions differ, or if this node saw the upstream fail, which is all that a restart looks like.
+func (c *call) requiredIdentity(u *directory.Upstream, goesOn bool) Identity {
+	switch {
+	case c.service.Engine == nil || c.route.Kind != catalog.Streaming: // plain services don't tell
+		return IdentityAssumed
+	case goesOn:
+		return IdentityRequired
+	case c.streamResumable() && (c.g.Origins.HasSeveralVersions(c.service.Name) || u.StaleUntil != 0 || u.FailureScore(c.g.Clock.Now()) > doubtfulFailures):
+		return IdentityTold
+	}
+	return IdentityAssumed
+}
+
 // recordStreamBegin records where a stream began, or that it goes on at an upstream. It is called for the first
 // event that an upstream sends.
-func (c *call) recordStreamBegin(u *directory.Upstream) {
+func (c *call) recordStreamBegin(u *directory.Upstream, resp *Response) {
 	origin := c.origin.Load()
 	switch {
 	case origin == nil:
 		origin = &streamorigin.Origin{Service: u.Service, Version: u.Version}
+		if resp.OtherIncarnation {
+			unlisted := streamorigin.Unlisted(u.Service, resp.StartedAt)
+			origin = &unlisted
+			c.g.Events.Record(event.VersionUncertain, "request", c.r.ID, "upstream", u.ID, "version", u.Version, "born", u.StartedAt, "told", resp.StartedAt)
+		}
 		c.origin.Store(origin)
 	case origin.Fits(u.Service, u.Version):
 		c.g.Metrics.recordContinued(sameVersion)
--- a/gateway/origin_test.go
+++ b/gateway/origin_test.go
@@ -27,6 +27,8 @@
 
 func (f *fakeOrigins) Finish(attempt string) { f.finished = append(f.finished, attempt) }
 
+func (f *fakeOrigins) HasSeveralVersions(string) bool { return false }
+
 func (f *fakeOrigins) Resolve(_ context.Context, _, attempt string) (streamorigin.Resolution, error) {
 	o, known := f.known[attempt]
 	if !known {
--- a/gateway/ports.go
+++ b/gateway/ports.go
@@ -28,10 +28,30 @@
 	// LastEventID is the last event that the caller has received; valid if HasLastEventID.
 	LastEventID    int64
 	HasLastEventID bool
+	// Identity is how certain it must be that the upstream is the incarnation that its entry tells of.
+	Identity Identity
 	// Urgency is the request's priority at engines; 0 is the most urgent.
 	Urgency int
 }
 
+// Identity is how certain it must be that the process which takes a request is the incarnation of the upstream
+// that its entry tells of. An upstream may come back at its address and under its ID, as another version of its
+// software, some time before its new entry can be read.
+type Identity int
+
+const (
+	// IdentityAssumed sends the request to whatever is there.
+	IdentityAssumed Identity = iota
+	// IdentityTold asks who is there first, and sends the request in any case.
+	IdentityTold
+	// IdentityRequired sends the request only to the incarnation of the entry.
+	IdentityRequired
+)
+
+// ErrOtherIncarnation is returned by Send, wrapped in ErrNotSent, if another incarnation than that of the entry is
+// there and IdentityRequired is set.
+var ErrOtherIncarnation = errors.New("another incarnation of the upstream is there")
+
 // Response is the start of an upstream's response. Close must be called; called before the end
 // of the body, it stops the upstream's work.
 type Response struct {
@@ -43,6 +63,11 @@
 	NotRun bool
 	// AddressReassigned reports that the address now belongs to another upstream.
 	AddressReassigned bool
+	// OtherIncarnation reports that another incarnation than that of the entry answered, or that it couldn't be
+	// told, although the dispatch asked for it.
+	OtherIncarnation bool
+	// StartedAt is the start of that incarnation in Unix milliseconds; negative if it couldn't be told.
+	StartedAt int64
 	// Pause is how long the upstream, which refused the request, wants no others; zero if it
 	// didn't say.
 	Pause time.Duration
@@ -74,6 +99,8 @@
 	Record(attempt string, o streamorigin.Origin, life time.Duration)
 	// Finish records that the stream was delivered to its end.
 	Finish(attempt string)
+	// HasSeveralVersions reports whether streams of a service may have begun at several versions.
+	HasSeveralVersions(service string) bool
 	// Resolve returns where a stream of a service began; attempt, if known, is the one that brought its first
 	// event.
 	Resolve(ctx context.Context, service, attempt string) (streamorigin.Resolution, error)
--- a/gateway/send.go
+++ b/gateway/send.go
@@ -48,7 +48,7 @@
 	}
 	defer markAnswered()
 
-	resp, err := c.g.Upstreams.Send(ctx, u, c.newDispatch())
+	resp, err := c.g.Upstreams.Send(ctx, u, c.newDispatch(u))
 	if err != nil {
 		return c.handleSendError(ctx, u, err)
 	}
@@ -78,11 +78,12 @@
 	}
 }
 
-func (c *call) newDispatch() *Dispatch {
+func (c *call) newDispatch(u *directory.Upstream) *Dispatch {
 	d := &Dispatch{Request: c.r, Account: c.accountName(), Remaining: c.timeLeft(), LastEventID: c.r.ResumeAfter, HasLastEventID: c.r.HasResumeAfter, Urgency: c.urgency()}
 	if c.hasEvent {
 		d.LastEventID, d.HasLastEventID = c.lastEvent, true
 	}
+	d.Identity = c.requiredIdentity(u, d.HasLastEventID)
 	return d
 }
 
@@ -113,6 +114,10 @@
 	if !notSent {
 		return mayHaveRun
 	}
+	if errors.Is(err, ErrOtherIncarnation) {
+		c.unsent++ // nothing is wrong with the path, and waiting for it would bring nothing
+		return notRun
+	}
 	c.unreached = append(c.unreached, u)
 	if !errors.Is(err, reach.ErrIsolated) {
 		c.unsent++
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -28,7 +28,7 @@
 		if first {
 			now := c.g.Clock.Now()
 			u.RecordResponseStart(now-c.lastSentAt, now)
-			c.recordStreamBegin(u)
+			c.recordStreamBegin(u, resp)
 		}
 		markAnswered()
 		c.recordEventTime()
--- a/httpwire/conn.go
+++ b/httpwire/conn.go
@@ -23,6 +23,8 @@
 	r *bufio.Reader
 	// idleSince and reusableFor, on the boot clock, bound how long it may be reused.
 	idleSince, reusableFor time.Duration
+	// peer identifies the process at the other end; zero if it isn't known.
+	peer int64
 }
 
 // abort closes the connection during an exchange. What the peer hasn't received yet is dropped:
--- a/httpwire/request.go
+++ b/httpwire/request.go
@@ -22,6 +22,9 @@
 	Host   string
 	Header http.Header
 	Body   []byte
+	// Check is called with the connection on which the request will be sent, and may exchange other requests
+	// over it; its error ends the exchange before anything of this request is sent. It may be nil.
+	Check func(ctx context.Context, c *Conn) error
 	// BeforeWrite is called once there is a connection; its error ends the exchange before anything is
 	// sent. It may be nil.
 	BeforeWrite func() error
@@ -41,6 +44,13 @@
 	return nil
 }
 
+func (r *Request) checkConn(ctx context.Context, c *Conn) error {
+	if r.Check == nil {
+		return nil
+	}
+	return r.Check(ctx, c)
+}
+
 // encode returns the request in wire format.
 func (r *Request) encode() []byte {
 	var b bytes.Buffer
--- a/streamorigin/publisher.go
+++ b/streamorigin/publisher.go
@@ -60,7 +60,11 @@
 
 // step does what is due. What fails is tried again at the next interval.
 func (p *publisher) step(ctx context.Context) error {
-	if err := p.declare(ctx); err != nil {
+	p.versions.look()
+	p.tellMixed()
+	err := p.declare(ctx)
+	p.tellMixed()
+	if err != nil {
 		return err
 	}
 	if err := p.publish(ctx); err != nil {
@@ -69,6 +73,11 @@
 	return p.refresh(ctx)
 }
 
+func (p *publisher) tellMixed() {
+	mixed := p.versions.mixed()
+	p.Registry.mixed.Store(&mixed)
+}
+
 func (p *publisher) interval() time.Duration {
 	peers, _ := p.deps.Peers()
 	return max(minInterval, time.Duration(len(peers)+1)*intervalPerNode)
@@ -88,7 +97,6 @@
 
 // declare writes the versions that are listed and not declared yet.
 func (p *publisher) declare(ctx context.Context) error {
-	p.versions.look()
 	if len(p.versions.undeclared()) == 0 {
 		return nil
 	}
--- a/streamorigin/registry.go
+++ b/streamorigin/registry.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
 	"lavenderpin.dev/lavenderpin/bootclock"
@@ -43,6 +44,8 @@
 	deps   Deps
 	table  *Table
 	reader *reader
+	// mixed holds the services that have several versions, as of the publisher's last step.
+	mixed atomic.Pointer[map[string]bool]
 	// changed holds an element if the list of upstreams changed.
 	changed chan struct{}
 }
@@ -56,11 +59,20 @@
 // Record records where a stream began; see Table.Record.
 func (r *Registry) Record(attempt string, o Origin, life time.Duration) {
 	r.table.Record(attempt, o, life)
+	if !o.IsListed() {
+		r.UpstreamsChanged() // its version must be declared like any other
+	}
 }
 
 // Finish records that a stream was delivered to its end.
 func (r *Registry) Finish(attempt string) { r.table.Finish(attempt) }
 
+// HasSeveralVersions reports whether streams of a service may have begun at several versions.
+func (r *Registry) HasSeveralVersions(service string) bool {
+	mixed := r.mixed.Load()
+	return mixed != nil && (*mixed)[service]
+}
+
 // Size returns how many streams this node keeps the origin of.
 func (r *Registry) Size() int { return r.table.Size() }
 
--- a/streamorigin/registry_test.go
+++ b/streamorigin/registry_test.go
@@ -34,11 +34,13 @@
 	listed []string
 	// cutFromStore and cutFromNodes hold the nodes that reach neither.
 	cutFromStore, cutFromNodes map[string]bool
+	// stale holds the versions that single nodes go on to list.
+	stale map[string][]string
 	nodes                      map[string]*Registry
 }
 
 func newTestFleet(versions ...string) *testFleet {
-	f := &testFleet{topic: memtopic.New(), listed: versions, cutFromStore: make(map[string]bool), cutFromNodes: make(map[string]bool), nodes: make(map[string]*Registry)}
+	f := &testFleet{topic: memtopic.New(), listed: versions, cutFromStore: make(map[string]bool), cutFromNodes: make(map[string]bool), stale: make(map[string][]string), nodes: make(map[string]*Registry)}
 	f.ctx, f.stop = context.WithCancel(context.Background())
 	return f
 }
@@ -59,9 +61,12 @@
 	}
 }
 
-func (f *testFleet) versions(string, time.Duration) []string {
+func (f *testFleet) versionsAt(node string) []string {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	if stale, found := f.stale[node]; found {
+		return stale
+	}
 	return f.listed
 }
 
@@ -70,7 +75,7 @@
 	isCleaner := len(f.nodes) == 0
 	r := NewRegistry(Deps{
 		Clock: virtualClock{}, Events: event.NewRecorder(event.NewHLC(clockwork.NewRealClock()), name, 64, log.NewNopLogger()), Topic: &nodeTopic{f.topic, f, name}, Node: name, Incarnation: name + "-1",
-		Services: func() []string { return []string{"s"} }, Versions: f.versions, Peers: func() ([]Peer, bool) { return f.peersOf(name), true }, Transport: nodeTransport{f, name},
+		Services: func() []string { return []string{"s"} }, Versions: func(string, time.Duration) []string { return f.versionsAt(name) }, Peers: func() ([]Peer, bool) { return f.peersOf(name), true }, Transport: nodeTransport{f, name},
 		IsLive: func(node, _ string) bool { return f.isAlive(node) }, IsCleaner: func() bool { return isCleaner },
 	})
 	f.mu.Lock()
@@ -219,6 +224,27 @@
 	}, "v1", "v2")
 }
 
+// Guards against taking a stream for one of the only listed version, though it began at an upstream that came back as
+// something else before its entry said so.
+func TestStreamOfUnlistedVersionIsNotTakenForListedOne(t *testing.T) {
+	inBubble(t, func(is *is.I, f *testFleet) {
+		a, b := f.addNode("a"), f.addNode("b")
+		time.Sleep(time.Second)
+		unlisted := Unlisted("s", 7)
+		a.Record("odd", unlisted, time.Minute)
+		a.Record("even", first, time.Minute)
+		time.Sleep(2 * minInterval)
+		is.True(b.deps.Versions("s", 0)[0] == "v1")
+		found, err := b.Resolve(f.ctx, "s", "odd")
+		is.NoErr(err)
+		is.Equal(found, Resolution{unlisted, FromStore})
+		is.True(!found.Origin.Fits("s", unlisted.Version))
+		found, err = b.Resolve(f.ctx, "s", "even")
+		is.NoErr(err)
+		is.Equal(found, Resolution{first, FromStore})
+	}, "v1")
+}
+
 // Guards against refusing a stream that its node has not told the store yet, or can't: that node is asked.
 func TestLivingNodeIsAsked(t *testing.T) {
 	inBubble(t, func(is *is.I, f *testFleet) {
@@ -240,7 +266,9 @@
 		b := f.addNode("b")
 		time.Sleep(time.Second)
 		f.cut(f.cutFromStore, "b")
-		b.deps.Versions = func(string, time.Duration) []string { return []string{"v1"} }
+		f.mu.Lock()
+		f.stale["b"] = []string{"v1"}
+		f.mu.Unlock()
 		found, err := b.Resolve(f.ctx, "s", "any")
 		is.NoErr(err)
 		is.Equal(found, Resolution{first, OnlyVersion}) // the other node has the store's word
--- a/streamorigin/table.go
+++ b/streamorigin/table.go
@@ -107,6 +107,19 @@
 	}
 }
 
+// unlisted returns the origins of streams that began at no listed version.
+func (t *Table) unlisted() []Origin {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var origins []Origin
+	for _, s := range t.streams {
+		if !s.origin.IsListed() {
+			origins = append(origins, s.origin)
+		}
+	}
+	return origins
+}
+
 // byOrigin returns the attempts of each origin in one of the services, and the generation that they are of.
 func (t *Table) byOrigin(services map[string]bool) (map[Origin][]string, uint64) {
 	now := t.clock.Now()
@@ -115,7 +128,7 @@
 	t.expire(now)
 	attempts := make(map[Origin][]string)
 	for attempt, s := range t.streams {
-		if services[s.origin.Service] && s.origin.Version != "" {
+		if services[s.origin.Service] {
 			attempts[s.origin] = append(attempts[s.origin], attempt)
 		}
 	}
--- a/streamorigin/versionset.go
+++ b/streamorigin/versionset.go
@@ -11,7 +11,8 @@
 	registry *Registry
 	// declared are the versions that the topic is known to hold.
 	declared map[Origin]bool
-	// listed are the versions that this node's list of upstreams held at the last look.
+	// listed are the versions that this node's list of upstreams held at the last look, and those of streams that
+	// began at no listed one.
 	listed map[Origin]bool
 }
 
@@ -23,15 +24,20 @@
 // its declaration may have been deleted since.
 func (s *versionSet) look() {
 	listed := make(map[Origin]bool)
+	add := func(o Origin) {
+		listed[o] = true
+		if !s.listed[o] {
+			delete(s.declared, o)
+		}
+	}
 	for _, service := range s.registry.deps.Services() {
 		for _, version := range s.registry.listed(service) {
-			o := Origin{service, version}
-			listed[o] = true
-			if !s.listed[o] {
-				delete(s.declared, o)
-			}
+			add(Origin{service, version})
 		}
 	}
+	for _, o := range s.registry.table.unlisted() {
+		add(o)
+	}
 	s.listed = listed
 }
 
