Embedded fleet: finish an answer only at the version of the engine that began it

Where two versions agree at first, the caller got an answer that neither gave. Engines may now tell the version of their software in each answer and in their load; the one that began the answer is kept, engines that report another are not picked, and an answer that comes from another is closed before a chunk of it is compared. Callers that wait for the whole answer have seen nothing yet and get any version's.

A stream that a caller reads on at another node comes from the engine that kept it, which is the process that generated it: nothing to compare there.

--- a/internal/fake/client.go
+++ b/internal/fake/client.go
@@ -184,6 +184,9 @@
 	close(s.chunks)
 }
 
+// Version implements upstream.ChatStream: these engines don't tell.
+func (s *stream) Version() string { return "" }
+
 // Next implements upstream.ChatStream. A crossed or cut answer returns the same error as the
 // HTTP client, which detects it by the chunk's id or the missing terminal marker.
 func (s *stream) Next() (upstream.Chunk, error) {
--- a/internal/standin/engine.go
+++ b/internal/standin/engine.go
@@ -44,6 +44,8 @@
 	LoadSampleInterval time.Duration
 	// WordPrefix is prepended to each word, so that engines give different answers.
 	WordPrefix string
+	// Version, if not empty, is the version of the engine's software, which it tells in each answer.
+	Version string
 }
 
 const cancelPath = "/v1/cancel"
@@ -84,7 +86,7 @@
 		usages: map[string]engineUsage{}, streams: map[string]*engineStream{}, load: newEngineLoad(),
 		queue: &engineQueue{slots: options.Slots}}
 	e.server = newServer(listener)
-	e.server.Use(e.leaving.handle, e.shedding.handle)
+	e.server.Use(e.leaving.handle, e.shedding.handle, e.tellVersion)
 	e.server.POST("/v1/chat/completions", e.serveChat)
 	e.server.POST(cancelPath, e.serveCancel)
 	e.server.GET("/v1/usage", e.serveUsage)
@@ -96,6 +98,13 @@
 	return e
 }
 
+// tellVersion adds the version to an answer.
+func (e *Engine) tellVersion(_ context.Context, c *app.RequestContext) {
+	if e.options.Version != "" {
+		c.Header("X-Upstream-Version", e.options.Version)
+	}
+}
+
 // Run serves until Close.
 func (e *Engine) Run() error { return e.server.Run() }
 
--- a/internal/standin/engineload.go
+++ b/internal/standin/engineload.go
@@ -42,6 +42,8 @@
 	PendingTokens int     `json:"pending_tokens"`
 	MemoryUsed    float64 `json:"memory_used"`
 	AgeMS         int64   `json:"age_ms"`
+	// SoftwareVersion is the version of the engine's software.
+	SoftwareVersion string `json:"software_version,omitempty"`
 }
 
 type engineCacheEvents struct {
@@ -122,7 +124,9 @@
 }
 
 func (e *Engine) serveLoad(_ context.Context, c *app.RequestContext) {
-	e.writeJSON(c, e.load.report(time.Now(), e.options.LoadSampleInterval, e.queue.length()))
+	report := e.load.report(time.Now(), e.options.LoadSampleInterval, e.queue.length())
+	report.SoftwareVersion = e.options.Version
+	e.writeJSON(c, report)
 }
 
 func (e *Engine) serveCacheEvents(_ context.Context, c *app.RequestContext) {
--- a/node/drainfleet_test.go
+++ b/node/drainfleet_test.go
@@ -189,3 +189,5 @@
 	is.True(refused.RetryAfter > 0)
 	return refused
 }
+
+func (s *slowStream) Version() string { return "" }
--- a/node/streams_test.go
+++ b/node/streams_test.go
@@ -174,3 +174,5 @@
 		<-ended
 	})
 }
+
+func (s *generatedStream) Version() string { return "" }
--- a/request/chatrun.go
+++ b/request/chatrun.go
@@ -41,6 +41,8 @@
 	// target is the upstream that may run the completion now; nil before the first attempt and
 	// after a refusal.
 	target *operatorv1.Upstream
+	// version is the version of the software of the upstream that began the answer.
+	version string
 	// deliveredHashes holds the hash of each delivered chunk, indexed by chunk number.
 	deliveredHashes []uint64
 	// contentChunks is how many delivered chunks have content.
@@ -104,6 +106,7 @@
 		if n > 0 && !r.server.acquireRetry(ctx, takesRetry, r.grant.Request().String(), r.service.GetName(), r.prompt.Deadline, retryBackoff) {
 			return last
 		}
+		r.prompt.SoftwareVersion = r.requiredVersion()
 		pick, err := r.server.pick(ctx, r.prompt, waits)
 		if err != nil {
 			return pickError(last, err)
@@ -134,7 +137,7 @@
 func canRetryElsewhere(err error) bool {
 	switch result.CodeOf(err) {
 	case result.NoUpstream, result.UpstreamFailed, result.AnswerCut, result.AnswerCrossed, result.StreamLost,
-		result.UpstreamSilent, result.RequestExpired:
+		result.UpstreamSilent, result.RequestExpired, result.VersionMissing:
 		return true
 	}
 	return false
@@ -157,6 +160,9 @@
 		}
 		return err
 	}
+	if err := r.checkVersion(stream); err != nil {
+		return err
+	}
 	position, err := r.consume(ctx, stream, 0)
 	return r.resumeAnswer(ctx, position, err)
 }
@@ -179,6 +185,9 @@
 			}
 			continue
 		}
+		if err := r.checkVersion(stream); err != nil {
+			return err
+		}
 		before := position
 		position, err = r.consume(ctx, stream, position)
 		if position > before {
--- a/routing/load.go
+++ b/routing/load.go
@@ -17,6 +17,8 @@
 	PendingTokens int
 	// MemoryUsed is the share of KV memory that running requests use.
 	MemoryUsed float64
+	// SoftwareVersion is the version of the engine's software; empty when it doesn't report it.
+	SoftwareVersion string
 	// Models that the engine has loaded; empty when it doesn't report them.
 	Models []LoadedModel
 }
--- a/routing/picker.go
+++ b/routing/picker.go
@@ -13,6 +13,8 @@
 	// Version and Adapter, when set, restrict the choice to engines that report them.
 	Version string
 	Adapter string
+	// SoftwareVersion, when set, excludes engines that report another version of their software.
+	SoftwareVersion string
 	// Region of the node that routes the request.
 	Region string
 	// Account and Team are the units of fair sharing in admission.
--- a/routing/target.go
+++ b/routing/target.go
@@ -133,10 +133,13 @@
 	t.slowdownAt.Store(now.UnixNano())
 }
 
-// serves reports whether the upstream has the requested model loaded. An upstream that
-// doesn't report its models is assumed to have it.
+// serves reports whether the upstream has the requested model loaded and runs the requested version
+// of its software. An upstream that doesn't report these is assumed to fit.
 func (t *target) serves(request *Request) bool {
 	r := t.report.Load()
+	if r != nil && request.SoftwareVersion != "" && r.SoftwareVersion != "" && r.SoftwareVersion != request.SoftwareVersion {
+		return false
+	}
 	if r == nil || len(r.Models) == 0 || request.Model == "" {
 		return true
 	}
--- a/streamorigin/registry_test.go
+++ b/streamorigin/registry_test.go
@@ -36,7 +36,7 @@
 	cutFromStore, cutFromNodes map[string]bool
 	// stale holds the versions that single nodes go on to list.
 	stale map[string][]string
-	nodes                      map[string]*Registry
+	nodes map[string]*Registry
 }
 
 func newTestFleet(versions ...string) *testFleet {
--- a/upstream/load.go
+++ b/upstream/load.go
@@ -35,7 +35,10 @@
 	PendingTokens int     `json:"pending_tokens"`
 	MemoryUsed    float64 `json:"memory_used"`
 	// AgeMS is the age of the sample in milliseconds, by the engine's own clock.
-	AgeMS  int64       `json:"age_ms"`
+	AgeMS int64 `json:"age_ms"`
+	// SoftwareVersion is the version of the engine's software.
+	SoftwareVersion string `json:"software_version,omitempty"`
+
 	Models []loadModel `json:"models,omitempty"`
 }
 
@@ -66,7 +69,7 @@
 	}
 	report := routing.LoadReport{
 		Age:     time.Duration(max(0, body.AgeMS)) * time.Millisecond,
-		Running: body.Running, Waiting: body.Waiting, PendingTokens: body.PendingTokens, MemoryUsed: body.MemoryUsed,
+		Running: body.Running, Waiting: body.Waiting, PendingTokens: body.PendingTokens, MemoryUsed: body.MemoryUsed, SoftwareVersion: body.SoftwareVersion,
 	}
 	for _, m := range body.Models {
 		report.Models = append(report.Models, routing.LoadedModel{Model: m.Name, Version: m.Version, Adapters: m.Adapters})
--- a/upstream/stream.go
+++ b/upstream/stream.go
@@ -30,6 +30,7 @@
 	upstream string
 	id       string
 	response *protocol.Response
+	version  string
 	reader   *sse.Reader
 	reorder  reorderBuffer
 	// resumed streams may start after the chunk with the usage.
@@ -55,7 +56,7 @@
 	}
 	reader.SetMaxBufferSize(maxChunkBytes)
 	s := &httpStream{
-		ctx: ctx, upstream: upstream, id: id, response: response, reader: reader,
+		ctx: ctx, upstream: upstream, id: id, response: response, reader: reader, version: response.Header.Get(HeaderVersion),
 		reorder: reorderBuffer{next: from}, resumed: from > 0, disconnected: make(chan struct{}),
 	}
 	// A caller that disconnects must not wait for an engine that hangs.
@@ -120,6 +121,9 @@
 	return chunk, nil
 }
 
+// Version implements ChatStream.
+func (s *httpStream) Version() string { return s.version }
+
 // Close implements ChatStream. The connection of a complete response returns to the pool once
 // its last bytes are read, which the caller doesn't wait for. Any other connection is closed:
 // draining it would hold it for as long as the engine keeps generating.
