Soak: engines of two versions, callers that take streams up, and the checks

One of the three engines runs another version of its software, half of the seeds restart engines under their ids as the other one, some time before their entries say so, and four callers take up streams that broke off, at any node. Checked: no more than two streams hold events of two versions; of twelve or more streams taken up while nothing disturbs their node or the upstreams, at least half as large a share goes on as of new ones begins. Steps of known seeds stay as they were: the new ones have numbers of their own.

--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -52,6 +52,8 @@
 	violations = append(violations, h.checkNoRollback()...)
 	violations = append(violations, h.checkOnlySentCalls()...)
 	violations = append(violations, h.checkPrepaid()...)
+	violations = append(violations, h.checkVersions()...)
+	violations = append(violations, h.checkTakenUp()...)
 	return append(violations, h.checkRecovery()...)
 }
 
@@ -92,11 +94,11 @@
 		return nil
 	}
 	for i, event := range o.Events {
-		if event != i+1 {
+		if event != r.call.ResumeAfter+i+1 {
 			return []Violation{{"whole answers", fmt.Sprintf("%s got events %v", r.call.ID, o.Events)}}
 		}
 	}
-	if len(o.Events) != eventsPerStream {
+	if r.call.ResumeAfter+len(o.Events) != eventsPerStream {
 		return []Violation{{"whole answers", fmt.Sprintf("%s ended after %d events", r.call.ID, len(o.Events))}}
 	}
 	return nil
--- a/internal/soak/check_test.go
+++ b/internal/soak/check_test.go
@@ -99,6 +99,32 @@
 	h.send("sent", sent, standin.Arrival{Leaving: true})
 }
 
+// takeUp has callers read a number of streams that break off, and take them up at another node, where they go on at
+// a version or, if it is empty, are refused.
+func (h *history) takeUp(count int, version string) {
+	h.nodeNumbers["m"] = 1
+	for i := range count {
+		first, run := successfulCall(fmt.Sprintf("first-%d", i), standin.StreamRoute)
+		first.account, run.Account, first.node, first.end = streamAccount, streamAccount, "n", at(100)
+		first.outcome.Events, first.outcome.Complete, first.outcome.Versions = first.outcome.Events[:5], false, []string{standin.FirstVersion}
+		h.spans = append(h.spans, spanOf(Step{Kind: KillNode, Target: 2}, 99.5, 100.5)) // why it broke off
+		later, laterRun := successfulCall(fmt.Sprintf("later-%d", i), standin.StreamRoute)
+		later.account, laterRun.Account, later.node, later.start, later.end = streamAccount, streamAccount, "m", at(101), at(102)
+		later.call.Resumes, later.call.ResumeAfter = first.call.ID, 5
+		later.outcome.Events, later.outcome.Versions = later.outcome.Events[5:], []string{version}
+		if version == "" {
+			later.outcome = standin.Outcome{Status: http.StatusServiceUnavailable, Complete: true}
+		} else {
+			h.runs[later.call.ID] = []standin.Run{laterRun}
+		}
+		begun, begunRun := successfulCall(fmt.Sprintf("begun-%d", i), standin.StreamRoute)
+		begun.account, begunRun.Account, begun.node, begun.start, begun.end = streamAccount, streamAccount, "m", at(101), at(102)
+		h.records = append(h.records, first, later, begun)
+		h.runs[first.call.ID], h.runs[begun.call.ID] = []standin.Run{run}, []standin.Run{begunRun}
+	}
+	h.prepaid[streamAccount] = streamPrepaid
+}
+
 func (h *history) recordOf(route standin.Route) *callRecord {
 	i := slices.IndexFunc(h.records, func(r callRecord) bool { return r.call.Route.Name == route.Name })
 	return &h.records[i]
@@ -152,6 +178,12 @@
 		}},
 		{"an upstream gets requests during the pause that it asked for", "requested pauses", func(h *history) { h.shedWithPause(100.6, 101, 102.9) }},
 		{"an upstream leaves and gets a request", "leaving upstreams", func(h *history) { h.leave(100, 103.1) }},
+		{"streams hold events of two versions", "one version in a stream", func(h *history) { h.takeUp(3, secondVersion) }},
+		{"a stream within one answer, and two taken up, hold events of two versions", "one version in a stream", func(h *history) {
+			h.takeUp(2, secondVersion)
+			h.recordOf(standin.StreamRoute).outcome.Versions = []string{standin.FirstVersion, secondVersion}
+		}},
+		{"streams that are taken up are refused", "streams taken up", func(h *history) { h.takeUp(12, "") }},
 		{"a node that is cut from upstreams refuses what others serve", "cut from upstreams", func(h *history) { h.cutFromUpstreams(95, 9) }},
 		{"a node cuts a stream while another is cut from upstreams", "no needless cuts", func(h *history) {
 			h.cut(standin.NonResumableRoute, 101)
@@ -233,6 +265,12 @@
 			h.cut(standin.NonResumableRoute, 101)
 			h.spans = []span{spanOf(Step{Kind: NodeUpstreamsReset, Target: 2}, 90, 110), spanOf(Step{Kind: KillNode, Target: 1}, 100.5, 101.5)}
 		}},
+		{"two streams hold events of two versions", func(h *history) { h.takeUp(2, secondVersion) }},
+		{"streams that are taken up go on at their version", func(h *history) { h.takeUp(20, standin.FirstVersion) }},
+		{"streams that are taken up are refused while an upstream fails", func(h *history) {
+			h.takeUp(12, "")
+			h.spans = append(h.spans, spanOf(Step{Kind: UpstreamFails}, 100, 102))
+		}},
 		{"a leaving upstream gets a request soon", func(h *history) { h.leave(100, 102.9) }},
 		{"a leaving upstream gets a request after the node was paused", func(h *history) {
 			h.leave(100, 103.1)
--- a/internal/soak/fleet.go
+++ b/internal/soak/fleet.go
@@ -13,6 +13,8 @@
 )
 
 const (
+	// upstreamCount is the number of upstreams, of which the first engineCount are model engines.
+	upstreamCount, engineCount = 5, 3
 	// eventsPerStream is the number of events in each stream.
 	eventsPerStream = 20
 	// heartbeatInterval is how often upstreams renew their store entries.
@@ -45,6 +47,8 @@
 	// states are the states in the upstreams' entries, faults the upstreams' faults.
 	states []string
 	faults []standin.Faults
+	// versions are the versions of the upstreams' software.
+	versions []string
 	// routes are the routes added so far, spans the steps executed so far.
 	routes []addedRoute
 	spans  []span
@@ -62,12 +66,16 @@
 	f.operator = &standin.Operator{Store: f.store, Accounts: []standin.Account{{Name: "one", Keys: []string{"key-one"}, Prepaid: initialPrepaid}, {Name: "two", Keys: []string{"key-two"}, Prepaid: initialPrepaid},
 		{Name: streamAccount, Keys: []string{"key-" + streamAccount}, Prepaid: streamPrepaid}}, ExtraRoutes: []standin.Route{longStreamRoute}}
 	f.operator.Configure()
-	for i := range 5 {
+	for i := range upstreamCount {
 		service, events := standin.EngineService, eventsPerStream
-		if i >= 3 {
+		if i >= engineCount {
 			service, events = standin.PlainService, 0
 		}
 		e := standin.NewEngine(fmt.Sprintf("u%d", i), service, "dc", events)
+		f.versions = append(f.versions, standin.FirstVersion)
+		if i == 1 {
+			e.Version, f.versions[i] = secondVersion, secondVersion
+		}
 		proxy, err := NewProxy(e.Address())
 		if err != nil {
 			return nil, errors.Trace(err)
@@ -204,6 +212,8 @@
 			func(x *standin.Faults) { x.Shed, x.ShedEvery, x.RetryAfter = false, 0, "" })
 	case UpstreamLeaves:
 		f.leave(s)
+	case UpstreamChangesVersion:
+		f.changeVersion(s.Target)
 	case TopUp:
 		f.topUp()
 	case NewRoute:
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -32,6 +32,7 @@
 	UpstreamLeaves          Kind = "upstream leaves"
 	NodeUpstreamsSilent     Kind = "node cut from all upstreams"
 	NodeUpstreamsReset      Kind = "node's connections to all upstreams reset, then cut"
+	UpstreamChangesVersion  Kind = "upstream restarts under its ID as another version"
 	TopUp                   Kind = "top-up"
 	NewRoute                Kind = "new route"
 )
@@ -119,6 +120,7 @@
 		plan = append(plan, s)
 	}
 	plan = append(plan, cutsFromUpstreams(rand.New(rand.NewPCG(seed, 2)), length, nodes)...)
+	plan = append(plan, restartsAsOtherVersion(rand.New(rand.NewPCG(seed, 3)), length)...)
 	slices.SortStableFunc(plan, func(a, b Step) int { return cmp.Compare(a.At, b.At) })
 	return plan
 }
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -35,6 +35,9 @@
 // Guards against nodes that fail their callers while they reach no upstream and other nodes do.
 func TestNodesCutFromUpstreamsServe(t *testing.T) { testSeed(t, 192) }
 
+// Guards against streams that go on, within one answer or at another node, at another version of the upstreams' software.
+func TestStreamsKeepTheirVersion(t *testing.T) { testSeed(t, 2) }
+
 // testSeed runs a seed and reports its violations.
 func testSeed(t *testing.T, seed uint64) {
 	t.Parallel()
--- a/internal/soak/workload.go
+++ b/internal/soak/workload.go
@@ -62,6 +62,9 @@
 	for i := range streamCallerCount {
 		wait.Go(func() { w.runStreamCaller(streamCtx, i) })
 	}
+	for i := range resumingCallerCount {
+		wait.Go(func() { w.runResumingCaller(streamCtx, i) })
+	}
 	wait.Wait()
 }
 
