--- a/streamorigin/reader.go
+++ b/streamorigin/reader.go
@@ -17,6 +17,8 @@
 	// readTimeout bounds one reading of the topic: a connection and an answer from another region, with room
 	// for a slow store.
 	readTimeout = 400 * time.Millisecond
+	// endTimeout bounds the question for the end of the topic: an answer from another region takes half of it.
+	endTimeout = 130 * time.Millisecond
 	// failurePause is for how long after a failed reading none is begun for a caller that waits.
 	failurePause = time.Second
 )
@@ -85,16 +87,8 @@
 func (r *reader) run(current *reading) {
 	ctx, cancel := context.WithTimeout(context.Background(), readTimeout)
 	defer cancel()
-	records, _, err := r.topic.Newest(ctx, func() {})
-	current.err = errors.Trace(err)
-	if err == nil {
-		var undecodable []string
-		current.view, undecodable = decodeView(records)
-		r.last.Store(current.view)
-		for _, key := range undecodable {
-			r.events.Record(event.BatchVoid, "topic", TopicName, "key", key)
-		}
-	}
+	v, err := r.readView(ctx)
+	current.view, current.err = v, errors.Trace(err)
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.failedAt = 0
@@ -107,3 +101,30 @@
 		r.startNext()
 	}
 }
+
+// readView reads the topic. While no node has streams to tell, a small question usually shows that nothing changed.
+func (r *reader) readView(ctx context.Context) (*view, error) {
+	if last := r.last.Load(); last != nil && len(last.streams) == 0 && r.isCurrent(ctx, last) {
+		return last, nil
+	}
+	records, end, err := r.topic.Newest(ctx, func() {})
+	if err != nil {
+		return nil, errors.Trace(err)
+	}
+	v, undecodable := decodeView(records)
+	v.end = end
+	r.last.Store(v)
+	for _, key := range undecodable {
+		r.events.Record(event.BatchVoid, "topic", TopicName, "key", key)
+	}
+	return v, nil
+}
+
+// isCurrent reports whether the topic ends where a view was read. A connection that is open but dead must not use up
+// the time of the reading.
+func (r *reader) isCurrent(ctx context.Context, v *view) bool {
+	ctx, cancel := context.WithTimeout(ctx, endTimeout)
+	defer cancel()
+	end, err := r.topic.End(ctx)
+	return err == nil && end == v.end
+}
--- a/streamorigin/record.go
+++ b/streamorigin/record.go
@@ -98,6 +98,8 @@
 	versions map[string][]string
 	streams  map[uint64]Origin
 	keys     []string
+	// end is the offset at which the topic ended.
+	end int64
 }
 
 // decodeView decodes the newest records. It passes over those that can't be decoded and returns their keys.
--- a/streamorigin/registry_test.go
+++ b/streamorigin/registry_test.go
@@ -136,6 +136,13 @@
 	return t.Topic.Newest(ctx, progress)
 }
 
+func (t *nodeTopic) End(ctx context.Context) (int64, error) {
+	if err := t.err(); err != nil {
+		return 0, err
+	}
+	return t.Topic.End(ctx)
+}
+
 func (t *nodeTopic) Append(ctx context.Context, fence keyedlog.Fence, records ...keyedlog.Record) error {
 	if err := t.err(); err != nil {
 		return err
--- /dev/null
+++ b/streamorigin/search.go
@@ -0,0 +1,126 @@
+package streamorigin
+
+import (
+	"context"
+	"time"
+
+	"github.com/juju/errors"
+)
+
+// search is the search for where one stream began: in the store and, if that is slow or doesn't know, at other nodes.
+type search struct {
+	registry *Registry
+	request  Request
+	// stored receives the store's answer.
+	stored chan storeAnswer
+	votes  ballot
+}
+
+// storeAnswer is what the topic says, or why it couldn't be read.
+type storeAnswer struct {
+	view *view
+	err  error
+}
+
+// peerAnswer is what another node says, or why it didn't.
+type peerAnswer struct {
+	reply Reply
+	err   error
+}
+
+func (s *search) readStore(ctx context.Context) {
+	v, err := s.registry.reader.read(ctx)
+	s.stored <- storeAnswer{v, err}
+}
+
+func (s *search) run(ctx context.Context) (Resolution, error) {
+	service := s.request.Service
+	s.votes = ballot{service: service, versions: s.registry.knownVersions(service)}
+	headStart := time.NewTimer(storeHeadStart)
+	defer headStart.Stop()
+	select {
+	case answer := <-s.stored:
+		if found, ok := s.addStore(answer); ok {
+			return found, nil
+		}
+	case <-headStart.C:
+	case <-ctx.Done():
+		return Resolution{}, errors.Trace(context.Cause(ctx))
+	}
+	return s.askPeers(ctx)
+}
+
+// addStore takes the store's answer into account and reports whether it says where the stream began.
+func (s *search) addStore(answer storeAnswer) (Resolution, bool) {
+	s.stored = nil
+	if answer.err != nil {
+		s.votes.lastError = answer.err
+		return Resolution{}, false
+	}
+	service := s.request.Service
+	if o, found := answer.view.streams[hashAttempt(s.request.Attempt)]; found && s.request.Attempt != "" {
+		return Resolution{o, FromStore}, true
+	}
+	s.votes.storeAnswered = true
+	s.votes.versions = union(answer.view.versions[service], s.registry.listed(service))
+	if len(s.votes.versions) == 1 {
+		return Resolution{Origin{Service: service, Version: s.votes.versions[0]}, OnlyVersion}, true
+	}
+	return Resolution{}, false
+}
+
+// askPeers asks other nodes while the store may still answer.
+func (s *search) askPeers(ctx context.Context) (Resolution, error) {
+	peers, known := s.registry.deps.Peers()
+	if !known {
+		return Resolution{}, errors.New("the other nodes aren't known yet")
+	}
+	peers = sample(peers, maxAsked)
+	s.votes.asked = len(peers)
+	answers := make(chan peerAnswer, len(peers))
+	for _, peer := range peers {
+		go func() {
+			reply, err := s.registry.deps.Transport.Ask(ctx, peer.Address, s.request)
+			answers <- peerAnswer{reply, err}
+		}()
+	}
+	var grace <-chan time.Time
+	for open := len(peers); open > 0 || s.stored != nil; {
+		if grace == nil && s.votes.hasMajority() {
+			grace = time.After(graceForOthers)
+		}
+		select {
+		case answer := <-s.stored:
+			if found, ok := s.addStore(answer); ok {
+				return found, nil
+			}
+		case answer := <-answers:
+			open--
+			if found, ok := s.addPeer(answer); ok {
+				return found, nil
+			}
+		case <-grace:
+			return s.votes.decide()
+		case <-ctx.Done():
+			return s.votes.decide()
+		}
+	}
+	return s.votes.decide()
+}
+
+// addPeer takes another node's answer into account and reports whether it says where the stream began.
+func (s *search) addPeer(answer peerAnswer) (Resolution, bool) {
+	switch {
+	case answer.err != nil:
+		s.votes.lastError = answer.err
+	case answer.reply.Found:
+		return Resolution{answer.reply.Origin, FromPeer}, true
+	default:
+		s.votes.add(answer.reply)
+		if s.votes.fromStore && len(s.votes.versions) == 1 {
+			found, err := s.votes.decide()
+			return found, err == nil
+		}
+	}
+	return Resolution{}, false
+}
