An upstream that restarted isn't avoided since a stream couldn't go on there

A stream that goes on is not sent to another incarnation than that of the entry. That was counted as a failed connection, and the upstream got nothing for half a second, although it had just come back.

--- a/gateway/origin_test.go
+++ b/gateway/origin_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"strings"
 	"sync"
@@ -101,3 +102,24 @@
 type failingReader struct{}
 
 func (failingReader) Read([]byte) (int, error) { return 0, errors.New("broken off") }
+
+// Guards against avoiding an upstream, or using up retries, since a stream could not go on at its new incarnation.
+func TestOtherIncarnationIsNoFailure(t *testing.T) {
+	is := is.New(t)
+	sends := 0
+	tg := newTestGateway(0, func(_ context.Context, u *directory.Upstream, d *Dispatch) (*Response, error) {
+		is.Equal(d.Identity, IdentityRequired)
+		if sends++; sends < 4 {
+			is.Equal(u.FailureScore(0), 0.0)
+			return nil, fmt.Errorf("%w: %w", ErrNotSent, ErrOtherIncarnation)
+		}
+		return newResponse(200, true, strings.NewReader(numberedEvents(11, 20))), nil
+	})
+	tg.origins.known["first"] = streamorigin.Origin{Service: "s", Version: "v1"}
+	sink := tg.takeUp("first")
+	is.Equal(sink.status, 200)
+	is.Equal(sink.body.String(), numberedEvents(11, 20))
+	for _, u := range tg.Directory.Current().Upstreams("s") {
+		is.Equal(u.FailureScore(tg.clock.Now()), 0.0)
+	}
+}
--- a/gateway/send.go
+++ b/gateway/send.go
@@ -108,6 +108,11 @@
 		c.callerGone, c.closeUnhandled = true, true
 		return notRun
 	}
+	if errors.Is(err, ErrOtherIncarnation) { // nothing is wrong with the upstream, nor with the path to it
+		c.unsent++
+		c.g.Events.Record(event.AnswerRejected, "request", c.r.ID, "upstream", u.ID, "not_sent", true, "error", err)
+		return notRun
+	}
 	notSent := errors.Is(err, ErrNotSent)
 	silent := errors.Is(context.Cause(ctx), errUpstreamSilent)
 	if ctx.Err() == nil || silent {
@@ -117,10 +122,6 @@
 	if !notSent {
 		return mayHaveRun
 	}
-	if errors.Is(err, ErrOtherIncarnation) {
-		c.unsent++ // nothing is wrong with the path, and waiting for it would bring nothing
-		return notRun
-	}
 	c.unreached = append(c.unreached, u)
 	if !errors.Is(err, reach.ErrIsolated) {
 		c.unsent++
