--- a/internal/soak/streams.go
+++ b/internal/soak/streams.go
@@ -6,7 +6,6 @@
 	"math/rand/v2"
 	"net/http"
 	"slices"
-	"sync"
 	"time"
 
 	"lavenderpin.dev/lavenderpin/platform/standin"
@@ -32,36 +31,29 @@
 
 // runResumingCaller reads streams. One that breaks off it takes up at a node that it draws.
 func (w *workload) runResumingCaller(ctx context.Context, number int) {
-	r := rand.New(rand.NewPCG(w.seed, uint64(300+number)))
-	c := standin.NewCaller()
-	defer c.Close()
-	book := newAddressBook(w.fleet, c, number)
-	var streams sync.WaitGroup
-	defer streams.Wait()
-	for sent := 0; ctx.Err() == nil; sent++ {
-		time.Sleep(time.Duration(r.Int64N(int64(2 * meanStreamInterval))))
+	w.openStreams(ctx, number, 300, func(s streamCaller, sent int) func() {
 		call := standin.Call{ID: fmt.Sprintf("%d-r%d-%d", w.seed, number, sent), Route: standin.StreamRoute, Deadline: callTimeout,
-			EventInterval: time.Duration(r.Int64N(int64(resumableEventInterval)))}
-		addresses := make([]string, 0, maxStreamTries)
+			EventInterval: time.Duration(s.r.Int64N(int64(resumableEventInterval)))}
+		var addresses []string
 		for range maxStreamTries {
-			if address, ok := book.address(ctx, r); ok {
+			if address, ok := s.book.address(ctx, s.r); ok {
 				addresses = append(addresses, address)
 			}
 		}
-		streams.Go(func() { w.readStream(ctx, c, book, addresses, call) })
-	}
+		return func() { w.readStream(ctx, s, addresses, call) }
+	})
 }
 
 // readStream reads one stream, with a try at each address until it is complete.
-func (w *workload) readStream(ctx context.Context, c *standin.Caller, book *addressBook, addresses []string, call standin.Call) {
+func (w *workload) readStream(ctx context.Context, s streamCaller, addresses []string, call standin.Call) {
 	try := call
 	for i, address := range addresses {
 		if i > 0 {
 			try.ID = fmt.Sprintf("%s.%d", call.ID, i)
 			time.Sleep(resumePause)
 		}
-		o := w.call(ctx, c, address, streamAccount, try)
-		book.observe(o)
+		o := w.call(ctx, s.caller, address, streamAccount, try)
+		s.book.observe(o)
 		if o.Complete && o.Signed {
 			return
 		}
--- a/internal/soak/workload.go
+++ b/internal/soak/workload.go
@@ -91,17 +91,35 @@
 
 // runStreamCaller sends long streams without waiting for the end of earlier ones.
 func (w *workload) runStreamCaller(ctx context.Context, number int) {
-	r := rand.New(rand.NewPCG(w.seed, uint64(200+number)))
-	c := standin.NewCaller()
-	defer c.Close()
-	book := newAddressBook(w.fleet, c, number)
+	w.openStreams(ctx, number, 200, func(s streamCaller, sent int) func() {
+		call := standin.Call{ID: fmt.Sprintf("%d-s%d-%d", w.seed, number, sent), Route: longStreamRoute, Deadline: longStreamTimeout, EventInterval: eventInterval(s.r)}
+		address, ok := s.book.address(ctx, s.r)
+		if !ok {
+			return nil
+		}
+		return func() { s.book.observe(w.call(ctx, s.caller, address, streamAccount, call)) }
+	})
+}
+
+// streamCaller is a caller of streams with the nodes that it knows.
+type streamCaller struct {
+	r      *rand.Rand
+	caller *standin.Caller
+	book   *addressBook
+}
+
+// openStreams runs the streams that next returns, which may be nil, at random intervals until ctx ends. It returns
+// when all have ended. group tells the random numbers of kinds of callers apart.
+func (w *workload) openStreams(ctx context.Context, number, group int, next func(s streamCaller, sent int) func()) {
+	s := streamCaller{r: rand.New(rand.NewPCG(w.seed, uint64(group+number))), caller: standin.NewCaller()}
+	defer s.caller.Close()
+	s.book = newAddressBook(w.fleet, s.caller, number)
 	var streams sync.WaitGroup
 	defer streams.Wait()
 	for sent := 0; ctx.Err() == nil; sent++ {
-		time.Sleep(time.Duration(r.Int64N(int64(2 * meanStreamInterval))))
-		call := standin.Call{ID: fmt.Sprintf("%d-s%d-%d", w.seed, number, sent), Route: longStreamRoute, Deadline: longStreamTimeout, EventInterval: eventInterval(r)}
-		if address, ok := book.address(ctx, r); ok {
-			streams.Go(func() { book.observe(w.call(ctx, c, address, streamAccount, call)) })
+		time.Sleep(time.Duration(s.r.Int64N(int64(2 * meanStreamInterval))))
+		if stream := next(s, sent); stream != nil {
+			streams.Go(stream)
 		}
 	}
 }
