--- a/streamorigin/ballot.go
+++ b/streamorigin/ballot.go
@@ -11,7 +11,9 @@
 	// storeAnswered whether it answered this node.
 	asked, answered          int
 	fromStore, storeAnswered bool
-	lastError                error
+	// hasRead reports whether this process has read the topic at all.
+	hasRead   bool
+	lastError error
 }
 
 func (b *ballot) add(reply Reply) {
@@ -25,7 +27,8 @@
 
 // decide returns the only version at which the stream can have begun. If the store answers nobody, it is taken for
 // down once most nodes say so: no version can be declared then. A node that is cut off with few others can't tell,
-// as the rest of the fleet may have learned of a version meanwhile.
+// as the rest of the fleet may have learned of a version meanwhile; nor can one that has just started and never reached
+// the store.
 func (b *ballot) decide() (Resolution, error) {
 	if len(b.versions) != 1 {
 		return Resolution{}, errors.Errorf("the service has the versions %q; %d of %d nodes that were asked answered and don't know the stream (%v)", b.versions, b.answered, b.asked, b.lastError)
@@ -34,7 +37,7 @@
 	switch {
 	case b.fromStore:
 		return Resolution{only, OnlyVersion}, nil
-	case !b.storeAnswered && b.hasMajority():
+	case !b.storeAnswered && b.hasRead && b.hasMajority():
 		return Resolution{only, OnlyVersionOfNodes}, nil
 	}
 	return Resolution{}, errors.Errorf("the store doesn't answer, and %d of %d nodes that were asked do (%v)", b.answered, b.asked, b.lastError)
--- a/streamorigin/registry_test.go
+++ b/streamorigin/registry_test.go
@@ -309,6 +309,17 @@
 	}, "v1")
 }
 
+// Guards against a node that starts while the store is down, knows no other node yet, and decides alone.
+func TestNodeThatNeverReachedTheStoreDecidesNothing(t *testing.T) {
+	inBubble(t, func(is *is.I, f *testFleet) {
+		f.cut(f.cutFromStore, "a")
+		a := f.addNode("a")
+		time.Sleep(time.Second)
+		_, err := a.Resolve(f.ctx, "s", "any")
+		is.True(err != nil)
+	}, "v1")
+}
+
 // Guards against a second version that stays declared for ever, which would have all streams told, and against
 // deleting one that callers may still name.
 func TestVersionWithoutUpstreamsIsRetired(t *testing.T) {
--- a/streamorigin/search.go
+++ b/streamorigin/search.go
@@ -35,7 +35,7 @@
 
 func (s *search) run(ctx context.Context) (Resolution, error) {
 	service := s.request.Service
-	s.votes = ballot{service: service, versions: s.registry.knownVersions(service)}
+	s.votes = ballot{service: service, versions: s.registry.knownVersions(service), hasRead: s.registry.reader.last.Load() != nil}
 	headStart := time.NewTimer(storeHeadStart)
 	defer headStart.Stop()
 	select {
