--- a/cmd/lavenderstub/main.go
+++ b/cmd/lavenderstub/main.go
@@ -57,7 +57,8 @@
 	Swap      int           `help:"Send every nth chunk after the one that follows it; 0 disables it."`
 	Forget    bool          `help:"Keep no streams for callers that resume."`
 
-	IgnoreFencing bool `help:"Accept orders with an outdated fencing number."`
+	IgnoreFencing   bool   `help:"Accept orders with an outdated fencing number."`
+	SoftwareVersion string `help:"Version of the engine's software, told in each answer; none if empty."`
 }
 
 // Run serves until a signal cancels ctx.
@@ -67,7 +68,7 @@
 		return errors.Trace(err)
 	}
 	engine := standin.NewEngine(listener, standin.EngineOptions{TokenTime: c.TokenTime, CutAfter: c.CutAfter, Cross: c.Cross,
-		Duplicate: c.Duplicate, Swap: c.Swap, Forget: c.Forget, IgnoreFencing: c.IgnoreFencing})
+		Duplicate: c.Duplicate, Swap: c.Swap, Forget: c.Forget, IgnoreFencing: c.IgnoreFencing, Version: c.SoftwareVersion})
 	stop := context.AfterFunc(ctx, engine.Close)
 	defer stop()
 	return errors.Trace(engine.Run())
--- a/event/describe.go
+++ b/event/describe.go
@@ -53,6 +53,8 @@
 	RequestAdmitted:    "{tokens} tokens of budget {budget} were reserved for request {request} of account {account}.",
 	RequestRefused:     "A request of account {account} was refused with code {code}: {why}.",
 	RequestDispatched:  "Request {request} was sent to {upstream}.",
+	StreamTakenUp:      "The caller took up the stream that attempt {resumes} began, after event {after}. It began at version {version} of {service}, as this node knows by: {source}.",
+	VersionUncertain:   "Request {request} began at {upstream}, which had restarted since its entry (version {version}): its version isn't known.",
 	RequestFinished:    "The caller got the complete response; {tokens} tokens are billed.",
 	RequestFailed:      "The request failed with code {code}: {why}. Nothing is billed.",
 	CallerLeft:         "The caller disconnected before the response was complete; {tokens} tokens are billed.",
