--- a/internal/ci/gate/gate_test.go
+++ b/internal/ci/gate/gate_test.go
@@ -31,9 +31,11 @@
 func TestKnownRedPassesAndIsPrinted(t *testing.T) {
 	is := is.New(t)
 	ok, printed := runGate(onePassingTest+
+		`{"Action":"output","Package":"p","Test":"TestOld/sub","Output":"the cause\n"}`+"\n"+
 		`{"Action":"fail","Package":"p","Test":"TestOld/sub"}`+"\n"+
 		`{"Action":"fail","Package":"p","Test":"TestOld"}`+"\n", knownFailures{"TestOld (go test p): cause; issue 4"})
 	is.True(ok)
+	is.True(strings.HasPrefix(printed, "the cause\n"))
 	is.True(strings.Contains(printed, "KNOWN RED (2 failed): TestOld (go test p): cause; issue 4"))
 }
 
--- a/internal/ci/gate/summary.go
+++ b/internal/ci/gate/summary.go
@@ -60,8 +60,8 @@
 	}
 }
 
-// report prints the result and returns whether CI passes. Known failures come first, one
-// line each. Unexpected failures come last with their full output, because readers see
+// report prints the result and returns whether CI passes. Known failures come first: the output of
+// those that occurred, and one line for each. Unexpected failures come last with their full output, because readers see
 // the end of a long log first.
 func (s *runSummary) report(w io.Writer, known knownFailures) bool {
 	var unexpected []testID
@@ -69,6 +69,7 @@
 	for _, id := range s.failed {
 		if entry := known.entryFor(id.Test); entry != "" {
 			failedByEntry[entry]++
+			_, _ = fmt.Fprint(w, strings.Join(s.output[id], "")) // such a failure may be rare, and another than the listed one
 		} else {
 			unexpected = append(unexpected, id)
 		}
