Count upstreams by version instead of passing all of them at each look

A look at the versions of all services passed every upstream for each service: 19.3 ms at 3,900 upstreams and 38 services, several times a second on every node.

--- a/directory/table.go
+++ b/directory/table.go
@@ -38,8 +38,8 @@
 	departed *departed
 	// storeFailedAt is when reading the store last failed; zero if never.
 	storeFailedAt time.Duration
-	// versionsGone holds when an upstream of each version last left the table.
-	versionsGone map[serviceVersion]time.Duration
+	// versions holds the versions of the upstreams of each service, also those that have left, by service.
+	versions map[string]versionUses
 	current      atomic.Pointer[Snapshot]
 	// synced is closed once Replace has been called, which the first full read does.
 	synced     chan struct{}
@@ -48,7 +48,7 @@
 
 // NewTable returns an empty table.
 func NewTable(clock bootclock.Clock) *Table {
-	t := &Table{clock: clock, entries: make(map[string]*Upstream), departed: newDeparted(), versionsGone: make(map[serviceVersion]time.Duration), synced: make(chan struct{})}
+	t := &Table{clock: clock, entries: make(map[string]*Upstream), departed: newDeparted(), versions: make(map[string]versionUses), synced: make(chan struct{})}
 	t.current.Store(&Snapshot{})
 	return t
 }
@@ -135,8 +135,9 @@
 	default:
 		u.Stats = known.Stats
 	}
-	if exists && old.serviceVersion() != u.serviceVersion() {
-		t.recordVersionGone(old)
+	t.addVersion(u)
+	if exists {
+		t.removeVersion(old)
 	}
 	t.entries[e.ID] = u
 	switch {
@@ -173,7 +174,7 @@
 // depart moves an upstream whose entry is gone to the departed ones. The caller must hold mu.
 func (t *Table) depart(u *Upstream, now time.Duration) {
 	delete(t.entries, u.ID)
-	t.recordVersionGone(u)
+	t.removeVersion(u)
 	t.departed.add(u, now)
 }
 
--- a/directory/versions_test.go
+++ b/directory/versions_test.go
@@ -1,6 +1,7 @@
 package directory
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -25,3 +26,22 @@
 	is.Equal(table.Versions("s", time.Minute), []string{"v2"})
 	is.Equal(len(table.Versions("other", time.Minute)), 0)
 }
+
+// BenchmarkVersions measures one look at the versions of all services of a large fleet.
+func BenchmarkVersions(b *testing.B) {
+	table, _ := newEmptyTable()
+	services := make([]string, 38)
+	for i := range services {
+		services[i] = fmt.Sprint("s", i)
+	}
+	updates := make([]Update, 3900)
+	for i := range updates {
+		updates[i].Entry = Entry{ID: fmt.Sprint(i), Service: services[i%len(services)], Version: "v1", State: Ready, StartedAt: 1}
+	}
+	table.Apply(updates)
+	for b.Loop() {
+		for _, s := range services {
+			table.Versions(s, time.Minute)
+		}
+	}
+}
