--- a/httpwire/exchange.go
+++ b/httpwire/exchange.go
@@ -44,14 +44,10 @@
 }
 
 func (c *Client) do(ctx context.Context, address string, r *Request, newConn bool) (*Response, error) {
-	cn, err := c.acquire(ctx, address, newConn)
+	cn, err := c.acquireChecked(ctx, address, r, newConn)
 	if err != nil {
 		return nil, err
 	}
-	if err := r.checkConn(ctx, &Conn{client: c, address: address, conn: cn}); err != nil {
-		_ = cn.Close() // its peer isn't the one that was meant, or it broke
-		return nil, fmt.Errorf("%w: %w", ErrNotSent, err)
-	}
 	if err := r.checkWanted(ctx); err != nil {
 		// A request written now would start work for nobody.
 		_ = cn.Close() // nothing was sent on it
--- a/httpwire/request.go
+++ b/httpwire/request.go
@@ -44,13 +44,6 @@
 	return nil
 }
 
-func (r *Request) checkConn(ctx context.Context, c *Conn) error {
-	if r.Check == nil {
-		return nil
-	}
-	return r.Check(ctx, c)
-}
-
 // encode returns the request in wire format.
 func (r *Request) encode() []byte {
 	var b bytes.Buffer
