--- a/directory/table.go
+++ b/directory/table.go
@@ -40,7 +40,7 @@
 	storeFailedAt time.Duration
 	// versions holds the versions of the upstreams of each service, also those that have left, by service.
 	versions map[string]versionUses
-	current      atomic.Pointer[Snapshot]
+	current  atomic.Pointer[Snapshot]
 	// synced is closed once Replace has been called, which the first full read does.
 	synced     chan struct{}
 	syncedOnce sync.Once
