--- a/gateway/origin.go
+++ b/gateway/origin.go
@@ -69,12 +69,12 @@
 // versions differ, or if this node saw the upstream fail, which is all that a restart looks like.
 func (c *call) requiredIdentity(u *directory.Upstream, goesOn bool) Identity {
 	switch {
-	case c.service.Engine == nil || c.route.Kind != catalog.Streaming: // plain services don't tell
+	case c.service.Engine == nil || c.route.Kind != catalog.Streaming: // plain services have no report
 		return IdentityAssumed
 	case goesOn:
 		return IdentityRequired
 	case c.streamResumable() && (c.g.Origins.HasSeveralVersions(c.service.Name) || u.StaleUntil != 0 || u.FailureScore(c.g.Clock.Now()) > doubtfulFailures):
-		return IdentityTold
+		return IdentityReported
 	}
 	return IdentityAssumed
 }
--- a/gateway/ports.go
+++ b/gateway/ports.go
@@ -28,7 +28,7 @@
 	// LastEventID is the last event that the caller has received; valid if HasLastEventID.
 	LastEventID    int64
 	HasLastEventID bool
-	// Identity is how certain it must be that the upstream is the incarnation that its entry tells of.
+	// Identity is how certain it must be that the upstream is the incarnation of its entry.
 	Identity Identity
 	// Weights is the version of the weights that the upstream must have; zero for any.
 	Weights int64
@@ -37,15 +37,15 @@
 }
 
 // Identity is how certain it must be that the process which takes a request is the incarnation of the upstream
-// that its entry tells of. An upstream may come back at its address and under its ID, as another version of its
+// of its entry. An upstream may come back at its address and under its ID, as another version of its
 // software, some time before its new entry can be read.
 type Identity int
 
 const (
 	// IdentityAssumed sends the request to whatever is there.
 	IdentityAssumed Identity = iota
-	// IdentityTold asks who is there first, and sends the request in any case.
-	IdentityTold
+	// IdentityReported asks for the incarnation first, and sends the request in any case.
+	IdentityReported
 	// IdentityRequired sends the request only to the incarnation of the entry.
 	IdentityRequired
 )
@@ -65,14 +65,14 @@
 	NotRun bool
 	// AddressReassigned reports that the address now belongs to another upstream.
 	AddressReassigned bool
-	// Weights is the version of the upstream's weights; zero if it isn't told. OtherWeights reports that the
+	// Weights is the version of the upstream's weights; zero if it isn't reported. OtherWeights reports that the
 	// upstream did not run the request since it has others than the dispatch asked for.
 	Weights      int64
 	OtherWeights bool
-	// OtherIncarnation reports that another incarnation than that of the entry answered, or that it couldn't be
-	// told, although the dispatch asked for it.
+	// OtherIncarnation reports that another incarnation than that of the entry answered, or that it is
+	// unknown, although the dispatch asked for it.
 	OtherIncarnation bool
-	// StartedAt is the start of that incarnation in Unix milliseconds; negative if it couldn't be told.
+	// StartedAt is the start of that incarnation in Unix milliseconds; negative if it is unknown.
 	StartedAt int64
 	// Pause is how long the upstream, which refused the request, wants no others; zero if it
 	// didn't say.
--- a/internal/fake/client.go
+++ b/internal/fake/client.go
@@ -184,7 +184,7 @@
 	close(s.chunks)
 }
 
-// Version implements upstream.ChatStream: these engines don't tell.
+// Version implements upstream.ChatStream: these engines report none.
 func (s *stream) Version() string { return "" }
 
 // Next implements upstream.ChatStream. A crossed or cut answer returns the same error as the
--- a/internal/soak/streams.go
+++ b/internal/soak/streams.go
@@ -31,7 +31,7 @@
 
 // runResumingCaller reads streams. One that breaks off it takes up at a node that it draws.
 func (w *workload) runResumingCaller(ctx context.Context, number int) {
-	w.openStreams(ctx, number, 300, func(s streamCaller, sent int) func() {
+	w.openStreams(ctx, number, resumingGroup, func(s streamCaller, sent int) func() {
 		call := standin.Call{ID: fmt.Sprintf("%d-r%d-%d", w.seed, number, sent), Route: standin.StreamRoute, Deadline: callTimeout,
 			EventInterval: time.Duration(s.r.Int64N(int64(resumableEventInterval)))}
 		var addresses []string
--- a/internal/soak/workload.go
+++ b/internal/soak/workload.go
@@ -91,7 +91,7 @@
 
 // runStreamCaller sends long streams without waiting for the end of earlier ones.
 func (w *workload) runStreamCaller(ctx context.Context, number int) {
-	w.openStreams(ctx, number, 200, func(s streamCaller, sent int) func() {
+	w.openStreams(ctx, number, longStreamGroup, func(s streamCaller, sent int) func() {
 		call := standin.Call{ID: fmt.Sprintf("%d-s%d-%d", w.seed, number, sent), Route: longStreamRoute, Deadline: longStreamTimeout, EventInterval: eventInterval(s.r)}
 		address, ok := s.book.address(ctx, s.r)
 		if !ok {
@@ -101,6 +101,12 @@
 	})
 }
 
+// The groups of stream callers; their numbers keep the random numbers of the groups apart.
+const (
+	longStreamGroup = 200
+	resumingGroup   = 300
+)
+
 // streamCaller is a caller of streams with the nodes that it knows.
 type streamCaller struct {
 	r      *rand.Rand
@@ -109,7 +115,7 @@
 }
 
 // openStreams runs the streams that next returns, which may be nil, at random intervals until ctx ends. It returns
-// when all have ended. group tells the random numbers of kinds of callers apart.
+// when all have ended. group is one of the groups of stream callers.
 func (w *workload) openStreams(ctx context.Context, number, group int, next func(s streamCaller, sent int) func()) {
 	s := streamCaller{r: rand.New(rand.NewPCG(w.seed, uint64(group+number))), caller: standin.NewCaller()}
 	defer s.caller.Close()
--- a/internal/standin/engine.go
+++ b/internal/standin/engine.go
@@ -44,7 +44,7 @@
 	LoadSampleInterval time.Duration
 	// WordPrefix is prepended to each word, so that engines give different answers.
 	WordPrefix string
-	// Version, if not empty, is the version of the engine's software, which it tells in each answer.
+	// Version, if not empty, is the version of the engine's software, which is in each response.
 	Version string
 }
 
--- a/streamorigin/cleaner.go
+++ b/streamorigin/cleaner.go
@@ -16,7 +16,7 @@
 // of incarnations that have ended.
 type cleaner struct {
 	deps *Deps
-	// goneSince is when what each record tells of was first found to be gone, by the record's key.
+	// goneSince is when the version or incarnation of each record was first found to be gone, by the record's key.
 	goneSince map[string]time.Duration
 }
 
@@ -43,7 +43,7 @@
 	return stale
 }
 
-// isOverdue reports whether what a record tells of has been gone for retirementAge, as far as this process saw it.
+// isOverdue reports whether the version or incarnation of a record has been gone for retirementAge, as far as this process saw it.
 func (c *cleaner) isOverdue(key string, present bool, now time.Duration) bool {
 	since, known := c.goneSince[key]
 	switch {
--- a/streamorigin/origin.go
+++ b/streamorigin/origin.go
@@ -10,7 +10,7 @@
 	Service string `json:"service"`
 	// Version is the version of the software of the upstream that began the stream; see Unlisted.
 	Version string `json:"version"`
-	// Weights is the version of the weights that the upstream held; zero if it didn't tell or isn't known. Orders
+	// Weights is the version of the weights that the upstream held; zero if unknown. Orders
 	// change them without a restart, and what two versions generate doesn't fit together either.
 	Weights int64 `json:"weights,omitempty"`
 }
@@ -25,7 +25,7 @@
 	return Origin{Service: service, Version: unlistedPrefix + strconv.FormatInt(startedAt, 10)}
 }
 
-// IsListed reports whether the version is one that upstreams' entries tell.
+// IsListed reports whether the version is from an upstream's entry.
 func (o Origin) IsListed() bool {
 	return o.Version != "" && !strings.HasPrefix(o.Version, unlistedPrefix)
 }
--- a/streamorigin/reader.go
+++ b/streamorigin/reader.go
@@ -102,7 +102,7 @@
 	}
 }
 
-// readView reads the topic. While no node has streams to tell, a small question usually shows that nothing changed.
+// readView reads the topic. While no node has published streams, the end offset usually shows that nothing changed.
 func (r *reader) readView(ctx context.Context) (*view, error) {
 	if last := r.last.Load(); last != nil && len(last.streams) == 0 && r.isCurrent(ctx, last) {
 		return last, nil
--- a/streamorigin/record.go
+++ b/streamorigin/record.go
@@ -16,7 +16,7 @@
 const TopicName = "streams"
 
 // The topic holds two kinds of records: one for each version of a service, and one for each node that has
-// streams to tell.
+// streams to publish.
 const (
 	versionKeyPrefix = "version/"
 	nodeKeyPrefix    = "node/"
--- a/streamorigin/resolve.go
+++ b/streamorigin/resolve.go
@@ -24,8 +24,8 @@
 type Source string
 
 const (
-	// FromTable means that the stream began at this node, FromStore that a node told the store, FromPeer that
-	// another node told this one.
+	// FromTable means that the stream began at this node, FromStore that a node published it, FromPeer that
+	// another node replied with it.
 	FromTable Source = "table"
 	FromStore Source = "store"
 	FromPeer  Source = "peer"
--- a/upstream/client.go
+++ b/upstream/client.go
@@ -22,8 +22,8 @@
 type ChatStream interface {
 	// Next returns the next chunk, or io.EOF after a complete response.
 	Next() (Chunk, error)
-	// Version returns the version of the software of the upstream that sends the response; empty if it doesn't
-	// tell.
+	// Version returns the version of the software of the upstream that sends the response; empty if it
+	// reports none.
 	Version() string
 	Close()
 }
--- a/upstream/notice.go
+++ b/upstream/notice.go
@@ -23,7 +23,7 @@
 	// HeaderBrittle is in each answer of an upstream that falls over if it has to reject more than this
 	// number of requests a second.
 	HeaderBrittle = "X-Upstream-Brittle"
-	// HeaderVersion is the version of the upstream's software in each answer of an upstream that tells it. What
+	// HeaderVersion is the version of the upstream's software in each answer of an upstream that reports it. What
 	// two versions generate doesn't fit together.
 	HeaderVersion = "X-Upstream-Version"
 	// maxPause bounds a pause, so that a mistaken value, such as one in milliseconds, doesn't
