Test model of first prompts: sort the nodes under the lock that their requests to each other take

The map of far nodes is now also filled before the first node starts, as nodes read it without a lock. No check changes.

--- a/edgenode/tokenload_test.go
+++ b/edgenode/tokenload_test.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"context"
 	"fmt"
+	"maps"
 	"math"
 	"math/rand/v2"
 	"net/http"
@@ -125,23 +126,29 @@
 
 // start starts all nodes; far ones read the store over the link.
 func (f *loadFleet) start() {
-	var started sync.WaitGroup
-	startNode := func(name string, i, capacity int) {
+	sites := make(map[string]site)
+	addSite := func(name string, i, capacity int) {
 		s := site{dataCentre: fmt.Sprintf("dc-%d", i%6), region: "near", capacity: capacity, topics: f.topics}
 		if i%2 == 1 {
 			s.region, s.topics = "far", throughLink(f.topics, f.link)
 		}
 		f.far[name] = i%2 == 1
-		started.Go(func() { f.startAt(s, name, f.load.config) })
+		sites[name] = s
 	}
 	f.lendingFrom = func(s site) lending.Transport { return &loanTransport{f, s.region == "far"} }
 	for i := range f.load.large {
-		startNode(fmt.Sprintf("large-%03d", i), i, 4*smallCapacity)
+		addSite(fmt.Sprintf("large-%03d", i), i, 4*smallCapacity)
 	}
 	for i := range f.load.small {
-		startNode(fmt.Sprintf("small-%03d", i), i, smallCapacity/2)
+		addSite(fmt.Sprintf("small-%03d", i), i, smallCapacity/2)
+	}
+	var started sync.WaitGroup
+	for _, name := range slices.Sorted(maps.Keys(sites)) {
+		started.Go(func() { f.startAt(sites[name], name, f.load.config) })
 	}
 	started.Wait()
+	f.testFleet.mu.Lock() // nodes that have started ask each other already
+	defer f.testFleet.mu.Unlock()
 	slices.SortFunc(f.nodes, func(x, y *Node) int { return cmp.Compare(x.settings.Node, y.settings.Node) }) // large ones first
 }
 
