End a node only once what has arrived is answered: connections to accept, requests to read

Cause: the node ended as soon as no request was in flight, while connections waited in the system to be accepted and requests to be read; under load that takes longer than the moment between the last look and the end.

The node now asks the system: a connection to accept (poll), bytes received beyond those of answered requests (TCP_INFO).

--- a/cmd/lavenderedge/closefrontend_test.go
+++ b/cmd/lavenderedge/closefrontend_test.go
@@ -16,7 +16,7 @@
 // Guards against closing a connection whose response has been handed over but not yet written.
 func TestLastResponseIsWrittenBeforeClose(t *testing.T) {
 	is := is.New(t)
-	p := &process{events: newRecorder(platform.Settings{}, logsink.New(io.Discard))}
+	p := &process{events: newRecorder(platform.Settings{}, logsink.New(io.Discard)), callers: newCallerConns()}
 	const size = 64
 	handled := make(chan struct{})
 	p.frontend = p.newServer(p.inFlight.count(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
--- a/cmd/lavenderedge/endpoint.go
+++ b/cmd/lavenderedge/endpoint.go
@@ -13,6 +13,8 @@
 type endpoint struct {
 	address string
 	server  *http.Server
+	// served is called once the server has accepted its last connection; it may be nil.
+	served func()
 }
 
 // serveAll serves on all endpoints until the process exits, or on none: a node that can't open
@@ -30,7 +32,12 @@
 		listeners = append(listeners, listener)
 	}
 	for i, e := range endpoints {
-		go func() { _ = e.server.Serve(listeners[i]) }() // until the process exits
+		go func() {
+			_ = e.server.Serve(listeners[i]) // until the listener is closed, or the process exits
+			if e.served != nil {
+				e.served()
+			}
+		}()
 	}
 	return nil
 }
--- a/cmd/lavenderedge/endpoint_test.go
+++ b/cmd/lavenderedge/endpoint_test.go
@@ -16,7 +16,7 @@
 	is.NoErr(err)
 	defer func() { _ = used.Close() }()
 	frontend := net.JoinHostPort("127.0.0.1", strconv.Itoa(freePort(t)))
-	err = serveAll([]endpoint{{frontend, &http.Server{}}, {used.Addr().String(), &http.Server{}}})
+	err = serveAll([]endpoint{{address: frontend, server: &http.Server{}}, {address: used.Addr().String(), server: &http.Server{}}})
 	is.True(err != nil)
 	_, err = net.Dial("tcp", frontend)
 	is.True(err != nil)
--- a/cmd/lavenderedge/run.go
+++ b/cmd/lavenderedge/run.go
@@ -73,6 +73,7 @@
 	peerClient     *httpwire.Client
 	frontend       *http.Server
 	inFlight       inFlightRequests
+	callers        *callerConns
 	// endRequests cancels the contexts of all open requests.
 	endRequests context.CancelCauseFunc
 }
@@ -224,16 +225,21 @@
 func (p *process) listen() error {
 	handler := &platform.Frontend{Gateway: p.node.Gateway(), Catalog: p.node.Catalog(), Clock: p.clock, Node: p.node}
 	p.frontend = p.newServer(p.inFlight.count(handler))
+	p.callers = newCallerConns()
+	p.frontend.ConnState = p.callers.track
 	var requests context.Context
 	requests, p.endRequests = context.WithCancelCause(context.Background())
 	p.frontend.ConnContext = tcpconn.WithConn
-	p.frontend.BaseContext = func(net.Listener) context.Context { return requests }
+	p.frontend.BaseContext = func(l net.Listener) context.Context {
+		p.callers.listen(l)
+		return requests
+	}
 	directory := &platform.Directory{Node: p.node, TTL: min(addressTTL, p.settings.Bounds.AddressTTL)}
 	return serveAll([]endpoint{
-		{p.settings.Frontend, p.frontend},
-		{p.peerAddress(), p.newServer(p.node.PeerRoutes())},
-		{p.settings.Directory, p.newServer(directory.Routes())},
-		{p.settings.Ready, p.newServer(platform.ReadyRoutes(p.node, expvar.Handler()))},
+		{address: p.settings.Frontend, server: p.frontend, served: p.callers.served},
+		{address: p.peerAddress(), server: p.newServer(p.node.PeerRoutes())},
+		{address: p.settings.Directory, server: p.newServer(directory.Routes())},
+		{address: p.settings.Ready, server: p.newServer(platform.ReadyRoutes(p.node, expvar.Handler()))},
 	})
 }
 
--- a/cmd/lavenderedge/signals.go
+++ b/cmd/lavenderedge/signals.go
@@ -23,23 +23,33 @@
 	maxEndTime = 100 * time.Millisecond
 	// drainPollInterval is how often the requests in flight are checked.
 	drainPollInterval = 20 * time.Millisecond
+	// newConnTimeout is how long, after the listener was closed, a connection that was accepted before
+	// may take to bring its request: round trips between regions, and a caller that waits for its
+	// processor. Only a caller that connects ahead of its requests delays the end by all of it.
+	newConnTimeout = time.Second
 )
 
 // drain serves until callers no longer hold the node's address and every request has ended,
 // returns the node's budget share and stops. Requests that outlast the grace period are ended.
+// Callers that use the address until nothing answers there are refused by the system once the
+// listener is closed; until then each connection is accepted, and each request answered.
 func (p *process) drain() {
 	start := p.clock.Now()
 	end := start + p.settings.Bounds.Grace - endReserve
 	p.node.Leave(drain.Window{AddressesExpire: start + addressTTL + addressPropagation, End: end})
+	p.callers.leave()
 	p.pollUntil(start+min(minDrainTime, p.settings.Bounds.Grace-finalReportReserve), func() bool { return false })
 	p.node.Refuse()
 	p.pollUntil(start+p.settings.Bounds.Grace-finalReportReserve, p.idle)
+	p.pollUntil(p.clock.Now()+maxEndTime, func() bool { return !p.callers.pending() })
+	p.callers.stopAccepting(maxEndTime)
+	newUntil := p.clock.Now() + newConnTimeout
 	stopped := make(chan struct{})
 	go func() {
 		defer close(stopped)
 		p.node.Stop(context.Background())
 	}()
-	p.pollUntil(end, p.idle)
+	p.pollUntil(end, func() bool { return (p.clock.Now() >= newUntil || !p.callers.hasNew()) && p.idle() })
 	p.endRequests(drain.ErrNodeEnds)
 	p.closeFrontend(maxEndTime)
 	<-stopped
@@ -56,10 +66,10 @@
 	}
 }
 
-// idle reports whether no request is open, of a caller here or of another node that this one relays
-// for.
+// idle reports whether no request is open or waits to be read, of a caller here or of another node
+// that this one relays for.
 func (p *process) idle() bool {
-	return p.inFlight.n.Load() == 0 && (p.paths == nil || p.paths.RelayIdle())
+	return p.inFlight.n.Load() == 0 && !p.callers.busy() && (p.paths == nil || p.paths.RelayIdle())
 }
 
 // pollUntil polls until done returns true or a time is reached.
--- a/tcpconn/closed.go
+++ b/tcpconn/closed.go
@@ -26,18 +26,13 @@
 // hasn't read the close yet. It consumes nothing, and others may read from the connection meanwhile. It is
 // false for a connection without a socket.
 func ClosedByPeer(c net.Conn) bool {
-	sc, ok := c.(syscall.Conn)
-	if !ok {
-		return false
-	}
-	raw, err := sc.SyscallConn()
-	if err != nil {
+	if _, ok := c.(syscall.Conn); !ok {
 		return false
 	}
 	closed := false
-	err = raw.Control(func(fd uintptr) {
+	open := control(c, func(fd int) {
 		var b [1]byte
-		n, _, err := unix.Recvfrom(int(fd), b[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
+		n, _, err := unix.Recvfrom(fd, b[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
 		switch err {
 		case nil:
 			closed = n == 0
@@ -46,5 +41,5 @@
 			closed = true // reset, or timed out
 		}
 	})
-	return closed || err != nil // closed by this process
+	return closed || !open // closed by this process
 }
--- a/tcpconn/listen.go
+++ b/tcpconn/listen.go
@@ -31,6 +31,15 @@
 	limits Limits
 }
 
+// SyscallConn returns access to the listening socket.
+func (l *listener) SyscallConn() (syscall.RawConn, error) {
+	sc, ok := l.Listener.(syscall.Conn)
+	if !ok {
+		return nil, errors.NotSupportedf("a listener without a socket")
+	}
+	return sc.SyscallConn()
+}
+
 // Accept waits for the next connection.
 func (l *listener) Accept() (net.Conn, error) {
 	c, err := l.Listener.Accept()
--- /dev/null
+++ b/tcpconn/waiting.go
@@ -0,0 +1,46 @@
+package tcpconn
+
+import (
+	"net"
+	"syscall"
+
+	"golang.org/x/sys/unix"
+)
+
+// Received returns how many bytes the peer has sent, as the system knows, also if the process hasn't read them
+// yet; a close counts as one. It is 0 for a connection without a socket.
+func Received(c net.Conn) uint64 {
+	received := uint64(0)
+	control(c, func(fd int) {
+		if info, err := unix.GetsockoptTCPInfo(fd, unix.IPPROTO_TCP, unix.TCP_INFO); err == nil {
+			received = info.Bytes_received
+		}
+	})
+	return received
+}
+
+// HasPending reports whether connections wait in the system for the process to accept them. It is false
+// for a listener without a socket.
+func HasPending(l net.Listener) bool {
+	pending := false
+	control(l, func(fd int) {
+		events := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLIN}}
+		n, err := unix.Poll(events, 0)
+		pending = err == nil && n > 0 && events[0].Revents&unix.POLLIN != 0
+	})
+	return pending
+}
+
+// control calls f with the descriptor of a socket. It reports whether it did so: what isn't a socket, or was
+// closed by this process, has none.
+func control(socket any, f func(fd int)) bool {
+	sc, ok := socket.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	raw, err := sc.SyscallConn()
+	if err != nil {
+		return false
+	}
+	return raw.Control(func(fd uintptr) { f(int(fd)) }) == nil
+}
