Soak: a cut is in force only once it is made on every connection

The step now notes when it is in force on every connection; only streams sent before that are explained by it.

--- a/internal/soak/fleet.go
+++ b/internal/soak/fleet.go
@@ -152,16 +152,19 @@
 
 // apply executes one step and records when it took place.
 func (f *fleet) apply(s Step) error {
-	begin := time.Now()
-	err := f.inject(s)
+	done := span{Step: s, begin: time.Now()}
+	done.inForce = done.begin
+	err := f.inject(s, func() { done.inForce = time.Now() })
+	done.end = time.Now()
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.spans = append(f.spans, span{Step: s, begin: begin, end: time.Now()})
+	f.spans = append(f.spans, done)
 	return err
 }
 
-// inject executes one step and ends it after its duration.
-func (f *fleet) inject(s Step) error {
+// inject executes one step and ends it after its duration. It calls inForce when a step that takes effect in
+// parts has done so in full.
+func (f *fleet) inject(s Step, inForce func()) error {
 	hold := func(begin, end func()) {
 		begin()
 		time.Sleep(s.Duration)
@@ -194,7 +197,7 @@
 	case NodeStoreSlow:
 		setMode(f.nodes[s.Target].storeProxy, Slow)
 	case NodeUpstreamsSilent, NodeUpstreamsReset:
-		return f.cutFromUpstreams(s)
+		return f.cutFromUpstreams(s, inForce)
 	case UpstreamReset:
 		f.proxies[s.Target].Reset()
 	case UpstreamSilent:
@@ -223,7 +226,7 @@
 }
 
 // cutFromUpstreams cuts a node from all upstreams for a while.
-func (f *fleet) cutFromUpstreams(s Step) error {
+func (f *fleet) cutFromUpstreams(s Step, inForce func()) error {
 	set := func(cut, withReset bool) error {
 		for _, p := range f.proxies {
 			if err := p.CutClient(f.nodes[s.Target].ip, cut, withReset); err != nil {
@@ -235,6 +238,7 @@
 	if err := set(true, s.Kind == NodeUpstreamsReset); err != nil {
 		return errors.Trace(err)
 	}
+	inForce()
 	time.Sleep(s.Duration)
 	return set(false, false)
 }
--- a/internal/soak/pathcuts.go
+++ b/internal/soak/pathcuts.go
@@ -97,8 +97,8 @@
 	}
 	return h.anySpan(r.start, r.end, func(s *span) bool {
 		if s.Target == node || s.Kind == KillAll {
-			return s.cutsUpstreams(node) && s.begin.After(r.start)
+			return s.cutsUpstreams(node) && s.inForce.After(r.start)
 		}
-		return s.stopsProcess(s.Target) || s.cutsUpstreams(s.Target) && s.begin.After(r.start) || s.Kind == StopNode && r.end.After(s.begin.Add(allowedCutDelay))
+		return s.stopsProcess(s.Target) || s.cutsUpstreams(s.Target) && s.inForce.After(r.start) || s.Kind == StopNode && r.end.After(s.begin.Add(allowedCutDelay))
 	})
 }
--- a/internal/soak/span.go
+++ b/internal/soak/span.go
@@ -2,10 +2,11 @@
 
 import "time"
 
-// span is an executed step with the times at which it began and ended.
+// span is an executed step with the times at which it began and ended. inForce is when it had taken effect on
+// everything that it affects: a cut is made connection by connection.
 type span struct {
 	Step
-	begin, end time.Time
+	begin, inForce, end time.Time
 }
 
 // overlaps reports whether the span overlaps the interval.
