Count the time that a request waits to be read towards its time-out, and show it

The system knows when a connection's newest bytes arrived (TCP_INFO); the arrival is now that time. A request whose time was over before it was read is refused, not run (new code 4016 ReadLate). Visible: histogram request_unread_ms, field unread_ms of 402 and 417, event 452 at most once a second, 'caller left, read late' and 'ReadLate' in lavenderctl lost.

One getsockopt a request.

--- a/event/request.go
+++ b/event/request.go
@@ -8,6 +8,7 @@
 const (
 	OverloadBegan     Number = 450
 	OverloadEnded     Number = 451
+	RequestsReadLate  Number = 452
 	RequestAdmitted   Number = 401
 	RequestRefused    Number = 402
 	RequestDispatched Number = 403
@@ -30,6 +31,7 @@
 var requestKinds = map[Number]Kind{
 	OverloadBegan:     {"OverloadBegan", "Requests of a service have been queued on this node without a break; queueing time is kept short now."},
 	OverloadEnded:     {"OverloadEnded", "This node no longer refuses requests of a service for lack of capacity."},
+	RequestsReadLate:  {"RequestsReadLate", "Since the last such line, this many requests waited long to be read after they had arrived, since the node is short of processor time; it is written at most once a second."},
 	RequestAdmitted:   {"RequestAdmitted", "Tokens are reserved for a request."},
 	RequestRefused:    {"RequestRefused", "A request was refused; the code tells why."},
 	RequestDispatched: {"RequestDispatched", "A request was sent to an upstream; version is that of its software, began_version that of the upstream which began the response, resumes the attempt that began the stream."},
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -95,6 +95,9 @@
 		return drain.Refusal()
 	}
 	if c.timeLeft() < c.g.settings.MinTimeLeft {
+		if c.timeLeft()+c.r.Unread >= c.g.settings.MinTimeLeft {
+			return result.New(result.ReadLate, "the request waited %s to be read", c.r.Unread).WithRetryAfter(c.g.settings.BusyRetryAfter)
+		}
 		return result.New(result.Overloaded, "too little time is left").WithRetryAfter(c.g.settings.BusyRetryAfter)
 	}
 	if refusal := c.resolveOrigin(ctx); refusal != nil {
@@ -205,7 +208,7 @@
 	c.g.Metrics.recordFinished(c.route.Name, c.outcome, took)
 	c.g.Events.Record(event.RequestEnded, "request", c.r.ID, "route", c.route.Name, "account", c.accountName(),
 		"config", c.view.Version, "outcome", c.outcome, "sends", c.sends, "events", c.events, "first_ms", c.firstEvent.Milliseconds(), "gap_ms", c.longestGap.Milliseconds(), "upstream", c.lastUpstream(),
-		"reserved", c.reserved, "used", used, "ms", took.Milliseconds())
+		"reserved", c.reserved, "used", used, "ms", took.Milliseconds(), "unread_ms", c.r.Unread.Milliseconds())
 }
 
 // used returns the tokens charged to the account: none if the request certainly did not run,
@@ -238,7 +241,7 @@
 
 // refuse responds with an error and records the reason.
 func (c *call) refuse(e *result.Error) {
-	pairs := []any{"request", c.r.ID, "code", uint32(e.Code), "reason", e.Message, event.RetryAfterField, e.RetryAfter, "sends", c.sends}
+	pairs := []any{"request", c.r.ID, "code", uint32(e.Code), "reason", e.Message, event.RetryAfterField, e.RetryAfter, "sends", c.sends, "unread_ms", c.r.Unread.Milliseconds()}
 	if c.view != nil {
 		pairs = append(pairs, "config", c.view.Version)
 	}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -58,6 +58,8 @@
 	// durations tracks how long the requests of each route take.
 	durations drain.Durations
 
+	lateReads lateReads
+
 	// waitingForRoom counts the requests that wait until a brittle upstream has room.
 	waitingForRoom atomic.Int64
 
@@ -74,6 +76,7 @@
 // canceled when the caller disconnects.
 func (g *Gateway) Serve(ctx context.Context, r *Request, sink Sink) {
 	c := &call{g: g, r: r, sink: sink}
+	g.recordUnread(r.Unread)
 	if refusal := c.admit(ctx); refusal != nil {
 		c.refuse(refusal)
 		return
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -13,6 +13,8 @@
 	finished *expvar.Map
 	refused  *expvar.Map
 	latency  *expvar.Map
+	// unread counts requests by how long they waited to be read after they had arrived.
+	unread *expvar.Map
 	// continued counts the streams that went on at an upstream, by how its version compares with the one
 	// that began them.
 	continued *expvar.Map
@@ -22,11 +24,12 @@
 
 // NewMetrics returns new counters. If publish is set, it registers them with expvar.
 func NewMetrics(publish bool) *Metrics {
-	m := &Metrics{finished: new(expvar.Map).Init(), refused: new(expvar.Map).Init(), latency: new(expvar.Map).Init(), continued: new(expvar.Map).Init(), takenUp: new(expvar.Map).Init()}
+	m := &Metrics{finished: new(expvar.Map).Init(), refused: new(expvar.Map).Init(), latency: new(expvar.Map).Init(), unread: new(expvar.Map).Init(), continued: new(expvar.Map).Init(), takenUp: new(expvar.Map).Init()}
 	if publish {
 		expvar.Publish("requests_finished", m.finished)
 		expvar.Publish("requests_refused", m.refused)
 		expvar.Publish("request_latency_ms", m.latency)
+		expvar.Publish("request_unread_ms", m.unread)
 		expvar.Publish("streams_continued", m.continued)
 		expvar.Publish("streams_taken_up", m.takenUp)
 	}
@@ -38,6 +41,10 @@
 	m.latency.Add(route+"_le_"+strconv.FormatInt(latencyBucket(took), 10), 1)
 }
 
+func (m *Metrics) recordUnread(waited time.Duration) {
+	m.unread.Add("le_"+strconv.FormatInt(latencyBucket(waited), 10), 1)
+}
+
 func (m *Metrics) recordContinued(version string) { m.continued.Add(version, 1) }
 
 func (m *Metrics) recordTakenUp(source string) { m.takenUp.Add(source, 1) }
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -21,8 +21,10 @@
 	Key    string
 	// TimeLeft is how long the caller waits, counted from Arrived; zero if not given.
 	TimeLeft time.Duration
-	// Arrived is the boot clock reading at which the request had been read.
-	Arrived time.Duration
+	// Arrived is the boot clock reading at which the request had arrived, as the system knows; Unread is how
+	// long it then waited until this process had read it, for want of processor time. Where that can't be
+	// told, Unread is 0 and Arrived the time at which it had been read.
+	Arrived, Unread time.Duration
 	// PromptTokens and MaxOutput are the request's declared sizes in tokens.
 	PromptTokens, MaxOutput int64
 	Prefix                  []placement.PromptPart
--- a/lossreport/cause.go
+++ b/lossreport/cause.go
@@ -24,12 +24,19 @@
 	limitBelowAllocation Cause = "tokens: limit of a node that can't report"
 )
 
+// callerLeftUnread: the caller left, and most of the time until then the request had waited for the node to
+// read it, for want of processor time.
+const callerLeftUnread Cause = "caller left, read late"
+
 // causeOf returns a line's cause and whether the line ends a request.
 func causeOf(l *event.LogLine) (Cause, bool) {
 	switch l.Number {
 	case event.RequestRefused:
 		return refusalCause(l), true
 	case event.RequestEnded:
+		if l.Fields["outcome"] == "caller_left" && 2*intField(l, "unread_ms") > intField(l, "ms") {
+			return callerLeftUnread, true
+		}
 		return endCause(l.Fields["outcome"])
 	}
 	return "", false
--- a/lossreport/report_test.go
+++ b/lossreport/report_test.go
@@ -57,6 +57,18 @@
 	is.True(strings.Contains(string(svg), "<svg"))
 }
 
+// Guards against a report that blames callers for leaving a node that had not read their requests in time.
+func TestNamesRequestsReadLate(t *testing.T) {
+	is := is.New(t)
+	read, _, err := event.ReadLog(strings.NewReader(`level=info ts=2026-01-02T03:04:00.1Z event=417 name=RequestEnded node=n1 request=a outcome=caller_left ms=1000 unread_ms=900
+level=info ts=2026-01-02T03:04:00.2Z event=417 name=RequestEnded node=n1 request=b outcome=caller_left ms=1000 unread_ms=500
+level=info ts=2026-01-02T03:04:00.3Z event=417 name=RequestEnded node=n1 request=c outcome=served ms=1000 unread_ms=900
+level=info ts=2026-01-02T03:04:00.4Z event=402 name=RequestRefused node=n1 request=d code=4016 unread_ms=900
+`))
+	is.NoErr(err)
+	is.Equal(New(read, 2*time.Second).Intervals[0].Requests, map[Cause]int{callerLeftUnread: 1, "caller left": 1, Served: 1, "ReadLate": 1})
+}
+
 // If no line ends a request, the report is a table with only a header.
 func TestEmptyLogGivesEmptyReport(t *testing.T) {
 	is := is.New(t)
--- a/result/upstream.go
+++ b/result/upstream.go
@@ -17,6 +17,7 @@
 	RequestExpired   Code = 4013
 	VersionUnknown   Code = 4014
 	VersionMissing   Code = 4015
+	ReadLate         Code = 4016
 )
 
 var upstreamInfos = map[Code]Info{
@@ -32,5 +33,6 @@
 	UpstreamSilent:   {"UpstreamSilent", 504, codes.Unavailable, true, false, "The engine went silent within an answer and was given up on."},
 	VersionUnknown:   {"VersionUnknown", 503, codes.Unavailable, true, true, "This node can't learn which version of the upstreams' software began the stream, and others don't fit; another node may know."},
 	VersionMissing:   {"VersionMissing", 503, codes.Unavailable, true, true, "No upstream of the software version that began the stream can take it now; others don't fit."},
+	ReadLate:         {"ReadLate", 503, codes.Unavailable, true, true, "The time for the request was over before this node, short of processor time, had read it; another may serve it."},
 	RequestExpired:   {"RequestExpired", 503, codes.Unavailable, true, true, "The upstream refused the request: the node's right to have it run had ended before it arrived."},
 }
--- a/tcpconn/waiting.go
+++ b/tcpconn/waiting.go
@@ -3,6 +3,7 @@
 import (
 	"net"
 	"syscall"
+	"time"
 
 	"golang.org/x/sys/unix"
 )
@@ -19,6 +20,18 @@
 	return received
 }
 
+// SinceReceived returns how long ago the peer's newest bytes arrived, as the system knows to the millisecond,
+// whether or not the process has read them. It is 0 for a connection without a socket.
+func SinceReceived(c net.Conn) time.Duration {
+	since := time.Duration(0)
+	control(c, func(fd int) {
+		if info, err := unix.GetsockoptTCPInfo(fd, unix.IPPROTO_TCP, unix.TCP_INFO); err == nil {
+			since = time.Duration(info.Last_data_recv) * time.Millisecond
+		}
+	})
+	return since
+}
+
 // HasPending reports whether connections wait in the system for the process to accept them. It is false
 // for a listener without a socket.
 func HasPending(l net.Listener) bool {
