Measure how long what a node could do waits for a processor

Metric processor_wait_ms, event 111 at most once a second. Histogram buckets and 'at most once' lines now come from one package, internal/latency.

--- a/cmd/lavenderedge/run.go
+++ b/cmd/lavenderedge/run.go
@@ -34,6 +34,7 @@
 	"lavenderpin.dev/lavenderpin/peerfetch"
 	"lavenderpin.dev/lavenderpin/platform"
 	"lavenderpin.dev/lavenderpin/prepaid"
+	"lavenderpin.dev/lavenderpin/processlag"
 	"lavenderpin.dev/lavenderpin/reach"
 	"lavenderpin.dev/lavenderpin/repeats"
 	"lavenderpin.dev/lavenderpin/streamorigin"
@@ -151,6 +152,9 @@
 	p.peerClient = httpwire.NewClient(httpwire.Options{Clock: p.clock, Dial: dial, DialTimeout: peerDialTimeout})
 	p.paths = reach.NewDialer(reach.DefaultSettings(), reach.Location{DataCentre: p.settings.DataCentre, Region: p.settings.Region},
 		reach.Deps{Clock: p.clock, Dial: dial, Tunnels: &reach.ConnectClient{Dial: dial}})
+	lag := processlag.NewMonitor(p.clock, p.events)
+	p.publish("processor_wait_ms", lag.Measured())
+	go lag.Run(ctx)
 	p.upstreams = platform.NewUpstreamClient(p.clock, p.paths.Dial, func() { dials.Add(1) })
 	node, err := edgenode.Start(startCtx, edgenode.Settings{
 		Node: p.settings.Node, Incarnation: incarnation, Start: start,
--- a/event/node.go
+++ b/event/node.go
@@ -12,6 +12,7 @@
 	SettingsRead   Number = 108
 	MetricsAbsent  Number = 109
 	ConnectionsCut Number = 110
+	ProcessorLate  Number = 111
 )
 
 var nodeKinds = map[Number]Kind{
@@ -21,6 +22,7 @@
 	NodeStopped:    {"NodeStopped", "The node settled all its requests and stopped."},
 	NodeClosed:     {"NodeClosed", "The node learned that the fleet closed its incarnation."},
 	LinesDropped:   {"LinesDropped", "Log lines were dropped because the output was too slow; the count follows."},
+	ProcessorLate:  {"ProcessorLate", "Since the last such line, this many measurements found that what the process could do waited long for a processor; it is written at most once a second."},
 	SettingsRead:   {"SettingsRead", "The settings were reloaded; each changed setting is in force or named."},
 	MetricsAbsent:  {"MetricsAbsent", "The metrics can't be served on their configured address; the node still serves callers."},
 	ConnectionsCut: {"ConnectionsCut", "Connections were still open when the node ended; callers may lack the end of a response."},
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -12,6 +12,7 @@
 	"lavenderpin.dev/lavenderpin/directory"
 	"lavenderpin.dev/lavenderpin/drain"
 	"lavenderpin.dev/lavenderpin/event"
+	"lavenderpin.dev/lavenderpin/internal/latency"
 	"lavenderpin.dev/lavenderpin/lending"
 	"lavenderpin.dev/lavenderpin/placement"
 	"lavenderpin.dev/lavenderpin/prepaid"
@@ -58,7 +59,8 @@
 	// durations tracks how long the requests of each route take.
 	durations drain.Durations
 
-	lateReads lateReads
+	// lateReads are the requests that waited long to be read.
+	lateReads latency.Late
 
 	// waitingForRoom counts the requests that wait until a brittle upstream has room.
 	waitingForRoom atomic.Int64
@@ -69,7 +71,8 @@
 
 // New returns a gateway.
 func New(settings Settings, deps Deps) *Gateway {
-	return &Gateway{Deps: deps, settings: settings, retryBudgets: make(map[string]*repeats.Budget)}
+	return &Gateway{Deps: deps, settings: settings, retryBudgets: make(map[string]*repeats.Budget),
+		lateReads: latency.Late{Limit: lateRead, Interval: lateReadsInterval}}
 }
 
 // Serve handles one request. It returns when the response has ended or ctx is done; ctx is
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -2,9 +2,9 @@
 
 import (
 	"expvar"
-	"strconv"
 	"time"
 
+	"lavenderpin.dev/lavenderpin/internal/latency"
 	"lavenderpin.dev/lavenderpin/result"
 )
 
@@ -38,11 +38,11 @@
 
 func (m *Metrics) recordFinished(route, outcome string, took time.Duration) {
 	m.finished.Add(outcome, 1)
-	m.latency.Add(route+"_le_"+strconv.FormatInt(latencyBucket(took), 10), 1)
+	m.latency.Add(route+"_"+latency.Bucket(took), 1)
 }
 
 func (m *Metrics) recordUnread(waited time.Duration) {
-	m.unread.Add("le_"+strconv.FormatInt(latencyBucket(waited), 10), 1)
+	m.unread.Add(latency.Bucket(waited), 1)
 }
 
 func (m *Metrics) recordContinued(version string) { m.continued.Add(version, 1) }
@@ -50,12 +50,3 @@
 func (m *Metrics) recordTakenUp(source string) { m.takenUp.Add(source, 1) }
 
 func (m *Metrics) recordRefused(code result.Code) { m.refused.Add(code.String(), 1) }
-
-// latencyBucket rounds a latency up to a power of two in milliseconds.
-func latencyBucket(took time.Duration) int64 {
-	for limit := int64(1); ; limit *= 2 {
-		if took.Milliseconds() <= limit {
-			return limit
-		}
-	}
-}
