Refuse a part of the requests, before they are read, on a node that is short of processor time

Callers that always use one address may send a small instance several times what it can handle; it then answered everything late or not at all, also for 14 s after such a rush (CONFIG: requests held past their route's time-out).

--- a/edgenode/deps.go
+++ b/edgenode/deps.go
@@ -1,6 +1,8 @@
 package edgenode
 
 import (
+	"time"
+
 	"lavenderpin.dev/lavenderpin/allotment"
 	"lavenderpin.dev/lavenderpin/bootclock"
 	"lavenderpin.dev/lavenderpin/catalog"
@@ -55,6 +57,8 @@
 	// Paths opens the connections to upstreams, for this node and for others; if it is nil, the node
 	// doesn't relay.
 	Paths *reach.Dialer
+	// Lag returns how long what the process could do waits for a processor; nil if that isn't measured.
+	Lag func() time.Duration
 	// Lending sends lending requests to other nodes.
 	Lending lending.Transport
 	// Origins asks other nodes where streams began.
--- a/edgenode/node.go
+++ b/edgenode/node.go
@@ -96,7 +96,7 @@
 		Picker: picker,
 		Share:  n.share, Upstreams: deps.Upstreams, Events: deps.Events, Metrics: deps.Metrics, Origins: n.origins,
 		Borrower:    lending.NewBorrower(deps.Lending, deps.Clock, settings.Incarnation, n.lenders),
-		AwaitTokens: n.awaitTokens, ReportUsage: n.report, LiveNodes: n.nodeCount, Senders: n.senders, AwaitReachable: n.awaitReachable, RetryLimits: settings.Repeats,
+		AwaitTokens: n.awaitTokens, ReportUsage: n.report, LiveNodes: n.nodeCount, Senders: n.senders, AwaitReachable: n.awaitReachable, Lag: deps.Lag, RetryLimits: settings.Repeats,
 		DataCentre: settings.DataCentre, Region: settings.Region,
 	})
 	grantOptions := grantReadOptions
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -43,6 +43,8 @@
 	// AwaitReachable waits until one of the upstreams at these addresses, none of which could be reached,
 	// can be reached again; it returns false if that isn't to be expected.
 	AwaitReachable func(ctx context.Context, addresses []string) bool
+	// Lag returns how long what the process could do waits for a processor; nil if that isn't measured.
+	Lag func() time.Duration
 	// Senders returns the number of nodes that callers are sent to.
 	Senders     func() int
 	RetryLimits repeats.Limits
--- a/result/fleet.go
+++ b/result/fleet.go
@@ -14,6 +14,7 @@
 	WeightsRateLimited Code = 5008
 	RecordsAgedOut     Code = 5010
 	NodeDrained        Code = 5011
+	NodeBusy           Code = 5012
 )
 
 var fleetInfos = map[Code]Info{
@@ -26,5 +27,6 @@
 	StaleEntry:         {"StaleEntry", 409, codes.Aborted, false, true, "A log entry was void: its sequence had passed."},
 	RecordsAgedOut:     {"RecordsAgedOut", 410, codes.OutOfRange, true, true, "The records asked for are no longer held."},
 	NodeDrained:        {"NodeDrained", 503, codes.Unavailable, true, true, "Operators drained this node; use another address."},
+	NodeBusy:           {"NodeBusy", 503, codes.Unavailable, true, true, "This node is short of processor time and would answer too late; use another address."},
 	WeightsRateLimited: {"WeightsRateLimited", 503, codes.Unavailable, true, true, "The weight store admits no fetch yet."},
 }
