--- a/devfleet/fleet.go
+++ b/devfleet/fleet.go
@@ -6,6 +6,7 @@
 	"crypto/rand"
 	"fmt"
 	"net"
+	"strings"
 	"sync"
 	"time"
 
@@ -18,6 +19,7 @@
 	"lavenderpin.dev/lavenderpin/config"
 	"lavenderpin.dev/lavenderpin/daemon"
 	"lavenderpin.dev/lavenderpin/internal/standin"
+	"lavenderpin.dev/lavenderpin/membership"
 	"lavenderpin.dev/lavenderpin/node"
 	"lavenderpin.dev/lavenderpin/ports"
 	"lavenderpin.dev/lavenderpin/signed"
@@ -209,7 +211,7 @@
 				break
 			}
 			if time.Now().After(deadline) {
-				return errors.Errorf("node %s advertises %d of %d addresses", d.Node().Incarnation(), len(list), len(f.Daemons))
+				return errors.Errorf("node %s advertises %d of %d addresses; it knows%s", d.Node().Incarnation(), len(list), len(f.Daemons), describeMembers(d.Node().Members().All()))
 			}
 			time.Sleep(pollInterval)
 		}
@@ -217,6 +219,15 @@
 	return nil
 }
 
+// describeMembers tells of each member whether it is advertised or why not.
+func describeMembers(members []membership.Member) string {
+	var s strings.Builder
+	for _, m := range members {
+		fmt.Fprintf(&s, " %s (draining %t, suspect %t, damped %t)", m.Node.GetIncarnation(), m.Draining, m.Suspect, m.Damped)
+	}
+	return s.String()
+}
+
 // DialOperator returns a connection to the operator API of a node.
 func (f *Fleet) DialOperator(i int) (*grpc.ClientConn, error) {
 	address := f.Daemons[i].Node().Settings().OperatorAddress
