Let an attempt to connect to a peer outlast the call that began it, and a slow peer's connection the call that failed

Cause: a ping waits 0.5 s, and the QUIC handshake ended with the call that began it, so that each ping gave up the one before; and a call that wasn't answered in time closed the connection, also under all other calls on it. Wherever a handshake and an exchange together take longer than a call waits (two round trips of 0.25 s, or processors that are busy), the peer was never reached, and the handshakes kept the machine busy.

--- a/peer/quic.go
+++ b/peer/quic.go
@@ -5,7 +5,6 @@
 	"context"
 	"crypto/tls"
 	"net"
-	"sync"
 	"time"
 
 	"github.com/juju/errors"
@@ -34,9 +33,7 @@
 type QUIC struct {
 	transport *quic.Transport
 	config    *tls.Config
-
-	mu    sync.Mutex
-	conns map[string]*quic.Conn
+	conns     *pool[*quic.Conn]
 }
 
 var _ Caller = (*QUIC)(nil)
@@ -46,7 +43,9 @@
 func NewQUIC(socket net.PacketConn, config *tls.Config) *QUIC {
 	config = config.Clone()
 	config.NextProtos = []string{alpnProtocol}
-	return &QUIC{transport: &quic.Transport{Conn: socket}, config: config, conns: map[string]*quic.Conn{}}
+	q := &QUIC{transport: &quic.Transport{Conn: socket}, config: config}
+	q.conns = newPool(q.dial, func(c *quic.Conn) bool { return c.Context().Err() == nil })
+	return q
 }
 
 func quicConfig() *quic.Config {
@@ -112,13 +111,14 @@
 
 // Call implements Caller.
 func (q *QUIC) Call(ctx context.Context, address string, request *fleetv1.Request) (*fleetv1.Response, error) {
-	conn, err := q.conn(ctx, address)
+	conn, err := q.conns.get(ctx, address)
 	if err != nil {
 		return nil, errors.Annotatef(err, "peer %s", address)
 	}
+	received := conn.ConnectionStats().PacketsReceived
 	response, err := roundTrip(ctx, conn, request)
 	if err != nil {
-		q.dropConn(address, conn)
+		q.dropConn(address, conn, received)
 		return nil, errors.Annotatef(err, "peer %s", address)
 	}
 	return response, nil
@@ -147,35 +147,24 @@
 	return response, nil
 }
 
-func (q *QUIC) conn(ctx context.Context, address string) (*quic.Conn, error) {
-	q.mu.Lock()
-	cached := q.conns[address]
-	q.mu.Unlock()
-	if cached != nil && cached.Context().Err() == nil {
-		return cached, nil
-	}
+func (q *QUIC) dial(ctx context.Context, address string) (*quic.Conn, error) {
 	udpAddr, err := net.ResolveUDPAddr("udp", address)
 	if err != nil {
 		return nil, errors.Trace(err)
 	}
 	conn, err := q.transport.Dial(ctx, udpAddr, q.config, quicConfig())
-	if err != nil {
-		return nil, errors.Trace(err)
-	}
-	q.mu.Lock()
-	defer q.mu.Unlock()
-	q.conns[address] = conn
-	return conn, nil
+	return conn, errors.Trace(err)
 }
 
-// dropConn closes a failed connection and removes it from the cache, so that the next call
-// dials again. Otherwise calls to a node restarted at the same address would use a dead
-// connection until the idle timeout.
-func (q *QUIC) dropConn(address string, conn *quic.Conn) {
-	q.mu.Lock()
-	defer q.mu.Unlock()
-	if q.conns[address] == conn {
-		delete(q.conns, address)
+// dropConn closes a connection on which an exchange failed, and removes it, so that the next call dials again.
+// Otherwise calls to a node restarted at the same address would use a dead connection until the idle timeout. One on
+// which packets have arrived since the exchange began stays: the peer is there and slow, other exchanges
+// use the connection, and a handshake would add to what keeps both busy.
+func (q *QUIC) dropConn(address string, conn *quic.Conn, receivedBefore uint64) {
+	if conn.Context().Err() == nil && conn.ConnectionStats().PacketsReceived > receivedBefore {
+		return
+	}
+	if q.conns.remove(address, func(c *quic.Conn) bool { return c == conn }) {
 		_ = conn.CloseWithError(0, "exchange failed")
 	}
 }
--- a/peer/tunnel.go
+++ b/peer/tunnel.go
@@ -27,7 +27,7 @@
 
 // Tunnel implements reach.Tunneler.
 func (q *QUIC) Tunnel(ctx context.Context, peerAddress, upstreamAddress string) (net.Conn, error) {
-	conn, err := q.conn(ctx, peerAddress)
+	conn, err := q.conns.get(ctx, peerAddress)
 	if err != nil {
 		return nil, errors.Annotatef(err, "peer %s", peerAddress)
 	}
