--- a/internal/experiment/atmostonce/caller.go
+++ b/internal/experiment/atmostonce/caller.go
@@ -1,6 +1,7 @@
 package atmostonce
 
 import (
+	"sync/atomic"
 	"time"
 
 	fleetv1 "lavenderpin.dev/lavenderpin/api/fleet/v1"
@@ -31,7 +32,9 @@
 	fleet    *fleet
 	strategy Strategy
 	name     string
-	ticket   *fleetv1.CallTicket
+	// ticket is that of the first attempt that got one. The handler of a node that dies may run on beside the
+	// next attempt's.
+	ticket atomic.Pointer[fleetv1.CallTicket]
 	// attempts is how often the call was sent, attemptLimit the maximum.
 	attempts, attemptLimit int
 }
@@ -67,11 +70,10 @@
 		case StrategyKey:
 			return n.runWithKey(c.name)
 		case StrategyTicket:
-			if c.ticket == nil {
-				c.ticket = n.runner.NewTicket("account", n.name)
-				return n.runWithTicket(c.ticket, c.name)
+			if c.ticket.Load() == nil {
+				c.ticket.CompareAndSwap(nil, n.runner.NewTicket("account", n.name))
 			}
-			return n.runWithTicket(c.ticket, c.name)
+			return n.runWithTicket(c.ticket.Load(), c.name)
 		}
 		return n.runFunc(c.name)(n.ctx)
 	})
