--- a/tcpconn/closed.go
+++ b/tcpconn/closed.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"net"
-	"syscall"
 
 	"golang.org/x/sys/unix"
 )
@@ -26,11 +25,8 @@
 // hasn't read the close yet. It consumes nothing, and others may read from the connection meanwhile. It is
 // false for a connection without a socket.
 func ClosedByPeer(c net.Conn) bool {
-	if _, ok := c.(syscall.Conn); !ok {
-		return false
-	}
 	closed := false
-	open := control(c, func(fd int) {
+	err := control(c, func(fd int) {
 		var b [1]byte
 		n, _, err := unix.Recvfrom(fd, b[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
 		switch err {
@@ -41,5 +37,5 @@
 			closed = true // reset, or timed out
 		}
 	})
-	return closed || !open // closed by this process
+	return closed || err != nil && err != errNoSocket // closed by this process
 }
--- a/tcpconn/closed_test.go
+++ b/tcpconn/closed_test.go
@@ -4,8 +4,10 @@
 	"context"
 	"io"
 	"net"
+	"syscall"
 	"testing"
 
+	"github.com/juju/errors"
 	"github.com/matryer/is"
 )
 
@@ -72,3 +74,17 @@
 	memory, _ := net.Pipe()
 	is.True(!ClosedByPeer(memory))
 }
+
+// noSocket is a connection whose socket can't be reached.
+type noSocket struct{ net.Conn }
+
+func (noSocket) SyscallConn() (syscall.RawConn, error) { return nil, errors.New("none") }
+
+// Guards against taking a caller for gone because its connection has no socket to look at.
+func TestConnectionWithoutSocketIsNotClosed(t *testing.T) {
+	is := is.New(t)
+	near, far := net.Pipe()
+	defer func() { _, _ = near.Close(), far.Close() }()
+	is.True(!ClosedByPeer(near))
+	is.True(!ClosedByPeer(noSocket{near}))
+}
--- a/tcpconn/waiting.go
+++ b/tcpconn/waiting.go
@@ -5,6 +5,7 @@
 	"syscall"
 	"time"
 
+	"github.com/juju/errors"
 	"golang.org/x/sys/unix"
 )
 
@@ -12,7 +13,7 @@
 // yet; a close counts as one. It is 0 for a connection without a socket.
 func Received(c net.Conn) uint64 {
 	received := uint64(0)
-	control(c, func(fd int) {
+	_ = control(c, func(fd int) { // without a socket there is nothing to tell
 		if info, err := unix.GetsockoptTCPInfo(fd, unix.IPPROTO_TCP, unix.TCP_INFO); err == nil {
 			received = info.Bytes_received
 		}
@@ -24,7 +25,7 @@
 // whether or not the process has read them. It is 0 for a connection without a socket.
 func SinceReceived(c net.Conn) time.Duration {
 	since := time.Duration(0)
-	control(c, func(fd int) {
+	_ = control(c, func(fd int) { // without a socket there is nothing to tell
 		if info, err := unix.GetsockoptTCPInfo(fd, unix.IPPROTO_TCP, unix.TCP_INFO); err == nil {
 			since = time.Duration(info.Last_data_recv) * time.Millisecond
 		}
@@ -36,7 +37,7 @@
 // for a listener without a socket.
 func HasPending(l net.Listener) bool {
 	pending := false
-	control(l, func(fd int) {
+	_ = control(l, func(fd int) { // without a socket there is nothing to tell
 		events := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLIN}}
 		n, err := unix.Poll(events, 0)
 		pending = err == nil && n > 0 && events[0].Revents&unix.POLLIN != 0
@@ -44,16 +45,18 @@
 	return pending
 }
 
-// control calls f with the descriptor of a socket. It reports whether it did so: what isn't a socket, or was
-// closed by this process, has none.
-func control(socket any, f func(fd int)) bool {
+// errNoSocket is the error of control for what has no socket.
+var errNoSocket = errors.New("no socket")
+
+// control calls f with the descriptor of a socket. It fails if there is none, or if this process has closed it.
+func control(socket any, f func(fd int)) error {
 	sc, ok := socket.(syscall.Conn)
 	if !ok {
-		return false
+		return errNoSocket
 	}
 	raw, err := sc.SyscallConn()
 	if err != nil {
-		return false
+		return errNoSocket
 	}
-	return raw.Control(func(fd uintptr) { f(int(fd)) }) == nil
+	return raw.Control(func(fd uintptr) { f(int(fd)) })
 }
