--- a/event/fleet.go
+++ b/event/fleet.go
@@ -20,6 +20,7 @@
 	ServingWithoutLog  Number = 619
 	ProcessStalled     Number = 620
 	RecordsFetched     Number = 621
+	RecordsRead        Number = 622
 	// OrderGiven is the first number reserved for engine orders.
 	OrderGiven Number = 640
 )
@@ -37,6 +38,7 @@
 	InstancesDown:      {"InstancesDown", "The platform's instance list is unavailable; the last known list stays in use."},
 	ServingWithoutLog:  {"ServingWithoutLog", "The log is unreachable; the node serves with the latest configuration that its peers hold."},
 	RecordsFetched:     {"RecordsFetched", "A node of the data centre sent this one records of the log; the store was asked at most for the end of the log."},
+	RecordsRead:        {"RecordsRead", "This node read records of the log from the store itself."},
 	ProcessStalled:     {"ProcessStalled", "The process was paused for a while; what it missed does not count against the other nodes."},
 	PeerJoined:         {"PeerJoined", "Another node responds."},
 	PeerSuspect:        {"PeerSuspect", "Another node stopped responding."},
--- a/peerfetch/topic.go
+++ b/peerfetch/topic.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"lavenderpin.dev/lavenderpin/bootclock"
@@ -80,6 +81,9 @@
 
 	// storeNext is set if the next read goes to the store, since the peers were behind.
 	storeNext bool
+	// behindSince is when this node learned that the log holds newer records than it has read, by
+	// Clock; zero if it knows of none. A read that was given up may still be running beside the next.
+	behindSince atomic.Int64
 }
 
 // Newest reads the newest records from peers that are up to date, or from the store.
@@ -97,7 +101,7 @@
 			return reply.Records, reply.Next, nil
 		}
 	}
-	records, next, err := t.Replica.trackRead(progress, func(progress func()) ([]keyedlog.Record, int64, error) {
+	records, next, err := t.readStore(progress, func(progress func()) ([]keyedlog.Record, int64, error) {
 		return t.Topic.Newest(ctx, progress)
 	})
 	if err == nil {
@@ -106,11 +110,54 @@
 	return records, next, err
 }
 
+// readStore reads records from the store and logs what it brought, since each such read of a large
+// record crosses the link to the store once more.
+func (t *Topic) readStore(progress func(), read readFunc) ([]keyedlog.Record, int64, error) {
+	begun, firstPart := t.Clock.Now(), time.Duration(0)
+	records, next, err := t.Replica.trackRead(func() {
+		if firstPart == 0 {
+			firstPart = t.Clock.Now()
+		}
+		progress()
+	}, read)
+	if err == nil && len(records) > 0 && !t.NewestOnly {
+		now := t.Clock.Now()
+		t.Events.Record(event.RecordsRead, "topic", t.Name, "end", next, "records", len(records), "bytes", sizeOf(records),
+			"ms", (now - begun).Milliseconds(), "arriving_ms", (now - firstPart).Milliseconds(), "behind_ms", t.caughtUp().Milliseconds())
+	}
+	return records, next, err
+}
+
+// noteEnd records that the log ends at an offset; next is the first offset that wasn't read.
+func (t *Topic) noteEnd(end, next int64) {
+	if end > next {
+		t.behindSince.CompareAndSwap(0, int64(t.Clock.Now()))
+	}
+}
+
+// caughtUp records that newer records were read, and returns for how long the node knew of them.
+func (t *Topic) caughtUp() time.Duration {
+	since := time.Duration(t.behindSince.Swap(0))
+	if since == 0 {
+		return 0
+	}
+	return t.Clock.Now() - since
+}
+
+func sizeOf(records []keyedlog.Record) int {
+	bytes := 0
+	for i := range records {
+		bytes += len(records[i].Value)
+	}
+	return bytes
+}
+
 // newestFromPeers returns the records that peers hold; false means to read the store.
 func (t *Topic) newestFromPeers(ctx context.Context, rank int, sources []Peer, progress func()) (Reply, bool, error) {
 	end, err := t.requiredEnd(ctx)
 	progress()
 	if err == nil {
+		t.noteEnd(end, t.Replica.Next())
 		reply, ok := t.fetch(ctx, rank, sources, Request{From: -1, End: end}, progress)
 		if !ok {
 			reply, ok = t.fetchPartial(ctx, sources, Request{From: -1, End: t.Replica.Next() + 1}, progress)
@@ -198,6 +245,7 @@
 		}
 		// An end before from is stale; reading the store waits for new records.
 		if end > from {
+			t.noteEnd(end, from)
 			reply, ok := t.fetch(ctx, rank, sources, Request{From: from, End: end}, progress)
 			if !ok {
 				reply, ok = t.fetchPartial(ctx, sources, Request{From: from, End: from + 1}, progress)
@@ -207,7 +255,7 @@
 			}
 		}
 	}
-	records, next, err := t.Replica.trackRead(progress, func(progress func()) ([]keyedlog.Record, int64, error) {
+	records, next, err := t.readStore(progress, func(progress func()) ([]keyedlog.Record, int64, error) {
 		return t.Topic.Read(ctx, from, wait, progress)
 	})
 	if err == nil {
@@ -238,7 +286,7 @@
 	req.Topic = t.Name
 	for _, source := range sources {
 		if reply, err := t.request(ctx, source, req, progress); err == nil && !reply.Behind {
-			t.Events.Record(event.RecordsFetched, "topic", t.Name, "peer", source.Node, "end", reply.Next, "records", len(reply.Records), "store", false)
+			t.Events.Record(event.RecordsFetched, "topic", t.Name, "peer", source.Node, "end", reply.Next, "records", len(reply.Records), "bytes", sizeOf(reply.Records), "behind_ms", t.caughtUp().Milliseconds(), "store", false)
 			return reply, true
 		}
 	}
@@ -270,7 +318,7 @@
 			if err != nil || reply.Behind {
 				continue
 			}
-			t.Events.Record(event.RecordsFetched, "topic", t.Name, "peer", source.Node, "end", req.End, "records", len(reply.Records), "ms", (t.Clock.Now() - begun).Milliseconds())
+			t.Events.Record(event.RecordsFetched, "topic", t.Name, "peer", source.Node, "end", req.End, "records", len(reply.Records), "bytes", sizeOf(reply.Records), "ms", (t.Clock.Now() - begun).Milliseconds(), "behind_ms", t.caughtUp().Milliseconds())
 			return reply, true
 		}
 		progress()
