--- a/edgenode/link_test.go
+++ b/edgenode/link_test.go
@@ -26,11 +26,22 @@
 
 // transfer returns once that many bytes have crossed the link. It calls progress for each chunk.
 func (l *link) transfer(ctx context.Context, bytes int, progress func()) error {
-	if err := sleep(ctx, l.delay); err != nil {
-		return err
+	return transferOver(ctx, bytes, progress, l)
+}
+
+// transferOver returns once that many bytes have crossed all links.
+func transferOver(ctx context.Context, bytes int, progress func(), links ...*link) error {
+	for _, l := range links {
+		if err := sleep(ctx, l.delay); err != nil {
+			return err
+		}
 	}
 	for ; bytes > 0; bytes -= linkChunk {
-		if err := sleep(ctx, l.enqueue(min(bytes, linkChunk))); err != nil {
+		var wait time.Duration
+		for _, l := range links {
+			wait = max(wait, l.enqueue(min(bytes, linkChunk)))
+		}
+		if err := sleep(ctx, wait); err != nil {
 			return err
 		}
 		progress()
--- a/edgenode/testfleet_test.go
+++ b/edgenode/testfleet_test.go
@@ -96,6 +96,9 @@
 	// unreachable holds the nodes that don't answer other nodes.
 	unreachable map[string]bool
 	nodes       []*Node
+	// peerLinks, if set, holds the link of each node's instance, which what nodes fetch from each other
+	// crosses, by name.
+	peerLinks map[string]*link
 }
 
 // reachable returns the node at an address, or nil if it doesn't answer other nodes.
@@ -117,12 +120,36 @@
 
 // Fetch requests records from a node of the fleet.
 func (f *testFleet) Fetch(ctx context.Context, address string, request peerfetch.Request, progress func()) (peerfetch.Reply, error) {
-	if n := f.reachable(address); n != nil {
+	return f.fetch(ctx, address, request, progress, nil)
+}
+
+// fetch requests records over the links of both nodes' instances; inbound is nil if they aren't narrow.
+func (f *testFleet) fetch(ctx context.Context, address string, request peerfetch.Request, progress func(), inbound *link) (peerfetch.Reply, error) {
+	n := f.reachable(address)
+	if n == nil {
+		<-ctx.Done()
+		return peerfetch.Reply{}, ctx.Err()
+	}
+	reply := n.copies[request.Topic].Handle(ctx, request)
+	if inbound == nil {
 		progress()
-		return n.copies[request.Topic].Handle(ctx, request), nil
+		return reply, nil
 	}
-	<-ctx.Done()
-	return peerfetch.Reply{}, ctx.Err()
+	raw, err := json.Marshal(&reply)
+	if err != nil {
+		return peerfetch.Reply{}, err
+	}
+	return reply, transferOver(ctx, len(raw), progress, inbound, f.peerLinks[address])
+}
+
+// peerTransport is one node's access to the others.
+type peerTransport struct {
+	fleet *testFleet
+	node  string
+}
+
+func (p peerTransport) Fetch(ctx context.Context, address string, request peerfetch.Request, progress func()) (peerfetch.Reply, error) {
+	return p.fleet.fetch(ctx, address, request, progress, p.fleet.peerLinks[p.node])
 }
 
 const host, apiKey = "host", "key"
@@ -219,7 +246,7 @@
 	n, err := Start(context.Background(), Settings{Node: name, Incarnation: "new-" + name, Start: prepaid.ProcessStart{ClockReading: clocks.Read(), BootID: "boot-" + name},
 		Address: name, Peer: name, Capacity: s.capacity, DataCentre: s.dataCentre, Region: s.region, Regions: map[string]string{s.dataCentre: s.region},
 		Repeats: repeats.Limits{Ratio: 0.2, Extra: 50, Window: 10 * time.Second}},
-		Deps{Clock: testClock{}, WallClock: clocks.Wall, Topics: s.topics, Upstreams: f.upstreams, Lending: transport, Origins: f, Peers: f,
+		Deps{Clock: testClock{}, WallClock: clocks.Wall, Topics: s.topics, Upstreams: f.upstreams, Lending: transport, Origins: f, Peers: peerTransport{f, name},
 			Events:  event.NewRecorder(event.NewHLC(clockwork.NewRealClock()), name, 64, log.NewNopLogger()),
 			Metrics: gateway.NewMetrics(false), DecodeConfig: decode, DecodeUpstream: decodeEntry})
 	if err != nil {
