--- a/directory/room.go
+++ b/directory/room.go
@@ -4,13 +4,15 @@
 
 // HasRoom reports whether the node may open another request to the upstream. Only one that announced that
 // it is brittle has ever none.
-func (s *Stats) HasRoom(now time.Duration) bool { return s.Brittle.Allows(int(s.InFlight.Load()), now) }
+func (s *Stats) HasRoom(now time.Duration) bool {
+	return s.Throttle.Allows(int(s.InFlight.Load()), now)
+}
 
 // Open opens a request if the upstream has room; random is a number from 0 to 1. Each opened request must
 // be closed.
 func (s *Stats) Open(now time.Duration, random float64) bool {
 	before := s.InFlight.Add(1) - 1
-	if s.Brittle.TryOpen(int(before), now, random) {
+	if s.Throttle.TryOpen(int(before), now, random) {
 		return true
 	}
 	s.InFlight.Add(-1)
--- a/directory/stats.go
+++ b/directory/stats.go
@@ -6,7 +6,7 @@
 	"sync/atomic"
 	"time"
 
-	"lavenderpin.dev/lavenderpin/brittle"
+	"lavenderpin.dev/lavenderpin/throttle"
 )
 
 const (
@@ -30,8 +30,8 @@
 	// without a response so far.
 	InFlight, PromptInFlight atomic.Int64
 
-	// Brittle limits the requests to an upstream that announced that it is brittle.
-	Brittle brittle.Limiter
+	// Throttle limits the requests to an upstream by what it says of itself.
+	Throttle throttle.Limiter
 
 	// pausedUntil, by the boot clock, is the end of the pause that the upstream asked for.
 	pausedUntil atomic.Int64
--- a/gateway/brittle.go
+++ b/gateway/brittle.go
@@ -4,9 +4,9 @@
 	"context"
 	"time"
 
-	"lavenderpin.dev/lavenderpin/brittle"
 	"lavenderpin.dev/lavenderpin/directory"
 	"lavenderpin.dev/lavenderpin/event"
+	"lavenderpin.dev/lavenderpin/throttle"
 )
 
 // reasonNoRoom is the reason of refusals while all upstreams left are brittle and full.
@@ -16,19 +16,19 @@
 // of the service from which nothing was heard lately as well.
 func (c *call) recordBrittle(u *directory.Upstream, resp *Response) {
 	if !resp.Brittle {
-		if u.Brittle.Revoke() {
+		if u.Throttle.Revoke() {
 			c.g.Events.Record(event.UpstreamBrittle, "upstream", u.ID, "service", u.Service, "brittle", false)
 		}
 		return
 	}
 	now, senders := c.g.Clock.Now(), c.g.Senders()
-	if !u.Brittle.Announce(resp.BrittleLimit, u.Slots, senders, now, random()) {
+	if !u.Throttle.Announce(resp.BrittleLimit, u.Slots, senders, now, random()) {
 		return
 	}
 	c.g.Events.Record(event.UpstreamBrittle, "upstream", u.ID, "service", u.Service, "brittle", true, "limit", resp.BrittleLimit, "slots", u.Slots, "senders", senders)
 	for _, other := range c.serviceUpstreams() {
-		if !other.ReceivedWithin(brittle.HeardWindow, now) {
-			other.Brittle.Announce(resp.BrittleLimit, other.Slots, senders, now, random())
+		if !other.ReceivedWithin(throttle.HeardWindow, now) {
+			other.Throttle.Announce(resp.BrittleLimit, other.Slots, senders, now, random())
 		}
 	}
 }
--- a/gateway/run.go
+++ b/gateway/run.go
@@ -4,13 +4,13 @@
 	"context"
 	"errors"
 
-	"lavenderpin.dev/lavenderpin/brittle"
 	"lavenderpin.dev/lavenderpin/catalog"
 	"lavenderpin.dev/lavenderpin/directory"
 	"lavenderpin.dev/lavenderpin/drain"
 	"lavenderpin.dev/lavenderpin/event"
 	"lavenderpin.dev/lavenderpin/placement"
 	"lavenderpin.dev/lavenderpin/result"
+	"lavenderpin.dev/lavenderpin/throttle"
 )
 
 // sendResult is the result of one send.
@@ -180,7 +180,7 @@
 	now := c.g.Clock.Now()
 	if unreachable {
 		u.RecordUnreachable(now)
-		u.Brittle.Failed(now, random())
+		u.Throttle.Failed(now, random())
 		return
 	}
 	u.RecordFailure(now)
@@ -191,5 +191,5 @@
 	now := c.g.Clock.Now()
 	u.RecordSuccess(now)
 	load := u.Load()
-	u.Brittle.Succeeded(brittle.Load{Running: load.Running, Waiting: load.Waiting, Slots: u.Slots}, now-c.lastSentAt, now)
+	u.Throttle.Succeeded(throttle.Load{Running: load.Running, Waiting: load.Waiting, Slots: u.Slots}, now-c.lastSentAt, now)
 }
--- a/gateway/send.go
+++ b/gateway/send.go
@@ -139,8 +139,8 @@
 		return notRun, true // nothing is wrong with the upstream
 	}
 	c.recordFailure(u, resp.AddressReassigned)
-	if !resp.AddressReassigned && u.Brittle.Active() {
-		u.Brittle.Rejected(c.g.Senders(), c.g.Clock.Now(), random())
+	if !resp.AddressReassigned && u.Throttle.Brittle() {
+		u.Throttle.Rejected(c.g.Senders(), c.g.Clock.Now(), random())
 	}
 	c.g.Events.Record(event.AnswerRejected, "request", c.r.ID, "upstream", u.ID, "status", resp.Status, "elsewhere", resp.AddressReassigned, "not_run", true, "pause_ms", resp.Pause.Milliseconds())
 	return notRun, true
--- a/routing/brittle.go
+++ b/routing/brittle.go
@@ -4,8 +4,8 @@
 	"time"
 
 	operatorv1 "lavenderpin.dev/lavenderpin/api/operator/v1"
-	"lavenderpin.dev/lavenderpin/brittle"
 	"lavenderpin.dev/lavenderpin/result"
+	"lavenderpin.dev/lavenderpin/throttle"
 )
 
 // maxOpenTries bounds how often a pick chooses again because other requests took the room of a brittle
@@ -26,12 +26,12 @@
 	}
 	now := b.sinceStart(b.clock.Now())
 	t.heardAt.Store(int64(now))
-	isNew = t.brittle.Announce(limit, int(t.slots), nodes, now, b.randomFloat())
+	isNew = t.throttle.Announce(limit, int(t.slots), nodes, now, b.randomFloat())
 	if isNew {
 		b.announceToUnheard(s, limit, nodes, now)
 	}
 	if rejected {
-		t.brittle.Rejected(nodes, now, b.randomFloat())
+		t.throttle.Rejected(nodes, now, b.randomFloat())
 	}
 	return isNew
 }
@@ -39,8 +39,8 @@
 // announceToUnheard takes the upstreams of a service from which nothing was heard lately for brittle.
 func (b *Balancer) announceToUnheard(s *service, limit, nodes int, now time.Duration) {
 	for _, other := range s.table.Load().byName {
-		if now-time.Duration(other.heardAt.Load()) > brittle.HeardWindow {
-			other.brittle.Announce(limit, int(other.slots), nodes, now, b.randomFloat())
+		if now-time.Duration(other.heardAt.Load()) > throttle.HeardWindow {
+			other.throttle.Announce(limit, int(other.slots), nodes, now, b.randomFloat())
 		}
 	}
 }
@@ -54,21 +54,21 @@
 // hasRoom reports whether the node may open another request at an upstream. Only a brittle one has ever
 // none.
 func (c *pickCall) hasRoom(t *target) bool {
-	return !t.brittle.Active() || t.brittle.Allows(int(t.requests.value()), c.balancer.sinceStart(c.now))
+	return !t.throttle.Brittle() || t.throttle.Allows(int(t.requests.value()), c.balancer.sinceStart(c.now))
 }
 
 // open reserves room at an upstream; false if others took it meanwhile.
 func (c *pickCall) open(t *target) bool {
-	return t.brittle.TryOpen(int(t.requests.value()), c.balancer.sinceStart(c.now), c.balancer.randomFloat())
+	return t.throttle.TryOpen(int(t.requests.value()), c.balancer.sinceStart(c.now), c.balancer.randomFloat())
 }
 
 // recordBrittle records the outcome of a request in the limiter of its upstream.
 func (a *attempt) recordBrittle(err error, now time.Time) {
-	limiter, at := &a.target.brittle, a.balancer.sinceStart(now)
+	limiter, at := &a.target.throttle, a.balancer.sinceStart(now)
 	if err == nil {
 		a.target.heardAt.Store(int64(at))
 	}
-	if !limiter.Active() {
+	if !limiter.Brittle() {
 		return
 	}
 	switch {
@@ -80,8 +80,8 @@
 }
 
 // reportedLoad returns the load that the upstream last reported. Plain services report none.
-func (t *target) reportedLoad() brittle.Load {
-	load := brittle.Load{Slots: int(t.slots)}
+func (t *target) reportedLoad() throttle.Load {
+	load := throttle.Load{Slots: int(t.slots)}
 	if r := t.report.Load(); r != nil {
 		load.Running, load.Waiting = r.Running, r.Waiting
 	}
--- a/routing/brittle_test.go
+++ b/routing/brittle_test.go
@@ -5,8 +5,8 @@
 
 	"github.com/matryer/is"
 
-	"lavenderpin.dev/lavenderpin/brittle"
 	"lavenderpin.dev/lavenderpin/result"
+	"lavenderpin.dev/lavenderpin/throttle"
 )
 
 // Guards against a burst at an upstream that hasn't yet said that it is brittle, while others of its
@@ -27,11 +27,11 @@
 		}
 	}
 	answer("north-2")
-	clock.Advance(2 * brittle.HeardWindow)
+	clock.Advance(2 * throttle.HeardWindow)
 	answer("north-1")
 	isBrittle := func(name string) bool {
 		_, found := b.find(chat, name)
-		return found.brittle.Active()
+		return found.throttle.Brittle()
 	}
 	is.True(b.ObserveBrittle(list[0], 3, 2, false))
 	is.True(isBrittle("north-0"))
--- a/routing/target.go
+++ b/routing/target.go
@@ -6,9 +6,9 @@
 	"time"
 
 	operatorv1 "lavenderpin.dev/lavenderpin/api/operator/v1"
-	"lavenderpin.dev/lavenderpin/brittle"
 	"lavenderpin.dev/lavenderpin/routing/health"
 	"lavenderpin.dev/lavenderpin/routing/score"
+	"lavenderpin.dev/lavenderpin/throttle"
 )
 
 const (
@@ -51,10 +51,10 @@
 	slowdownAt  atomic.Int64
 
 	lastEvent atomic.Uint64
-	// brittle limits the requests while the upstream says that it is brittle. heardAt is when it last
+	// throttle limits the requests by what the upstream says of itself. heardAt is when it last
 	// answered, since the balancer's start.
-	brittle brittle.Limiter
-	heardAt atomic.Int64
+	throttle throttle.Limiter
+	heardAt  atomic.Int64
 }
 
 // receivedReport is a load report with this node's own load at the time of its sample.
--- /dev/null
+++ b/throttle/limiter.go
@@ -0,0 +1,116 @@
+package throttle
+
+import (
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+// Limiter limits the requests of one node to one upstream. The zero value limits nothing. It is safe
+// for concurrent use.
+type Limiter struct {
+	// active is set while the upstream says something that limits its requests.
+	active atomic.Bool
+
+	mu     sync.Mutex
+	window window
+}
+
+// lock locks the limiter if it limits anything; the result is false otherwise.
+func (l *Limiter) lock() bool {
+	if !l.active.Load() {
+		return false
+	}
+	l.mu.Lock()
+	return true
+}
+
+// unlock must be called after each change.
+func (l *Limiter) unlock() {
+	l.active.Store(l.window.active)
+	l.mu.Unlock()
+}
+
+// Announce records that the upstream is brittle and falls over beyond limit rejections a second. slots is
+// how many requests it runs at once, nodes the number of nodes that send to it, random a number from 0 to 1.
+// It reports whether that is new.
+func (l *Limiter) Announce(limit, slots, nodes int, now time.Duration, random float64) (isNew bool) {
+	l.mu.Lock()
+	defer l.unlock()
+	return l.window.announce(limit, slots, nodes, now, random)
+}
+
+// Revoke records an answer that doesn't say that the upstream is brittle. It reports whether that is
+// new.
+func (l *Limiter) Revoke() (isNew bool) {
+	if !l.lock() {
+		return false
+	}
+	defer l.unlock()
+	isNew = l.window.active
+	l.window.active = false
+	return isNew
+}
+
+// Brittle reports whether the upstream is brittle.
+func (l *Limiter) Brittle() bool {
+	if !l.lock() {
+		return false
+	}
+	defer l.unlock()
+	return l.window.active
+}
+
+// Allows reports whether the node may open another request beside the given number of open ones.
+func (l *Limiter) Allows(open int, now time.Duration) bool {
+	if !l.lock() {
+		return true
+	}
+	defer l.unlock()
+	return l.allows(open, now)
+}
+
+func (l *Limiter) allows(open int, now time.Duration) bool {
+	l.window.expire(now)
+	return l.window.allows(open, now)
+}
+
+// TryOpen is like Allows and records that the request is opened; random is a number from 0 to 1.
+func (l *Limiter) TryOpen(open int, now time.Duration, random float64) bool {
+	if !l.lock() {
+		return true
+	}
+	defer l.unlock()
+	if !l.allows(open, now) {
+		return false
+	}
+	l.window.delayNext(now, 0.5+random)
+	return true
+}
+
+// Failed records that the upstream can't be reached; random is a number from 0 to 1. When it is back, the
+// nodes don't all send at once.
+func (l *Limiter) Failed(now time.Duration, random float64) {
+	if l.lock() {
+		defer l.unlock()
+		l.window.delayNext(now, 0.5+random)
+	}
+}
+
+// Rejected records that the upstream rejected a request for want of room; random is a number from 0
+// to 1.
+func (l *Limiter) Rejected(nodes int, now time.Duration, random float64) {
+	if l.lock() {
+		defer l.unlock()
+		l.window.rejected(nodes, now, random)
+	}
+}
+
+// Succeeded records that the upstream ran a request and what it said of its load. If no answer since the
+// request was sent said that the upstream is brittle, it no longer is.
+func (l *Limiter) Succeeded(load Load, took, now time.Duration) {
+	if l.lock() {
+		defer l.unlock()
+		l.window.succeeded(load, took, now)
+	}
+}
--- a/brittle/limiter_test.go
+++ b/throttle/window_test.go
@@ -1,4 +1,4 @@
-package brittle
+package throttle
 
 import (
 	"math/rand/v2"
