Failing tests: nodes that together send an upstream more than the limit that it named

The stand-ins name a limit in their answers and keep who had been told when; the check counts the requests in 4 s of senders that knew.

--- a/gateway/ports.go
+++ b/gateway/ports.go
@@ -81,6 +81,10 @@
 	// requests a second.
 	Brittle      bool
 	BrittleLimit int
+	// Limited reports that the upstream named how many requests a second it takes from all nodes together,
+	// in RequestsPerSecond.
+	Limited           bool
+	RequestsPerSecond float64
 	// Leaving reports that the upstream, or the one at the reassigned address, said that it leaves.
 	Leaving bool
 	// Signed reports that the response carries the upstream's signature.
--- a/internal/standin/capacity.go
+++ b/internal/standin/capacity.go
@@ -18,11 +18,14 @@
 	Brittle  bool
 	Limit    int
 	DownTime time.Duration
+	// RequestsPerSecond, if not zero, is named in each answer as what the upstream takes from all nodes
+	// together. It doesn't reject what exceeds that.
+	RequestsPerSecond float64
 }
 
 // CapacityHeaders are the names of the headers in which an upstream says something of itself; an empty one
 // is left out.
-type CapacityHeaders struct{ Brittle, NotRun, Load string }
+type CapacityHeaders struct{ Brittle, NotRun, Load, Limit string }
 
 // CapacityCounts are what an upstream with a capacity has seen.
 type CapacityCounts struct{ Ran, Falls int }
@@ -39,6 +42,7 @@
 	rejections    []time.Time
 	downUntil     time.Time
 	counts        CapacityCounts
+	arrivals      []time.Time
 }
 
 // NewCapacityServer returns a server on which nothing runs.
@@ -55,12 +59,54 @@
 	return s.counts
 }
 
+// SetRequestsPerSecond replaces the limit that the upstream names; zero for none.
+func (s *CapacityServer) SetRequestsPerSecond(limit float64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.capacity.RequestsPerSecond = limit
+}
+
+// MostWithin returns the largest number of requests that arrived within a span, from a time on.
+func (s *CapacityServer) MostWithin(span time.Duration, from time.Time) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	most, first := 0, 0
+	for i, at := range s.arrivals {
+		if at.Before(from) {
+			first = i + 1
+			continue
+		}
+		for at.Sub(s.arrivals[first]) >= span {
+			first++
+		}
+		most = max(most, i+1-first)
+	}
+	return most
+}
+
+// ArrivedSince returns how many requests arrived from a time on.
+func (s *CapacityServer) ArrivedSince(from time.Time) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	count := 0
+	for _, at := range s.arrivals {
+		if !at.Before(from) {
+			count++
+		}
+	}
+	return count
+}
+
 // Run runs a request if there is room for it, and writes the rejection otherwise. While the upstream is
 // down it aborts the connection.
 func (s *CapacityServer) Run(w http.ResponseWriter) (ran bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.abortIfDown()
+	s.arrivals = append(s.arrivals, time.Now())
+	if s.capacity.RequestsPerSecond > 0 {
+		s.setHeader(w, s.headers.Limit, strconv.FormatFloat(s.capacity.RequestsPerSecond, 'g', -1, 64))
+	}
 	if s.capacity.Brittle {
 		s.setHeader(w, s.headers.Brittle, strconv.Itoa(s.capacity.Limit))
 	}
--- a/upstream/notice.go
+++ b/upstream/notice.go
@@ -23,6 +23,9 @@
 	// HeaderBrittle is in each answer of an upstream that falls over if it has to reject more than this
 	// number of requests a second.
 	HeaderBrittle = "X-Upstream-Brittle"
+	// HeaderLimit is in each answer of an upstream that takes only this number of requests a second from
+	// all nodes together.
+	HeaderLimit = "X-Upstream-Limit"
 	// HeaderVersion is the version of the upstream's software in each answer of an upstream that reports it. What
 	// two versions generate doesn't fit together.
 	HeaderVersion = "X-Upstream-Version"
