Keep to the requests a second that an upstream says it takes from all nodes together

What was seen: an engine in need that named a limit of 2.2 requests a second got 26 in 4 s from nodes that it had told. Change, for both request paths (package throttle): the limiter of an upstream, which held the window of brittle ones, also holds a pace. Each node takes turns at its part of the limit: on the users' platform by where the upstream is and by which nodes callers are sent to (presence.SendPart, the same at all nodes), on the embedded fleet 1/nodes. The first turn is at a random moment; a turn that isn't taken within a second is lost. A request whose upstreams are all at their limit goes elsewhere, waits if a turn comes within 0.25 s, or is rejected at once (4017, 429) with the time until one of them takes another request. A prompt's home is chosen among the upstreams that take requests, so that all nodes choose the same second one. Event 512 tells the limit and the node's part, upstream_limits counts.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -46,7 +46,10 @@
 	// Lag returns how long what the process could do waits for a processor; nil if that isn't measured.
 	Lag func() time.Duration
 	// Senders returns the number of nodes that callers are sent to.
-	Senders     func() int
+	Senders func() int
+	// SendPart returns the part, from 0 to 1, of all requests to the upstreams of a data centre that this node
+	// is expected to send.
+	SendPart    func(dataCentre string) float64
 	RetryLimits repeats.Limits
 	DataCentre  string
 	Region      string
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -20,11 +20,13 @@
 	continued *expvar.Map
 	// takenUp counts the streams that callers took up, by how this node knew where they began.
 	takenUp *expvar.Map
+	// limits counts the limits on their requests that upstreams named or gave up.
+	limits *expvar.Map
 }
 
 // NewMetrics returns new counters. If publish is set, it registers them with expvar.
 func NewMetrics(publish bool) *Metrics {
-	m := &Metrics{finished: new(expvar.Map).Init(), refused: new(expvar.Map).Init(), latency: new(expvar.Map).Init(), unread: new(expvar.Map).Init(), continued: new(expvar.Map).Init(), takenUp: new(expvar.Map).Init()}
+	m := &Metrics{finished: new(expvar.Map).Init(), refused: new(expvar.Map).Init(), latency: new(expvar.Map).Init(), unread: new(expvar.Map).Init(), continued: new(expvar.Map).Init(), takenUp: new(expvar.Map).Init(), limits: new(expvar.Map).Init()}
 	if publish {
 		expvar.Publish("requests_finished", m.finished)
 		expvar.Publish("requests_refused", m.refused)
@@ -32,6 +34,7 @@
 		expvar.Publish("request_unread_ms", m.unread)
 		expvar.Publish("streams_continued", m.continued)
 		expvar.Publish("streams_taken_up", m.takenUp)
+		expvar.Publish("upstream_limits", m.limits)
 	}
 	return m
 }
@@ -47,6 +50,14 @@
 
 func (m *Metrics) recordContinued(version string) { m.continued.Add(version, 1) }
 
+// What upstream_limits counts.
+const (
+	limitNamed = "named"
+	limitGone  = "gone"
+)
+
+func (m *Metrics) recordLimit(what string) { m.limits.Add(what, 1) }
+
 func (m *Metrics) recordTakenUp(source string) { m.takenUp.Add(source, 1) }
 
 func (m *Metrics) recordRefused(code result.Code) { m.refused.Add(code.String(), 1) }
--- a/gateway/pause.go
+++ b/gateway/pause.go
@@ -25,10 +25,13 @@
 
 // noUpstreamReason returns why no upstream could be picked.
 func (c *call) noUpstreamReason() string {
+	wait, roomMissing := c.roomWait()
 	switch {
 	case c.onlyPausedLeft():
 		return reasonAllPaused
-	case c.onlyRoomMissing():
+	case roomMissing && wait > 0:
+		return reasonAtLimit
+	case roomMissing:
 		return reasonNoRoom
 	case c.origin.Load() != nil:
 		return reasonNoVersion
--- a/gateway/run.go
+++ b/gateway/run.go
@@ -150,6 +150,8 @@
 		c.refuseUnsent(drain.Refusal())
 	case reason == reasonNoVersion:
 		c.refuseUnsent(result.New(result.VersionMissing, "%s: %s", reason, c.origin.Load().Version).WithRetryAfter(c.capacityRetryAfter()))
+	case reason == reasonAtLimit:
+		c.refuseUnsent(result.New(result.AtLimit, "%s", reason).WithRetryAfter(c.limitRetryAfter()))
 	case reason == reasonNoRoom:
 		c.refuseUnsent(result.New(result.Overloaded, "%s", reason).WithRetryAfter(c.g.settings.Shedding.RetryAfter(random())))
 	default:
--- a/gateway/send.go
+++ b/gateway/send.go
@@ -72,6 +72,7 @@
 		u.RecordPause(now + resp.Pause)
 	}
 	c.recordBrittle(u, resp)
+	c.recordLimit(u, resp)
 	if resp.Leaving && !resp.AddressReassigned && u.RecordLeaving() {
 		c.g.Events.Record(event.UpstreamListed, "request", c.r.ID, "upstream", u.ID, "service", u.Service, "address", u.Address,
 			"left", true, "announced", true, "born", u.StartedAt)
--- a/node/upstreams.go
+++ b/node/upstreams.go
@@ -37,6 +37,9 @@
 	if notice.Brittle && a.balancer.ObserveBrittle(to, notice.BrittleLimit, a.nodes(), notice.Rejected) {
 		a.events.Record(event.UpstreamBrittle, "upstream", to.GetName(), "service", to.GetService(), "brittle", true, "limit", notice.BrittleLimit)
 	}
+	if notice.Limited && a.balancer.ObserveLimit(to, notice.RequestsPerSecond, a.nodes()) {
+		a.events.Record(event.UpstreamLimit, "upstream", to.GetName(), "service", to.GetService(), "limited", true, "per_second", notice.RequestsPerSecond)
+	}
 	if a.balancer.Pause(to, notice.Pause) {
 		a.events.Record(event.UpstreamPaused, "upstream", to.GetName(), "pause_ms", notice.Pause.Milliseconds())
 	}
--- a/placement/picker.go
+++ b/placement/picker.go
@@ -71,7 +71,7 @@
 
 // affinityUpstream returns the engine to which all nodes send a shared prompt, so that it is
 // cached on one engine without coordination. It is chosen by rendezvous hashing: when an engine
-// joins, leaves or pauses, only its own prompts move. A long shared prompt has one affinity
+// joins, leaves, pauses or takes no more requests, only its own prompts move. A long shared prompt has one affinity
 // upstream in the fleet, a short one has one in each data centre.
 func (p *Picker) affinityUpstream(r *Request, upstreams []*directory.Upstream) *directory.Upstream {
 	shared := r.shared()
@@ -83,7 +83,7 @@
 	var chosen *directory.Upstream
 	var topRank uint64
 	for _, u := range upstreams {
-		if !fleetWide && u.DataCentre != r.DataCentre || !u.Accepts(r.Now) || u.InBackoff(r.Now) || u.StaleUntil != 0 {
+		if !fleetWide && u.DataCentre != r.DataCentre || !u.Accepts(r.Now) || !u.HasRoom(r.Now) || u.InBackoff(r.Now) || u.StaleUntil != 0 {
 			continue
 		}
 		if rank := xxhash.Sum64String(key + "\x00" + u.ID); chosen == nil || rank > topRank {
--- a/result/upstream.go
+++ b/result/upstream.go
@@ -18,6 +18,7 @@
 	VersionUnknown   Code = 4014
 	VersionMissing   Code = 4015
 	ReadLate         Code = 4016
+	AtLimit          Code = 4017
 )
 
 var upstreamInfos = map[Code]Info{
@@ -34,5 +35,6 @@
 	VersionUnknown:   {"VersionUnknown", 503, codes.Unavailable, true, true, "This node can't learn which version of the upstreams' software began the stream, and others don't fit; another node may know."},
 	VersionMissing:   {"VersionMissing", 503, codes.Unavailable, true, true, "No upstream of the software version that began the stream can take it now; others don't fit."},
 	ReadLate:         {"ReadLate", 503, codes.Unavailable, true, true, "The time for the request was over before this node, short of processor time, had read it; another may serve it."},
+	AtLimit:          {"AtLimit", 429, codes.ResourceExhausted, true, true, "Every upstream of the service that is left gets as many requests a second as it says it takes; come back after the given time."},
 	RequestExpired:   {"RequestExpired", 503, codes.Unavailable, true, true, "The upstream refused the request: the node's right to have it run had ended before it arrived."},
 }
--- a/routing/brittle.go
+++ b/routing/room.go
@@ -36,6 +36,16 @@
 	return isNew
 }
 
+// ObserveLimit records that an upstream named how many requests a second it takes from all nodes together; nodes
+// is their number. It reports whether the limit is another than before.
+func (b *Balancer) ObserveLimit(u *operatorv1.Upstream, perSecond float64, nodes int) (changed bool) {
+	_, t := b.find(u.GetService(), u.GetName())
+	if t == nil {
+		return false
+	}
+	return t.throttle.NameLimit(perSecond, 1/float64(max(1, nodes)), b.sinceStart(b.clock.Now()), b.randomFloat())
+}
+
 // announceToUnheard takes the upstreams of a service from which nothing was heard lately for brittle.
 func (b *Balancer) announceToUnheard(s *service, limit, nodes int, now time.Duration) {
 	for _, other := range s.table.Load().byName {
@@ -51,10 +61,10 @@
 // randomFloat returns a random number from 0 to 1.
 func (b *Balancer) randomFloat() float64 { return float64(b.random()>>11) / (1 << 53) }
 
-// hasRoom reports whether the node may open another request at an upstream. Only a brittle one has ever
-// none.
+// hasRoom reports whether the node may open another request at an upstream. Only one that limits its requests
+// has ever none.
 func (c *pickCall) hasRoom(t *target) bool {
-	return !t.throttle.Brittle() || t.throttle.Allows(int(t.requests.value()), c.balancer.sinceStart(c.now))
+	return !t.throttle.Active() || t.throttle.Allows(int(t.requests.value()), c.balancer.sinceStart(c.now))
 }
 
 // open reserves room at an upstream; false if others took it meanwhile.
@@ -68,7 +78,7 @@
 	if err == nil {
 		a.target.heardAt.Store(int64(at))
 	}
-	if !limiter.Brittle() {
+	if !limiter.Active() {
 		return
 	}
 	switch {
@@ -88,12 +98,54 @@
 	return load
 }
 
-// fullError returns the error of a pick while upstreams are only left that are brittle and full.
+// maxTurnWait is how soon this node's turn at an upstream with a limit must come for a request to wait for it.
+const maxTurnWait = 250 * time.Millisecond
+
+// fullError returns the error of a pick while upstreams are only left that limit their requests.
 func (c *pickCall) fullError() error {
+	if wait := c.turnWait(); wait > maxTurnWait {
+		return result.New(result.AtLimit, "every upstream of %s that is left gets as many requests as it takes", c.request.Service).WithRetryAfter(c.limitRetryAfter())
+	}
 	spread := time.Duration(c.balancer.randomFloat() * float64(fullRetryAfter))
 	return result.New(result.Overloaded, "every upstream of %s that is left is brittle and has no room", c.request.Service).WithRetryAfter(fullRetryAfter + spread)
 }
 
+// turnWait returns the least time until this node's turn at an upstream that is left. It is zero if one is
+// limited by its room alone.
+func (c *pickCall) turnWait() time.Duration {
+	least, found := time.Duration(0), false
+	now := c.balancer.sinceStart(c.now)
+	for i := range c.table.entries {
+		if e := &c.table.entries[i]; c.untried(e) {
+			if _, wait, _ := e.target.throttle.Limit(now); !found || wait < least {
+				least, found = wait, true
+			}
+		}
+	}
+	return least
+}
+
+// maxLimitRetryAfter bounds the delay while upstreams take hardly any requests: they may take more soon.
+const maxLimitRetryAfter = 10 * time.Second
+
+// limitRetryAfter returns the time until an upstream at its limit takes another request from any node, since
+// the caller may come back to another one.
+func (c *pickCall) limitRetryAfter() time.Duration {
+	perSecond := 0.0
+	now := c.balancer.sinceStart(c.now)
+	for i := range c.table.entries {
+		if rate, _, limited := c.table.entries[i].target.throttle.Limit(now); limited {
+			perSecond += rate
+		}
+	}
+	next := maxLimitRetryAfter
+	if perSecond > 1/maxLimitRetryAfter.Seconds() {
+		next = time.Duration(float64(time.Second) / perSecond)
+	}
+	spread := fullRetryAfter + time.Duration(c.balancer.randomFloat()*float64(fullRetryAfter))
+	return max(next, spread)
+}
+
 // onlyRoomMissing reports whether an upstream would take the request if it had room.
 func (c *pickCall) onlyRoomMissing() bool {
 	for i := range c.table.entries {
--- a/throttle/limiter.go
+++ b/throttle/limiter.go
@@ -14,6 +14,7 @@
 
 	mu     sync.Mutex
 	window window
+	pace   pace
 }
 
 // lock locks the limiter if it limits anything; the result is false otherwise.
@@ -27,7 +28,7 @@
 
 // unlock must be called after each change.
 func (l *Limiter) unlock() {
-	l.active.Store(l.window.active)
+	l.active.Store(l.window.active || l.pace.limited)
 	l.mu.Unlock()
 }
 
@@ -52,6 +53,9 @@
 	return isNew
 }
 
+// Active reports whether the upstream says something that limits its requests.
+func (l *Limiter) Active() bool { return l.active.Load() }
+
 // Brittle reports whether the upstream is brittle.
 func (l *Limiter) Brittle() bool {
 	if !l.lock() {
@@ -61,6 +65,35 @@
 	return l.window.active
 }
 
+// NameLimit records that an answer named how many requests a second the upstream takes from all nodes
+// together. part, from 0 to 1, is this node's part of them, random a number from 0 to 1. It reports whether the
+// limit is another than before.
+func (l *Limiter) NameLimit(perSecond, part float64, now time.Duration, random float64) (changed bool) {
+	l.mu.Lock()
+	defer l.unlock()
+	return l.pace.name(perSecond, part, now, random)
+}
+
+// ClearLimit records an answer that named no limit, to a request sent at a time. It reports whether there
+// was one.
+func (l *Limiter) ClearLimit(sentAt time.Duration) (changed bool) {
+	if !l.lock() {
+		return false
+	}
+	defer l.unlock()
+	return l.pace.clear(sentAt)
+}
+
+// Limit returns how many requests a second the upstream takes from all nodes together, and how long this node
+// has to wait for its turn; false if it named no limit.
+func (l *Limiter) Limit(now time.Duration) (perSecond float64, wait time.Duration, limited bool) {
+	if !l.lock() {
+		return 0, 0, false
+	}
+	defer l.unlock()
+	return l.pace.perSecond, l.pace.wait(now), l.pace.limited
+}
+
 // Allows reports whether the node may open another request beside the given number of open ones.
 func (l *Limiter) Allows(open int, now time.Duration) bool {
 	if !l.lock() {
@@ -72,7 +105,7 @@
 
 func (l *Limiter) allows(open int, now time.Duration) bool {
 	l.window.expire(now)
-	return l.window.allows(open, now)
+	return l.window.allows(open, now) && l.pace.wait(now) == 0
 }
 
 // TryOpen is like Allows and records that the request is opened; random is a number from 0 to 1.
@@ -85,6 +118,7 @@
 		return false
 	}
 	l.window.delayNext(now, 0.5+random)
+	l.pace.take(now)
 	return true
 }
 
@@ -107,10 +141,11 @@
 }
 
 // Succeeded records that the upstream ran a request and what it said of its load. If no answer since the
-// request was sent said that the upstream is brittle, it no longer is.
+// request was sent said that the upstream is brittle, or named a limit, that holds no longer.
 func (l *Limiter) Succeeded(load Load, took, now time.Duration) {
 	if l.lock() {
 		defer l.unlock()
 		l.window.succeeded(load, took, now)
+		l.pace.clear(now - took)
 	}
 }
--- /dev/null
+++ b/throttle/pace.go
@@ -0,0 +1,79 @@
+package throttle
+
+import "time"
+
+const (
+	// turnLength is how long a turn to send is kept. A turn that no request took is lost: kept for longer,
+	// the turns of all nodes would be taken at the same moment when a crowd comes.
+	turnLength = time.Second
+	// minPerSecond is the least rate of all nodes together. With none at all, nobody would learn that an
+	// upstream takes requests again.
+	minPerSecond = 0.05
+	// maxInterval bounds the time between two requests of one node.
+	maxInterval = time.Hour
+)
+
+// pace limits how often one node sends to an upstream that named how many requests a second it takes from all
+// nodes together. Each node takes turns at its part of that rate. The zero value limits nothing.
+type pace struct {
+	limited   bool
+	perSecond float64
+	// interval is the time between two turns of this node, nextAt the start of the next one.
+	interval, nextAt time.Duration
+	// heardAt is when an answer last named the limit.
+	heardAt time.Duration
+}
+
+// name records that an answer named a limit, of which part, from 0 to 1, is this node's. random is a number
+// from 0 to 1. It reports whether the limit is another than before.
+func (p *pace) name(perSecond, part float64, now time.Duration, random float64) (changed bool) {
+	changed = !p.limited || perSecond != p.perSecond
+	interval := intervalOf(perSecond, part)
+	switch {
+	case !p.limited: // the nodes hear of it together, but must not send together
+		p.nextAt = now + time.Duration(random*float64(interval))
+	case p.nextAt > now:
+		p.nextAt = now + time.Duration(float64(p.nextAt-now)*float64(interval)/float64(p.interval))
+	}
+	p.limited, p.perSecond, p.interval, p.heardAt = true, perSecond, interval, now
+	return changed
+}
+
+func intervalOf(perSecond, part float64) time.Duration {
+	seconds := 1 / (max(minPerSecond, perSecond) * part)
+	return time.Duration(min(maxInterval.Seconds(), seconds) * float64(time.Second))
+}
+
+// clear records an answer that named no limit, to a request sent at a time, and reports whether there was
+// one. An answer that overtook a later one is of no account.
+func (p *pace) clear(sentAt time.Duration) (changed bool) {
+	if !p.limited || sentAt <= p.heardAt {
+		return false
+	}
+	p.limited = false
+	return true
+}
+
+// wait returns how long this node has to wait for its turn.
+func (p *pace) wait(now time.Duration) time.Duration {
+	if !p.limited {
+		return 0
+	}
+	p.skipLost(now)
+	return max(0, p.nextAt-now)
+}
+
+// skipLost moves on to the turn that isn't lost yet.
+func (p *pace) skipLost(now time.Duration) {
+	lost := now - turnLength - p.nextAt
+	if lost > 0 && p.interval > turnLength {
+		p.nextAt += (lost + p.interval - 1) / p.interval * p.interval
+	}
+}
+
+// take takes the turn. One that was taken late doesn't delay the next, but not more than one is made up for.
+func (p *pace) take(now time.Duration) {
+	if p.limited {
+		p.nextAt = max(p.nextAt, now-min(p.interval, turnLength)) + p.interval
+	}
+}
--- a/upstream/notice.go
+++ b/upstream/notice.go
@@ -44,6 +44,9 @@
 	// second.
 	Brittle      bool
 	BrittleLimit int
+	// Limited is set if the upstream takes only RequestsPerSecond from all nodes together.
+	Limited           bool
+	RequestsPerSecond float64
 	// Rejected is set if a brittle upstream didn't accept the request.
 	Rejected bool
 }
@@ -75,9 +78,25 @@
 		notice.Brittle, notice.BrittleLimit = true, parseBrittleLimit(limit)
 		notice.Rejected = response.StatusCode() == statusUnavailable
 	}
+	if limit := response.Header.Get(HeaderLimit); limit != "" {
+		notice.Limited, notice.RequestsPerSecond = true, parseLimit(limit)
+	}
 	return notice
 }
 
+// maxLimit bounds the requests a second that an upstream says it takes. No service has so many.
+const maxLimit = 1e6
+
+// parseLimit returns the requests a second in a header. Zero, the strictest, stands for anything that isn't a
+// number.
+func parseLimit(text string) float64 {
+	perSecond, err := strconv.ParseFloat(strings.TrimSpace(text), 64)
+	if err != nil || math.IsNaN(perSecond) {
+		return 0
+	}
+	return min(maxLimit, max(0, perSecond))
+}
+
 // parseBrittleLimit returns the limit in a header. Zero, the strictest, stands for anything that isn't a
 // number.
 func parseBrittleLimit(text string) int {
