Keep the turns of a few nodes until they need them

With turns lost after a second, a node of six found its turn at an upstream of 2 a second (one in 3 s) for a third of its requests, although all nodes together sent fewer than the limit. Unready and leaving nodes count like those that callers aren't sent to.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -47,9 +47,9 @@
 	Lag func() time.Duration
 	// Senders returns the number of nodes that callers are sent to.
 	Senders func() int
-	// SendPart returns the part, from 0 to 1, of all requests to the upstreams of a data centre that this node
-	// is expected to send.
-	SendPart    func(dataCentre string) float64
+	// SendShare returns the share, from 0 to 1, of all requests to the upstreams of a data centre that this
+	// node is expected to send.
+	SendShare   func(dataCentre string) float64
 	RetryLimits repeats.Limits
 	DataCentre  string
 	Region      string
--- a/gateway/room.go
+++ b/gateway/room.go
@@ -98,10 +98,10 @@
 		}
 		return
 	}
-	part := c.g.SendPart(u.DataCentre)
+	part := throttle.Part{Share: c.g.SendShare(u.DataCentre), Senders: c.g.Senders()}
 	if u.Throttle.NameLimit(resp.RequestsPerSecond, part, c.g.Clock.Now(), random()) {
 		c.g.Metrics.recordLimit(limitNamed)
-		c.g.Events.Record(event.UpstreamLimit, "upstream", u.ID, "service", u.Service, "limited", true, "per_second", resp.RequestsPerSecond, "part", part)
+		c.g.Events.Record(event.UpstreamLimit, "upstream", u.ID, "service", u.Service, "limited", true, "per_second", resp.RequestsPerSecond, "share", part.Share, "senders", part.Senders)
 	}
 }
 
--- a/presence/sendpart.go
+++ b/presence/sendshare.go
@@ -9,14 +9,14 @@
 	dataCentreWeight = 4.0
 	regionWeight     = 2.0
 	farWeight        = 1.0
-	// unlistedWeight multiplies the weight of a node whose address isn't given to callers: it has few of them,
-	// but must not exceed a limit together with its like.
+	// unlistedWeight multiplies the weight of a node that callers aren't sent to: it has few of them, but must
+	// not exceed a limit together with its like.
 	unlistedWeight = 0.02
 )
 
-// SendPart returns the part, from 0 to 1, of the requests of all nodes to an upstream that one node is expected
-// to send. All nodes work it out from the same records, so that their parts add up to 1.
-func SendPart(live []Record, own Record, to Place) float64 {
+// SendShare returns the share, from 0 to 1, of the requests of all nodes to an upstream that one node is expected
+// to send. All nodes work it out from the same records, so that their shares add up to 1.
+func SendShare(live []Record, own Record, to Place) float64 {
 	listed := listedNodes(live, own)
 	ownWeight := sendWeight(own, to, listed)
 	total := ownWeight
@@ -54,7 +54,7 @@
 	case r.Region == to.Region:
 		weight = regionWeight
 	}
-	if !listed[r.Node] {
+	if !listed[r.Node] || !r.Ready || r.Leaving {
 		weight *= unlistedWeight
 	}
 	return weight
--- a/routing/room.go
+++ b/routing/room.go
@@ -43,7 +43,7 @@
 	if t == nil {
 		return false
 	}
-	return t.throttle.NameLimit(perSecond, 1/float64(max(1, nodes)), b.sinceStart(b.clock.Now()), b.randomFloat())
+	return t.throttle.NameLimit(perSecond, throttle.Part{Share: 1 / float64(max(1, nodes)), Senders: nodes}, b.sinceStart(b.clock.Now()), b.randomFloat())
 }
 
 // announceToUnheard takes the upstreams of a service from which nothing was heard lately for brittle.
--- a/throttle/limiter.go
+++ b/throttle/limiter.go
@@ -66,9 +66,9 @@
 }
 
 // NameLimit records that an answer named how many requests a second the upstream takes from all nodes
-// together. part, from 0 to 1, is this node's part of them, random a number from 0 to 1. It reports whether the
-// limit is another than before.
-func (l *Limiter) NameLimit(perSecond, part float64, now time.Duration, random float64) (changed bool) {
+// together. part is this node's part of them, random a number from 0 to 1. It reports whether the limit is
+// another than before.
+func (l *Limiter) NameLimit(perSecond float64, part Part, now time.Duration, random float64) (changed bool) {
 	l.mu.Lock()
 	defer l.unlock()
 	return l.pace.name(perSecond, part, now, random)
--- a/throttle/pace.go
+++ b/throttle/pace.go
@@ -3,9 +3,12 @@
 import "time"
 
 const (
-	// turnLength is how long a turn to send is kept. A turn that no request took is lost: kept for longer,
-	// the turns of all nodes would be taken at the same moment when a crowd comes.
+	// turnLength is how long a turn to send is kept if many nodes send. A turn that no request took is lost:
+	// kept for longer, the turns of all nodes would be taken at the same moment when a crowd comes.
 	turnLength = time.Second
+	// toleratedBurst is how many requests beyond its limit an upstream bears at a moment. Beside a second's
+	// requests, so many nodes may each keep a turn until they need it.
+	toleratedBurst = 5
 	// minPerSecond is the least rate of all nodes together. With none at all, nobody would learn that an
 	// upstream takes requests again.
 	minPerSecond = 0.05
@@ -13,22 +16,32 @@
 	maxInterval = time.Hour
 )
 
+// Part is a node's part of the requests to an upstream.
+type Part struct {
+	// Share is its share, from 0 to 1, of what all nodes send.
+	Share float64
+	// Senders is the number of nodes that send.
+	Senders int
+}
+
 // pace limits how often one node sends to an upstream that named how many requests a second it takes from all
 // nodes together. Each node takes turns at its part of that rate. The zero value limits nothing.
 type pace struct {
 	limited   bool
 	perSecond float64
+	// keepsTurns is set if a turn is kept until it is taken.
+	keepsTurns bool
 	// interval is the time between two turns of this node, nextAt the start of the next one.
 	interval, nextAt time.Duration
 	// heardAt is when an answer last named the limit.
 	heardAt time.Duration
 }
 
-// name records that an answer named a limit, of which part, from 0 to 1, is this node's. random is a number
-// from 0 to 1. It reports whether the limit is another than before.
-func (p *pace) name(perSecond, part float64, now time.Duration, random float64) (changed bool) {
+// name records that an answer named a limit, of which a part is this node's. random is a number from 0 to 1. It
+// reports whether the limit is another than before.
+func (p *pace) name(perSecond float64, part Part, now time.Duration, random float64) (changed bool) {
 	changed = !p.limited || perSecond != p.perSecond
-	interval := intervalOf(perSecond, part)
+	interval := intervalOf(perSecond, part.Share)
 	switch {
 	case !p.limited: // the nodes hear of it together, but must not send together
 		p.nextAt = now + time.Duration(random*float64(interval))
@@ -36,11 +49,12 @@
 		p.nextAt = now + time.Duration(float64(p.nextAt-now)*float64(interval)/float64(p.interval))
 	}
 	p.limited, p.perSecond, p.interval, p.heardAt = true, perSecond, interval, now
+	p.keepsTurns = float64(part.Senders) <= perSecond+toleratedBurst
 	return changed
 }
 
-func intervalOf(perSecond, part float64) time.Duration {
-	seconds := 1 / (max(minPerSecond, perSecond) * part)
+func intervalOf(perSecond, share float64) time.Duration {
+	seconds := 1 / (max(minPerSecond, perSecond) * share)
 	return time.Duration(min(maxInterval.Seconds(), seconds) * float64(time.Second))
 }
 
@@ -66,7 +80,7 @@
 // skipLost moves on to the turn that isn't lost yet.
 func (p *pace) skipLost(now time.Duration) {
 	lost := now - turnLength - p.nextAt
-	if lost > 0 && p.interval > turnLength {
+	if lost > 0 && p.interval > turnLength && !p.keepsTurns {
 		p.nextAt += (lost + p.interval - 1) / p.interval * p.interval
 	}
 }
--- a/throttle/pace_test.go
+++ b/throttle/pace_test.go
@@ -65,7 +65,7 @@
 	}
 	f.upstream.arrivals = append(f.upstream.arrivals, now)
 	if f.upstream.perSecond > 0 {
-		l.NameLimit(f.upstream.perSecond, 1/float64(len(f.nodes)), now, f.random.Float64())
+		l.NameLimit(f.upstream.perSecond, Part{1 / float64(len(f.nodes)), len(f.nodes)}, now, f.random.Float64())
 		return
 	}
 	l.ClearLimit(now)
@@ -123,8 +123,8 @@
 func TestLateAnswerWithoutLimitDoesNotEndIt(t *testing.T) {
 	is := is.New(t)
 	var l Limiter
-	is.True(l.NameLimit(1, 1, 10*time.Second, 0))
-	is.True(!l.NameLimit(1, 1, 11*time.Second, 0))
+	is.True(l.NameLimit(1, Part{1, 1}, 10*time.Second, 0))
+	is.True(!l.NameLimit(1, Part{1, 1}, 11*time.Second, 0))
 	is.True(!l.ClearLimit(11 * time.Second))
 	_, _, limited := l.Limit(12 * time.Second)
 	is.True(limited)
@@ -136,7 +136,7 @@
 func TestLimitOfZeroStillProbes(t *testing.T) {
 	is := is.New(t)
 	var l Limiter
-	l.NameLimit(0, 1, 0, 0.5)
+	l.NameLimit(0, Part{1, 1}, 0, 0.5)
 	sent := 0
 	for now := time.Duration(0); now < time.Minute; now += 100 * time.Millisecond {
 		if l.TryOpen(0, now, 0) {
@@ -145,3 +145,16 @@
 	}
 	is.True(sent >= 2 && sent <= 4)
 }
+
+// Guards against sending requests elsewhere, or rejecting them, although all of them together are fewer than an
+// upstream takes: the turns of a few nodes are not lost while nobody needs them.
+func TestFewRequestsFindTheirTurns(t *testing.T) {
+	is := is.New(t)
+	f := newPacedFleet(6, 2, 2)
+	f.run(0, 10*time.Second, 300)
+	const from, to, rate = 20 * time.Second, 520 * time.Second, 1.0
+	f.run(from, to, rate)
+	served := float64(f.upstream.countSince(from)) / (rate * (to - from).Seconds())
+	t.Logf("%.2f of the requests are sent there", served)
+	is.True(served >= 0.7)
+}
