Count silent nodes for 20 s when a limit is shared, and let shares follow the nodes

A silent node now keeps its share for 20 s; one that can't read the others' records gives it up after 15 s.

--- a/edgenode/node.go
+++ b/edgenode/node.go
@@ -96,7 +96,7 @@
 		Picker: picker,
 		Share:  n.share, Upstreams: deps.Upstreams, Events: deps.Events, Metrics: deps.Metrics, Origins: n.origins,
 		Borrower:    lending.NewBorrower(deps.Lending, deps.Clock, settings.Incarnation, n.lenders),
-		AwaitTokens: n.awaitTokens, ReportUsage: n.report, LiveNodes: n.nodeCount, Senders: n.senders, SendShare: n.sendShare, AwaitReachable: n.awaitReachable, Lag: deps.Lag, RetryLimits: settings.Repeats,
+		AwaitTokens: n.awaitTokens, ReportUsage: n.report, LiveNodes: n.nodeCount, Senders: n.senders, SendPart: n.sendPart, AwaitReachable: n.awaitReachable, Lag: deps.Lag, RetryLimits: settings.Repeats,
 		DataCentre: settings.DataCentre, Region: settings.Region,
 	})
 	grantOptions := grantReadOptions
@@ -104,6 +104,7 @@
 	n.startFollower(loopsCtx, deps.Topics.Grants, n.grants, grantOptions)
 	n.startLoop(loopsCtx, n.expireLoans)
 	n.startLoop(loopsCtx, n.watchContact)
+	n.startLoop(loopsCtx, n.adjustLimits)
 	if deps.Paths != nil {
 		n.startLoop(loopsCtx, func(ctx context.Context) { deps.Paths.Run(ctx, (*pathNode)(n)) })
 	}
@@ -187,13 +188,6 @@
 // senders returns how many nodes callers are sent to.
 func (n *Node) senders() int { return max(1, presence.CountListed(n.roster.Live())) }
 
-// sendShare returns the share of all requests to the upstreams of a data centre that this node is expected to
-// send.
-func (n *Node) sendShare(dataCentre string) float64 {
-	to := presence.Place{DataCentre: dataCentre, Region: n.settings.Regions[dataCentre]}
-	return presence.SendShare(n.roster.Live(), n.presenceRecord(), to)
-}
-
 // presenceRecord returns the node's own presence record.
 func (n *Node) presenceRecord() presence.Record {
 	return presence.Record{Node: n.settings.Node, Incarnation: n.settings.Incarnation, Address: n.settings.Address, PeerAddress: n.settings.Peer,
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -17,6 +17,7 @@
 	"lavenderpin.dev/lavenderpin/placement"
 	"lavenderpin.dev/lavenderpin/prepaid"
 	"lavenderpin.dev/lavenderpin/repeats"
+	"lavenderpin.dev/lavenderpin/throttle"
 )
 
 // Deps are the dependencies of a gateway.
@@ -47,9 +48,8 @@
 	Lag func() time.Duration
 	// Senders returns the number of nodes that callers are sent to.
 	Senders func() int
-	// SendShare returns the share, from 0 to 1, of all requests to the upstreams of a data centre that this
-	// node is expected to send.
-	SendShare   func(dataCentre string) float64
+	// SendPart returns this node's part of the requests to the upstreams of a data centre.
+	SendPart    func(dataCentre string) throttle.Part
 	RetryLimits repeats.Limits
 	DataCentre  string
 	Region      string
--- a/gateway/room.go
+++ b/gateway/room.go
@@ -98,7 +98,7 @@
 		}
 		return
 	}
-	part := throttle.Part{Share: c.g.SendShare(u.DataCentre), Senders: c.g.Senders()}
+	part := c.g.SendPart(u.DataCentre)
 	if u.Throttle.NameLimit(resp.RequestsPerSecond, part, c.g.Clock.Now(), random()) {
 		c.g.Metrics.recordLimit(limitNamed)
 		c.g.Events.Record(event.UpstreamLimit, "upstream", u.ID, "service", u.Service, "limited", true, "per_second", resp.RequestsPerSecond, "share", part.Share, "senders", part.Senders)
--- a/presence/roster.go
+++ b/presence/roster.go
@@ -18,6 +18,11 @@
 	// three records, and one more for a node with a longer interval. A premature takeover costs
 	// only a few calls, since every write of a task is fenced.
 	ActiveTimeout = 1600 * time.Millisecond
+	// HoldTimeout is how long a silent node may still use its share of what all nodes use together. A node
+	// that can't read the others' records gives its share up after SelfHoldTimeout, before they take it over:
+	// the difference covers the interval between records and their way.
+	HoldTimeout     = 20 * time.Second
+	SelfHoldTimeout = 15 * time.Second
 )
 
 // Roster holds the last known record of each node. It is safe for concurrent use.
@@ -31,11 +36,11 @@
 	readableTime time.Duration
 	lastReadAt   time.Duration
 	lastReadOK   bool
-	// live and active cache the results of Live and Active until the roster changes; nil if they
-	// must be rebuilt. Silence is measured in readable time, which advances only when the store
+	// live, active and holding cache the results of Live, Active and Holding until the roster changes; nil
+	// if they must be rebuilt. Silence is measured in readable time, which advances only when the store
 	// is read. A node calls Live and Active many times a second: sorting each time would take
 	// most of an idle node's processor time in a large fleet.
-	live, active []Record
+	live, active, holding []Record
 }
 
 type member struct {
@@ -83,7 +88,7 @@
 }
 
 // invalidate discards the cached lists. The caller holds mu.
-func (r *Roster) invalidate() { r.live, r.active = nil, nil }
+func (r *Roster) invalidate() { r.live, r.active, r.holding = nil, nil, nil }
 
 // maxReadGap bounds how much of the time between two successful reads counts as time in which
 // the store could be read.
@@ -130,6 +135,24 @@
 	return r.active
 }
 
+// Holding returns the nodes that may use their share of what all nodes use together, sorted by name. The slice is
+// shared and must not be modified.
+func (r *Roster) Holding() []Record {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.holding == nil {
+		r.holding = r.heardWithin(HoldTimeout, 0)
+	}
+	return r.holding
+}
+
+// ReadWithin reports whether the nodes' records were read within a time.
+func (r *Roster) ReadWithin(d time.Duration) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.lastReadAt != 0 && r.clock.Now()-r.lastReadAt <= d
+}
+
 // How many records a node with a longer interval may miss.
 const (
 	liveMissedRecords   = 2
--- a/presence/sendshare.go
+++ b/presence/sendshare.go
@@ -15,28 +15,29 @@
 )
 
 // SendShare returns the share, from 0 to 1, of the requests of all nodes to an upstream that one node is expected
-// to send. All nodes work it out from the same records, so that their shares add up to 1.
-func SendShare(live []Record, own Record, to Place) float64 {
-	listed := listedNodes(live, own)
-	ownWeight := sendWeight(own, to, listed)
-	total := ownWeight
-	for _, r := range live {
-		if r.Node != own.Node {
-			total += sendWeight(r, to, listed)
+// to send. All nodes work it out from the same records, so that their shares add up to 1. A node that isn't among
+// those that hold a share, in its own view, has as little as one without callers: the others may count without it.
+func SendShare(holding []Record, own Record, to Place) float64 {
+	listed := listedNodes(holding)
+	ownWeight, total := unlistedWeight*placeWeight(own, to), 0.0
+	for _, r := range holding {
+		weight := sendWeight(r, to, listed)
+		if r.Node == own.Node {
+			ownWeight = weight
+			continue
 		}
+		total += weight
 	}
-	return ownWeight / total
+	return ownWeight / (total + ownWeight)
 }
 
 // listedNodes returns the names of the nodes whose addresses are always given to callers of their region.
-func listedNodes(live []Record, own Record) map[string]bool {
-	regions := map[string][]Record{own.Region: {own}}
-	for _, r := range live {
-		if r.Node != own.Node {
-			regions[r.Region] = append(regions[r.Region], r)
-		}
+func listedNodes(nodes []Record) map[string]bool {
+	regions := make(map[string][]Record)
+	for _, r := range nodes {
+		regions[r.Region] = append(regions[r.Region], r)
 	}
-	listed := make(map[string]bool, len(live))
+	listed := make(map[string]bool, len(nodes))
 	for _, region := range regions {
 		large, _ := splitBySize(region)
 		for _, r := range large {
@@ -47,15 +48,20 @@
 }
 
 func sendWeight(r Record, to Place, listed map[string]bool) float64 {
-	weight := farWeight
+	weight := placeWeight(r, to)
+	if !listed[r.Node] || !r.Ready {
+		weight *= unlistedWeight
+	}
+	return weight
+}
+
+func placeWeight(r Record, to Place) float64 {
 	switch {
 	case r.DataCentre == to.DataCentre:
-		weight = dataCentreWeight
+		return dataCentreWeight
 	case r.Region == to.Region:
-		weight = regionWeight
-	}
-	if !listed[r.Node] || !r.Ready || r.Leaving {
-		weight *= unlistedWeight
+		return regionWeight
+	default:
+		return farWeight
 	}
-	return weight
 }
--- a/throttle/limiter.go
+++ b/throttle/limiter.go
@@ -74,6 +74,17 @@
 	return l.pace.name(perSecond, part, now, random)
 }
 
+// AdjustPart sets this node's part of the limit, if the upstream named one.
+func (l *Limiter) AdjustPart(part Part, now time.Duration) {
+	if !l.lock() {
+		return
+	}
+	defer l.unlock()
+	if l.pace.limited {
+		l.pace.adjust(part, now)
+	}
+}
+
 // ClearLimit records an answer that named no limit, to a request sent at a time. It reports whether there
 // was one.
 func (l *Limiter) ClearLimit(sentAt time.Duration) (changed bool) {
--- a/throttle/pace.go
+++ b/throttle/pace.go
@@ -41,18 +41,24 @@
 // reports whether the limit is another than before.
 func (p *pace) name(perSecond float64, part Part, now time.Duration, random float64) (changed bool) {
 	changed = !p.limited || perSecond != p.perSecond
-	interval := intervalOf(perSecond, part.Share)
-	switch {
-	case !p.limited: // the nodes hear of it together, but must not send together
-		p.nextAt = now + time.Duration(random*float64(interval))
-	case p.nextAt > now:
-		p.nextAt = now + time.Duration(float64(p.nextAt-now)*float64(interval)/float64(p.interval))
+	p.perSecond, p.heardAt = perSecond, now
+	if !p.limited { // the nodes hear of it together, but must not send together
+		p.limited, p.interval = true, intervalOf(perSecond, part.Share)
+		p.nextAt = now + time.Duration(random*float64(p.interval))
 	}
-	p.limited, p.perSecond, p.interval, p.heardAt = true, perSecond, interval, now
-	p.keepsTurns = float64(part.Senders) <= perSecond+toleratedBurst
+	p.adjust(part, now)
 	return changed
 }
 
+// adjust sets this node's part of the limit. What it has waited for its turn counts.
+func (p *pace) adjust(part Part, now time.Duration) {
+	interval := intervalOf(p.perSecond, part.Share)
+	if p.nextAt > now {
+		p.nextAt = now + time.Duration(float64(p.nextAt-now)*float64(interval)/float64(p.interval))
+	}
+	p.interval, p.keepsTurns = interval, float64(part.Senders) <= p.perSecond+toleratedBurst
+}
+
 func intervalOf(perSecond, share float64) time.Duration {
 	seconds := 1 / (max(minPerSecond, perSecond) * share)
 	return time.Duration(min(maxInterval.Seconds(), seconds) * float64(time.Second))
