--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -46,6 +46,7 @@
 	}
 	violations = append(violations, h.checkCuts()...)
 	violations = append(violations, h.checkPauses()...)
+	violations = append(violations, h.checkNamedLimits()...)
 	violations = append(violations, h.checkLeavingUpstreams()...)
 	violations = append(violations, h.checkCutFromUpstreams()...)
 	violations = append(violations, h.checkRoutesInForce()...)
--- a/internal/soak/check_test.go
+++ b/internal/soak/check_test.go
@@ -86,6 +86,15 @@
 	}
 }
 
+// nameLimit makes upstream 0 name a limit of 1 a second in each answer, from 100 on, and lets a number of requests
+// arrive there each second.
+func (h *history) nameLimit(perSecond int) {
+	h.send("told", 100, standin.Arrival{Limit: 1})
+	for i := range 8 * perSecond {
+		h.send(fmt.Sprintf("limited-%d", i), 101+float64(i)/float64(perSecond), standin.Arrival{Limit: 1})
+	}
+}
+
 // cutFromUpstreams cuts node 2 from all upstreams from 90 on and makes 20 calls to it and to node 1 at
 // the given time, of which node 2 serves some.
 func (h *history) cutFromUpstreams(start float64, served int) {
@@ -186,6 +195,7 @@
 			h.recordOf(standin.LookupRoute).outcome.Status = 0
 		}},
 		{"an upstream gets requests during the pause that it asked for", "requested pauses", func(h *history) { h.shedWithPause(100.6, 101, 102.9) }},
+		{"an upstream gets more requests than it takes", "named limits", func(h *history) { h.nameLimit(3) }},
 		{"an upstream leaves and gets a request", "leaving upstreams", func(h *history) { h.leave(100, 103.1) }},
 		{"streams hold events of two versions", "one version in a stream", func(h *history) { h.takeUp(3, secondVersion) }},
 		{"a stream within one answer, and two taken up, hold events of two versions", "one version in a stream", func(h *history) {
@@ -257,6 +267,11 @@
 			h.shedWithPause(100.6, 101, 102.9)
 			h.spans = []span{spanOf(Step{Kind: UpstreamReset}, 100, 100.1)}
 		}},
+		{"an upstream with a limit gets one and a half times as many", func(h *history) { h.nameLimit(1) }},
+		{"the node restarts while an upstream has a limit", func(h *history) {
+			h.nameLimit(3)
+			h.stopNode(103, 104)
+		}},
 		{"the node restarts during a pause", func(h *history) {
 			h.shedWithPause(100.6, 101, 102.9)
 			h.stopNode(99, 100.5)
--- a/internal/soak/fleet.go
+++ b/internal/soak/fleet.go
@@ -213,6 +213,8 @@
 		}
 		changeFaults(func(x *standin.Faults) { x.Shed, x.ShedEvery, x.RetryAfter = true, s.ShedEvery, retryAfter },
 			func(x *standin.Faults) { x.Shed, x.ShedEvery, x.RetryAfter = false, 0, "" })
+	case UpstreamNamesLimit:
+		changeFaults(func(x *standin.Faults) { x.Limit = s.Limit }, func(x *standin.Faults) { x.Limit = 0 })
 	case UpstreamLeaves:
 		f.leave(s)
 	case UpstreamChangesVersion:
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -30,6 +30,7 @@
 	UpstreamFails           Kind = "upstream fails"
 	UpstreamSheds           Kind = "upstream is full"
 	UpstreamLeaves          Kind = "upstream leaves"
+	UpstreamNamesLimit      Kind = "upstream names a limit on its requests"
 	NodeUpstreamsSilent     Kind = "node cut from all upstreams"
 	NodeUpstreamsReset      Kind = "node's connections to all upstreams reset, then cut"
 	UpstreamChangesVersion  Kind = "upstream restarts under its ID as another version"
@@ -54,6 +55,8 @@
 	// EntryDelay is how long after the beginning of an UpstreamLeaves the upstream's entry in the
 	// store says so; zero if never.
 	EntryDelay time.Duration
+	// Limit is the requests a second that an UpstreamNamesLimit takes from all nodes together.
+	Limit float64
 }
 
 func (s Step) String() string {
@@ -64,6 +67,9 @@
 	if s.EntryDelay > 0 {
 		text += fmt.Sprintf(", its entry says so after %.1fs", s.EntryDelay.Seconds())
 	}
+	if s.Limit > 0 {
+		text += fmt.Sprintf(", takes %.1f a second", s.Limit)
+	}
 	return text
 }
 
@@ -121,6 +127,7 @@
 	}
 	plan = append(plan, cutsFromUpstreams(rand.New(rand.NewPCG(seed, 2)), length, nodes)...)
 	plan = append(plan, restartsAsOtherVersion(rand.New(rand.NewPCG(seed, 3)), length)...)
+	plan = append(plan, namedLimits(rand.New(rand.NewPCG(seed, 4)), length, upstreams)...)
 	slices.SortStableFunc(plan, func(a, b Step) int { return cmp.Compare(a.At, b.At) })
 	return plan
 }
@@ -164,7 +171,7 @@
 // affectsUpstream reports whether the step's target is an upstream.
 func (s Step) affectsUpstream() bool {
 	switch s.Kind {
-	case UpstreamReset, UpstreamSilent, UpstreamCutsStreams, UpstreamFails, UpstreamSheds, UpstreamLeaves:
+	case UpstreamReset, UpstreamSilent, UpstreamCutsStreams, UpstreamFails, UpstreamSheds, UpstreamLeaves, UpstreamNamesLimit:
 		return true
 	default:
 		return false
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -38,6 +38,9 @@
 // Guards against streams that go on, within one answer or at another node, at another version of the upstreams' software.
 func TestStreamsKeepTheirVersion(t *testing.T) { testSeed(t, 2) }
 
+// Guards against nodes that together send upstreams more than the limits that these name.
+func TestNodesKeepToNamedLimits(t *testing.T) { testSeed(t, 948) }
+
 // testSeed runs a seed and reports its violations.
 func testSeed(t *testing.T, seed uint64) {
 	t.Parallel()
