--- a/peerfetch/attempt.go
+++ b/peerfetch/attempt.go
@@ -14,9 +14,10 @@
 	roundPause = 60 * time.Millisecond
 	// receivingExtension is how much longer a node waits after a peer said that it receives the records.
 	receivingExtension = 500 * time.Millisecond
-	// lastQueryTimeout bounds the queries before a node turns to the store: a few round trips within a
-	// data centre, on a busy node.
-	lastQueryTimeout = 50 * time.Millisecond
+	// maxReplyDelay is how long a reply may take beside the time for which the peer waits: a node that is short of
+	// processor time reads it late. Once one peer has replied, the others are given laterReplyTime.
+	maxReplyDelay  = 250 * time.Millisecond
+	laterReplyTime = 50 * time.Millisecond
 	// firstReaders and otherReaders are how many peers are queried beside the sources before a node
 	// turns to the store: those whose timeouts expire first, and others drawn at random.
 	firstReaders = 4
@@ -135,7 +136,7 @@
 // query asks peers at the same time whether they have read far enough, and returns the first one that has. A
 // peer waits for that for some time.
 func (a *attempt) query(ctx context.Context, peers []Peer, wait time.Duration) (Peer, bool) {
-	ctx, cancel := context.WithTimeout(ctx, wait+lastQueryTimeout)
+	ctx, cancel := context.WithTimeout(ctx, wait+maxReplyDelay)
 	defer cancel()
 	req := a.req
 	req.StatusOnly, req.WaitMs = true, wait.Milliseconds()
@@ -146,11 +147,20 @@
 			statuses <- status{p, reply, err}
 		}()
 	}
+	var othersLate <-chan time.Time
 	for range peers {
-		s := <-statuses
+		var s status
+		select {
+		case s = <-statuses:
+		case <-othersLate:
+			return Peer{}, false
+		}
 		if s.err != nil {
 			continue
 		}
+		if othersLate == nil {
+			othersLate = time.After(laterReplyTime)
+		}
 		a.replied.Add(1)
 		if !s.reply.Behind {
 			return s.peer, true
