--- a/directory/leaving.go
+++ b/directory/leaving.go
@@ -27,11 +27,13 @@
 func (s *Stats) Accepts(now time.Duration) bool { return !s.Leaving() && !s.Paused(now) }
 
 // succeed returns the statistics that replace s. A pause goes on even after a restart: the node may
-// not know yet which incarnation asked for it.
+// not know yet which incarnation asked for it. So does a limit until an answer names none, since what
+// brought the upstream into need may last.
 func (s *Stats) succeed(restarted bool) *Stats {
 	next := &Stats{}
 	s.successor.Store(&successor{next, restarted}) // before the rest is read, so that nothing recorded meanwhile is missed
 	next.extendPause(time.Duration(s.pausedUntil.Load()))
+	next.Throttle.InheritLimit(&s.Throttle)
 	if !restarted && s.leaving.Load() {
 		next.leaving.Store(true)
 	}
--- a/directory/leaving_test.go
+++ b/directory/leaving_test.go
@@ -2,10 +2,12 @@
 
 import (
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 
 	"lavenderpin.dev/lavenderpin/bootclock"
+	"lavenderpin.dev/lavenderpin/throttle"
 )
 
 // Guards against using an upstream that announced that it leaves because its entry, still or again,
@@ -83,3 +85,18 @@
 	table.Put(present)
 	is.True(!only(table).Accepts(clock.Now()))
 }
+
+// Guards against a burst at an upstream that named a limit and restarted: its next answer may name it again.
+func TestLimitOutlivesRestart(t *testing.T) {
+	is := is.New(t)
+	table := NewTable(bootclock.System{})
+	table.Put(Entry{ID: "u", Service: "s", Address: "a", State: Ready, StartedAt: 1})
+	u := table.Current().Upstreams("s")[0]
+	u.Throttle.NameLimit(1, throttle.Part{Share: 1, Senders: 1}, time.Second, 0)
+	table.Put(Entry{ID: "u", Service: "s", Address: "a", State: Ready, StartedAt: 2})
+	u = table.Current().Upstreams("s")[0]
+	perSecond, _, limited := u.Throttle.Limit(time.Second)
+	is.True(limited)
+	is.Equal(perSecond, 1.0)
+	is.True(u.Throttle.ClearLimit(2 * time.Second))
+}
--- a/throttle/limiter.go
+++ b/throttle/limiter.go
@@ -85,6 +85,18 @@
 	}
 }
 
+// InheritLimit takes over the limit of the limiter that this one replaces.
+func (l *Limiter) InheritLimit(from *Limiter) {
+	if !from.lock() {
+		return
+	}
+	inherited := from.pace
+	from.unlock()
+	l.mu.Lock()
+	defer l.unlock()
+	l.pace = inherited
+}
+
 // ClearLimit records an answer that named no limit, to a request sent at a time. It reports whether there
 // was one.
 func (l *Limiter) ClearLimit(sentAt time.Duration) (changed bool) {
