--- a/presence/roster.go
+++ b/presence/roster.go
@@ -135,13 +135,13 @@
 	return r.active
 }
 
-// Holding returns the nodes that may use their share of what all nodes use together, sorted by name. The slice is
-// shared and must not be modified.
+// Holding returns the nodes that may use their share of what all nodes use together, sorted by name. Leaving ones do
+// so until they are gone. The slice is shared and must not be modified.
 func (r *Roster) Holding() []Record {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.holding == nil {
-		r.holding = r.heardWithin(HoldTimeout, 0)
+		r.holding = r.recordsOf(func(m *member) bool { return r.readableTime-m.heardAt <= HoldTimeout })
 	}
 	return r.holding
 }
@@ -162,14 +162,21 @@
 // heardWithin lists the nodes that were heard from within the given silence. The caller holds
 // mu.
 func (r *Roster) heardWithin(silence time.Duration, missed int) []Record {
-	live := make([]Record, 0, len(r.nodes))
+	return r.recordsOf(func(m *member) bool {
+		return !m.Leaving && r.readableTime-m.heardAt <= silence+m.extraSilence(missed)
+	})
+}
+
+// recordsOf lists the nodes that match accepts. The caller holds mu.
+func (r *Roster) recordsOf(match func(*member) bool) []Record {
+	records := make([]Record, 0, len(r.nodes))
 	for _, m := range r.nodes {
-		if !m.Leaving && r.readableTime-m.heardAt <= silence+m.extraSilence(missed) {
-			live = append(live, m.Record)
+		if match(m) {
+			records = append(records, m.Record)
 		}
 	}
-	slices.SortFunc(live, func(a, b Record) int { return strings.Compare(a.Node, b.Node) })
-	return live
+	slices.SortFunc(records, func(a, b Record) int { return strings.Compare(a.Node, b.Node) })
+	return records
 }
 
 // IsLive reports whether an incarnation of a node serves.
--- a/presence/sendshare.go
+++ b/presence/sendshare.go
@@ -49,7 +49,7 @@
 
 func sendWeight(r Record, to Place, listed map[string]bool) float64 {
 	weight := placeWeight(r, to)
-	if !listed[r.Node] || !r.Ready {
+	if !listed[r.Node] || !r.Ready && !r.Leaving {
 		weight *= unlistedWeight
 	}
 	return weight
--- a/presence/sendshare_test.go
+++ b/presence/sendshare_test.go
@@ -6,6 +6,8 @@
 	"testing"
 
 	"github.com/matryer/is"
+
+	"lavenderpin.dev/lavenderpin/bootclock"
 )
 
 // Guards against nodes whose shares of an upstream's limit add up to more than the limit.
@@ -44,3 +46,17 @@
 	is.True(share(far) > 5*share(unlisted))
 	is.True(share(unlisted) > 0)
 }
+
+// Guards against nodes that each take the whole limit of an upstream while all of them leave one after another: they
+// go on to send what arrives on open connections.
+func TestLeavingNodesKeepTheirShares(t *testing.T) {
+	is := is.New(t)
+	clock := &bootclock.Fake{}
+	r := NewRoster(clock)
+	for i := range 4 {
+		r.Update(Record{Node: fmt.Sprint(i), DataCentre: "a", Region: "r", Capacity: 100, Leaving: true})
+	}
+	is.Equal(len(r.Live()), 0)
+	is.Equal(len(r.Holding()), 4)
+	is.Equal(SendShare(r.Holding(), r.Holding()[0], Place{"a", "r"}), 0.25)
+}
