--- a/routing/balancer.go
+++ b/routing/balancer.go
@@ -133,6 +133,9 @@
 		}
 		if known == nil {
 			known = b.newTarget(s, u, t.regionMean(u.GetRegion()), old != nil)
+			if old != nil && old.byName[u.GetName()] != nil {
+				known.throttle.InheritLimit(&old.byName[u.GetName()].throttle)
+			}
 		}
 		t.entries = append(t.entries, entry{target: known, regionMean: known.regionMean, cacheID: known.cacheID, draining: u.GetDraining()})
 		t.byName[candidates[i].GetName()] = known
--- a/routing/room_test.go
+++ b/routing/room_test.go
@@ -38,3 +38,20 @@
 	is.True(!isBrittle("north-1")) // it answered just before, without saying so
 	is.True(isBrittle("north-2"))
 }
+
+// Guards against a burst at an upstream whose entry changed after it had named a limit.
+func TestLimitOutlivesChangedEntry(t *testing.T) {
+	is := is.New(t)
+	b, _ := newTestBalancer()
+	list := engines("north", 2)
+	_, err := b.Pick(testRequest(), list)
+	is.NoErr(err)
+	is.True(b.ObserveLimit(list[0], 1, 1))
+	changed := engines("north", 2)
+	changed[0].Address = "10.0.0.9:80"
+	_, err = b.Pick(testRequest(), changed)
+	is.NoErr(err)
+	_, found := b.find(chat, list[0].GetName())
+	_, _, limited := found.throttle.Limit(0)
+	is.True(limited)
+}
