Open a few requests only at an upstream that hasn't answered yet

Cause found: a restarted node knows of no upstream that it is brittle and sends until the first answer; 14 nodes that restart together at three times the load felled 1 or 2 of 6 upstreams in the platform's model (slots 6, queue 24; limits 2 and 5), none without a restart. Change: until an upstream's first answer a node opens its part of the slots there (slots / senders, at least one).

--- a/directory/room.go
+++ b/directory/room.go
@@ -2,8 +2,8 @@
 
 import "time"
 
-// HasRoom reports whether the node may open another request to the upstream. Only one that announced that
-// it is brittle has ever none.
+// HasRoom reports whether the node may open another request to the upstream. One has none that says what it takes,
+// or that hasn't answered yet.
 func (s *Stats) HasRoom(now time.Duration) bool {
 	return s.Throttle.Allows(int(s.InFlight.Load()), now)
 }
--- a/directory/table.go
+++ b/directory/table.go
@@ -30,6 +30,10 @@
 
 // Table tracks the upstreams' entries. It is safe for concurrent use.
 type Table struct {
+	// FirstOpen returns how many requests may be open at an upstream with a number of slots until its first
+	// answer; nil for any number. It must not be changed once the table is in use.
+	FirstOpen func(slots int) int
+
 	clock bootclock.Clock
 
 	mu      sync.Mutex
@@ -135,6 +139,9 @@
 	default:
 		u.Stats = known.Stats
 	}
+	if u.Stats != nil && (known == nil || u.Stats != known.Stats) && t.FirstOpen != nil {
+		u.Throttle.AwaitAnswer(t.FirstOpen(e.Slots))
+	}
 	t.addVersion(u)
 	if exists {
 		t.removeVersion(old)
--- a/edgenode/limits.go
+++ b/edgenode/limits.go
@@ -26,6 +26,19 @@
 	return throttle.Part{Share: presence.SendShare(holding, n.presenceRecord(), to), Senders: max(1, presence.CountListed(holding))}
 }
 
+// firstOpen returns how many requests this node may have open at an upstream until its first answer: its part of the
+// slots. While the nodes aren't known, as at the start, the node takes itself for one of a few.
+func (n *Node) firstOpen(slots int) int {
+	senders := unknownSenders
+	if n.roster.HasRead() {
+		senders = n.senders()
+	}
+	return max(1, slots/senders)
+}
+
+// unknownSenders is the number of nodes that send, as long as it isn't known.
+const unknownSenders = 6
+
 // adjustLimits keeps to the node's part of each limit that an upstream named. Without it, a node whose part was
 // small would learn only with its next answer that the part is larger by now, minutes later.
 func (n *Node) adjustLimits(ctx context.Context) {
--- a/edgenode/node.go
+++ b/edgenode/node.go
@@ -73,6 +73,7 @@
 	if settings.Capacity < smallCapacity {
 		periodic.Sleep(ctx, rand.N(maxSmallStartDelay))
 	}
+	n.directory.FirstOpen = n.firstOpen
 	n.origins = n.newOrigins()
 	loopsCtx, stop := context.WithCancel(context.WithoutCancel(ctx))
 	n.stop = stop
--- a/gateway/send.go
+++ b/gateway/send.go
@@ -73,6 +73,9 @@
 	}
 	c.recordBrittle(u, resp)
 	c.recordLimit(u, resp)
+	if !resp.AddressReassigned {
+		u.Throttle.Heard() // last, so that what the answer says is in force before more is sent
+	}
 	if resp.Leaving && !resp.AddressReassigned && u.RecordLeaving() {
 		c.g.Events.Record(event.UpstreamListed, "request", c.r.ID, "upstream", u.ID, "service", u.Service, "address", u.Address,
 			"left", true, "announced", true, "born", u.StartedAt)
--- a/throttle/limiter.go
+++ b/throttle/limiter.go
@@ -11,12 +11,32 @@
 type Limiter struct {
 	// active is set while the upstream says something that limits its requests.
 	active atomic.Bool
+	// unheard is how many requests may be open until the upstream's first answer; zero if any number, or
+	// if there was one.
+	unheard atomic.Int64
 
 	mu     sync.Mutex
 	window window
 	pace   pace
 }
 
+// AwaitAnswer limits the open requests until the upstream's first answer. What it says of itself is not known until
+// then, and a fleet that restarts would send it all that it gets.
+func (l *Limiter) AwaitAnswer(open int) { l.unheard.Store(int64(max(1, open))) }
+
+// Heard records an answer of the upstream.
+func (l *Limiter) Heard() {
+	if l.unheard.Load() != 0 {
+		l.unheard.Store(0)
+	}
+}
+
+// allowsUnheard reports whether another request may be opened as far as it depends on a first answer.
+func (l *Limiter) allowsUnheard(open int) bool {
+	limit := l.unheard.Load()
+	return limit == 0 || int64(open) < limit
+}
+
 // lock locks the limiter if it limits anything; the result is false otherwise.
 func (l *Limiter) lock() bool {
 	if !l.active.Load() {
@@ -119,6 +139,9 @@
 
 // Allows reports whether the node may open another request beside the given number of open ones.
 func (l *Limiter) Allows(open int, now time.Duration) bool {
+	if !l.allowsUnheard(open) {
+		return false
+	}
 	if !l.lock() {
 		return true
 	}
@@ -133,6 +156,9 @@
 
 // TryOpen is like Allows and records that the request is opened; random is a number from 0 to 1.
 func (l *Limiter) TryOpen(open int, now time.Duration, random float64) bool {
+	if !l.allowsUnheard(open) {
+		return false
+	}
 	if !l.lock() {
 		return true
 	}
