--- a/throttle/pace.go
+++ b/throttle/pace.go
@@ -24,6 +24,15 @@
 	Senders int
 }
 
+// minKeeperShare is the least share of a node that keeps its turns, compared with that of the senders on average. Nodes
+// with less aren't counted as senders, and they may be many.
+const minKeeperShare = 0.25
+
+// keepsTurns reports whether the node keeps a turn until a request needs it.
+func (p Part) keepsTurns(perSecond float64) bool {
+	return float64(p.Senders) <= perSecond+toleratedBurst && p.Share*float64(p.Senders) >= minKeeperShare
+}
+
 // pace limits how often one node sends to an upstream that named how many requests a second it takes from all
 // nodes together. Each node takes turns at its part of that rate. The zero value limits nothing.
 type pace struct {
@@ -56,7 +65,7 @@
 	if p.nextAt > now {
 		p.nextAt = now + time.Duration(float64(p.nextAt-now)*float64(interval)/float64(p.interval))
 	}
-	p.interval, p.keepsTurns = interval, float64(part.Senders) <= p.perSecond+toleratedBurst
+	p.interval, p.keepsTurns = interval, part.keepsTurns(p.perSecond)
 }
 
 func intervalOf(perSecond, share float64) time.Duration {
--- a/throttle/pace_test.go
+++ b/throttle/pace_test.go
@@ -158,3 +158,11 @@
 	t.Logf("%.2f of the requests are sent there", served)
 	is.True(served >= 0.7)
 }
+
+// Guards against a burst of the many nodes without callers, which aren't counted as senders.
+func TestNodesWithoutCallersKeepNoTurns(t *testing.T) {
+	is := is.New(t)
+	is.True(Part{Share: 0.1, Senders: 12}.keepsTurns(10))
+	is.True(!Part{Share: 0.1, Senders: 12}.keepsTurns(1))
+	is.True(!Part{Share: 0.001, Senders: 12}.keepsTurns(10))
+}
