--- a/gateway/room.go
+++ b/gateway/room.go
@@ -105,12 +105,7 @@
 	}
 }
 
-// maxLimitRetryAfter bounds the delay while upstreams take hardly any requests: they may take more soon.
-const maxLimitRetryAfter = 10 * time.Second
-
-// limitRetryAfter returns the retry delay while every upstream left is at its limit: the time until one of them
-// takes another request from any node, since the caller picks a node anew, and no less than a crowd needs to
-// spread.
+// limitRetryAfter returns the retry delay while every upstream left is at its limit.
 func (c *call) limitRetryAfter() time.Duration {
 	now, perSecond := c.g.Clock.Now(), 0.0
 	for _, u := range c.upstreams() {
@@ -118,9 +113,5 @@
 			perSecond += rate
 		}
 	}
-	next := maxLimitRetryAfter
-	if perSecond > 1/maxLimitRetryAfter.Seconds() {
-		next = time.Duration(float64(time.Second) / perSecond)
-	}
-	return roundUp(max(next, c.g.settings.Shedding.RetryAfter(random())), retryAfterPrecision)
+	return roundUp(throttle.RetryAfter(perSecond, c.g.settings.Shedding.RetryAfter(random())), retryAfterPrecision)
 }
--- a/routing/room.go
+++ b/routing/room.go
@@ -125,11 +125,7 @@
 	return least
 }
 
-// maxLimitRetryAfter bounds the delay while upstreams take hardly any requests: they may take more soon.
-const maxLimitRetryAfter = 10 * time.Second
-
-// limitRetryAfter returns the time until an upstream at its limit takes another request from any node, since
-// the caller may come back to another one.
+// limitRetryAfter returns the retry delay while every upstream that is left is at its limit.
 func (c *pickCall) limitRetryAfter() time.Duration {
 	perSecond := 0.0
 	now := c.balancer.sinceStart(c.now)
@@ -138,12 +134,8 @@
 			perSecond += rate
 		}
 	}
-	next := maxLimitRetryAfter
-	if perSecond > 1/maxLimitRetryAfter.Seconds() {
-		next = time.Duration(float64(time.Second) / perSecond)
-	}
 	spread := fullRetryAfter + time.Duration(c.balancer.randomFloat()*float64(fullRetryAfter))
-	return max(next, spread)
+	return throttle.RetryAfter(perSecond, spread)
 }
 
 // onlyRoomMissing reports whether an upstream would take the request if it had room.
--- a/throttle/limiter_test.go
+++ b/throttle/limiter_test.go
@@ -20,3 +20,12 @@
 	l.AwaitAnswer(0) // one at least: otherwise it would never answer
 	is.True(l.TryOpen(0, time.Second, 0))
 }
+
+// Guards against telling callers to come back sooner than an upstream takes another request, or never.
+func TestRetryAfterIsWhenLimitAllowsAnother(t *testing.T) {
+	is := is.New(t)
+	is.Equal(RetryAfter(0.25, time.Second), 4*time.Second)
+	is.Equal(RetryAfter(50, time.Second), time.Second)
+	is.Equal(RetryAfter(0.01, time.Second), maxRetryAfter)
+	is.Equal(RetryAfter(0, time.Second), maxRetryAfter)
+}
