--- a/upstream/notice.go
+++ b/upstream/notice.go
@@ -10,6 +10,7 @@
 	"github.com/cloudwego/hertz/pkg/protocol"
 
 	operatorv1 "lavenderpin.dev/lavenderpin/api/operator/v1"
+	"lavenderpin.dev/lavenderpin/throttle"
 )
 
 const (
@@ -79,24 +80,11 @@
 		notice.Rejected = response.StatusCode() == statusUnavailable
 	}
 	if limit := response.Header.Get(HeaderLimit); limit != "" {
-		notice.Limited, notice.RequestsPerSecond = true, parseLimit(limit)
+		notice.Limited, notice.RequestsPerSecond = true, throttle.ParseLimit(limit)
 	}
 	return notice
 }
 
-// maxLimit bounds the requests a second that an upstream says it takes. No service has so many.
-const maxLimit = 1e6
-
-// parseLimit returns the requests a second in a header. Zero, the strictest, stands for anything that isn't a
-// number.
-func parseLimit(text string) float64 {
-	perSecond, err := strconv.ParseFloat(strings.TrimSpace(text), 64)
-	if err != nil || math.IsNaN(perSecond) {
-		return 0
-	}
-	return min(maxLimit, max(0, perSecond))
-}
-
 // parseBrittleLimit returns the limit in a header. Zero, the strictest, stands for anything that isn't a
 // number.
 func parseBrittleLimit(text string) int {
