--- a/cmd/lavenderedge/callerconns.go
+++ b/cmd/lavenderedge/callerconns.go
@@ -35,6 +35,9 @@
 
 // track takes note of a connection's state; it fits http.Server.ConnState.
 func (c *callerConns) track(conn net.Conn, state http.ConnState) {
+	if state == http.StateIdle {
+		tcpconn.MarkIdle(conn)
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	switch state {
--- a/cmd/lavenderedge/callerconns_test.go
+++ b/cmd/lavenderedge/callerconns_test.go
@@ -54,7 +54,7 @@
 				listener.accept, listener.read = open, gate
 			}
 			p := &process{events: newRecorder(platform.Settings{}, logsink.New(io.Discard)), callers: newCallerConns()}
-			p.frontend = p.newServer(p.inFlight.count(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { w.Header().Set("Connection", "close") })))
+			p.frontend = p.newServer(p.inFlight.count(p.clock, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { w.Header().Set("Connection", "close") })))
 			p.frontend.ConnState = p.callers.track
 			p.callers.listen(inner)
 			go func() {
--- a/cmd/lavenderedge/closefrontend_test.go
+++ b/cmd/lavenderedge/closefrontend_test.go
@@ -19,7 +19,7 @@
 	p := &process{events: newRecorder(platform.Settings{}, logsink.New(io.Discard)), callers: newCallerConns()}
 	const size = 64
 	handled := make(chan struct{})
-	p.frontend = p.newServer(p.inFlight.count(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+	p.frontend = p.newServer(p.inFlight.count(p.clock, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 		w.Header().Set("Connection", "close")
 		_, _ = w.Write(make([]byte, size))
 		close(handled)
--- a/cmd/lavenderedge/endpoint.go
+++ b/cmd/lavenderedge/endpoint.go
@@ -19,7 +19,7 @@
 
 // serveAll serves on all endpoints until the process exits, or on none: a node that can't open
 // one of its ports exits, and must not have accepted requests on another.
-func serveAll(endpoints []endpoint) error {
+func serveAll(meter *tcpconn.Meter, endpoints []endpoint) error {
 	listeners := make([]net.Listener, 0, len(endpoints))
 	for _, e := range endpoints {
 		listener, err := tcpconn.Listen(e.address, tcpconn.CallerLimits)
@@ -29,7 +29,7 @@
 			}
 			return errors.Trace(err)
 		}
-		listeners = append(listeners, listener)
+		listeners = append(listeners, meter.Listener(listener))
 	}
 	for i, e := range endpoints {
 		go func() {
--- a/cmd/lavenderedge/metrics.go
+++ b/cmd/lavenderedge/metrics.go
@@ -1,10 +1,14 @@
 package main
 
 import (
+	"bytes"
 	"expvar"
+	"fmt"
 	"net"
 	"net/http"
+	"runtime"
 	"strconv"
+	"time"
 
 	"lavenderpin.dev/lavenderpin/event"
 	"lavenderpin.dev/lavenderpin/tcpconn"
@@ -30,6 +34,26 @@
 		return
 	}
 	mux := http.NewServeMux()
-	mux.Handle("GET /metrics", expvar.Handler())
+	mux.Handle("GET /metrics", metricsHandler())
 	go func() { _ = p.newServer(mux).Serve(listener) }() // until the process exits
 }
+
+// metricsHandler serves the metrics as JSON. What the runtime publishes of itself is left out but for the memory's totals: its
+// list of size classes is longer than all of the node's metrics together, and comes before most of them.
+func metricsHandler() http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Type", "application/json; charset=utf-8")
+		var out bytes.Buffer
+		out.WriteString("{")
+		expvar.Do(func(kv expvar.KeyValue) {
+			if kv.Key != "cmdline" && kv.Key != "memstats" {
+				fmt.Fprintf(&out, "%q: %s,\n", kv.Key, kv.Value)
+			}
+		})
+		var memory runtime.MemStats
+		runtime.ReadMemStats(&memory)
+		fmt.Fprintf(&out, `"memory": {"heap_bytes": %d, "system_bytes": %d, "collections": %d, "pauses_ms": %d}`+"}\n",
+			memory.HeapAlloc, memory.Sys, memory.NumGC, memory.PauseTotalNs/uint64(time.Millisecond))
+		_, _ = w.Write(out.Bytes()) // who disconnected asks again
+	})
+}
--- a/cmd/lavenderedge/run.go
+++ b/cmd/lavenderedge/run.go
@@ -74,7 +74,9 @@
 	peerClient     *httpwire.Client
 	frontend       *http.Server
 	inFlight       inFlightRequests
-	callers        *callerConns
+	// meter counts the bytes of all connections.
+	meter   tcpconn.Meter
+	callers *callerConns
 	// endRequests cancels the contexts of all open requests.
 	endRequests context.CancelCauseFunc
 }
@@ -146,6 +148,7 @@
 	if err != nil {
 		return errors.Trace(err)
 	}
+	dial = p.meter.Dial(dial)
 	store := platform.NewStore(p.settings.Store.Address, p.clock, dial)
 	calls := new(expvar.Map).Init()
 	p.publish("store_calls", calls)
@@ -158,13 +161,14 @@
 	lag := processlag.NewMonitor(p.clock, p.events)
 	p.publish("processor_wait_ms", lag.Measured())
 	go lag.Run(ctx)
+	delay := p.newDelayMonitor()
 	p.upstreams = platform.NewUpstreamClient(p.clock, p.paths.Dial, func() { dials.Add(1) })
 	node, err := edgenode.Start(startCtx, edgenode.Settings{
 		Node: p.settings.Node, Incarnation: incarnation, Start: start,
 		Address: p.settings.Frontend, Peer: p.peerAddress(), Capacity: capacityPercent(p.settings.Limits), DataCentre: p.settings.DataCentre, Region: p.settings.Region, Regions: p.settings.Regions,
 		Repeats: repeats.Limits{Ratio: p.settings.Bounds.RetryBudgetRatio, Extra: p.settings.Bounds.RetryBudgetExtra, Window: p.settings.Bounds.RetryBudgetWindow},
 	}, edgenode.Deps{
-		Clock: p.clock, WallClock: p.clocks().Wall, Upstreams: p.upstreams, Paths: p.paths, Lag: lag.Lag, Lending: &lending.Client{Wire: p.peerClient}, Peers: &peerfetch.Client{HTTP: p.peerClient}, Origins: &streamorigin.Client{HTTP: p.peerClient}, Crashes: &quarantine.Client{HTTP: p.peerClient}, Events: p.events, Metrics: gateway.NewMetrics(p.publishMetrics),
+		Clock: p.clock, WallClock: p.clocks().Wall, Upstreams: p.upstreams, Paths: p.paths, Lag: lag.Lag, LinkDelay: delay.Delay, Lending: &lending.Client{Wire: p.peerClient}, Peers: &peerfetch.Client{HTTP: p.peerClient}, Origins: &streamorigin.Client{HTTP: p.peerClient}, Crashes: &quarantine.Client{HTTP: p.peerClient}, Events: p.events, Metrics: gateway.NewMetrics(p.publishMetrics),
 		Topics: edgenode.Topics{Operators: store.Operators(), Upstreams: store.Upstreams(), Presence: store.Topic("presence"), Streams: store.Topic(streamorigin.TopicName), Crashes: store.Topic(quarantine.CrashesTopicName), Blocks: store.Topic(quarantine.BlocksTopicName),
 			Spend: allotment.NewPartitions(store.Partitions("spend", p.settings.Store.Partitions), p.settings.Store.WritablePartitions()), Ledger: store.Topic("ledger"), Grants: store.Topic("grants")},
 		DecodeConfig: platform.DecodeConfig, DecodeUpstream: platform.DecodeUpstream,
@@ -183,6 +187,7 @@
 	p.publish("upstream_limit_per_second", expvar.Func(func() any { return node.LimitedUpstreams() }))
 	p.publish("upstream_contact", expvar.Func(func() any { return node.UpstreamContact() }))
 	p.publish("quarantine", expvar.Func(func() any { return node.Quarantine().Counts() }))
+	go delay.Run(ctx)
 	p.serveMetrics()
 	go p.sweep(ctx)
 	return p.listen()
@@ -233,7 +238,7 @@
 
 func (p *process) listen() error {
 	handler := &platform.Frontend{Gateway: p.node.Gateway(), Catalog: p.node.Catalog(), Clock: p.clock, Node: p.node}
-	p.frontend = p.newServer(p.inFlight.count(handler))
+	p.frontend = p.newServer(p.inFlight.count(p.clock, handler))
 	p.callers = newCallerConns()
 	p.frontend.ConnState = p.callers.track
 	var requests context.Context
@@ -244,11 +249,11 @@
 		return requests
 	}
 	directory := &platform.Directory{Node: p.node, TTL: min(addressTTL, p.settings.Bounds.AddressTTL)}
-	return serveAll([]endpoint{
+	return serveAll(&p.meter, []endpoint{
 		{address: p.settings.Frontend, server: p.frontend, served: p.callers.served},
 		{address: p.peerAddress(), server: p.newServer(p.node.PeerRoutes())},
 		{address: p.settings.Directory, server: p.newServer(directory.Routes())},
-		{address: p.settings.Ready, server: p.newServer(platform.ReadyRoutes(p.node, expvar.Handler()))},
+		{address: p.settings.Ready, server: p.newServer(platform.ReadyRoutes(p.node, metricsHandler()))},
 	})
 }
 
--- a/edgenode/deps.go
+++ b/edgenode/deps.go
@@ -64,6 +64,8 @@
 	Paths *reach.Dialer
 	// Lag returns how long what the process could do waits for a processor; nil if that isn't measured.
 	Lag func() time.Duration
+	// LinkDelay returns how long messages of this node wait on its link; nil if that isn't measured.
+	LinkDelay func() time.Duration
 	// Lending sends lending requests to other nodes.
 	Lending lending.Transport
 	// Crashes tells other nodes which upstreams crashed under which requests; if it is nil, each node counts for itself.
--- a/edgenode/node.go
+++ b/edgenode/node.go
@@ -103,7 +103,7 @@
 		Picker: picker,
 		Share:  n.share, Upstreams: deps.Upstreams, Events: deps.Events, Metrics: deps.Metrics, Origins: n.origins, Quarantine: n.quarantine,
 		Borrower:    lending.NewBorrower(deps.Lending, deps.Clock, settings.Incarnation, n.lenders),
-		AwaitTokens: n.awaitTokens, ReportUsage: n.report, LiveNodes: n.nodeCount, Senders: n.senders, SendPart: n.sendPart, AwaitReachable: n.awaitReachable, Lag: deps.Lag, RetryLimits: settings.Repeats,
+		AwaitTokens: n.awaitTokens, ReportUsage: n.report, LiveNodes: n.nodeCount, Senders: n.senders, SendPart: n.sendPart, AwaitReachable: n.awaitReachable, Lag: deps.Lag, LinkDelay: deps.LinkDelay, RetryLimits: settings.Repeats,
 		DataCentre: settings.DataCentre, Region: settings.Region,
 	})
 	grantOptions := grantReadOptions
--- a/edgenode/records.go
+++ b/edgenode/records.go
@@ -9,6 +9,7 @@
 	"lavenderpin.dev/lavenderpin/peerfetch"
 	"lavenderpin.dev/lavenderpin/presence"
 	"lavenderpin.dev/lavenderpin/quarantine"
+	"lavenderpin.dev/lavenderpin/queuedelay"
 	"lavenderpin.dev/lavenderpin/reach"
 	"lavenderpin.dev/lavenderpin/streamorigin"
 )
@@ -56,6 +57,7 @@
 func (n *Node) PeerRoutes() http.Handler {
 	mux := http.NewServeMux()
 	mux.Handle("/", lending.Handler(n.lender))
+	mux.Handle(queuedelay.Path, queuedelay.Handler())
 	mux.Handle(streamorigin.Path, streamorigin.Handler(n.origins))
 	if n.spreader != nil {
 		mux.Handle(quarantine.Path, quarantine.Handler(n.quarantine, n.spreader, n.isKnownNode))
--- a/event/node.go
+++ b/event/node.go
@@ -13,6 +13,8 @@
 	MetricsAbsent  Number = 109
 	ConnectionsCut Number = 110
 	ProcessorLate  Number = 111
+	ExchangesLate  Number = 112
+	LinkBusy       Number = 113
 )
 
 var nodeKinds = map[Number]Kind{
@@ -23,6 +25,8 @@
 	NodeClosed:     {"NodeClosed", "The node learned that the fleet closed its incarnation."},
 	LinesDropped:   {"LinesDropped", "Log lines were dropped because the output was too slow; the count follows."},
 	ProcessorLate:  {"ProcessorLate", "Since the last such line, this many measurements found that what the process could do waited long for a processor; it is written at most once a second."},
+	ExchangesLate:  {"ExchangesLate", "Since the last such line, this many exchanges with other nodes waited long on the link or in this process; in_kb, out_kb are the kilobytes a second that the node receives and sends, link_percent is how much of the link's speed is used. It is written at most once a second."},
+	LinkBusy:       {"LinkBusy", "Much of the instance's link is used, in one direction at least; it is written at most once a second."},
 	SettingsRead:   {"SettingsRead", "The settings were reloaded; each changed setting is in force or named."},
 	MetricsAbsent:  {"MetricsAbsent", "The metrics can't be served on their configured address; the node still serves callers."},
 	ConnectionsCut: {"ConnectionsCut", "Connections were still open when the node ended; callers may lack the end of a response."},
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -80,6 +80,7 @@
 	// fallback is an upstream's error response, forwarded if no other upstream does better.
 	fallback *bufferedResponse
 	outcome  string
+	stages   stages
 	// succeeded reports that the caller got a complete response without an error status.
 	succeeded bool
 }
@@ -222,9 +223,11 @@
 		c.g.durations.Record(c.route.Name, took)
 	}
 	c.g.Metrics.recordFinished(c.route.Name, c.outcome, took)
+	c.stages[stageUnread], c.stages[stageTurn], c.stages[stageBody] = c.r.Unread, c.r.Turn, c.r.BodyRead
+	c.g.Metrics.recordStages(&c.stages)
 	c.g.Events.Record(event.RequestEnded, "request", c.r.ID, "route", c.route.Name, "account", c.accountName(),
 		"config", c.view.Version, "outcome", c.outcome, "sends", c.sends, "events", c.events, "first_ms", c.firstEvent.Milliseconds(), "gap_ms", c.longestGap.Milliseconds(), "upstream", c.lastUpstream(),
-		"reserved", c.reserved, "used", used, "ms", took.Milliseconds(), "unread_ms", c.r.Unread.Milliseconds())
+		"reserved", c.reserved, "used", used, "ms", took.Milliseconds(), "unread_ms", c.r.Unread.Milliseconds(), "stages_ms", c.stages.String(), "link_ms", c.g.linkDelay().Milliseconds())
 }
 
 // used returns the tokens charged to the account: none if the request certainly did not run,
@@ -257,7 +260,7 @@
 
 // refuse responds with an error and records the reason.
 func (c *call) refuse(e *result.Error) {
-	pairs := []any{"request", c.r.ID, "code", uint32(e.Code), "reason", e.Message, event.RetryAfterField, e.RetryAfter, "sends", c.sends, "unread_ms", c.r.Unread.Milliseconds()}
+	pairs := []any{"request", c.r.ID, "code", uint32(e.Code), "reason", e.Message, event.RetryAfterField, e.RetryAfter, "sends", c.sends, "unread_ms", c.r.Unread.Milliseconds(), "turn_ms", c.r.Turn.Milliseconds(), "link_ms", c.g.linkDelay().Milliseconds()}
 	if c.view != nil {
 		pairs = append(pairs, "config", c.view.Version)
 	}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -49,6 +49,8 @@
 	AwaitReachable func(ctx context.Context, addresses []string) bool
 	// Lag returns how long what the process could do waits for a processor; nil if that isn't measured.
 	Lag func() time.Duration
+	// LinkDelay returns how long messages of this node wait on its link; nil if that isn't measured.
+	LinkDelay func() time.Duration
 	// Senders returns the number of nodes that callers are sent to.
 	Senders func() int
 	// SendPart returns this node's part of the requests to the upstreams of a data centre.
@@ -110,6 +112,14 @@
 	return b
 }
 
+// linkDelay returns how long messages of this node wait on its link; zero if that isn't measured.
+func (g *Gateway) linkDelay() time.Duration {
+	if g.LinkDelay == nil {
+		return 0
+	}
+	return g.LinkDelay()
+}
+
 func random() float64 { return rand.Float64() }
 
 // since returns the time elapsed since a boot clock reading.
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -15,6 +15,8 @@
 	latency  *expvar.Map
 	// unread counts requests by how long they waited to be read after they had arrived.
 	unread *expvar.Map
+	// stages counts requests by how long they spent at each stage on this node.
+	stages *expvar.Map
 	// continued counts the streams that went on at an upstream, by how its version compares with the one
 	// that began them.
 	continued *expvar.Map
@@ -26,12 +28,13 @@
 
 // NewMetrics returns new counters. If publish is set, it registers them with expvar.
 func NewMetrics(publish bool) *Metrics {
-	m := &Metrics{finished: new(expvar.Map).Init(), refused: new(expvar.Map).Init(), latency: new(expvar.Map).Init(), unread: new(expvar.Map).Init(), continued: new(expvar.Map).Init(), takenUp: new(expvar.Map).Init(), limits: new(expvar.Map).Init()}
+	m := &Metrics{finished: new(expvar.Map).Init(), refused: new(expvar.Map).Init(), latency: new(expvar.Map).Init(), unread: new(expvar.Map).Init(), stages: new(expvar.Map).Init(), continued: new(expvar.Map).Init(), takenUp: new(expvar.Map).Init(), limits: new(expvar.Map).Init()}
 	if publish {
 		expvar.Publish("requests_finished", m.finished)
 		expvar.Publish("requests_refused", m.refused)
 		expvar.Publish("request_latency_ms", m.latency)
 		expvar.Publish("request_unread_ms", m.unread)
+		expvar.Publish("request_stage_ms", m.stages)
 		expvar.Publish("streams_continued", m.continued)
 		expvar.Publish("streams_taken_up", m.takenUp)
 		expvar.Publish("upstream_limits", m.limits)
--- a/gateway/ports.go
+++ b/gateway/ports.go
@@ -34,6 +34,8 @@
 	Weights int64
 	// Urgency is the request's priority at engines; 0 is the most urgent.
 	Urgency int
+	// Connected is called once there is a connection, before anything is written to it.
+	Connected func()
 }
 
 // Identity is how certain it must be that the process which takes a request is the incarnation of the upstream
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -25,6 +25,8 @@
 	// long it then waited until this process had read it, for want of processor time. Where that can't be
 	// told, Unread is 0 and Arrived the time at which it had been read.
 	Arrived, Unread time.Duration
+	// Turn is how long the request then waited until its handler had its turn, BodyRead how long the rest of it took to be read.
+	Turn, BodyRead time.Duration
 	// PromptTokens and MaxOutput are the request's declared sizes in tokens.
 	PromptTokens, MaxOutput int64
 	Prefix                  []placement.PromptPart
--- a/gateway/send.go
+++ b/gateway/send.go
@@ -34,6 +34,9 @@
 	defer monitor.stop()
 	defer u.Close()
 	sentAt := c.g.Clock.Now()
+	if c.lastSentAt == 0 {
+		c.stages[stageAdmit] = sentAt - c.r.Arrived
+	}
 	u.RecordSent(sentAt)
 	c.lastSentAt = sentAt
 	prompt := int64(choice.Uncached)
@@ -48,7 +51,12 @@
 	}
 	defer markAnswered()
 
-	resp, err := c.g.Upstreams.Send(ctx, u, c.newDispatch(u))
+	d := c.newDispatch(u)
+	connectedAt := sentAt
+	d.Connected = func() { connectedAt = c.g.Clock.Now() }
+	resp, err := c.g.Upstreams.Send(ctx, u, d)
+	c.stages[stageConnect] += connectedAt - sentAt
+	c.stages[stageAnswer] += c.g.since(connectedAt)
 	if err != nil {
 		return c.handleSendError(ctx, u, err)
 	}
@@ -190,7 +198,9 @@
 	c.g.Quarantine.AnswerBegun(c.partIDs)
 	c.possibleRuns++
 	c.outcome, c.succeeded = outcomeServed, resp.Status < 300
+	deliverAt := c.g.Clock.Now()
 	buffered.deliver(c.sink)
+	c.stages[stageDeliver] += c.g.since(deliverAt)
 	return delivered
 }
 
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -72,6 +72,8 @@
 		}
 		c.lastEvent, c.hasEvent = e.ID, true
 	}
+	writtenAt := c.g.Clock.Now()
+	defer func() { c.stages[stageDeliver] += c.g.since(writtenAt) }()
 	if err := c.sink.Write(e.Raw); err != nil {
 		c.callerGone = true
 		return false
