--- a/internal/memnet/conn.go
+++ b/internal/memnet/conn.go
@@ -4,6 +4,7 @@
 	"io"
 	"net"
 	"os"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -27,6 +28,8 @@
 	failure error
 	closed  bool
 	linger0 bool
+	// arrives is when the last of what was written reaches the peer, if a link is in between; zero if none is.
+	arrives time.Time
 
 	readDeadline, writeDeadline deadline
 }
@@ -68,7 +71,7 @@
 	}
 }
 
-// Write implements net.Conn. It never blocks: the buffers of the network are unlimited.
+// Write implements net.Conn. It never blocks: the buffers of the network and the queues of links are unlimited.
 func (c *conn) Write(p []byte) (int, error) {
 	c.network.mu.Lock()
 	defer c.network.mu.Unlock()
@@ -86,11 +89,36 @@
 		c.failure = syscall.ECONNRESET
 		return 0, c.opError("write", c.failure)
 	}
-	c.peer.received = append(c.peer.received, p...)
-	c.peer.changed.Broadcast()
+	c.deliverLocked(p)
 	return len(p), nil
 }
 
+// deliverLocked passes data to the peer, now or when it has passed the links.
+func (c *conn) deliverLocked(p []byte) {
+	at := c.network.passLocked(host(c.local), host(c.remote), onWire(len(p)))
+	wait := time.Until(at)
+	if wait <= 0 && c.arrives.IsZero() {
+		c.peer.receiveLocked(p)
+		return
+	}
+	c.arrives = at
+	data := slices.Clone(p)
+	time.AfterFunc(wait, func() {
+		c.network.mu.Lock()
+		defer c.network.mu.Unlock()
+		c.peer.receiveLocked(data)
+	})
+}
+
+// receiveLocked takes data from the network.
+func (c *conn) receiveLocked(p []byte) {
+	if c.closed || c.failure != nil {
+		return
+	}
+	c.received = append(c.received, p...)
+	c.changed.Broadcast()
+}
+
 func (c *conn) isSilent() bool { return c.network.cuts[c.between] == Silent }
 
 // Close implements net.Conn. With unread bytes, or after SetLinger(0), it resets the connection.
@@ -126,9 +154,21 @@
 	return !c.ended && c.failure == nil
 }
 
-// endLocked tells the peer that nothing more comes.
+// endLocked tells the peer that nothing more comes, after what is on its way.
 func (c *conn) endLocked() {
 	delete(c.network.conns, c)
+	if wait := time.Until(c.arrives); wait > 0 {
+		time.AfterFunc(wait+time.Nanosecond, func() {
+			c.network.mu.Lock()
+			defer c.network.mu.Unlock()
+			c.endedLocked()
+		})
+		return
+	}
+	c.endedLocked()
+}
+
+func (c *conn) endedLocked() {
 	c.peer.ended = true
 	c.peer.changed.Broadcast()
 }
@@ -196,6 +236,12 @@
 	c.changed.Broadcast()
 }
 
+// host returns the host of an address.
+func host(a addr) string {
+	h, _, _ := net.SplitHostPort(string(a)) // addresses of connections are well-formed
+	return h
+}
+
 func (c *conn) opError(op string, err error) error {
 	return &net.OpError{Op: op, Net: "tcp", Source: c.local, Addr: c.remote, Err: err}
 }
--- a/internal/memnet/network.go
+++ b/internal/memnet/network.go
@@ -32,6 +32,7 @@
 	conns     map[*conn]bool
 	ports     int
 	dials     map[path]int
+	links     map[string]*link
 }
 
 // path is a pair of hosts in either order.
@@ -46,7 +47,7 @@
 
 // New returns a network without hosts.
 func New() *Network {
-	n := &Network{listeners: make(map[string]*listener), cuts: make(map[path]Cut), conns: make(map[*conn]bool), dials: make(map[path]int)}
+	n := &Network{listeners: make(map[string]*listener), cuts: make(map[path]Cut), conns: make(map[*conn]bool), dials: make(map[path]int), links: make(map[string]*link)}
 	n.healed = sync.NewCond(&n.mu)
 	return n
 }
@@ -80,10 +81,19 @@
 	if err := n.awaitPath(ctx, between); err != nil {
 		return nil, dialError(address, err)
 	}
+	if err := n.passHandshake(ctx, host, remote); err != nil {
+		return nil, dialError(address, err)
+	}
+	n.mu.Lock()
+	refused := n.listeners[address] == nil
+	n.mu.Unlock()
+	if err := n.passHandshake(ctx, remote, host); err != nil {
+		return nil, dialError(address, err)
+	}
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	l := n.listeners[address]
-	if l == nil {
+	if refused || l == nil {
 		return nil, dialError(address, syscall.ECONNREFUSED)
 	}
 	n.ports++
@@ -194,6 +204,16 @@
 		l.network.mu.Lock()
 		defer l.network.mu.Unlock()
 		delete(l.network.listeners, l.address)
+		for {
+			select {
+			case c := <-l.accepted: // nobody will accept it
+				c.closed = true
+				delete(l.network.conns, c)
+				c.peer.resetLocked()
+			default:
+				return
+			}
+		}
 	})
 	return nil
 }
