--- a/cmd/lavenderedge/run.go
+++ b/cmd/lavenderedge/run.go
@@ -15,6 +15,7 @@
 	"runtime/debug"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -36,6 +37,7 @@
 	"lavenderpin.dev/lavenderpin/prepaid"
 	"lavenderpin.dev/lavenderpin/processlag"
 	"lavenderpin.dev/lavenderpin/quarantine"
+	"lavenderpin.dev/lavenderpin/queuedelay"
 	"lavenderpin.dev/lavenderpin/reach"
 	"lavenderpin.dev/lavenderpin/repeats"
 	"lavenderpin.dev/lavenderpin/streamorigin"
@@ -72,11 +74,13 @@
 	upstreams      *platform.UpstreamClient
 	paths          *reach.Dialer
 	peerClient     *httpwire.Client
+	exchangeClient *httpwire.Client
 	frontend       *http.Server
 	inFlight       inFlightRequests
 	// meter counts the bytes of all connections.
 	meter   tcpconn.Meter
 	callers *callerConns
+	guard   atomic.Pointer[callerGuard]
 	// endRequests cancels the contexts of all open requests.
 	endRequests context.CancelCauseFunc
 }
@@ -161,7 +165,7 @@
 	lag := processlag.NewMonitor(p.clock, p.events)
 	p.publish("processor_wait_ms", lag.Measured())
 	go lag.Run(ctx)
-	delay := p.newDelayMonitor()
+	delay := p.newDelayMonitor(dial)
 	p.upstreams = platform.NewUpstreamClient(p.clock, p.paths.Dial, func() { dials.Add(1) })
 	node, err := edgenode.Start(startCtx, edgenode.Settings{
 		Node: p.settings.Node, Incarnation: incarnation, Start: start,
@@ -190,7 +194,7 @@
 	go delay.Run(ctx)
 	p.serveMetrics()
 	go p.sweep(ctx)
-	return p.listen()
+	return p.listen(delay)
 }
 
 // dialerOf returns what opens the node's connections: from its own address, by which other nodes know
@@ -213,6 +217,7 @@
 	periodic.Run(ctx, clockwork.NewRealClock(), sweepInterval, func(context.Context) {
 		p.upstreams.Sweep()
 		p.peerClient.Sweep()
+		p.exchangeClient.Sweep()
 	})
 }
 
@@ -236,8 +241,8 @@
 	return net.JoinHostPort(p.settings.IP, strconv.Itoa(p.settings.PeerPorts[0]))
 }
 
-func (p *process) listen() error {
-	handler := &platform.Frontend{Gateway: p.node.Gateway(), Catalog: p.node.Catalog(), Clock: p.clock, Node: p.node}
+func (p *process) listen(delay *queuedelay.Monitor) error {
+	handler := &platform.Frontend{Gateway: p.node.Gateway(), Catalog: p.node.Catalog(), Clock: p.clock, Node: p.node, RefusesConnections: p.refusesConnections}
 	p.frontend = p.newServer(p.inFlight.count(p.clock, handler))
 	p.callers = newCallerConns()
 	p.frontend.ConnState = p.callers.track
@@ -250,7 +255,7 @@
 	}
 	directory := &platform.Directory{Node: p.node, TTL: min(addressTTL, p.settings.Bounds.AddressTTL)}
 	return serveAll(&p.meter, []endpoint{
-		{address: p.settings.Frontend, server: p.frontend, served: p.callers.served},
+		{address: p.settings.Frontend, server: p.frontend, served: p.callers.served, opened: p.guardCallers(delay)},
 		{address: p.peerAddress(), server: p.newServer(p.node.PeerRoutes())},
 		{address: p.settings.Directory, server: p.newServer(directory.Routes())},
 		{address: p.settings.Ready, server: p.newServer(platform.ReadyRoutes(p.node, metricsHandler()))},
--- a/cmd/lavenderedge/signals.go
+++ b/cmd/lavenderedge/signals.go
@@ -37,6 +37,7 @@
 	start := p.clock.Now()
 	end := start + p.settings.Bounds.Grace - endReserve
 	p.node.Leave(drain.Window{AddressesExpire: start + addressTTL + addressPropagation, End: end})
+	p.stopGuard()
 	p.callers.leave()
 	p.pollUntil(start+min(minDrainTime, p.settings.Bounds.Grace-finalReportReserve), func() bool { return false })
 	p.node.Refuse()
--- a/queuedelay/monitor.go
+++ b/queuedelay/monitor.go
@@ -16,12 +16,14 @@
 	// neighbours is how many other nodes are asked. One of them may be short of something itself, so the shorter delay
 	// counts.
 	neighbours = 2
-	// usualInterval is the time between two exchanges with one node; shortInterval is that while much of the link is used
-	// or the last exchange was late.
+	// usualInterval is the time between two exchanges with one node; shortInterval is that from beginning to beginning while
+	// much of the link is used or the last exchange was late.
 	usualInterval = 500 * time.Millisecond
 	shortInterval = 100 * time.Millisecond
-	// exchangeTimeout is when an exchange is given up. What a node takes on is never in a queue for longer.
-	exchangeTimeout = 3 * time.Second
+	// shortestPause is the shortest time between the end of an exchange and the next one.
+	shortestPause = 20 * time.Millisecond
+	// ExchangeTimeout is when an exchange is given up. What a node takes on is never in a queue for longer.
+	ExchangeTimeout = 3 * time.Second
 	// lateLimit is from which delay on exchanges are logged and come more often.
 	lateLimit = 50 * time.Millisecond
 	// busyUse is from which use of the link on exchanges come more often, as a part of its speed.
@@ -81,17 +83,18 @@
 // ask exchanges messages with one of the nodes, one after the other.
 func (m *Monitor) ask(ctx context.Context, i int) {
 	for ctx.Err() == nil {
-		if m.IsNeeded() {
+		began := m.Clock.Now()
+		if m.isWanted() {
 			if nodes := m.Nodes(); i < len(nodes) {
 				m.exchange(ctx, &m.asked[i], nodes[i])
 			}
 		}
-		periodic.Sleep(ctx, m.interval())
+		periodic.Sleep(ctx, m.pause(m.Clock.Now()-began))
 	}
 }
 
 func (m *Monitor) exchange(ctx context.Context, n *neighbour, address string) {
-	ctx, cancel := context.WithTimeout(ctx, exchangeTimeout)
+	ctx, cancel := context.WithTimeout(ctx, ExchangeTimeout)
 	defer cancel()
 	n.begin(address, m.Clock.Now())
 	err := m.Exchange(ctx, address)
@@ -107,14 +110,18 @@
 	}
 }
 
-// interval returns the time until the next exchange.
-func (m *Monitor) interval() time.Duration {
-	if m.IsNeeded() && m.isBusy() {
-		return shortInterval
+// pause returns the time until the next exchange after one that took some time.
+func (m *Monitor) pause(took time.Duration) time.Duration {
+	if m.isWanted() && m.isBusy() {
+		return max(shortestPause, shortInterval-took)
 	}
 	return usualInterval
 }
 
+// isWanted reports whether the delay must be known: requests come, or none may come because the node refuses them by what it
+// knew last.
+func (m *Monitor) isWanted() bool { return m.IsNeeded() || m.Delay() >= lateLimit }
+
 // isBusy reports whether a queue may be growing.
 func (m *Monitor) isBusy() bool {
 	return m.Delay() >= lateLimit || m.Link != nil && m.Link.Use() >= busyUse
