--- a/edgenode/quarantine.go
+++ b/edgenode/quarantine.go
@@ -55,7 +55,7 @@
 	var peers []quarantine.Peer
 	for _, r := range n.roster.Holding() {
 		if r.Node != n.settings.Node && r.PeerAddress != "" {
-			peers = append(peers, quarantine.Peer{Node: r.Node, Address: r.PeerAddress, DataCentre: r.DataCentre})
+			peers = append(peers, quarantine.Peer{Node: r.Node, Address: r.PeerAddress, DataCentre: r.DataCentre, Capacity: r.Capacity})
 		}
 	}
 	return peers
--- a/node/quarantine.go
+++ b/node/quarantine.go
@@ -39,7 +39,9 @@
 	go func() {
 		defer close(done)
 		p.awaitWritten(ticket)
-		<-told
+		if told != nil {
+			<-told
+		}
 	}()
 	return done
 }
--- a/quarantine/guard.go
+++ b/quarantine/guard.go
@@ -29,6 +29,8 @@
 	// IsTrialNode reports whether this node lets trials of a blocked part through; nil for never. It must be set before
 	// the guard is used.
 	IsTrialNode func(part ID) bool
+	// learnedLines bounds the lines on crashes that other nodes told of.
+	learnedLines lines
 	// journal keeps this node's own crashes.
 	journal *journal
 	// crashed and learned count crashes under own requests, and those that other nodes told of.
@@ -66,7 +68,12 @@
 	g.recordBlocks(changed, g.node)
 	g.wakeStore(changed)
 	kept := g.journal.add(crash)
-	return both(kept, g.publish(News{Node: g.node, Crashes: []ToldCrash{tell(crash, now)}, Blocks: changed}))
+	news := News{Node: g.node, Crashes: []ToldCrash{tell(crash, now)}, Blocks: changed, Deferred: a.Silent && count == 1}
+	told = g.publish(news)
+	if news.Deferred {
+		return nil
+	}
+	return both(kept, told)
 }
 
 // suspectedParts returns those of a prompt's parts with which no answer began at this node since it was sent.
@@ -96,7 +103,7 @@
 		return
 	}
 	g.journal.forget(request)
-	g.publish(News{Node: g.node, Answered: []ID{request}})
+	g.publish(News{Node: g.node, Answered: []ID{request}, Deferred: true})
 }
 
 func (g *Guard) publish(n News) <-chan struct{} {
@@ -123,7 +130,9 @@
 			g.recordBlocks(changed, g.node)
 			g.publishUnlessHeard(changed)
 		}
-		g.events.Record(event.CrashLearned, "member", n.Node, "content", told.Request, "crashes", count, "ago_ms", told.AgoMs)
+		if leftOut, ok := g.learnedLines.next(time.Now()); ok {
+			g.events.Record(event.CrashLearned, "member", n.Node, "content", told.Request, "crashes", count, "ago_ms", told.AgoMs, "left_out", leftOut)
+		}
 	}
 	g.parts.clear(n.Begun, now-time.Duration(max(0, n.BegunAgoMs))*time.Millisecond)
 	for _, b := range n.Blocks {
--- a/quarantine/news.go
+++ b/quarantine/news.go
@@ -23,6 +23,8 @@
 	Blocks []Block `json:"b,omitempty"`
 	// PassOn asks the receiver to tell the nodes of its data centre.
 	PassOn bool `json:"p,omitempty"`
+	// Deferred lets the news wait to be sent together with more: nobody waits until it is told.
+	Deferred bool `json:"-"`
 }
 
 // ToldCrash is a Crash on its way between nodes.
@@ -75,6 +77,28 @@
 // size returns how many things the news tells.
 func (n *News) size() int { return len(n.Crashes) + len(n.Answered) + len(n.Begun) + len(n.Blocks) }
 
+// split returns news as messages that tell a number of things at most each.
+func split(n News, most int) []News {
+	var messages []News
+	for n.size() > most {
+		m := News{Node: n.Node, BegunAgoMs: n.BegunAgoMs}
+		room := most
+		m.Crashes, n.Crashes = cut(n.Crashes, &room)
+		m.Answered, n.Answered = cut(n.Answered, &room)
+		m.Begun, n.Begun = cut(n.Begun, &room)
+		m.Blocks, n.Blocks = cut(n.Blocks, &room)
+		messages = append(messages, m)
+	}
+	return append(messages, n)
+}
+
+// cut cuts off the elements of a list for which there is room.
+func cut[T any](list []T, room *int) (first, rest []T) {
+	n := min(len(list), *room)
+	*room -= n
+	return list[:n], list[n:]
+}
+
 // Aged returns the news as told a time later.
 func (n News) Aged(by time.Duration) News {
 	crashes := make([]ToldCrash, len(n.Crashes))
--- a/quarantine/spreader.go
+++ b/quarantine/spreader.go
@@ -1,8 +1,9 @@
 package quarantine
 
 import (
+	"cmp"
 	"context"
-	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -25,14 +26,24 @@
 	// a node.
 	directPeers = 24
 	relaysEach  = 2
-	// maxOpenSends bounds the messages under way from this node. News that finds no room waits for the store.
-	maxOpenSends = 2048
-	// maxBatch bounds what is sent in one message, so that it has 1 MB at most.
-	maxBatch = 256
+	// deferTime is how long news that nobody waits for is gathered: shorter than an upstream must be silent before that
+	// counts as a crash, so that it is known where the next such crash under a request is counted.
+	deferTime = 250 * time.Millisecond
+	// maxOpenSends bounds the messages under way from this node, and so the connections that they take. What finds no room
+	// isn't told; nodes that start later learn of it from the store.
+	maxOpenSends = 512
+	// maxBatch bounds what is sent in one message, so that it has 1 MB at most, maxGathered what waits to be sent: what finds
+	// no room isn't told.
+	maxBatch    = 256
+	maxGathered = 8 * maxBatch
 )
 
 // Peer is another node.
-type Peer struct{ Node, Address, DataCentre string }
+type Peer struct {
+	Node, Address, DataCentre string
+	// Capacity tells which nodes of a data centre have most to spare for passing news on; zero if it isn't known.
+	Capacity int
+}
 
 // Transport sends a message to another node; it returns nil once that has it.
 type Transport interface {
@@ -47,28 +58,51 @@
 	// Peers returns the other nodes.
 	Peers func() []Peer
 
-	mu      sync.Mutex
-	pending *batch
-	open    int
-	ctx     context.Context
-	stop    context.CancelFunc
+	budget sendBudget
+	// untold bounds the lines on nodes that weren't told.
+	untold lines
+
+	mu sync.Mutex
+	// urgent is what callers wait for, deferred what nobody does, passed what other data centres' nodes told.
+	urgent, deferred, passed *batch
+	open                     int
+	ctx                      context.Context
+	stop                     context.CancelFunc
 }
 
-// batch is news that is sent together.
+// batch is news that is sent together. Its ages are those at the time at which it began.
 type batch struct {
-	news News
-	told chan struct{}
+	news  News
+	began time.Time
+	told  chan struct{}
 }
 
 // Publish implements Publisher.
 func (s *Spreader) Publish(n News) <-chan struct{} {
+	if n.Deferred {
+		return s.gather(&s.deferred, n, deferTime, s.deferredTargets)
+	}
+	return s.gather(&s.urgent, n, gatherTime, s.targets)
+}
+
+// PassOn tells the other nodes of this data centre what a node of another one told.
+func (s *Spreader) PassOn(n News) { s.gather(&s.passed, n, gatherTime, s.dataCentreTargets) }
+
+// gather adds news to what is sent together after a time, or once the budget allows it.
+func (s *Spreader) gather(slot **batch, n News, after time.Duration, targets func() []target) <-chan struct{} {
+	now := time.Now()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.pending == nil || s.pending.news.size()+n.size() > maxBatch {
-		s.pending = &batch{news: News{Node: s.Node}, told: make(chan struct{})}
-		go s.flushLater(s.pending)
+	if *slot != nil && (*slot).news.size()+n.size() > maxGathered {
+		s.recordUntold("", n, "reason", "too much to tell")
+		return nil
 	}
-	b := s.pending
+	if *slot == nil {
+		*slot = &batch{news: News{Node: s.Node}, began: now, told: make(chan struct{})}
+		go s.flush(slot, *slot, after, targets)
+	}
+	b := *slot
+	n = n.Aged(-now.Sub(b.began))
 	b.news.Crashes = append(b.news.Crashes, n.Crashes...)
 	b.news.Blocks = append(b.news.Blocks, n.Blocks...)
 	b.news.Begun = append(b.news.Begun, n.Begun...)
@@ -77,14 +111,22 @@
 	return b.told
 }
 
-func (s *Spreader) flushLater(b *batch) {
-	time.Sleep(gatherTime)
+// flush sends a batch once its time is over and the budget allows it.
+func (s *Spreader) flush(slot **batch, b *batch, after time.Duration, targets func() []target) {
+	ctx := s.context()
+	for wait := after; wait > 0 && ctx.Err() == nil; wait = s.budget.wait(time.Now()) {
+		periodic.Sleep(ctx, wait)
+	}
 	s.mu.Lock()
-	if s.pending == b {
-		s.pending = nil
+	if *slot == b {
+		*slot = nil
 	}
 	s.mu.Unlock()
-	s.send(b.news, s.targets(), b.told)
+	defer close(b.told)
+	to := targets()
+	for _, n := range split(b.news.Aged(time.Since(b.began)), maxBatch) {
+		s.send(n, to)
+	}
 }
 
 // target is a node to be told. passOn asks it to tell the others of its data centre; one of instead is asked if it
@@ -114,7 +156,7 @@
 		elsewhere[p.DataCentre] = append(elsewhere[p.DataCentre], p)
 	}
 	for _, there := range elsewhere {
-		rand.Shuffle(len(there), func(i, j int) { there[i], there[j] = there[j], there[i] })
+		rankRelays(there)
 		relays := min(relaysEach, len(there))
 		for i, p := range there[:relays] {
 			t := target{Peer: p, passOn: true}
@@ -127,24 +169,48 @@
 	return targets
 }
 
-// PassOn tells the other nodes of this data centre what a node of another one told.
-func (s *Spreader) PassOn(n News) {
-	n.PassOn = false
+// deferredTargets returns the nodes that are told what nobody waits for: in a large fleet one of each data centre, the same
+// for all nodes, which passes on what it gathers.
+func (s *Spreader) deferredTargets() []target {
+	peers := s.Peers()
+	if len(peers) <= directPeers {
+		return s.targets()
+	}
+	byDataCentre := make(map[string][]Peer)
+	for _, p := range peers {
+		byDataCentre[p.DataCentre] = append(byDataCentre[p.DataCentre], p)
+	}
+	var targets []target
+	for _, there := range byDataCentre {
+		rankRelays(there)
+		targets = append(targets, target{Peer: there[0], passOn: true, instead: there[1:]})
+	}
+	return targets
+}
+
+// rankRelays sorts nodes by what they have to spare. All nodes choose the same relays, so that these gather what they pass on.
+func rankRelays(peers []Peer) {
+	slices.SortFunc(peers, func(a, b Peer) int { return cmp.Or(b.Capacity-a.Capacity, cmp.Compare(a.Node, b.Node)) })
+}
+
+// dataCentreTargets returns the other nodes of this data centre.
+func (s *Spreader) dataCentreTargets() []target {
 	var targets []target
 	for _, p := range s.Peers() {
-		if p.DataCentre == s.DataCentre && p.Node != n.Node {
+		if p.DataCentre == s.DataCentre {
 			targets = append(targets, target{Peer: p})
 		}
 	}
-	go s.send(n, targets, make(chan struct{}))
+	return targets
 }
 
-// send sends news to nodes. told is closed once each has it or failed to answer once.
-func (s *Spreader) send(n News, targets []target, told chan struct{}) {
+// send sends news to nodes, and returns once each has it or failed to answer once.
+func (s *Spreader) send(n News, targets []target) {
 	var first sync.WaitGroup
+	s.budget.take(len(targets), time.Now())
 	for _, t := range targets {
 		if !s.acquire() {
-			s.Events.Record(event.CrashesUntold, "member", t.Node, "crashes", len(n.Crashes), "reason", "too many messages under way")
+			s.recordUntold(t.Node, n, "reason", "too many messages under way")
 			continue
 		}
 		first.Add(1)
@@ -154,7 +220,6 @@
 		}()
 	}
 	first.Wait()
-	close(told)
 }
 
 func (s *Spreader) acquire() bool {
@@ -188,9 +253,10 @@
 			return
 		}
 		if sends == maxSends {
-			s.Events.Record(event.CrashesUntold, "member", t.Node, "crashes", len(n.Crashes), "sends", sends, "error", err)
+			s.recordUntold(t.Node, n, "sends", sends, "error", err)
 			return
 		}
+		s.budget.take(1, time.Now())
 		if len(t.instead) > 0 {
 			t.Peer, t.instead = t.instead[0], t.instead[1:]
 			continue
@@ -200,6 +266,13 @@
 	}
 }
 
+// recordUntold records that a node isn't told, in some of many cases.
+func (s *Spreader) recordUntold(node string, n News, why ...any) {
+	if leftOut, ok := s.untold.next(time.Now()); ok {
+		s.Events.Record(event.CrashesUntold, append([]any{"member", node, "crashes", len(n.Crashes), "left_out", leftOut}, why...)...)
+	}
+}
+
 func (s *Spreader) context() context.Context {
 	s.mu.Lock()
 	defer s.mu.Unlock()
