--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -66,6 +66,7 @@
 	config    Config
 	current   atomic.Pointer[node.Node]
 	stopping  atomic.Bool
+	delays    atomic.Pointer[delays]
 	http      *httpapi.Server
 	grpc      *grpc.Server
 	peers     *peer.QUIC
@@ -127,7 +128,7 @@
 func (d *Daemon) newIncarnation() error {
 	n, err := node.New(d.config.Settings, node.Deps{
 		Clock: clockwork.NewRealClock(), Log: d.config.Log, Instances: d.config.Instances, Weights: d.config.Weights,
-		Peers: d.peers, Upstreams: d.upstreams, Paths: d.paths, Logger: d.config.Logger, NewIncarnation: uuid.NewString,
+		Peers: d.peers, Upstreams: d.upstreams, Paths: d.paths, QueueDelay: d.queueDelay, Logger: d.config.Logger, NewIncarnation: uuid.NewString,
 	})
 	if err != nil {
 		return errors.Trace(err)
@@ -178,7 +179,10 @@
 // replaces it without operator intervention.
 func (d *Daemon) runIncarnations(ctx context.Context) {
 	for ctx.Err() == nil {
-		if err := d.Node().Run(ctx); !errors.Is(err, node.ErrClosed) || d.stopping.Load() {
+		stop := d.measureDelays(ctx, d.Node())
+		err := d.Node().Run(ctx)
+		stop()
+		if !errors.Is(err, node.ErrClosed) || d.stopping.Load() {
 			return
 		}
 		if err := d.newIncarnation(); err != nil {
--- a/gateway/busy.go
+++ b/gateway/busy.go
@@ -4,13 +4,10 @@
 	"time"
 
 	"lavenderpin.dev/lavenderpin/drain"
+	"lavenderpin.dev/lavenderpin/queuedelay"
 	"lavenderpin.dev/lavenderpin/result"
 )
 
-// processorWaits is how often a request waits for a processor at least: for its connection to be accepted, its
-// bytes to be read, its upstream's answer to be read, and that to be written.
-const processorWaits = 4
-
 // RefuseBusy refuses a request, before its body is read, if the process is so short of processor time that the
 // request would be answered late. It reports whether it did. The part that is refused grows with the lag by the
 // policy that applies to late upstreams: another node may serve them.
@@ -18,7 +15,7 @@
 	if g.Lag == nil {
 		return false
 	}
-	wait, view := processorWaits*g.Lag(), g.Catalog.Current()
+	wait, view := queuedelay.ProcessorWait(g.Lag()), g.Catalog.Current()
 	if wait == 0 || view == nil {
 		return false
 	}
--- a/gateway/busy_test.go
+++ b/gateway/busy_test.go
@@ -6,6 +6,7 @@
 
 	"github.com/matryer/is"
 
+	"lavenderpin.dev/lavenderpin/queuedelay"
 	"lavenderpin.dev/lavenderpin/result"
 )
 
@@ -31,8 +32,8 @@
 	tg.Lag = func() time.Duration { return lag }
 	const objective = 100 * time.Millisecond // of the route
 	is.Equal(refused("h", "/read/", 0), 0)
-	is.Equal(refused("h", "/read/", objective/2/processorWaits), 0)
-	some := refused("h", "/read/", objective/processorWaits)
+	is.Equal(refused("h", "/read/", objective/2/queuedelay.ProcessorWaits), 0)
+	some := refused("h", "/read/", objective/queuedelay.ProcessorWaits)
 	is.True(some > 800 && some < 950) // seven in eight
 	is.True(refused("h", "/read/", 10*objective) > 990)
 	is.Equal(refused("h", "/unknown/", 10*objective), 0)
--- a/gateway/busyreplay_test.go
+++ b/gateway/busyreplay_test.go
@@ -5,10 +5,12 @@
 	"time"
 
 	"github.com/matryer/is"
+
+	"lavenderpin.dev/lavenderpin/queuedelay"
 )
 
 // rushModel is a node with one slow processor, in virtual time. A request is read in one turn of the processor and, unless it is
-// refused then, handled in processorWaits-1 more; turns are taken in the order in which they were asked for.
+// refused then, handled in queuedelay.ProcessorWaits-1 more; turns are taken in the order in which they were asked for.
 type rushModel struct {
 	now   time.Duration
 	turns []turn
@@ -77,7 +79,7 @@
 		m.now += handleTime
 	}
 	t.asked = m.now
-	if t.done++; t.done == processorWaits {
+	if t.done++; t.done == queuedelay.ProcessorWaits {
 		m.answered(t)
 		return
 	}
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -13,6 +13,7 @@
 	"lavenderpin.dev/lavenderpin/placement"
 	"lavenderpin.dev/lavenderpin/prepaid"
 	"lavenderpin.dev/lavenderpin/quarantine"
+	"lavenderpin.dev/lavenderpin/queuedelay"
 	"lavenderpin.dev/lavenderpin/result"
 	"lavenderpin.dev/lavenderpin/streamorigin"
 )
@@ -33,6 +34,8 @@
 	route   *catalog.Route
 	service *catalog.Service
 	account *catalog.Account
+	// linkDelay is how long messages of this node waited on its link when the request was read.
+	linkDelay time.Duration
 	// content identifies what the caller asks for over all of its attempts.
 	content quarantine.ID
 	// parts are the parts of the prompt that other requests may share, partIDs identify them.
@@ -102,6 +105,9 @@
 	if c.service = c.view.Service(c.route.ChooseService(random())); c.service == nil {
 		return result.New(result.NoUpstream, "the route has no service").WithRetryAfter(c.g.settings.BusyRetryAfter)
 	}
+	c.linkDelay = c.g.linkDelay()
+	ctx, cancel := context.WithTimeout(ctx, c.timeLeft())
+	defer cancel()
 	c.content, c.parts = contentOf(c.r, c.accountName()), sharedParts(c.r)
 	c.partIDs = quarantine.PartIDs(c.parts)
 	if refusal := c.refuseIfCrashing(); refusal != nil {
@@ -111,8 +117,8 @@
 		return drain.Refusal()
 	}
 	if c.timeLeft() < c.g.settings.MinTimeLeft {
-		if c.timeLeft()+c.r.Unread >= c.g.settings.MinTimeLeft {
-			return result.New(result.ReadLate, "the request waited %s to be read", c.r.Unread).WithRetryAfter(c.g.settings.BusyRetryAfter)
+		if waited := c.r.Unread + c.r.Turn + c.linkDelay; c.timeLeft()+waited >= c.g.settings.MinTimeLeft {
+			return result.New(result.ReadLate, "the request waited %s to be read", waited).WithRetryAfter(c.g.settings.BusyRetryAfter)
 		}
 		return result.New(result.Overloaded, "too little time is left").WithRetryAfter(c.g.settings.BusyRetryAfter)
 	}
@@ -199,8 +205,10 @@
 	return limit
 }
 
-// timeLeft returns the time until the request's limit.
-func (c *call) timeLeft() time.Duration { return c.timeLimit() - c.g.since(c.r.Arrived) }
+// timeLeft returns the time until the request's limit, less what the answer will wait on the link.
+func (c *call) timeLeft() time.Duration {
+	return queuedelay.TimeLeft(c.timeLimit(), c.g.since(c.r.Arrived), c.linkDelay)
+}
 
 // defaultTimeout applies if neither the route nor the caller sets a timeout.
 const defaultTimeout = 30 * time.Second
--- a/httpapi/server.go
+++ b/httpapi/server.go
@@ -109,6 +109,9 @@
 		return
 	}
 	timeout, err := parseTimeout(c)
+	if err == nil {
+		err = s.refuseLate(timeout, key != "")
+	}
 	if err != nil {
 		writeError(c, err)
 		return
@@ -135,12 +138,20 @@
 }
 
 func (s *Server) call(ctx context.Context, c *app.RequestContext) {
-	call, err := parseServiceCall(c)
+	timeout, err := parseTimeout(c)
+	if err == nil {
+		err = s.refuseLate(timeout, mayHaveRunBefore(c))
+	}
+	if err != nil {
+		writeError(c, err)
+		return
+	}
+	call, err := parseServiceCall(c, timeout)
 	if err != nil {
 		writeError(c, err)
 		return
 	}
-	if err := s.refusal(call.IdempotencyKey != "" || call.Ticket != ""); err != nil {
+	if err := s.refusal(mayHaveRunBefore(c)); err != nil {
 		writeError(c, err)
 		return
 	}
@@ -166,6 +177,21 @@
 	return n.Requests().RecordRefusal(err)
 }
 
+// refuseLate returns the recorded refusal of a request that would be answered too late, before its body is read; nil if it
+// may be read.
+func (s *Server) refuseLate(timeout time.Duration, mayHaveRun bool) error {
+	err := s.node().Requests().RefuseLate(timeout)
+	if err != nil && mayHaveRun {
+		return result.From(err).WithMayHaveRun()
+	}
+	return err
+}
+
+// mayHaveRunBefore reports whether a call may have run elsewhere, by an earlier try.
+func mayHaveRunBefore(c *app.RequestContext) bool {
+	return len(c.GetHeader(headerIdempotencyKey)) > 0 || len(c.GetHeader(headerTicket)) > 0
+}
+
 func bearerToken(c *app.RequestContext) string {
 	key, found := strings.CutPrefix(string(c.GetHeader("Authorization")), "Bearer ")
 	if !found {
--- a/httpapi/servicecall.go
+++ b/httpapi/servicecall.go
@@ -23,11 +23,7 @@
 const servicePrefix = "/s/"
 
 // parseServiceCall reads a call of a plain service from the request.
-func parseServiceCall(c *app.RequestContext) (request.ServiceCall, error) {
-	timeout, err := parseTimeout(c)
-	if err != nil {
-		return request.ServiceCall{}, err
-	}
+func parseServiceCall(c *app.RequestContext, timeout time.Duration) (request.ServiceCall, error) {
 	path, err := servicePath(c)
 	if err != nil {
 		return request.ServiceCall{}, err
--- a/membership/members.go
+++ b/membership/members.go
@@ -151,6 +151,12 @@
 // ping exchanges views with the node at an address. If either side can't resolve the
 // other's member ID, for example because its log lags, it pings again with this node's
 // full information, which makes the answer carry full information too.
+// Ping pings a member and returns once it has answered.
+func (m *Members) Ping(ctx context.Context, address string) error {
+	_, err := m.exchange(ctx, address, pingRequest(m.messageViews(compactFormat)))
+	return err
+}
+
 func (m *Members) ping(ctx context.Context, address string, timeout time.Duration) error {
 	ctx, cancel := clockwork.WithTimeout(ctx, m.clock, timeout)
 	defer cancel()
--- a/node/deps.go
+++ b/node/deps.go
@@ -1,6 +1,8 @@
 package node
 
 import (
+	"time"
+
 	"github.com/go-kit/log"
 	"github.com/jonboulle/clockwork"
 
@@ -20,8 +22,10 @@
 	Upstreams upstream.Client
 	// Paths opens the connections of Upstreams, and those to upstreams for other nodes; nil if the
 	// node doesn't relay.
-	Paths  *reach.Dialer
-	Logger log.Logger
+	Paths *reach.Dialer
+	// QueueDelay returns how long a request waits at this node in queues that it doesn't see; nil if that isn't measured.
+	QueueDelay func() time.Duration
+	Logger     log.Logger
 	// NewIncarnation returns a unique name that no node has ever had.
 	NewIncarnation func() string
 }
--- a/node/node.go
+++ b/node/node.go
@@ -122,7 +122,7 @@
 		Config: n.config.View, Reserver: n.budgets.reserver, Picker: n.balancer, Admission: n.admission,
 		Client: n.upstreams, Events: n.events, Clock: deps.Clock, Region: settings.Region,
 		ExcludeLeaving: n.excludeLeaving, CheckPauses: n.balancer.CheckPauses,
-		AwaitReachable: n.awaitReachable, Quarantine: n.quarantine,
+		AwaitReachable: n.awaitReachable, Quarantine: n.quarantine, QueueDelay: deps.QueueDelay,
 	}
 	n.configureRequests()
 	n.metrics = n.newMetrics()
--- a/request/server.go
+++ b/request/server.go
@@ -4,6 +4,7 @@
 	"context"
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"github.com/jonboulle/clockwork"
 
@@ -45,6 +46,8 @@
 	AwaitReachable func(ctx context.Context, addresses []string) bool
 	// Quarantine tells which requests crash upstreams; nil counts nothing.
 	Quarantine *quarantine.Guard
+	// QueueDelay returns how long a request waits at this node in queues that it doesn't see; nil if that isn't measured.
+	QueueDelay func() time.Duration
 	// PeerAddress is the address at which other nodes reach this one.
 	PeerAddress string
 
--- a/request/timeout.go
+++ b/request/timeout.go
@@ -19,7 +19,7 @@
 	if timeout <= 0 {
 		return ctx, done
 	}
-	ctx, cancel := clockwork.WithTimeout(ctx, s.Clock, min(timeout, MaxTimeout))
+	ctx, cancel := clockwork.WithTimeout(ctx, s.Clock, s.timeLeft(timeout))
 	return ctx, func() {
 		cancel()
 		done()
