--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -50,6 +50,7 @@
 	violations = append(violations, h.checkCuts()...)
 	violations = append(violations, h.checkPauses()...)
 	violations = append(violations, h.checkNamedLimits()...)
+	violations = append(violations, h.checkHeldRequests()...)
 	violations = append(violations, h.checkCrashedUpstreams()...)
 	violations = append(violations, h.checkLeavingUpstreams()...)
 	violations = append(violations, h.checkCutFromUpstreams()...)
--- a/internal/soak/check_test.go
+++ b/internal/soak/check_test.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"errors"
 	"fmt"
 	"net/http"
 	"slices"
@@ -53,6 +54,20 @@
 	return s
 }
 
+// hold adds requests to node 2 that are held past their route's time-out, and others that end by it.
+func (h *history) hold(held, ended int) {
+	for i := range held + ended {
+		id := fmt.Sprintf("overdue-%d", i)
+		r := callRecord{call: standin.Call{ID: id, Route: overdueRoute, Deadline: 2 * overdueRoute.Timeout}, account: "one", node: "n", start: at(96),
+			outcome: standin.Outcome{Err: errors.New("cut")}}
+		r.end = r.start.Add(overdueRoute.Timeout)
+		if i < held {
+			r.end = r.end.Add(heldSlack)
+		}
+		h.records = append(h.records, r)
+	}
+}
+
 // stopNode adds a planned stop of node 2.
 func (h *history) stopNode(terminated, exited float64) {
 	h.stops[2] = append(h.stops[2], processStop{at(terminated), at(exited)})
@@ -196,6 +211,7 @@
 		}},
 		{"an upstream gets requests during the pause that it asked for", "requested pauses", func(h *history) { h.shedWithPause(100.6, 101, 102.9) }},
 		{"an upstream gets more requests than it takes", "named limits", func(h *history) { h.nameLimit(3) }},
+		{"requests are held past their route's time-out", "held requests", func(h *history) { h.hold(8, 7) }},
 		{"an upstream leaves and gets a request", "leaving upstreams", func(h *history) { h.leave(100, 103.1) }},
 		{"streams hold events of two versions", "one version in a stream", func(h *history) { h.takeUp(3, secondVersion) }},
 		{"a stream within one answer, and two taken up, hold events of two versions", "one version in a stream", func(h *history) {
@@ -243,6 +259,11 @@
 		name  string
 		alter func(*history)
 	}{
+		{"half of the requests that reach their route's time-out end half a second later", func(h *history) { h.hold(8, 8) }},
+		{"a paused node holds requests past their route's time-out", func(h *history) {
+			h.hold(20, 0)
+			h.spans = []span{spanOf(Step{Kind: PauseNode, Target: 2}, 92, 93)}
+		}},
 		{"the end of the grace period cuts a stream that was sent early", func(h *history) {
 			h.stopNode(99, 107)
 			h.cut(standin.NonResumableRoute, 106)
@@ -326,10 +347,12 @@
 // A seed must give the same plan each time, or a failure can't be reproduced.
 func TestPlanIsDeterministic(t *testing.T) {
 	is := is.New(t)
-	one, two := NewPlan(7, time.Minute, 5, 5, true), NewPlan(7, time.Minute, 5, 5, true)
+	o := Options{Seed: 7, Length: time.Minute, Nodes: 5, Crashes: true, Starved: true}
+	one, two := NewPlan(o, 5), NewPlan(o, 5)
 	is.Equal(one, two)
 	is.True(len(one) > 50)
-	is.True(!slices.Equal(one, NewPlan(8, time.Minute, 5, 5, true)))
+	o.Seed = 8
+	is.True(!slices.Equal(one, NewPlan(o, 5)))
 }
 
 // Guards against runs in which no node is ever cut from all upstreams.
@@ -337,7 +360,7 @@
 	is := is.New(t)
 	cuts := 0
 	for seed := range uint64(20) {
-		if slices.ContainsFunc(NewPlan(seed, 12*time.Second, 5, 5, true), func(s Step) bool { return s.Kind == NodeUpstreamsSilent || s.Kind == NodeUpstreamsReset }) {
+		if slices.ContainsFunc(NewPlan(Options{Seed: seed, Length: 12 * time.Second, Nodes: 5, Crashes: true}, 5), func(s Step) bool { return s.Kind == NodeUpstreamsSilent || s.Kind == NodeUpstreamsReset }) {
 			cuts++
 		}
 	}
--- a/internal/soak/cuts.go
+++ b/internal/soak/cuts.go
@@ -47,7 +47,7 @@
 // explainsCut reports whether something other than a planned stop explains that a call got no
 // complete answer.
 func (h *history) explainsCut(r *callRecord, node int) bool {
-	if limit := r.call.Deadline; limit > 0 && r.end.Sub(r.start) >= limit {
+	if limit := r.call.Deadline; limit > 0 && r.end.Sub(r.start) >= limit || r.endedByTimeout() {
 		return true
 	}
 	return h.lostWay(r, node) || h.anySpan(r.start, r.end, func(s *span) bool {
@@ -86,7 +86,7 @@
 // mayBeCut reports whether a planned stop may cut a request. A pause of the node after SIGTERM
 // shortens the time that it has to end.
 func (h *history) mayBeCut(r *callRecord, node int, stop processStop) bool {
-	if h.anySpan(stop.terminated, r.end, func(s *span) bool { return s.Kind == PauseNode && s.Target == node }) {
+	if h.anySpan(stop.terminated, r.end, func(s *span) bool { return (s.Kind == PauseNode || s.Kind == StarveNode) && s.Target == node }) {
 		return true
 	}
 	inTime := r.start.Before(stop.terminated.Add(lateRequestDelay))
--- a/internal/soak/fleet.go
+++ b/internal/soak/fleet.go
@@ -67,7 +67,7 @@
 func newFleet(program, dir string, nodes int) (*fleet, error) {
 	f := &fleet{store: standin.NewStore(), stop: make(chan struct{})}
 	f.operator = &standin.Operator{Store: f.store, Accounts: []standin.Account{{Name: "one", Keys: []string{"key-one"}, Prepaid: initialPrepaid}, {Name: "two", Keys: []string{"key-two"}, Prepaid: initialPrepaid},
-		{Name: streamAccount, Keys: []string{"key-" + streamAccount}, Prepaid: streamPrepaid}}, ExtraRoutes: []standin.Route{longStreamRoute}}
+		{Name: streamAccount, Keys: []string{"key-" + streamAccount}, Prepaid: streamPrepaid}}, ExtraRoutes: []standin.Route{longStreamRoute, overdueRoute}}
 	f.operator.Configure()
 	for i := range upstreamCount {
 		service, events := standin.EngineService, eventsPerStream
@@ -207,6 +207,8 @@
 	case PauseNode:
 		n := f.nodes[s.Target]
 		hold(func() { n.signal(syscall.SIGSTOP) }, func() { n.signal(syscall.SIGCONT) })
+	case StarveNode:
+		f.nodes[s.Target].starve(s.Duration)
 	case StopNode:
 		return f.nodes[s.Target].stop()
 	case StoreUnavailable:
--- a/internal/soak/pathcuts.go
+++ b/internal/soak/pathcuts.go
@@ -34,7 +34,7 @@
 	for i := range h.records {
 		r := &h.records[i]
 		node, known := h.nodeOf(r)
-		if !known || !h.longCut(r) || h.disturbed(node, r) {
+		if !known || r.call.Route == overdueRoute || !h.longCut(r) || h.disturbed(node, r) {
 			continue
 		}
 		switch {
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -16,6 +16,7 @@
 	KillNode                Kind = "kill node"
 	KillAll                 Kind = "kill all nodes"
 	PauseNode               Kind = "pause node"
+	StarveNode              Kind = "node gets a fifth of a processor"
 	StopNode                Kind = "stop node"
 	StopSeries              Kind = "stop all nodes one after another" // becomes a StopNode for each
 	StoreUnavailable        Kind = "store away"
@@ -100,8 +101,9 @@
 	maxShedEvery = 3
 )
 
-// NewPlan returns the steps that a seed yields for a run of the given length; crashes adds upstreams that crash to some seeds.
-func NewPlan(seed uint64, length time.Duration, nodes, upstreams int, crashes bool) []Step {
+// NewPlan returns the steps that the options yield for a number of upstreams.
+func NewPlan(o Options, upstreams int) []Step {
+	seed, length, nodes := o.Seed, o.Length, o.Nodes
 	r := rand.New(rand.NewPCG(seed, 1))
 	var plan []Step
 	for at := time.Second; at < length; at += meanStepInterval/2 + time.Duration(r.Int64N(int64(meanStepInterval))) {
@@ -130,7 +132,10 @@
 	plan = append(plan, cutsFromUpstreams(rand.New(rand.NewPCG(seed, 2)), length, nodes)...)
 	plan = append(plan, restartsAsOtherVersion(rand.New(rand.NewPCG(seed, 3)), length)...)
 	plan = append(plan, namedLimits(rand.New(rand.NewPCG(seed, 4)), length, upstreams)...)
-	if crashes {
+	if o.Starved {
+		plan = append(plan, starvedNodes(rand.New(rand.NewPCG(seed, 6)), length, nodes)...)
+	}
+	if o.Crashes {
 		plan = append(plan, crashingUpstreams(rand.New(rand.NewPCG(seed, 5)), length)...)
 	}
 	slices.SortStableFunc(plan, func(a, b Step) int { return cmp.Compare(a.At, b.At) })
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -22,6 +22,8 @@
 	Length time.Duration
 	// Crashes adds upstreams that crash, by themselves and under some requests, to a third of the seeds.
 	Crashes bool
+	// Starved adds nodes that get a fifth of a processor to half of the seeds.
+	Starved bool
 }
 
 const (
@@ -63,7 +65,7 @@
 	defer stopStreams()
 	done := make(chan struct{})
 	go func() { defer close(done); w.run(callCtx, streamCtx) }()
-	report := &Report{Seed: o.Seed, Plan: NewPlan(o.Seed, o.Length, o.Nodes, len(f.upstreams), o.Crashes), Calls: make(map[int]int)}
+	report := &Report{Seed: o.Seed, Plan: NewPlan(o, len(f.upstreams)), Calls: make(map[int]int)}
 	if err := runPlan(ctx, f, report.Plan); err != nil {
 		return nil, errors.Trace(err)
 	}
--- a/internal/soak/span.go
+++ b/internal/soak/span.go
@@ -29,7 +29,7 @@
 	switch s.Kind {
 	case StoreUnavailable, StoreDropsResponses:
 		return true
-	case PauseNode, NodeStoreSilent, NodeStoreDropsResponses, NodeStoreSlow:
+	case PauseNode, StarveNode, NodeStoreSilent, NodeStoreDropsResponses, NodeStoreSlow:
 		return s.Target == node
 	default:
 		return s.endsNode(node)
--- a/internal/soak/workload.go
+++ b/internal/soak/workload.go
@@ -65,6 +65,7 @@
 	for i := range resumingCallerCount {
 		wait.Go(func() { w.runResumingCaller(streamCtx, i) })
 	}
+	wait.Go(func() { w.runOverdueCaller(streamCtx) })
 	wait.Go(func() { w.runBadCaller(ctx) })
 	wait.Go(func() { w.runRepeatingCaller(ctx) })
 	wait.Wait()
