--- a/lossreport/cause.go
+++ b/lossreport/cause.go
@@ -28,6 +28,9 @@
 // read it, for want of processor time.
 const callerLeftUnread Cause = "caller left, read late"
 
+// callerLeftBehindLink: the caller left, and most of the time until then messages of the node waited on its link.
+const callerLeftBehindLink Cause = "caller left, full link"
+
 // causeOf returns a line's cause and whether the line ends a request.
 func causeOf(l *event.LogLine) (Cause, bool) {
 	switch l.Number {
@@ -37,6 +40,9 @@
 		if l.Fields["outcome"] == "caller_left" && 2*intField(l, "unread_ms") > intField(l, "ms") {
 			return callerLeftUnread, true
 		}
+		if l.Fields["outcome"] == "caller_left" && 2*intField(l, "link_ms") > intField(l, "ms") {
+			return callerLeftBehindLink, true
+		}
 		return endCause(l.Fields["outcome"])
 	}
 	return "", false
--- a/lossreport/report_test.go
+++ b/lossreport/report_test.go
@@ -69,6 +69,17 @@
 	is.Equal(New(read, 2*time.Second).Intervals[0].Requests, map[Cause]int{callerLeftUnread: 1, "caller left": 1, Served: 1, "ReadLate": 1})
 }
 
+// Guards against a report that blames callers for leaving a node behind a full link.
+func TestNamesCallersWhoLeftBehindAFullLink(t *testing.T) {
+	is := is.New(t)
+	read, _, err := event.ReadLog(strings.NewReader(`level=info ts=2026-01-02T03:04:00.1Z event=417 name=RequestEnded node=n1 request=a outcome=caller_left ms=1000 unread_ms=0 link_ms=900
+level=info ts=2026-01-02T03:04:00.2Z event=417 name=RequestEnded node=n1 request=b outcome=caller_left ms=1000 unread_ms=0 link_ms=100
+level=info ts=2026-01-02T03:04:00.3Z event=417 name=RequestEnded node=n1 request=c outcome=served ms=1000 unread_ms=0 link_ms=900
+`))
+	is.NoErr(err)
+	is.Equal(New(read, 2*time.Second).Intervals[0].Requests, map[Cause]int{callerLeftBehindLink: 1, "caller left": 1, Served: 1})
+}
+
 // If no line ends a request, the report is a table with only a header.
 func TestEmptyLogGivesEmptyReport(t *testing.T) {
 	is := is.New(t)
