--- a/quarantine/news.go
+++ b/quarantine/news.go
@@ -77,6 +77,9 @@
 // size returns how many things the news tells.
 func (n *News) size() int { return len(n.Crashes) + len(n.Answered) + len(n.Begun) + len(n.Blocks) }
 
+// isDecisive reports whether the news blocks or lifts parts of prompts, or clears them.
+func (n *News) isDecisive() bool { return len(n.Blocks)+len(n.Begun) > 0 }
+
 // split returns news as messages that tell a number of things at most each.
 func split(n News, most int) []News {
 	var messages []News
--- a/quarantine/sendbudget.go
+++ b/quarantine/sendbudget.go
@@ -11,6 +11,9 @@
 	// message in a millisecond or two.
 	messagesPerSecond = 100
 	savedMessages     = 200
+	// decisiveDebt is how far the budget may be in debt for what blocks and lifts parts: a block that is lifted late refuses
+	// sound requests.
+	decisiveDebt = 400
 )
 
 // sendBudget bounds the messages of a node over time. Its methods may be called by several goroutines.
@@ -29,12 +32,12 @@
 	b.left -= float64(messages)
 }
 
-// wait returns the time until the budget is out of debt.
-func (b *sendBudget) wait(now time.Time) time.Duration {
+// wait returns the time until the budget is no more than some messages in debt.
+func (b *sendBudget) wait(debt float64, now time.Time) time.Duration {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.refill(now)
-	return time.Duration(max(0, -b.left) / messagesPerSecond * float64(time.Second))
+	return time.Duration(max(0, -b.left-debt) / messagesPerSecond * float64(time.Second))
 }
 
 // refill adds what the time since the last call allows. The caller must hold mu.
--- a/quarantine/spreader.go
+++ b/quarantine/spreader.go
@@ -63,13 +63,16 @@
 	untold lines
 
 	mu sync.Mutex
-	// urgent is what callers wait for, deferred what nobody does, passed what other data centres' nodes told.
-	urgent, deferred, passed *batch
-	open                     int
-	ctx                      context.Context
-	stop                     context.CancelFunc
+	// own is what this node tells, passed what it passes on for nodes of other data centres.
+	own, passed outbox
+	open        int
+	ctx         context.Context
+	stop        context.CancelFunc
 }
 
+// outbox holds the news that waits to be sent: what decides on parts, what callers wait for, and what nobody does.
+type outbox struct{ decisive, urgent, deferred *batch }
+
 // batch is news that is sent together. Its ages are those at the time at which it began.
 type batch struct {
 	news  News
@@ -79,17 +82,27 @@
 
 // Publish implements Publisher.
 func (s *Spreader) Publish(n News) <-chan struct{} {
-	if n.Deferred {
-		return s.gather(&s.deferred, n, deferTime, s.deferredTargets)
+	switch {
+	case n.isDecisive():
+		return s.gather(&s.own.decisive, n, gatherTime, decisiveDebt, s.targets)
+	case n.Deferred:
+		return s.gather(&s.own.deferred, n, deferTime, 0, s.deferredTargets)
+	default:
+		return s.gather(&s.own.urgent, n, gatherTime, 0, s.targets)
 	}
-	return s.gather(&s.urgent, n, gatherTime, s.targets)
 }
 
 // PassOn tells the other nodes of this data centre what a node of another one told.
-func (s *Spreader) PassOn(n News) { s.gather(&s.passed, n, gatherTime, s.dataCentreTargets) }
+func (s *Spreader) PassOn(n News) {
+	if n.isDecisive() {
+		s.gather(&s.passed.decisive, n, gatherTime, decisiveDebt, s.dataCentreTargets)
+		return
+	}
+	s.gather(&s.passed.urgent, n, gatherTime, 0, s.dataCentreTargets)
+}
 
-// gather adds news to what is sent together after a time, or once the budget allows it.
-func (s *Spreader) gather(slot **batch, n News, after time.Duration, targets func() []target) <-chan struct{} {
+// gather adds news to what is sent together after a time, or once the budget is no more than some messages in debt.
+func (s *Spreader) gather(slot **batch, n News, after time.Duration, debt float64, targets func() []target) <-chan struct{} {
 	now := time.Now()
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -99,7 +112,7 @@
 	}
 	if *slot == nil {
 		*slot = &batch{news: News{Node: s.Node}, began: now, told: make(chan struct{})}
-		go s.flush(slot, *slot, after, targets)
+		go s.flush(slot, *slot, after, debt, targets)
 	}
 	b := *slot
 	n = n.Aged(-now.Sub(b.began))
@@ -112,9 +125,9 @@
 }
 
 // flush sends a batch once its time is over and the budget allows it.
-func (s *Spreader) flush(slot **batch, b *batch, after time.Duration, targets func() []target) {
+func (s *Spreader) flush(slot **batch, b *batch, after time.Duration, debt float64, targets func() []target) {
 	ctx := s.context()
-	for wait := after; wait > 0 && ctx.Err() == nil; wait = s.budget.wait(time.Now()) {
+	for wait := after; wait > 0 && ctx.Err() == nil; wait = s.budget.wait(debt, time.Now()) {
 		periodic.Sleep(ctx, wait)
 	}
 	s.mu.Lock()
--- a/quarantine/worstday_test.go
+++ b/quarantine/worstday_test.go
@@ -67,6 +67,48 @@
 	}
 }
 
+// Guards against blocks that are lifted late, as the news waits behind that of crashes: sound requests are refused meanwhile.
+func TestLiftedBlockIsToldAheadOfCrashes(t *testing.T) {
+	for _, count := range []int{7, 86, 295} {
+		t.Run(fmt.Sprint(count), func(t *testing.T) {
+			bubble.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				nodes := newTestNodes(count, 6)
+				guards := make(map[string]*Guard)
+				for _, p := range nodes.peers {
+					nodes.spreader[p.Node].Transport = &guardTransport{testTransport{nodes, p}, guards, func(string) bool { return false }}
+					guards[p.Node] = newTestGuard(bubbleClock{}, nodes.spreader[p.Node])
+				}
+				part := toParts([]string{"common"})[0]
+				blocked := Block{Part: part.id(), Name: part.ID, Blocked: true, Version: 1}
+				for _, g := range guards {
+					g.LearnBlock(blocked, "test")
+				}
+				for _, spreader := range nodes.spreader { // as after a second of many crashes
+					spreader.budget.take(savedMessages+200, time.Now())
+				}
+				began := time.Now()
+				guards["n0"].AnswerBegun([]ID{part.id()})
+				stillBlocked := func() (n int) {
+					for _, g := range guards {
+						n += len(g.Blocks())
+					}
+					return n
+				}
+				for stillBlocked() > 0 && time.Since(began) < toldWithin {
+					time.Sleep(10 * time.Millisecond)
+				}
+				t.Logf("%d nodes: lifted on all after %v", count, time.Since(began))
+				is.True(time.Since(began) < maxBegunDelay)
+				time.Sleep(15 * time.Second)
+				for _, s := range nodes.spreader {
+					s.Stop()
+				}
+			})
+		})
+	}
+}
+
 // Guards against messages that their receiver refuses for their length, and against news that is lost or told twice when
 // much was gathered.
 func TestGatheredNewsIsSplit(t *testing.T) {
