--- a/node/metrics.go
+++ b/node/metrics.go
@@ -32,6 +32,7 @@
 	{"quarantine", "crashes of upstreams under this node's requests and those that other nodes told of, how many requests with crashes are counted now, and how many parts of prompts are suspected and blocked", func(n *Node) any { return n.quarantine.Counts() }},
 	{"upstream_paths", "how upstreams in use are reached: directly, through another node, or not at all", func(n *Node) any { return n.pathSummary() }},
 	{"path_changes", "paths lost, failed and restored, connections relayed by others and for others, tests of paths", func(n *Node) any { return n.pathCounters() }},
+	{"queue_delay_ms", "milliseconds that a request waits at this node in queues that it doesn't see: on the link to other nodes and back, and for the processor; it is taken off callers' timeouts, and from half of a timeout on a part of the requests is refused", func(n *Node) any { return n.requests.Delay().Milliseconds() }},
 	{"events", "per event name: events recorded since the start; see EVENTS.md", func(n *Node) any { return n.events.Counts() }},
 	{"events_dropped", "events that the ring buffer no longer holds", func(n *Node) any { return n.events.Dropped() }},
 }
