--- a/gateway/send.go
+++ b/gateway/send.go
@@ -35,7 +35,7 @@
 	defer u.Close()
 	sentAt := c.g.Clock.Now()
 	if c.lastSentAt == 0 {
-		c.stages[stageAdmit] = sentAt - c.r.Arrived
+		c.stages[stageAdmit] = sentAt - c.r.Arrived - c.r.Unread - c.r.Turn
 	}
 	u.RecordSent(sentAt)
 	c.lastSentAt = sentAt
