--- a/quarantine/news.go
+++ b/quarantine/news.go
@@ -77,8 +77,11 @@
 // size returns how many things the news tells.
 func (n *News) size() int { return len(n.Crashes) + len(n.Answered) + len(n.Begun) + len(n.Blocks) }
 
-// isDecisive reports whether the news blocks or lifts parts of prompts, or clears them.
-func (n *News) isDecisive() bool { return len(n.Blocks)+len(n.Begun) > 0 }
+// isDecisive reports whether the news counts for or against parts of prompts. Told late, crashes come together at a node that
+// hasn't heard of the answers in between.
+func (n *News) isDecisive() bool {
+	return len(n.Blocks)+len(n.Begun) > 0 || slices.ContainsFunc(n.Crashes, func(e ToldCrash) bool { return len(e.Parts) > 0 })
+}
 
 // split returns news as messages that tell a number of things at most each.
 func split(n News, most int) []News {
--- a/quarantine/sendbudget.go
+++ b/quarantine/sendbudget.go
@@ -11,8 +11,8 @@
 	// message in a millisecond or two.
 	messagesPerSecond = 100
 	savedMessages     = 200
-	// decisiveDebt is how far the budget may be in debt for what blocks and lifts parts: a block that is lifted late refuses
-	// sound requests.
+	// decisiveDebt is how far the budget may be in debt for what counts for or against parts: a block by mistake, or one that
+	// is lifted late, refuses sound requests.
 	decisiveDebt = 400
 )
 
--- a/quarantine/spreader.go
+++ b/quarantine/spreader.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"context"
+	"math/rand/v2"
 	"slices"
 	"sync"
 	"time"
@@ -169,7 +170,7 @@
 		elsewhere[p.DataCentre] = append(elsewhere[p.DataCentre], p)
 	}
 	for _, there := range elsewhere {
-		rankRelays(there)
+		rand.Shuffle(len(there), func(i, j int) { there[i], there[j] = there[j], there[i] })
 		relays := min(relaysEach, len(there))
 		for i, p := range there[:relays] {
 			t := target{Peer: p, passOn: true}
@@ -182,8 +183,8 @@
 	return targets
 }
 
-// deferredTargets returns the nodes that are told what nobody waits for: in a large fleet one of each data centre, the same
-// for all nodes, which passes on what it gathers.
+// deferredTargets returns the nodes that are told what nobody waits for: in a large fleet one of each data centre, which passes
+// on what it gathers. It is the same for all nodes, the one that has most to spare.
 func (s *Spreader) deferredTargets() []target {
 	peers := s.Peers()
 	if len(peers) <= directPeers {
@@ -195,17 +196,12 @@
 	}
 	var targets []target
 	for _, there := range byDataCentre {
-		rankRelays(there)
+		slices.SortFunc(there, func(a, b Peer) int { return cmp.Or(b.Capacity-a.Capacity, cmp.Compare(a.Node, b.Node)) })
 		targets = append(targets, target{Peer: there[0], passOn: true, instead: there[1:]})
 	}
 	return targets
 }
 
-// rankRelays sorts nodes by what they have to spare. All nodes choose the same relays, so that these gather what they pass on.
-func rankRelays(peers []Peer) {
-	slices.SortFunc(peers, func(a, b Peer) int { return cmp.Or(b.Capacity-a.Capacity, cmp.Compare(a.Node, b.Node)) })
-}
-
 // dataCentreTargets returns the other nodes of this data centre.
 func (s *Spreader) dataCentreTargets() []target {
 	var targets []target
