--- a/quarantine/guard.go
+++ b/quarantine/guard.go
@@ -56,7 +56,7 @@
 	now := g.clock.Now()
 	crash := Crash{ID: randomID(), Request: a.Request, Upstream: a.Incarnation, Life: a.Life, Opened: a.Opened, Account: a.Account, SentAt: a.SentAt, At: now}
 	if !a.Begun && !a.Silent {
-		crash.Parts, crash.PartIDs = g.suspectedParts(a.Parts, a.SentAt)
+		crash.Parts, crash.PartIDs = g.suspectedParts(a.Parts, crash)
 	}
 	count, isNew := g.requests.add(crash)
 	g.crashed.Add(1)
@@ -76,10 +76,11 @@
 	return both(kept, told)
 }
 
-// suspectedParts returns those of a prompt's parts with which no answer began at this node since it was sent.
-func (g *Guard) suspectedParts(all []Part, sentAt time.Duration) (suspected []Part, ids []ID) {
+// suspectedParts returns those of a prompt's parts that this node suspects after a crash. Other nodes may have no requests with a
+// part that begins to be answered here all the time.
+func (g *Guard) suspectedParts(all []Part, e Crash) (suspected []Part, ids []ID) {
 	for _, p := range all {
-		if id := p.id(); !g.parts.begunSince(id, sentAt) {
+		if id := p.id(); !g.parts.isCleared(id, e) {
 			suspected, ids = append(suspected, p), append(ids, id)
 		}
 	}
--- a/quarantine/parts.go
+++ b/quarantine/parts.go
@@ -180,18 +180,21 @@
 	}
 }
 
-// begun records that an answer with some parts began. It returns those against which something counted, and the blocks
-// that this lifted.
+// begun records that an answer with some parts began. It returns those against which something counted or that were blocked,
+// and the blocks that this lifted.
 func (p *parts) begun(ids []ID, at time.Duration) (cleared []ID, lifted []Block) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for _, id := range ids {
-		if p.suspects.clear(id, at) {
-			cleared = append(cleared, id)
-		}
-		if b := p.blocks[id]; b != nil && b.Blocked {
+		counted := p.suspects.clear(id, at)
+		b := p.blocks[id]
+		isBlocked := b != nil && b.Blocked
+		if isBlocked {
 			lifted = append(lifted, *p.lift(b, ""))
 		}
+		if counted || isBlocked {
+			cleared = append(cleared, id)
+		}
 	}
 	p.suspected.Store(int64(len(p.suspects.byPart)))
 	if len(lifted) > 0 {
@@ -287,12 +290,11 @@
 	return b
 }
 
-// begunSince reports whether an answer with a part began since a time.
-func (p *parts) begunSince(id ID, since time.Duration) bool {
+// isCleared reports whether a crash doesn't count against a part, as an answer with the part began.
+func (p *parts) isCleared(id ID, e Crash) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	at, known := p.suspects.begun[id]
-	return known && at >= since
+	return p.suspects.isCleared(id, e)
 }
 
 // untold returns those of some parts of which no other node told that an answer with them began since a time.
--- a/quarantine/suspects.go
+++ b/quarantine/suspects.go
@@ -73,7 +73,7 @@
 // just before its own: when many upstreams crash together, everything that was under way is lost with them. An incarnation crashes once: what accepts connections
 // and closes them again, such as a forwarder before an upstream that is gone, is no upstream that crashes under requests.
 func (s *suspects) add(part Part, id ID, e Crash) (block bool) {
-	if begun, ok := s.begun[id]; ok && (begun >= e.SentAt || !e.Opened && e.At-begun < clearedFor) || s.isAttributed(e) {
+	if s.isCleared(id, e) || s.isAttributed(e) {
 		return false
 	}
 	known := s.byPart[id]
@@ -97,6 +97,13 @@
 	return known.reachesThreshold()
 }
 
+// isCleared reports whether an answer with a part began since the request of a crash was sent or, for a crash without headers, not
+// long before.
+func (s *suspects) isCleared(id ID, e Crash) bool {
+	begun, ok := s.begun[id]
+	return ok && (begun >= e.SentAt || !e.Opened && e.At-begun < clearedFor)
+}
+
 // reachesThreshold reports whether what counts against a part is enough to block it.
 func (s *suspect) reachesThreshold() bool {
 	opened := 0
