--- a/daemon/delay.go
+++ b/daemon/delay.go
@@ -36,7 +36,7 @@
 
 // total returns how long a request waits in all.
 func (d *delays) total() time.Duration {
-	return queuedelay.ProcessorWait(d.processor.Lag()) + d.link.Delay()
+	return queuedelay.ProcessorWait(d.processor.Lag()) + d.link.OwnDelay()
 }
 
 // queueDelay returns how long a request waits at the current incarnation.
--- a/queuedelay/monitor.go
+++ b/queuedelay/monitor.go
@@ -26,8 +26,10 @@
 	ExchangeTimeout = 3 * time.Second
 	// lateLimit is from which delay on exchanges are logged and come more often.
 	lateLimit = 50 * time.Millisecond
-	// busyUse is from which use of the link on exchanges come more often, as a part of its speed.
+	// busyUse is from which use of the link on exchanges come more often, as a part of its speed; ownUse is from which use on
+	// late exchanges are taken for the link's own queue, which is used less while it drains.
 	busyUse = 0.5
+	ownUse  = busyUse / 2
 	// logInterval is the shortest time between two log lines.
 	logInterval = time.Second
 )
@@ -67,6 +69,24 @@
 	return shortest
 }
 
+// OwnDelay returns how long messages wait in queues of this node, as far as it is certain that these, and not the path or the
+// other nodes, are late: zero if little of the link is used, or, where that isn't known, if not all nodes that are asked tell.
+func (m *Monitor) OwnDelay() time.Duration {
+	if m.Link != nil {
+		if m.Link.Use() < ownUse {
+			return 0
+		}
+		return m.Delay()
+	}
+	now := m.Clock.Now()
+	for i := range m.asked {
+		if _, known := m.asked[i].delay(now); !known {
+			return 0
+		}
+	}
+	return m.Delay()
+}
+
 // Run measures until ctx ends.
 func (m *Monitor) Run(ctx context.Context) {
 	m.late = latency.Late{Limit: lateLimit, Interval: logInterval}
--- a/queuedelay/monitor_test.go
+++ b/queuedelay/monitor_test.go
@@ -11,6 +11,7 @@
 	"github.com/jonboulle/clockwork"
 	"github.com/matryer/is"
 
+	"lavenderpin.dev/lavenderpin/bootclock"
 	"lavenderpin.dev/lavenderpin/event"
 	"lavenderpin.dev/lavenderpin/internal/bubble"
 )
@@ -84,6 +85,42 @@
 	})
 }
 
+// Guards against time-outs cut short since all neighbours are paused, starved or gone, while nothing waits at this node.
+func TestLateNeighboursAreNoQueueOfThisNode(t *testing.T) {
+	runMonitored(t, func(is *is.I, m *monitored) {
+		m.needed.Store(true)
+		time.Sleep(2 * time.Second)
+		m.setTook(2*time.Second, -1) // one is late, the other gone
+		time.Sleep(2 * time.Second)
+		is.True(m.Delay() >= time.Second)
+		is.Equal(m.OwnDelay(), 0*ms)
+		m.setTook(2*time.Second, 2*time.Second)
+		time.Sleep(8 * time.Second)
+		is.True(m.OwnDelay() >= time.Second) // all that can be known without the link's use
+	})
+}
+
+// Guards against the same where the use of the link tells that nothing waits there.
+func TestUnusedLinkHasNoQueue(t *testing.T) {
+	is := is.New(t)
+	clock, counter := &bootclock.Fake{}, &fakeCounter{}
+	m := &Monitor{Clock: clock, Link: NewLink(counter, 8)} // 1 MB a second
+	m.Link.Sample(clock.Now())
+	for i := range m.asked {
+		m.asked[i].begin("a", clock.Now())
+	}
+	pass := func(bytes int64) {
+		clock.Advance(time.Second)
+		counter.received += bytes
+		m.Link.Sample(clock.Now())
+	}
+	pass(100_000)
+	is.Equal(m.Delay(), time.Second)
+	is.Equal(m.OwnDelay(), 0*ms)
+	pass(700_000)
+	is.Equal(m.OwnDelay(), 2*time.Second)
+}
+
 // Guards against exchanges that cost an idle fleet messages, and against too few of them where a queue grows.
 func TestExchangesAreRareUnlessAQueueGrows(t *testing.T) {
 	runMonitored(t, func(is *is.I, m *monitored) {
