--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -51,6 +51,11 @@
 	testOptions(t, Options{Seed: 5403, Nodes: 4, Length: 8 * time.Second, Starved: true})
 }
 
+// Guards against time-outs that are cut short since the neighbours that a node asks are starved and stopped.
+func TestLateNeighboursShortenNoTimeout(t *testing.T) {
+	testOptions(t, Options{Seed: 54248, Nodes: 5, Length: 12 * time.Second, Crashes: true, Starved: true})
+}
+
 // testSeed runs a seed and reports its violations.
 func testSeed(t *testing.T, seed uint64) {
 	testOptions(t, Options{Seed: seed, Nodes: 4, Length: 8 * time.Second})
