--- a/event/request.go
+++ b/event/request.go
@@ -34,7 +34,7 @@
 	RequestsReadLate:  {"RequestsReadLate", "Since the last such line, this many requests waited long to be read after they had arrived, since the node is short of processor time; it is written at most once a second."},
 	RequestAdmitted:   {"RequestAdmitted", "Tokens are reserved for a request."},
 	RequestRefused:    {"RequestRefused", "A request was refused; the code tells why."},
-	RequestDispatched: {"RequestDispatched", "A request was sent to an upstream; version is that of its software, began_version that of the upstream which began the response, resumes the attempt that began the stream."},
+	RequestDispatched: {"RequestDispatched", "A request was sent to an upstream; version is that of its software, began_version that of the upstream which began the response, resumes the attempt that began the stream; content and crashes tell that upstreams had crashed under the request, as far as this node knew."},
 	RequestFinished:   {"RequestFinished", "The caller got the complete response."},
 	RequestFailed:     {"RequestFailed", "A request failed after it was sent."},
 	RequestSettled:    {"RequestSettled", "The settlement of a request is in the log."},
--- a/gateway/run.go
+++ b/gateway/run.go
@@ -104,6 +104,9 @@
 	pairs := []any{"request", c.r.ID, "upstream", choice.Upstream.ID, "version", choice.Upstream.Version, "send", c.sends,
 		"expected_ms", choice.Expected.Milliseconds(), "candidates", choice.Candidates, "unread", choice.Uncached, "unread_shared", choice.UncachedShared, "affinity", choice.Affinity,
 		"running", load.Running, "waiting", load.Waiting, "load_age_ms", age, "left_ms", c.timeLeft().Milliseconds(), "after", c.lastEvent}
+	if crashes := c.g.Quarantine.Crashes(c.content); crashes > 0 {
+		pairs = append(pairs, "content", c.content, "crashes", crashes)
+	}
 	if c.r.HasResumeAfter {
 		pairs = append(pairs, "resumes", c.r.Resumes)
 	}
--- a/quarantine/guard.go
+++ b/quarantine/guard.go
@@ -47,6 +47,14 @@
 	return g == nil || request == 0 || g.requests.count(request) < MaxRequestCrashes
 }
 
+// Crashes returns how many upstreams crashed under a request, as far as this node knows.
+func (g *Guard) Crashes(request ID) int {
+	if g == nil || request == 0 {
+		return 0
+	}
+	return g.requests.count(request)
+}
+
 // UpstreamCrashed records that an upstream, or the connection to it, crashed under a request of this node. The returned
 // channel is closed once the other nodes know, and those that start later will.
 func (g *Guard) UpstreamCrashed(a Attempt) (told <-chan struct{}) {
--- a/request/call.go
+++ b/request/call.go
@@ -161,7 +161,7 @@
 		if err != nil {
 			return upstream.CallResponse{}, pickError(last, err)
 		}
-		response, err := s.callAttempt(ctx, grant, p, pick.Upstream)
+		response, err := s.callAttempt(ctx, grant, p, pick.Upstream, content)
 		pick.Done(err)
 		if err == nil {
 			othersTold = nil
@@ -182,12 +182,12 @@
 }
 
 // callAttempt sends a call to one upstream.
-func (s *Server) callAttempt(ctx context.Context, grant budget.Grant, p *preparedCall, target *operatorv1.Upstream) (upstream.CallResponse, error) {
+func (s *Server) callAttempt(ctx context.Context, grant budget.Grant, p *preparedCall, target *operatorv1.Upstream, content quarantine.ID) (upstream.CallResponse, error) {
 	if err := grant.Dispatch(ctx, target.GetName()); err != nil {
 		return upstream.CallResponse{}, err
 	}
 	id := grant.Request().String()
-	s.recordDispatch(id, target.GetName())
+	s.recordDispatch(id, target.GetName(), content)
 	response, err := s.Client.Call(ctx, target, upstream.CallRequest{
 		ID: id, Method: p.call.Method, Path: p.call.Path, Headers: p.call.Headers, Body: p.call.Body,
 		NoResend: !p.rule.GetIdempotent(), NotAfter: grant.NotAfter(),
--- a/request/chatattempt.go
+++ b/request/chatattempt.go
@@ -27,7 +27,7 @@
 	if err := r.grant.Dispatch(ctx, target.GetName()); err != nil {
 		return err
 	}
-	r.server.recordDispatch(id.String(), target.GetName())
+	r.server.recordDispatch(id.String(), target.GetName(), r.content)
 	r.beginAnswer(target)
 	r.sentAt = r.server.Quarantine.Now()
 	stream, err := r.server.Client.Chat(ctx, target, upstream.ChatRequest{ID: id.String(), Body: r.body, NotAfter: r.grant.NotAfter()})
--- a/request/drain.go
+++ b/request/drain.go
@@ -8,6 +8,7 @@
 	"lavenderpin.dev/lavenderpin/drain"
 	"lavenderpin.dev/lavenderpin/event"
 	"lavenderpin.dev/lavenderpin/idempotency"
+	"lavenderpin.dev/lavenderpin/quarantine"
 	"lavenderpin.dev/lavenderpin/result"
 )
 
@@ -147,8 +148,11 @@
 
 // recordDispatch records that a request was sent and, while the node drains, how much time the
 // node has left.
-func (s *Server) recordDispatch(request, upstream string) {
+func (s *Server) recordDispatch(request, upstream string, content quarantine.ID) {
 	fields := []any{"request", request, "upstream", upstream}
+	if crashes := s.Quarantine.Crashes(content); crashes > 0 {
+		fields = append(fields, "content", content, "crashes", crashes)
+	}
 	if left, draining := s.drainLeft(); draining {
 		fields = append(fields, "drain_left_ms", left.Milliseconds())
 	}
