Failing tests: a plain call repeated, and copies at once, crash upstream after upstream

With 60 ms between nodes one request fails that is repeated at one node after the other: callers wait 150 ms until others know, and a message over a new connection takes 180.

--- a/internal/memnet/link.go
+++ b/internal/memnet/link.go
@@ -28,6 +28,13 @@
 	n.links[host] = &link{speed: bytesPerSecond}
 }
 
+// SetDelay sets how long what one of two hosts sends takes to reach the other.
+func (n *Network) SetDelay(x, y string, oneWay time.Duration) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.delays[pathBetween(x, y)] = oneWay
+}
+
 // passLocked returns when bytes that a host sends now reach another one.
 func (n *Network) passLocked(from, to string, size int) time.Time {
 	at := time.Now()
@@ -39,7 +46,7 @@
 		l.inFree = l.pass(l.inFree, at, size)
 		at = l.inFree
 	}
-	return at
+	return at.Add(n.delays[pathBetween(from, to)])
 }
 
 func (l *link) pass(free, at time.Time, size int) time.Time {
--- a/internal/memnet/network.go
+++ b/internal/memnet/network.go
@@ -33,6 +33,7 @@
 	ports     int
 	dials     map[path]int
 	links     map[string]*link
+	delays    map[path]time.Duration
 }
 
 // path is a pair of hosts in either order.
@@ -47,7 +48,7 @@
 
 // New returns a network without hosts.
 func New() *Network {
-	n := &Network{listeners: make(map[string]*listener), cuts: make(map[path]Cut), conns: make(map[*conn]bool), dials: make(map[path]int), links: make(map[string]*link)}
+	n := &Network{listeners: make(map[string]*listener), cuts: make(map[path]Cut), conns: make(map[*conn]bool), dials: make(map[path]int), links: make(map[string]*link), delays: make(map[path]time.Duration)}
 	n.healed = sync.NewCond(&n.mu)
 	return n
 }
--- a/node/crashengines_test.go
+++ b/node/crashengines_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"strings"
 	"sync"
@@ -30,8 +31,9 @@
 	mu      sync.Mutex
 	server  *http.Server
 	crashes []time.Time
-	// at holds when requests with the marker arrived.
+	// at holds when requests with the marker arrived, from the hosts that sent them.
 	at     []time.Time
+	from   []string
 	closed bool
 }
 
@@ -72,7 +74,8 @@
 func (e *crashEngine) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	id := r.Header.Get(upstream.HeaderRequestID)
 	w.Header().Set(upstream.HeaderRequestID, id)
-	if r.URL.Path != "/v1/chat/completions" {
+	plain := r.URL.Path == "/lookup" || r.URL.Path == "/orders"
+	if r.URL.Path != "/v1/chat/completions" && !plain {
 		w.WriteHeader(http.StatusNotFound)
 		return
 	}
@@ -80,9 +83,18 @@
 	marked := e.marker != "" && strings.Contains(string(body), e.marker)
 	if marked {
 		e.mu.Lock()
-		e.at = append(e.at, time.Now())
+		from, _, _ := net.SplitHostPort(r.RemoteAddr) // always host:port
+		e.at, e.from = append(e.at, time.Now()), append(e.from, from)
 		e.mu.Unlock()
 	}
+	if plain {
+		if marked {
+			e.crash()
+			panic(http.ErrAbortHandler)
+		}
+		_, _ = io.WriteString(w, "done")
+		return
+	}
 	w.Header().Set("Content-Type", "text/event-stream")
 	flush := http.NewResponseController(w).Flush
 	time.Sleep(20 * time.Millisecond)
@@ -106,7 +118,7 @@
 	changes := []*operatorv1.Change{
 		{AnyVersion: true, Resource: &operatorv1.Resource{Kind: &operatorv1.Resource_Account{Account: &operatorv1.Account{Name: "a", KeySha256: []string{config.HashKey(streamKey)}}}}},
 		{AnyVersion: true, Resource: &operatorv1.Resource{Kind: &operatorv1.Resource_Service{Service: &operatorv1.Service{Name: "chat", Kind: operatorv1.ServiceKind_SERVICE_KIND_ENGINE, Models: []string{"m"}}}}},
-		{AnyVersion: true, Resource: &operatorv1.Resource{Kind: &operatorv1.Resource_Budget{Budget: &operatorv1.Budget{Name: testBudget, Account: "a", Services: []string{"chat"}}}}},
+		{AnyVersion: true, Resource: &operatorv1.Resource{Kind: &operatorv1.Resource_Budget{Budget: &operatorv1.Budget{Name: testBudget, Account: "a", Services: []string{"chat", "orders"}}}}},
 	}
 	var engines []*crashEngine
 	for i := range count {
@@ -116,11 +128,17 @@
 		changes = append(changes, &operatorv1.Change{AnyVersion: true, Resource: &operatorv1.Resource{Kind: &operatorv1.Resource_Upstream{Upstream: &operatorv1.Upstream{
 			Name: fmt.Sprintf("chat-%d", i), Service: "chat", Address: e.address, Slots: 8, Region: nearRegion, DataCentre: fmt.Sprintf("%s-%d", nearRegion, i%2)}}}})
 	}
+	changes = append(changes, &operatorv1.Change{AnyVersion: true, Resource: &operatorv1.Resource{Kind: &operatorv1.Resource_Service{Service: &operatorv1.Service{Name: "orders", Kind: operatorv1.ServiceKind_SERVICE_KIND_PLAIN,
+		Calls: []*operatorv1.Call{{Method: "POST", Path: "/orders", Tokens: 1}, {Method: "POST", Path: "/lookup", Tokens: 1, Idempotent: true}}}}}})
+	for i := range engines {
+		changes = append(changes, &operatorv1.Change{AnyVersion: true, Resource: &operatorv1.Resource{Kind: &operatorv1.Resource_Upstream{Upstream: &operatorv1.Upstream{
+			Name: fmt.Sprintf("orders-%d", i), Service: "orders", Address: engines[i].address, Region: nearRegion, DataCentre: fmt.Sprintf("%s-%d", nearRegion, i%2)}}}})
+	}
 	f.append(&recordv1.Entry{Body: &recordv1.Entry_Config{Config: &recordv1.ConfigChange{ChangeId: "engines", Changes: changes}}})
 	f.topUp(10_000_000)
 	f.await(func() bool {
 		for _, n := range f.nodes {
-			if n.Config().ServiceByModel("m") == nil || n.Config().BudgetName("a", "chat") == "" {
+			if n.Config().Service("orders") == nil || n.Config().ServiceByModel("m") == nil || n.Config().BudgetName("a", "chat") == "" {
 				return false
 			}
 		}
--- a/node/testnet_test.go
+++ b/node/testnet_test.go
@@ -20,6 +20,8 @@
 	regions  map[string]string
 	cut      bool
 	isolated map[string]bool
+	// delay is how long messages take besides the millisecond in one data centre.
+	delay time.Duration
 	// loseAnswer decides whether the response is lost after the request took effect.
 	loseAnswer func(*fleetv1.Request) bool
 }
@@ -70,7 +72,7 @@
 }
 
 func (c *testCaller) Call(ctx context.Context, address string, r *fleetv1.Request) (*fleetv1.Response, error) {
-	time.Sleep(time.Millisecond)
+	time.Sleep(time.Millisecond + c.net.delay)
 	if !c.net.reaches(c.from, address) {
 		<-ctx.Done()
 		return nil, errors.Trace(ctx.Err())
@@ -79,7 +81,7 @@
 	node, loseAnswer := c.net.nodes[address], c.net.loseAnswer
 	c.net.mu.Unlock()
 	response := proto.CloneOf(node.HandlePeer(ctx, proto.CloneOf(r)))
-	time.Sleep(time.Millisecond)
+	time.Sleep(time.Millisecond + c.net.delay)
 	if !c.net.reaches(c.from, address) || loseAnswer != nil && loseAnswer(r) {
 		<-ctx.Done()
 		return nil, errors.Trace(ctx.Err())
