A request under which upstreams crashed is sent only after the other nodes were asked

Copies of one request at several nodes crashed 4 to 6 upstreams: each node sent a second time by the crashes that it knew of, while sends of the others were under way. Cause: a count that is checked before a send, without the sends that are under way elsewhere. Class: check, then act, on a sum that others change meanwhile.

Before a request with crashes is sent, for the first time at a node or again, that asks all others (quarantine.Turn): each answers with the crashes that it knows of, its sends of the request under way, and those that wait. Crashes and sends together are three at most; of sends that wait the one with the smallest ID goes first. The check comes after the connection was opened and, on the embedded fleet, after the dispatch was recorded: copies were sent 22 ms after they had been found allowed. In large fleets one node of each other data centre asks the rest there. A node that doesn't answer isn't counted, and not waited for until it answers again.

An answer drops only the crashes before it, by the time at which it was given and not when it was told.

--- a/edgenode/quarantine.go
+++ b/edgenode/quarantine.go
@@ -17,7 +17,9 @@
 		return quarantine.NewGuard(n.settings.Node, n.deps.Clock, n.deps.Events, nil), nil
 	}
 	spreader := &quarantine.Spreader{Node: n.settings.Node, DataCentre: n.settings.DataCentre, Events: n.deps.Events, Transport: n.deps.Crashes, Peers: n.quarantinePeers}
-	return quarantine.NewGuard(n.settings.Node, n.deps.Clock, n.deps.Events, spreader), spreader
+	guard := quarantine.NewGuard(n.settings.Node, n.deps.Clock, n.deps.Events, spreader)
+	guard.Asker = spreader
+	return guard, spreader
 }
 
 // startQuarantine starts what keeps in the store what the guard knows, and learns from it.
--- a/edgenode/records.go
+++ b/edgenode/records.go
@@ -61,6 +61,7 @@
 	mux.Handle(streamorigin.Path, streamorigin.Handler(n.origins))
 	if n.spreader != nil {
 		mux.Handle(quarantine.Path, quarantine.Handler(n.quarantine, n.spreader, n.isKnownNode))
+		mux.Handle(quarantine.AskPath, quarantine.AskHandler(n.quarantine, n.spreader, n.isKnownNode))
 	}
 	mux.Handle(peerfetch.Path, peerfetch.Handler(n.copies, n.isNodeIP))
 	if n.deps.Paths == nil {
--- a/gateway/crash.go
+++ b/gateway/crash.go
@@ -24,7 +24,7 @@
 // others with the same part of a prompt.
 func (c *call) refuseIfCrashing() *result.Error {
 	if !c.g.Quarantine.MaySend(c.content) {
-		return result.New(result.CrashesUpstreams, "%d upstreams crashed under the request; a retry doesn't help", quarantine.MaxRequestCrashes)
+		return crashesUpstreams()
 	}
 	if b := c.g.Quarantine.Refused(c.partIDs, c.accountName(), &c.trial); b != nil {
 		return result.New(result.PartBlocked, "upstreams crashed under requests with part %q of the prompt; a retry doesn't help", b.Name)
@@ -32,6 +32,21 @@
 	return nil
 }
 
+// awaitTurn waits until a request under which upstreams crashed may be sent, and returns why it may not.
+func (c *call) awaitTurn(ctx context.Context) *result.Error {
+	switch c.turn.Await(ctx) {
+	case quarantine.DeniedByCrashes:
+		return crashesUpstreams()
+	case quarantine.DeniedByOthers:
+		return result.New(result.SentElsewhere, "upstreams crashed under the request, which others are sending").WithRetryAfter(c.g.settings.BusyRetryAfter)
+	}
+	return nil
+}
+
+func crashesUpstreams() *result.Error {
+	return result.New(result.CrashesUpstreams, "%d upstreams crashed under the request; a retry doesn't help", quarantine.MaxRequestCrashes)
+}
+
 // awaitOthersTold waits until other nodes know that an upstream crashed under the request. A caller that is told
 // of the failure sends its next attempt to one of them at once.
 func (c *call) awaitOthersTold(ctx context.Context) { quarantine.AwaitTold(ctx, c.othersTold) }
--- a/gateway/ports.go
+++ b/gateway/ports.go
@@ -19,6 +19,9 @@
 // anything was written.
 var ErrCallerClosed = errors.New("the caller closed its connection")
 
+// ErrTurnOver is returned by Send, wrapped in ErrNotSent, if an upstream crashed under the request while the connection was opened.
+var ErrTurnOver = errors.New("an upstream crashed under the request meanwhile")
+
 // Dispatch is a request as sent to an upstream.
 type Dispatch struct {
 	*Request
@@ -34,8 +37,9 @@
 	Weights int64
 	// Urgency is the request's priority at engines; 0 is the most urgent.
 	Urgency int
-	// Connected is called once there is a connection, before anything is written to it.
-	Connected func()
+	// Begin is called once there is a connection, before anything of the request is written to it. Its error, which Send returns wrapped in
+	// ErrNotSent, ends the send.
+	Begin func() error
 }
 
 // Identity is how certain it must be that the process which takes a request is the incarnation of the upstream
--- a/gateway/run.go
+++ b/gateway/run.go
@@ -31,6 +31,7 @@
 		c.refuseUnsent(refusal)
 		return
 	}
+	defer c.turn.End()
 	for {
 		if ctx.Err() != nil || c.callerClosed() {
 			c.giveUp(ctx, "the time is over")
@@ -44,6 +45,13 @@
 			c.giveUpCrashing(ctx, refusal)
 			return
 		}
+		if denial := c.awaitTurn(ctx); denial != nil {
+			c.giveUpDenied(ctx, denial)
+			return
+		}
+		if ctx.Err() != nil || c.callerClosed() {
+			continue
+		}
 		if c.possibleRuns > 0 && (c.trial || !c.g.Quarantine.MaySendAgain(c.partIDs)) {
 			c.giveUp(ctx, "upstreams crashed under other requests with a part of the prompt")
 			return
@@ -69,6 +77,7 @@
 		c.upstream = choice.Upstream
 		c.recordDispatch(choice)
 		res := c.send(ctx, choice)
+		c.turn.End()
 		if res == mayHaveRun {
 			c.possibleRuns++
 		}
@@ -104,7 +113,7 @@
 	pairs := []any{"request", c.r.ID, "upstream", choice.Upstream.ID, "version", choice.Upstream.Version, "send", c.sends,
 		"expected_ms", choice.Expected.Milliseconds(), "candidates", choice.Candidates, "unread", choice.Uncached, "unread_shared", choice.UncachedShared, "affinity", choice.Affinity,
 		"running", load.Running, "waiting", load.Waiting, "load_age_ms", age, "left_ms", c.timeLeft().Milliseconds(), "after", c.lastEvent}
-	if crashes := c.g.Quarantine.Crashes(c.content); crashes > 0 {
+	if crashes := c.turn.Crashes(); crashes > 0 {
 		pairs = append(pairs, "content", c.content, "crashes", crashes)
 	}
 	if c.r.HasResumeAfter {
@@ -147,6 +156,18 @@
 	c.refuse(refusal)
 }
 
+// giveUpDenied ends a request that got no turn to be sent.
+func (c *call) giveUpDenied(ctx context.Context, denial *result.Error) {
+	switch {
+	case denial.Code == result.CrashesUpstreams:
+		c.giveUpCrashing(ctx, denial)
+	case c.possibleRuns > 0 || ctx.Err() != nil || c.callerGone:
+		c.giveUp(ctx, denial.Message)
+	default:
+		c.refuseUnsent(denial)
+	}
+}
+
 // giveUp sends the final response, once other nodes know of the upstreams that ended.
 func (c *call) giveUp(ctx context.Context, reason string) {
 	c.awaitOthersTold(ctx)
--- a/gateway/send.go
+++ b/gateway/send.go
@@ -53,7 +53,16 @@
 
 	d := c.newDispatch(u)
 	connectedAt := sentAt
-	d.Connected = func() { connectedAt = c.g.Clock.Now() }
+	d.Begin = func() error {
+		connectedAt = c.g.Clock.Now()
+		if c.callerClosed() {
+			return ErrCallerClosed
+		}
+		if !c.turn.Begin() {
+			return ErrTurnOver
+		}
+		return nil
+	}
 	resp, err := c.g.Upstreams.Send(ctx, u, d)
 	c.stages[stageConnect] += connectedAt - sentAt
 	c.stages[stageAnswer] += c.g.since(connectedAt)
@@ -120,6 +129,10 @@
 		c.callerGone, c.closeUnhandled = true, true
 		return notRun
 	}
+	if errors.Is(err, ErrTurnOver) { // the request is sent once other nodes were asked
+		c.unsent++
+		return notRun
+	}
 	if errors.Is(err, ErrOtherIncarnation) { // nothing is wrong with the upstream, nor with the path to it
 		c.unsent++
 		c.g.Events.Record(event.AnswerRejected, "request", c.r.ID, "upstream", u.ID, "not_sent", true, "error", err)
--- a/node/peers.go
+++ b/node/peers.go
@@ -26,6 +26,8 @@
 		response = n.handleCallForward(ctx, body.CallForward)
 	case *fleetv1.Request_StreamMove:
 		response = n.handleStreamMove(body.StreamMove)
+	case *fleetv1.Request_RequestInquiries:
+		response = n.handleRequestInquiries(r.GetFrom(), body.RequestInquiries)
 	case *fleetv1.Request_UpstreamCrashes:
 		response = n.handleUpstreamCrashes(r.GetFrom(), body.UpstreamCrashes)
 	case *fleetv1.Request_HandOn:
--- a/node/quarantine.go
+++ b/node/quarantine.go
@@ -66,54 +66,6 @@
 	return p.node.writer.Submit(&recordv1.Entry{Body: &recordv1.Entry_UpstreamCrashes{UpstreamCrashes: entry}})
 }
 
-func encodeNews(n quarantine.News) *recordv1.UpstreamCrashes {
-	encoded := &recordv1.UpstreamCrashes{PassOn: n.PassOn, BegunAgoMs: uint64(max(0, n.BegunAgoMs)), Answered: fromIDs(n.Answered), Begun: fromIDs(n.Begun)}
-	for _, e := range n.Crashes {
-		crash := &recordv1.UpstreamCrash{Id: uint64(e.ID), Request: uint64(e.Request), Upstream: uint64(e.Upstream), Life: uint64(e.Life), Opened: e.Opened, AgoMs: uint64(max(0, e.AgoMs)), SentMs: uint64(max(0, e.SentMs)), Account: e.Account}
-		for _, part := range e.Parts {
-			crash.Parts = append(crash.Parts, &recordv1.PromptPart{Id: part.ID, Model: part.Model})
-		}
-		encoded.Crashes = append(encoded.Crashes, crash)
-	}
-	for _, b := range n.Blocks {
-		encoded.Blocks = append(encoded.Blocks, &recordv1.PartBlock{Part: uint64(b.Part), Name: b.Name, Model: b.Model, Blocked: b.Blocked, Account: b.Account,
-			Version: b.Version, Trials: uint32(b.Trials), AgoMs: uint64(max(0, b.AgoMs)), By: b.By})
-	}
-	return encoded
-}
-
-func decodeNews(from string, r *recordv1.UpstreamCrashes) quarantine.News {
-	n := quarantine.News{Node: from, PassOn: r.GetPassOn(), BegunAgoMs: int64(r.GetBegunAgoMs()), Answered: toIDs(r.GetAnswered()), Begun: toIDs(r.GetBegun())}
-	for _, e := range r.GetCrashes() {
-		crash := quarantine.ToldCrash{ID: quarantine.ID(e.GetId()), Request: quarantine.ID(e.GetRequest()), Upstream: quarantine.ID(e.GetUpstream()), Life: quarantine.ID(e.GetLife()), Opened: e.GetOpened(), AgoMs: int64(e.GetAgoMs()), SentMs: int64(e.GetSentMs()), Account: e.GetAccount()}
-		for _, part := range e.GetParts() {
-			crash.Parts = append(crash.Parts, quarantine.ToldPart{ID: part.GetId(), Model: part.GetModel()})
-		}
-		n.Crashes = append(n.Crashes, crash)
-	}
-	for _, b := range r.GetBlocks() {
-		n.Blocks = append(n.Blocks, quarantine.Block{Part: quarantine.ID(b.GetPart()), Name: b.GetName(), Model: b.GetModel(), Blocked: b.GetBlocked(), Account: b.GetAccount(),
-			Version: b.GetVersion(), Trials: int(b.GetTrials()), AgoMs: int64(b.GetAgoMs()), By: b.GetBy()})
-	}
-	return n
-}
-
-func fromIDs(ids []quarantine.ID) []uint64 {
-	numbers := make([]uint64, len(ids))
-	for i, id := range ids {
-		numbers[i] = uint64(id)
-	}
-	return numbers
-}
-
-func toIDs(numbers []uint64) []quarantine.ID {
-	ids := make([]quarantine.ID, len(numbers))
-	for i, n := range numbers {
-		ids[i] = quarantine.ID(n)
-	}
-	return ids
-}
-
 const (
 	// Blocks are written to the log again after this time, by one of the nodes that know of them: a node that starts from a
 	// snapshot reads nothing from before it.
@@ -157,6 +109,7 @@
 	n.crashNews = &crashPublisher{node: n, spreader: &quarantine.Spreader{Node: n.Incarnation(), DataCentre: n.settings.DataCentre, Events: n.events, Transport: crashTransport{n}, Peers: n.quarantinePeers}}
 	n.quarantine = quarantine.NewGuard(n.Incarnation(), sinceStart{n.deps.Clock, n.deps.Clock.Now()}, n.events, n.crashNews)
 	n.quarantine.IsTrialNode = n.isTrialNode
+	n.quarantine.Asker = n.crashNews.spreader
 }
 
 // sinceStart reads a clock as the time since the node started.
@@ -195,6 +148,25 @@
 	return nil
 }
 
+// Ask implements quarantine.Transport.
+func (t crashTransport) Ask(ctx context.Context, address string, q quarantine.Inquiries) ([]quarantine.Standing, error) {
+	response, err := t.node.deps.Peers.Call(ctx, address, &fleetv1.Request{From: t.node.Incarnation(), Hlc: uint64(t.node.events.Clock().Now()),
+		Body: &fleetv1.Request_RequestInquiries{RequestInquiries: encodeInquiries(q)}})
+	if err != nil {
+		return nil, err
+	}
+	if code := result.Code(response.GetCode()); code != result.OK {
+		return nil, result.New(code, "%s", response.GetMessage())
+	}
+	return decodeStandings(response.GetRequestStandings()), nil
+}
+
+// handleRequestInquiries answers what another node asks.
+func (n *Node) handleRequestInquiries(from string, inquiries *fleetv1.RequestInquiries) *fleetv1.Response {
+	known := quarantine.Answer(n.quarantine, n.crashNews.spreader, decodeInquiries(from, inquiries))
+	return &fleetv1.Response{Body: &fleetv1.Response_RequestStandings{RequestStandings: encodeStandings(known)}}
+}
+
 // handleUpstreamCrashes counts what another node tells.
 func (n *Node) handleUpstreamCrashes(from string, crashes *recordv1.UpstreamCrashes) *fleetv1.Response {
 	news := decodeNews(from, crashes)
--- a/quarantine/guard.go
+++ b/quarantine/guard.go
@@ -29,12 +29,16 @@
 	// IsTrialNode reports whether this node lets trials of a blocked part through; nil for never. It must be set before
 	// the guard is used.
 	IsTrialNode func(part ID) bool
+	// Asker asks other nodes about requests that were sent already; nil if there are none. It must be set before the guard is
+	// used.
+	Asker Asker
 	// learnedLines bounds the lines on crashes that other nodes told of.
 	learnedLines lines
 	// journal keeps this node's own crashes.
 	journal *journal
 	// crashed and learned count crashes under own requests, and those that other nodes told of.
 	crashed, learned atomic.Int64
+	turns            turnCounts
 }
 
 // NewGuard returns a guard that knows of no crashes. publisher may be nil.
@@ -42,17 +46,9 @@
 	return &Guard{clock: clock, events: events, node: node, publisher: publisher, requests: newRequests(clock), parts: newParts(clock), blocksChanged: make(chan struct{}, 1), journal: newJournal(clock)}
 }
 
-// MaySend reports whether a request may be sent, for the first time or once more.
+// MaySend reports whether a request may be sent as far as this node can tell without asking others: a Turn can.
 func (g *Guard) MaySend(request ID) bool {
-	return g == nil || request == 0 || g.requests.count(request) < MaxRequestCrashes
-}
-
-// Crashes returns how many upstreams crashed under a request, as far as this node knows.
-func (g *Guard) Crashes(request ID) int {
-	if g == nil || request == 0 {
-		return 0
-	}
-	return g.requests.count(request)
+	return g == nil || request == 0 || !g.requests.isRefused(request, g.Asker == nil)
 }
 
 // UpstreamCrashed records that an upstream, or the connection to it, crashed under a request of this node. The returned
@@ -108,10 +104,14 @@
 
 // Answered records that a request was answered completely.
 func (g *Guard) Answered(request ID) {
-	if g == nil || request == 0 || !g.requests.forget(request) {
+	if g == nil || request == 0 {
 		return
 	}
-	g.journal.forget(request)
+	now := g.clock.Now()
+	if !g.requests.answer(request, now) {
+		return
+	}
+	g.journal.forget(request, now)
 	g.publish(News{Node: g.node, Answered: []ID{request}, Deferred: true})
 }
 
@@ -147,13 +147,20 @@
 	for _, b := range n.Blocks {
 		g.LearnBlock(b, n.Node)
 	}
-	for _, request := range n.Answered {
-		g.requests.forget(request)
-		g.journal.forget(request)
+	for i, request := range n.Answered {
+		answeredAt := now - time.Duration(max(0, n.answeredAgoMs(i)))*time.Millisecond
+		g.requests.answer(request, answeredAt)
+		g.journal.forget(request, answeredAt)
 	}
 	g.learned.Add(int64(added))
 }
 
+// Standing records what a node that asks knows of a request, and returns what this one knows.
+func (g *Guard) Standing(node string, q Inquiry) Standing {
+	g.Learn(News{Node: node, Crashes: q.Crashes})
+	return g.requests.standing(q)
+}
+
 // Counts are what a guard has counted since its start, how many requests it knows with crashes, and how many parts are
 // suspected and blocked now.
 type Counts struct{ Crashes, Learned, Requests, SuspectedParts, BlockedParts int64 }
--- a/quarantine/http.go
+++ b/quarantine/http.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"io"
 	"net/http"
 
@@ -13,6 +14,10 @@
 	Path = "/upstream-crashes"
 	// maxMessageBytes bounds the size of a message: maxBatch crashes with 64 parts each.
 	maxMessageBytes = 1 << 20
+	// AskPath is the URL path at which a node is asked.
+	AskPath = "/request-standings"
+	// maxStandingsBytes bounds the answer to maxInquiries: eight crashes each of a few hundred nodes with their sends.
+	maxStandingsBytes = 1 << 20
 	// maxReplyBytes bounds the size of the empty reply.
 	maxReplyBytes = 256
 )
@@ -45,3 +50,44 @@
 		_, _ = io.WriteString(w, "{}") // a node that disconnected sends again
 	})
 }
+
+// Ask implements Transport.
+func (c *Client) Ask(ctx context.Context, address string, q Inquiries) ([]Standing, error) {
+	var known []Standing
+	err := c.HTTP.PostJSON(ctx, address, AskPath, &q, &known, maxStandingsBytes, func() {})
+	return known, err
+}
+
+// AskHandler answers what other nodes ask.
+func AskHandler(g *Guard, s *Spreader, isNode func(remoteAddress string) bool) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, httpReq *http.Request) {
+		if !isNode(httpReq.RemoteAddr) {
+			http.Error(w, "not a node", http.StatusForbidden)
+			return
+		}
+		var q Inquiries
+		if !httpwire.ReadJSON(w, httpReq, maxMessageBytes, &q) {
+			return
+		}
+		if len(q.List) > maxInquiries {
+			http.Error(w, "too many inquiries", http.StatusBadRequest)
+			return
+		}
+		_ = json.NewEncoder(w).Encode(Answer(g, s, q)) // a node that disconnected asks again
+	})
+}
+
+// Answer answers what another node asks, for the other nodes of this data centre as well if it asks for that.
+func Answer(g *Guard, s *Spreader, q Inquiries) []Standing {
+	known := make([]Standing, len(q.List))
+	for i, one := range q.List {
+		known[i] = g.Standing(q.Node, one)
+	}
+	if !q.PassOn {
+		return known
+	}
+	for i, others := range s.AskDataCentre(q) {
+		known[i] = known[i].merge(others)
+	}
+	return known
+}
--- /dev/null
+++ b/quarantine/inquiry.go
@@ -0,0 +1,81 @@
+package quarantine
+
+import (
+	"context"
+	"slices"
+	"time"
+)
+
+// Inquiry asks other nodes about a request that a node wants to send although upstreams crashed under it.
+type Inquiry struct {
+	Request ID `json:"r"`
+	// Turn identifies the send that waits: of several, the one with the smallest ID goes first.
+	Turn ID `json:"t"`
+	// Crashes are those that the asking node knows of.
+	Crashes []ToldCrash `json:"e,omitempty"`
+}
+
+// knows reports whether the asking node knows of a crash.
+func (q *Inquiry) knows(crash ID) bool {
+	return slices.ContainsFunc(q.Crashes, func(e ToldCrash) bool { return e.ID == crash })
+}
+
+// Inquiries are what a node asks at once.
+type Inquiries struct {
+	// Node is the node that asks.
+	Node string    `json:"n"`
+	List []Inquiry `json:"q"`
+	// PassOn asks the receiver to ask the other nodes of its data centre, and to answer for them as well.
+	PassOn bool `json:"p,omitempty"`
+}
+
+// aged returns the inquiries as asked a time later.
+func (q Inquiries) aged(by time.Duration) Inquiries {
+	list := make([]Inquiry, len(q.List))
+	for i, one := range q.List {
+		one.Crashes = News{Crashes: one.Crashes}.Aged(by).Crashes
+		list[i] = one
+	}
+	q.List = list
+	return q
+}
+
+// Standing is what a node, or several, know of a request.
+type Standing struct {
+	Crashes []ToldCrash `json:"e,omitempty"`
+	// Sends is how many sends are under way there, Turns are those that wait for their turn.
+	Sends int  `json:"s,omitempty"`
+	Turns []ID `json:"t,omitempty"`
+	// Answered tells that an equal request was answered completely there, AnsweredAgoMs how many milliseconds ago at least.
+	Answered      bool  `json:"a,omitempty"`
+	AnsweredAgoMs int64 `json:"aa,omitempty"`
+}
+
+// merge returns what two standings tell together.
+func (s Standing) merge(other Standing) Standing {
+	s.Crashes = append(s.Crashes, other.Crashes...)
+	s.Sends += other.Sends
+	s.Turns = append(s.Turns, other.Turns...)
+	if other.Answered && (!s.Answered || other.AnsweredAgoMs < s.AnsweredAgoMs) {
+		s.Answered, s.AnsweredAgoMs = true, other.AnsweredAgoMs
+	}
+	return s
+}
+
+// othersBefore returns how many sends of other nodes go before one with a turn.
+func (s Standing) othersBefore(turn ID) int {
+	before := s.Sends
+	for _, t := range s.Turns {
+		if t < turn {
+			before++
+		}
+	}
+	return before
+}
+
+// Asker asks other nodes.
+type Asker interface {
+	// Ask returns what the other nodes know together, those left out that don't answer. ok is false if they couldn't be asked
+	// before ctx ended.
+	Ask(ctx context.Context, q Inquiry) (known Standing, ok bool)
+}
--- a/quarantine/journal.go
+++ b/quarantine/journal.go
@@ -90,11 +90,12 @@
 	j.kept = true
 }
 
-func (j *journal) forget(request ID) {
+// forget drops the crashes under a request that came before it was answered.
+func (j *journal) forget(request ID, answeredAt time.Duration) {
 	j.mu.Lock()
 	defer j.mu.Unlock()
 	before := len(j.crashes)
-	j.crashes = slices.DeleteFunc(j.crashes, func(e Crash) bool { return e.Request == request })
+	j.crashes = slices.DeleteFunc(j.crashes, func(e Crash) bool { return e.Request == request && e.At <= answeredAt })
 	if len(j.crashes) != before {
 		j.change()
 	}
--- a/quarantine/news.go
+++ b/quarantine/news.go
@@ -16,6 +16,8 @@
 	Crashes []ToldCrash `json:"e,omitempty"`
 	// Answered are requests with crashes that were answered completely.
 	Answered []ID `json:"a,omitempty"`
+	// AnsweredAgoMs is how many milliseconds ago each of them was; what it doesn't tell was just now.
+	AnsweredAgoMs []int64 `json:"aa,omitempty"`
 	// Begun are suspected parts with which an answer began at that node; BegunAgoMs is how long ago, in milliseconds.
 	Begun      []ID  `json:"g,omitempty"`
 	BegunAgoMs int64 `json:"ga,omitempty"`
@@ -90,6 +92,8 @@
 		m := News{Node: n.Node, BegunAgoMs: n.BegunAgoMs}
 		room := most
 		m.Crashes, n.Crashes = cut(n.Crashes, &room)
+		answered := min(room, len(n.Answered))
+		m.AnsweredAgoMs, n.AnsweredAgoMs = cut(n.AnsweredAgoMs, &answered)
 		m.Answered, n.Answered = cut(n.Answered, &room)
 		m.Begun, n.Begun = cut(n.Begun, &room)
 		m.Blocks, n.Blocks = cut(n.Blocks, &room)
@@ -105,6 +109,14 @@
 	return list[:n], list[n:]
 }
 
+// answeredAgoMs returns how long ago one of the answered requests was, in milliseconds.
+func (n News) answeredAgoMs(i int) int64 {
+	if i >= len(n.AnsweredAgoMs) {
+		return 0
+	}
+	return n.AnsweredAgoMs[i]
+}
+
 // Aged returns the news as told a time later.
 func (n News) Aged(by time.Duration) News {
 	crashes := make([]ToldCrash, len(n.Crashes))
@@ -113,6 +125,11 @@
 		crashes[i] = e
 	}
 	n.Crashes = crashes
+	ages := make([]int64, len(n.Answered))
+	for i := range ages {
+		ages[i] = n.answeredAgoMs(i) + by.Milliseconds()
+	}
+	n.AnsweredAgoMs = ages
 	n.BegunAgoMs += by.Milliseconds()
 	n.Blocks = slices.Clone(n.Blocks)
 	for i := range n.Blocks {
--- a/quarantine/requests.go
+++ b/quarantine/requests.go
@@ -20,37 +20,43 @@
 	maxRequests = 4096
 )
 
-// requests counts the upstreams that crashed under each request. It is safe for concurrent use.
+// requests counts the upstreams that crashed under each request, and its sends that are under way at this node. It is safe for
+// concurrent use.
 type requests struct {
 	clock bootclock.Clock
 	// counted is how many requests have crashes: as long as it is zero, a request is looked up without a lock.
 	counted atomic.Int64
 
-	mu      sync.Mutex
-	crashes map[ID][]Crash
+	mu sync.Mutex
+	// byID holds the requests with crashes, sends the number of sends under way of all requests.
+	byID    map[ID]*requestState
+	sends   map[ID]int
+	answers recentAnswers
 }
 
 func newRequests(clock bootclock.Clock) *requests {
-	return &requests{clock: clock, crashes: make(map[ID][]Crash)}
+	return &requests{clock: clock, byID: make(map[ID]*requestState), sends: make(map[ID]int)}
 }
 
-// add counts a crash and returns how many there are under the request; isNew is false if it was counted before.
+// add counts a crash and returns how many count under the request; isNew is false if it was counted before.
 func (r *requests) add(e Crash) (count int, isNew bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	known := r.current(e.Request)
-	if slices.ContainsFunc(known, e.isSame) {
-		return len(known), false
-	}
-	if len(known) >= MaxRequestCrashes { // the oldest say nothing more
-		known = known[1:]
+	s := r.current(e.Request)
+	if s == nil {
+		if len(r.byID) >= maxRequests {
+			r.makeRoom()
+		}
+		s = newRequestState()
+		s.answeredAt, s.answered = r.answers.at(e.Request)
+		r.byID[e.Request] = s
 	}
-	if len(r.crashes) >= maxRequests {
-		r.makeRoom()
+	isNew = s.add(e)
+	if len(s.crashes) == 0 { // answered since
+		delete(r.byID, e.Request)
 	}
-	r.crashes[e.Request] = append(slices.Clone(known), e)
-	r.counted.Store(int64(len(r.crashes)))
-	return len(r.crashes[e.Request]), true
+	r.counted.Store(int64(len(r.byID)))
+	return s.count(), isNew
 }
 
 // count returns how many upstreams crashed under a request.
@@ -60,20 +66,44 @@
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return len(r.current(request))
+	s := r.current(request)
+	if s == nil {
+		return 0
+	}
+	return s.count()
 }
 
-// forget drops the crashes under a request that was answered, and reports whether there were any.
-func (r *requests) forget(request ID) bool {
+// isRefused reports whether a request must not be sent, and no node can know better.
+func (r *requests) isRefused(request ID, alone bool) bool {
 	if r.counted.Load() == 0 {
 		return false
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	_, known := r.crashes[request]
-	delete(r.crashes, request)
-	r.counted.Store(int64(len(r.crashes)))
-	return known
+	s := r.current(request)
+	return s != nil && (s.settled || alone) && s.count() >= MaxRequestCrashes
+}
+
+// answer records that a request was answered completely at a time, and reports whether a crash under it was counted before.
+func (r *requests) answer(request ID, at time.Duration) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.answerLocked(request, at)
+}
+
+// answerLocked is answer for a caller that holds mu.
+func (r *requests) answerLocked(request ID, at time.Duration) bool {
+	r.answers.add(request, at)
+	s := r.byID[request]
+	if s == nil {
+		return false
+	}
+	dropped := s.answer(at)
+	if len(s.crashes) == 0 {
+		delete(r.byID, request)
+	}
+	r.counted.Store(int64(len(r.byID)))
+	return dropped
 }
 
 // size returns how many requests have crashes.
@@ -81,48 +111,89 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.expire()
-	return len(r.crashes)
+	return len(r.byID)
 }
 
-// current returns the crashes under a request that still count. The caller must hold mu.
-func (r *requests) current(request ID) []Crash {
-	crashes := r.crashes[request]
-	if len(crashes) > 0 && r.clock.Now()-lastOf(crashes) > requestLife {
+// current returns the state of a request with crashes that still count, nil if it has none. The caller must hold mu.
+func (r *requests) current(request ID) *requestState {
+	s := r.byID[request]
+	if s != nil && r.clock.Now()-s.last() > requestLife {
+		s.notify()
+		delete(r.byID, request)
+		r.counted.Store(int64(len(r.byID)))
 		return nil
 	}
-	return crashes
+	return s
 }
 
 // makeRoom drops the requests whose crashes no longer count or, if there are none, the one whose last crash is longest
 // ago. The caller must hold mu.
 func (r *requests) makeRoom() {
-	if r.expire(); len(r.crashes) < maxRequests {
+	if r.expire(); len(r.byID) < maxRequests {
 		return
 	}
 	var oldest ID
-	for id, crashes := range r.crashes {
-		if oldest == 0 || lastOf(crashes) < lastOf(r.crashes[oldest]) {
+	for id, s := range r.byID {
+		if oldest == 0 || s.last() < r.byID[oldest].last() {
 			oldest = id
 		}
 	}
-	delete(r.crashes, oldest)
+	r.byID[oldest].notify()
+	delete(r.byID, oldest)
 }
 
 // expire drops the requests whose crashes no longer count. The caller must hold mu.
 func (r *requests) expire() {
-	for id, crashes := range r.crashes {
-		if r.clock.Now()-lastOf(crashes) > requestLife {
-			delete(r.crashes, id)
+	for id := range r.byID {
+		r.current(id)
+	}
+	r.counted.Store(int64(len(r.byID)))
+}
+
+// standing returns what this node knows of a request that another node is about to send.
+func (r *requests) standing(q Inquiry) Standing {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	now := r.clock.Now()
+	known := Standing{Sends: r.sends[q.Request]}
+	if s := r.current(q.Request); s != nil {
+		for _, e := range s.crashes {
+			if !q.knows(e.ID) {
+				known.Crashes = append(known.Crashes, tell(e, now))
+			}
+		}
+		for _, t := range s.waiting {
+			known.Turns = append(known.Turns, t.id)
+			t.contested = t.contested || q.Turn < t.id
 		}
 	}
-	r.counted.Store(int64(len(r.crashes)))
+	if at, ok := r.answers.at(q.Request); ok {
+		known.Answered, known.AnsweredAgoMs = true, max(0, now-at).Milliseconds()
+	}
+	return known
+}
+
+// beginSend records a send of a request, unless it needs a turn.
+func (r *requests) beginSend(request ID) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if s := r.current(request); s != nil && !s.isFree() {
+		return false
+	}
+	r.sends[request]++
+	return true
 }
 
-// lastOf returns the time of the latest of some crashes; there is at least one.
-func lastOf(crashes []Crash) time.Duration {
-	last := crashes[0].At
-	for _, e := range crashes {
-		last = max(last, e.At)
+func (r *requests) endSend(request ID) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.sends[request]--; r.sends[request] <= 0 {
+		delete(r.sends, request)
+	}
+	if s := r.byID[request]; s != nil {
+		s.notify()
 	}
-	return last
 }
+
+// isSameAny reports whether a crash is one of some others.
+func isSameAny(crashes []Crash, e Crash) bool { return slices.ContainsFunc(crashes, e.isSame) }
--- a/quarantine/spreader.go
+++ b/quarantine/spreader.go
@@ -46,9 +46,12 @@
 	Capacity int
 }
 
-// Transport sends a message to another node; it returns nil once that has it.
+// Transport sends messages to other nodes.
 type Transport interface {
+	// Tell returns nil once the other node has the news.
 	Tell(ctx context.Context, address string, n News) error
+	// Ask returns what the other node knows of each request that is asked about.
+	Ask(ctx context.Context, address string, q Inquiries) ([]Standing, error)
 }
 
 // Spreader tells other nodes. It is safe for concurrent use.
@@ -62,13 +65,17 @@
 	budget sendBudget
 	// untold bounds the lines on nodes that weren't told.
 	untold lines
+	// silent are nodes that didn't answer an inquiry.
+	silent silentNodes
 
 	mu sync.Mutex
 	// own is what this node tells, passed what it passes on for nodes of other data centres.
 	own, passed outbox
-	open        int
-	ctx         context.Context
-	stop        context.CancelFunc
+	// asking is what this node asks next; nil if nothing waits.
+	asking *askBatch
+	open   int
+	ctx    context.Context
+	stop   context.CancelFunc
 }
 
 // outbox holds the news that waits to be sent: what decides on parts, what callers wait for, and what nobody does.
@@ -122,6 +129,7 @@
 	b.news.Begun = append(b.news.Begun, n.Begun...)
 	b.news.BegunAgoMs = max(b.news.BegunAgoMs, n.BegunAgoMs)
 	b.news.Answered = append(b.news.Answered, n.Answered...)
+	b.news.AnsweredAgoMs = append(b.news.AnsweredAgoMs, n.AnsweredAgoMs...)
 	return b.told
 }
 
--- a/quarantine/spreader_test.go
+++ b/quarantine/spreader_test.go
@@ -67,6 +67,10 @@
 	return nil
 }
 
+func (t *testTransport) Ask(context.Context, string, Inquiries) ([]Standing, error) {
+	return nil, errors.New("not asked")
+}
+
 // heard returns when a node was told.
 func (n *testNodes) heard(node string) (time.Time, bool) {
 	n.mu.Lock()
--- a/request/call.go
+++ b/request/call.go
@@ -149,11 +149,16 @@
 	var othersTold <-chan struct{}
 	defer func() { quarantine.AwaitTold(ctx, othersTold) }()
 	content := callContent(p.account.GetName(), grant.Request().String(), p.call)
+	turn := s.Quarantine.NewTurn(grant.Request().String(), content)
+	defer turn.End()
 	takesRetry := false
 	for n := range maxAttempts {
 		if err := s.refuseIfCrashing(content); err != nil {
 			return upstream.CallResponse{}, err
 		}
+		if err := s.awaitTurn(ctx, turn); err != nil {
+			return upstream.CallResponse{}, mergeAttemptErrors(last, err)
+		}
 		if n > 0 && !s.acquireRetry(ctx, takesRetry, grant.Request().String(), p.kind(), params.Deadline, retryBackoff) {
 			break
 		}
@@ -161,16 +166,18 @@
 		if err != nil {
 			return upstream.CallResponse{}, pickError(last, err)
 		}
-		response, err := s.callAttempt(ctx, grant, p, pick.Upstream, content)
+		sentAt := s.Quarantine.Now()
+		response, err := s.callAttempt(ctx, grant, p, pick.Upstream, turn)
 		pick.Done(err)
 		if err == nil {
 			othersTold = nil
 			s.Quarantine.Answered(content)
 			return response, nil
 		}
-		if told := s.recordCrash(ctx, quarantine.Attempt{ID: grant.Request().String(), Request: content, Upstream: pick.Upstream.GetName()}, err); told != nil {
+		if told := s.recordCrash(ctx, quarantine.Attempt{ID: grant.Request().String(), Request: content, Upstream: pick.Upstream.GetName(), SentAt: sentAt}, err); told != nil {
 			othersTold = told
 		}
+		turn.End()
 		last = mergeAttemptErrors(last, err)
 		takesRetry = takesRetry || result.From(err).TakesRetry()
 		waits.recordFailure(pick.Upstream, err)
@@ -182,12 +189,15 @@
 }
 
 // callAttempt sends a call to one upstream.
-func (s *Server) callAttempt(ctx context.Context, grant budget.Grant, p *preparedCall, target *operatorv1.Upstream, content quarantine.ID) (upstream.CallResponse, error) {
+func (s *Server) callAttempt(ctx context.Context, grant budget.Grant, p *preparedCall, target *operatorv1.Upstream, turn *quarantine.Turn) (upstream.CallResponse, error) {
 	if err := grant.Dispatch(ctx, target.GetName()); err != nil {
 		return upstream.CallResponse{}, err
 	}
 	id := grant.Request().String()
-	s.recordDispatch(id, target.GetName(), content)
+	if !turn.Begin() {
+		return upstream.CallResponse{}, errSentElsewhere()
+	}
+	s.recordDispatch(id, target.GetName(), turn)
 	response, err := s.Client.Call(ctx, target, upstream.CallRequest{
 		ID: id, Method: p.call.Method, Path: p.call.Path, Headers: p.call.Headers, Body: p.call.Body,
 		NoResend: !p.rule.GetIdempotent(), NotAfter: grant.NotAfter(),
@@ -209,11 +219,11 @@
 	return response, err
 }
 
-// rejectedBeforeExecution reports whether nothing was sent, or the upstream refused the
+// rejectedBeforeExecution reports whether nothing was sent, also since an upstream crashed under the request meanwhile, or the upstream refused the
 // request without reading it.
 func rejectedBeforeExecution(err error) bool {
 	code := result.CodeOf(err)
-	return code == result.NoUpstream || code == result.RequestExpired
+	return code == result.NoUpstream || code == result.RequestExpired || code == result.SentElsewhere
 }
 
 // canRetryCall reports whether a call may be sent to another upstream: either it certainly
--- a/request/chatattempt.go
+++ b/request/chatattempt.go
@@ -14,7 +14,7 @@
 func canRetryElsewhere(err error) bool {
 	switch result.CodeOf(err) {
 	case result.NoUpstream, result.UpstreamFailed, result.AnswerCut, result.AnswerCrossed, result.StreamLost,
-		result.UpstreamSilent, result.RequestExpired, result.VersionMissing:
+		result.UpstreamSilent, result.RequestExpired, result.VersionMissing, result.SentElsewhere:
 		return true
 	}
 	return false
@@ -27,7 +27,11 @@
 	if err := r.grant.Dispatch(ctx, target.GetName()); err != nil {
 		return err
 	}
-	r.server.recordDispatch(id.String(), target.GetName(), r.content)
+	if !r.turn.Begin() {
+		return errSentElsewhere()
+	}
+	defer r.turn.End()
+	r.server.recordDispatch(id.String(), target.GetName(), r.turn)
 	r.beginAnswer(target)
 	r.sentAt = r.server.Quarantine.Now()
 	stream, err := r.server.Client.Chat(ctx, target, upstream.ChatRequest{ID: id.String(), Body: r.body, NotAfter: r.grant.NotAfter()})
--- a/request/chatrun.go
+++ b/request/chatrun.go
@@ -29,6 +29,8 @@
 	bound   tokenBound
 	// content identifies what the caller asks for over all of its attempts.
 	content quarantine.ID
+	// turn is the right to send it.
+	turn *quarantine.Turn
 	// parts are the parts of the prompt that other requests may share, partIDs identify them.
 	parts   []quarantine.Part
 	partIDs []quarantine.ID
@@ -119,10 +121,15 @@
 	retryBackoff := newRetryBackoff()
 	var last error
 	takesRetry := false
+	r.turn = r.server.Quarantine.NewTurn(r.grant.Request().String(), r.content)
+	defer r.turn.End()
 	for n := range maxAttempts {
 		if err := r.server.refuseIfCrashing(r.content); err != nil {
 			return err
 		}
+		if err := r.server.awaitTurn(ctx, r.turn); err != nil {
+			return mergeAttemptErrors(last, err)
+		}
 		if err := r.refuseIfBlocked(); err != nil {
 			return err
 		}
--- a/request/crash.go
+++ b/request/crash.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"strconv"
+	"time"
 
 	"lavenderpin.dev/lavenderpin/quarantine"
 	"lavenderpin.dev/lavenderpin/result"
@@ -30,9 +31,31 @@
 	if s.Quarantine.MaySend(content) {
 		return nil
 	}
+	return crashesUpstreams()
+}
+
+func crashesUpstreams() error {
 	return result.New(result.CrashesUpstreams, "%d upstreams crashed under the request; a retry doesn't help", quarantine.MaxRequestCrashes)
 }
 
+// awaitTurn waits until a request under which upstreams crashed may be sent, and returns why it may not.
+func (s *Server) awaitTurn(ctx context.Context, turn *quarantine.Turn) error {
+	switch turn.Await(ctx) {
+	case quarantine.DeniedByCrashes:
+		return crashesUpstreams()
+	case quarantine.DeniedByOthers:
+		return errSentElsewhere()
+	}
+	return nil
+}
+
+func errSentElsewhere() error {
+	return result.New(result.SentElsewhere, "upstreams crashed under the request, which others are sending").WithRetryAfter(sentElsewhereRetryAfter)
+}
+
+// sentElsewhereRetryAfter is when callers come back whose request is being sent by others: about as long as an answer takes.
+const sentElsewhereRetryAfter = time.Second
+
 // refuseIfBlocked refuses a completion with a part under which upstreams crashed one after the other.
 func (r *chatRun) refuseIfBlocked() error {
 	b := r.server.Quarantine.Refused(r.partIDs, r.account.GetName(), &r.trial)
--- a/result/upstream.go
+++ b/result/upstream.go
@@ -21,6 +21,7 @@
 	AtLimit          Code = 4017
 	CrashesUpstreams Code = 4018
 	PartBlocked      Code = 4019
+	SentElsewhere    Code = 4020
 )
 
 var upstreamInfos = map[Code]Info{
@@ -40,5 +41,6 @@
 	AtLimit:          {"AtLimit", 429, codes.ResourceExhausted, true, true, "Every upstream of the service that is left gets as many requests a second as it says it takes; come back after the given time."},
 	CrashesUpstreams: {"CrashesUpstreams", 400, codes.FailedPrecondition, false, false, "Three upstreams crashed while they worked on the request, in this attempt or in earlier ones; it isn't sent again, and a retry doesn't help."},
 	PartBlocked:      {"PartBlocked", 400, codes.FailedPrecondition, false, true, "Upstreams crashed one after the other under requests with a part that this prompt holds; a retry doesn't help."},
+	SentElsewhere:    {"SentElsewhere", 503, codes.Unavailable, true, true, "Upstreams crashed under the request, and it is being sent by others, or other nodes can't be asked: it isn't sent until that is over; come back after the given time."},
 	RequestExpired:   {"RequestExpired", 503, codes.Unavailable, true, true, "The upstream refused the request: the node's right to have it run had ended before it arrived."},
 }
