--- a/quarantine/asking.go
+++ b/quarantine/asking.go
@@ -1,8 +1,10 @@
 package quarantine
 
 import (
+	"cmp"
 	"context"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -87,6 +89,7 @@
 	}
 	for _, there := range elsewhere {
 		rand.Shuffle(len(there), func(i, j int) { there[i], there[j] = there[j], there[i] })
+		slices.SortStableFunc(there, func(a, b Peer) int { return cmp.Compare(s.silent.since(a.Node), s.silent.since(b.Node)) })
 		targets = append(targets, target{Peer: there[0], passOn: true, instead: there[1:]})
 	}
 	return targets
@@ -103,7 +106,7 @@
 	var answers sync.WaitGroup
 	closed := false
 	for _, t := range targets {
-		silent := s.silent.has(t.Node)
+		silent := s.silent.has(t.silenceKey())
 		ask := func() {
 			list := s.askOne(q, t, timeout)
 			mu.Lock()
@@ -138,9 +141,11 @@
 		list, err := s.Transport.Ask(ctx, asked.Address, q)
 		s.silent.set(asked.Node, err != nil)
 		if err == nil {
+			s.silent.set(t.silenceKey(), false)
 			return list
 		}
 		if tries == 2 || ctx.Err() != nil {
+			s.silent.set(t.silenceKey(), true)
 			s.recordUntold(asked.Node, News{Crashes: make([]ToldCrash, len(q.List))}, "asked", true, "error", err)
 			return nil
 		}
@@ -150,25 +155,43 @@
 	}
 }
 
-// silentNodes are the nodes that didn't answer last. They are asked, but nobody waits for them. It is safe for concurrent use.
+// silenceKey returns what is silent if the target doesn't answer: the node or, if it was to ask others, its data centre.
+func (t target) silenceKey() string {
+	if t.passOn {
+		return "data centre " + t.DataCentre
+	}
+	return t.Node
+}
+
+// silentNodes are the nodes, and data centres, that didn't answer last. They are asked, but nobody waits for them. It is safe for
+// concurrent use.
 type silentNodes struct {
-	mu    sync.Mutex
-	names map[string]bool
+	mu sync.Mutex
+	// at is when each was found silent.
+	at map[string]time.Time
 }
 
-func (n *silentNodes) has(node string) bool {
+func (n *silentNodes) has(name string) bool { return n.since(name) != 0 }
+
+// since returns when a node became silent, as a number that is larger for later times; zero if it answers.
+func (n *silentNodes) since(name string) int64 {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	return n.names[node]
+	if at, silent := n.at[name]; silent {
+		return at.UnixNano()
+	}
+	return 0
 }
 
-func (n *silentNodes) set(node string, silent bool) {
+func (n *silentNodes) set(name string, silent bool) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	if n.names == nil {
-		n.names = make(map[string]bool)
+	if !silent {
+		delete(n.at, name)
+		return
 	}
-	if n.names[node] = silent; !silent {
-		delete(n.names, node)
+	if n.at == nil {
+		n.at = make(map[string]time.Time)
 	}
+	n.at[name] = time.Now()
 }
--- a/quarantine/fleet_test.go
+++ b/quarantine/fleet_test.go
@@ -37,6 +37,15 @@
 	return nil
 }
 
+func (t *guardTransport) Ask(ctx context.Context, address string, q Inquiries) ([]Standing, error) {
+	to := "n" + address[1:]
+	if err := t.pass(ctx, address); err != nil {
+		return nil, err
+	}
+	known := Answer(t.guards[to], t.nodes.spreader[to], q)
+	return known, t.pass(ctx, address)
+}
+
 // Guards against nodes that together learn of a part too late or not at all, and against news that each node sends to all
 // others when all conclude the same.
 func TestAllNodesBlockAPart(t *testing.T) {
--- a/quarantine/guard.go
+++ b/quarantine/guard.go
@@ -163,7 +163,12 @@
 
 // Counts are what a guard has counted since its start, how many requests it knows with crashes, and how many parts are
 // suspected and blocked now.
-type Counts struct{ Crashes, Learned, Requests, SuspectedParts, BlockedParts int64 }
+type Counts struct {
+	Crashes, Learned, Requests, SuspectedParts, BlockedParts int64
+	// TurnsTaken, TurnsRefused and TurnsDenied are the sends that other nodes were asked about: those sent, refused for crashes under the
+	// request, and not sent as others sent it or couldn't be asked. TurnWaitMs is how long they waited in all, in milliseconds.
+	TurnsTaken, TurnsRefused, TurnsDenied, TurnWaitMs int64
+}
 
 // Counts returns the counts for the metrics.
 func (g *Guard) Counts() Counts {
@@ -171,7 +176,8 @@
 		return Counts{}
 	}
 	return Counts{Crashes: g.crashed.Load(), Learned: g.learned.Load(), Requests: int64(g.requests.size()),
-		SuspectedParts: g.parts.suspected.Load(), BlockedParts: int64(len(*g.parts.blocked.Load()))}
+		SuspectedParts: g.parts.suspected.Load(), BlockedParts: int64(len(*g.parts.blocked.Load())),
+		TurnsTaken: g.turns.taken.Load(), TurnsRefused: g.turns.refused.Load(), TurnsDenied: g.turns.denied.Load(), TurnWaitMs: g.turns.waitedMs.Load()}
 }
 
 // Now returns the reading of the guard's clock.
--- a/quarantine/spreader_test.go
+++ b/quarantine/spreader_test.go
@@ -34,7 +34,8 @@
 	from  Peer
 }
 
-func (t *testTransport) Tell(ctx context.Context, address string, n News) error {
+// pass passes a message to another node, which takes a time.
+func (t *testTransport) pass(ctx context.Context, address string) error {
 	nodes := t.nodes
 	nodes.mu.Lock()
 	var to Peer
@@ -56,13 +57,21 @@
 		return errors.New("silent")
 	}
 	time.Sleep(delay)
+	return nil
+}
+
+func (t *testTransport) Tell(ctx context.Context, address string, n News) error {
+	if err := t.pass(ctx, address); err != nil {
+		return err
+	}
+	nodes, to := t.nodes, "n"+address[1:]
 	nodes.mu.Lock()
-	if _, heard := nodes.heardAt[to.Node]; !heard {
-		nodes.heardAt[to.Node] = time.Now()
+	if _, heard := nodes.heardAt[to]; !heard {
+		nodes.heardAt[to] = time.Now()
 	}
 	nodes.mu.Unlock()
 	if n.PassOn {
-		nodes.spreader[to.Node].PassOn(n)
+		nodes.spreader[to].PassOn(n)
 	}
 	return nil
 }
