Soak: plain calls that callers repeat, and copies of a stream at once, under which upstreams crash

A third of the seeds have plain services that crash under one call (--crash-calls); callers repeat it at one node after the other, and send three copies of a stream at once to several. Checked: no send begins after the third crash, but for a node's first one within 250 ms of the first crash.

--- a/cmd/lavenderbench/soak.go
+++ b/cmd/lavenderbench/soak.go
@@ -13,15 +13,16 @@
 )
 
 type soakCmd struct {
-	Program string        `help:"Path of the node's binary, as built by 'go build ./cmd/lavenderedge'." default:"./lavenderedge" type:"existingfile"`
-	Seeds   int           `help:"Number of seeds to run." default:"1"`
-	Seed    uint64        `help:"First seed." default:"1"`
-	Nodes   int           `help:"Number of nodes in the fleet." default:"5"`
-	Length  time.Duration `help:"How long faults are injected for each seed." default:"12s"`
-	Crashes bool          `help:"Add upstreams that crash, by themselves and under some requests, to a third of the seeds." default:"true" negatable:""`
-	Starved bool          `help:"Add nodes that get a fifth of a processor to half of the seeds." default:"true" negatable:""`
-	Jobs    int           `help:"Number of seeds run concurrently." default:"2"`
-	Logs    string        `help:"Directory for the settings and logs of failed seeds." default:"soak-logs"`
+	Program    string        `help:"Path of the node's binary, as built by 'go build ./cmd/lavenderedge'." default:"./lavenderedge" type:"existingfile"`
+	Seeds      int           `help:"Number of seeds to run." default:"1"`
+	Seed       uint64        `help:"First seed." default:"1"`
+	Nodes      int           `help:"Number of nodes in the fleet." default:"5"`
+	Length     time.Duration `help:"How long faults are injected for each seed." default:"12s"`
+	Crashes    bool          `help:"Add upstreams that crash, by themselves and under some requests, to a third of the seeds." default:"true" negatable:""`
+	CrashCalls bool          `help:"Add plain services that crash under one call to a third of the seeds." default:"true" negatable:""`
+	Starved    bool          `help:"Add nodes that get a fifth of a processor to half of the seeds." default:"true" negatable:""`
+	Jobs       int           `help:"Number of seeds run concurrently." default:"2"`
+	Logs       string        `help:"Directory for the settings and logs of failed seeds." default:"soak-logs"`
 }
 
 // Run runs the seeds and fails if any seed violated a guarantee or did not complete.
@@ -60,7 +61,7 @@
 		fmt.Println("seed", seed, err)
 		return false
 	}
-	report, err := soak.Run(ctx, soak.Options{Program: program, Dir: dir, Seed: seed, Nodes: c.Nodes, Length: c.Length, Crashes: c.Crashes, Starved: c.Starved})
+	report, err := soak.Run(ctx, soak.Options{Program: program, Dir: dir, Seed: seed, Nodes: c.Nodes, Length: c.Length, Crashes: c.Crashes, CrashCalls: c.CrashCalls, Starved: c.Starved})
 	if err != nil {
 		fmt.Println("seed", seed, "did not run to completion:", err)
 		return false
--- a/internal/soak/crashes.go
+++ b/internal/soak/crashes.go
@@ -7,13 +7,15 @@
 	"net"
 	"net/http"
 	"slices"
+	"strings"
+	"sync"
 	"time"
 
 	"lavenderpin.dev/lavenderpin/platform/standin"
 )
 
 const (
-	// commonPart is a part of every prompt; badPart is the part under which engines crash, badBody the body.
+	// commonPart is a part of every prompt; badPart is the part under which engines crash, badBody the beginning of the bodies.
 	commonPart = "c0"
 	badPart    = "bad0"
 	badBody    = "crashes upstreams"
@@ -31,6 +33,26 @@
 	badCallInterval = 350 * time.Millisecond
 	badRepeatPause  = 200 * time.Millisecond
 	maxBadRepeats   = 10
+	// badCopies is how many copies of a request callers send at once.
+	badCopies = 3
+	// firstSendWindow is how long after the first crash a busy node may not have heard of it, and send the request for the first time.
+	firstSendWindow = 250 * time.Millisecond
+)
+
+// repeatedRequest is a request under which upstreams crash and which its caller repeats.
+type repeatedRequest struct {
+	// name is part of the calls' IDs, body is the same in all of them.
+	name, body string
+	route      standin.Route
+	// copies is how many are sent at once; randomGroup keeps the random numbers of callers apart.
+	copies      int
+	randomGroup uint64
+}
+
+var (
+	streamsThatCrash = repeatedRequest{"e", badBody, standin.StreamRoute, 1, 401}
+	callsThatCrash   = repeatedRequest{"p", badBody + ", call", standin.LookupRoute, 1, 402}
+	copiesThatCrash  = repeatedRequest{"c", badBody + ", copies", standin.StreamRoute, badCopies, 403}
 )
 
 // crashingUpstreams returns, for a third of the seeds, a part and a body under which all engines crash, and engines that crash
@@ -50,6 +72,19 @@
 	return steps
 }
 
+// crashingServices returns, for a third of the seeds, plain services that crash under one call.
+func crashingServices(r *rand.Rand, length time.Duration) []Step {
+	if r.IntN(3) != 0 {
+		return nil
+	}
+	var steps []Step
+	at := time.Second + time.Duration(r.Int64N(int64(time.Second)))
+	for i := engineCount; i < upstreamCount; i++ {
+		steps = append(steps, Step{Kind: RequestsCrashUpstream, At: at, Duration: length - at, Target: i})
+	}
+	return steps
+}
+
 // crashes returns under what an engine crashes, once it does so.
 func (f *fleet) crashes(underRequests bool) standin.Crashes {
 	c := standin.Crashes{Down: downAfterCrash, Store: f.store, Listen: listenAgain}
@@ -77,31 +112,43 @@
 	book := newAddressBook(w.fleet, c, 0)
 	for sent := 0; ctx.Err() == nil; sent++ {
 		time.Sleep(time.Duration(r.Int64N(int64(2 * badCallInterval))))
-		if address, ok := book.address(ctx, r); ok && w.fleet.requestsCrashUpstreams() {
+		if address, ok := book.address(ctx, r); ok && w.fleet.requestsCrashUpstreams(true) {
 			call := standin.Call{ID: fmt.Sprintf("%d-b-%d", w.seed, sent), Route: standin.NonResumableRoute, Deadline: callTimeout, Shared: []string{commonPart, badPart, fmt.Sprint("k", sent%3)}}
 			book.observe(w.call(ctx, c, address, []string{"one", "two"}[sent%2], call))
 		}
 	}
 }
 
-// runRepeatingCaller repeats one request under which engines crash, at one node after the other.
-func (w *workload) runRepeatingCaller(ctx context.Context) {
-	r := rand.New(rand.NewPCG(w.seed, 401))
+// runRepeatingCaller repeats one request under which upstreams crash, at one node after the other or at several at once.
+func (w *workload) runRepeatingCaller(ctx context.Context, request repeatedRequest) {
+	r := rand.New(rand.NewPCG(w.seed, request.randomGroup))
 	c := standin.NewCaller()
 	defer c.Close()
 	book := newAddressBook(w.fleet, c, 1)
 	for tries := 0; ctx.Err() == nil && tries < maxBadRepeats; {
 		time.Sleep(badRepeatPause)
-		if address, ok := book.address(ctx, r); ok && w.fleet.requestsCrashUpstreams() {
-			call := standin.Call{ID: fmt.Sprintf("%d-e-%d", w.seed, tries), Route: standin.StreamRoute, Deadline: callTimeout, Shared: []string{commonPart}, Body: badBody}
-			book.observe(w.call(ctx, c, address, streamAccount, call))
-			tries++
+		if !w.fleet.requestsCrashUpstreams(request.route.Engine) {
+			continue
 		}
+		var copies sync.WaitGroup
+		for i := range request.copies {
+			address, ok := book.address(ctx, r)
+			if !ok {
+				continue
+			}
+			call := standin.Call{ID: fmt.Sprintf("%d-%s-%d-%d", w.seed, request.name, tries, i), Route: request.route, Deadline: callTimeout, Body: request.body}
+			if request.route.Engine {
+				call.Shared = []string{commonPart}
+			}
+			copies.Go(func() { book.observe(w.call(ctx, c, address, streamAccount, call)) })
+		}
+		copies.Wait()
+		tries++
 	}
 }
 
 func (r *callRecord) isBad() bool {
-	return r.call.Body == badBody || slices.Contains(r.call.Shared, badPart)
+	return strings.HasPrefix(r.call.Body, badBody) || slices.Contains(r.call.Shared, badPart)
 }
 
 // checkCrashedUpstreams: engines crash under a request, and under requests with one part, only until nodes know of it; and
@@ -120,14 +167,51 @@
 			violations = append(violations, Violation{"parts that crash upstreams", fmt.Sprintf("%d requests reached upstreams later than %s after the fifth crash, %d are allowed; %d crashed", late, newsWindow, maxLateArrivals, len(crashes))})
 		}
 	}
-	isRequest := func(r *callRecord) bool { return r.call.Body == badBody }
+	for _, request := range []repeatedRequest{streamsThatCrash, callsThatCrash, copiesThatCrash} {
+		violations = append(violations, h.checkRepeatedRequest(records, request)...)
+	}
+	return violations
+}
+
+// checkRepeatedRequest: no send of a request begins after the third crash under it, but for the first send of a node that can't have
+// heard of one.
+func (h *history) checkRepeatedRequest(records map[string]*callRecord, request repeatedRequest) []Violation {
+	isRequest := func(r *callRecord) bool { return r.call.Body == request.body }
 	crashes := h.crashesUnder(records, isRequest)
-	if len(crashes) >= maxRequestCrashes && !h.anyNodeLost(crashes[0], crashes[maxRequestCrashes-1]) {
-		if late := h.lateArrivals(records, isRequest, crashes[maxRequestCrashes-1]); late > 0 {
-			violations = append(violations, Violation{"requests that crash upstreams", fmt.Sprintf("a request under which %d upstreams had crashed was sent to %d more", maxRequestCrashes, late)})
+	if len(crashes) < maxRequestCrashes || h.anyNodeLost(crashes[0], crashes[maxRequestCrashes-1]) {
+		return nil
+	}
+	late := h.lateArrivals(records, isRequest, crashes[maxRequestCrashes-1])
+	if request.copies > 1 {
+		late -= h.lateFirstArrivals(records, isRequest, crashes[maxRequestCrashes-1], crashes[0].Add(firstSendWindow))
+	}
+	if late <= 0 {
+		return nil
+	}
+	return []Violation{{"requests that crash upstreams", fmt.Sprintf("a request (%s) under which %d upstreams had crashed was sent to %d more", request.body, maxRequestCrashes, late)}}
+}
+
+// lateFirstArrivals counts the nodes whose first send of some requests came after one time and before another.
+func (h *history) lateFirstArrivals(records map[string]*callRecord, match func(*callRecord) bool, after, before time.Time) int {
+	first := make(map[string]time.Time) // by node
+	for _, arrivals := range h.arrivals {
+		for _, a := range arrivals {
+			r, known := records[a.ID]
+			if !known || !match(r) {
+				continue
+			}
+			if at, ok := first[r.node]; !ok || a.At.Before(at) {
+				first[r.node] = a.At
+			}
 		}
 	}
-	return violations
+	count := 0
+	for _, at := range first {
+		if at.After(after) && at.Before(before) {
+			count++
+		}
+	}
+	return count
 }
 
 // crashesUnder returns when engines crashed under some requests, in order.
--- a/internal/soak/fleet.go
+++ b/internal/soak/fleet.go
@@ -48,8 +48,8 @@
 	// states are the states in the upstreams' entries, faults the upstreams' faults.
 	states []string
 	faults []standin.Faults
-	// crashesUnderRequests is how many upstreams crash under some requests now.
-	crashesUnderRequests int
+	// crashesUnderRequests is how many engines and how many plain services crash under some requests now.
+	crashesUnderRequests [2]int
 	// versions are the versions of the upstreams' software.
 	versions []string
 	// routes are the routes added so far, spans the steps executed so far.
@@ -136,16 +136,25 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.upstreams[upstream].SetCrashes(f.crashes(underRequests))
-	if f.crashesUnderRequests--; underRequests {
-		f.crashesUnderRequests += 2
+	kind := kindOf(upstream < engineCount)
+	if f.crashesUnderRequests[kind]--; underRequests {
+		f.crashesUnderRequests[kind] += 2
 	}
 }
 
-// requestsCrashUpstreams reports whether upstreams crash under some requests.
-func (f *fleet) requestsCrashUpstreams() bool {
+// kindOf returns the index of engines or of plain services.
+func kindOf(engine bool) int {
+	if engine {
+		return 0
+	}
+	return 1
+}
+
+// requestsCrashUpstreams reports whether engines, or plain services, crash under some requests.
+func (f *fleet) requestsCrashUpstreams(engines bool) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.crashesUnderRequests > 0
+	return f.crashesUnderRequests[kindOf(engines)] > 0
 }
 
 func (f *fleet) runHeartbeats() {
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -138,6 +138,9 @@
 	if o.Crashes {
 		plan = append(plan, crashingUpstreams(rand.New(rand.NewPCG(seed, 5)), length)...)
 	}
+	if o.CrashCalls {
+		plan = append(plan, crashingServices(rand.New(rand.NewPCG(seed, 7)), length)...)
+	}
 	slices.SortStableFunc(plan, func(a, b Step) int { return cmp.Compare(a.At, b.At) })
 	return plan
 }
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -22,6 +22,8 @@
 	Length time.Duration
 	// Crashes adds upstreams that crash, by themselves and under some requests, to a third of the seeds.
 	Crashes bool
+	// CrashCalls adds plain services that crash under one call to a third of the seeds.
+	CrashCalls bool
 	// Starved adds nodes that get a fifth of a processor to half of the seeds.
 	Starved bool
 }
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -46,6 +46,11 @@
 	testOptions(t, Options{Seed: 200, Nodes: 5, Length: 20 * time.Second, Crashes: true})
 }
 
+// Guards against plain calls that callers repeat, and copies of requests at once, under which upstream after upstream crashes.
+func TestRepeatedCallsAndCopiesCrashFewUpstreams(t *testing.T) {
+	testOptions(t, Options{Seed: 57016, Nodes: 5, Length: 12 * time.Second, Crashes: true, CrashCalls: true})
+}
+
 // Guards against a node with a fifth of a processor that holds requests past their route's time-out.
 func TestStarvedNodeKeepsTimeouts(t *testing.T) {
 	testOptions(t, Options{Seed: 5403, Nodes: 4, Length: 8 * time.Second, Starved: true})
--- a/internal/soak/workload.go
+++ b/internal/soak/workload.go
@@ -67,7 +67,9 @@
 	}
 	wait.Go(func() { w.runOverdueCaller(streamCtx) })
 	wait.Go(func() { w.runBadCaller(ctx) })
-	wait.Go(func() { w.runRepeatingCaller(ctx) })
+	wait.Go(func() { w.runRepeatingCaller(ctx, streamsThatCrash) })
+	wait.Go(func() { w.runRepeatingCaller(ctx, callsThatCrash) })
+	wait.Go(func() { w.runRepeatingCaller(ctx, copiesThatCrash) })
 	wait.Wait()
 }
 
