--- a/internal/soak/crashes.go
+++ b/internal/soak/crashes.go
@@ -32,7 +32,7 @@
 	// request under which engines crash.
 	badCallInterval = 350 * time.Millisecond
 	badRepeatPause  = 200 * time.Millisecond
-	maxBadRepeats   = 10
+	maxBadRepeats   = 40
 	// badCopies is how many copies of a request callers send at once.
 	badCopies = 3
 	// firstSendWindow is how long after the first crash a busy node may not have heard of it, and send the request for the first time.
