--- a/gateway/call.go
+++ b/gateway/call.go
@@ -39,7 +39,7 @@
 	// content identifies what the caller asks for over all of its attempts.
 	content quarantine.ID
 	// turn is the right to send it.
-	turn *quarantine.Turn
+	permit *quarantine.Permit
 	// parts are the parts of the prompt that other requests may share, partIDs identify them.
 	parts   []quarantine.Part
 	partIDs []quarantine.ID
@@ -112,7 +112,7 @@
 	defer cancel()
 	c.content, c.parts = contentOf(c.r, c.accountName()), sharedParts(c.r)
 	c.partIDs = quarantine.PartIDs(c.parts)
-	c.turn = c.g.Quarantine.NewTurn(c.r.ID, c.content)
+	c.permit = c.g.Quarantine.NewPermit(c.r.ID, c.content)
 	if refusal := c.refuseIfCrashing(); refusal != nil {
 		return refusal
 	}
--- a/gateway/crash.go
+++ b/gateway/crash.go
@@ -32,9 +32,9 @@
 	return nil
 }
 
-// awaitTurn waits until a request under which upstreams crashed may be sent, and returns why it may not.
-func (c *call) awaitTurn(ctx context.Context) *result.Error {
-	switch c.turn.Await(ctx) {
+// awaitPermit waits until a request under which upstreams crashed may be sent, and returns why it may not.
+func (c *call) awaitPermit(ctx context.Context) *result.Error {
+	switch c.permit.Await(ctx) {
 	case quarantine.DeniedByCrashes:
 		return crashesUpstreams()
 	case quarantine.DeniedByOthers:
--- a/gateway/ports.go
+++ b/gateway/ports.go
@@ -19,8 +19,8 @@
 // anything was written.
 var ErrCallerClosed = errors.New("the caller closed its connection")
 
-// ErrTurnOver is returned by Send, wrapped in ErrNotSent, if an upstream crashed under the request while the connection was opened.
-var ErrTurnOver = errors.New("an upstream crashed under the request meanwhile")
+// ErrPermitNeeded is returned by Send, wrapped in ErrNotSent, if an upstream crashed under the request while the connection was opened.
+var ErrPermitNeeded = errors.New("an upstream crashed under the request meanwhile")
 
 // Dispatch is a request as sent to an upstream.
 type Dispatch struct {
--- a/gateway/run.go
+++ b/gateway/run.go
@@ -31,7 +31,7 @@
 		c.refuseUnsent(refusal)
 		return
 	}
-	defer c.turn.End()
+	defer c.permit.End()
 	for {
 		if ctx.Err() != nil || c.callerClosed() {
 			c.giveUp(ctx, "the time is over")
@@ -45,7 +45,7 @@
 			c.giveUpCrashing(ctx, refusal)
 			return
 		}
-		if denial := c.awaitTurn(ctx); denial != nil {
+		if denial := c.awaitPermit(ctx); denial != nil {
 			c.giveUpDenied(ctx, denial)
 			return
 		}
@@ -77,7 +77,7 @@
 		c.upstream = choice.Upstream
 		c.recordDispatch(choice)
 		res := c.send(ctx, choice)
-		c.turn.End()
+		c.permit.End()
 		if res == mayHaveRun {
 			c.possibleRuns++
 		}
@@ -113,7 +113,7 @@
 	pairs := []any{"request", c.r.ID, "upstream", choice.Upstream.ID, "version", choice.Upstream.Version, "send", c.sends,
 		"expected_ms", choice.Expected.Milliseconds(), "candidates", choice.Candidates, "unread", choice.Uncached, "unread_shared", choice.UncachedShared, "affinity", choice.Affinity,
 		"running", load.Running, "waiting", load.Waiting, "load_age_ms", age, "left_ms", c.timeLeft().Milliseconds(), "after", c.lastEvent}
-	if crashes := c.turn.Crashes(); crashes > 0 {
+	if crashes := c.permit.Crashes(); crashes > 0 {
 		pairs = append(pairs, "content", c.content, "crashes", crashes)
 	}
 	if c.r.HasResumeAfter {
--- a/gateway/send.go
+++ b/gateway/send.go
@@ -58,8 +58,8 @@
 		if c.callerClosed() {
 			return ErrCallerClosed
 		}
-		if !c.turn.Begin() {
-			return ErrTurnOver
+		if !c.permit.Begin() {
+			return ErrPermitNeeded
 		}
 		return nil
 	}
@@ -129,7 +129,7 @@
 		c.callerGone, c.closeUnhandled = true, true
 		return notRun
 	}
-	if errors.Is(err, ErrTurnOver) { // the request is sent once other nodes were asked
+	if errors.Is(err, ErrPermitNeeded) { // the request is sent once other nodes were asked
 		c.unsent++
 		return notRun
 	}
--- a/node/crashcodec.go
+++ b/node/crashcodec.go
@@ -81,7 +81,7 @@
 func encodeInquiries(q quarantine.Inquiries) *fleetv1.RequestInquiries {
 	encoded := &fleetv1.RequestInquiries{PassOn: q.PassOn}
 	for _, one := range q.List {
-		inquiry := &fleetv1.RequestInquiry{Request: uint64(one.Request), Turn: uint64(one.Turn)}
+		inquiry := &fleetv1.RequestInquiry{Request: uint64(one.Request), Permit: uint64(one.Permit)}
 		for _, e := range one.Crashes {
 			inquiry.Crashes = append(inquiry.Crashes, encodeCrash(e))
 		}
@@ -93,7 +93,7 @@
 func decodeInquiries(from string, r *fleetv1.RequestInquiries) quarantine.Inquiries {
 	q := quarantine.Inquiries{Node: from, PassOn: r.GetPassOn()}
 	for _, one := range r.GetList() {
-		inquiry := quarantine.Inquiry{Request: quarantine.ID(one.GetRequest()), Turn: quarantine.ID(one.GetTurn())}
+		inquiry := quarantine.Inquiry{Request: quarantine.ID(one.GetRequest()), Permit: quarantine.ID(one.GetPermit())}
 		for _, e := range one.GetCrashes() {
 			inquiry.Crashes = append(inquiry.Crashes, decodeCrash(e))
 		}
@@ -105,7 +105,7 @@
 func encodeStandings(known []quarantine.Standing) *fleetv1.RequestStandings {
 	encoded := &fleetv1.RequestStandings{}
 	for _, one := range known {
-		standing := &fleetv1.RequestStanding{Sends: uint32(one.Sends), Turns: fromIDs(one.Turns), Answered: one.Answered, AnsweredAgoMs: uint64(max(0, one.AnsweredAgoMs)), Answers: uint32(one.Answers)}
+		standing := &fleetv1.RequestStanding{Sends: uint32(one.Sends), Permits: fromIDs(one.Permits), Answered: one.Answered, AnsweredAgoMs: uint64(max(0, one.AnsweredAgoMs)), Answers: uint32(one.Answers)}
 		for _, e := range one.Crashes {
 			standing.Crashes = append(standing.Crashes, encodeCrash(e))
 		}
@@ -117,7 +117,7 @@
 func decodeStandings(r *fleetv1.RequestStandings) []quarantine.Standing {
 	var known []quarantine.Standing
 	for _, one := range r.GetList() {
-		standing := quarantine.Standing{Sends: int(one.GetSends()), Turns: toIDs(one.GetTurns()), Answered: one.GetAnswered(), AnsweredAgoMs: int64(one.GetAnsweredAgoMs()), Answers: int(one.GetAnswers())}
+		standing := quarantine.Standing{Sends: int(one.GetSends()), Permits: toIDs(one.GetPermits()), Answered: one.GetAnswered(), AnsweredAgoMs: int64(one.GetAnsweredAgoMs()), Answers: int(one.GetAnswers())}
 		for _, e := range one.GetCrashes() {
 			standing.Crashes = append(standing.Crashes, decodeCrash(e))
 		}
--- a/quarantine/guard.go
+++ b/quarantine/guard.go
@@ -38,7 +38,7 @@
 	journal *journal
 	// crashed and learned count crashes under own requests, and those that other nodes told of.
 	crashed, learned atomic.Int64
-	turns            turnCounts
+	permits          permitCounts
 }
 
 // NewGuard returns a guard that knows of no crashes. publisher may be nil.
@@ -46,7 +46,7 @@
 	return &Guard{clock: clock, events: events, node: node, publisher: publisher, requests: newRequests(clock), parts: newParts(clock), blocksChanged: make(chan struct{}, 1), journal: newJournal(clock)}
 }
 
-// MaySend reports whether a request may be sent as far as this node can tell without asking others: a Turn can.
+// MaySend reports whether a request may be sent as far as this node can tell without asking others: a Permit can.
 func (g *Guard) MaySend(request ID) bool {
 	return g == nil || request == 0 || !g.requests.isRefused(request, g.Asker == nil)
 }
@@ -165,9 +165,9 @@
 // suspected and blocked now.
 type Counts struct {
 	Crashes, Learned, Requests, SuspectedParts, BlockedParts int64
-	// TurnsTaken, TurnsRefused and TurnsDenied are the sends that other nodes were asked about: those sent, refused for crashes under the
-	// request, and not sent as others sent it or couldn't be asked. TurnWaitMs is how long they waited in all, in milliseconds.
-	TurnsTaken, TurnsRefused, TurnsDenied, TurnWaitMs int64
+	// PermitsGiven, PermitsRefused and PermitsDenied are the sends that other nodes were asked about: those sent, refused for crashes under the
+	// request, and not sent as others sent it or couldn't be asked. PermitWaitMs is how long they waited in all, in milliseconds.
+	PermitsGiven, PermitsRefused, PermitsDenied, PermitWaitMs int64
 }
 
 // Counts returns the counts for the metrics.
@@ -177,7 +177,7 @@
 	}
 	return Counts{Crashes: g.crashed.Load(), Learned: g.learned.Load(), Requests: int64(g.requests.size()),
 		SuspectedParts: g.parts.suspected.Load(), BlockedParts: int64(len(*g.parts.blocked.Load())),
-		TurnsTaken: g.turns.taken.Load(), TurnsRefused: g.turns.refused.Load(), TurnsDenied: g.turns.denied.Load(), TurnWaitMs: g.turns.waitedMs.Load()}
+		PermitsGiven: g.permits.taken.Load(), PermitsRefused: g.permits.refused.Load(), PermitsDenied: g.permits.denied.Load(), PermitWaitMs: g.permits.waitedMs.Load()}
 }
 
 // Now returns the reading of the guard's clock.
--- a/quarantine/inquiry.go
+++ b/quarantine/inquiry.go
@@ -9,8 +9,8 @@
 // Inquiry asks other nodes about a request that a node wants to send although upstreams crashed under it.
 type Inquiry struct {
 	Request ID `json:"r"`
-	// Turn identifies the send that waits: of several, the one with the smallest ID goes first.
-	Turn ID `json:"t"`
+	// Permit identifies the send that waits: of several, the one with the smallest ID goes first.
+	Permit ID `json:"t"`
 	// Crashes are those that the asking node knows of.
 	Crashes []ToldCrash `json:"e,omitempty"`
 }
@@ -43,9 +43,9 @@
 // Standing is what a node, or several, know of a request.
 type Standing struct {
 	Crashes []ToldCrash `json:"e,omitempty"`
-	// Sends is how many sends are under way there, Turns are those that wait for their turn.
-	Sends int  `json:"s,omitempty"`
-	Turns []ID `json:"t,omitempty"`
+	// Sends is how many sends are under way there, Permits are those that wait for their permit.
+	Sends   int  `json:"s,omitempty"`
+	Permits []ID `json:"t,omitempty"`
 	// Answered tells that an equal request was answered completely, AnsweredAgoMs how many milliseconds ago at least, Answers how often there
 	// in the last half a minute or minute.
 	Answered      bool  `json:"a,omitempty"`
@@ -58,18 +58,18 @@
 	s.Crashes = append(s.Crashes, other.Crashes...)
 	s.Sends += other.Sends
 	s.Answers += other.Answers
-	s.Turns = append(s.Turns, other.Turns...)
+	s.Permits = append(s.Permits, other.Permits...)
 	if other.Answered && (!s.Answered || other.AnsweredAgoMs < s.AnsweredAgoMs) {
 		s.Answered, s.AnsweredAgoMs = true, other.AnsweredAgoMs
 	}
 	return s
 }
 
-// othersBefore returns how many sends of other nodes go before one with a turn.
-func (s Standing) othersBefore(turn ID) int {
+// othersBefore returns how many sends of other nodes go before one with a permit.
+func (s Standing) othersBefore(permit ID) int {
 	before := s.Sends
-	for _, t := range s.Turns {
-		if t < turn {
+	for _, t := range s.Permits {
+		if t < permit {
 			before++
 		}
 	}
--- a/quarantine/turn_test.go
+++ b/quarantine/permit_test.go
@@ -14,15 +14,15 @@
 	"lavenderpin.dev/lavenderpin/internal/bubble"
 )
 
-// turnFleet is guards that ask each other.
-type turnFleet struct {
+// permitFleet is guards that ask each other.
+type permitFleet struct {
 	*testNodes
 	guards map[string]*Guard
 }
 
-func inTurnFleet(t *testing.T, count int, test func(is *is.I, f *turnFleet)) {
+func inPermitFleet(t *testing.T, count int, test func(is *is.I, f *permitFleet)) {
 	bubble.Test(t, func(t *testing.T) {
-		f := &turnFleet{testNodes: newTestNodes(count, 3), guards: make(map[string]*Guard)}
+		f := &permitFleet{testNodes: newTestNodes(count, 3), guards: make(map[string]*Guard)}
 		for _, p := range f.peers {
 			s := f.spreader[p.Node]
 			s.Transport = &guardTransport{testTransport{f.testNodes, p}, f.guards, func(string) bool { return false }}
@@ -38,7 +38,7 @@
 }
 
 // crash has an upstream of its own crash under a request at a node.
-func (f *turnFleet) crash(node int, request ID) {
+func (f *permitFleet) crash(node int, request ID) {
 	g := f.guards[fmt.Sprint("n", node)]
 	g.UpstreamCrashed(Attempt{Request: request, Incarnation: randomID(), Opened: true, SentAt: g.Now()})
 }
@@ -51,14 +51,14 @@
 }
 
 // try sends a request under which each upstream crashes, as often as it may be sent.
-func (f *turnFleet) try(node int, request ID, took func() time.Duration, all *sends) {
+func (f *permitFleet) try(node int, request ID, took func() time.Duration, all *sends) {
 	g := f.guards[fmt.Sprint("n", node)]
-	turn := g.NewTurn("a", request)
+	permit := g.NewPermit("a", request)
 	for range 4 {
-		if turn.Await(context.Background()) != NotDenied {
+		if permit.Await(context.Background()) != NotDenied {
 			return
 		}
-		if !turn.Begin() {
+		if !permit.Begin() {
 			continue
 		}
 		all.mu.Lock()
@@ -72,7 +72,7 @@
 		all.crashes = append(all.crashes, time.Now())
 		all.mu.Unlock()
 		g.UpstreamCrashed(Attempt{Request: request, Incarnation: randomID(), Opened: true, SentAt: sentAt})
-		turn.End()
+		permit.End()
 	}
 }
 
@@ -82,7 +82,7 @@
 	for _, count := range []int{3, 7, 86, 295} {
 		for copies := 1; copies <= 6; copies++ {
 			t.Run(fmt.Sprint(count, "/", copies), func(t *testing.T) {
-				inTurnFleet(t, count, func(is *is.I, f *turnFleet) {
+				inPermitFleet(t, count, func(is *is.I, f *permitFleet) {
 					r := rand.New(rand.NewPCG(uint64(count), uint64(copies)))
 					for request := range ID(max(2, 40/count)) {
 						all := &sends{}
@@ -116,16 +116,16 @@
 	for _, count := range []int{7, 86, 295} {
 		for name, isSilent := range silent {
 			t.Run(fmt.Sprint(count, " ", name), func(t *testing.T) {
-				inTurnFleet(t, count, func(is *is.I, f *turnFleet) {
+				inPermitFleet(t, count, func(is *is.I, f *permitFleet) {
 					f.mu.Lock()
 					for i := range count {
 						f.silent[fmt.Sprint("n", i)] = isSilent(i)
 					}
 					f.mu.Unlock()
 					var waits []time.Duration
-					const turns = 30
+					const permits = 30
 					messages := 0
-					for request := range ID(turns) {
+					for request := range ID(permits) {
 						node := int(request) % min(count, 10)
 						if isSilent(node) {
 							continue
@@ -136,14 +136,14 @@
 						before := f.messages
 						f.mu.Unlock()
 						began := time.Now()
-						turn := f.guards[fmt.Sprint("n", node)].NewTurn("a", request+1)
-						is.Equal(turn.Await(context.Background()), NotDenied)
-						is.True(turn.Begin())
+						permit := f.guards[fmt.Sprint("n", node)].NewPermit("a", request+1)
+						is.Equal(permit.Await(context.Background()), NotDenied)
+						is.True(permit.Begin())
 						waits = append(waits, time.Since(began))
 						f.mu.Lock()
 						messages += f.messages - before
 						f.mu.Unlock()
-						turn.End()
+						permit.End()
 						time.Sleep(5 * time.Second)
 					}
 					slices.Sort(waits)
@@ -177,23 +177,23 @@
 
 // Guards against refusing for good a request that one node knows to have been answered since.
 func TestRefusalIsAgreedOnByAllNodes(t *testing.T) {
-	inTurnFleet(t, 7, func(is *is.I, f *turnFleet) {
+	inPermitFleet(t, 7, func(is *is.I, f *permitFleet) {
 		for node := range MaxRequestCrashes {
 			f.crash(node, 1)
 		}
 		time.Sleep(time.Second)
 		f.guards["n6"].requests.answer(1, f.guards["n6"].Now(), true) // its news is under way
-		turn := f.guards["n0"].NewTurn("a", 1)
-		is.Equal(turn.Await(context.Background()), NotDenied)
-		is.True(turn.Begin())
-		turn.End()
+		permit := f.guards["n0"].NewPermit("a", 1)
+		is.Equal(permit.Await(context.Background()), NotDenied)
+		is.True(permit.Begin())
+		permit.End()
 	})
 }
 
 // Guards against waiting for a copy of the request at another node longer than it takes.
 func TestRequestIsSentOnceItsCopyWasAnswered(t *testing.T) {
-	inTurnFleet(t, 7, func(is *is.I, f *turnFleet) {
-		copies := []*Turn{f.guards["n1"].NewTurn("a", 1), f.guards["n2"].NewTurn("a", 1)}
+	inPermitFleet(t, 7, func(is *is.I, f *permitFleet) {
+		copies := []*Permit{f.guards["n1"].NewPermit("a", 1), f.guards["n2"].NewPermit("a", 1)}
 		for _, c := range copies {
 			is.True(c.Begin())
 		}
@@ -203,8 +203,8 @@
 			f.guards["n1"].Answered(1)
 			copies[0].End()
 		})
-		turn := f.guards["n0"].NewTurn("a", 1)
-		is.Equal(turn.Await(context.Background()), NotDenied)
+		permit := f.guards["n0"].NewPermit("a", 1)
+		is.Equal(permit.Await(context.Background()), NotDenied)
 		is.True(time.Since(began) >= 500*time.Millisecond && time.Since(began) < 1500*time.Millisecond)
 	})
 }
--- a/quarantine/requests.go
+++ b/quarantine/requests.go
@@ -165,8 +165,8 @@
 			}
 		}
 		for _, t := range s.waiting {
-			known.Turns = append(known.Turns, t.id)
-			t.contested = t.contested || q.Turn < t.id
+			known.Permits = append(known.Permits, t.id)
+			t.contested = t.contested || q.Permit < t.id
 		}
 	}
 	if answers, ok := r.answers.of(q.Request); ok {
@@ -175,7 +175,7 @@
 	return known
 }
 
-// beginSend records a send of a request, unless it needs a turn.
+// beginSend records a send of a request, unless it needs a permit.
 func (r *requests) beginSend(request ID) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/quarantine/requeststate.go
+++ b/quarantine/requeststate.go
@@ -27,8 +27,8 @@
 	answered   bool
 	// popular is set if many equal requests were answered before.
 	popular bool
-	// waiting are this node's sends that wait for their turn.
-	waiting []*Turn
+	// waiting are this node's sends that wait for their permit.
+	waiting []*Permit
 	// settled is set once the other nodes agree that the request must not be sent, and none of them is sending it.
 	settled bool
 	// changed is closed at the next change.
--- a/request/call.go
+++ b/request/call.go
@@ -149,14 +149,14 @@
 	var othersTold <-chan struct{}
 	defer func() { quarantine.AwaitTold(ctx, othersTold) }()
 	content := callContent(p.account.GetName(), p.call)
-	turn := s.Quarantine.NewTurn(grant.Request().String(), content)
-	defer turn.End()
+	permit := s.Quarantine.NewPermit(grant.Request().String(), content)
+	defer permit.End()
 	takesRetry := false
 	for n := range maxAttempts {
 		if err := s.refuseIfCrashing(content); err != nil {
 			return upstream.CallResponse{}, err
 		}
-		if err := s.awaitTurn(ctx, turn); err != nil {
+		if err := s.awaitPermit(ctx, permit); err != nil {
 			return upstream.CallResponse{}, mergeAttemptErrors(last, err)
 		}
 		if n > 0 && !s.acquireRetry(ctx, takesRetry, grant.Request().String(), p.kind(), params.Deadline, retryBackoff) {
@@ -167,7 +167,7 @@
 			return upstream.CallResponse{}, pickError(last, err)
 		}
 		sentAt := s.Quarantine.Now()
-		response, err := s.callAttempt(ctx, grant, p, pick.Upstream, turn)
+		response, err := s.callAttempt(ctx, grant, p, pick.Upstream, permit)
 		pick.Done(err)
 		if err == nil {
 			othersTold = nil
@@ -177,7 +177,7 @@
 		if told := s.recordCrash(ctx, quarantine.Attempt{ID: grant.Request().String(), Request: content, Upstream: pick.Upstream.GetName(), SentAt: sentAt}, err); told != nil {
 			othersTold = told
 		}
-		turn.End()
+		permit.End()
 		last = mergeAttemptErrors(last, err)
 		takesRetry = takesRetry || result.From(err).TakesRetry()
 		waits.recordFailure(pick.Upstream, err)
@@ -189,15 +189,15 @@
 }
 
 // callAttempt sends a call to one upstream.
-func (s *Server) callAttempt(ctx context.Context, grant budget.Grant, p *preparedCall, target *operatorv1.Upstream, turn *quarantine.Turn) (upstream.CallResponse, error) {
+func (s *Server) callAttempt(ctx context.Context, grant budget.Grant, p *preparedCall, target *operatorv1.Upstream, permit *quarantine.Permit) (upstream.CallResponse, error) {
 	if err := grant.Dispatch(ctx, target.GetName()); err != nil {
 		return upstream.CallResponse{}, err
 	}
 	id := grant.Request().String()
-	if !turn.Begin() {
+	if !permit.Begin() {
 		return upstream.CallResponse{}, errSentElsewhere()
 	}
-	s.recordDispatch(id, target.GetName(), turn)
+	s.recordDispatch(id, target.GetName(), permit)
 	response, err := s.Client.Call(ctx, target, upstream.CallRequest{
 		ID: id, Method: p.call.Method, Path: p.call.Path, Headers: p.call.Headers, Body: p.call.Body,
 		NoResend: !p.rule.GetIdempotent(), NotAfter: grant.NotAfter(),
--- a/request/chatattempt.go
+++ b/request/chatattempt.go
@@ -27,11 +27,11 @@
 	if err := r.grant.Dispatch(ctx, target.GetName()); err != nil {
 		return err
 	}
-	if !r.turn.Begin() {
+	if !r.permit.Begin() {
 		return errSentElsewhere()
 	}
-	defer r.turn.End()
-	r.server.recordDispatch(id.String(), target.GetName(), r.turn)
+	defer r.permit.End()
+	r.server.recordDispatch(id.String(), target.GetName(), r.permit)
 	r.beginAnswer(target)
 	r.sentAt = r.server.Quarantine.Now()
 	stream, err := r.server.Client.Chat(ctx, target, upstream.ChatRequest{ID: id.String(), Body: r.body, NotAfter: r.grant.NotAfter()})
--- a/request/chatrun.go
+++ b/request/chatrun.go
@@ -30,7 +30,7 @@
 	// content identifies what the caller asks for over all of its attempts.
 	content quarantine.ID
 	// turn is the right to send it.
-	turn *quarantine.Turn
+	permit *quarantine.Permit
 	// parts are the parts of the prompt that other requests may share, partIDs identify them.
 	parts   []quarantine.Part
 	partIDs []quarantine.ID
@@ -121,13 +121,13 @@
 	retryBackoff := newRetryBackoff()
 	var last error
 	takesRetry := false
-	r.turn = r.server.Quarantine.NewTurn(r.grant.Request().String(), r.content)
-	defer r.turn.End()
+	r.permit = r.server.Quarantine.NewPermit(r.grant.Request().String(), r.content)
+	defer r.permit.End()
 	for n := range maxAttempts {
 		if err := r.server.refuseIfCrashing(r.content); err != nil {
 			return err
 		}
-		if err := r.server.awaitTurn(ctx, r.turn); err != nil {
+		if err := r.server.awaitPermit(ctx, r.permit); err != nil {
 			return mergeAttemptErrors(last, err)
 		}
 		if err := r.refuseIfBlocked(); err != nil {
--- a/request/crash.go
+++ b/request/crash.go
@@ -38,9 +38,9 @@
 	return result.New(result.CrashesUpstreams, "%d upstreams crashed under the request; a retry doesn't help", quarantine.MaxRequestCrashes)
 }
 
-// awaitTurn waits until a request under which upstreams crashed may be sent, and returns why it may not.
-func (s *Server) awaitTurn(ctx context.Context, turn *quarantine.Turn) error {
-	switch turn.Await(ctx) {
+// awaitPermit waits until a request under which upstreams crashed may be sent, and returns why it may not.
+func (s *Server) awaitPermit(ctx context.Context, permit *quarantine.Permit) error {
+	switch permit.Await(ctx) {
 	case quarantine.DeniedByCrashes:
 		return crashesUpstreams()
 	case quarantine.DeniedByOthers:
--- a/request/drain.go
+++ b/request/drain.go
@@ -148,10 +148,10 @@
 
 // recordDispatch records that a request was sent and, while the node drains, how much time the
 // node has left.
-func (s *Server) recordDispatch(request, upstream string, turn *quarantine.Turn) {
+func (s *Server) recordDispatch(request, upstream string, permit *quarantine.Permit) {
 	fields := []any{"request", request, "upstream", upstream}
-	if crashes := turn.Crashes(); crashes > 0 {
-		fields = append(fields, "content", turn.Request(), "crashes", crashes)
+	if crashes := permit.Crashes(); crashes > 0 {
+		fields = append(fields, "content", permit.Request(), "crashes", crashes)
 	}
 	if left, draining := s.drainLeft(); draining {
 		fields = append(fields, "drain_left_ms", left.Milliseconds())
