--- a/gateway/call.go
+++ b/gateway/call.go
@@ -38,7 +38,7 @@
 	linkDelay time.Duration
 	// content identifies what the caller asks for over all of its attempts.
 	content quarantine.ID
-	// turn is the right to send it.
+	// permit is the right to send it.
 	permit *quarantine.Permit
 	// parts are the parts of the prompt that other requests may share, partIDs identify them.
 	parts   []quarantine.Part
@@ -226,8 +226,10 @@
 		go c.g.Borrower.Settle(*c.loan, used)
 	}
 	took := c.g.since(c.r.Arrived)
-	if c.succeeded {
+	if c.outcome == outcomeServed { // whatever its status
 		c.g.Quarantine.Answered(c.content)
+	}
+	if c.succeeded {
 		if c.streamResumable() {
 			c.g.Origins.Finish(c.streamID())
 		}
--- a/gateway/run.go
+++ b/gateway/run.go
@@ -156,7 +156,7 @@
 	c.refuse(refusal)
 }
 
-// giveUpDenied ends a request that got no turn to be sent.
+// giveUpDenied ends a request that got no permit to be sent.
 func (c *call) giveUpDenied(ctx context.Context, denial *result.Error) {
 	switch {
 	case denial.Code == result.CrashesUpstreams:
--- a/quarantine/permit.go
+++ b/quarantine/permit.go
@@ -27,8 +27,8 @@
 	firstPermitPause = 100 * time.Millisecond
 )
 
-// Permit is the right of one attempt to send a request. Crashes and sends under way, at all nodes, are MaxRequestCrashes together at
-// most; before the first crash that isn't asked. A nil Permit needs no right. A Permit is used by one goroutine.
+// Permit is the right of one attempt to send a request. Crashes under it and its sends under way, at all nodes, are MaxRequestCrashes
+// together at most; a request without crashes needs no permit, nor does a nil Permit. A Permit is used by one goroutine.
 type Permit struct {
 	g       *Guard
 	attempt string
@@ -135,7 +135,7 @@
 	return p.g.requests.count(p.request)
 }
 
-// Begin records that the request is sent now; false if it has to wait for its permit again.
+// Begin records that the request is sent now; false if it needs a permit by now.
 func (p *Permit) Begin() bool {
 	if p == nil || p.held {
 		return true
--- a/quarantine/requests.go
+++ b/quarantine/requests.go
@@ -1,7 +1,6 @@
 package quarantine
 
 import (
-	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -164,9 +163,9 @@
 				known.Crashes = append(known.Crashes, tell(e, now))
 			}
 		}
-		for _, t := range s.waiting {
-			known.Permits = append(known.Permits, t.id)
-			t.contested = t.contested || q.Permit < t.id
+		for _, p := range s.waiting {
+			known.Permits = append(known.Permits, p.id)
+			p.contested = p.contested || q.Permit < p.id
 		}
 	}
 	if answers, ok := r.answers.of(q.Request); ok {
@@ -196,6 +195,3 @@
 		s.notify()
 	}
 }
-
-// isSameAny reports whether a crash is one of some others.
-func isSameAny(crashes []Crash, e Crash) bool { return slices.ContainsFunc(crashes, e.isSame) }
--- a/quarantine/requeststate.go
+++ b/quarantine/requeststate.go
@@ -39,7 +39,7 @@
 
 // add adds a crash; isNew is false if it was added before.
 func (s *requestState) add(e Crash) (isNew bool) {
-	if isSameAny(s.crashes, e) {
+	if slices.ContainsFunc(s.crashes, e.isSame) {
 		return false
 	}
 	if s.answered && e.At <= s.answeredAt {
--- a/request/call.go
+++ b/request/call.go
@@ -219,8 +219,8 @@
 	return response, err
 }
 
-// rejectedBeforeExecution reports whether nothing was sent, also since an upstream crashed under the request meanwhile, or the upstream refused the
-// request without reading it.
+// rejectedBeforeExecution reports whether nothing was sent, also since an upstream crashed under the request meanwhile, or
+// the upstream refused the request without reading it.
 func rejectedBeforeExecution(err error) bool {
 	code := result.CodeOf(err)
 	return code == result.NoUpstream || code == result.RequestExpired || code == result.SentElsewhere
--- a/request/chatrun.go
+++ b/request/chatrun.go
@@ -29,7 +29,7 @@
 	bound   tokenBound
 	// content identifies what the caller asks for over all of its attempts.
 	content quarantine.ID
-	// turn is the right to send it.
+	// permit is the right to send it.
 	permit *quarantine.Permit
 	// parts are the parts of the prompt that other requests may share, partIDs identify them.
 	parts   []quarantine.Part
