--- a/quarantine/http.go
+++ b/quarantine/http.go
@@ -31,18 +31,24 @@
 	return c.HTTP.PostJSON(ctx, address, Path, &n, &reply, maxReplyBytes, func() {})
 }
 
-// Handler receives what other nodes tell. isNode reports whether an IP address belongs to a node: anybody else could
+// fromNodes reads messages of other nodes. isNode reports whether an IP address belongs to a node: anybody else could
 // have the requests of others refused.
-func Handler(g *Guard, s *Spreader, isNode func(remoteAddress string) bool) http.Handler {
+func fromNodes[T any](isNode func(remoteAddress string) bool, handle func(w http.ResponseWriter, message T)) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, httpReq *http.Request) {
 		if !isNode(httpReq.RemoteAddr) {
 			http.Error(w, "not a node", http.StatusForbidden)
 			return
 		}
-		var n News
-		if !httpwire.ReadJSON(w, httpReq, maxMessageBytes, &n) {
-			return
+		var message T
+		if httpwire.ReadJSON(w, httpReq, maxMessageBytes, &message) {
+			handle(w, message)
 		}
+	})
+}
+
+// Handler receives what other nodes tell.
+func Handler(g *Guard, s *Spreader, isNode func(remoteAddress string) bool) http.Handler {
+	return fromNodes(isNode, func(w http.ResponseWriter, n News) {
 		g.Learn(n)
 		if n.PassOn {
 			s.PassOn(n)
@@ -60,15 +66,7 @@
 
 // AskHandler answers what other nodes ask.
 func AskHandler(g *Guard, s *Spreader, isNode func(remoteAddress string) bool) http.Handler {
-	return http.HandlerFunc(func(w http.ResponseWriter, httpReq *http.Request) {
-		if !isNode(httpReq.RemoteAddr) {
-			http.Error(w, "not a node", http.StatusForbidden)
-			return
-		}
-		var q Inquiries
-		if !httpwire.ReadJSON(w, httpReq, maxMessageBytes, &q) {
-			return
-		}
+	return fromNodes(isNode, func(w http.ResponseWriter, q Inquiries) {
 		if len(q.List) > maxInquiries {
 			http.Error(w, "too many inquiries", http.StatusBadRequest)
 			return
