--- a/event/upstream.go
+++ b/event/upstream.go
@@ -39,7 +39,7 @@
 	CrashLearned:       {"CrashLearned", "Another node told this one that an upstream crashed under a request."},
 	PartBlocked:        {"PartBlocked", "Requests with a part of a prompt are refused: four upstreams crashed under them one after the other, and no answer began; or one of them is let through as a trial."},
 	PartLifted:         {"PartLifted", "Requests with a part of a prompt are sent again: an answer began, or an operator lifted the block."},
-	PermitDecided:      {"PermitDecided", "The other nodes were asked about a request under which upstreams had crashed before it was sent; denied tells why it isn't sent (crashes, or others that send it or can't be asked), sends how many sends are under way at other nodes, before how many of them and of those that wait go first."},
+	PermitDecided:      {"PermitDecided", "The other nodes were asked about a request under which upstreams had crashed before it was sent; denied tells why it isn't sent (crashes, or others that send it or can't be asked), asked whether the budget of messages allowed it, sends how many sends are under way at other nodes, before how many of them and of those that wait go first."},
 	CrashesUntold:      {"CrashesUntold", "Another node couldn't be told that upstreams crashed under requests; it learns of it from the store when it starts."},
 	VersionDeclared:    {"VersionDeclared", "This node declared in the store that streams of a service may begin at a version of its software, or deleted such a declaration."},
 	VersionUncertain:   {"VersionUncertain", "A stream began at an upstream that restarted since its entry: its version isn't known, and the stream goes on nowhere else."},
