--- a/internal/soak/crashes.go
+++ b/internal/soak/crashes.go
@@ -94,6 +94,32 @@
 	return c
 }
 
+// setCrashes sets whether an upstream crashes under some requests.
+func (f *fleet) setCrashes(upstream int, underRequests bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.upstreams[upstream].SetCrashes(f.crashes(underRequests))
+	kind := kindOf(upstream < engineCount)
+	if f.crashesUnderRequests[kind]--; underRequests {
+		f.crashesUnderRequests[kind] += 2
+	}
+}
+
+// kindOf returns the index of engines or of plain services.
+func kindOf(engine bool) int {
+	if engine {
+		return 0
+	}
+	return 1
+}
+
+// requestsCrashUpstreams reports whether engines, or plain services, crash under some requests.
+func (f *fleet) requestsCrashUpstreams(engines bool) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.crashesUnderRequests[kindOf(engines)] > 0
+}
+
 // listenAgain listens at the address of an engine that crashed.
 func listenAgain(address string) net.Listener {
 	for {
--- a/internal/soak/fleet.go
+++ b/internal/soak/fleet.go
@@ -131,32 +131,6 @@
 	f.upstreams[upstream].SetFaults(f.faults[upstream])
 }
 
-// setCrashes sets whether an upstream crashes under some requests.
-func (f *fleet) setCrashes(upstream int, underRequests bool) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.upstreams[upstream].SetCrashes(f.crashes(underRequests))
-	kind := kindOf(upstream < engineCount)
-	if f.crashesUnderRequests[kind]--; underRequests {
-		f.crashesUnderRequests[kind] += 2
-	}
-}
-
-// kindOf returns the index of engines or of plain services.
-func kindOf(engine bool) int {
-	if engine {
-		return 0
-	}
-	return 1
-}
-
-// requestsCrashUpstreams reports whether engines, or plain services, crash under some requests.
-func (f *fleet) requestsCrashUpstreams(engines bool) bool {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return f.crashesUnderRequests[kindOf(engines)] > 0
-}
-
 func (f *fleet) runHeartbeats() {
 	ticker := time.NewTicker(heartbeatInterval)
 	defer ticker.Stop()
