Configuration: regions in which requests may be served, limits of cold upstreams

Routes and client accounts may name the regions that may serve them, services how many requests a second a cold upstream takes. Nothing reads them yet.

--- a/catalog/types.go
+++ b/catalog/types.go
@@ -37,6 +37,8 @@
 	Anonymous bool
 	// Resumable streams may continue at another upstream after the last delivered event.
 	Resumable bool
+	// Regions are those in which the route's requests may be served.
+	Regions Regions
 }
 
 // Retryable reports whether a request that may have run may be run again.
@@ -58,8 +60,21 @@
 	MaxConnections int
 	// Engine describes the model engines; nil for plain services.
 	Engine *Engine
+	// Warmup limits the requests to upstreams that are cold.
+	Warmup Warmup
 }
 
+// Warmup limits the requests to an upstream that is cold. The zero value limits nothing.
+type Warmup struct {
+	// Duration is how long an upstream is cold after its start.
+	Duration time.Duration
+	// RequestsPerSecond is how many requests a cold upstream takes from all nodes together.
+	RequestsPerSecond float64
+}
+
+// Limited reports whether cold upstreams take fewer requests than others.
+func (w Warmup) Limited() bool { return w.RequestsPerSecond > 0 }
+
 // Engine holds the properties shared by all model engines of a service.
 type Engine struct {
 	// Slots is the number of requests that an engine runs concurrently.
@@ -80,6 +95,8 @@
 	// usage is not limited.
 	Prepaid    int64
 	HasPrepaid bool
+	// Regions are those in which the account's requests may be served.
+	Regions Regions
 }
 
 // Limits bound the size of requests and the time taken to send them.
