Requests stay in their regions; cold upstreams get their rate; data centres are evacuated

- Routes and client accounts may name regions.
Upstreams elsewhere are never picked, neither for retries nor to continue a stream, and the body passes through no relaying node elsewhere.
- The rate of a cold upstream is divided by the nodes' send shares, as a limit that an upstream names is.
- An operator's record evacuates a data centre until it is removed; its upstreams are taken for cold after that.
Deployments without these settings are served as before: the sets are empty and nothing limits.

--- a/catalog/view.go
+++ b/catalog/view.go
@@ -16,6 +16,8 @@
 	keys     map[string]*Account
 	// hasAccounts reports whether the configuration defines any client accounts.
 	hasAccounts bool
+	// regionNames are the regions that routes and accounts name.
+	regionNames []string
 	// resumable names the services whose streams may be continued at another upstream.
 	resumable []string
 }
@@ -34,6 +36,7 @@
 	for _, r := range routes {
 		v.routes[r.Host] = append(v.routes[r.Host], r)
 		v.addResumable(r)
+		v.regionNames = append(v.regionNames, r.Regions.Names()...)
 	}
 	for _, list := range v.routes {
 		sort.SliceStable(list, func(i, j int) bool { return len(list[i].PathPrefix) > len(list[j].PathPrefix) })
@@ -43,7 +46,10 @@
 	}
 	for _, a := range accounts {
 		v.accounts[a.Name] = a
+		v.regionNames = append(v.regionNames, a.Regions.Names()...)
 	}
+	slices.Sort(v.regionNames)
+	v.regionNames = slices.Compact(v.regionNames)
 	for key, name := range keys {
 		if a, ok := v.accounts[name]; ok {
 			v.keys[key] = a
@@ -66,6 +72,9 @@
 // ResumableServices returns the names of the services whose streams may be continued at another upstream.
 func (v *View) ResumableServices() []string { return v.resumable }
 
+// RegionNames returns the regions that routes and client accounts name.
+func (v *View) RegionNames() []string { return v.regionNames }
+
 // Match returns the host's route with the longest matching path prefix, or nil.
 func (v *View) Match(host, path string) *Route {
 	for _, r := range v.routes[host] {
--- a/cmd/lavenderedge/run.go
+++ b/cmd/lavenderedge/run.go
@@ -175,7 +175,7 @@
 		Clock: p.clock, WallClock: p.clocks().Wall, Upstreams: p.upstreams, Paths: p.paths, Lag: lag.Lag, LinkDelay: delay.OwnDelay, Lending: &lending.Client{Wire: p.peerClient}, Peers: &peerfetch.Client{HTTP: p.peerClient}, Origins: &streamorigin.Client{HTTP: p.peerClient}, Crashes: &quarantine.Client{HTTP: p.peerClient}, Events: p.events, Metrics: gateway.NewMetrics(p.publishMetrics),
 		Topics: edgenode.Topics{Operators: store.Operators(), Upstreams: store.Upstreams(), Presence: store.Topic("presence"), Streams: store.Topic(streamorigin.TopicName), Crashes: store.Topic(quarantine.CrashesTopicName), Blocks: store.Topic(quarantine.BlocksTopicName),
 			Spend: allotment.NewPartitions(store.Partitions("spend", p.settings.Store.Partitions), p.settings.Store.WritablePartitions()), Ledger: store.Topic("ledger"), Grants: store.Topic("grants")},
-		DecodeConfig: platform.DecodeConfig, DecodeUpstream: platform.DecodeUpstream,
+		DecodeConfig: platform.DecodeConfig, DecodeEvacuation: platform.DecodeEvacuation, DecodeUpstream: platform.DecodeUpstream,
 	})
 	if err != nil {
 		return errors.Trace(err)
--- a/directory/stats.go
+++ b/directory/stats.go
@@ -35,6 +35,8 @@
 
 	// pausedUntil, by the boot clock, is the end of the pause that the upstream asked for.
 	pausedUntil atomic.Int64
+	// coldUntil, by the boot clock, is when the upstream is warm.
+	coldUntil atomic.Int64
 	// leaving is set once this incarnation announced that it leaves.
 	leaving atomic.Bool
 	// successor is what replaced these statistics; nil if nothing did.
--- a/directory/table.go
+++ b/directory/table.go
@@ -33,6 +33,9 @@
 	// FirstOpen returns how many requests may be open at an upstream with a number of slots until its first
 	// answer; nil for any number. It must not be changed once the table is in use.
 	FirstOpen func(slots int) int
+	// Warmup tells how requests to cold upstreams are limited; nil if they aren't. It must not be changed once the
+	// table is in use.
+	Warmup WarmupPolicy
 
 	clock bootclock.Clock
 
@@ -45,6 +48,8 @@
 	// versions holds the versions of the upstreams of each service, also those that have left, by service.
 	versions map[string]versionUses
 	current  atomic.Pointer[Snapshot]
+	// evacuated holds the data centres whose upstreams get no requests.
+	evacuated map[string]bool
 	// synced is closed once Replace has been called, which the first full read does.
 	synced     chan struct{}
 	syncedOnce sync.Once
@@ -147,6 +152,9 @@
 		t.removeVersion(old)
 	}
 	t.entries[e.ID] = u
+	if !exists || replaced || e.Sequence != old.Sequence {
+		t.cool(u, e.Warmup)
+	}
 	switch {
 	case e.State == Draining && (!exists || old.State != Draining):
 		return Left
@@ -227,7 +235,7 @@
 func (t *Table) publish() {
 	s := &Snapshot{services: make(map[string][]*Upstream)}
 	for _, u := range t.entries {
-		if u.State == Ready {
+		if u.State == Ready && !t.evacuated[u.DataCentre] {
 			s.services[u.Service] = append(s.services[u.Service], u)
 		}
 	}
--- a/edgenode/deps.go
+++ b/edgenode/deps.go
@@ -79,6 +79,9 @@
 	Metrics *gateway.Metrics
 	// DecodeConfig decodes a configuration; it returns false if the record isn't one.
 	DecodeConfig func(key string, raw []byte) (*catalog.View, bool, error)
+	// DecodeEvacuation returns the data centre that a record of the operators' topic asks to evacuate, by its key;
+	// false if the record is another one.
+	DecodeEvacuation func(key string) (dataCentre string, ok bool)
 	// DecodeUpstream decodes an upstream's entry.
 	DecodeUpstream func(id string, raw []byte) (directory.Entry, error)
 }
--- a/edgenode/node.go
+++ b/edgenode/node.go
@@ -79,11 +79,12 @@
 		periodic.Sleep(ctx, rand.N(maxSmallStartDelay))
 	}
 	n.directory.FirstOpen = n.firstOpen
+	n.directory.Warmup = (*warmupPolicy)(n)
 	n.origins = n.newOrigins()
 	n.quarantine, n.spreader = n.newQuarantine()
 	loopsCtx, stop := context.WithCancel(context.WithoutCancel(ctx))
 	n.stop = stop
-	n.startFollower(loopsCtx, n.operatorsTopic(), &configHandler{n, n.newReadMonitor("config")}, configReadOptions)
+	n.startFollower(loopsCtx, n.operatorsTopic(), newConfigHandler(n), configReadOptions)
 	upstreamOptions := upstreamReadOptions
 	upstreamOptions.ExtraPause = n.idleExtraPause
 	n.startFollower(loopsCtx, n.upstreamsTopic(), &upstreamHandler{n, n.newReadMonitor("upstreams")}, upstreamOptions)
@@ -104,7 +105,7 @@
 		Share:  n.share, Upstreams: deps.Upstreams, Events: deps.Events, Metrics: deps.Metrics, Origins: n.origins, Quarantine: n.quarantine,
 		Borrower:    lending.NewBorrower(deps.Lending, deps.Clock, settings.Incarnation, n.lenders),
 		AwaitTokens: n.awaitTokens, ReportUsage: n.report, LiveNodes: n.nodeCount, Senders: n.senders, SendPart: n.sendPart, AwaitReachable: n.awaitReachable, Lag: deps.Lag, LinkDelay: deps.LinkDelay, RetryLimits: settings.Repeats,
-		DataCentre: settings.DataCentre, Region: settings.Region,
+		DataCentre: settings.DataCentre, Region: settings.Region, Regions: settings.Regions,
 	})
 	grantOptions := grantReadOptions
 	grantOptions.ExtraPause, grantOptions.Await = n.grantExtraPause, n.awaitGrantNeed
--- a/event/log.go
+++ b/event/log.go
@@ -11,6 +11,7 @@
 	BatchVoid       Number = 207
 	LogReadLate     Number = 208
 	GathererFailed  Number = 210
+	RegionUnknown   Number = 211
 	// OperatorCalled is the first number reserved for audit events.
 	OperatorCalled Number = 240
 )
@@ -19,6 +20,7 @@
 	OperatorCalled:  {"OperatorCalled", "An operator called this node; outcome and reason tell whether the call was accepted."},
 	LogUnreachable:  {"LogUnreachable", "The platform's log stopped responding to this node."},
 	LogReachable:    {"LogReachable", "The platform's log responds to this node again."},
+	RegionUnknown:   {"RegionUnknown", "The configuration in force names a region that has no data centre; requests that only it may serve are refused."},
 	ConfigAccepted:  {"ConfigAccepted", "An operator's change was accepted and read back from the log."},
 	ConfigRefused:   {"ConfigRefused", "An operator's change conflicted with another one or broke a rule."},
 	ConfigInForce:   {"ConfigInForce", "A change took effect on this node."},
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -34,6 +34,8 @@
 	route   *catalog.Route
 	service *catalog.Service
 	account *catalog.Account
+	// regions are those in which the request may be served.
+	regions catalog.Regions
 	// linkDelay is how long messages of this node waited on its link when the request was read.
 	linkDelay time.Duration
 	// content identifies what the caller asks for over all of its attempts.
@@ -107,6 +109,7 @@
 	if c.service = c.view.Service(c.route.ChooseService(random())); c.service == nil {
 		return result.New(result.NoUpstream, "the route has no service").WithRetryAfter(c.g.settings.BusyRetryAfter)
 	}
+	c.regions = c.allowedRegions()
 	c.linkDelay = c.g.linkDelay()
 	ctx, cancel := context.WithTimeout(ctx, c.timeLeft())
 	defer cancel()
@@ -128,6 +131,9 @@
 	if refusal := c.resolveOrigin(ctx); refusal != nil {
 		return refusal
 	}
+	if refusal := c.refuseOutsideRegions(); refusal != nil {
+		return refusal
+	}
 	if refusal := c.refuseIfPaused(); refusal != nil {
 		return refusal
 	}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -58,6 +58,8 @@
 	RetryLimits repeats.Limits
 	DataCentre  string
 	Region      string
+	// Regions maps each data centre to its region.
+	Regions map[string]string
 }
 
 // Gateway serves requests. It is safe for concurrent use.
--- a/gateway/origin.go
+++ b/gateway/origin.go
@@ -102,11 +102,16 @@
 	}
 }
 
-// serviceUpstreams returns the upstreams of the request's service.
-func (c *call) serviceUpstreams() []*directory.Upstream {
+// listedUpstreams returns all upstreams of the request's service.
+func (c *call) listedUpstreams() []*directory.Upstream {
 	return c.g.Directory.Current().Upstreams(c.service.Name)
 }
 
+// serviceUpstreams returns the upstreams of the request's service in its regions.
+func (c *call) serviceUpstreams() []*directory.Upstream {
+	return c.inAllowedRegions(c.listedUpstreams())
+}
+
 // upstreams returns the upstreams that may take the request: those of the service or, for a stream that has
 // begun, those of the version that began it.
 func (c *call) upstreams() []*directory.Upstream {
--- a/gateway/ports.go
+++ b/gateway/ports.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"time"
 
+	"lavenderpin.dev/lavenderpin/catalog"
 	"lavenderpin.dev/lavenderpin/directory"
 	"lavenderpin.dev/lavenderpin/result"
 	"lavenderpin.dev/lavenderpin/streamorigin"
@@ -37,6 +38,8 @@
 	Weights int64
 	// Urgency is the request's priority at engines; 0 is the most urgent.
 	Urgency int
+	// Regions are those whose nodes the request may pass through.
+	Regions catalog.Regions
 	// Begin is called once there is a connection, before anything of the request is written to it. Its error, which Send returns wrapped in
 	// ErrNotSent, ends the send.
 	Begin func() error
--- a/gateway/room.go
+++ b/gateway/room.go
@@ -29,7 +29,7 @@
 		return
 	}
 	c.g.Events.Record(event.UpstreamBrittle, "upstream", u.ID, "service", u.Service, "brittle", true, "limit", resp.BrittleLimit, "slots", u.Slots, "senders", senders)
-	for _, other := range c.serviceUpstreams() {
+	for _, other := range c.listedUpstreams() {
 		if !other.ReceivedWithin(throttle.HeardWindow, now) {
 			other.Throttle.Announce(resp.BrittleLimit, other.Slots, senders, now, random())
 		}
--- a/gateway/send.go
+++ b/gateway/send.go
@@ -100,7 +100,7 @@
 }
 
 func (c *call) newDispatch(u *directory.Upstream) *Dispatch {
-	d := &Dispatch{Request: c.r, Account: c.accountName(), Remaining: c.timeLeft(), LastEventID: c.r.ResumeAfter, HasLastEventID: c.r.HasResumeAfter, Urgency: c.urgency()}
+	d := &Dispatch{Request: c.r, Account: c.accountName(), Remaining: c.timeLeft(), LastEventID: c.r.ResumeAfter, HasLastEventID: c.r.HasResumeAfter, Urgency: c.urgency(), Regions: c.regions}
 	if c.hasEvent {
 		d.LastEventID, d.HasLastEventID = c.lastEvent, true
 	}
--- a/httpwire/check.go
+++ b/httpwire/check.go
@@ -51,7 +51,7 @@
 // acquireChecked returns a connection that passed the request's check. A pooled one may have been closed by its peer,
 // and a peer may close one after any response; that says nothing of the peer, and a new one is checked.
 func (c *Client) acquireChecked(ctx context.Context, address string, r *Request, newConn bool) (*conn, error) {
-	cn, err := c.acquire(ctx, address, newConn)
+	cn, err := c.acquire(ctx, address, newConn, r.MayUse)
 	if err != nil || r.Check == nil {
 		return cn, err
 	}
@@ -62,7 +62,7 @@
 	if !errors.Is(err, errConnEnded) || ctx.Err() != nil {
 		return nil, fmt.Errorf("%w: %w", ErrNotSent, err)
 	}
-	if cn, err = c.acquire(ctx, address, true); err != nil {
+	if cn, err = c.acquire(ctx, address, true, nil); err != nil {
 		return nil, err
 	}
 	if err = r.Check(ctx, &Conn{client: c, address: address, conn: cn}); err == nil {
--- a/httpwire/client.go
+++ b/httpwire/client.go
@@ -5,6 +5,7 @@
 	"context"
 	"fmt"
 	"net"
+	"slices"
 	"sync"
 	"time"
 
@@ -56,10 +57,10 @@
 	return c.options.Dial(ctx, address)
 }
 
-// acquire returns the most recently used idle connection, or a new one.
-func (c *Client) acquire(ctx context.Context, address string, newConn bool) (*conn, error) {
+// acquire returns the most recently used idle connection that the request may use, or a new one.
+func (c *Client) acquire(ctx context.Context, address string, newConn bool, mayUse func(net.Conn) bool) (*conn, error) {
 	for !newConn {
-		idle := c.popIdle(address)
+		idle := c.popIdle(address, mayUse)
 		if idle == nil {
 			break
 		}
@@ -79,16 +80,17 @@
 	return &conn{Conn: dialed, r: bufio.NewReaderSize(head, readBufferSize), head: head}, nil
 }
 
-func (c *Client) popIdle(address string) *conn {
+func (c *Client) popIdle(address string, mayUse func(net.Conn) bool) *conn {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	conns := c.idle[address]
-	if len(conns) == 0 {
-		return nil
+	for i := len(conns) - 1; i >= 0; i-- {
+		if found := conns[i]; mayUse == nil || mayUse(found.Conn) {
+			c.idle[address] = slices.Delete(conns, i, i+1)
+			return found
+		}
 	}
-	last := conns[len(conns)-1]
-	c.idle[address] = conns[:len(conns)-1]
-	return last
+	return nil
 }
 
 // release returns a connection to the pool.
--- a/httpwire/request.go
+++ b/httpwire/request.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"errors"
+	"net"
 	"net/http"
 	"strconv"
 )
@@ -25,6 +26,8 @@
 	// Check is called with the connection on which the request will be sent, and may exchange other requests
 	// over it; its error ends the exchange before anything of this request is sent. It may be nil.
 	Check func(ctx context.Context, c *Conn) error
+	// MayUse reports whether the request may be sent on an idle connection; nil if on any.
+	MayUse func(net.Conn) bool
 	// BeforeWrite is called once there is a connection; its error ends the exchange before anything is
 	// sent. It may be nil.
 	BeforeWrite func() error
--- a/reach/conn.go
+++ b/reach/conn.go
@@ -12,8 +12,8 @@
 	dialer *Dialer
 	path   *path
 	epoch  int64
-	// peer is the node that relays; empty if the connection is direct.
-	peer string
+	// peer is the node that relays, in peerRegion; empty if the connection is direct.
+	peer, peerRegion string
 }
 
 var _ syscall.Conn = (*Conn)(nil)
@@ -23,7 +23,7 @@
 }
 
 func (d *Dialer) observeRelayed(p *path, r relayResult) net.Conn {
-	return &Conn{Conn: r.conn, dialer: d, path: p, epoch: p.epoch.Load(), peer: r.peer.Name}
+	return &Conn{Conn: r.conn, dialer: d, path: p, epoch: p.epoch.Load(), peer: r.peer.Name, peerRegion: r.peer.Region}
 }
 
 // Read records how long data is awaited on a direct connection, and when it comes.
--- a/reach/relaydial.go
+++ b/reach/relaydial.go
@@ -31,7 +31,7 @@
 // dialThroughPeers asks other nodes for a connection, one after the other at short intervals, and
 // returns the first.
 func (d *Dialer) dialThroughPeers(ctx context.Context, p *path) (net.Conn, error) {
-	peers := d.rankPeers()
+	peers := d.rankPeers(ctx)
 	if len(peers) == 0 || d.now() < time.Duration(d.peersSilentUntil.Load()) {
 		return nil, ErrNoPeer
 	}
@@ -107,7 +107,7 @@
 }
 
 // rankPeers returns the peers to ask, in order.
-func (d *Dialer) rankPeers() []Peer {
+func (d *Dialer) rankPeers(ctx context.Context) []Peer {
 	node := d.node.Load()
 	if node == nil || d.deps.Tunnels == nil {
 		return nil
@@ -115,7 +115,7 @@
 	now := d.now()
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return rank(node.Peers(), d.location, func(name string) bool { return now < d.avoided[name] }, d.settings.MaxPeersAsked)
+	return rank(allowedPeers(ctx, node.Peers()), d.location, func(name string) bool { return now < d.avoided[name] }, d.settings.MaxPeersAsked)
 }
 
 // avoid ranks a peer after the others for a while.
--- a/throttle/doc.go
+++ b/throttle/doc.go
@@ -12,5 +12,6 @@
 // An upstream may also name how many requests a second it takes from all nodes together. Each node takes turns
 // at its part of that rate, by a clock of its own, which starts at a random moment. A turn that no request takes
 // within a second is lost, so that the turns of many nodes are not kept for the same moment. What one node
-// doesn't know of the others costs no messages, and they together keep to the rate.
+// doesn't know of the others costs no messages, and they together keep to the rate. The same holds for an upstream
+// that is cold: the configuration names how many requests a second it takes until it is warm.
 package throttle
--- a/throttle/limiter.go
+++ b/throttle/limiter.go
@@ -18,6 +18,7 @@
 	mu     sync.Mutex
 	window window
 	pace   pace
+	warmup warmup
 }
 
 // AwaitAnswer limits the open requests until the upstream's first answer. What it says of itself is not known until
@@ -48,7 +49,7 @@
 
 // unlock must be called after each change.
 func (l *Limiter) unlock() {
-	l.active.Store(l.window.active || l.pace.limited)
+	l.active.Store(l.window.active || l.pace.limited || l.warmup.limited)
 	l.mu.Unlock()
 }
 
@@ -94,14 +95,16 @@
 	return l.pace.name(perSecond, part, now, random)
 }
 
-// AdjustPart sets this node's part of the limit, if the upstream named one.
+// AdjustPart sets this node's part of what limits all nodes together.
 func (l *Limiter) AdjustPart(part Part, now time.Duration) {
 	if !l.lock() {
 		return
 	}
 	defer l.unlock()
-	if l.pace.limited {
-		l.pace.adjust(part, now)
+	for _, p := range []*pace{&l.pace, &l.warmup.pace} {
+		if p.limited {
+			p.adjust(part, now)
+		}
 	}
 }
 
@@ -110,7 +113,7 @@
 	if !from.lock() {
 		return
 	}
-	inherited := from.pace
+	inherited := from.pace // being cold isn't inherited: each incarnation says so itself
 	from.unlock()
 	l.mu.Lock()
 	defer l.unlock()
@@ -127,14 +130,21 @@
 	return l.pace.clear(sentAt)
 }
 
-// Limit returns how many requests a second the upstream takes from all nodes together, and how long this node
-// has to wait for its turn; false if it named no limit.
+// Limit returns how many requests a second the upstream takes from all nodes together, since it named a limit or is
+// cold, and how long this node has to wait for its turn; false if it takes any number.
 func (l *Limiter) Limit(now time.Duration) (perSecond float64, wait time.Duration, limited bool) {
 	if !l.lock() {
 		return 0, 0, false
 	}
 	defer l.unlock()
-	return l.pace.perSecond, l.pace.wait(now), l.pace.limited
+	l.warmup.expire(now)
+	switch {
+	case !l.warmup.limited:
+		return l.pace.perSecond, l.pace.wait(now), l.pace.limited
+	case !l.pace.limited:
+		return l.warmup.perSecond, l.warmup.wait(now), true
+	}
+	return min(l.pace.perSecond, l.warmup.perSecond), max(l.pace.wait(now), l.warmup.wait(now)), true
 }
 
 // Allows reports whether the node may open another request beside the given number of open ones.
@@ -151,7 +161,8 @@
 
 func (l *Limiter) allows(open int, now time.Duration) bool {
 	l.window.expire(now)
-	return l.window.allows(open, now) && l.pace.wait(now) == 0
+	l.warmup.expire(now)
+	return l.window.allows(open, now) && l.pace.wait(now) == 0 && l.warmup.wait(now) == 0
 }
 
 // TryOpen is like Allows and records that the request is opened; random is a number from 0 to 1.
@@ -168,6 +179,7 @@
 	}
 	l.window.delayNext(now, 0.5+random)
 	l.pace.take(now)
+	l.warmup.take(now)
 	return true
 }
 
--- a/throttle/pace.go
+++ b/throttle/pace.go
@@ -3,9 +3,9 @@
 import "time"
 
 const (
-	// turnLength is how long a turn to send is kept if many nodes send. A turn that no request took is lost:
+	// defaultTurnLength is how long a turn to send is kept if many nodes send. A turn that no request took is lost:
 	// kept for longer, the turns of all nodes would be taken at the same moment when a crowd comes.
-	turnLength = time.Second
+	defaultTurnLength = time.Second
 	// toleratedBurst is how many requests beyond its limit an upstream bears at a moment. Beside a second's
 	// requests, so many nodes may each keep a turn until they need it.
 	toleratedBurst = 5
@@ -38,8 +38,10 @@
 type pace struct {
 	limited   bool
 	perSecond float64
-	// keepsTurns is set if a turn is kept until it is taken.
-	keepsTurns bool
+	// keepsTurns is set if a turn is kept until it is taken, losesTurns if none ever is.
+	keepsTurns, losesTurns bool
+	// turnLength is how long a turn is kept otherwise.
+	turnLength time.Duration
 	// interval is the time between two turns of this node, nextAt the start of the next one.
 	interval, nextAt time.Duration
 	// heardAt is when an answer last named the limit.
@@ -51,6 +53,9 @@
 func (p *pace) name(perSecond float64, part Part, now time.Duration, random float64) (changed bool) {
 	changed = !p.limited || perSecond != p.perSecond
 	p.perSecond, p.heardAt = perSecond, now
+	if p.turnLength == 0 {
+		p.turnLength = defaultTurnLength
+	}
 	if !p.limited { // the nodes hear of it together, but must not send together
 		p.limited, p.interval = true, intervalOf(perSecond, part.Share)
 		p.nextAt = now + time.Duration(random*float64(p.interval))
@@ -65,7 +70,7 @@
 	if p.nextAt > now {
 		p.nextAt = now + time.Duration(float64(p.nextAt-now)*float64(interval)/float64(p.interval))
 	}
-	p.interval, p.keepsTurns = interval, part.keepsTurns(p.perSecond)
+	p.interval, p.keepsTurns = interval, !p.losesTurns && part.keepsTurns(p.perSecond)
 }
 
 func intervalOf(perSecond, share float64) time.Duration {
@@ -94,8 +99,8 @@
 
 // skipLost moves on to the turn that isn't lost yet.
 func (p *pace) skipLost(now time.Duration) {
-	lost := now - turnLength - p.nextAt
-	if lost > 0 && p.interval > turnLength && !p.keepsTurns {
+	lost := now - p.turnLength - p.nextAt
+	if lost > 0 && p.interval > p.turnLength && !p.keepsTurns {
 		p.nextAt += (lost + p.interval - 1) / p.interval * p.interval
 	}
 }
@@ -103,6 +108,6 @@
 // take takes the turn. One that was taken late doesn't delay the next, but not more than one is made up for.
 func (p *pace) take(now time.Duration) {
 	if p.limited {
-		p.nextAt = max(p.nextAt, now-min(p.interval, turnLength)) + p.interval
+		p.nextAt = max(p.nextAt, now-min(p.interval, p.turnLength)) + p.interval
 	}
 }
--- /dev/null
+++ b/throttle/warmup.go
@@ -0,0 +1,45 @@
+package throttle
+
+import "time"
+
+// warmupTurnLength is how long a turn to send to a cold upstream is kept. It is shorter than turnLength because the
+// bound of a cold upstream holds in any single second: turns that many nodes kept for a second would double its rate.
+const warmupTurnLength = 300 * time.Millisecond
+
+// warmup limits how often one node sends to an upstream while it is cold. The zero value limits nothing.
+type warmup struct {
+	pace
+	until time.Duration
+}
+
+func (w *warmup) begin(perSecond float64, part Part, until, now time.Duration, random float64) {
+	w.expire(now)
+	w.turnLength, w.losesTurns = warmupTurnLength, true
+	w.name(perSecond, part, now, random)
+	w.until = max(w.until, until)
+}
+
+// expire ends the limit once the upstream is warm.
+func (w *warmup) expire(now time.Duration) {
+	if w.limited && now >= w.until {
+		w.limited = false
+	}
+}
+
+// BeginWarmup records that the upstream is cold until a time and takes so many requests a second meanwhile from all
+// nodes together. part is this node's part of them, random a number from 0 to 1.
+func (l *Limiter) BeginWarmup(perSecond float64, part Part, until, now time.Duration, random float64) {
+	l.mu.Lock()
+	defer l.unlock()
+	l.warmup.begin(perSecond, part, until, now, random)
+}
+
+// WarmingUp reports whether the upstream's requests are limited because it is cold.
+func (l *Limiter) WarmingUp(now time.Duration) bool {
+	if !l.lock() {
+		return false
+	}
+	defer l.unlock()
+	l.warmup.expire(now)
+	return l.warmup.limited
+}
