--- a/cmd/lavenderedge/run.go
+++ b/cmd/lavenderedge/run.go
@@ -170,7 +170,8 @@
 	node, err := edgenode.Start(startCtx, edgenode.Settings{
 		Node: p.settings.Node, Incarnation: incarnation, Start: start,
 		Address: p.settings.Frontend, Peer: p.peerAddress(), Capacity: capacityPercent(p.settings.Limits), DataCentre: p.settings.DataCentre, Region: p.settings.Region, Regions: p.settings.Regions,
-		Repeats: repeats.Limits{Ratio: p.settings.Bounds.RetryBudgetRatio, Extra: p.settings.Bounds.RetryBudgetExtra, Window: p.settings.Bounds.RetryBudgetWindow},
+		Repeats:       repeats.Limits{Ratio: p.settings.Bounds.RetryBudgetRatio, Extra: p.settings.Bounds.RetryBudgetExtra, Window: p.settings.Bounds.RetryBudgetWindow},
+		WarmupOverage: p.settings.Bounds.WarmupOverage, WarmupSlack: p.settings.Bounds.WarmupSlack,
 	}, edgenode.Deps{
 		Clock: p.clock, WallClock: p.clocks().Wall, Upstreams: p.upstreams, Paths: p.paths, Lag: lag.Lag, LinkDelay: delay.OwnDelay, Lending: &lending.Client{Wire: p.peerClient}, Peers: &peerfetch.Client{HTTP: p.peerClient}, Origins: &streamorigin.Client{HTTP: p.peerClient}, Crashes: &quarantine.Client{HTTP: p.peerClient}, Events: p.events, Metrics: gateway.NewMetrics(p.publishMetrics),
 		Topics: edgenode.Topics{Operators: store.Operators(), Upstreams: store.Upstreams(), Presence: store.Topic("presence"), Streams: store.Topic(streamorigin.TopicName), Crashes: store.Topic(quarantine.CrashesTopicName), Blocks: store.Topic(quarantine.BlocksTopicName),
@@ -189,6 +190,7 @@
 	p.publish("upstream_paths", expvar.Func(func() any { return p.paths.Summary() }))
 	p.publish("path_changes", expvar.Func(func() any { return p.paths.Metrics().Values() }))
 	p.publish("upstream_limit_per_second", expvar.Func(func() any { return node.LimitedUpstreams() }))
+	p.publish("evacuated_data_centres", expvar.Func(func() any { return node.EvacuatedDataCentres() }))
 	p.publish("upstream_contact", expvar.Func(func() any { return node.UpstreamContact() }))
 	p.publish("quarantine", expvar.Func(func() any { return node.Quarantine().Counts() }))
 	go delay.Run(ctx)
--- a/edgenode/deps.go
+++ b/edgenode/deps.go
@@ -35,6 +35,8 @@
 	// Regions maps each data centre to its region.
 	Regions map[string]string
 	Repeats repeats.Limits
+	// WarmupOverage times its rate plus WarmupSlack is how many requests a cold upstream bears in any second.
+	WarmupOverage, WarmupSlack float64
 }
 
 // Topics are the store's topics that hold the fleet's records.
--- a/edgenode/evacuations.go
+++ b/edgenode/evacuations.go
@@ -45,3 +45,6 @@
 		e.node.deps.Events.Record(event.DataCentreEvacuated, "data_centre", name, "evacuated", false)
 	}
 }
+
+// EvacuatedDataCentres returns the number of data centres whose upstreams get no requests.
+func (n *Node) EvacuatedDataCentres() int { return n.directory.Evacuated() }
--- a/edgenode/warmup.go
+++ b/edgenode/warmup.go
@@ -22,7 +22,8 @@
 	if s == nil || !s.Warmup.Limited() {
 		return 0, 0
 	}
-	return s.Warmup.Duration, s.Warmup.RequestsPerSecond
+	perSecond := s.Warmup.RequestsPerSecond
+	return s.Warmup.Duration, throttle.WarmupRate(perSecond, perSecond*max(1, p.settings.WarmupOverage)+p.settings.WarmupSlack)
 }
 
 // Part returns this node's part of the requests to the upstreams of a data centre.
--- a/throttle/warmup.go
+++ b/throttle/warmup.go
@@ -1,11 +1,25 @@
 package throttle
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 // warmupTurnLength is how long a turn to send to a cold upstream is kept. It is shorter than turnLength because the
 // bound of a cold upstream holds in any single second: turns that many nodes kept for a second would double its rate.
 const warmupTurnLength = 300 * time.Millisecond
 
+// warmupDeviations is how many standard deviations of the requests in one second the rate stays below the bound. The
+// nodes don't agree on the moments of their turns, so that the number in a second varies like that of random arrivals.
+const warmupDeviations = 4
+
+// WarmupRate returns how many requests a second all nodes together may send to a cold upstream that takes perSecond, so
+// that there are no more than bound in any second.
+func WarmupRate(perSecond, bound float64) float64 {
+	root := (math.Sqrt(warmupDeviations*warmupDeviations+4*max(0, bound)) - warmupDeviations) / 2 // solves x + warmupDeviations*sqrt(x) = bound
+	return min(perSecond, root*root/(1+warmupTurnLength.Seconds()))
+}
+
 // warmup limits how often one node sends to an upstream while it is cold. The zero value limits nothing.
 type warmup struct {
 	pace
