Throttle: ramp-up of upstreams that started or recovered

Each node limits its open requests to its share of a level that grows with good answers and shrinks with queues, slow answers and refusals. Nothing begins a ramp yet.

--- a/throttle/doc.go
+++ b/throttle/doc.go
@@ -13,4 +13,7 @@
 // at its part of that rate, by a clock of its own, which starts at a random moment. A turn that no request takes
 // within a second is lost, so that the turns of many nodes are not kept for the same moment. What one node
 // doesn't know of the others costs no messages, and they together keep to the rate.
+//
+// An upstream that started or recovered is ramped up where that is enabled: the nodes together may have a part of its
+// slots open, each its share. The part grows while answers begin on time and report no queue, and shrinks otherwise.
 package throttle
--- a/throttle/limiter.go
+++ b/throttle/limiter.go
@@ -18,6 +18,9 @@
 	mu     sync.Mutex
 	window window
 	pace   pace
+	ramp   ramp
+
+	ramping rampSwitch
 }
 
 // AwaitAnswer limits the open requests until the upstream's first answer. What it says of itself is not known until
@@ -48,7 +51,8 @@
 
 // unlock must be called after each change.
 func (l *Limiter) unlock() {
-	l.active.Store(l.window.active || l.pace.limited)
+	l.ramping.begun.Store(l.ramp.active())
+	l.active.Store(l.window.active || l.pace.limited || l.ramp.active())
 	l.mu.Unlock()
 }
 
@@ -151,7 +155,11 @@
 
 func (l *Limiter) allows(open int, now time.Duration) bool {
 	l.window.expire(now)
-	return l.window.allows(open, now) && l.pace.wait(now) == 0
+	if !l.window.allows(open, now) || l.pace.wait(now) > 0 {
+		l.ramp.deniedElsewhere()
+		return false
+	}
+	return l.ramp.allows(open, now)
 }
 
 // TryOpen is like Allows and records that the request is opened; random is a number from 0 to 1.
@@ -168,6 +176,7 @@
 	}
 	l.window.delayNext(now, 0.5+random)
 	l.pace.take(now)
+	l.ramp.take(open, random)
 	return true
 }
 
@@ -192,6 +201,7 @@
 // Succeeded records that the upstream ran a request and what it said of its load. If no answer since the
 // request was sent said that the upstream is brittle, or named a limit, that holds no longer.
 func (l *Limiter) Succeeded(load Load, took, now time.Duration) {
+	l.finishRamp(took, now)
 	if l.lock() {
 		defer l.unlock()
 		l.window.succeeded(load, took, now)
