Directory: ramps of new incarnations; the warm-up penalty gives way to them

An upstream whose entry appears after the first full read is ramped up if the node's policy says so. Where ramps are enabled, the warm-up penalty decays and doesn't apply during a ramp.

--- /dev/null
+++ b/directory/ramp.go
@@ -0,0 +1,36 @@
+package directory
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"lavenderpin.dev/lavenderpin/throttle"
+)
+
+// RampPolicy tells whether an upstream is ramped up, and with what; false if not.
+type RampPolicy func(Entry) (throttle.RampStart, bool)
+
+// beginRamp begins the ramp of an upstream that started. Those of the first full read may have started long ago. The
+// caller must hold mu.
+func (t *Table) beginRamp(u *Upstream) {
+	if t.Ramp == nil || !t.hasSynced() || u.State != Ready {
+		return
+	}
+	if start, ok := t.Ramp(u.Entry); ok {
+		u.Throttle.BeginRamp(start, t.clock.Now(), rand.Float64())
+	}
+}
+
+func (t *Table) hasSynced() bool {
+	select {
+	case <-t.synced:
+		return true
+	default:
+		return false
+	}
+}
+
+// WarmupLeft returns how much longer the upstream stays slow, by its entry and the time since that was read.
+func (u *Upstream) WarmupLeft(now time.Duration) time.Duration {
+	return max(0, u.Warmup-max(0, now-u.ReadAt))
+}
--- a/directory/table.go
+++ b/directory/table.go
@@ -33,6 +33,9 @@
 	// FirstOpen returns how many requests may be open at an upstream with a number of slots until its first
 	// answer; nil for any number. It must not be changed once the table is in use.
 	FirstOpen func(slots int) int
+	// Ramp tells which upstreams that started are ramped up; nil if none is. It must not be changed once the table is
+	// in use.
+	Ramp RampPolicy
 
 	clock bootclock.Clock
 
@@ -129,7 +132,10 @@
 			return Unchanged
 		}
 	}
-	u := &Upstream{Entry: e}
+	u := &Upstream{Entry: e, ReadAt: t.clock.Now()}
+	if known != nil && known.StartedAt == e.StartedAt && known.Sequence == e.Sequence {
+		u.ReadAt = known.ReadAt
+	}
 	replaced := known != nil && (e.StartedAt != known.StartedAt || e.Address != known.Address || e.Service != known.Service)
 	switch {
 	case known == nil:
@@ -142,6 +148,9 @@
 	if u.Stats != nil && (known == nil || u.Stats != known.Stats) && t.FirstOpen != nil {
 		u.Throttle.AwaitAnswer(t.FirstOpen(e.Slots))
 	}
+	if known == nil || replaced && e.isRestart(known.Entry) {
+		t.beginRamp(u)
+	}
 	t.addVersion(u)
 	if exists {
 		t.removeVersion(old)
--- a/directory/upstream.go
+++ b/directory/upstream.go
@@ -54,6 +54,8 @@
 	// StaleUntil, by the boot clock, is set for an upstream whose entry vanished during a store
 	// outage: it may still serve, but is used only as a last resort.
 	StaleUntil time.Duration
+	// ReadAt, by the boot clock, is when the entry was read.
+	ReadAt time.Duration
 }
 
 // Accepts reports whether the upstream wants new requests: its time isn't over if its entry vanished, and it neither leaves nor
--- a/placement/picker.go
+++ b/placement/picker.go
@@ -106,6 +106,19 @@
 // request of some hundred milliseconds loses a small part of the remaining seconds.
 const warmupDivisor = 8
 
+// warmupDelay returns the expected delay from a warm-up. A ramp already limits what the upstream gets: a penalty beside
+// it, the same for all nodes, would leave the upstream idle.
+func warmupDelay(r *Request, u *directory.Upstream) time.Duration {
+	switch {
+	case u.Throttle.Ramping():
+		return 0
+	case u.Throttle.RampEnabled():
+		return u.WarmupLeft(r.Now) / warmupDivisor
+	default:
+		return u.Warmup / warmupDivisor
+	}
+}
+
 func (p *Picker) score(r *Request, u *directory.Upstream, uncachedShared int) time.Duration {
 	s := &p.settings
 	score := time.Duration(u.FailureScore(r.Now) * float64(s.FailurePenalty))
@@ -122,19 +135,28 @@
 	if u.StaleUntil != 0 {
 		score += s.SuspectPenalty
 	}
-	score += u.Warmup / warmupDivisor
-	score += p.loadDelay(u)
+	score += warmupDelay(r, u)
+	score += p.loadDelay(r, u)
 	// An upstream is expected to stay silent for as long again as it has been. This diverts
 	// requests from a hung upstream long before the first one waiting there is given up.
 	score += u.Silence(r.Now)
 	return score + p.promptDelay(r, u, uncachedShared)
 }
 
+// rampLoadTTL is how long a load report counts during a ramp.
+const rampLoadTTL = 2 * time.Second
+
 // loadDelay returns the delay from the upstream's current load. The load it reports covers all
 // nodes but is as old as its last answer; this node's in-flight count is exact, so the larger
 // of the two is used.
-func (p *Picker) loadDelay(u *directory.Upstream) time.Duration {
+//
+// While a ramp limits what is sent, a report that is old is ignored: a node's turns are seconds apart in a large fleet,
+// and after one report of a queue it would use none of them.
+func (p *Picker) loadDelay(r *Request, u *directory.Upstream) time.Duration {
 	load := u.Load()
+	if r.Now-load.At > rampLoadTTL && u.Throttle.Ramping() {
+		load = directory.Load{}
+	}
 	own := int(u.InFlight.Load())
 	running := max(load.Running, min(own, u.Slots))
 	waiting := max(load.Waiting, own-u.Slots)
--- a/placement/picker_test.go
+++ b/placement/picker_test.go
@@ -8,6 +8,7 @@
 	"github.com/matryer/is"
 
 	"lavenderpin.dev/lavenderpin/directory"
+	"lavenderpin.dev/lavenderpin/throttle"
 )
 
 var regions = map[string]string{"a": "east", "b": "east", "c": "west"}
@@ -174,3 +175,24 @@
 		p.Pick(r, list)
 	}
 }
+
+// Guards against leaving an upstream idle for its whole warm-up although a ramp limits what it gets, or for what it
+// reported of its load seconds ago; and against a changed choice where there are no ramps.
+func TestRampReplacesWarmupPenalty(t *testing.T) {
+	is := is.New(t)
+	cold, other := upstream("cold", "a"), upstream("other", "a")
+	cold.Warmup, cold.ReadAt = time.Second, time.Hour
+	cold.ObserveLoad(4, 9, time.Hour-rampLoadTTL-1)
+	other.ObserveLoad(1, 0, time.Hour)
+	list, p := []*directory.Upstream{cold, other}, NewPicker(DefaultSettings(), regions)
+	is.Equal(mustPick(t, p, newRequest("a"), list).ID, "other")
+	cold.Throttle.BeginRamp(throttle.RampStart{Slots: 4, Part: throttle.Part{Share: 4, Senders: 1}}, time.Hour, 0)
+	is.Equal(mustPick(t, p, newRequest("a"), list).ID, "cold")
+
+	cold = upstream("cold", "a")
+	cold.Warmup, cold.ReadAt = time.Second, time.Hour-time.Second
+	list[0] = cold
+	is.Equal(mustPick(t, p, newRequest("a"), list).ID, "other")
+	cold.Throttle.SetRampConfigured(true)
+	is.Equal(mustPick(t, p, newRequest("a"), list).ID, "cold")
+}
