Ramps begin, follow responses and are reported on nodes

New incarnations, and upstreams that respond again after they couldn't be reached, are ramped up where the configuration limits a service's cold upstreams or a load figure enables it. Requests that no other upstream can take aren't refused for a ramp.

--- a/directory/ramp.go
+++ b/directory/ramp.go
@@ -30,6 +30,24 @@
 	}
 }
 
+// HasRoomFor is like HasRoom; beyondRamp is set for a request that no other upstream can take, which a ramp doesn't limit.
+func (s *Stats) HasRoomFor(beyondRamp bool, now time.Duration) bool {
+	if beyondRamp {
+		return s.Throttle.AllowsBeyondRamp(int(s.InFlight.Load()), now)
+	}
+	return s.HasRoom(now)
+}
+
+// OpenBeyondRamp is like Open for a request that no other upstream can take.
+func (s *Stats) OpenBeyondRamp(now time.Duration, random float64) bool {
+	before := s.InFlight.Add(1) - 1
+	if s.Throttle.OpenBeyondRamp(int(before), now, random) {
+		return true
+	}
+	s.InFlight.Add(-1)
+	return false
+}
+
 // WarmupLeft returns how much longer the upstream stays slow, by its entry and the time since that was read.
 func (u *Upstream) WarmupLeft(now time.Duration) time.Duration {
 	return max(0, u.Warmup-max(0, now-u.ReadAt))
--- a/edgenode/limits.go
+++ b/edgenode/limits.go
@@ -18,11 +18,16 @@
 
 // sendPart returns this node's part of the requests to the upstreams of a data centre.
 func (n *Node) sendPart(dataCentre string) throttle.Part {
-	to := presence.Place{DataCentre: dataCentre, Region: n.settings.Regions[dataCentre]}
 	holding := n.roster.Holding()
 	if !n.roster.ReadWithin(presence.SelfHoldTimeout) {
 		holding = slices.DeleteFunc(slices.Clone(holding), func(r presence.Record) bool { return r.Node == n.settings.Node })
 	}
+	return n.partAmong(holding, dataCentre)
+}
+
+// partAmong returns this node's part among the nodes that hold a share.
+func (n *Node) partAmong(holding []presence.Record, dataCentre string) throttle.Part {
+	to := presence.Place{DataCentre: dataCentre, Region: n.settings.Regions[dataCentre]}
 	return throttle.Part{Share: presence.SendShare(holding, n.presenceRecord(), to), Senders: max(1, presence.CountListed(holding))}
 }
 
--- a/edgenode/node.go
+++ b/edgenode/node.go
@@ -40,6 +40,8 @@
 	lender    *lending.Lender
 	announcer *announcer
 	origins   *streamorigin.Registry
+	// rampedServices are the services whose upstreams are ramped up, by name.
+	rampedServices atomic.Pointer[map[string]rampedService]
 
 	quarantine *quarantine.Guard
 	// spreader tells other nodes; nil if nothing does.
@@ -79,6 +81,7 @@
 		periodic.Sleep(ctx, rand.N(maxSmallStartDelay))
 	}
 	n.directory.FirstOpen = n.firstOpen
+	n.directory.Ramp = n.rampStart
 	n.origins = n.newOrigins()
 	n.quarantine, n.spreader = n.newQuarantine()
 	loopsCtx, stop := context.WithCancel(context.WithoutCancel(ctx))
@@ -103,7 +106,7 @@
 		Picker: picker,
 		Share:  n.share, Upstreams: deps.Upstreams, Events: deps.Events, Metrics: deps.Metrics, Origins: n.origins, Quarantine: n.quarantine,
 		Borrower:    lending.NewBorrower(deps.Lending, deps.Clock, settings.Incarnation, n.lenders),
-		AwaitTokens: n.awaitTokens, ReportUsage: n.report, LiveNodes: n.nodeCount, Senders: n.senders, SendPart: n.sendPart, AwaitReachable: n.awaitReachable, Lag: deps.Lag, LinkDelay: deps.LinkDelay, RetryLimits: settings.Repeats,
+		AwaitTokens: n.awaitTokens, ReportUsage: n.report, LiveNodes: n.nodeCount, Senders: n.senders, SendPart: n.sendPart, RampStart: n.rampStart, AwaitReachable: n.awaitReachable, Lag: deps.Lag, LinkDelay: deps.LinkDelay, RetryLimits: settings.Repeats,
 		DataCentre: settings.DataCentre, Region: settings.Region,
 	})
 	grantOptions := grantReadOptions
@@ -112,6 +115,7 @@
 	n.startLoop(loopsCtx, n.expireLoans)
 	n.startLoop(loopsCtx, n.watchContact)
 	n.startLoop(loopsCtx, n.adjustLimits)
+	n.startLoop(loopsCtx, n.watchRamps)
 	if deps.Paths != nil {
 		n.startLoop(loopsCtx, func(ctx context.Context) { deps.Paths.Run(ctx, (*pathNode)(n)) })
 	}
--- a/event/upstream.go
+++ b/event/upstream.go
@@ -22,6 +22,7 @@
 	PermitDecided      Number = 518
 	UpstreamProbed     Number = 520
 	UpstreamPaused     Number = 521
+	UpstreamRamp       Number = 523
 )
 
 var upstreamKinds = map[Number]Kind{
@@ -29,6 +30,7 @@
 	UpstreamHealthy:    {"UpstreamHealthy", "An upstream gets new requests again."},
 	UpstreamProbed:     {"UpstreamProbed", "An upstream that got no new requests is probed with one request at a time."},
 	UpstreamPaused:     {"UpstreamPaused", "An upstream asked for no requests for a time; this node sends it none, except what cancels a request."},
+	UpstreamRamp:       {"UpstreamRamp", "This node began to send an upstream that started or recovered its share of a level that grows with good answers, or ended that; outcome tells why."},
 	UpstreamListed:     {"UpstreamListed", "The list of upstreams changed for this node: one joined, with the version of its software, or left, or all were read again."},
 	UpstreamContact:    {"UpstreamContact", "This node lost or regained contact with some or all upstreams of a service."},
 	UpstreamPath:       {"UpstreamPath", "The way to an upstream changed: the node's own path, through another node, or none."},
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -54,7 +54,9 @@
 	// Senders returns the number of nodes that callers are sent to.
 	Senders func() int
 	// SendPart returns this node's part of the requests to the upstreams of a data centre.
-	SendPart    func(dataCentre string) throttle.Part
+	SendPart func(dataCentre string) throttle.Part
+	// RampStart tells whether an upstream is ramped up when it recovers, and with what; it may be nil.
+	RampStart   directory.RampPolicy
 	RetryLimits repeats.Limits
 	DataCentre  string
 	Region      string
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -24,11 +24,13 @@
 	takenUp *expvar.Map
 	// limits counts the limits on their requests that upstreams named or gave up.
 	limits *expvar.Map
+	// ramps counts the ramps of upstreams that began, by why, and ended, by how.
+	ramps *expvar.Map
 }
 
 // NewMetrics returns new counters. If publish is set, it registers them with expvar.
 func NewMetrics(publish bool) *Metrics {
-	m := &Metrics{finished: new(expvar.Map).Init(), refused: new(expvar.Map).Init(), latency: new(expvar.Map).Init(), unread: new(expvar.Map).Init(), stages: new(expvar.Map).Init(), continued: new(expvar.Map).Init(), takenUp: new(expvar.Map).Init(), limits: new(expvar.Map).Init()}
+	m := &Metrics{finished: new(expvar.Map).Init(), refused: new(expvar.Map).Init(), latency: new(expvar.Map).Init(), unread: new(expvar.Map).Init(), stages: new(expvar.Map).Init(), continued: new(expvar.Map).Init(), takenUp: new(expvar.Map).Init(), limits: new(expvar.Map).Init(), ramps: new(expvar.Map).Init()}
 	if publish {
 		expvar.Publish("requests_finished", m.finished)
 		expvar.Publish("requests_refused", m.refused)
@@ -38,6 +40,7 @@
 		expvar.Publish("streams_continued", m.continued)
 		expvar.Publish("streams_taken_up", m.takenUp)
 		expvar.Publish("upstream_limits", m.limits)
+		expvar.Publish("upstream_ramps", m.ramps)
 	}
 	return m
 }
--- a/gateway/run.go
+++ b/gateway/run.go
@@ -57,14 +57,22 @@
 			return
 		}
 		choice, ok := c.g.Picker.Pick(c.query(), c.upstreams())
-		if !ok && (c.awaitRoom(ctx) || c.awaitReachable(ctx)) {
+		beyondRamp := false
+		if !ok && c.awaitRoom(ctx) {
+			continue
+		}
+		if !ok {
+			choice, ok = c.pickBeyondRamps()
+			beyondRamp = ok
+		}
+		if !ok && c.awaitReachable(ctx) {
 			continue
 		}
 		if !ok {
 			c.giveUp(ctx, c.noUpstreamReason())
 			return
 		}
-		if !choice.Upstream.Open(c.g.Clock.Now(), random()) {
+		if !c.open(choice.Upstream, beyondRamp) {
 			continue // others took its room meanwhile
 		}
 		if c.sends > c.unsent && !c.takeRetry() {
@@ -228,6 +236,7 @@
 	if unreachable {
 		u.RecordUnreachable(now)
 		u.Throttle.Failed(now, random())
+		c.armRamp(u, now)
 		return
 	}
 	u.RecordFailure(now)
--- a/gateway/send.go
+++ b/gateway/send.go
@@ -75,6 +75,11 @@
 		return res
 	}
 	c.g.Picker.Observe(c.query(), u)
+	if resp.Status >= 500 {
+		u.Throttle.Refused(c.g.Clock.Now())
+	} else if !resp.IsEventStream {
+		c.observeAnswer(u)
+	}
 	if resp.IsEventStream && resp.Status < 300 {
 		return c.forwardStream(ctx, u, resp, monitor, markAnswered)
 	}
@@ -167,6 +172,9 @@
 		return notRun, true // nothing is wrong with the upstream
 	}
 	c.recordFailure(u, resp.AddressReassigned)
+	if !resp.AddressReassigned {
+		u.Throttle.Refused(c.g.Clock.Now())
+	}
 	if !resp.AddressReassigned && u.Throttle.Brittle() {
 		u.Throttle.Rejected(c.g.Senders(), c.g.Clock.Now(), random())
 	}
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -29,6 +29,7 @@
 		if first {
 			now := c.g.Clock.Now()
 			u.RecordResponseStart(now-c.lastSentAt, now)
+			c.observeAnswer(u)
 			c.recordStreamBegin(u, resp)
 			c.g.Quarantine.AnswerBegun(c.partIDs)
 		}
--- a/placement/picker.go
+++ b/placement/picker.go
@@ -46,7 +46,7 @@
 	for _, lastResort := range []bool{false, true} {
 		affinity := p.affinityUpstream(r, upstreams)
 		for _, u := range upstreams {
-			if r.wasTried(u) || !u.Accepts(r.Now) || !u.HasRoom(r.Now) || u.InBackoff(r.Now) != lastResort {
+			if r.wasTried(u) || !u.Accepts(r.Now) || !u.HasRoomFor(r.BeyondRamps, r.Now) || u.InBackoff(r.Now) != lastResort {
 				continue
 			}
 			best.Candidates++
@@ -83,7 +83,7 @@
 	var chosen *directory.Upstream
 	var topRank uint64
 	for _, u := range upstreams {
-		if !fleetWide && u.DataCentre != r.DataCentre || !u.Accepts(r.Now) || !u.HasRoom(r.Now) || u.InBackoff(r.Now) || u.StaleUntil != 0 {
+		if !fleetWide && u.DataCentre != r.DataCentre || !u.Accepts(r.Now) || !u.HasRoomFor(r.BeyondRamps, r.Now) || u.InBackoff(r.Now) || u.StaleUntil != 0 {
 			continue
 		}
 		if rank := xxhash.Sum64String(key + "\x00" + u.ID); chosen == nil || rank > topRank {
--- a/placement/request.go
+++ b/placement/request.go
@@ -23,6 +23,8 @@
 	Prefix []PromptPart
 	// Tried are the upstreams that the request was already sent to.
 	Tried []*directory.Upstream
+	// BeyondRamps is set if no upstream has room, so that ramps don't limit the request.
+	BeyondRamps bool
 }
 
 // shared returns the parts that other requests may share.
--- a/throttle/limiter.go
+++ b/throttle/limiter.go
@@ -150,20 +150,25 @@
 		return true
 	}
 	defer l.unlock()
-	return l.allows(open, now)
+	return l.allows(open, now) && l.ramp.allows(open, now)
 }
 
+// allows reports whether another request may be opened as far as it doesn't depend on the ramp.
 func (l *Limiter) allows(open int, now time.Duration) bool {
 	l.window.expire(now)
 	if !l.window.allows(open, now) || l.pace.wait(now) > 0 {
 		l.ramp.deniedElsewhere()
 		return false
 	}
-	return l.ramp.allows(open, now)
+	return true
 }
 
 // TryOpen is like Allows and records that the request is opened; random is a number from 0 to 1.
 func (l *Limiter) TryOpen(open int, now time.Duration, random float64) bool {
+	return l.tryOpen(open, now, random, false)
+}
+
+func (l *Limiter) tryOpen(open int, now time.Duration, random float64, beyondRamp bool) bool {
 	if !l.allowsUnheard(open) {
 		return false
 	}
@@ -171,7 +176,7 @@
 		return true
 	}
 	defer l.unlock()
-	if !l.allows(open, now) {
+	if !l.allows(open, now) || !l.ramp.allows(open, now) && !beyondRamp {
 		return false
 	}
 	l.window.delayNext(now, 0.5+random)
--- a/throttle/ramp.go
+++ b/throttle/ramp.go
@@ -230,7 +230,7 @@
 // take records that a request is opened beside the given number of open ones; random is a number from 0 to 1.
 func (r *ramp) take(open int, random float64) {
 	if whole, _ := r.room(); r.active() && open >= whole {
-		r.credit -= 0.5 + random
+		r.credit = max(-1, r.credit-0.5-random)
 	}
 }
 
--- a/throttle/ramplimiter.go
+++ b/throttle/ramplimiter.go
@@ -45,6 +45,23 @@
 // Ramping reports whether a ramp is in force, or will be once the upstream answers.
 func (l *Limiter) Ramping() bool { return l.ramping.begun.Load() }
 
+// AllowsBeyondRamp is like Allows for a request that no other upstream can take.
+func (l *Limiter) AllowsBeyondRamp(open int, now time.Duration) bool {
+	if !l.allowsUnheard(open) {
+		return false
+	}
+	if !l.lock() {
+		return true
+	}
+	defer l.unlock()
+	return l.allows(open, now)
+}
+
+// OpenBeyondRamp is like TryOpen for a request that no other upstream can take.
+func (l *Limiter) OpenBeyondRamp(open int, now time.Duration, random float64) bool {
+	return l.tryOpen(open, now, random, true)
+}
+
 // lockRamp locks the limiter if a ramp is in force or to be reported; the result is false otherwise.
 func (l *Limiter) lockRamp() bool {
 	if !l.ramping.pending.Load() {
