--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -40,7 +40,7 @@
 		expvar.Publish("streams_continued", m.continued)
 		expvar.Publish("streams_taken_up", m.takenUp)
 		expvar.Publish("upstream_limits", m.limits)
-		expvar.Publish("upstream_ramps", m.ramps)
+		expvar.Publish(metricRamps, m.ramps)
 	}
 	return m
 }
--- a/node/metrics_test.go
+++ b/node/metrics_test.go
@@ -7,6 +7,8 @@
 	"testing"
 
 	"github.com/matryer/is"
+
+	"lavenderpin.dev/lavenderpin/gateway"
 )
 
 const metricsPath = "../docs/METRICS.md"
@@ -32,5 +34,9 @@
 	for _, entry := range metrics {
 		fmt.Fprintf(&text, "| `%s` | %s |\n", entry.name, entry.description)
 	}
+	text.WriteString("\nNodes on the platform (`lavenderedge`) publish these beside those that OPERATIONS.md names:\n\n| Metric | Meaning |\n|---|---|\n")
+	for _, doc := range gateway.MetricDocs {
+		fmt.Fprintf(&text, "| `%s` | %s |\n", doc.Name, doc.Meaning)
+	}
 	return text.String()
 }
