--- a/edgenode/node.go
+++ b/edgenode/node.go
@@ -40,8 +40,8 @@
 	lender    *lending.Lender
 	announcer *announcer
 	origins   *streamorigin.Registry
-	// rampedServices are the services whose upstreams are ramped up, by name.
-	rampedServices atomic.Pointer[map[string]rampedService]
+	// ramps is what the node knows for the start of ramps; nil until the first pass over the upstreams.
+	ramps atomic.Pointer[rampView]
 
 	quarantine *quarantine.Guard
 	// spreader tells other nodes; nil if nothing does.
--- a/edgenode/ramps.go
+++ b/edgenode/ramps.go
@@ -25,17 +25,28 @@
 	usual, wait time.Duration
 }
 
+// rampView is what this node knows for the start of ramps, as of the last pass over the upstreams.
+type rampView struct {
+	// services holds those whose upstreams are ramped up, by name, parts this node's part in each of their data centres.
+	services map[string]rampedService
+	parts    map[string]throttle.Part
+}
+
 // rampStart tells whether an upstream is ramped up once it has started or recovered, and with what.
 func (n *Node) rampStart(e directory.Entry) (throttle.RampStart, bool) {
-	known := n.rampedServices.Load()
-	if known == nil {
+	view := n.ramps.Load()
+	if view == nil {
 		return throttle.RampStart{}, false
 	}
-	service, ok := (*known)[e.Service]
+	service, ok := view.services[e.Service]
 	if !ok {
 		return throttle.RampStart{}, false
 	}
-	start := throttle.RampStart{Slots: e.Slots, Part: n.rampPart(e.DataCentre), Warmup: e.Warmup, Usual: service.usual, UsualWait: service.wait}
+	part, ok := view.parts[e.DataCentre]
+	if !ok {
+		part = n.rampPart(e.DataCentre)
+	}
+	start := throttle.RampStart{Slots: e.Slots, Part: part, Warmup: e.Warmup, Usual: service.usual, UsualWait: service.wait}
 	if start.Usual == 0 {
 		start.Usual = unknownPlainTime
 		if n.isEngine(e.Service) {
@@ -61,28 +72,29 @@
 	periodic.Run(ctx, clockwork.NewRealClock(), limitInterval, func(context.Context) { n.adjustRamps(n.deps.Clock.Now()) })
 }
 
+// adjustRamps works out the node's part once for each data centre: a part is a pass over all nodes' records, and
+// thousands of upstreams may start at once.
 func (n *Node) adjustRamps(now time.Duration) {
-	snapshot, services := n.directory.Current(), make(map[string]rampedService)
-	parts := make(map[string]throttle.Part)
+	snapshot, view := n.directory.Current(), &rampView{make(map[string]rampedService), make(map[string]throttle.Part)}
 	for _, name := range snapshot.Services() {
 		upstreams := snapshot.Upstreams(name)
 		service, enabled := n.rampsOf(name, upstreams)
 		if enabled {
-			services[name] = service
+			view.services[name] = service
 		}
 		for _, u := range upstreams {
-			if u.Throttle.Ramping() {
-				if _, ok := parts[u.DataCentre]; !ok {
-					parts[u.DataCentre] = n.rampPart(u.DataCentre)
+			if enabled {
+				if _, ok := view.parts[u.DataCentre]; !ok {
+					view.parts[u.DataCentre] = n.rampPart(u.DataCentre)
 				}
-				u.Throttle.AdjustRamp(parts[u.DataCentre], now)
+				u.Throttle.AdjustRamp(view.parts[u.DataCentre], now)
 			}
 			if report, ok := u.Throttle.TakeRampReport(now); ok {
 				n.recordRamp(u, report)
 			}
 		}
 	}
-	n.rampedServices.Store(&services)
+	n.ramps.Store(view)
 }
 
 // rampsOf reports whether the upstreams of a service are ramped up, since the configuration says so or since one
