--- a/cmd/lavenderedge/run.go
+++ b/cmd/lavenderedge/run.go
@@ -191,6 +191,7 @@
 	p.publish("path_changes", expvar.Func(func() any { return p.paths.Metrics().Values() }))
 	p.publish("upstream_limit_per_second", expvar.Func(func() any { return node.LimitedUpstreams() }))
 	p.publish("evacuated_data_centres", expvar.Func(func() any { return node.EvacuatedDataCentres() }))
+	p.publish(gateway.MetricRamping, expvar.Func(func() any { return node.RampingUpstreams() }))
 	p.publish("upstream_contact", expvar.Func(func() any { return node.UpstreamContact() }))
 	p.publish("quarantine", expvar.Func(func() any { return node.Quarantine().Counts() }))
 	go delay.Run(ctx)
--- a/directory/evacuation.go
+++ b/directory/evacuation.go
@@ -35,6 +35,7 @@
 		if u.DataCentre == dataCentre {
 			duration, _ := t.Warmup.Warmup(u.Service)
 			t.cool(u, duration)
+			t.beginRamp(u)
 		}
 	}
 }
--- a/directory/table.go
+++ b/directory/table.go
@@ -36,6 +36,9 @@
 	// Warmup tells how requests to cold upstreams are limited; nil if they aren't. It must not be changed once the
 	// table is in use.
 	Warmup WarmupPolicy
+	// Ramp tells which upstreams that started are ramped up; nil if none is. It must not be changed once the table is
+	// in use.
+	Ramp RampPolicy
 
 	clock bootclock.Clock
 
@@ -147,6 +150,9 @@
 	if u.Stats != nil && (known == nil || u.Stats != known.Stats) && t.FirstOpen != nil {
 		u.Throttle.AwaitAnswer(t.FirstOpen(e.Slots))
 	}
+	if known == nil || replaced && e.isRestart(known.Entry) {
+		t.beginRamp(u)
+	}
 	t.addVersion(u)
 	if exists {
 		t.removeVersion(old)
--- a/directory/warmup.go
+++ b/directory/warmup.go
@@ -48,5 +48,7 @@
 	}
 }
 
-// IsCold reports whether the upstream is cold, by its entry or since its data centre was evacuated.
-func (s *Stats) IsCold(now time.Duration) bool { return now < time.Duration(s.coldUntil.Load()) }
+// WarmupLeft returns how much longer the upstream is cold, by its entry or since its data centre was evacuated.
+func (s *Stats) WarmupLeft(now time.Duration) time.Duration {
+	return max(0, time.Duration(s.coldUntil.Load())-now)
+}
--- a/edgenode/evacuations.go
+++ b/edgenode/evacuations.go
@@ -39,10 +39,10 @@
 	added, removed := e.node.directory.SetEvacuated(next)
 	e.dataCentres = next
 	for _, name := range added {
-		e.node.deps.Events.Record(event.DataCentreEvacuated, "data_centre", name, "evacuated", true)
+		e.node.deps.Events.Record(event.Evacuation, "data_centre", name, "evacuated", true)
 	}
 	for _, name := range removed {
-		e.node.deps.Events.Record(event.DataCentreEvacuated, "data_centre", name, "evacuated", false)
+		e.node.deps.Events.Record(event.Evacuation, "data_centre", name, "evacuated", false)
 	}
 }
 
--- a/edgenode/node.go
+++ b/edgenode/node.go
@@ -40,6 +40,8 @@
 	lender    *lending.Lender
 	announcer *announcer
 	origins   *streamorigin.Registry
+	// ramps is what the node knows for the start of ramps; nil until the first pass over the upstreams.
+	ramps atomic.Pointer[rampView]
 
 	quarantine *quarantine.Guard
 	// spreader tells other nodes; nil if nothing does.
@@ -78,8 +80,12 @@
 	if settings.Capacity < smallCapacity {
 		periodic.Sleep(ctx, rand.N(maxSmallStartDelay))
 	}
+	clocks := prepaid.Clocks{Boot: deps.Clock, Wall: deps.WallClock}
+	holder := prepaid.Holder{Node: settings.Node, Region: settings.Region, Capacity: settings.Capacity, Incarnation: settings.Incarnation, BootID: settings.Start.BootID, Listed: n.isListed}
+	n.share = prepaid.NewShare(prepaid.DefaultSettings(), clocks, holder)
 	n.directory.FirstOpen = n.firstOpen
 	n.directory.Warmup = (*warmupPolicy)(n)
+	n.directory.Ramp = n.rampStart
 	n.origins = n.newOrigins()
 	n.quarantine, n.spreader = n.newQuarantine()
 	loopsCtx, stop := context.WithCancel(context.WithoutCancel(ctx))
@@ -91,9 +97,6 @@
 	presenceOptions := presenceReadOptions
 	presenceOptions.ExtraPause = n.presenceExtraPause
 	n.startFollower(loopsCtx, deps.Topics.Presence, &presenceHandler{node: n, monitor: n.newReadMonitor("presence")}, presenceOptions)
-	clocks := prepaid.Clocks{Boot: deps.Clock, Wall: deps.WallClock}
-	holder := prepaid.Holder{Node: settings.Node, Region: settings.Region, Capacity: settings.Capacity, Incarnation: settings.Incarnation, BootID: settings.Start.BootID, Listed: n.isListed}
-	n.share = prepaid.NewShare(prepaid.DefaultSettings(), clocks, holder)
 	n.announcer = &announcer{node: n}
 	n.grants = allotment.NewGrantHandler(n.share, settings.Node, deps.Events)
 	n.lender = lending.NewLender(n.share, deps.Clock, n.report)
@@ -104,7 +107,7 @@
 		Picker: picker,
 		Share:  n.share, Upstreams: deps.Upstreams, Events: deps.Events, Metrics: deps.Metrics, Origins: n.origins, Quarantine: n.quarantine,
 		Borrower:    lending.NewBorrower(deps.Lending, deps.Clock, settings.Incarnation, n.lenders),
-		AwaitTokens: n.awaitTokens, ReportUsage: n.report, LiveNodes: n.nodeCount, Senders: n.senders, SendPart: n.sendPart, AwaitReachable: n.awaitReachable, Lag: deps.Lag, LinkDelay: deps.LinkDelay, RetryLimits: settings.Repeats,
+		AwaitTokens: n.awaitTokens, ReportUsage: n.report, LiveNodes: n.nodeCount, Senders: n.senders, SendPart: n.sendPart, RampStart: n.rampStart, AwaitReachable: n.awaitReachable, Lag: deps.Lag, LinkDelay: deps.LinkDelay, RetryLimits: settings.Repeats,
 		DataCentre: settings.DataCentre, Region: settings.Region, Regions: settings.Regions,
 	})
 	grantOptions := grantReadOptions
@@ -113,6 +116,7 @@
 	n.startLoop(loopsCtx, n.expireLoans)
 	n.startLoop(loopsCtx, n.watchContact)
 	n.startLoop(loopsCtx, n.adjustLimits)
+	n.startLoop(loopsCtx, n.watchRamps)
 	if deps.Paths != nil {
 		n.startLoop(loopsCtx, func(ctx context.Context) { deps.Paths.Run(ctx, (*pathNode)(n)) })
 	}
--- a/placement/picker_test.go
+++ b/placement/picker_test.go
@@ -7,7 +7,9 @@
 
 	"github.com/matryer/is"
 
+	"lavenderpin.dev/lavenderpin/bootclock"
 	"lavenderpin.dev/lavenderpin/directory"
+	"lavenderpin.dev/lavenderpin/throttle"
 )
 
 var regions = map[string]string{"a": "east", "b": "east", "c": "west"}
@@ -174,3 +176,33 @@
 		p.Pick(r, list)
 	}
 }
+
+// Guards against leaving an upstream idle for its whole warm-up although a ramp limits what it gets, or for what it
+// reported of its load seconds ago; and against a changed choice where there are no ramps.
+func TestRampReplacesWarmupPenalty(t *testing.T) {
+	is := is.New(t)
+	cold, other := coldSince("cold", time.Hour), upstream("other", "a")
+	cold.ObserveLoad(4, 9, time.Hour-rampLoadTTL-1)
+	other.ObserveLoad(1, 0, time.Hour)
+	list, p := []*directory.Upstream{cold, other}, NewPicker(DefaultSettings(), regions)
+	is.Equal(mustPick(t, p, newRequest("a"), list).ID, "other")
+	cold.Throttle.BeginRamp(throttle.RampStart{Slots: 4, Part: throttle.Part{Share: 4, Senders: 1}}, time.Hour, 0)
+	is.Equal(mustPick(t, p, newRequest("a"), list).ID, "cold")
+
+	cold = coldSince("cold", time.Hour-time.Second)
+	list[0] = cold
+	is.Equal(mustPick(t, p, newRequest("a"), list).ID, "other")
+	cold.Throttle.SetRampConfigured(true)
+	is.Equal(mustPick(t, p, newRequest("a"), list).ID, "cold")
+}
+
+// coldSince returns an upstream whose entry was read at a time and says that it is cold for a second.
+func coldSince(id string, at time.Duration) *directory.Upstream {
+	clock := &bootclock.Fake{}
+	clock.Advance(at)
+	table := directory.NewTable(clock)
+	entry := upstream(id, "a").Entry
+	entry.Warmup = time.Second
+	table.Put(entry)
+	return table.Current().Upstreams(entry.Service)[0]
+}
--- a/throttle/doc.go
+++ b/throttle/doc.go
@@ -14,4 +14,7 @@
 // within a second is lost, so that the turns of many nodes are not kept for the same moment. What one node
 // doesn't know of the others costs no messages, and they together keep to the rate. The same holds for an upstream
 // that is cold: the configuration names how many requests a second it takes until it is warm.
+//
+// An upstream that started or recovered is ramped up where that is enabled: the nodes together may have a part of its
+// slots open, each its share. The part grows while answers begin on time and report no queue, and shrinks otherwise.
 package throttle
--- a/throttle/limiter.go
+++ b/throttle/limiter.go
@@ -19,6 +19,9 @@
 	window window
 	pace   pace
 	warmup warmup
+	ramp   ramp
+
+	ramping rampSwitch
 }
 
 // AwaitAnswer limits the open requests until the upstream's first answer. What it says of itself is not known until
@@ -49,7 +52,8 @@
 
 // unlock must be called after each change.
 func (l *Limiter) unlock() {
-	l.active.Store(l.window.active || l.pace.limited || l.warmup.limited)
+	l.ramping.begun.Store(l.ramp.active())
+	l.active.Store(l.window.active || l.pace.limited || l.warmup.limited || l.ramp.active())
 	l.mu.Unlock()
 }
 
@@ -156,17 +160,26 @@
 		return true
 	}
 	defer l.unlock()
-	return l.allows(open, now)
+	return l.allows(open, now) && l.ramp.allows(open, now)
 }
 
+// allows reports whether another request may be opened as far as it doesn't depend on the ramp.
 func (l *Limiter) allows(open int, now time.Duration) bool {
 	l.window.expire(now)
 	l.warmup.expire(now)
-	return l.window.allows(open, now) && l.pace.wait(now) == 0 && l.warmup.wait(now) == 0
+	if !l.window.allows(open, now) || l.pace.wait(now) > 0 || l.warmup.wait(now) > 0 {
+		l.ramp.deniedElsewhere()
+		return false
+	}
+	return true
 }
 
 // TryOpen is like Allows and records that the request is opened; random is a number from 0 to 1.
 func (l *Limiter) TryOpen(open int, now time.Duration, random float64) bool {
+	return l.tryOpen(open, now, random, false)
+}
+
+func (l *Limiter) tryOpen(open int, now time.Duration, random float64, beyondRamp bool) bool {
 	if !l.allowsUnheard(open) {
 		return false
 	}
@@ -174,12 +187,13 @@
 		return true
 	}
 	defer l.unlock()
-	if !l.allows(open, now) {
+	if !l.allows(open, now) || !l.ramp.allows(open, now) && !beyondRamp {
 		return false
 	}
 	l.window.delayNext(now, 0.5+random)
 	l.pace.take(now)
 	l.warmup.take(now)
+	l.ramp.take(open, random)
 	return true
 }
 
@@ -204,6 +218,7 @@
 // Succeeded records that the upstream ran a request and what it said of its load. If no answer since the
 // request was sent said that the upstream is brittle, or named a limit, that holds no longer.
 func (l *Limiter) Succeeded(load Load, took, now time.Duration) {
+	l.finishRamp(took, now)
 	if l.lock() {
 		defer l.unlock()
 		l.window.succeeded(load, took, now)
