--- a/queuedelay/link.go
+++ b/queuedelay/link.go
@@ -59,6 +59,9 @@
 	return math.Float64frombits(l.in.Load()), math.Float64frombits(l.out.Load())
 }
 
+// Speed returns the link's speed in bytes per second, in each direction; zero if it isn't known.
+func (l *Link) Speed() float64 { return l.speed }
+
 // Use returns which part of the link's speed is used, in the direction that is used more; zero if the speed isn't known.
 func (l *Link) Use() float64 {
 	if l.speed == 0 {
--- a/queuedelay/listener.go
+++ b/queuedelay/listener.go
@@ -28,6 +28,8 @@
 	// reopened is closed once the listener is open again, or closed.
 	reopened chan struct{}
 	closed   bool
+	// receiveBuffer is the size of the receive buffer of accepted connections; 0 for the system's.
+	receiveBuffer int
 }
 
 // Listen opens a listener; listen opens its socket, now and whenever it is opened again.
@@ -95,11 +97,27 @@
 		return errors.Trace(err)
 	}
 	l.current = current
+	l.applyReceiveBuffer()
 	close(l.reopened)
 	l.reopened = make(chan struct{})
 	return nil
 }
 
+// SetReceiveBuffer sets the size in bytes of the receive buffer of connections that open from now on.
+func (l *Listener) SetReceiveBuffer(bytes int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.receiveBuffer = bytes
+	l.applyReceiveBuffer()
+}
+
+// applyReceiveBuffer sets the size on the open socket. The caller holds mu.
+func (l *Listener) applyReceiveBuffer() {
+	if l.current != nil && l.receiveBuffer > 0 {
+		_ = tcpconn.SetReceiveBuffer(l.current, l.receiveBuffer) // without a socket there is no buffer
+	}
+}
+
 // Close closes the listener for good.
 func (l *Listener) Close() error {
 	l.mu.Lock()
--- a/queuedelay/listener_test.go
+++ b/queuedelay/listener_test.go
@@ -66,6 +66,34 @@
 	is.True(errors.Is(l.Close(), net.ErrClosed))
 }
 
+// Guards against whole bodies that come unasked since the socket was opened again.
+func TestReceiveBufferOutlastsShutting(t *testing.T) {
+	is := is.New(t)
+	l, err := Listen(func() (net.Listener, error) { return tcpconn.Listen("127.0.0.1:0", tcpconn.CallerLimits) })
+	is.NoErr(err)
+	defer func() { _ = l.Close() }()
+	accepted := func() int {
+		c, err := net.Dial("tcp", l.Addr().String())
+		is.NoErr(err)
+		defer func() { _ = c.Close() }()
+		a, err := l.Accept()
+		is.NoErr(err)
+		defer func() { _ = a.Close() }()
+		return tcpconn.ReceiveBuffer(a)
+	}
+	const small, usual = 2048, 64 << 10
+	is.True(accepted() > small) // the system's
+	l.SetReceiveBuffer(small)
+	is.Equal(accepted(), small)
+	l.Shut()
+	is.NoErr(l.Open())
+	is.Equal(accepted(), small)
+	l.Shut()
+	l.SetReceiveBuffer(usual)
+	is.NoErr(l.Open())
+	is.Equal(accepted(), usual)
+}
+
 // Guards against a server that ends because its socket can't be opened again at once.
 func TestListenerThatCannotOpenIsTriedAgain(t *testing.T) {
 	is := is.New(t)
