--- a/edgenode/node.go
+++ b/edgenode/node.go
@@ -103,7 +103,7 @@
 		Picker: picker,
 		Share:  n.share, Upstreams: deps.Upstreams, Events: deps.Events, Metrics: deps.Metrics, Origins: n.origins, Quarantine: n.quarantine,
 		Borrower:    lending.NewBorrower(deps.Lending, deps.Clock, settings.Incarnation, n.lenders),
-		AwaitTokens: n.awaitTokens, ReportUsage: n.report, LiveNodes: n.nodeCount, Senders: n.senders, SendPart: n.sendPart, AwaitReachable: n.awaitReachable, Lag: deps.Lag, LinkDelay: deps.LinkDelay, RetryLimits: settings.Repeats,
+		AwaitTokens: n.awaitTokens, ReportUsage: n.report, LiveNodes: n.nodeCount, Senders: n.senders, SendPart: n.sendPart, AwaitReachable: n.awaitReachable, Lag: deps.Lag, LinkDelay: deps.LinkDelay, LinkAdmission: deps.LinkAdmission, LinkState: deps.LinkState, RetryLimits: settings.Repeats,
 		DataCentre: settings.DataCentre, Region: settings.Region,
 	})
 	grantOptions := grantReadOptions
@@ -178,7 +178,7 @@
 	included := false
 	for i := range live {
 		if live[i].Node == n.settings.Node {
-			live[i].Ready, live[i].PathsLost = n.Ready(), n.pathsLost()
+			live[i].Ready, live[i].PathsLost, live[i].Crowded = n.Ready(), n.pathsLost(), n.isCrowded()
 			included = true
 		}
 	}
@@ -200,5 +200,8 @@
 func (n *Node) presenceRecord() presence.Record {
 	return presence.Record{Node: n.settings.Node, Incarnation: n.settings.Incarnation, Address: n.settings.Address, PeerAddress: n.settings.Peer,
 		DataCentre: n.settings.DataCentre, Region: n.settings.Region, Capacity: n.settings.Capacity, StoreWriteMs: n.storeLatencyMs(),
-		Ready: n.Ready(), Leaving: n.leaving.Load(), PathsLost: n.pathsLost()}
+		Ready: n.Ready(), Leaving: n.leaving.Load(), PathsLost: n.pathsLost(), Crowded: n.isCrowded()}
 }
+
+// isCrowded reports whether callers ask more of this node than it carries.
+func (n *Node) isCrowded() bool { return n.deps.Crowded != nil && n.deps.Crowded() }
--- a/presence/addresses.go
+++ b/presence/addresses.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 
 	"lavenderpin.dev/lavenderpin/reach"
 )
@@ -20,7 +21,7 @@
 // Small instances are named only if there are few large ones, and only as many as are missing. One
 // caller may send a hundred requests a second to the address it picked, which an instance with a
 // tenth of the link cannot carry: its callers would wait until their deadlines while large
-// instances idle.
+// instances idle. Crowded instances are named last, and left out first.
 func Addresses(live []Record, region string) []string {
 	candidates := readyRecords(live, func(r Record) bool { return r.Region == region })
 	if len(candidates) == 0 {
@@ -28,8 +29,10 @@
 	}
 	candidates = preferDirect(candidates)
 	rand.Shuffle(len(candidates), func(i, j int) { candidates[i], candidates[j] = candidates[j], candidates[i] })
+	crowdedLast(candidates)
 	large, small := splitBySize(candidates)
 	named := append(large[:min(len(large), maxAddresses)], small[:min(len(small), max(0, minAddresses-len(large)))]...)
+	crowdedLast(named)
 	var addresses []string
 	for _, r := range named {
 		addresses = append(addresses, r.Address)
@@ -37,6 +40,20 @@
 	return addresses
 }
 
+// crowdedLast moves crowded nodes behind the others.
+func crowdedLast(records []Record) {
+	slices.SortStableFunc(records, func(a, b Record) int {
+		switch {
+		case a.Crowded == b.Crowded:
+			return 0
+		case b.Crowded:
+			return -1
+		default:
+			return 1
+		}
+	})
+}
+
 // preferDirect leaves out the nodes that have lost their paths to upstreams if the others suffice.
 func preferDirect(records []Record) []Record {
 	var direct []Record
--- a/presence/record.go
+++ b/presence/record.go
@@ -23,6 +23,8 @@
 	IntervalMs int64 `json:"e,omitempty"`
 	// PathsLost reports that the node reaches most upstreams only through other nodes.
 	PathsLost bool `json:"x,omitempty"`
+	// Crowded reports that callers ask more of the node than its link or processor carries.
+	Crowded bool `json:"cr,omitempty"`
 	// Leaving reports that the node is finishing its requests before it stops.
 	Leaving bool `json:"l,omitempty"`
 }
--- a/presence/roster_test.go
+++ b/presence/roster_test.go
@@ -209,3 +209,22 @@
 	alone.PathsLost = true
 	is.Equal(Addresses([]Record{alone, far}, "r"), []string{"alone:1"}) // relaying costs less than the other region
 }
+
+// Guards against callers that are sent to a crowded node while others are free, and to nowhere if all are crowded.
+func TestCrowdedNodesAreNamedLast(t *testing.T) {
+	is := is.New(t)
+	var live []Record
+	for i := range maxAddresses + 2 {
+		live = append(live, record(fmt.Sprintf("n%d", i), 100))
+		live[i].Crowded = i < 3
+	}
+	named := Addresses(live, "r")
+	is.Equal(len(named), maxAddresses)
+	for i, address := range named { // two of the three are left out
+		isCrowded := slices.Contains([]string{"n0:1", "n1:1", "n2:1"}, address)
+		is.Equal(isCrowded, i == maxAddresses-1)
+	}
+	is.Equal(len(Addresses(live[:3], "r")), 3)
+	live[3].Capacity, live[4].Capacity = 20, 20 // small
+	is.Equal(Addresses(live[2:4], "r"), []string{"n3:1", "n2:1"})
+}
