platform, lavenderedge: refuse before the body is read if settings ask for it

Settings: guarantees with pressure, or refuseWhenCrowded. The connection of a refused request is taken from the HTTP server, which would read the body after the response; it stays open for a second, unread, so that the caller isn't reset before it has the response.

--- a/cmd/lavenderedge/delay.go
+++ b/cmd/lavenderedge/delay.go
@@ -37,6 +37,9 @@
 		g.Monitor, g.Listener = m, l
 		p.guard.Store(g)
 		p.publish("connections_refused", g.Metrics())
+		if p.crowding != nil {
+			go p.crowding.run(ctx, l)
+		}
 		go func() {
 			defer close(g.stopped)
 			g.Run(ctx)
--- a/cmd/lavenderedge/run.go
+++ b/cmd/lavenderedge/run.go
@@ -81,6 +81,8 @@
 	meter   tcpconn.Meter
 	callers *callerConns
 	guard   atomic.Pointer[callerGuard]
+	// crowding is nil unless the settings have the node refuse requests while it is crowded.
+	crowding *crowding
 	// endRequests cancels the contexts of all open requests.
 	endRequests context.CancelCauseFunc
 }
@@ -167,16 +169,17 @@
 	go lag.Run(ctx)
 	delay := p.newDelayMonitor(dial)
 	p.upstreams = platform.NewUpstreamClient(p.clock, p.paths.Dial, func() { dials.Add(1) })
+	p.crowding = p.newCrowding(delay, lag.Lag)
 	node, err := edgenode.Start(startCtx, edgenode.Settings{
 		Node: p.settings.Node, Incarnation: incarnation, Start: start,
 		Address: p.settings.Frontend, Peer: p.peerAddress(), Capacity: capacityPercent(p.settings.Limits), DataCentre: p.settings.DataCentre, Region: p.settings.Region, Regions: p.settings.Regions,
 		Repeats: repeats.Limits{Ratio: p.settings.Bounds.RetryBudgetRatio, Extra: p.settings.Bounds.RetryBudgetExtra, Window: p.settings.Bounds.RetryBudgetWindow},
-	}, edgenode.Deps{
+	}, p.crowding.addTo(edgenode.Deps{
 		Clock: p.clock, WallClock: p.clocks().Wall, Upstreams: p.upstreams, Paths: p.paths, Lag: lag.Lag, LinkDelay: delay.OwnDelay, Lending: &lending.Client{Wire: p.peerClient}, Peers: &peerfetch.Client{HTTP: p.peerClient}, Origins: &streamorigin.Client{HTTP: p.peerClient}, Crashes: &quarantine.Client{HTTP: p.peerClient}, Events: p.events, Metrics: gateway.NewMetrics(p.publishMetrics),
 		Topics: edgenode.Topics{Operators: store.Operators(), Upstreams: store.Upstreams(), Presence: store.Topic("presence"), Streams: store.Topic(streamorigin.TopicName), Crashes: store.Topic(quarantine.CrashesTopicName), Blocks: store.Topic(quarantine.BlocksTopicName),
 			Spend: allotment.NewPartitions(store.Partitions("spend", p.settings.Store.Partitions), p.settings.Store.WritablePartitions()), Ledger: store.Topic("ledger"), Grants: store.Topic("grants")},
 		DecodeConfig: platform.DecodeConfig, DecodeUpstream: platform.DecodeUpstream,
-	})
+	}))
 	if err != nil {
 		return errors.Trace(err)
 	}
