--- a/linkload/admission.go
+++ b/linkload/admission.go
@@ -47,7 +47,7 @@
 	// fairBytes are those admitted for minimum shares.
 	fairBytes rate
 	fairness  fairness
-	// scale multiplies the budget; it follows the delay.
+	// scale multiplies the capacity; it falls while the delay persists.
 	scale     float64
 	steppedAt time.Duration
 	crowded   bool
