--- a/event/node.go
+++ b/event/node.go
@@ -18,6 +18,7 @@
 	// ConnectionsRefused and ListenFailed are of the listener for callers.
 	ConnectionsRefused Number = 114
 	ListenFailed       Number = 115
+	LinkCrowded        Number = 116
 )
 
 var nodeKinds = map[Number]Kind{
@@ -31,6 +32,7 @@
 	ExchangesLate:      {"ExchangesLate", "Since the last such line, this many exchanges with other nodes waited long on the link or in this process; in_kb, out_kb are the kilobytes a second that the node receives and sends, link_percent is how much of the link's speed is used. It is written at most once a second."},
 	ConnectionsRefused: {"ConnectionsRefused", "New connections of callers are refused for a moment, since what callers send queues on the instance's link; times and shut_ms count since the start. It is written at most once a second."},
 	ListenFailed:       {"ListenFailed", "The listener for callers couldn't be opened again; it is tried again at once."},
+	LinkCrowded:        {"LinkCrowded", "Callers began to ask for more than the instance's link carries (crowded=true), or ask for less again; while they do, requests that use much of it are refused by their headers (402 with code 5013)."},
 	LinkBusy:           {"LinkBusy", "Much of the instance's link is used, in one direction at least; it is written at most once a second."},
 	SettingsRead:       {"SettingsRead", "The settings were reloaded; each changed setting is in force or named."},
 	MetricsAbsent:      {"MetricsAbsent", "The metrics can't be served on their configured address; the node still serves callers."},
