--- a/directory/stats.go
+++ b/directory/stats.go
@@ -41,9 +41,7 @@
 	successor atomic.Pointer[successor]
 
 	mu                     sync.Mutex
-	running                int
-	waiting                int
-	loadAt                 time.Duration
+	load                   Load
 	failureScore           float64
 	failureAt              time.Duration
 	backoffUntil           time.Duration
@@ -57,27 +55,6 @@
 	responseWait, responseStartedAt time.Duration
 }
 
-// Load is the last load that an upstream reported.
-type Load struct {
-	Running, Waiting int
-	// At is the boot clock time of the report; zero if there was none.
-	At time.Duration
-}
-
-// ObserveLoad stores the load that a response reported.
-func (s *Stats) ObserveLoad(running, waiting int, now time.Duration) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.running, s.waiting, s.loadAt = running, waiting, now
-}
-
-// Load returns the last reported load.
-func (s *Stats) Load() Load {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return Load{Running: s.running, Waiting: s.waiting, At: s.loadAt}
-}
-
 // RecordFailure counts a request that the upstream failed: an error, a malformed response or
 // silence.
 func (s *Stats) RecordFailure(now time.Duration) {
