Upstreams' relative speed: the mean time for an event or a plain request

Streams tell it by windows of 16 events, plain requests in the node's data centre by the time of a response without a queue, both corrected by the reported slow-down. Windows in which a slow caller held up delivery don't count.

--- a/directory/stats.go
+++ b/directory/stats.go
@@ -42,6 +42,7 @@
 
 	mu                     sync.Mutex
 	load                   Load
+	workTime               workTime
 	failureScore           float64
 	failureAt              time.Duration
 	backoffUntil           time.Duration
--- a/gateway/send.go
+++ b/gateway/send.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"time"
 
 	"lavenderpin.dev/lavenderpin/catalog"
 	"lavenderpin.dev/lavenderpin/directory"
@@ -78,7 +79,7 @@
 	if resp.IsEventStream && resp.Status < 300 {
 		return c.forwardStream(ctx, u, resp, monitor, markAnswered)
 	}
-	return c.forwardBuffered(ctx, u, resp)
+	return c.forwardBuffered(ctx, u, resp, connectedAt)
 }
 
 // recordAnnouncements records what a response says about the upstream itself.
@@ -179,8 +180,8 @@
 const maxBufferedBytes = 256 << 10
 
 // forwardBuffered reads the whole response before the caller sees any of it, so that a truncated
-// one can still be replaced.
-func (c *call) forwardBuffered(ctx context.Context, u *directory.Upstream, resp *Response) sendResult {
+// one can still be replaced. The request was written at connectedAt.
+func (c *call) forwardBuffered(ctx context.Context, u *directory.Upstream, resp *Response, connectedAt time.Duration) sendResult {
 	body, err := io.ReadAll(io.LimitReader(resp.Body, maxBufferedBytes))
 	if err == nil && len(body) == maxBufferedBytes {
 		return c.forwardLarge(u, resp, body)
@@ -208,6 +209,10 @@
 		return mayHaveRun
 	}
 	c.recordSuccess(u)
+	if c.service.Engine == nil && resp.Status < 300 && u.DataCentre == c.g.DataCentre { // to others, the network takes longer than the work
+		now := c.g.Clock.Now()
+		u.ObserveResponseTime(now-connectedAt, now)
+	}
 	c.g.Quarantine.AnswerBegun(c.partIDs)
 	c.possibleRuns++
 	c.outcome, c.succeeded = outcomeServed, resp.Status < 300
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -18,6 +18,8 @@
 		return mayHaveRun
 	}
 	events := eventstream.NewReader(http.MaxBytesReader(nil, io.NopCloser(resp.Body), maxResponseBytes))
+	pace := eventPace{}
+	defer func() { pace.record(u, c.stages[stageDeliver]) }()
 	for first := true; ; first = false {
 		e, err := events.Next()
 		if err == io.EOF {
@@ -35,6 +37,7 @@
 		markAnswered()
 		c.recordEventTime()
 		u.RecordReceived(c.lastEventAt)
+		pace.observe(u, c.lastEventAt, c.stages[stageDeliver])
 		monitor.rearm()
 		c.startResponse(resp)
 		if !c.forwardEvent(e, !events.Buffered()) {
