Uneven upstreams get work by their speed

Where upstreams report slow-downs, the delay of the work ahead is scaled by the fresh slow-down and by observed speed. So an excess over the mean, of requests there and of what this node placed relative to speed, costs more than nearness saves, and prompts with a popular shared part spill to the next upstream by rank. A small random delay keeps nodes with the same reports from sending to the same upstream.

Upstreams that report three figures are scored as before.

--- a/directory/stats.go
+++ b/directory/stats.go
@@ -43,6 +43,7 @@
 	mu                     sync.Mutex
 	load                   Load
 	workTime               workTime
+	placed                 placed
 	failureScore           float64
 	failureAt              time.Duration
 	backoffUntil           time.Duration
--- a/gateway/send.go
+++ b/gateway/send.go
@@ -39,6 +39,7 @@
 		c.stages[stageAdmit] = sentAt - c.r.Arrived - c.r.Unread - c.r.Turn
 	}
 	u.RecordSent(sentAt)
+	u.RecordPlaced(choice.Affinity, sentAt)
 	c.lastSentAt = sentAt
 	prompt := int64(choice.Uncached)
 	u.PromptInFlight.Add(prompt)
--- /dev/null
+++ b/placement/field.go
@@ -0,0 +1,123 @@
+package placement
+
+import (
+	"math"
+	"time"
+
+	"lavenderpin.dev/lavenderpin/directory"
+)
+
+const (
+	// reportFade is the time constant with which a report on other nodes' requests gives way to the mean of the service: most
+	// requests end within it.
+	reportFade = 1500 * time.Millisecond
+	// speedPrior is the number of observations of normal speed that an upstream starts with, so that the first ones don't
+	// move many requests at once.
+	speedPrior = 1
+	// minSpeed and maxSpeed bound the relative speed that is acted on.
+	minSpeed, maxSpeed = 0.25, 4
+)
+
+// field is what an upstream that reports slow-downs is compared with: the means over those of its service. The zero value
+// has none.
+type field struct {
+	// uneven reports that upstreams of the service report slow-downs; those that haven't reported yet count as such as well.
+	uneven bool
+	// speed is the mean observed speed, in units of work a nanosecond; zero if none was observed.
+	speed float64
+	// others is the mean number of other nodes' requests at an upstream, load that of all nodes' requests.
+	others, load float64
+	// affine is the mean number of requests that this node placed for shared parts of prompts, relative to speed; placed
+	// is that of all requests, by data centre.
+	affine float64
+	placed map[string]float64
+}
+
+// newField returns the means over the upstreams that may take requests.
+func newField(upstreams []*directory.Upstream, now time.Duration) field {
+	f := field{}
+	var speeds, reports, weights, own, count float64
+	for _, u := range upstreams {
+		load := u.Load()
+		if !load.ReportsSlowdown() || !u.Accepts(now) {
+			continue
+		}
+		f.uneven = true
+		if mean, n := u.WorkTime(); n > 0 {
+			f.speed += 1 / mean
+			speeds++
+		}
+		weight := reportWeight(&load, now)
+		reports += weight * othersReported(&load)
+		weights += weight
+		own += float64(u.InFlight.Load())
+		count++
+	}
+	if !f.uneven {
+		return f
+	}
+	if speeds > 0 {
+		f.speed /= speeds
+	}
+	if weights > 0 { // once all reports are old, they tell of no requests at all
+		f.others = reports / weights * min(1, weights)
+	}
+	f.load = f.others + own/count
+	f.addPlaced(upstreams, now)
+	return f
+}
+
+// addPlaced computes the means of what this node placed.
+func (f *field) addPlaced(upstreams []*directory.Upstream, now time.Duration) {
+	f.placed = make(map[string]float64)
+	speeds, total := make(map[string]float64), 0.0
+	for _, u := range upstreams {
+		if load := u.Load(); !f.applies(&load) || !u.Accepts(now) {
+			continue
+		}
+		all, affine := u.Placed(now)
+		speed := f.speedOf(u)
+		speeds[u.DataCentre] += speed
+		total += speed
+		f.placed[u.DataCentre] += all
+		f.affine += affine
+	}
+	for dc, speed := range speeds {
+		f.placed[dc] /= speed
+	}
+	f.affine /= total
+}
+
+// applies reports whether an upstream is compared with the field.
+func (f *field) applies(load *directory.Load) bool {
+	return load.ReportsSlowdown() || f.uneven && load.At == 0
+}
+
+// reportWeight returns how much a report still tells of other nodes' requests.
+func reportWeight(load *directory.Load, now time.Duration) float64 {
+	if load.At == 0 {
+		return 0
+	}
+	return math.Exp(-(now - load.At).Seconds() / reportFade.Seconds())
+}
+
+// othersReported returns how many requests of other nodes an upstream reported.
+func othersReported(load *directory.Load) float64 {
+	return float64(max(0, load.Running+load.Waiting-load.Own))
+}
+
+// othersAt estimates how many requests of other nodes an upstream has now.
+func (f *field) othersAt(load *directory.Load, now time.Duration) float64 {
+	weight := reportWeight(load, now)
+	return weight*othersReported(load) + (1-weight)*f.others
+}
+
+// speedOf returns the upstream's speed relative to the others of its service.
+func (f *field) speedOf(u *directory.Upstream) float64 {
+	mean, n := u.WorkTime()
+	if n == 0 || f.speed == 0 {
+		return 1
+	}
+	observed := min(maxSpeed, max(minSpeed, 1/(mean*f.speed)))
+	return (speedPrior + float64(n)*observed) / (speedPrior + float64(n))
+}
--- a/placement/picker.go
+++ b/placement/picker.go
@@ -1,6 +1,7 @@
 package placement
 
 import (
+	"math/rand/v2"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -17,11 +18,15 @@
 	// IsRelayed reports whether the upstream at an address is reached through another node; if it is
 	// nil, none is. It must not be changed once the picker is in use.
 	IsRelayed func(address string) bool
+	// Random returns a number from 0 to 1. It must not be changed once the picker is in use.
+	Random func() float64
+	fields fieldCache
+	parts  partTracker
 }
 
 // NewPicker returns a picker; regions maps each data centre to its region.
 func NewPicker(settings Settings, regions map[string]string) *Picker {
-	return &Picker{settings: settings, cache: NewCacheTracker(settings.CacheTTL), regions: regions}
+	return &Picker{settings: settings, cache: NewCacheTracker(settings.CacheTTL), regions: regions, Random: rand.Float64}
 }
 
 // PickResult is a chosen upstream, with the reasons for the choice for logs.
@@ -43,15 +48,16 @@
 // full never.
 func (p *Picker) Pick(r *Request, upstreams []*directory.Upstream) (PickResult, bool) {
 	best := PickResult{}
+	f := p.fieldOf(r, upstreams)
 	for _, lastResort := range []bool{false, true} {
-		affinity := p.affinityUpstream(r, upstreams)
+		affinity := p.affinityUpstream(r, upstreams, f)
 		for _, u := range upstreams {
 			if r.wasTried(u) || !u.Accepts(r.Now) || !u.HasRoom(r.Now) || u.InBackoff(r.Now) != lastResort {
 				continue
 			}
 			best.Candidates++
 			uncachedShared := p.uncachedShared(r, u, u == affinity)
-			if score := p.score(r, u, uncachedShared); best.Upstream == nil || score < best.Expected {
+			if score := p.score(r, u, uncachedShared, f); best.Upstream == nil || score < best.Expected {
 				best.Upstream, best.Expected = u, score
 				best.Uncached = r.PromptTokens - sharedTokens(r.shared()) + uncachedShared
 				best.UncachedShared, best.Affinity = uncachedShared, u == affinity
@@ -66,30 +72,42 @@
 
 // Observe records that an upstream has prefilled a request's prompt.
 func (p *Picker) Observe(r *Request, u *directory.Upstream) {
-	p.cache.Observe(u.ID, u.StartedAt, r.shared(), r.Now)
+	shared := r.shared()
+	p.cache.Observe(u.ID, u.StartedAt, shared, r.Now)
+	if len(shared) > 0 && u.ReportsSlowdown() {
+		p.parts.observe(shared[len(shared)-1].ID, r.Now)
+	}
 }
 
 // affinityUpstream returns the engine to which all nodes send a shared prompt, so that it is
 // cached on one engine without coordination. It is chosen by rendezvous hashing: when an engine
 // joins, leaves, pauses or takes no more requests, only its own prompts move. A long shared prompt has one affinity
 // upstream in the fleet, a short one has one in each data centre.
-func (p *Picker) affinityUpstream(r *Request, upstreams []*directory.Upstream) *directory.Upstream {
+func (p *Picker) affinityUpstream(r *Request, upstreams []*directory.Upstream, f *field) *directory.Upstream {
 	shared := r.shared()
 	if len(shared) == 0 {
 		return nil
 	}
 	fleetWide := sharedTokens(shared) >= p.settings.FleetAffinityTokens
 	key := shared[len(shared)-1].ID
-	var chosen *directory.Upstream
-	var topRank uint64
+	spills := f.uneven && p.parts.count(key, r.Now) > minSpillCount+spillPart*f.affine
+	var first, chosen *directory.Upstream
+	var firstRank, topRank uint64
 	for _, u := range upstreams {
 		if !fleetWide && u.DataCentre != r.DataCentre || !u.Accepts(r.Now) || !u.HasRoom(r.Now) || u.InBackoff(r.Now) || u.StaleUntil != 0 {
 			continue
 		}
-		if rank := xxhash.Sum64String(key + "\x00" + u.ID); chosen == nil || rank > topRank {
+		rank := xxhash.Sum64String(key + "\x00" + u.ID)
+		if first == nil || rank > firstRank {
+			first, firstRank = u, rank
+		}
+		if (chosen == nil || rank > topRank) && !(spills && f.affineFull(u, r.Now, p.Random())) {
 			chosen, topRank = u, rank
 		}
 	}
+	if chosen == nil {
+		return first
+	}
 	return chosen
 }
 
@@ -106,7 +124,7 @@
 // request of some hundred milliseconds loses a small part of the remaining seconds.
 const warmupDivisor = 8
 
-func (p *Picker) score(r *Request, u *directory.Upstream, uncachedShared int) time.Duration {
+func (p *Picker) score(r *Request, u *directory.Upstream, uncachedShared int, f *field) time.Duration {
 	s := &p.settings
 	score := time.Duration(u.FailureScore(r.Now) * float64(s.FailurePenalty))
 	switch {
@@ -123,18 +141,23 @@
 		score += s.SuspectPenalty
 	}
 	score += u.Warmup / warmupDivisor
-	score += p.loadDelay(u)
+	load := u.Load()
+	work := p.promptDelay(r, u, uncachedShared)
+	if f.applies(&load) {
+		work = p.unevenDelay(r, u, &load, f, work)
+	} else {
+		work += p.loadDelay(u, &load)
+	}
 	// An upstream is expected to stay silent for as long again as it has been. This diverts
 	// requests from a hung upstream long before the first one waiting there is given up.
 	score += u.Silence(r.Now)
-	return score + p.promptDelay(r, u, uncachedShared)
+	return score + work
 }
 
 // loadDelay returns the delay from the upstream's current load. The load it reports covers all
 // nodes but is as old as its last answer; this node's in-flight count is exact, so the larger
 // of the two is used.
-func (p *Picker) loadDelay(u *directory.Upstream) time.Duration {
-	load := u.Load()
+func (p *Picker) loadDelay(u *directory.Upstream, load *directory.Load) time.Duration {
 	own := int(u.InFlight.Load())
 	running := max(load.Running, min(own, u.Slots))
 	waiting := max(load.Waiting, own-u.Slots)
--- a/placement/settings.go
+++ b/placement/settings.go
@@ -36,6 +36,12 @@
 	// SuspectPenalty ranks an upstream after all others if its directory entry vanished during
 	// an outage of the store.
 	SuspectPenalty time.Duration
+	// PerExcess is the delay of an upstream that reports slow-downs for each multiple of the mean work by which it has more than
+	// that. An excess of a fifth costs as much as another region.
+	PerExcess time.Duration
+	// Spread is the longest random delay in the score of such an upstream: nodes that see the same reports would otherwise
+	// all send to the same upstream.
+	Spread time.Duration
 	// CacheTTL is how long a prompt part is assumed to stay cached on an engine after this
 	// node last sent it there.
 	CacheTTL time.Duration
@@ -55,6 +61,8 @@
 		Relay:                  15 * time.Millisecond,
 		FailurePenalty:         1500 * time.Millisecond,
 		SuspectPenalty:         10 * time.Second,
+		PerExcess:              900 * time.Millisecond,
+		Spread:                 10 * time.Millisecond,
 		CacheTTL:               20 * time.Second,
 	}
 }
