Engines' memory: no request is opened that may exceed it

Where upstreams report slow-downs and the service names the engines' memory, a node opens a request only if its own open requests, prompts and outputs, and an estimate of the other nodes' requests leave room for it.

--- a/directory/stats.go
+++ b/directory/stats.go
@@ -30,6 +30,9 @@
 	// without a response so far.
 	InFlight, PromptInFlight atomic.Int64
 
+	// heldTokens counts the tokens, output included, that this node's open requests may use in the upstream's memory.
+	heldTokens atomic.Int64
+
 	// Throttle limits the requests to an upstream by what it says of itself.
 	Throttle throttle.Limiter
 
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -48,6 +48,8 @@
 	// othersTold is closed once the other nodes know which upstream crashed under the request last; nil if none did.
 	othersTold <-chan struct{}
 
+	// held is the number of tokens that the open request holds in the memory of its upstream.
+	held int64
 	// reserved is the number of tokens reserved; zero if the account is not limited.
 	reserved int64
 	// loan is set if another node reserved the tokens.
@@ -131,6 +133,9 @@
 	if refusal := c.refuseIfPaused(); refusal != nil {
 		return refusal
 	}
+	if refusal := c.refuseIfTooLarge(); refusal != nil {
+		return refusal
+	}
 	return c.reserve(ctx)
 }
 
@@ -268,7 +273,7 @@
 
 func (c *call) query() *placement.Request {
 	return &placement.Request{Now: c.g.Clock.Now(), DataCentre: c.g.DataCentre, Region: c.g.Region,
-		PromptTokens: int(c.r.PromptTokens), Prefix: c.r.Prefix, Tried: c.tried}
+		PromptTokens: int(c.r.PromptTokens), Tokens: c.tokens(), KVCapacity: c.kvCapacity(), Prefix: c.r.Prefix, Tried: c.tried}
 }
 
 // refuse responds with an error and records the reason.
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -24,11 +24,13 @@
 	takenUp *expvar.Map
 	// limits counts the limits on their requests that upstreams named or gave up.
 	limits *expvar.Map
+	// memory counts requests that were refused since no engine has memory for them.
+	memory *expvar.Map
 }
 
 // NewMetrics returns new counters. If publish is set, it registers them with expvar.
 func NewMetrics(publish bool) *Metrics {
-	m := &Metrics{finished: new(expvar.Map).Init(), refused: new(expvar.Map).Init(), latency: new(expvar.Map).Init(), unread: new(expvar.Map).Init(), stages: new(expvar.Map).Init(), continued: new(expvar.Map).Init(), takenUp: new(expvar.Map).Init(), limits: new(expvar.Map).Init()}
+	m := &Metrics{finished: new(expvar.Map).Init(), refused: new(expvar.Map).Init(), latency: new(expvar.Map).Init(), unread: new(expvar.Map).Init(), stages: new(expvar.Map).Init(), continued: new(expvar.Map).Init(), takenUp: new(expvar.Map).Init(), limits: new(expvar.Map).Init(), memory: new(expvar.Map).Init()}
 	if publish {
 		expvar.Publish("requests_finished", m.finished)
 		expvar.Publish("requests_refused", m.refused)
@@ -38,6 +40,7 @@
 		expvar.Publish("streams_continued", m.continued)
 		expvar.Publish("streams_taken_up", m.takenUp)
 		expvar.Publish("upstream_limits", m.limits)
+		expvar.Publish("upstream_memory", m.memory)
 	}
 	return m
 }
@@ -61,6 +64,14 @@
 
 func (m *Metrics) recordLimit(what string) { m.limits.Add(what, 1) }
 
+// What upstream_memory counts.
+const (
+	memoryTooLarge = "too_large"
+	memoryTaken    = "taken"
+)
+
+func (m *Metrics) recordMemory(why string) { m.memory.Add(why, 1) }
+
 func (m *Metrics) recordTakenUp(source string) { m.takenUp.Add(source, 1) }
 
 func (m *Metrics) recordRefused(code result.Code) { m.refused.Add(code.String(), 1) }
--- a/gateway/pause.go
+++ b/gateway/pause.go
@@ -31,6 +31,9 @@
 		return reasonAllPaused
 	case roomMissing && wait > 0:
 		return reasonAtLimit
+	case roomMissing && c.onlyMemoryMissing():
+		c.g.Metrics.recordMemory(memoryTaken)
+		return reasonNoMemory
 	case roomMissing:
 		return reasonNoRoom
 	case c.origin.Load() != nil:
--- a/gateway/room.go
+++ b/gateway/room.go
@@ -73,9 +73,10 @@
 // roomWait reports whether an upstream would take the request if it had room, and the least time until this
 // node's turn at one of them. It is zero if one is limited by its room alone, which may be free at any time.
 func (c *call) roomWait() (wait time.Duration, missing bool) {
-	now := c.g.Clock.Now()
-	for _, u := range c.upstreams() {
-		if c.wasSentTo(u) || !u.Accepts(now) || u.HasRoom(now) {
+	r, upstreams := c.query(), c.upstreams()
+	now := r.Now
+	for _, u := range upstreams {
+		if c.wasSentTo(u) || !u.Accepts(now) || u.HasRoom(now) && !c.lacksMemory(r, u, upstreams) {
 			continue
 		}
 		if _, turn, _ := u.Throttle.Limit(now); !missing || turn < wait {
--- a/gateway/run.go
+++ b/gateway/run.go
@@ -64,11 +64,11 @@
 			c.giveUp(ctx, c.noUpstreamReason())
 			return
 		}
-		if !choice.Upstream.Open(c.g.Clock.Now(), random()) {
+		if !c.open(choice) {
 			continue // others took its room meanwhile
 		}
 		if c.sends > c.unsent && !c.takeRetry() {
-			choice.Upstream.Close()
+			c.close(choice.Upstream)
 			c.g.Events.Record(event.RetryDenied, "request", c.r.ID, "service", c.service.Name, "sends", c.sends, "unsent", c.unsent)
 			c.giveUp(ctx, "the budget for repeats is spent")
 			return
@@ -197,7 +197,7 @@
 		c.refuseUnsent(result.New(result.VersionMissing, "%s: %s", reason, c.origin.Load().Version).WithRetryAfter(c.capacityRetryAfter()))
 	case reason == reasonAtLimit:
 		c.refuseUnsent(result.New(result.AtLimit, "%s", reason).WithRetryAfter(c.limitRetryAfter()))
-	case reason == reasonNoRoom:
+	case reason == reasonNoRoom, reason == reasonNoMemory:
 		c.refuseUnsent(result.New(result.Overloaded, "%s", reason).WithRetryAfter(c.g.settings.Shedding.RetryAfter(random())))
 	default:
 		c.refuseUnsent(result.New(result.NoUpstream, "%s", reason).WithRetryAfter(c.capacityRetryAfter()))
--- a/gateway/send.go
+++ b/gateway/send.go
@@ -33,7 +33,7 @@
 	defer cancel(nil)
 	monitor := c.monitorSilence(u, cancel)
 	defer monitor.stop()
-	defer u.Close()
+	defer c.close(u)
 	sentAt := c.g.Clock.Now()
 	if c.lastSentAt == 0 {
 		c.stages[stageAdmit] = sentAt - c.r.Arrived - c.r.Unread - c.r.Turn
--- a/placement/field.go
+++ b/placement/field.go
@@ -11,6 +11,11 @@
 	// reportFade is the time constant with which a report on other nodes' requests gives way to the mean of the service: most
 	// requests end within it.
 	reportFade = 1500 * time.Millisecond
+	// maxMost bounds the largest estimate in multiples of the mean, so that one upstream with a mistaken report or a crowd of its own
+	// doesn't keep long prompts from the others.
+	maxMost = 2
+	// meanTTL is how long the mean of the reports holds after the newest of them: longer than most requests run. Then it fades.
+	meanTTL = 15 * time.Second
 	// speedPrior is the number of observations of normal speed that an upstream starts with, so that the first ones don't
 	// move many requests at once.
 	speedPrior = 1
@@ -31,6 +36,12 @@
 	// is that of all requests, by data centre.
 	affine float64
 	placed map[string]float64
+	// plain reports that upstreams of the service report their load without a slow-down.
+	plain bool
+	// most is the largest estimate of other nodes' requests at an upstream, within maxMost of the mean.
+	most float64
+	// newest is the time of the newest report.
+	newest time.Duration
 }
 
 // newField returns the means over the upstreams that may take requests.
@@ -39,6 +50,7 @@
 	var speeds, reports, weights, own, count float64
 	for _, u := range upstreams {
 		load := u.Load()
+		f.plain = f.plain || load.At != 0 && !load.ReportsSlowdown()
 		if !load.ReportsSlowdown() || !u.Accepts(now) {
 			continue
 		}
@@ -50,6 +62,7 @@
 		weight := reportWeight(&load, now)
 		reports += weight * othersReported(&load)
 		weights += weight
+		f.newest = max(f.newest, load.At)
 		own += float64(u.InFlight.Load())
 		count++
 	}
@@ -59,10 +72,17 @@
 	if speeds > 0 {
 		f.speed /= speeds
 	}
-	if weights > 0 { // once all reports are old, they tell of no requests at all
-		f.others = reports / weights * min(1, weights)
+	if weights > 0 {
+		f.others = reports / weights * fade(now-f.newest-meanTTL)
 	}
 	f.load = f.others + own/count
+	f.most = f.others
+	limit := maxMost*f.others + 1
+	for _, u := range upstreams {
+		if load := u.Load(); load.ReportsSlowdown() && u.Accepts(now) {
+			f.most = max(f.most, min(limit, f.othersAt(&load, now)))
+		}
+	}
 	f.addPlaced(upstreams, now)
 	return f
 }
@@ -98,7 +118,12 @@
 	if load.At == 0 {
 		return 0
 	}
-	return math.Exp(-(now - load.At).Seconds() / reportFade.Seconds())
+	return fade(now - load.At)
+}
+
+// fade returns what is left after a time of something that fades with reportFade.
+func fade(elapsed time.Duration) float64 {
+	return math.Exp(-max(0, elapsed).Seconds() / reportFade.Seconds())
 }
 
 // othersReported returns how many requests of other nodes an upstream reported.
--- a/placement/picker.go
+++ b/placement/picker.go
@@ -22,6 +22,8 @@
 	Random func() float64
 	fields fieldCache
 	parts  partTracker
+	sizes  sizeTracker
+	probes probeTimes
 }
 
 // NewPicker returns a picker; regions maps each data centre to its region.
@@ -39,20 +41,22 @@
 	Uncached, UncachedShared int
 	// Affinity reports that the upstream is the prompt's affinity upstream.
 	Affinity bool
+	// MaxHeldTokens is the most tokens that this node's open requests may hold there, this one included.
+	MaxHeldTokens int64
 	// Candidates is the number of upstreams that were scored.
 	Candidates int
 }
 
 // Pick returns the upstream with the lowest score, or false if there is none. Unreachable
 // upstreams are only used if there is no other; those that leave, asked for a pause or are brittle and
-// full never.
+// full, or whose memory the request doesn't fit into, never.
 func (p *Picker) Pick(r *Request, upstreams []*directory.Upstream) (PickResult, bool) {
 	best := PickResult{}
 	f := p.fieldOf(r, upstreams)
 	for _, lastResort := range []bool{false, true} {
 		affinity := p.affinityUpstream(r, upstreams, f)
 		for _, u := range upstreams {
-			if r.wasTried(u) || !u.Accepts(r.Now) || !u.HasRoom(r.Now) || u.InBackoff(r.Now) != lastResort {
+			if r.wasTried(u) || !u.Accepts(r.Now) || !u.HasRoom(r.Now) || u.InBackoff(r.Now) != lastResort || !p.fits(r, u, f) {
 				continue
 			}
 			best.Candidates++
@@ -64,10 +68,11 @@
 			}
 		}
 		if best.Upstream != nil {
+			best.MaxHeldTokens = p.maxHeldTokens(r, best.Upstream, f)
 			return best, true
 		}
 	}
-	return best, false
+	return p.probe(r, upstreams, f)
 }
 
 // Observe records that an upstream has prefilled a request's prompt.
@@ -94,7 +99,7 @@
 	var first, chosen *directory.Upstream
 	var firstRank, topRank uint64
 	for _, u := range upstreams {
-		if !fleetWide && u.DataCentre != r.DataCentre || !u.Accepts(r.Now) || !u.HasRoom(r.Now) || u.InBackoff(r.Now) || u.StaleUntil != 0 {
+		if !fleetWide && u.DataCentre != r.DataCentre || !u.Accepts(r.Now) || !u.HasRoom(r.Now) || u.InBackoff(r.Now) || u.StaleUntil != 0 || !p.fits(r, u, f) {
 			continue
 		}
 		rank := xxhash.Sum64String(key + "\x00" + u.ID)
--- a/placement/request.go
+++ b/placement/request.go
@@ -19,6 +19,9 @@
 	Region     string
 	// PromptTokens is the length of the prompt; zero for plain services.
 	PromptTokens int
+	// Tokens is the most tokens, output included, that the request may hold in an engine's memory; zero if it declares none.
+	// KVCapacity is how many each engine of the service can hold; zero if that isn't known.
+	Tokens, KVCapacity int64
 	// Prefix holds the prompt's parts in order. The last one belongs to this request alone.
 	Prefix []PromptPart
 	// Tried are the upstreams that the request was already sent to.
--- a/result/caller.go
+++ b/result/caller.go
@@ -27,7 +27,7 @@
 	UnknownKey:       {"UnknownKey", 401, codes.Unauthenticated, false, true, "The key belongs to no client account."},
 	UnknownService:   {"UnknownService", 404, codes.NotFound, false, true, "No service has this model or path."},
 	BodyTooLarge:     {"BodyTooLarge", 413, codes.InvalidArgument, false, true, "The request body is over the limit."},
-	TokensOutOfRange: {"TokensOutOfRange", 400, codes.InvalidArgument, false, true, "max_tokens is negative or above what the service allows."},
+	TokensOutOfRange: {"TokensOutOfRange", 400, codes.InvalidArgument, false, true, "max_tokens is negative or above what the service allows, or prompt and output together are more than an engine's memory holds."},
 	CallerGone:       {"CallerGone", 499, codes.Canceled, true, false, "The caller left before the answer was complete."},
 	KeyReused:        {"KeyReused", 422, codes.InvalidArgument, false, true, "The idempotency key was used before with another request."},
 	CallInProgress:   {"CallInProgress", 409, codes.Aborted, true, false, "A call with this idempotency key is running; ask again later."},
