--- a/cmd/lavenderedge/run.go
+++ b/cmd/lavenderedge/run.go
@@ -189,6 +189,7 @@
 	p.publish("upstream_paths", expvar.Func(func() any { return p.paths.Summary() }))
 	p.publish("path_changes", expvar.Func(func() any { return p.paths.Metrics().Values() }))
 	p.publish("upstream_limit_per_second", expvar.Func(func() any { return node.LimitedUpstreams() }))
+	p.publish("upstream_work_ms", expvar.Func(func() any { return node.UnevenUpstreams() }))
 	p.publish("upstream_contact", expvar.Func(func() any { return node.UpstreamContact() }))
 	p.publish("quarantine", expvar.Func(func() any { return node.Quarantine().Counts() }))
 	go delay.Run(ctx)
--- a/edgenode/limits.go
+++ b/edgenode/limits.go
@@ -59,6 +59,21 @@
 	})
 }
 
+// UnevenUpstreams returns the milliseconds that upstreams take for an event of a stream, or for a plain request, as if nothing
+// slowed them down, by upstream; those that don't report slow-downs, or that nothing was observed of, are left out.
+func (n *Node) UnevenUpstreams() map[string]float64 {
+	times := make(map[string]float64)
+	snapshot := n.directory.Current()
+	for _, service := range snapshot.Services() {
+		for _, u := range snapshot.Upstreams(service) {
+			if mean, observations := u.WorkTime(); observations > 0 && u.ReportsSlowdown() {
+				times[u.ID] = mean / float64(time.Millisecond)
+			}
+		}
+	}
+	return times
+}
+
 // LimitedUpstreams returns the requests a second that upstreams take from all nodes together, by upstream; those
 // that named no limit are left out.
 func (n *Node) LimitedUpstreams() map[string]float64 {
--- a/placement/field.go
+++ b/placement/field.go
@@ -14,8 +14,9 @@
 	// maxMost bounds the largest estimate in multiples of the mean, so that one upstream with a mistaken report or a crowd of its own
 	// doesn't keep long prompts from the others.
 	maxMost = 2
-	// meanTTL is how long the mean of the reports holds after the newest of them: longer than most requests run. Then it fades.
-	meanTTL = 15 * time.Second
+	// meanTTL is how long the mean of the reports holds after the newest of them. Then it fades, so that requests are sent again,
+	// and reports received, where all upstreams seemed full.
+	meanTTL = 4 * time.Second
 	// speedPrior is the number of observations of normal speed that an upstream starts with, so that the first ones don't
 	// move many requests at once.
 	speedPrior = 1
@@ -40,14 +41,13 @@
 	plain bool
 	// most is the largest estimate of other nodes' requests at an upstream, within maxMost of the mean.
 	most float64
-	// newest is the time of the newest report.
-	newest time.Duration
 }
 
 // newField returns the means over the upstreams that may take requests.
 func newField(upstreams []*directory.Upstream, now time.Duration) field {
 	f := field{}
 	var speeds, reports, weights, own, count float64
+	newest := time.Duration(0)
 	for _, u := range upstreams {
 		load := u.Load()
 		f.plain = f.plain || load.At != 0 && !load.ReportsSlowdown()
@@ -62,7 +62,7 @@
 		weight := reportWeight(&load, now)
 		reports += weight * othersReported(&load)
 		weights += weight
-		f.newest = max(f.newest, load.At)
+		newest = max(newest, load.At)
 		own += float64(u.InFlight.Load())
 		count++
 	}
@@ -73,7 +73,7 @@
 		f.speed /= speeds
 	}
 	if weights > 0 {
-		f.others = reports / weights * fade(now-f.newest-meanTTL)
+		f.others = reports / weights * fade(now-newest-meanTTL)
 	}
 	f.load = f.others + own/count
 	f.most = f.others
--- a/placement/picker.go
+++ b/placement/picker.go
@@ -23,7 +23,6 @@
 	fields fieldCache
 	parts  partTracker
 	sizes  sizeTracker
-	probes probeTimes
 }
 
 // NewPicker returns a picker; regions maps each data centre to its region.
@@ -72,7 +71,7 @@
 			return best, true
 		}
 	}
-	return p.probe(r, upstreams, f)
+	return best, false
 }
 
 // Observe records that an upstream has prefilled a request's prompt.
