--- a/placement/memory.go
+++ b/placement/memory.go
@@ -54,7 +54,7 @@
 // It answers prompts long enough that fewer than an engine's slots fill its memory, sent by 80 nodes at the same time: an engine crashes
 // if the requests that run exceed its memory, and all of them are lost. Requests that wait there hold nothing.
 func (p *Picker) maxHeldTokens(r *Request, u *directory.Upstream, f *field) int64 {
-	if r.KVCapacity <= 0 {
+	if r.KVCapacity <= 0 || !f.uneven {
 		return math.MaxInt64
 	}
 	load := u.Load()
--- a/placement/picker.go
+++ b/placement/picker.go
@@ -98,14 +98,17 @@
 	var first, chosen *directory.Upstream
 	var firstRank, topRank uint64
 	for _, u := range upstreams {
+		rank := xxhash.Sum64String(key + "\x00" + u.ID)
+		if chosen != nil && rank <= topRank { // what follows costs more than the rank
+			continue
+		}
 		if !fleetWide && u.DataCentre != r.DataCentre || !u.Accepts(r.Now) || !u.HasRoom(r.Now) || u.InBackoff(r.Now) || u.StaleUntil != 0 || !p.fits(r, u, f) {
 			continue
 		}
-		rank := xxhash.Sum64String(key + "\x00" + u.ID)
 		if first == nil || rank > firstRank {
 			first, firstRank = u, rank
 		}
-		if (chosen == nil || rank > topRank) && !(spills && f.affineFull(u, r.Now, p.Random())) {
+		if !(spills && f.affineFull(u, r.Now, p.Random())) {
 			chosen, topRank = u, rank
 		}
 	}
