--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -29,11 +29,13 @@
 	ramps *expvar.Map
 	// linkAdmission counts the requests that were decided on while the link was crowded.
 	linkAdmission *expvar.Map
+	// memory counts requests that were refused since no engine has memory for them.
+	memory *expvar.Map
 }
 
 // NewMetrics returns new counters. If publish is set, it registers them with expvar.
 func NewMetrics(publish bool) *Metrics {
-	m := &Metrics{finished: new(expvar.Map).Init(), refused: new(expvar.Map).Init(), latency: new(expvar.Map).Init(), unread: new(expvar.Map).Init(), stages: new(expvar.Map).Init(), continued: new(expvar.Map).Init(), takenUp: new(expvar.Map).Init(), limits: new(expvar.Map).Init(), ramps: new(expvar.Map).Init(), linkAdmission: new(expvar.Map).Init()}
+	m := &Metrics{finished: new(expvar.Map).Init(), refused: new(expvar.Map).Init(), latency: new(expvar.Map).Init(), unread: new(expvar.Map).Init(), stages: new(expvar.Map).Init(), continued: new(expvar.Map).Init(), takenUp: new(expvar.Map).Init(), limits: new(expvar.Map).Init(), ramps: new(expvar.Map).Init(), linkAdmission: new(expvar.Map).Init(), memory: new(expvar.Map).Init()}
 	if publish {
 		expvar.Publish("requests_finished", m.finished)
 		expvar.Publish("requests_refused", m.refused)
@@ -45,6 +47,7 @@
 		expvar.Publish("upstream_limits", m.limits)
 		expvar.Publish(metricRamps, m.ramps)
 		expvar.Publish("link_admission", m.linkAdmission)
+		expvar.Publish("upstream_memory", m.memory)
 	}
 	return m
 }
@@ -81,6 +84,14 @@
 	}
 }
 
+// What upstream_memory counts.
+const (
+	memoryTooLarge = "too_large"
+	memoryTaken    = "taken"
+)
+
+func (m *Metrics) recordMemory(why string) { m.memory.Add(why, 1) }
+
 func (m *Metrics) recordTakenUp(source string) { m.takenUp.Add(source, 1) }
 
 func (m *Metrics) recordRefused(code result.Code) { m.refused.Add(code.String(), 1) }
--- a/gateway/ramp.go
+++ b/gateway/ramp.go
@@ -41,8 +41,8 @@
 	return c.g.Picker.Pick(query, upstreams)
 }
 
-// open opens a request at an upstream if it has room.
-func (c *call) open(u *directory.Upstream, beyondRamp bool) bool {
+// takeRoom opens a request at an upstream if it has room; beyondRamp is set if no ramp limits it.
+func (c *call) takeRoom(u *directory.Upstream, beyondRamp bool) bool {
 	if beyondRamp {
 		return u.OpenBeyondRamp(c.g.Clock.Now(), random())
 	}
--- a/placement/picker.go
+++ b/placement/picker.go
@@ -1,6 +1,7 @@
 package placement
 
 import (
+	"math/rand/v2"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -17,11 +18,16 @@
 	// IsRelayed reports whether the upstream at an address is reached through another node; if it is
 	// nil, none is. It must not be changed once the picker is in use.
 	IsRelayed func(address string) bool
+	// Random returns a number from 0 to 1. It must not be changed once the picker is in use.
+	Random func() float64
+	fields fieldCache
+	parts  partTracker
+	sizes  sizeTracker
 }
 
 // NewPicker returns a picker; regions maps each data centre to its region.
 func NewPicker(settings Settings, regions map[string]string) *Picker {
-	return &Picker{settings: settings, cache: NewCacheTracker(settings.CacheTTL), regions: regions}
+	return &Picker{settings: settings, cache: NewCacheTracker(settings.CacheTTL), regions: regions, Random: rand.Float64}
 }
 
 // PickResult is a chosen upstream, with the reasons for the choice for logs.
@@ -34,30 +40,34 @@
 	Uncached, UncachedShared int
 	// Affinity reports that the upstream is the prompt's affinity upstream.
 	Affinity bool
+	// MaxHeldTokens is the most tokens that this node's open requests may hold there, this one included.
+	MaxHeldTokens int64
 	// Candidates is the number of upstreams that were scored.
 	Candidates int
 }
 
 // Pick returns the upstream with the lowest score, or false if there is none. Unreachable
 // upstreams are only used if there is no other; those that leave, asked for a pause or are brittle and
-// full never.
+// full, or whose memory the request doesn't fit into, never.
 func (p *Picker) Pick(r *Request, upstreams []*directory.Upstream) (PickResult, bool) {
 	best := PickResult{}
+	f := p.fieldOf(r, upstreams)
 	for _, lastResort := range []bool{false, true} {
-		affinity := p.affinityUpstream(r, upstreams)
+		affinity := p.affinityUpstream(r, upstreams, f)
 		for _, u := range upstreams {
-			if r.wasTried(u) || !u.Accepts(r.Now) || !u.HasRoomFor(r.BeyondRamps, r.Now) || u.InBackoff(r.Now) != lastResort {
+			if r.wasTried(u) || !u.Accepts(r.Now) || !u.HasRoomFor(r.BeyondRamps, r.Now) || u.InBackoff(r.Now) != lastResort || !p.fits(r, u, f) {
 				continue
 			}
 			best.Candidates++
 			uncachedShared := p.uncachedShared(r, u, u == affinity)
-			if score := p.score(r, u, uncachedShared); best.Upstream == nil || score < best.Expected {
+			if score := p.score(r, u, uncachedShared, f); best.Upstream == nil || score < best.Expected {
 				best.Upstream, best.Expected = u, score
 				best.Uncached = r.PromptTokens - sharedTokens(r.shared()) + uncachedShared
 				best.UncachedShared, best.Affinity = uncachedShared, u == affinity
 			}
 		}
 		if best.Upstream != nil {
+			best.MaxHeldTokens = p.maxHeldTokens(r, best.Upstream, f)
 			return best, true
 		}
 	}
@@ -66,30 +76,45 @@
 
 // Observe records that an upstream has prefilled a request's prompt.
 func (p *Picker) Observe(r *Request, u *directory.Upstream) {
-	p.cache.Observe(u.ID, u.StartedAt, r.shared(), r.Now)
+	shared := r.shared()
+	p.cache.Observe(u.ID, u.StartedAt, shared, r.Now)
+	if len(shared) > 0 && u.ReportsSlowdown() {
+		p.parts.observe(shared[len(shared)-1].ID, r.Now)
+	}
 }
 
 // affinityUpstream returns the engine to which all nodes send a shared prompt, so that it is
 // cached on one engine without coordination. It is chosen by rendezvous hashing: when an engine
 // joins, leaves, pauses or takes no more requests, only its own prompts move. A long shared prompt has one affinity
 // upstream in the fleet, a short one has one in each data centre.
-func (p *Picker) affinityUpstream(r *Request, upstreams []*directory.Upstream) *directory.Upstream {
+func (p *Picker) affinityUpstream(r *Request, upstreams []*directory.Upstream, f *field) *directory.Upstream {
 	shared := r.shared()
 	if len(shared) == 0 {
 		return nil
 	}
 	fleetWide := sharedTokens(shared) >= p.settings.FleetAffinityTokens
 	key := shared[len(shared)-1].ID
-	var chosen *directory.Upstream
-	var topRank uint64
+	spills := f.uneven && p.parts.count(key, r.Now) > minSpillCount+spillPart*f.affine
+	var first, chosen *directory.Upstream
+	var firstRank, topRank uint64
 	for _, u := range upstreams {
-		if !fleetWide && u.DataCentre != r.DataCentre || !u.Accepts(r.Now) || !u.HasRoomFor(r.BeyondRamps, r.Now) || u.InBackoff(r.Now) || u.StaleUntil != 0 {
+		rank := xxhash.Sum64String(key + "\x00" + u.ID)
+		if chosen != nil && rank <= topRank { // what follows costs more than the rank
+			continue
+		}
+		if !fleetWide && u.DataCentre != r.DataCentre || !u.Accepts(r.Now) || !u.HasRoomFor(r.BeyondRamps, r.Now) || u.InBackoff(r.Now) || u.StaleUntil != 0 || !p.fits(r, u, f) {
 			continue
 		}
-		if rank := xxhash.Sum64String(key + "\x00" + u.ID); chosen == nil || rank > topRank {
+		if first == nil || rank > firstRank {
+			first, firstRank = u, rank
+		}
+		if !(spills && f.affineFull(u, r.Now, p.Random())) {
 			chosen, topRank = u, rank
 		}
 	}
+	if chosen == nil {
+		return first
+	}
 	return chosen
 }
 
@@ -119,7 +144,7 @@
 	}
 }
 
-func (p *Picker) score(r *Request, u *directory.Upstream, uncachedShared int) time.Duration {
+func (p *Picker) score(r *Request, u *directory.Upstream, uncachedShared int, f *field) time.Duration {
 	s := &p.settings
 	score := time.Duration(u.FailureScore(r.Now) * float64(s.FailurePenalty))
 	switch {
@@ -136,27 +161,36 @@
 		score += s.SuspectPenalty
 	}
 	score += warmupDelay(r, u)
-	score += p.loadDelay(r, u)
+	load := currentLoad(r, u)
+	work := p.promptDelay(r, u, uncachedShared)
+	if f.applies(&load) {
+		work = p.unevenDelay(r, u, &load, f, work)
+	} else {
+		work += p.loadDelay(u, &load)
+	}
 	// An upstream is expected to stay silent for as long again as it has been. This diverts
 	// requests from a hung upstream long before the first one waiting there is given up.
 	score += u.Silence(r.Now)
-	return score + p.promptDelay(r, u, uncachedShared)
+	return score + work
 }
 
 // rampLoadTTL is how long a load report counts during a ramp.
 const rampLoadTTL = 2 * time.Second
 
-// loadDelay returns the delay from the upstream's current load. The load it reports covers all
-// nodes but is as old as its last answer; this node's in-flight count is exact, so the larger
-// of the two is used.
-//
-// While a ramp limits what is sent, a report that is old is ignored: a node's turns are seconds apart in a large fleet,
-// and after one report of a queue it would use none of them.
-func (p *Picker) loadDelay(r *Request, u *directory.Upstream) time.Duration {
+// currentLoad returns the load that counts. While a ramp limits what is sent, a report that is old is ignored: a node's
+// turns are seconds apart in a large fleet, and after one report of a queue it would use none of them.
+func currentLoad(r *Request, u *directory.Upstream) directory.Load {
 	load := u.Load()
 	if r.Now-load.At > rampLoadTTL && u.Throttle.Ramping() {
-		load = directory.Load{}
+		load.Running, load.Waiting = 0, 0
 	}
+	return load
+}
+
+// loadDelay returns the delay from the upstream's current load. The load it reports covers all
+// nodes but is as old as its last answer; this node's in-flight count is exact, so the larger
+// of the two is used.
+func (p *Picker) loadDelay(u *directory.Upstream, load *directory.Load) time.Duration {
 	own := int(u.InFlight.Load())
 	running := max(load.Running, min(own, u.Slots))
 	waiting := max(load.Waiting, own-u.Slots)
