--- a/cmd/lavenderedge/shutdown_test.go
+++ b/cmd/lavenderedge/shutdown_test.go
@@ -74,7 +74,7 @@
 	operator.Configure()
 	ports := freePorts(t, 4)
 	addresses := standin.NodeAddresses{IP: "127.0.0.1", FrontendPort: ports[0], ReadyPort: ports[1], DirectoryPort: ports[2], PeerPort: ports[3]}
-	settings, err := platform.ParseSettings(standin.NodeSettings("n1", "dc", store.Address(), addresses))
+	settings, err := platform.ParseSettings(standin.NodeSettings("n1", "dc", map[string]string{"dc": "region"}, store.Address(), addresses))
 	is.NoErr(err)
 	p := &process{settings: settings, events: newRecorder(settings, logsink.New(io.Discard))}
 	ctx, cancel := context.WithCancel(context.Background())
--- a/internal/soak/addressbook.go
+++ b/internal/soak/addressbook.go
@@ -17,6 +17,8 @@
 type addressBook struct {
 	fleet  *fleet
 	caller *standin.Caller
+	// place is where the caller is.
+	place place
 	// ttl is how long the addresses are kept; zero means until a connection fails.
 	ttl time.Duration
 
@@ -28,7 +30,7 @@
 
 func newAddressBook(f *fleet, c *standin.Caller, number int) *addressBook {
 	ttls := []time.Duration{addressTTL, staleTTL, 0}
-	return &addressBook{fleet: f, caller: c, ttl: ttls[number%len(ttls)]}
+	return &addressBook{fleet: f, caller: c, place: f.options.nodePlace(number), ttl: ttls[number%len(ttls)]}
 }
 
 // address returns one of the addresses; false if none is known.
@@ -46,7 +48,7 @@
 func (b *addressBook) resolve(ctx context.Context, r *rand.Rand) {
 	ctx, cancel := context.WithTimeout(ctx, time.Second)
 	defer cancel()
-	addresses, err := b.caller.Resolve(ctx, b.fleet.nodes[r.IntN(len(b.fleet.nodes))].directory)
+	addresses, err := b.caller.Resolve(ctx, b.fleet.nodes[r.IntN(len(b.fleet.nodes))].directory, b.place.region, b.place.dataCentre)
 	if err != nil || len(addresses) == 0 {
 		return // the node is down; the next call asks another
 	}
--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -33,6 +33,10 @@
 	// crashes are those of the upstreams.
 	crashes []standin.EngineCrash
 	stops   [][]processStop
+	// upstreamPlaces and nodePlaces are where each upstream and node is, accountRegions the only region of accounts that
+	// have one.
+	upstreamPlaces, nodePlaces []place
+	accountRegions             map[string]string
 	// recoveryDeadline is recoveryTime after the last fault ended; calls from then on must be
 	// served.
 	recoveryDeadline time.Time
@@ -60,6 +64,9 @@
 	violations = append(violations, h.checkPrepaid()...)
 	violations = append(violations, h.checkVersions()...)
 	violations = append(violations, h.checkTakenUp()...)
+	violations = append(violations, h.checkRegions()...)
+	violations = append(violations, h.checkEvacuations()...)
+	violations = append(violations, h.checkColdUpstreams()...)
 	return append(violations, h.checkRecovery()...)
 }
 
--- a/internal/soak/check_test.go
+++ b/internal/soak/check_test.go
@@ -28,7 +28,8 @@
 // faultFreeHistory returns the history of a run without faults.
 func faultFreeHistory() *history {
 	h := &history{runs: make(map[string][]standin.Run), prepaid: map[string]int64{"one": 10_000}, recoveryDeadline: time.Unix(99, 0),
-		nodeNumbers: map[string]int{"n": 2}, stops: make([][]processStop, 3), arrivals: make([][]standin.Arrival, 2)}
+		nodeNumbers: map[string]int{"n": 2}, stops: make([][]processStop, 3), arrivals: make([][]standin.Arrival, 2),
+		upstreamPlaces: places, nodePlaces: []place{places[0], places[1], places[0]}, accountRegions: map[string]string{limitedAccount.Name: limitedAccount.Region}}
 	for _, route := range []standin.Route{standin.StreamRoute, standin.NonResumableRoute, standin.OrderRoute, standin.LookupRoute} {
 		r, run := successfulCall("id-"+route.Name, route)
 		h.records = append(h.records, r)
@@ -84,12 +85,30 @@
 
 // send adds a successful call through node 2 that reaches upstream 0.
 func (h *history) send(id string, start float64, arrival standin.Arrival) {
+	h.sendTo(0, id, start, arrival)
+}
+
+// sendTo adds a successful call through node 2 that reaches an upstream.
+func (h *history) sendTo(upstream int, id string, start float64, arrival standin.Arrival) {
 	r, run := successfulCall(id, standin.LookupRoute)
 	r.node, r.start, r.end = "n", at(start), at(start)
 	h.records = append(h.records, r)
 	h.runs[id] = append(h.runs[id], run)
 	arrival.ID, arrival.At = id, at(start)
-	h.arrivals[0] = append(h.arrivals[0], arrival)
+	h.arrivals[upstream] = append(h.arrivals[upstream], arrival)
+}
+
+// evacuate evacuates the second data centre from 100 to 115 and sends a request to its upstream 1.
+func (h *history) evacuate(sent float64) {
+	h.spans = append(h.spans, spanOf(Step{Kind: EvacuateDataCentre, Target: evacuatedPlace}, 100, 115))
+	h.sendTo(1, "evacuated", sent, standin.Arrival{})
+}
+
+// cool makes upstream 0 cold at 100 and lets requests arrive there within a second.
+func (h *history) cool(from float64, count int) {
+	for i := range count {
+		h.send(fmt.Sprintf("cold-%d", i), from+float64(i)/float64(count), standin.Arrival{ColdSince: at(100)})
+	}
 }
 
 // shedWithPause makes upstream 0 ask node 2 for a pause of 3 s at 100 and lets requests arrive
@@ -219,6 +238,26 @@
 			h.recordOf(standin.StreamRoute).outcome.Versions = []string{standin.FirstVersion, secondVersion}
 		}},
 		{"streams that are taken up are refused", "streams taken up", func(h *history) { h.takeUp(12, "") }},
+		{"a request on a limited route leaves its region", "regions", func(h *history) {
+			h.sendTo(1, "out", 100, standin.Arrival{})
+			h.recordOf(standin.LookupRoute).call.Route.Region = places[0].region // reached upstream 0
+			h.records[len(h.records)-1].call.Route.Region = places[0].region
+		}},
+		{"a request of a limited account leaves its region while everything fails", "regions", func(h *history) {
+			h.sendTo(1, "out", 100, standin.Arrival{})
+			h.records[len(h.records)-1].account, h.runs["out"][0].Account = limitedAccount.Name, limitedAccount.Name
+			h.spans = append(h.spans, spanOf(Step{Kind: KillAll}, 99, 101), spanOf(Step{Kind: StoreUnavailable}, 98, 102))
+		}},
+		{"an evacuated data centre gets a request", "evacuations", func(h *history) { h.evacuate(105.1) }},
+		{"an evacuated data centre gets a request some time after all nodes were killed and the store was away", "evacuations", func(h *history) {
+			h.evacuate(110)
+			h.spans = append(h.spans, spanOf(Step{Kind: KillAll}, 102, 105.9), spanOf(Step{Kind: StoreUnavailable}, 102, 105.9))
+		}},
+		{"a cold upstream gets more requests than it takes", "cold upstreams", func(h *history) { h.cool(101.6, maxColdRequests+1) }},
+		{"a cold upstream gets more requests from nodes that are cut off from the store since they know", "cold upstreams", func(h *history) {
+			h.cool(103, maxColdRequests+1)
+			h.spans = append(h.spans, spanOf(Step{Kind: StoreUnavailable}, 101.6, 110))
+		}},
 		{"a node that is cut from upstreams refuses what others serve", "cut from upstreams", func(h *history) { h.cutFromUpstreams(95, 9) }},
 		{"a node cuts a stream while another is cut from upstreams", "no needless cuts", func(h *history) {
 			h.cut(standin.NonResumableRoute, 101)
@@ -329,6 +368,23 @@
 			h.leave(100, 103.1)
 			h.spans = []span{spanOf(Step{Kind: PauseNode, Target: 2}, 101, 102)}
 		}},
+		{"a limited request stays in its region", func(h *history) { h.recordOf(standin.StreamRoute).call.Route.Region = places[0].region }},
+		{"an evacuated data centre gets a request soon", func(h *history) { h.evacuate(104.9) }},
+		{"a data centre gets a request when its evacuation ends", func(h *history) { h.evacuate(115) }},
+		{"an evacuated data centre gets a request from a node that was killed", func(h *history) {
+			h.evacuate(110)
+			h.spans = append(h.spans, spanOf(Step{Kind: KillNode, Target: 2}, 107, 108))
+		}},
+		{"an evacuated data centre gets a request from a node that is cut off from the store", func(h *history) {
+			h.evacuate(110)
+			h.spans = append(h.spans, spanOf(Step{Kind: NodeStoreSilent, Target: 2}, 99, 107))
+		}},
+		{"a cold upstream gets as many requests as it takes", func(h *history) { h.cool(101.6, maxColdRequests) }},
+		{"a cold upstream gets more requests before nodes know", func(h *history) { h.cool(100.4, 2*maxColdRequests) }},
+		{"a cold upstream gets more requests from a node that can't know", func(h *history) {
+			h.cool(103, 2*maxColdRequests)
+			h.spans = append(h.spans, spanOf(Step{Kind: NodeStoreSilent, Target: 2}, 99, 102))
+		}},
 		{"an upstream gets a request after it restarted", func(h *history) {
 			h.leave(100, 103.1)
 			last := &h.arrivals[0][len(h.arrivals[0])-1]
@@ -347,7 +403,7 @@
 // A seed must give the same plan each time, or a failure can't be reproduced.
 func TestPlanIsDeterministic(t *testing.T) {
 	is := is.New(t)
-	o := Options{Seed: 7, Length: time.Minute, Nodes: 5, Crashes: true, Starved: true}
+	o := Options{Seed: 7, Length: time.Minute, Nodes: 5, Crashes: true, Starved: true, Places: true}
 	one, two := NewPlan(o, 5), NewPlan(o, 5)
 	is.Equal(one, two)
 	is.True(len(one) > 50)
@@ -355,6 +411,27 @@
 	is.True(!slices.Equal(one, NewPlan(o, 5)))
 }
 
+// Guards against plans of earlier seeds that change with the option, and against runs without an evacuation in which all nodes
+// are killed or the store is away.
+func TestPlacesAddStepsOnly(t *testing.T) {
+	is := is.New(t)
+	isAdded := func(s Step) bool { return s.Kind == EvacuateDataCentre || s.Kind == UpstreamRestartsCold }
+	for seed := range uint64(20) {
+		o := Options{Seed: seed, Length: 12 * time.Second, Nodes: 5}
+		before := NewPlan(o, 5)
+		o.Places = true
+		with := NewPlan(o, 5)
+		is.True(slices.ContainsFunc(with, isAdded) && !slices.ContainsFunc(before, isAdded))
+		for _, s := range before {
+			is.True(slices.Contains(with, s))
+		}
+		evacuation := with[slices.IndexFunc(with, func(s Step) bool { return s.Kind == EvacuateDataCentre })]
+		is.True(slices.ContainsFunc(with, func(s Step) bool {
+			return (s.Kind == KillAll || s.Kind == StoreUnavailable) && s.At >= evacuation.At && s.At < evacuation.At+evacuation.Duration
+		}))
+	}
+}
+
 // Guards against runs in which no node is ever cut from all upstreams.
 func TestPlansCutNodesFromUpstreams(t *testing.T) {
 	is := is.New(t)
--- a/internal/soak/fleet.go
+++ b/internal/soak/fleet.go
@@ -38,6 +38,7 @@
 
 // fleet is the nodes with the store, operator, upstreams and proxies around them.
 type fleet struct {
+	options   Options
 	store     *standin.Store
 	operator  *standin.Operator
 	upstreams []*standin.Engine
@@ -64,10 +65,14 @@
 	at    time.Time
 }
 
-func newFleet(program, dir string, nodes int) (*fleet, error) {
-	f := &fleet{store: standin.NewStore(), stop: make(chan struct{})}
+func newFleet(o Options) (*fleet, error) {
+	f := &fleet{options: o, store: standin.NewStore(), stop: make(chan struct{})}
 	f.operator = &standin.Operator{Store: f.store, Accounts: []standin.Account{{Name: "one", Keys: []string{"key-one"}, Prepaid: initialPrepaid}, {Name: "two", Keys: []string{"key-two"}, Prepaid: initialPrepaid},
 		{Name: streamAccount, Keys: []string{"key-" + streamAccount}, Prepaid: streamPrepaid}}, ExtraRoutes: []standin.Route{longStreamRoute, overdueRoute}}
+	if o.Places {
+		f.operator.Accounts, f.operator.ExtraRoutes = append(f.operator.Accounts, limitedAccount), append(f.operator.ExtraRoutes, limitedRoute)
+		f.operator.Warmup = fleetWarmup
+	}
 	f.operator.Configure()
 	for i := range upstreamCount {
 		service, events := standin.EngineService, eventsPerStream
@@ -78,7 +83,7 @@
 		if err != nil {
 			return nil, errors.Trace(err)
 		}
-		e := standin.NewEngineAt(listener, fmt.Sprintf("u%d", i), service, "dc", events)
+		e := standin.NewEngineAt(listener, fmt.Sprintf("u%d", i), service, o.upstreamPlace(i).dataCentre, events)
 		f.versions = append(f.versions, standin.FirstVersion)
 		if i == 1 {
 			e.Version, f.versions[i] = secondVersion, secondVersion
@@ -93,8 +98,8 @@
 		f.states, f.faults = append(f.states, upstreamReady), append(f.faults, standin.Faults{})
 	}
 	f.registerUpstreams()
-	for i := range nodes {
-		n, err := newNode(fmt.Sprintf("n%d", i), program, dir, f.store.Address())
+	for i := range o.Nodes {
+		n, err := newNode(fmt.Sprintf("n%d", i), o, o.nodePlace(i), f.store.Address())
 		if err != nil {
 			return nil, errors.Trace(err)
 		}
@@ -234,6 +239,10 @@
 		f.leave(s)
 	case UpstreamChangesVersion:
 		f.changeVersion(s.Target)
+	case UpstreamRestartsCold:
+		f.restartCold(s)
+	case EvacuateDataCentre:
+		f.evacuate(s, inForce)
 	case TopUp:
 		f.topUp()
 	case NewRoute:
--- a/internal/soak/node.go
+++ b/internal/soak/node.go
@@ -48,20 +48,24 @@
 // processStop is a process that was asked to end at terminated and ended at exited.
 type processStop struct{ terminated, exited time.Time }
 
-func newNode(name, program, dir, store string) (*node, error) {
+func newNode(name string, o Options, at place, store string) (*node, error) {
 	proxy, err := NewProxy(store)
 	if err != nil {
 		return nil, errors.Trace(err)
 	}
-	n := &node{name: name, program: program, dir: dir, storeProxy: proxy}
+	n := &node{name: name, program: o.Program, dir: o.Dir, storeProxy: proxy}
 	n.ip = uniqueLoopback()
 	addresses := standin.NodeAddresses{IP: n.ip.String(), FrontendPort: 7001, ReadyPort: 7002, DirectoryPort: 7003, PeerPort: 7004}
 	n.frontend, n.directory = addresses.FrontendAddress(), addresses.DirectoryAddress()
-	settings := standin.NodeSettings(name, "dc", proxy.Address(), addresses)
+	regions := map[string]string{places[0].dataCentre: places[0].region}
+	if o.Places {
+		regions[places[1].dataCentre] = places[1].region
+	}
+	settings := standin.NodeSettings(name, at.dataCentre, regions, proxy.Address(), addresses)
 	if err := os.WriteFile(n.settings(), settings, 0o600); err != nil {
 		return nil, errors.Trace(err)
 	}
-	n.log, err = os.Create(filepath.Join(dir, name+".log"))
+	n.log, err = os.Create(filepath.Join(o.Dir, name+".log"))
 	return n, errors.Trace(err)
 }
 
--- a/internal/soak/pathcuts.go
+++ b/internal/soak/pathcuts.go
@@ -82,13 +82,19 @@
 func (h *history) hasRelay(node int, r *callRecord) bool {
 	for _, other := range h.nodeNumbers {
 		cut := h.anySpan(r.start, r.end, func(s *span) bool { return s.cutsUpstreams(other) })
-		if other != node && !cut && !h.disturbed(other, r) {
+		if other != node && !cut && !h.disturbed(other, r) && h.mayRelay(other, r) {
 			return true
 		}
 	}
 	return false
 }
 
+// mayRelay reports whether a call may pass through a node.
+func (h *history) mayRelay(node int, r *callRecord) bool {
+	region := h.regionOf(r)
+	return region == "" || node < len(h.nodePlaces) && h.nodePlaces[node].region == region
+}
+
 // lostWay reports whether a node lost its way to an upstream during a call: its own path, or another node
 // through which it reached the upstream.
 func (h *history) lostWay(r *callRecord, node int) bool {
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -39,6 +39,8 @@
 	RequestsCrashUpstream   Kind = "upstream crashes under some requests"
 	TopUp                   Kind = "top-up"
 	NewRoute                Kind = "new route"
+	EvacuateDataCentre      Kind = "data centre is evacuated"
+	UpstreamRestartsCold    Kind = "upstream restarts and is cold"
 )
 
 var kinds = []Kind{KillNode, KillAll, PauseNode, StopNode, StopNode, StopSeries, StoreUnavailable, StoreDropsResponses, StoreCompacts, NodeStoreSilent, NodeStoreDropsResponses, NodeStoreSlow,
@@ -141,6 +143,9 @@
 	if o.CrashCalls {
 		plan = append(plan, crashingServices(rand.New(rand.NewPCG(seed, 7)), length)...)
 	}
+	if o.Places {
+		plan = append(plan, placeSteps(rand.New(rand.NewPCG(seed, 8)), length, upstreams)...)
+	}
 	slices.SortStableFunc(plan, func(a, b Step) int { return cmp.Compare(a.At, b.At) })
 	return plan
 }
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -26,6 +26,9 @@
 	CrashCalls bool
 	// Starved adds nodes that get a fifth of a processor to half of the seeds.
 	Starved bool
+	// Places splits nodes and upstreams over two regions, limits a route and a client account to one of them, evacuates the
+	// other's data centre, and adds upstreams that are cold after a restart.
+	Places bool
 }
 
 const (
@@ -52,7 +55,7 @@
 
 // Run executes the plan of one seed and checks the outcome.
 func Run(ctx context.Context, o Options) (*Report, error) {
-	f, err := newFleet(o.Program, o.Dir, o.Nodes)
+	f, err := newFleet(o)
 	if err != nil {
 		return nil, errors.Trace(err)
 	}
@@ -115,7 +118,14 @@
 	c := standin.NewCaller()
 	defer c.Close()
 	for start := time.Now(); time.Since(start) < startTimeout; pause(ctx, 50*time.Millisecond) {
-		if addresses, err := c.Resolve(ctx, f.nodes[0].directory); err == nil && len(addresses) == len(f.nodes) {
+		listed := make(map[string]bool)
+		for _, p := range places {
+			addresses, _ := c.Resolve(ctx, f.nodes[0].directory, p.region, p.dataCentre) // none after an error
+			for _, a := range addresses {
+				listed[a] = true
+			}
+		}
+		if len(listed) == len(f.nodes) {
 			return nil
 		}
 	}
@@ -123,12 +133,17 @@
 }
 
 func (f *fleet) history(w *workload, recoveryDeadline time.Time) *history {
-	h := &history{records: w.records, runs: make(map[string][]standin.Run), prepaid: f.prepaid(), recoveryDeadline: recoveryDeadline, routes: f.addedRoutes(), spans: f.spans, nodeNumbers: make(map[string]int)}
+	h := &history{records: w.records, runs: make(map[string][]standin.Run), prepaid: f.prepaid(), recoveryDeadline: recoveryDeadline, routes: f.addedRoutes(), spans: f.spans, nodeNumbers: make(map[string]int), accountRegions: make(map[string]string)}
 	for i, n := range f.nodes {
 		h.nodeNumbers[n.frontend] = i
 		h.stops = append(h.stops, n.plannedStops())
+		h.nodePlaces = append(h.nodePlaces, f.options.nodePlace(i))
+	}
+	for _, a := range f.operator.Accounts {
+		h.accountRegions[a.Name] = a.Region
 	}
-	for _, u := range f.upstreams {
+	for i, u := range f.upstreams {
+		h.upstreamPlaces = append(h.upstreamPlaces, f.options.upstreamPlace(i))
 		h.arrivals = append(h.arrivals, u.Arrivals())
 		h.crashes = append(h.crashes, u.CrashList()...)
 		for _, run := range u.Runs() {
--- a/internal/soak/span.go
+++ b/internal/soak/span.go
@@ -55,13 +55,13 @@
 
 // losesResponses reports whether the step loses responses that an upstream sends.
 func (s *span) losesResponses(upstream int) bool {
-	return (s.Kind == UpstreamReset || s.Kind == UpstreamSilent || s.Kind == UpstreamChangesVersion || s.Kind == UpstreamCrashes || s.Kind == RequestsCrashUpstream) && s.Target == upstream
+	return (s.Kind == UpstreamReset || s.Kind == UpstreamSilent || s.Kind == UpstreamChangesVersion || s.Kind == UpstreamCrashes || s.Kind == RequestsCrashUpstream || s.Kind == UpstreamRestartsCold) && s.Target == upstream
 }
 
 // failsRequests reports whether the step makes its upstream fail requests.
 func (s *span) failsRequests() bool {
 	switch s.Kind {
-	case UpstreamReset, UpstreamSilent, UpstreamCutsStreams, UpstreamFails, UpstreamSheds, UpstreamChangesVersion, UpstreamCrashes, RequestsCrashUpstream:
+	case UpstreamReset, UpstreamSilent, UpstreamCutsStreams, UpstreamFails, UpstreamSheds, UpstreamChangesVersion, UpstreamCrashes, RequestsCrashUpstream, UpstreamRestartsCold:
 		return true
 	default:
 		return false
--- a/internal/soak/workload.go
+++ b/internal/soak/workload.go
@@ -88,7 +88,11 @@
 		if added := w.fleet.addedRoutes(); len(added) > 0 {
 			routes = append(routes, added[r.IntN(len(added))].route)
 		}
-		account := []string{"one", "two"}[r.IntN(2)]
+		accounts := []string{"one", "two"}
+		if w.fleet.options.Places {
+			routes, accounts = append(routes, limitedRoute), append(accounts, limitedAccount.Name)
+		}
+		account := accounts[r.IntN(len(accounts))]
 		outcome := w.call(ctx, c, address, account, standin.Call{ID: fmt.Sprintf("%d-%d-%d", w.seed, number, sent), Route: routes[r.IntN(len(routes))], Deadline: callTimeout})
 		book.observe(outcome)
 	}
