--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -61,6 +61,12 @@
 	testOptions(t, Options{Seed: 54248, Nodes: 5, Length: 12 * time.Second, Crashes: true, Starved: true})
 }
 
+// Guards against requests that leave their regions, reach an evacuated data centre or are too many for a cold upstream, while
+// all nodes are killed and the store is away.
+func TestRegionsEvacuationAndColdUpstreamsHold(t *testing.T) {
+	testOptions(t, Options{Seed: 60116, Nodes: 4, Length: 8 * time.Second, Places: true})
+}
+
 // testSeed runs a seed and reports its violations.
 func testSeed(t *testing.T, seed uint64) {
 	testOptions(t, Options{Seed: seed, Nodes: 4, Length: 8 * time.Second})
