--- a/directory/stats.go
+++ b/directory/stats.go
@@ -53,6 +53,8 @@
 	failureAt              time.Duration
 	backoffUntil           time.Duration
 	consecutiveUnreachable int
+	// outsideRegionsUntil is the end of the backoff of requests that may pass through nodes of some regions only.
+	outsideRegionsUntil time.Duration
 	// unanswered holds the send times of requests for which nothing was received yet, oldest
 	// first; receivedAt is when anything was last received from the upstream.
 	unanswered []time.Duration
@@ -109,6 +111,25 @@
 	return now < s.backoffUntil
 }
 
+// RecordOutsideRegions records that neither this node nor one through which a request may pass reaches the upstream. Requests
+// without limits to their regions aren't affected.
+func (s *Stats) RecordOutsideRegions(now time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.outsideRegionsUntil = now + outsideRegionsBackoff
+}
+
+// outsideRegionsBackoff is how long requests with limited regions avoid an upstream after one couldn't reach it: about as
+// often as the path of a cut node is tested.
+const outsideRegionsBackoff = time.Second
+
+// IsOutsideRegions reports whether requests with limited regions should not use the upstream now.
+func (s *Stats) IsOutsideRegions(now time.Duration) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return now < s.outsideRegionsUntil
+}
+
 // FailureScore estimates how likely the next request is to fail; it is zero or more.
 func (s *Stats) FailureScore(now time.Duration) float64 {
 	s.mu.Lock()
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -280,7 +280,7 @@
 
 func (c *call) query() *placement.Request {
 	return &placement.Request{Now: c.g.Clock.Now(), DataCentre: c.g.DataCentre, Region: c.g.Region,
-		PromptTokens: int(c.r.PromptTokens), Tokens: c.tokens(), KVCapacity: c.kvCapacity(), Prefix: c.r.Prefix, Tried: c.tried}
+		PromptTokens: int(c.r.PromptTokens), Tokens: c.tokens(), KVCapacity: c.kvCapacity(), Prefix: c.r.Prefix, Tried: c.tried, Limited: c.regions.Limited()}
 }
 
 // refuse responds with an error and records the reason.
--- a/gateway/send.go
+++ b/gateway/send.go
@@ -146,6 +146,12 @@
 		return notRun
 	}
 	notSent := errors.Is(err, ErrNotSent)
+	if notSent && errors.Is(err, reach.ErrOutsideRegions) {
+		c.unsent++
+		u.RecordOutsideRegions(c.g.Clock.Now())
+		c.g.Events.Record(event.AnswerRejected, "request", c.r.ID, "upstream", u.ID, "not_sent", true, "error", err)
+		return notRun
+	}
 	silent := errors.Is(context.Cause(ctx), errUpstreamSilent)
 	if ctx.Err() == nil || silent {
 		c.recordFailure(u, notSent || silent)
--- a/placement/picker.go
+++ b/placement/picker.go
@@ -55,7 +55,7 @@
 	for _, lastResort := range []bool{false, true} {
 		affinity := p.affinityUpstream(r, upstreams, f)
 		for _, u := range upstreams {
-			if r.wasTried(u) || !u.Accepts(r.Now) || !u.HasRoomFor(r.BeyondRamps, r.Now) || u.InBackoff(r.Now) != lastResort || !p.fits(r, u, f) {
+			if r.wasTried(u) || !u.Accepts(r.Now) || !u.HasRoomFor(r.BeyondRamps, r.Now) || r.inBackoff(u) != lastResort || !p.fits(r, u, f) {
 				continue
 			}
 			best.Candidates++
@@ -102,7 +102,7 @@
 		if chosen != nil && rank <= topRank { // what follows costs more than the rank
 			continue
 		}
-		if !fleetWide && u.DataCentre != r.DataCentre || !u.Accepts(r.Now) || !u.HasRoomFor(r.BeyondRamps, r.Now) || u.InBackoff(r.Now) || u.StaleUntil != 0 || !p.fits(r, u, f) {
+		if !fleetWide && u.DataCentre != r.DataCentre || !u.Accepts(r.Now) || !u.HasRoomFor(r.BeyondRamps, r.Now) || r.inBackoff(u) || u.StaleUntil != 0 || !p.fits(r, u, f) {
 			continue
 		}
 		if first == nil || rank > firstRank {
--- a/placement/request.go
+++ b/placement/request.go
@@ -26,6 +26,8 @@
 	Prefix []PromptPart
 	// Tried are the upstreams that the request was already sent to.
 	Tried []*directory.Upstream
+	// Limited is set if the request may pass through nodes of some regions only.
+	Limited bool
 	// BeyondRamps is set if no upstream has room, so that ramps don't limit the request.
 	BeyondRamps bool
 }
@@ -46,3 +48,8 @@
 	}
 	return false
 }
+
+// inBackoff reports whether the request should not use an upstream now since it couldn't be reached.
+func (r *Request) inBackoff(u *directory.Upstream) bool {
+	return u.InBackoff(r.Now) || r.Limited && u.IsOutsideRegions(r.Now)
+}
--- a/reach/dialer.go
+++ b/reach/dialer.go
@@ -173,6 +173,8 @@
 // another node said that it has no path either. Otherwise the fault may be this node's own.
 func (d *Dialer) judgeFailed(ctx context.Context, p *path, directErr, relayErr error) error {
 	switch {
+	case hasAllowedRegions(ctx):
+		return fmt.Errorf("%w (%w)", directErr, ErrOutsideRegions)
 	case errors.Is(relayErr, ErrPeersRefused):
 		if ctx.Err() == nil {
 			d.change(p, Unreachable, causeOf(directErr), "")
--- a/reach/regions.go
+++ b/reach/regions.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"slices"
 )
@@ -9,6 +10,10 @@
 // AllowRegion reports whether a request may pass through the nodes of a region.
 type AllowRegion func(region string) bool
 
+// ErrOutsideRegions is returned beside the error of a direct attempt if the request may pass through nodes of some regions
+// only, and none of them has a path. It says nothing of the upstream: nodes elsewhere may reach it.
+var ErrOutsideRegions = errors.New("no node of an allowed region reaches the upstream")
+
 type allowRegionKey struct{}
 
 // WithAllowedRegions returns a context in which Dial asks only nodes of allowed regions for a connection.
@@ -16,6 +21,11 @@
 	return context.WithValue(ctx, allowRegionKey{}, allow)
 }
 
+func hasAllowedRegions(ctx context.Context) bool {
+	_, limited := ctx.Value(allowRegionKey{}).(AllowRegion)
+	return limited
+}
+
 // allowedPeers returns the peers through which a request of the context may pass.
 func allowedPeers(ctx context.Context, peers []Peer) []Peer {
 	allow, limited := ctx.Value(allowRegionKey{}).(AllowRegion)
