--- a/reach/relaydial.go
+++ b/reach/relaydial.go
@@ -46,7 +46,7 @@
 			next = timer.C
 		} else if pending == 0 {
 			cancel()
-			return nil, d.noTunnel(refused)
+			return nil, d.noTunnel(ctx, refused)
 		}
 		select {
 		case <-next:
@@ -88,9 +88,12 @@
 // noTunnel returns the error after no peer has opened a connection. If none has answered at all, the
 // fault is most likely this node's own, such as a full link: asking them again at once would only add
 // to it.
-func (d *Dialer) noTunnel(refused bool) error {
-	if refused {
+func (d *Dialer) noTunnel(ctx context.Context, refused bool) error {
+	switch {
+	case refused:
 		return ErrPeersRefused
+	case hasAllowedRegions(ctx): // other nodes may answer
+		return ErrNoPeer
 	}
 	d.peersSilentUntil.Store(int64(d.now() + d.settings.PeerAvoidance))
 	return ErrNoPeer
