Declare a version in the store before a stream begins there

Streams began at a version as soon as its entry was read; the declaration followed a reading and a write later (60 to 370 ms with a store in another region). If all nodes lost power in between, and the version's upstreams left, nothing told that streams had begun there: a starting node took them for streams of the only version left. The streams of the declaring node are written with the declaration, and a slow store gets 3 s for it.

--- a/gateway/call.go
+++ b/gateway/call.go
@@ -80,6 +80,9 @@
 	firstEvent, longestGap, lastEventAt time.Duration
 	lastEvent                           int64
 	hasEvent                            bool
+	// onlyDeclared limits the stream's beginning to declared versions; it is set once an upstream of another one was
+	// picked. declarationAwaited reports that the request has waited for a declaration.
+	onlyDeclared, declarationAwaited bool
 	// origin is where the stream began; nil before its first event.
 	origin atomic.Pointer[streamorigin.Origin]
 	// fallback is an upstream's error response, forwarded if no other upstream does better.
--- a/gateway/origin.go
+++ b/gateway/origin.go
@@ -107,12 +107,43 @@
 	return c.g.Directory.Current().Upstreams(c.service.Name)
 }
 
+// mayBeginAt reports whether the request may begin at an upstream: a stream begins only where a later one can learn that
+// streams began there.
+func (c *call) mayBeginAt(u *directory.Upstream) bool {
+	return !c.streamResumable() || c.origin.Load() != nil || c.g.Origins.MayBegin(u.Service, u.Version)
+}
+
+// awaitDeclaration waits once until the stream may begin at the version of an upstream that can be picked then, and
+// reports whether that is so.
+func (c *call) awaitDeclaration(ctx context.Context) bool {
+	if !c.onlyDeclared || c.declarationAwaited || c.origin.Load() != nil {
+		return false
+	}
+	c.declarationAwaited = true
+	var versions []string
+	for _, u := range c.serviceUpstreams() {
+		if !slices.Contains(versions, u.Version) && !c.mayBeginAt(u) {
+			versions = append(versions, u.Version)
+		}
+	}
+	ctx, cancel := context.WithTimeout(ctx, min(declarationWait, c.timeLeft()/timeLeftDivisor))
+	defer cancel()
+	return c.g.Origins.AwaitBegin(ctx, c.service.Name, versions)
+}
+
+// declarationWait bounds the wait for a declaration: a reading of the store and a write, each over a new connection
+// to another region.
+const declarationWait = 500 * time.Millisecond
+
 // upstreams returns the upstreams that may take the request: those of the service or, for a stream that has
 // begun, those of the version that began it.
 func (c *call) upstreams() []*directory.Upstream {
 	origin := c.origin.Load()
-	if origin == nil {
+	switch {
+	case origin == nil && !c.onlyDeclared:
 		return c.serviceUpstreams()
+	case origin == nil:
+		return slices.DeleteFunc(slices.Clone(c.serviceUpstreams()), func(u *directory.Upstream) bool { return !c.mayBeginAt(u) })
 	}
 	return slices.DeleteFunc(slices.Clone(c.serviceUpstreams()), func(u *directory.Upstream) bool {
 		return !origin.Fits(u.Service, u.Version)
--- a/gateway/origin_test.go
+++ b/gateway/origin_test.go
@@ -38,6 +38,10 @@
 
 func (f *fakeOrigins) HasSeveralVersions(string) bool { return false }
 
+func (f *fakeOrigins) MayBegin(string, string) bool { return true }
+
+func (f *fakeOrigins) AwaitBegin(context.Context, string, []string) bool { return true }
+
 func (f *fakeOrigins) Resolve(_ context.Context, _, attempt string) (streamorigin.Resolution, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/gateway/pause.go
+++ b/gateway/pause.go
@@ -10,9 +10,10 @@
 
 // The reasons of refusals for lack of an upstream.
 const (
-	reasonNoneLeft  = "no upstream is left"
-	reasonAllPaused = "every upstream left asked for a pause"
-	reasonNoVersion = "no upstream of the version that began the stream is left"
+	reasonNoneLeft   = "no upstream is left"
+	reasonAllPaused  = "every upstream left asked for a pause"
+	reasonUndeclared = "the versions of the upstreams that are left aren't declared yet"
+	reasonNoVersion  = "no upstream of the version that began the stream is left"
 )
 
 // refuseIfPaused refuses a request if all upstreams asked for a pause.
@@ -35,6 +36,8 @@
 		return reasonNoRoom
 	case c.origin.Load() != nil:
 		return reasonNoVersion
+	case c.onlyDeclared && slices.ContainsFunc(c.serviceUpstreams(), func(u *directory.Upstream) bool { return !c.mayBeginAt(u) }):
+		return reasonUndeclared
 	default:
 		return reasonNoneLeft
 	}
--- a/gateway/ports.go
+++ b/gateway/ports.go
@@ -117,6 +117,10 @@
 	Finish(attempt string)
 	// HasSeveralVersions reports whether streams of a service may have begun at several versions.
 	HasSeveralVersions(service string) bool
+	// MayBegin reports whether a stream may begin at a version of a service, AwaitBegin waits, no longer than ctx,
+	// until one may at any of the versions, and reports whether that is so.
+	MayBegin(service, version string) bool
+	AwaitBegin(ctx context.Context, service string, versions []string) bool
 	// Resolve returns where a stream of a service began; attempt, if known, is the one that brought its first
 	// event.
 	Resolve(ctx context.Context, service, attempt string) (streamorigin.Resolution, error)
--- a/gateway/run.go
+++ b/gateway/run.go
@@ -57,7 +57,11 @@
 			return
 		}
 		choice, ok := c.g.Picker.Pick(c.query(), c.upstreams())
-		if !ok && (c.awaitRoom(ctx) || c.awaitReachable(ctx)) {
+		if ok && !c.mayBeginAt(choice.Upstream) {
+			c.onlyDeclared = true
+			continue
+		}
+		if !ok && (c.awaitDeclaration(ctx) || c.awaitRoom(ctx) || c.awaitReachable(ctx)) {
 			continue
 		}
 		if !ok {
--- /dev/null
+++ b/streamorigin/declared.go
@@ -0,0 +1,62 @@
+package streamorigin
+
+import (
+	"context"
+	"maps"
+)
+
+// declarations are the versions at which streams may begin, as of the publisher's last step. They are immutable.
+type declarations struct {
+	// versions are those that are listed and that the topic holds.
+	versions map[Origin]bool
+	// failed reports that the publisher couldn't read or write the topic.
+	failed bool
+	// next is closed once there are later declarations.
+	next chan struct{}
+}
+
+// MayBegin reports whether a stream of a service may begin at a version: whether the topic holds the version. Otherwise
+// nothing would tell, after a power loss of all nodes, that streams began there if its upstreams are gone as well. While
+// the topic is out of reach they may begin at the only version that this node knows of.
+func (r *Registry) MayBegin(service, version string) bool {
+	return r.declared.Load().allow(r, Origin{Service: service, Version: version})
+}
+
+func (d *declarations) allow(r *Registry, o Origin) bool {
+	if d.versions[o] {
+		return true
+	}
+	if !d.failed || !o.IsListed() {
+		return false
+	}
+	known := r.knownVersions(o.Service)
+	return len(known) == 1 && known[0] == o.Version
+}
+
+// AwaitBegin waits until a stream of a service may begin at one of some versions, and reports whether that is so. It
+// waits no longer than ctx.
+func (r *Registry) AwaitBegin(ctx context.Context, service string, versions []string) bool {
+	for {
+		d := r.declared.Load()
+		for _, version := range versions {
+			if d.allow(r, Origin{Service: service, Version: version}) {
+				return true
+			}
+		}
+		select {
+		case <-d.next:
+		case <-ctx.Done():
+			return false
+		}
+	}
+}
+
+// setDeclared tells requests at which versions streams may begin.
+func (r *Registry) setDeclared(versions map[Origin]bool, failed bool) {
+	old := r.declared.Load()
+	if old.failed == failed && maps.Equal(old.versions, versions) {
+		return
+	}
+	r.declared.Store(&declarations{versions: versions, failed: failed, next: make(chan struct{})})
+	close(old.next)
+}
--- a/streamorigin/publisher.go
+++ b/streamorigin/publisher.go
@@ -64,6 +64,7 @@
 	p.tellMixed()
 	err := p.declare(ctx)
 	p.tellMixed()
+	p.setDeclared(p.versions.usable(), err != nil)
 	if err != nil {
 		return err
 	}
@@ -95,12 +96,17 @@
 	}
 }
 
-// declare writes the versions that are listed and not declared yet.
+// declare writes the versions that are listed and not declared yet, and with them the streams of this node: from then on
+// they can't be told by the service alone.
 func (p *publisher) declare(ctx context.Context) error {
 	if len(p.versions.undeclared()) == 0 {
 		return nil
 	}
-	v, err := p.reader.read(ctx)
+	read := p.reader.read
+	if p.failing {
+		read = p.reader.readPatiently
+	}
+	v, err := read(ctx)
 	if err != nil {
 		return err
 	}
@@ -115,9 +121,14 @@
 			return err
 		}
 	}
-	if err := p.append(ctx, records...); err != nil {
+	streams, err := p.due()
+	if err != nil {
+		return err
+	}
+	if err := p.append(ctx, append(records, streams.records...)...); err != nil {
 		return err
 	}
+	streams.written(p)
 	for _, o := range missing {
 		p.versions.declared[o] = true
 		p.deps.Events.Record(event.VersionDeclared, "service", o.Service, "version", o.Version, "declared", true)
@@ -125,24 +136,45 @@
 	return nil
 }
 
-// publish writes the origins of this node's streams in services with several versions, if they changed.
-func (p *publisher) publish(ctx context.Context) error {
+// nodeStreams is what has to be written of this node's streams.
+type nodeStreams struct {
+	// records holds one record, or none if nothing changed.
+	records    []keyedlog.Record
+	services   map[string]bool
+	generation uint64
+}
+
+// due returns what has to be written of the streams in services with several versions.
+func (p *publisher) due() (nodeStreams, error) {
 	mixed := p.versions.mixed()
 	attempts, generation := p.table.byOrigin(mixed)
 	if len(attempts) == 0 {
 		mixed = nil
 	}
 	if maps.Equal(mixed, p.writtenFor) && (generation == p.generation || len(mixed) == 0) {
-		return nil
+		return nodeStreams{}, nil
 	}
 	record, err := encodeNode(p.deps.Node, p.deps.Incarnation, attempts)
-	if err != nil {
+	return nodeStreams{[]keyedlog.Record{record}, mixed, generation}, err
+}
+
+// written records that the topic holds the streams.
+func (s nodeStreams) written(p *publisher) {
+	if len(s.records) > 0 {
+		p.writtenFor, p.generation = s.services, s.generation
+	}
+}
+
+// publish writes the origins of this node's streams in services with several versions, if they changed.
+func (p *publisher) publish(ctx context.Context) error {
+	streams, err := p.due()
+	if err != nil || len(streams.records) == 0 {
 		return err
 	}
-	if err := p.append(ctx, record); err != nil {
+	if err := p.append(ctx, streams.records...); err != nil {
 		return err
 	}
-	p.writtenFor, p.generation = mixed, generation
+	streams.written(p)
 	return nil
 }
 
@@ -169,7 +201,11 @@
 }
 
 func (p *publisher) append(ctx context.Context, records ...keyedlog.Record) error {
-	ctx, cancel := context.WithTimeout(ctx, appendTimeout)
+	timeout := appendTimeout
+	if p.failing {
+		timeout = slowTimeout
+	}
+	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	p.epoch++
 	return p.deps.Topic.Append(ctx, keyedlog.Fence{Producer: TopicName + "/" + p.deps.Incarnation, Epoch: p.epoch}, records...)
--- a/streamorigin/reader.go
+++ b/streamorigin/reader.go
@@ -17,6 +17,9 @@
 	// readTimeout bounds one reading of the topic: a connection and an answer from another region, with room
 	// for a slow store.
 	readTimeout = 400 * time.Millisecond
+	// slowTimeout bounds a reading or a write by which a version is declared, after one that took too long: the topic may
+	// have several pages, each read over a new connection.
+	slowTimeout = 3 * time.Second
 	// endTimeout bounds the question for the end of the topic: an answer from another region takes half of it.
 	endTimeout = 130 * time.Millisecond
 	// failurePause is for how long after a failed reading none is begun for a caller that waits.
@@ -61,6 +64,15 @@
 	}
 }
 
+// readPatiently reads the topic for a caller that serves no request, within slowTimeout: a slow store must not keep versions
+// from being declared.
+func (r *reader) readPatiently(ctx context.Context) (*view, error) {
+	ctx, cancel := context.WithTimeout(ctx, slowTimeout)
+	defer cancel()
+	v, err := r.readView(ctx)
+	return v, errors.Trace(err)
+}
+
 // join returns the first reading that hasn't begun.
 func (r *reader) join() (*reading, error) {
 	r.mu.Lock()
--- a/streamorigin/registry.go
+++ b/streamorigin/registry.go
@@ -38,22 +38,26 @@
 // Registry knows where streams began: those of this node from its table, those of others from the store or from
 // the nodes themselves. It is safe for concurrent use.
 //
-// While a service has one version, nothing is written: every stream began there. Once it has several, each node
-// writes the origins of its open streams to the store.
+// A version is declared in the store before a stream begins there. While a service has one version, nothing else is
+// written: every stream began there. Once it has several, each node writes the origins of its open streams.
 type Registry struct {
 	deps   Deps
 	table  *Table
 	reader *reader
 	// mixed holds the services that have several versions, as of the publisher's last step.
 	mixed atomic.Pointer[map[string]bool]
+	// declared are the versions at which streams may begin.
+	declared atomic.Pointer[declarations]
 	// changed holds an element if the list of upstreams changed.
 	changed chan struct{}
 }
 
 // NewRegistry returns a registry without streams.
 func NewRegistry(deps Deps) *Registry {
-	return &Registry{deps: deps, table: NewTable(deps.Clock), changed: make(chan struct{}, 1),
+	r := &Registry{deps: deps, table: NewTable(deps.Clock), changed: make(chan struct{}, 1),
 		reader: &reader{topic: deps.Topic, clock: deps.Clock, events: deps.Events}}
+	r.declared.Store(&declarations{next: make(chan struct{})})
+	return r
 }
 
 // Record records where a stream began; see Table.Record.
--- a/streamorigin/versionset.go
+++ b/streamorigin/versionset.go
@@ -65,6 +65,18 @@
 	return missing
 }
 
+// usable returns the versions that are listed and that the topic is known to hold. A declaration is deleted only some
+// minutes after the version's last upstream went, so one of a version that is listed no more may be gone already.
+func (s *versionSet) usable() map[Origin]bool {
+	usable := make(map[Origin]bool)
+	for o := range s.listed {
+		if s.declared[o] {
+			usable[o] = true
+		}
+	}
+	return usable
+}
+
 // mixed returns the services that have several versions.
 func (s *versionSet) mixed() map[string]bool {
 	known := maps.Clone(s.declared)
