Ask upstreams who they are after a node's start and while entries can't be read

A node that was down saw no upstream fail, so it began streams at upstreams that had come back under their address and ID as another version, and counted them as the version of the old entry: 68 to 127 streams of two versions in 8 of 8 cases of TestUpstreamsComeBackAsAnotherVersionDuringPowerLoss. Entries are in doubt for 4 s after all were read and after each failure to read them; they lapse after 3.6 s.

--- a/directory/table.go
+++ b/directory/table.go
@@ -45,6 +45,8 @@
 	// versions holds the versions of the upstreams of each service, also those that have left, by service.
 	versions map[string]versionUses
 	current  atomic.Pointer[Snapshot]
+	// doubtedUntil is until when entries may be of incarnations that ended unseen, by the boot clock.
+	doubtedUntil atomic.Int64
 	// synced is closed once Replace has been called, which the first full read does.
 	synced     chan struct{}
 	syncedOnce sync.Once
@@ -65,8 +67,16 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.storeFailedAt = t.clock.Now()
+	t.doubtedUntil.Store(int64(t.storeFailedAt + lapseTime))
 }
 
+// lapseTime is longer than the 3.6 s that it takes an entry to lapse once its upstream has ended.
+const lapseTime = 4 * time.Second
+
+// InDoubt reports whether entries may be of incarnations that ended before this node could notice: shortly after all
+// entries were read, as when the node has started, and while the store can't be read.
+func (t *Table) InDoubt(now time.Duration) bool { return int64(now) < t.doubtedUntil.Load() }
+
 // Change is how an entry changed the table, for logs.
 type Change int
 
@@ -200,6 +210,7 @@
 		}
 	}
 	t.publish()
+	t.doubtedUntil.Store(int64(t.clock.Now() + lapseTime))
 	t.syncedOnce.Do(func() { close(t.synced) })
 }
 
--- a/gateway/origin.go
+++ b/gateway/origin.go
@@ -64,16 +64,23 @@
 // for some 14 s, longer than an entry takes to lapse and to come back.
 const doubtfulFailures = 0.01
 
+// unlistedAfter is how many sends must have met another incarnation, or nobody, before a stream begins at an unlisted one while
+// entries are in doubt: it can't be taken up, and nodes then refuse unknown streams of the service.
+const unlistedAfter = 2
+
 // requiredIdentity returns how certain it must be that the upstream is the incarnation of its entry. A stream that
 // goes on must meet the version that began it. Where one begins must be certain if it may have to go on while
-// versions differ, or if this node saw the upstream fail, which is all that a restart looks like.
+// versions differ, if this node saw the upstream fail, which is all that a restart looks like, or if the upstream may
+// have restarted while this node was down or couldn't read the entries.
 func (c *call) requiredIdentity(u *directory.Upstream, goesOn bool) Identity {
 	switch {
 	case c.service.Engine == nil || c.route.Kind != catalog.Streaming: // plain services have no report
 		return IdentityAssumed
 	case goesOn:
 		return IdentityRequired
-	case c.streamResumable() && (c.g.Origins.HasSeveralVersions(c.service.Name) || u.StaleUntil != 0 || u.FailureScore(c.g.Clock.Now()) > doubtfulFailures):
+	case c.streamResumable() && c.g.Directory.InDoubt(c.g.Clock.Now()) && c.unsent < unlistedAfter:
+		return IdentityRequired
+	case c.streamResumable() && (c.g.Directory.InDoubt(c.g.Clock.Now()) || c.g.Origins.HasSeveralVersions(c.service.Name) || u.StaleUntil != 0 || u.FailureScore(c.g.Clock.Now()) > doubtfulFailures):
 		return IdentityReported
 	}
 	return IdentityAssumed
