--- a/gateway/origin.go
+++ b/gateway/origin.go
@@ -64,16 +64,23 @@
 // for some 14 s, longer than an entry takes to lapse and to come back.
 const doubtfulFailures = 0.01
 
+// unlistedAfter is how many sends must have met another incarnation, or nobody, before a stream begins at an unlisted one while
+// entries are in doubt: it can't be taken up, and nodes then refuse unknown streams of the service.
+const unlistedAfter = 2
+
 // requiredIdentity returns how certain it must be that the upstream is the incarnation of its entry. A stream that
 // goes on must meet the version that began it. Where one begins must be certain if it may have to go on while
-// versions differ, or if this node saw the upstream fail, which is all that a restart looks like.
+// versions differ, if this node saw the upstream fail, which is all that a restart looks like, or if the upstream may
+// have restarted while this node was down or couldn't read the entries.
 func (c *call) requiredIdentity(u *directory.Upstream, goesOn bool) Identity {
 	switch {
 	case c.service.Engine == nil || c.route.Kind != catalog.Streaming: // plain services have no report
 		return IdentityAssumed
 	case goesOn:
 		return IdentityRequired
-	case c.streamResumable() && (c.g.Origins.HasSeveralVersions(c.service.Name) || u.StaleUntil != 0 || u.FailureScore(c.g.Clock.Now()) > doubtfulFailures):
+	case c.streamResumable() && c.g.Directory.InDoubt(c.g.Clock.Now()) && c.unsent < unlistedAfter:
+		return IdentityRequired
+	case c.streamResumable() && (c.g.Directory.InDoubt(c.g.Clock.Now()) || c.g.Origins.HasSeveralVersions(c.service.Name) || u.StaleUntil != 0 || u.FailureScore(c.g.Clock.Now()) > doubtfulFailures):
 		return IdentityReported
 	}
 	return IdentityAssumed
@@ -112,12 +119,43 @@
 	return c.inAllowedRegions(c.listedUpstreams())
 }
 
+// mayBeginAt reports whether the request may begin at an upstream: a stream begins only where a later one can learn that
+// streams began there.
+func (c *call) mayBeginAt(u *directory.Upstream) bool {
+	return !c.streamResumable() || c.origin.Load() != nil || c.g.Origins.MayBegin(u.Service, u.Version)
+}
+
+// awaitDeclaration waits once until the stream may begin at the version of an upstream that can be picked then, and
+// reports whether that is so.
+func (c *call) awaitDeclaration(ctx context.Context) bool {
+	if !c.onlyDeclared || c.declarationAwaited || c.origin.Load() != nil {
+		return false
+	}
+	c.declarationAwaited = true
+	var versions []string
+	for _, u := range c.serviceUpstreams() {
+		if !slices.Contains(versions, u.Version) && !c.mayBeginAt(u) {
+			versions = append(versions, u.Version)
+		}
+	}
+	ctx, cancel := context.WithTimeout(ctx, min(declarationWait, c.timeLeft()/timeLeftDivisor))
+	defer cancel()
+	return c.g.Origins.AwaitBegin(ctx, c.service.Name, versions)
+}
+
+// declarationWait bounds the wait for a declaration: a reading of the store and a write, each over a new connection
+// to another region.
+const declarationWait = 500 * time.Millisecond
+
 // upstreams returns the upstreams that may take the request: those of the service or, for a stream that has
 // begun, those of the version that began it.
 func (c *call) upstreams() []*directory.Upstream {
 	origin := c.origin.Load()
-	if origin == nil {
+	switch {
+	case origin == nil && !c.onlyDeclared:
 		return c.serviceUpstreams()
+	case origin == nil:
+		return slices.DeleteFunc(slices.Clone(c.serviceUpstreams()), func(u *directory.Upstream) bool { return !c.mayBeginAt(u) })
 	}
 	return slices.DeleteFunc(slices.Clone(c.serviceUpstreams()), func(u *directory.Upstream) bool {
 		return !origin.Fits(u.Service, u.Version)
--- a/gateway/run.go
+++ b/gateway/run.go
@@ -57,14 +57,18 @@
 			return
 		}
 		choice, ok := c.g.Picker.Pick(c.query(), c.upstreams())
-		beyondRamp := false
-		if !ok && c.awaitRoom(ctx) {
+		if !ok && (c.awaitDeclaration(ctx) || c.awaitRoom(ctx)) {
 			continue
 		}
+		beyondRamp := false
 		if !ok {
 			choice, ok = c.pickBeyondRamps()
 			beyondRamp = ok
 		}
+		if ok && !c.mayBeginAt(choice.Upstream) {
+			c.onlyDeclared = true
+			continue
+		}
 		if !ok && c.awaitReachable(ctx) {
 			continue
 		}
