A stream of a route that is split among services is not taken for one of the service drawn

Nothing being known of the stream, it counted as begun at the only version of the service that the draw chose; it may have begun at another service.

--- a/gateway/origin.go
+++ b/gateway/origin.go
@@ -43,6 +43,9 @@
 	if err == nil && !found.Origin.IsListed() {
 		err = errors.New("the upstream that began it had restarted")
 	}
+	if err == nil && found.IsInferred() && c.mayHaveBegunElsewhere() {
+		err = errors.New("it may have begun at another service of the route")
+	}
 	if err != nil {
 		c.g.Metrics.recordTakenUp(originUnknown)
 		return result.New(result.VersionUnknown, "where the stream began isn't known: %v", err).WithRetryAfter(c.g.settings.BusyRetryAfter)
@@ -57,6 +60,15 @@
 	return nil
 }
 
+// mayHaveBegunElsewhere reports whether the route sends streams to other services of model engines than the one drawn for
+// this request.
+func (c *call) mayHaveBegunElsewhere() bool {
+	return slices.ContainsFunc(c.route.Split, func(s catalog.WeightedService) bool {
+		other := c.view.Service(s.Service)
+		return s.Service != c.service.Name && other != nil && other.Engine != nil
+	})
+}
+
 // originUnknown counts, in metrics, the streams that were refused as where they began wasn't known.
 const originUnknown = "unknown"
 
--- a/gateway/origin_test.go
+++ b/gateway/origin_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/matryer/is"
 
+	"lavenderpin.dev/lavenderpin/catalog"
 	"lavenderpin.dev/lavenderpin/directory"
 	"lavenderpin.dev/lavenderpin/result"
 	"lavenderpin.dev/lavenderpin/streamorigin"
@@ -22,6 +23,8 @@
 	mu       sync.Mutex
 	known    map[string]streamorigin.Origin
 	finished []string
+	// onlyVersion is taken for the version of all other streams; empty if there are several.
+	onlyVersion string
 }
 
 func (f *fakeOrigins) Record(attempt string, o streamorigin.Origin, _ time.Duration) {
@@ -42,10 +45,13 @@
 
 func (f *fakeOrigins) AwaitBegin(context.Context, string, []string) bool { return true }
 
-func (f *fakeOrigins) Resolve(_ context.Context, _, attempt string) (streamorigin.Resolution, error) {
+func (f *fakeOrigins) Resolve(_ context.Context, service, attempt string) (streamorigin.Resolution, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	o, known := f.known[attempt]
+	if !known && f.onlyVersion != "" {
+		return streamorigin.Resolution{Origin: streamorigin.Origin{Service: service, Version: f.onlyVersion}, Source: streamorigin.OnlyVersion}, nil
+	}
 	if !known {
 		return streamorigin.Resolution{}, errors.New("nobody knows")
 	}
@@ -88,6 +94,24 @@
 	is.Equal(tg.share.Status("one").Reserved, int64(0))
 }
 
+// Guards against a stream that goes on at another service of its route, since that service has one version only.
+func TestStreamOfSplitRouteIsNotTakenForAnotherServices(t *testing.T) {
+	is := is.New(t)
+	tg := newTestGateway(0, func(context.Context, *directory.Upstream, *Dispatch) (*Response, error) {
+		return newResponse(200, true, strings.NewReader(numberedEvents(11, 20))), nil
+	})
+	tg.origins.onlyVersion = "v1"
+	is.Equal(tg.takeUp("first").status, 200)
+	view, engine := tg.Catalog.Current(), &catalog.Engine{TokensPerEvent: 6}
+	route := *view.Match("h", "/stream/")
+	route.Split = []catalog.WeightedService{{Service: "s", Weight: 1}, {Service: "t", Weight: 1}}
+	tg.Catalog.Publish(catalog.NewView(view.Version+1, catalog.Limits{}, []*catalog.Route{&route}, []*catalog.Service{{Name: "s", Engine: engine}, {Name: "t", Engine: engine}},
+		[]*catalog.Account{view.Account("one")}, map[string]string{"k": "one"}))
+	is.Equal(tg.takeUp("first").refusal.Code, result.VersionUnknown)
+	tg.origins.known["known"] = streamorigin.Origin{Service: "s", Version: "v1"}
+	is.Equal(tg.takeUp("known").status, 200)
+}
+
 // Guards against losing where a stream began once it was taken up: it may be taken up again, and its caller then names
 // the same attempt.
 func TestOriginIsKeptUnderTheFirstAttempt(t *testing.T) {
