--- a/gateway/origin_test.go
+++ b/gateway/origin_test.go
@@ -107,7 +107,7 @@
 	route.Split = []catalog.WeightedService{{Service: "s", Weight: 1}, {Service: "t", Weight: 1}}
 	tg.Catalog.Publish(catalog.NewView(view.Version+1, catalog.Limits{}, []*catalog.Route{&route}, []*catalog.Service{{Name: "s", Engine: engine}, {Name: "t", Engine: engine}},
 		[]*catalog.Account{view.Account("one")}, map[string]string{"k": "one"}))
-	is.Equal(tg.takeUp("first").refusal.Code, result.VersionUnknown)
+	is.Equal(tg.takeUp("unknown").refusal.Code, result.VersionUnknown)
 	tg.origins.known["known"] = streamorigin.Origin{Service: "s", Version: "v1"}
 	is.Equal(tg.takeUp("known").status, 200)
 }
--- a/streamorigin/resolve.go
+++ b/streamorigin/resolve.go
@@ -42,7 +42,9 @@
 }
 
 // IsInferred reports whether nothing is known of the stream itself: it must have begun at the only version of its service.
-func (r Resolution) IsInferred() bool { return r.Source == OnlyVersion || r.Source == OnlyVersionOfNodes }
+func (r Resolution) IsInferred() bool {
+	return r.Source == OnlyVersion || r.Source == OnlyVersionOfNodes
+}
 
 // Resolve returns where a stream of a service began. attempt is the one that brought its first event; empty if the
 // caller doesn't name it. The error says why it isn't known.
