--- a/throttle/ramp.go
+++ b/throttle/ramp.go
@@ -123,7 +123,8 @@
 }
 
 func (r *ramp) reset(s RampStart, now time.Duration, random float64) {
-	*r = ramp{slots: float64(max(1, s.Slots)), share: s.Part.Share, usual: max(time.Millisecond, s.Usual), serviceUsual: max(time.Millisecond, s.Usual), usualWait: s.UsualWait, warmup: s.Warmup,
+	usual := max(time.Millisecond, s.Usual)
+	*r = ramp{slots: float64(max(1, s.Slots)), share: s.Part.Share, usual: usual, serviceUsual: usual, usualWait: s.UsualWait, warmup: s.Warmup,
 		advancedAt: now, adjustedAt: now - maxRampInterval, credit: random, roomSince: -1, deniedAt: -1, report: r.report}
 	r.level = rampInitialShare * r.slots
 }
@@ -249,10 +250,9 @@
 	if !r.good {
 		r.badAt = now
 	}
-	if now-r.adjustedAt < min(maxRampInterval, max(minAdjustInterval, r.usual)) {
+	if !r.takeAdjustment(now) {
 		return
 	}
-	r.adjustedAt = now
 	if !r.good {
 		fill := rampTargetShare * r.slots / max(1, float64(a.Load.Running+a.Load.Waiting))
 		r.level = max(rampMinShare*r.slots, max(rampRefusalFactor, min(rampQueueFactor, fill))*min(r.level, r.slots))
@@ -268,6 +268,16 @@
 	r.level = min(maxRampShare*r.slots, r.level*step)
 }
 
+// takeAdjustment reports whether the level may change now, and if so counts it as changed. Responses to requests that were
+// under way together change it once.
+func (r *ramp) takeAdjustment(now time.Duration) bool {
+	if now-r.adjustedAt < min(maxRampInterval, max(minAdjustInterval, r.usual)) {
+		return false
+	}
+	r.adjustedAt = now
+	return true
+}
+
 func (r *ramp) isSlow(a Answer) bool {
 	limit := a.Objective / 2
 	if usual := max(minSlowWait, slowWaitFactor*r.usualWait); r.usualWait > 0 && (limit == 0 || usual < limit) {
@@ -299,10 +309,9 @@
 	}
 	r.refusals++
 	r.answered, r.good, r.badAt = true, false, now
-	if now-r.adjustedAt < min(maxRampInterval, max(minAdjustInterval, r.usual)) {
+	if !r.takeAdjustment(now) {
 		return
 	}
-	r.adjustedAt = now
 	r.level = max(rampMinShare*r.slots, rampRefusalFactor*min(r.level, r.slots))
 	r.credit = min(r.credit, 0)
 }
--- a/throttle/warmup.go
+++ b/throttle/warmup.go
@@ -5,7 +5,7 @@
 	"time"
 )
 
-// warmupTurnLength is how long a turn to send to a cold upstream is kept. It is shorter than turnLength because the
+// warmupTurnLength is how long a turn to send to a cold upstream is kept. It is shorter than defaultTurnLength because the
 // bound of a cold upstream holds in any single second: turns that many nodes kept for a second would double its rate.
 const warmupTurnLength = 300 * time.Millisecond
 
