--- a/placement/field.go
+++ b/placement/field.go
@@ -11,9 +11,9 @@
 	// reportFade is the time constant with which a report on other nodes' requests gives way to the mean of the service: most
 	// requests end within it.
 	reportFade = 1500 * time.Millisecond
-	// maxMost bounds the largest estimate in multiples of the mean, so that one upstream with a mistaken report or a crowd of its own
+	// maxOthersFactor bounds the largest estimate in multiples of the mean, so that one upstream with a mistaken report or a crowd of its own
 	// doesn't keep long prompts from the others.
-	maxMost = 2
+	maxOthersFactor = 2
 	// meanTTL is how long the mean of the reports holds after the newest of them. Then it fades, so that requests are sent again,
 	// and reports received, where all upstreams seemed full.
 	meanTTL = 4 * time.Second
@@ -39,8 +39,8 @@
 	placed map[string]float64
 	// plain reports that upstreams of the service report their load without a slow-down.
 	plain bool
-	// most is the largest estimate of other nodes' requests at an upstream, within maxMost of the mean.
-	most float64
+	// maxOthers is the largest estimate of other nodes' requests at an upstream, within maxOthersFactor of the mean.
+	maxOthers float64
 }
 
 // newField returns the means over the upstreams that may take requests.
@@ -76,11 +76,11 @@
 		f.others = reports / weights * fade(now-newest-meanTTL)
 	}
 	f.load = f.others + own/count
-	f.most = f.others
-	limit := maxMost*f.others + 1
+	f.maxOthers = f.others
+	limit := maxOthersFactor*f.others + 1
 	for _, u := range upstreams {
 		if load := u.Load(); load.ReportsSlowdown() && u.Accepts(now) {
-			f.most = max(f.most, min(limit, f.othersAt(&load, now)))
+			f.maxOthers = max(f.maxOthers, min(limit, f.othersAt(&load, now)))
 		}
 	}
 	f.addPlaced(upstreams, now)
--- a/placement/memory.go
+++ b/placement/memory.go
@@ -61,14 +61,11 @@
 	if !f.applies(&load) {
 		return math.MaxInt64
 	}
-	slots := float64(u.Slots)
-	if load.Slots > 0 {
-		slots = float64(load.Slots)
-	}
+	slots := slotsOf(u, &load)
 	if slots <= 0 {
 		slots = math.MaxInt32
 	}
-	others := min(slots, max(f.most, f.othersAt(&load, r.Now)))
+	others := min(slots, max(f.maxOthers, f.othersAt(&load, r.Now)))
 	if others < fewestOthers {
 		return r.KVCapacity
 	}
--- a/placement/uneven.go
+++ b/placement/uneven.go
@@ -30,10 +30,7 @@
 func (p *Picker) unevenDelay(r *Request, u *directory.Upstream, load *directory.Load, f *field, prompt time.Duration) time.Duration {
 	s := &p.settings
 	total := f.othersAt(load, r.Now) + float64(u.InFlight.Load())
-	slots := float64(u.Slots)
-	if load.Slots > 0 {
-		slots = float64(load.Slots)
-	}
+	slots := slotsOf(u, load)
 	running := min(total, slots)
 	delay := float64(prompt) + running*float64(s.PerRunningRequest) + (total-running)*float64(s.PerWaitingRequest)
 	delay *= load.SlowdownNow(r.Now) / f.speedOf(u)
@@ -41,6 +38,14 @@
 	return time.Duration(delay + p.Random()*float64(s.Spread))
 }
 
+// slotsOf returns how many requests the upstream runs at once, by its last report or else by its entry; zero if neither tells.
+func slotsOf(u *directory.Upstream, load *directory.Load) float64 {
+	if load.Slots > 0 {
+		return float64(load.Slots)
+	}
+	return float64(u.Slots)
+}
+
 // excess returns the part of the mean by which an upstream with a number of requests has more than the others, or by which this
 // node placed more there than at the others of its data centre, whichever is larger.
 func (f *field) excess(u *directory.Upstream, total float64, now time.Duration) float64 {
