--- a/placement/memory.go
+++ b/placement/memory.go
@@ -18,7 +18,7 @@
 // MayFit reports whether an upstream's memory has room for the request now, as far as this node knows. upstreams are those of
 // the service.
 func (p *Picker) MayFit(r *Request, u *directory.Upstream, upstreams []*directory.Upstream) bool {
-	return p.fits(r, u, p.fieldOf(r, upstreams))
+	return p.fits(r, u, p.meansOf(r, upstreams))
 }
 
 // ExceedsMemory reports whether the request is larger than the memory of each of the upstreams.
@@ -26,8 +26,8 @@
 	if r.KVCapacity <= 0 || r.Tokens <= r.KVCapacity {
 		return false
 	}
-	f := p.fieldOf(r, upstreams)
-	return f.uneven && !f.plain
+	m := p.meansOf(r, upstreams)
+	return m.uneven && !m.plain
 }
 
 // Held records that this node holds a request's tokens in the memory of an engine of a service.
@@ -42,8 +42,8 @@
 	return int64(p.sizes.of(service).mean)
 }
 
-func (p *Picker) fits(r *Request, u *directory.Upstream, f *field) bool {
-	most := p.maxHeldTokens(r, u, f)
+func (p *Picker) fits(r *Request, u *directory.Upstream, m *serviceMeans) bool {
+	most := p.maxHeldTokens(r, u, m)
 	return most == math.MaxInt64 || p.SizeOf(r, u.Service) <= most-u.HeldTokens()
 }
 
@@ -53,19 +53,19 @@
 //
 // It answers prompts long enough that fewer than an engine's slots fill its memory, sent by 80 nodes at the same time: an engine crashes
 // if the requests that run exceed its memory, and all of them are lost. Requests that wait there hold nothing.
-func (p *Picker) maxHeldTokens(r *Request, u *directory.Upstream, f *field) int64 {
-	if r.KVCapacity <= 0 || !f.uneven {
+func (p *Picker) maxHeldTokens(r *Request, u *directory.Upstream, m *serviceMeans) int64 {
+	if r.KVCapacity <= 0 || !m.uneven {
 		return math.MaxInt64
 	}
 	load := u.Load()
-	if !f.applies(&load) {
+	if !m.applies(&load) {
 		return math.MaxInt64
 	}
 	slots := slotsOf(u, &load)
 	if slots <= 0 {
 		slots = math.MaxInt32
 	}
-	others := min(slots, max(f.maxOthers, f.othersAt(&load, r.Now)))
+	others := min(slots, max(m.maxOthers, m.othersAt(&load, r.Now)))
 	if others < fewestOthers {
 		return r.KVCapacity
 	}
--- a/placement/picker.go
+++ b/placement/picker.go
@@ -20,7 +20,7 @@
 	IsRelayed func(address string) bool
 	// Random returns a number from 0 to 1. It must not be changed once the picker is in use.
 	Random func() float64
-	fields fieldCache
+	means  meansCache
 	parts  partTracker
 	sizes  sizeTracker
 }
@@ -51,23 +51,23 @@
 // full, or whose memory the request doesn't fit into, never.
 func (p *Picker) Pick(r *Request, upstreams []*directory.Upstream) (PickResult, bool) {
 	best := PickResult{}
-	f := p.fieldOf(r, upstreams)
+	m := p.meansOf(r, upstreams)
 	for _, lastResort := range []bool{false, true} {
-		affinity := p.affinityUpstream(r, upstreams, f)
+		affinity := p.affinityUpstream(r, upstreams, m)
 		for _, u := range upstreams {
-			if r.wasTried(u) || !u.Accepts(r.Now) || !u.HasRoomFor(r.BeyondRamps, r.Now) || r.inBackoff(u) != lastResort || !p.fits(r, u, f) {
+			if r.wasTried(u) || !u.Accepts(r.Now) || !u.HasRoomFor(r.BeyondRamps, r.Now) || r.inBackoff(u) != lastResort || !p.fits(r, u, m) {
 				continue
 			}
 			best.Candidates++
 			uncachedShared := p.uncachedShared(r, u, u == affinity)
-			if score := p.score(r, u, uncachedShared, f); best.Upstream == nil || score < best.Expected {
+			if score := p.score(r, u, uncachedShared, m); best.Upstream == nil || score < best.Expected {
 				best.Upstream, best.Expected = u, score
 				best.Uncached = r.PromptTokens - sharedTokens(r.shared()) + uncachedShared
 				best.UncachedShared, best.Affinity = uncachedShared, u == affinity
 			}
 		}
 		if best.Upstream != nil {
-			best.MaxHeldTokens = p.maxHeldTokens(r, best.Upstream, f)
+			best.MaxHeldTokens = p.maxHeldTokens(r, best.Upstream, m)
 			return best, true
 		}
 	}
@@ -87,14 +87,14 @@
 // cached on one engine without coordination. It is chosen by rendezvous hashing: when an engine
 // joins, leaves, pauses or takes no more requests, only its own prompts move. A long shared prompt has one affinity
 // upstream in the fleet, a short one has one in each data centre.
-func (p *Picker) affinityUpstream(r *Request, upstreams []*directory.Upstream, f *field) *directory.Upstream {
+func (p *Picker) affinityUpstream(r *Request, upstreams []*directory.Upstream, m *serviceMeans) *directory.Upstream {
 	shared := r.shared()
 	if len(shared) == 0 {
 		return nil
 	}
 	fleetWide := sharedTokens(shared) >= p.settings.FleetAffinityTokens
 	key := shared[len(shared)-1].ID
-	spills := f.uneven && p.parts.count(key, r.Now) > minSpillCount+spillPart*f.affine
+	spills := m.uneven && p.parts.count(key, r.Now) > minSpillCount+spillPart*m.affine
 	var first, chosen *directory.Upstream
 	var firstRank, topRank uint64
 	for _, u := range upstreams {
@@ -102,13 +102,13 @@
 		if chosen != nil && rank <= topRank { // what follows costs more than the rank
 			continue
 		}
-		if !fleetWide && u.DataCentre != r.DataCentre || !u.Accepts(r.Now) || !u.HasRoomFor(r.BeyondRamps, r.Now) || r.inBackoff(u) || u.StaleUntil != 0 || !p.fits(r, u, f) {
+		if !fleetWide && u.DataCentre != r.DataCentre || !u.Accepts(r.Now) || !u.HasRoomFor(r.BeyondRamps, r.Now) || r.inBackoff(u) || u.StaleUntil != 0 || !p.fits(r, u, m) {
 			continue
 		}
 		if first == nil || rank > firstRank {
 			first, firstRank = u, rank
 		}
-		if !(spills && f.affineFull(u, r.Now, p.Random())) {
+		if !(spills && m.affineFull(u, r.Now, p.Random())) {
 			chosen, topRank = u, rank
 		}
 	}
@@ -144,7 +144,7 @@
 	}
 }
 
-func (p *Picker) score(r *Request, u *directory.Upstream, uncachedShared int, f *field) time.Duration {
+func (p *Picker) score(r *Request, u *directory.Upstream, uncachedShared int, m *serviceMeans) time.Duration {
 	s := &p.settings
 	score := time.Duration(u.FailureScore(r.Now) * float64(s.FailurePenalty))
 	switch {
@@ -163,8 +163,8 @@
 	score += warmupDelay(r, u)
 	load := currentLoad(r, u)
 	work := p.promptDelay(r, u, uncachedShared)
-	if f.applies(&load) {
-		work = p.unevenDelay(r, u, &load, f, work)
+	if m.applies(&load) {
+		work = p.unevenDelay(r, u, &load, m, work)
 	} else {
 		work += p.loadDelay(u, &load)
 	}
--- a/placement/field.go
+++ b/placement/servicemeans.go
@@ -24,9 +24,9 @@
 	minSpeed, maxSpeed = 0.25, 4
 )
 
-// field is what an upstream that reports slow-downs is compared with: the means over those of its service. The zero value
+// serviceMeans is what an upstream that reports slow-downs is compared with: the means over those of its service. The zero value
 // has none.
-type field struct {
+type serviceMeans struct {
 	// uneven reports that upstreams of the service report slow-downs; those that haven't reported yet count as such as well.
 	uneven bool
 	// speed is the mean observed speed, in units of work a nanosecond; zero if none was observed.
@@ -43,20 +43,20 @@
 	maxOthers float64
 }
 
-// newField returns the means over the upstreams that may take requests.
-func newField(upstreams []*directory.Upstream, now time.Duration) field {
-	f := field{}
+// newServiceMeans returns the means over the upstreams that may take requests.
+func newServiceMeans(upstreams []*directory.Upstream, now time.Duration) serviceMeans {
+	m := serviceMeans{}
 	var speeds, reports, weights, own, count float64
 	newest := time.Duration(0)
 	for _, u := range upstreams {
 		load := u.Load()
-		f.plain = f.plain || load.At != 0 && !load.ReportsSlowdown()
+		m.plain = m.plain || load.At != 0 && !load.ReportsSlowdown()
 		if !load.ReportsSlowdown() || !u.Accepts(now) {
 			continue
 		}
-		f.uneven = true
+		m.uneven = true
 		if mean, n := u.WorkTime(); n > 0 {
-			f.speed += 1 / mean
+			m.speed += 1 / mean
 			speeds++
 		}
 		weight := reportWeight(&load, now)
@@ -66,51 +66,51 @@
 		own += float64(u.InFlight.Load())
 		count++
 	}
-	if !f.uneven {
-		return f
+	if !m.uneven {
+		return m
 	}
 	if speeds > 0 {
-		f.speed /= speeds
+		m.speed /= speeds
 	}
 	if weights > 0 {
-		f.others = reports / weights * fade(now-newest-meanTTL)
+		m.others = reports / weights * fade(now-newest-meanTTL)
 	}
-	f.load = f.others + own/count
-	f.maxOthers = f.others
-	limit := maxOthersFactor*f.others + 1
+	m.load = m.others + own/count
+	m.maxOthers = m.others
+	limit := maxOthersFactor*m.others + 1
 	for _, u := range upstreams {
 		if load := u.Load(); load.ReportsSlowdown() && u.Accepts(now) {
-			f.maxOthers = max(f.maxOthers, min(limit, f.othersAt(&load, now)))
+			m.maxOthers = max(m.maxOthers, min(limit, m.othersAt(&load, now)))
 		}
 	}
-	f.addPlaced(upstreams, now)
-	return f
+	m.addPlaced(upstreams, now)
+	return m
 }
 
 // addPlaced computes the means of what this node placed.
-func (f *field) addPlaced(upstreams []*directory.Upstream, now time.Duration) {
-	f.placed = make(map[string]float64)
+func (m *serviceMeans) addPlaced(upstreams []*directory.Upstream, now time.Duration) {
+	m.placed = make(map[string]float64)
 	speeds, total := make(map[string]float64), 0.0
 	for _, u := range upstreams {
-		if load := u.Load(); !f.applies(&load) || !u.Accepts(now) {
+		if load := u.Load(); !m.applies(&load) || !u.Accepts(now) {
 			continue
 		}
 		all, affine := u.Placed(now)
-		speed := f.speedOf(u)
+		speed := m.speedOf(u)
 		speeds[u.DataCentre] += speed
 		total += speed
-		f.placed[u.DataCentre] += all
-		f.affine += affine
+		m.placed[u.DataCentre] += all
+		m.affine += affine
 	}
 	for dc, speed := range speeds {
-		f.placed[dc] /= speed
+		m.placed[dc] /= speed
 	}
-	f.affine /= total
+	m.affine /= total
 }
 
-// applies reports whether an upstream is compared with the field.
-func (f *field) applies(load *directory.Load) bool {
-	return load.ReportsSlowdown() || f.uneven && load.At == 0
+// applies reports whether an upstream is compared with the means of its service.
+func (m *serviceMeans) applies(load *directory.Load) bool {
+	return load.ReportsSlowdown() || m.uneven && load.At == 0
 }
 
 // reportWeight returns how much a report still tells of other nodes' requests.
@@ -132,17 +132,17 @@
 }
 
 // othersAt estimates how many requests of other nodes an upstream has now.
-func (f *field) othersAt(load *directory.Load, now time.Duration) float64 {
+func (m *serviceMeans) othersAt(load *directory.Load, now time.Duration) float64 {
 	weight := reportWeight(load, now)
-	return weight*othersReported(load) + (1-weight)*f.others
+	return weight*othersReported(load) + (1-weight)*m.others
 }
 
 // speedOf returns the upstream's speed relative to the others of its service.
-func (f *field) speedOf(u *directory.Upstream) float64 {
+func (m *serviceMeans) speedOf(u *directory.Upstream) float64 {
 	mean, n := u.WorkTime()
-	if n == 0 || f.speed == 0 {
+	if n == 0 || m.speed == 0 {
 		return 1
 	}
-	observed := min(maxSpeed, max(minSpeed, 1/(mean*f.speed)))
+	observed := min(maxSpeed, max(minSpeed, 1/(mean*m.speed)))
 	return (speedPrior + float64(n)*observed) / (speedPrior + float64(n))
 }
--- a/placement/uneven.go
+++ b/placement/uneven.go
@@ -27,14 +27,14 @@
 // That alone would send too much to the fast ones. So an upstream pays for what it has above the mean: for requests there
 // now, which stay the longer the slower it is, and for those that this node placed, relative to speed. This excess costs more than
 // nearness saves.
-func (p *Picker) unevenDelay(r *Request, u *directory.Upstream, load *directory.Load, f *field, prompt time.Duration) time.Duration {
+func (p *Picker) unevenDelay(r *Request, u *directory.Upstream, load *directory.Load, m *serviceMeans, prompt time.Duration) time.Duration {
 	s := &p.settings
-	total := f.othersAt(load, r.Now) + float64(u.InFlight.Load())
+	total := m.othersAt(load, r.Now) + float64(u.InFlight.Load())
 	slots := slotsOf(u, load)
 	running := min(total, slots)
 	delay := float64(prompt) + running*float64(s.PerRunningRequest) + (total-running)*float64(s.PerWaitingRequest)
-	delay *= load.SlowdownNow(r.Now) / f.speedOf(u)
-	delay += f.excess(u, total, r.Now) * float64(s.PerExcess)
+	delay *= load.SlowdownNow(r.Now) / m.speedOf(u)
+	delay += m.excess(u, total, r.Now) * float64(s.PerExcess)
 	return time.Duration(delay + p.Random()*float64(s.Spread))
 }
 
@@ -48,10 +48,10 @@
 
 // excess returns the part of the mean by which an upstream with a number of requests has more than the others, or by which this
 // node placed more there than at the others of its data centre, whichever is larger.
-func (f *field) excess(u *directory.Upstream, total float64, now time.Duration) float64 {
+func (m *serviceMeans) excess(u *directory.Upstream, total float64, now time.Duration) float64 {
 	all, _ := u.Placed(now)
-	byLoad := (total + chanceLoad) / (f.load + chanceLoad)
-	byPlaced := (all/f.speedOf(u) + chancePlaced) / (f.placed[u.DataCentre] + chancePlaced)
+	byLoad := (total + chanceLoad) / (m.load + chanceLoad)
+	byPlaced := (all/m.speedOf(u) + chancePlaced) / (m.placed[u.DataCentre] + chancePlaced)
 	return max(0, byLoad-1, byPlaced-1)
 }
 
@@ -60,13 +60,13 @@
 //
 // It answers a few prompts whose shared part makes up much of the load: without it, the upstream of the first of them gets four
 // times the mean. Rounding at random lets many nodes, each of which places less than one such request a minute, keep the bound together.
-func (f *field) affineFull(u *directory.Upstream, now time.Duration, random float64) bool {
-	if !f.uneven {
+func (m *serviceMeans) affineFull(u *directory.Upstream, now time.Duration, random float64) bool {
+	if !m.uneven {
 		return false
 	}
-	if load := u.Load(); !f.applies(&load) {
+	if load := u.Load(); !m.applies(&load) {
 		return false
 	}
 	_, affine := u.Placed(now)
-	return affine+random > maxAffineExcess*f.affine*f.speedOf(u)
+	return affine+random > maxAffineExcess*m.affine*m.speedOf(u)
 }
