--- a/edgenode/ramps.go
+++ b/edgenode/ramps.go
@@ -6,6 +6,7 @@
 
 	"github.com/jonboulle/clockwork"
 
+	"lavenderpin.dev/lavenderpin/catalog"
 	"lavenderpin.dev/lavenderpin/directory"
 	"lavenderpin.dev/lavenderpin/event"
 	"lavenderpin.dev/lavenderpin/internal/periodic"
@@ -66,7 +67,7 @@
 	return n.partAmong(n.roster.Holding(), dataCentre)
 }
 
-// watchRamps keeps up which services are ramped up and what is usual for them, adjusts the node's parts, and records
+// watchRamps tracks which services are ramped up and what is usual for them, adjusts the node's parts, and records
 // what begins and ends.
 func (n *Node) watchRamps(ctx context.Context) {
 	periodic.Run(ctx, clockwork.NewRealClock(), limitInterval, func(context.Context) { n.adjustRamps(n.deps.Clock.Now()) })
@@ -120,21 +121,22 @@
 
 // coldLimited reports whether the configuration limits the requests to the service's cold upstreams.
 func (n *Node) coldLimited(service string) bool {
-	view := n.catalog.Current()
-	if view == nil {
-		return false
-	}
-	s := view.Service(service)
+	s := n.configuredService(service)
 	return s != nil && s.Warmup.Limited()
 }
 
 func (n *Node) isEngine(service string) bool {
+	s := n.configuredService(service)
+	return s != nil && s.Engine != nil
+}
+
+// configuredService returns a service of the configuration in force; nil if there is none.
+func (n *Node) configuredService(name string) *catalog.Service {
 	view := n.catalog.Current()
 	if view == nil {
-		return false
+		return nil
 	}
-	s := view.Service(service)
-	return s != nil && s.Engine != nil
+	return view.Service(name)
 }
 
 // recordRamp records that a ramp began, ended or both. One that ended before another began is recorded first.
--- a/edgenode/warmup.go
+++ b/edgenode/warmup.go
@@ -14,11 +14,7 @@
 
 // Warmup returns the limits that the configuration in force names for a service's cold upstreams.
 func (p *warmupPolicy) Warmup(service string) (time.Duration, float64) {
-	view := p.catalog.Current()
-	if view == nil {
-		return 0, 0
-	}
-	s := view.Service(service)
+	s := (*Node)(p).configuredService(service)
 	if s == nil || !s.Warmup.Limited() {
 		return 0, 0
 	}
