--- a/linkload/admission.go
+++ b/linkload/admission.go
@@ -51,7 +51,7 @@
 	scale     float64
 	steppedAt time.Duration
 	crowded   bool
-	// busyAt is when the link was crowded last.
+	// busyAt is when delay, use or demand last kept the link crowded.
 	busyAt time.Duration
 }
 
@@ -108,22 +108,25 @@
 // capacity returns how many bytes per second requests may use. The caller holds mu.
 func (a *Admission) capacity(l Link) float64 { return l.Speed * a.settings.TargetUse * a.scale }
 
-// mayAdmitFair reports whether a request may be admitted for what its groups are owed. Those denied for too long may use all
-// of the part for it, the others three quarters. The caller holds mu.
+// shareDebtPart is the part of FairPart that groups short of their minimum share may use. The rest is left to those denied for
+// too long.
+const shareDebtPart = 0.75
+
+// mayAdmitFair reports whether a request may be admitted for what its groups are owed. The caller holds mu.
 func (a *Admission) mayAdmitFair(now time.Duration, l Link, owed debt) bool {
 	part := a.capacity(l) * a.settings.FairPart
 	switch owed {
 	case timeDebt:
 		return a.fairBytes.perSecond(now) < part
 	case shareDebt:
-		return a.fairBytes.perSecond(now) < 0.75*part
+		return a.fairBytes.perSecond(now) < shareDebtPart*part
 	default:
 		return false
 	}
 }
 
 const (
-	// stepInterval is the time between two adjustments to the delay; exchanges between nodes measure it as often.
+	// stepInterval is the time between two adjustments of the scale: exchanges between nodes measure the delay as often.
 	stepInterval = 100 * time.Millisecond
 	// slowDown and speedUp adjust the scale: it falls quickly while a queue grows and rises slowly, so that the queue stays short.
 	slowDown = 0.95
--- a/linkload/classes.go
+++ b/linkload/classes.go
@@ -6,7 +6,8 @@
 )
 
 const (
-	// classCount and smallestClass divide requests by the bytes that refusing one saves; two classes double them.
+	// classCount classes divide requests by the bytes that refusing one saves: up to smallestClass bytes in the first one,
+	// twice as many with every second class.
 	classCount    = 40
 	smallestClass = 256
 )
--- a/linkload/sizes.go
+++ b/linkload/sizes.go
@@ -1,16 +1,15 @@
 package linkload
 
 const (
-	// overheadBytes is what a request takes beside its body and response: handshake, headers and acknowledgements.
+	// overheadBytes estimates what a request takes beside its body and response: handshake, headers and acknowledgements.
 	overheadBytes = 700
-	// unknownBodyBytes is the expected length of a body that doesn't name it: callers that know theirs name it, and long ones
-	// are sent in chunks.
+	// unknownBodyBytes is the expected length of a body without Content-Length: mostly long bodies are sent in chunks.
 	unknownBodyBytes = 16 << 10
-	// defaultResponseBytes is expected of routes without a measured response.
+	// defaultResponseBytes is the expected size of a route's first response: short answers take some 2.3 KB, long ones 3 KB.
 	defaultResponseBytes = 2500
 	// responseMemory is over how many responses of a route, about, sizes are averaged.
 	responseMemory = 32
-	// maxSizedRoutes bounds the number of routes whose responses are remembered.
+	// maxSizedRoutes bounds the number of routes whose responses are remembered, and so the memory for them.
 	maxSizedRoutes = 4096
 )
 
