--- a/streamorigin/publisher.go
+++ b/streamorigin/publisher.go
@@ -128,7 +128,7 @@
 	if err := p.append(ctx, append(records, streams.records...)...); err != nil {
 		return err
 	}
-	streams.written(p)
+	p.markWritten(streams)
 	for _, o := range missing {
 		p.versions.declared[o] = true
 		p.deps.Events.Record(event.VersionDeclared, "service", o.Service, "version", o.Version, "declared", true)
@@ -139,7 +139,8 @@
 // nodeStreams is what has to be written of this node's streams.
 type nodeStreams struct {
 	// records holds one record, or none if nothing changed.
-	records    []keyedlog.Record
+	records []keyedlog.Record
+	// services are those with several versions, generation is that of the table when the record was composed.
 	services   map[string]bool
 	generation uint64
 }
@@ -158,8 +159,8 @@
 	return nodeStreams{[]keyedlog.Record{record}, mixed, generation}, err
 }
 
-// written records that the topic holds the streams.
-func (s nodeStreams) written(p *publisher) {
+// markWritten records that the topic holds the streams.
+func (p *publisher) markWritten(s nodeStreams) {
 	if len(s.records) > 0 {
 		p.writtenFor, p.generation = s.services, s.generation
 	}
@@ -174,7 +175,7 @@
 	if err := p.append(ctx, streams.records...); err != nil {
 		return err
 	}
-	streams.written(p)
+	p.markWritten(streams)
 	return nil
 }
 
--- a/streamorigin/reader.go
+++ b/streamorigin/reader.go
@@ -17,7 +17,7 @@
 	// readTimeout bounds one reading of the topic: a connection and an answer from another region, with room
 	// for a slow store.
 	readTimeout = 400 * time.Millisecond
-	// slowTimeout bounds a reading or a write by which a version is declared, after one that took too long: the topic may
+	// slowTimeout bounds the publisher's readings and writes after a failed one, which may have taken too long: the topic may
 	// have several pages, each read over a new connection.
 	slowTimeout = 3 * time.Second
 	// endTimeout bounds the question for the end of the topic: an answer from another region takes half of it.
