--- a/cmd/lavenderedge/crowding.go
+++ b/cmd/lavenderedge/crowding.go
@@ -28,20 +28,21 @@
 	admission *linkload.Admission
 	lag       func() time.Duration
 	events    *event.Recorder
-	times     expvar.Int
+	// episodes counts how often the link became crowded.
+	episodes expvar.Int
 }
 
-// newCrowding returns nil unless the settings ask for it.
+// newCrowding returns nil unless the settings make the node refuse requests while its link is crowded.
 func (p *process) newCrowding(monitor *queuedelay.Monitor, lag func() time.Duration) *crowding {
 	if !p.settings.RefusesWhenCrowded {
 		return nil
 	}
 	c := &crowding{clock: p.clock, monitor: monitor, admission: linkload.NewAdmission(linkload.DefaultSettings()), lag: lag, events: p.events}
-	p.publish("link_crowded", &c.times)
+	p.publish("link_crowded", &c.episodes)
 	return c
 }
 
-// addTo adds what follows from it to a node's dependencies, if it isn't nil.
+// addTo returns a node's dependencies with those by which it refuses requests while it is crowded; unchanged if c is nil.
 func (c *crowding) addTo(d edgenode.Deps) edgenode.Deps {
 	if c != nil {
 		d.LinkAdmission, d.LinkState, d.Crowded = c.admission, c.linkState, c.isCrowded
@@ -79,9 +80,9 @@
 	buffer := linkload.UsualReceiveBuffer
 	if isCrowded {
 		buffer = linkload.SmallReceiveBuffer
-		c.times.Add(1)
+		c.episodes.Add(1)
 	}
 	listener.SetReceiveBuffer(buffer)
 	l := c.linkState()
-	c.events.Record(event.LinkCrowded, "crowded", isCrowded, "delay_ms", l.Delay.Milliseconds(), "link_percent", int(100*l.Use), "times", c.times.Value())
+	c.events.Record(event.LinkCrowded, "crowded", isCrowded, "delay_ms", l.Delay.Milliseconds(), "link_percent", int(100*l.Use), "times", c.episodes.Value())
 }
--- a/gateway/eventpace.go
+++ b/gateway/eventpace.go
@@ -7,8 +7,8 @@
 )
 
 const (
-	// paceWindow is the number of events after which the pace of a stream is recorded: long enough that gathered packets
-	// average out, and for most engines shorter than a neighbour's 0.6 s.
+	// paceWindow is the number of events after which the pace of a stream is recorded: enough that events which arrive in one
+	// packet average out, and with most engines in less than the 0.6 s after which work on a shared machine may slow down.
 	paceWindow = 16
 	// minPaceEvents is the least number of events that tell a pace at the end of a stream.
 	minPaceEvents = 4
