--- a/internal/soak/cold.go
+++ b/internal/soak/cold.go
@@ -36,16 +36,16 @@
 	records := h.recordsByID()
 	var violations []Violation
 	for upstream, arrivals := range h.arrivals {
-		var second, worst []standin.Arrival
+		var window, worst []standin.Arrival // window holds the arrivals of the last second
 		for _, a := range arrivals {
 			if a.ColdSince.IsZero() || a.At.Sub(a.ColdSince) < coldNotice || h.mayNotKnowCold(records[a.ID], a) {
 				continue
 			}
-			for second = append(second, a); a.At.Sub(second[0].At) >= time.Second; {
-				second = second[1:]
+			for window = append(window, a); a.At.Sub(window[0].At) >= time.Second; {
+				window = window[1:]
 			}
-			if len(second) > len(worst) {
-				worst = second
+			if len(window) > len(worst) {
+				worst = window
 			}
 		}
 		if len(worst) > maxColdRequests {
