Faults found in review: means of other lists, cold upstreams after changes, garbled reports, a declaration just before the wait

- The means of a list of upstreams were taken for those of another list with the same first upstream and length.
- A changed configuration reaches upstreams that are cold; an address that changes without a restart doesn't make one warm; a bound below nothing is the strictest limit, not none.
- An upstream counts as one that reports slow-downs until slowdownTTL after its first report without one.
The TTL counted from the last usable report, so that one garbled header after a pause ended it.
- A ramp that another one replaces is reported as ended.
- A stream whose version is declared between the choice of an upstream and the wait picks again in place of waiting in vain.

--- a/directory/leaving.go
+++ b/directory/leaving.go
@@ -34,8 +34,9 @@
 	s.successor.Store(&successor{next, restarted}) // before the rest is read, so that nothing recorded meanwhile is missed
 	next.extendPause(time.Duration(s.pausedUntil.Load()))
 	next.Throttle.InheritLimit(&s.Throttle)
-	if !restarted && s.leaving.Load() {
-		next.leaving.Store(true)
+	if !restarted {
+		next.leaving.Store(s.leaving.Load() || next.leaving.Load())
+		next.coldUntil.Store(s.coldUntil.Load())
 	}
 	return next
 }
--- a/directory/load.go
+++ b/directory/load.go
@@ -30,6 +30,8 @@
 	At time.Duration
 	// SlowdownAt is the time of the last report with a usable slow-down; zero if there was none lately.
 	SlowdownAt time.Duration
+	// slowdownMissedAt is the time of the first report without a usable slow-down since then; zero if there was none.
+	slowdownMissedAt time.Duration
 }
 
 // ReportsSlowdown reports whether the upstream reports how much its work is slowed down, as those do that share
@@ -62,8 +64,11 @@
 		s.load.Slots = last.Slots
 	}
 	if r.Slowdown == 0 {
-		s.load.Slowdown, s.load.SlowdownAt = last.Slowdown, last.SlowdownAt
-		if now-last.SlowdownAt > slowdownTTL {
+		s.load.Slowdown, s.load.SlowdownAt, s.load.slowdownMissedAt = last.Slowdown, last.SlowdownAt, last.slowdownMissedAt
+		switch {
+		case last.slowdownMissedAt == 0:
+			s.load.slowdownMissedAt = now
+		case now-last.slowdownMissedAt > slowdownTTL:
 			s.load.Slowdown, s.load.SlowdownAt = 0, 0
 		}
 	}
--- a/directory/warmup.go
+++ b/directory/warmup.go
@@ -16,12 +16,11 @@
 	Part(dataCentre string) throttle.Part
 }
 
-// cool records that an upstream is cold for a time. The caller must hold mu.
+// cool records that an upstream is cold for a time, if it is, and limits the requests to it. The caller must hold mu.
 func (t *Table) cool(u *Upstream, left time.Duration) {
-	if left <= 0 {
-		return
+	if left > 0 {
+		u.coldUntil.Store(max(u.coldUntil.Load(), int64(t.clock.Now()+left)))
 	}
-	u.coldUntil.Store(max(u.coldUntil.Load(), int64(t.clock.Now()+left)))
 	t.limitCold(u)
 }
 
@@ -33,18 +32,18 @@
 	}
 	if _, perSecond := t.Warmup.Warmup(u.Service); perSecond > 0 {
 		u.Throttle.BeginWarmup(perSecond, t.Warmup.Part(u.DataCentre), until, now, rand.Float64())
+		return
 	}
+	u.Throttle.EndWarmup()
 }
 
-// ConfigChanged limits the requests to upstreams that were cold before the configuration named a limit: a node that
-// starts may read the entries first.
+// ConfigChanged applies the limits of the configuration in force to cold upstreams: another rate, none, or the first one if a
+// node that starts read the entries before.
 func (t *Table) ConfigChanged() {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for _, u := range t.entries {
-		if !u.Throttle.WarmingUp(t.clock.Now()) {
-			t.limitCold(u)
-		}
+		t.limitCold(u)
 	}
 }
 
--- a/gateway/origin.go
+++ b/gateway/origin.go
@@ -150,6 +150,9 @@
 			versions = append(versions, u.Version)
 		}
 	}
+	if len(versions) == 0 { // declared since the choice
+		return true
+	}
 	ctx, cancel := context.WithTimeout(ctx, min(declarationWait, c.timeLeft()/timeLeftDivisor))
 	defer cancel()
 	return c.g.Origins.AwaitBegin(ctx, c.service.Name, versions)
--- a/placement/meanscache.go
+++ b/placement/meanscache.go
@@ -1,6 +1,7 @@
 package placement
 
 import (
+	"slices"
 	"sync"
 	"time"
 
@@ -11,20 +12,30 @@
 // computing them takes longer than a request should.
 const meansCacheTTL = 20 * time.Millisecond
 
-// meansCache keeps the means of each service.
+// meansCache keeps the means of the lists of upstreams that requests are placed among: all of a service, or those that a
+// request may use.
 type meansCache struct {
 	mu      sync.Mutex
-	entries map[string]meansEntry
+	entries map[listKey]meansEntry
 }
 
-// meansEntry holds the means of a service, with what they were computed from.
+// listKey tells most lists of upstreams apart. Lists with the same key take each other's place.
+type listKey struct {
+	service     string
+	first, last *directory.Upstream
+	count       int
+}
+
+// meansEntry holds means with the list that they were computed from.
 type meansEntry struct {
-	first *directory.Upstream
-	count int
-	at    time.Duration
-	means *serviceMeans
+	upstreams []*directory.Upstream
+	at        time.Duration
+	means     *serviceMeans
 }
 
+// maxCachedLists bounds the lists whose means are kept.
+const maxCachedLists = 64
+
 // meansOf returns the means over a list of upstreams, which are of one service.
 func (p *Picker) meansOf(r *Request, upstreams []*directory.Upstream) *serviceMeans {
 	if len(upstreams) == 0 {
@@ -33,15 +44,15 @@
 	c := &p.means
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	first := upstreams[0]
-	e, ok := c.entries[first.Service]
-	if ok && e.first == first && e.count == len(upstreams) && r.Now >= e.at && r.Now-e.at < meansCacheTTL {
+	key := listKey{upstreams[0].Service, upstreams[0], upstreams[len(upstreams)-1], len(upstreams)}
+	e, ok := c.entries[key]
+	if ok && r.Now >= e.at && r.Now-e.at < meansCacheTTL && slices.Equal(e.upstreams, upstreams) {
 		return e.means
 	}
 	m := newServiceMeans(upstreams, r.Now)
-	if c.entries == nil {
-		c.entries = make(map[string]meansEntry)
+	if c.entries == nil || len(c.entries) >= maxCachedLists {
+		c.entries = make(map[listKey]meansEntry)
 	}
-	c.entries[first.Service] = meansEntry{first, len(upstreams), r.Now, &m}
+	c.entries[key] = meansEntry{upstreams, r.Now, &m}
 	return &m
 }
--- a/throttle/ramp.go
+++ b/throttle/ramp.go
@@ -110,6 +110,7 @@
 // begin starts a ramp of an upstream that started. random, a number from 0 to 1, is when this node's first turn comes:
 // nodes learn of the upstream together, but must not send together.
 func (r *ramp) begin(s RampStart, now time.Duration, random float64) {
+	r.end(RampReplaced, now)
 	r.reset(s, now, random)
 	r.start(now, false)
 }
--- a/throttle/rampreport.go
+++ b/throttle/rampreport.go
@@ -13,6 +13,8 @@
 	RampTimeOver RampOutcome = "time_over"
 	// RampUnreachable: the upstream couldn't be reached any more.
 	RampUnreachable RampOutcome = "unreachable"
+	// RampReplaced: another one began.
+	RampReplaced RampOutcome = "replaced"
 )
 
 // RampReport tells of a ramp that began, ended or both.
--- a/throttle/warmup.go
+++ b/throttle/warmup.go
@@ -17,7 +17,7 @@
 // that there are no more than bound in any second.
 func WarmupRate(perSecond, bound float64) float64 {
 	root := (math.Sqrt(warmupDeviations*warmupDeviations+4*max(0, bound)) - warmupDeviations) / 2 // solves x + warmupDeviations*sqrt(x) = bound
-	return min(perSecond, root*root/(1+warmupTurnLength.Seconds()))
+	return max(minPerSecond, min(perSecond, root*root/(1+warmupTurnLength.Seconds())))
 }
 
 // warmup limits how often one node sends to an upstream while it is cold. The zero value limits nothing.
@@ -48,6 +48,14 @@
 	l.warmup.begin(perSecond, part, until, now, random)
 }
 
+// EndWarmup ends the limit before the upstream is warm, since the configuration names none.
+func (l *Limiter) EndWarmup() {
+	if l.lock() {
+		defer l.unlock()
+		l.warmup.limited = false
+	}
+}
+
 // WarmingUp reports whether the upstream's requests are limited because it is cold.
 func (l *Limiter) WarmingUp(now time.Duration) bool {
 	if !l.lock() {
