--- a/edgenode/limits.go
+++ b/edgenode/limits.go
@@ -79,8 +79,8 @@
 	return times
 }
 
-// LimitedUpstreams returns the requests a second that upstreams take from all nodes together, by upstream; those
-// that named no limit are left out.
+// LimitedUpstreams returns the requests a second that upstreams take from all nodes together, by upstream: those that
+// named a limit and those that are cold.
 func (n *Node) LimitedUpstreams() map[string]float64 {
 	limits := make(map[string]float64)
 	now, snapshot := n.deps.Clock.Now(), n.directory.Current()
--- a/linkload/settings.go
+++ b/linkload/settings.go
@@ -8,14 +8,17 @@
 	// node exchanges with the store and other nodes, and for retransmissions.
 	TargetUse float64
 	// BeginDelay is the delay on the link from which on it is crowded, if at least BeginUse of its speed is used; FullUse is the
-	// use from which on it is crowded whatever the delay. BeginDelay is half of the delay at which new connections are refused.
+	// use from which on it is crowded whatever the delay. BeginDelay is half of the delay at which new connections are refused. A
+	// delay while less than half of the link is used comes from elsewhere.
 	BeginDelay        time.Duration
 	BeginUse, FullUse float64
 	// Calm is how long demand must fit the link, at less than half of BeginDelay, until it is no longer crowded.
 	Calm time.Duration
-	// MinScale bounds how far a delay that persists reduces what is admitted: it may have another cause.
+	// MinScale bounds how far a delay that persists reduces what is admitted: it may have another cause, such as a neighbour that
+	// is late itself.
 	MinScale float64
-	// MinShare is the part of its requests that is admitted of every size, route and account.
+	// MinShare is the part of its requests that is admitted of every size, route and account: a caller that comes back a few
+	// times is served.
 	MinShare float64
 	// MaxDenied is how long a size, route or account may be denied before its next request is admitted.
 	MaxDenied time.Duration
--- a/placement/settings.go
+++ b/placement/settings.go
@@ -36,8 +36,8 @@
 	// SuspectPenalty ranks an upstream after all others if its directory entry vanished during
 	// an outage of the store.
 	SuspectPenalty time.Duration
-	// PerExcess is the delay of an upstream that reports slow-downs for each multiple of the mean work by which it has more than
-	// that. An excess of a fifth costs as much as another region.
+	// PerExcess is the delay that an upstream which reports slow-downs gets for having twice the mean work. A fifth more than
+	// the mean costs about as much as another region.
 	PerExcess time.Duration
 	// Spread is the longest random delay in the score of such an upstream: nodes that see the same reports would otherwise
 	// all send to the same upstream.
--- a/placement/uneven.go
+++ b/placement/uneven.go
@@ -8,12 +8,14 @@
 
 const (
 	// maxAffineExcess is how many times the mean, relative to speed, of the requests that this node placed for shared parts of
-	// prompts one upstream may have. Nodes decide alike, so that the bound holds for their sum.
+	// prompts one upstream may have. Nodes decide alike, so that the bound holds for their sum. It leaves room for other requests
+	// below 1.3 times the mean of all.
 	maxAffineExcess = 1.15
 	// A prompt's shared part spills to further upstreams from minSpillCount recent requests of this node and spillPart of the mean of such
 	// requests at one upstream: moving a rare one costs its prefill and balances nothing.
 	minSpillCount, spillPart = 1, 0.5
-	// chanceLoad is added to the numbers of requests that are compared, since few vary by chance the most.
+	// chanceLoad is added to the numbers of requests that are compared, since few vary by chance the most: with a mean of 3, two
+	// more are no excess.
 	chanceLoad = 3
 	// chancePlaced is the same for requests that this node placed itself, which vary by the last one only.
 	chancePlaced = 1
--- a/throttle/ramp.go
+++ b/throttle/ramp.go
@@ -6,13 +6,14 @@
 )
 
 const (
-	// rampInitialShare is the part of the upstream's slots that all nodes together use at the start of a ramp.
+	// rampInitialShare is the part of the upstream's slots that all nodes together use at the start of a ramp: no queue forms
+	// before the first answers, even at a quarter of the usual speed.
 	rampInitialShare = 0.25
 	// rampUnheardShare and rampHeardShare bound the growth by time alone, before this node's first answer and after a
 	// good one. In a large fleet a node's own answers are seconds apart, and growth by answers alone leaves the upstream idle.
 	rampUnheardShare = 0.5
 	rampHeardShare   = 0.6
-	// rampDoublingTime is the time in which the level doubles by time alone.
+	// rampDoublingTime is the time in which the level doubles by time alone: about as long as an upstream is cold.
 	rampDoublingTime = 3 * time.Second
 	// rampMinShare is the least part of the slots, so that a node notices that the upstream has recovered.
 	rampMinShare = 0.1
@@ -22,7 +23,8 @@
 	maxRampStep     = 2.0
 	// minRampStep is the least by which a good answer multiplies the level, if the upstream is fuller than aimed at.
 	minRampStep = 0.9
-	// unknownLoadStep is by what a good answer without load figures multiplies the level.
+	// unknownLoadStep is by what a good answer without load figures multiplies the level: less than maxRampStep, since nothing
+	// tells how much room is left.
 	unknownLoadStep = 1.5
 	// maxRampShare bounds the level of a ramp that still limits a node's requests.
 	maxRampShare = 1.25
@@ -42,7 +44,8 @@
 	usualDecayTime = 2 * time.Second
 	// limitsWindow is how recently a ramp must have denied a request to be what limits the node's requests.
 	limitsWindow = time.Second
-	// rampTime bounds a ramp beyond the upstream's remaining warm-up, maxRampTime bounds both together.
+	// rampTime bounds a ramp beyond the upstream's remaining warm-up, maxRampTime bounds both together: an upstream that is
+	// still slow then is one that is slow for other reasons, which its load figures tell.
 	rampTime    = 20 * time.Second
 	maxRampTime = time.Minute
 	// maxRampInterval bounds the time between two changes of the level where requests take long.
