--- a/gateway/memory.go
+++ b/gateway/memory.go
@@ -38,7 +38,7 @@
 }
 
 // open opens the request at the chosen upstream; false if other requests took its room or memory meanwhile.
-func (c *call) open(choice placement.PickResult, beyondRamp bool) bool {
+func (c *call) open(choice placement.PickResult) bool {
 	u := choice.Upstream
 	if c.kvCapacity() > 0 {
 		size := c.g.Picker.SizeOf(c.query(), u.Service)
@@ -47,7 +47,7 @@
 		}
 		c.held = size
 	}
-	if !c.takeRoom(u, beyondRamp) {
+	if !c.takeRoom(u, choice.BeyondRamps) {
 		c.release(u)
 		return false
 	}
--- a/gateway/ramp.go
+++ b/gateway/ramp.go
@@ -41,9 +41,9 @@
 	return c.g.Picker.Pick(query, upstreams)
 }
 
-// takeRoom opens a request at an upstream if it has room; beyondRamp is set if no ramp limits it.
-func (c *call) takeRoom(u *directory.Upstream, beyondRamp bool) bool {
-	if beyondRamp {
+// takeRoom opens a request at an upstream if it has room; beyondRamps is set if no ramp limits it.
+func (c *call) takeRoom(u *directory.Upstream, beyondRamps bool) bool {
+	if beyondRamps {
 		return u.OpenBeyondRamp(c.g.Clock.Now(), random())
 	}
 	return u.Open(c.g.Clock.Now(), random())
--- a/gateway/run.go
+++ b/gateway/run.go
@@ -56,27 +56,15 @@
 			c.giveUp(ctx, "upstreams crashed under other requests with a part of the prompt")
 			return
 		}
-		choice, ok := c.g.Picker.Pick(c.query(), c.upstreams())
-		if !ok && (c.awaitDeclaration(ctx) || c.awaitRoom(ctx)) {
+		choice, found, again := c.pick(ctx)
+		if again {
 			continue
 		}
-		beyondRamp := false
-		if !ok {
-			choice, ok = c.pickBeyondRamps()
-			beyondRamp = ok
-		}
-		if ok && !c.mayBeginAt(choice.Upstream) {
-			c.onlyDeclared = true
-			continue
-		}
-		if !ok && c.awaitReachable(ctx) {
-			continue
-		}
-		if !ok {
+		if !found {
 			c.giveUp(ctx, c.noUpstreamReason())
 			return
 		}
-		if !c.open(choice, beyondRamp) {
+		if !c.open(choice) {
 			continue // others took its room meanwhile
 		}
 		if c.sends > c.unsent && !c.takeRetry() {
@@ -105,6 +93,23 @@
 	}
 }
 
+// pick chooses an upstream. If there is none, it waits for what may change that; again is set if the request should be
+// examined once more.
+func (c *call) pick(ctx context.Context) (choice placement.PickResult, found, again bool) {
+	choice, found = c.g.Picker.Pick(c.query(), c.upstreams())
+	if !found && (c.awaitDeclaration(ctx) || c.awaitRoom(ctx)) {
+		return choice, false, true
+	}
+	if !found {
+		choice, found = c.pickBeyondRamps()
+	}
+	if found && !c.mayBeginAt(choice.Upstream) {
+		c.onlyDeclared = true
+		return choice, false, true
+	}
+	return choice, found, !found && c.awaitReachable(ctx)
+}
+
 // callerClosed reports whether the caller's connection is closed, as the system knows. ctx ends only once
 // the process has read the close, and a node short of processor time may send another try before.
 func (c *call) callerClosed() bool {
--- a/placement/picker.go
+++ b/placement/picker.go
@@ -42,6 +42,8 @@
 	Affinity bool
 	// MaxHeldTokens is the most tokens that this node's open requests may hold there, this one included.
 	MaxHeldTokens int64
+	// BeyondRamps reports that ramps didn't limit the choice.
+	BeyondRamps bool
 	// Candidates is the number of upstreams that were scored.
 	Candidates int
 }
@@ -50,7 +52,7 @@
 // upstreams are only used if there is no other; those that leave, asked for a pause or are brittle and
 // full, or whose memory the request doesn't fit into, never.
 func (p *Picker) Pick(r *Request, upstreams []*directory.Upstream) (PickResult, bool) {
-	best := PickResult{}
+	best := PickResult{BeyondRamps: r.BeyondRamps}
 	m := p.meansOf(r, upstreams)
 	for _, lastResort := range []bool{false, true} {
 		affinity := p.affinityUpstream(r, upstreams, m)
