--- a/directory/load_test.go
+++ b/directory/load_test.go
@@ -34,3 +34,13 @@
 	s.ObserveLoad(2, 0, time.Hour+1+slowdownTTL+1)
 	is.True(!s.ReportsSlowdown())
 }
+
+// Guards against dropping the protection of an engine's memory for one garbled header after a pause: in a large fleet, a node
+// receives reports of one upstream less often than every slowdownTTL.
+func TestOneGarbledReportAfterAPauseKeepsSlowdown(t *testing.T) {
+	is := is.New(t)
+	s := &Stats{}
+	s.ObserveReport(LoadReport{Running: 1, Slots: 48, Slowdown: 1}, time.Hour)
+	s.ObserveLoad(2, 0, time.Hour+slowdownTTL+time.Second)
+	is.True(s.ReportsSlowdown())
+}
--- a/directory/warmupchanges_test.go
+++ b/directory/warmupchanges_test.go
@@ -10,14 +10,14 @@
 	"lavenderpin.dev/lavenderpin/throttle"
 )
 
-// Guards against dropping the protection of an engine's memory for one garbled header after a pause: in a large fleet, a node
-// receives reports of one upstream less often than every slowdownTTL.
-func TestOneGarbledReportAfterAPauseKeepsSlowdown(t *testing.T) {
-	is := is.New(t)
-	s := &Stats{}
-	s.ObserveReport(LoadReport{Running: 1, Slots: 48, Slowdown: 1}, time.Hour)
-	s.ObserveLoad(2, 0, time.Hour+slowdownTTL+time.Second)
-	is.True(s.ReportsSlowdown())
+// newTableAfterEvacuation returns a table with one upstream, whose data centre was evacuated and is used again.
+func newTableAfterEvacuation(clock bootclock.Clock, policy WarmupPolicy) *Table {
+	table := NewTable(clock)
+	table.Warmup = policy
+	table.Replace([]Entry{inDataCentre("1", "a")})
+	table.SetEvacuated(map[string]bool{"a": true})
+	table.SetEvacuated(map[string]bool{})
+	return table
 }
 
 // Guards against flooding an upstream whose data centre was evacuated until shortly before it changed its address: it is as cold
@@ -25,12 +25,7 @@
 func TestUpstreamStaysColdUnderAnotherAddress(t *testing.T) {
 	is := is.New(t)
 	clock := &bootclock.Fake{}
-	table := NewTable(clock)
-	table.Warmup = slowWarmup{}
-	entry := inDataCentre("1", "a")
-	table.Replace([]Entry{entry})
-	table.SetEvacuated(map[string]bool{"a": true})
-	table.SetEvacuated(map[string]bool{})
+	table, entry := newTableAfterEvacuation(clock, slowWarmup{}), inDataCentre("1", "a")
 	is.True(table.Current().Upstreams("s")[0].Throttle.WarmingUp(clock.Now()))
 	entry.Sequence, entry.Address = 2, "10.64.0.2:80"
 	table.Put(entry)
@@ -47,11 +42,7 @@
 func TestConfigChangesTheRateOfColdUpstreams(t *testing.T) {
 	is := is.New(t)
 	clock, policy := &bootclock.Fake{}, &ratedWarmup{50}
-	table := NewTable(clock)
-	table.Warmup = policy
-	table.Replace([]Entry{inDataCentre("1", "a")})
-	table.SetEvacuated(map[string]bool{"a": true})
-	table.SetEvacuated(map[string]bool{})
+	table := newTableAfterEvacuation(clock, policy)
 	u := table.Current().Upstreams("s")[0]
 	policy.perSecond = 5
 	table.ConfigChanged()
