--- a/throttle/warmup_test.go
+++ b/throttle/warmup_test.go
@@ -13,7 +13,7 @@
 	coldWindow    = time.Second
 	coldBound     = coldPerSecond*1.5 + 5
 	coldUntil     = 3 * time.Second
-	coldStep      = 10 * time.Millisecond
+	coldStep      = time.Millisecond
 )
 
 // floodCold lets a number of nodes send to one cold upstream whenever they may, each with requests at all times, from
