--- a/review/testdata/rig/engine.go
+++ b/review/testdata/rig/engine.go
@@ -54,8 +54,9 @@
 	running  int
 	waiting  int
 	slot     chan struct{}
-	// arrivals counts the requests that reached this incarnation since it left.
-	runs []*run
+	runs     []*run
+	// cut is set while the engine can't reach the store.
+	cut bool
 }
 
 func newEngine(o engineOptions, s *store, log *record) *engine {
@@ -101,7 +102,7 @@
 func (e *engine) register() {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if e.state == "" {
+	if e.state == "" || e.cut {
 		return
 	}
 	e.sequence++
@@ -121,6 +122,33 @@
 	e.log.line("engine %s crashes", e.id)
 }
 
+// setCut cuts the engine from the store, or ends that. Its entry is removed after three heartbeat intervals of silence.
+func (e *engine) setCut(cut bool) {
+	e.mu.Lock()
+	e.cut = cut
+	e.mu.Unlock()
+	e.log.line("engine %s is cut from the store: %v", e.id, cut)
+	if !cut {
+		e.register()
+		return
+	}
+	time.AfterFunc(3*heartbeat, func() {
+		e.mu.Lock()
+		defer e.mu.Unlock()
+		if e.cut {
+			e.store.put("keyed.servers", e.id, nil)
+			e.log.line("the entry of engine %s lapses", e.id)
+		}
+	})
+}
+
+// setVersion sets the version of the software that the engine starts with next.
+func (e *engine) setVersion(version string) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.version = version
+}
+
 // drain reports that the engine leaves, and returns when the store has accepted that.
 func (e *engine) drain() time.Time {
 	e.mu.Lock()
