--- a/review/testdata/rig/main.go
+++ b/review/testdata/rig/main.go
@@ -49,10 +49,12 @@
 	dir     string
 	base    string
 	command []string
-	store   *store
-	nodes   []*node
-	engines []*engine
-	version int
+	// repository is the root of the repository.
+	repository string
+	store      *store
+	nodes      []*node
+	engines    []*engine
+	version    int
 }
 
 // cases are the cases by name. Each returns whether the rule was broken.
@@ -81,7 +83,7 @@
 		return exitNotRun
 	}
 	defer func() { _ = os.RemoveAll(dir) }() // a temporary folder
-	r := &rig{log: &record{file: file, begun: time.Now()}, trouble: os.Getenv("TROUBLE") != "0", dir: dir}
+	r := &rig{repository: os.Args[2], log: &record{file: file, begun: time.Now()}, trouble: os.Getenv("TROUBLE") != "0", dir: dir}
 	// Loopback addresses of this run alone, so that several runs don't meet.
 	r.base = fmt.Sprintf("127.%d.%d.", 20+os.Getpid()/200%200, os.Getpid()%200)
 	defer r.close()
@@ -137,7 +139,7 @@
 func (r *rig) addNodes(zones ...string) error {
 	for _, zone := range zones {
 		i := len(r.nodes)
-		n, err := newNode(fmt.Sprintf("edge-%s-%d", zone, i+1), zone, r.ip(10+i), r.dir, r.command, r.store.address, r.log)
+		n, err := newNode(fmt.Sprintf("edge-%s-%d", zone, i+1), zone, r.ip(10+i), r)
 		if err != nil {
 			return err
 		}
--- a/review/testdata/rig/node.go
+++ b/review/testdata/rig/node.go
@@ -30,8 +30,10 @@
 // node is a machine of the system, whose process is started again whenever it ends.
 type node struct {
 	name, zone, ip, dir string
-	command             []string
-	log                 *record
+	// command is run in the repository's root.
+	command    []string
+	repository string
+	log        *record
 
 	mu      sync.Mutex
 	process *os.Process
@@ -52,9 +54,9 @@
 // regions of the zones.
 var regions = map[string]string{"casco": "gulf-maine", "penobscot": "gulf-maine", "buzzards": "southern-new-england"}
 
-func newNode(name, zone, ip, dir string, command []string, storeAddress string, log *record) (*node, error) {
-	n := &node{name: name, zone: zone, ip: ip, dir: dir, command: command, log: log}
-	return n, n.writeSettings(storeAddress, true)
+func newNode(name, zone, ip string, r *rig) (*node, error) {
+	n := &node{name: name, zone: zone, ip: ip, dir: r.dir, command: r.command, repository: r.repository, log: r.log}
+	return n, n.writeSettings(r.store.address, true)
 }
 
 func (n *node) at(port int) string { return net.JoinHostPort(n.ip, strconv.Itoa(port)) }
@@ -91,7 +93,7 @@
 	}
 	cmd := exec.Command(n.command[0], n.command[1:]...)
 	cmd.Env = []string{"LAVENDERPIN_CONFIG=" + n.settingsPath(), "PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME")}
-	cmd.Stdout, cmd.Stderr = out, out
+	cmd.Dir, cmd.Stdout, cmd.Stderr = n.repository, out, out
 	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	n.mu.Lock()
 	defer n.mu.Unlock()
