--- a/review/testdata/rig/client.go
+++ b/review/testdata/rig/client.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
 	"io"
 	"net/http"
@@ -111,25 +110,6 @@
 	return o
 }
 
-// resolve asks a node where to connect.
-func resolve(n *node, zone string) ([]string, error) {
-	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
-	defer cancel()
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+n.at(directoryPort)+"/api/resolve?name="+host+"&region="+regions[zone]+"&zone="+zone, nil)
-	if err != nil {
-		return nil, err
-	}
-	resp, err := http.DefaultClient.Do(req)
-	if err != nil {
-		return nil, err
-	}
-	defer func() { _ = resp.Body.Close() }()
-	var answer struct {
-		Addresses []string `json:"addresses"`
-	}
-	return answer.Addresses, json.NewDecoder(resp.Body).Decode(&answer)
-}
-
 // ready asks a node whether it is ready.
 func ready(n *node) bool {
 	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
--- a/review/testdata/rig/store.go
+++ b/review/testdata/rig/store.go
@@ -7,7 +7,6 @@
 	"io"
 	"net"
 	"net/http"
-	"net/netip"
 	"slices"
 	"strconv"
 	"strings"
@@ -30,10 +29,6 @@
 	mu      sync.Mutex
 	changed chan struct{}
 	parts   map[string]*partition
-	// refused holds the status with which the calls of a machine are refused, by its IP address.
-	refused map[string]int
-	// silent holds the machines whose calls get no response.
-	silent map[string]bool
 }
 
 type partition struct {
@@ -55,7 +50,7 @@
 }
 
 func newStore(address string) (*store, error) {
-	s := &store{address: address, changed: make(chan struct{}), parts: make(map[string]*partition), refused: make(map[string]int), silent: make(map[string]bool)}
+	s := &store{address: address, changed: make(chan struct{}), parts: make(map[string]*partition)}
 	listener, err := net.Listen("tcp", address)
 	if err != nil {
 		return nil, err
@@ -64,42 +59,10 @@
 	mux.HandleFunc("POST /api/log-append", s.handleAppend)
 	mux.HandleFunc("GET /api/log-read", s.handleRead)
 	mux.HandleFunc("GET /api/log-newest", s.handleNewest)
-	go func() { _ = (&http.Server{Handler: s.admit(mux)}).Serve(listener) }()
+	go func() { _ = (&http.Server{Handler: mux}).Serve(listener) }()
 	return s, nil
 }
 
-// admit applies what is set for the calling machine.
-func (s *store) admit(next http.Handler) http.Handler {
-	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		ip := netip.MustParseAddrPort(r.RemoteAddr).Addr().String()
-		s.mu.Lock()
-		status, silent := s.refused[ip], s.silent[ip]
-		s.mu.Unlock()
-		switch {
-		case silent:
-			<-r.Context().Done()
-		case status != 0:
-			w.WriteHeader(status)
-		default:
-			next.ServeHTTP(w, r)
-		}
-	})
-}
-
-// refuse has the calls of a machine refused with a status, or accepted again if it is 0.
-func (s *store) refuse(ip string, status int) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.refused[ip] = status
-}
-
-// setSilent has the calls of a machine get no response, or accepted again.
-func (s *store) setSilent(ip string, silent bool) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.silent[ip] = silent
-}
-
 func (s *store) partition(topic, part string) *partition {
 	key := topic + "/" + part
 	p, ok := s.parts[key]
