--- a/review/testdata/rig/client.go
+++ b/review/testdata/rig/client.go
@@ -73,13 +73,13 @@
 		return o
 	}
 	req.Host, req.ContentLength = host, int64(len(request.body))
-	req.Header.Set("Attempt-Id", o.ID)
+	req.Header.Set(wire.AttemptID, o.ID)
 	req.Header.Set("Deadline-Ms", fmt.Sprint(request.deadline.Milliseconds()))
 	req.Header.Set("Authorization", "Bearer "+request.key)
 	if request.tokens != "" {
 		req.Header.Set("Model", request.model)
-		req.Header.Set("Token-Count", request.tokens)
-		req.Header.Set("Prefix-Hash", request.prefix)
+		req.Header.Set(wire.TokenCount, request.tokens)
+		req.Header.Set(wire.PrefixHash, request.prefix)
 	}
 	if request.resumes != "" {
 		req.Header.Set("Last-Event-Id", fmt.Sprint(request.after))
@@ -88,7 +88,7 @@
 	o.Sent = time.Now()
 	resp, err := c.http.Do(req)
 	if err == nil {
-		o.Status, o.Stamp = resp.StatusCode, resp.Header.Get("Engine-Stamp")
+		o.Status, o.Stamp = resp.StatusCode, resp.Header.Get(wire.Stamp)
 		var raw []byte
 		raw, err = io.ReadAll(resp.Body)
 		_ = resp.Body.Close() // read to its end
@@ -114,7 +114,7 @@
 func ready(n *node) bool {
 	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
 	defer cancel()
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+n.at(readyPort)+"/api/readyz", nil)
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+n.at(readyPort)+wire.ReadyPath, nil)
 	if err != nil {
 		return false
 	}
--- a/review/testdata/rig/engine.go
+++ b/review/testdata/rig/engine.go
@@ -108,7 +108,7 @@
 	e.sequence++
 	raw, _ := json.Marshal(map[string]any{"service": e.service, "address": e.address, "zone": e.zone, "version": e.version, "slots": e.slots, // always encodes
 		"state": e.state, "warmupLeftMs": 0, "phase": "both", "models": []any{}, "sequence": e.sequence, "born": e.born})
-	e.store.put("keyed.servers", e.id, raw)
+	e.store.put(wire.ServerTopic, e.id, raw)
 }
 
 // crash ends the incarnation without a word: its connections break.
@@ -136,7 +136,7 @@
 		e.mu.Lock()
 		defer e.mu.Unlock()
 		if e.cut {
-			e.store.put("keyed.servers", e.id, nil)
+			e.store.put(wire.ServerTopic, e.id, nil)
 			e.log.line("the entry of engine %s lapses", e.id)
 		}
 	})
@@ -166,7 +166,7 @@
 	e.state = ""
 	e.mu.Unlock()
 	stop()
-	e.store.put("keyed.servers", e.id, nil)
+	e.store.put(wire.ServerTopic, e.id, nil)
 	_ = server.Close()
 	e.log.line("engine %s exits", e.id)
 }
@@ -189,22 +189,22 @@
 	e.mu.Unlock()
 	h := w.Header()
 	h.Set("Keep-Alive", "timeout="+strconv.Itoa(int(e.keepAlive.Seconds())))
-	h.Set("Engine-Load", load)
+	h.Set(wire.Load, load)
 	if state != "ready" {
 		h.Set("Connection", "close")
 	}
-	id := r.Header.Get("Attempt-Id")
+	id := r.Header.Get(wire.AttemptID)
 	if id != "" {
-		h.Set("Attempt-Id", id)
+		h.Set(wire.AttemptID, id)
 	}
-	switch expected := r.Header.Get("Expect-Instance"); {
+	switch expected := r.Header.Get(wire.ExpectInstance); {
 	case r.Method == http.MethodGet && r.URL.Path == "/healthz":
 		h.Set("Instance-Id", e.id)
 		if state != "ready" {
 			w.WriteHeader(http.StatusServiceUnavailable)
 		}
 		return
-	case r.Method == http.MethodGet && r.URL.Path == "/api/report" && e.events > 0:
+	case r.Method == http.MethodGet && r.URL.Path == wire.ReportPath && e.events > 0:
 		writeJSON(w, http.StatusOK, map[string]any{"phase": "both", "models": []any{}, "busy": false, "sequence": 0, "queued": 0, "active": 0, "kvInUse": 0, "kvSize": 90000, "kvHandles": 0, "born": born})
 		return
 	case expected != "" && expected != e.id:
@@ -212,7 +212,7 @@
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	case id == "":
-		h.Set("Not-Executed", "1")
+		h.Set(wire.NotExecuted, "1")
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
@@ -227,7 +227,7 @@
 	ctx, cancel := context.WithTimeout(r.Context(), limit)
 	defer cancel()
 	if !e.enter(ctx, slot) {
-		h.Set("Not-Executed", "1")
+		h.Set(wire.NotExecuted, "1")
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
@@ -285,7 +285,7 @@
 
 // work does what the request asks for and returns how it ended.
 func (e *engine) work(ctx context.Context, w http.ResponseWriter, r *http.Request) string {
-	w.Header().Set("Engine-Stamp", "stamp."+e.id+"."+r.Header.Get("Attempt-Id"))
+	w.Header().Set(wire.Stamp, "stamp."+e.id+"."+r.Header.Get(wire.AttemptID))
 	if e.events == 0 {
 		select {
 		case <-time.After(e.engineOptions.work()):
@@ -296,7 +296,7 @@
 			w.WriteHeader(http.StatusGatewayTimeout)
 			return "deadline"
 		}
-		_, _ = io.WriteString(w, plainBody(r.Header.Get("Attempt-Id"))) // a caller that left reads nothing
+		_, _ = io.WriteString(w, plainBody(r.Header.Get(wire.AttemptID))) // a caller that left reads nothing
 		return "done"
 	}
 	w.Header().Set("Content-Type", "text/event-stream")
--- a/review/testdata/rig/main.go
+++ b/review/testdata/rig/main.go
@@ -209,6 +209,6 @@
 		"limits":  map[string]int{"maxHeaderBytes": 16384, "maxBodyBytes": 4194304, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
 		"tenants": []any{map[string]any{"name": tenantName, "apiKeys": []string{tenantKey}, "priority": 1, "prepaid": prepaid}},
 	})
-	r.store.put("keyed.op", "config", raw)
+	r.store.put(wire.OperatorTopic, "config", raw)
 	r.log.line("configuration %d is acknowledged", r.version)
 }
--- a/review/testdata/rig/node.go
+++ b/review/testdata/rig/node.go
@@ -66,7 +66,7 @@
 		"nodeName": n.name, "role": "edge", "machineClass": "edge", "serves": []string{"edge", "registry"},
 		"ip": n.ip, "zone": n.zone, "region": regions[n.zone], "zones": regions,
 		"listen":    map[string]string{"frontend": n.at(frontendPort), "ready": n.at(readyPort), "controlPlane": n.at(controlPort), "directory": n.at(directoryPort)},
-		"portRange": []int{peerPort, lastPeerPort}, "seedNodes": []string{}, "firstStart": first, "faultCounted": false,
+		"portRange": []int{peerPort, lastPeerPort}, wire.Seeds: []string{}, "firstStart": first, "faultCounted": false,
 		"limits":  map[string]any{"cpuQuota": 0.4, "cores": 1, "memoryMb": 284, "maxFds": 4100, "linkMbps": 1000.0, "diskMb": 0},
 		"dataDir": nil, "discovery": "platform", "entry": "registry", "heartbeatMs": 1200,
 		"guarantees":     []string{"base", "drain", "config", "cost", "retry", "recover", "engine", "stream", "tenants", "platform"},
--- a/review/testdata/rig/oddkey.go
+++ b/review/testdata/rig/oddkey.go
@@ -55,7 +55,7 @@
 	key := "other-" + strings.Repeat("w", 255-len("other-"))
 	for range oddRounds {
 		if r.trouble {
-			r.store.put("keyed.servers", key, []byte("of another writer"))
+			r.store.put(wire.ServerTopic, key, []byte("of another writer"))
 			r.log.line("another writer writes an entry under a key of %d bytes", len(key))
 		}
 		time.Sleep(oddInterval)
--- a/review/testdata/rig/store.go
+++ b/review/testdata/rig/store.go
@@ -56,9 +56,9 @@
 		return nil, err
 	}
 	mux := http.NewServeMux()
-	mux.HandleFunc("POST /api/log-append", s.handleAppend)
-	mux.HandleFunc("GET /api/log-read", s.handleRead)
-	mux.HandleFunc("GET /api/log-newest", s.handleNewest)
+	mux.HandleFunc("POST "+wire.AppendPath, s.handleAppend)
+	mux.HandleFunc("GET "+wire.ReadPath, s.handleRead)
+	mux.HandleFunc("GET "+wire.NewestPath, s.handleNewest)
 	go func() { _ = (&http.Server{Handler: mux}).Serve(listener) }()
 	return s, nil
 }
@@ -92,7 +92,7 @@
 func (s *store) handleAppend(w http.ResponseWriter, r *http.Request) {
 	q := r.URL.Query()
 	topic := q.Get("topic")
-	if topic == "keyed.op" || topic == "keyed.servers" {
+	if topic == wire.OperatorTopic || topic == wire.ServerTopic {
 		w.WriteHeader(http.StatusForbidden)
 		return
 	}
