--- /dev/null
+++ b/review/testdata/fleet2/client.go
@@ -0,0 +1,94 @@
+package fleet2
+
+import (
+	"bufio"
+	"cmp"
+	"context"
+	"crypto/rand"
+	"encoding/hex"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"time"
+)
+
+// Request is a client's request.
+type Request struct {
+	ID, Path, Key, TokenCount string
+	// Body is a body of the request's own if it is empty.
+	Body     string
+	Deadline time.Duration
+}
+
+// Answer is what the client got.
+type Answer struct {
+	Status int
+	// Events are the data of the events of a stream.
+	Events   []string
+	Body     string
+	Complete bool
+	Err      error
+}
+
+// NewID returns the ID of a client attempt.
+func NewID() string {
+	var b [8]byte
+	_, _ = rand.Read(b[:]) // never fails
+	return hex.EncodeToString(b[:])
+}
+
+// Client sends requests over connections that it keeps.
+type Client struct{ http *http.Client }
+
+// NewClient returns a client.
+func NewClient() *Client {
+	return &Client{&http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64, IdleConnTimeout: 12 * time.Second, DialContext: (&net.Dialer{Timeout: time.Second}).DialContext}}}
+}
+
+// Send sends a request to a node and reads the answer to its end.
+func (c *Client) Send(address string, r Request) (a Answer) {
+	ctx, cancel := context.WithTimeout(context.Background(), r.Deadline)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+r.Path, strings.NewReader(cmp.Or(r.Body, "prompt of "+r.ID)))
+	if err != nil {
+		return Answer{Err: err}
+	}
+	req.GetBody = nil // the library must not send it again
+	req.Host = Host
+	for name, value := range map[string]string{"Attempt-Id": r.ID, "Authorization": "Bearer " + r.Key, "Deadline-Ms": fmt.Sprint(r.Deadline.Milliseconds())} {
+		req.Header.Set(name, value)
+	}
+	if r.TokenCount != "" {
+		prompt, _, _ := strings.Cut(r.TokenCount, ",")
+		req.Header.Set("Model", "m")
+		req.Header.Set("Token-Count", r.TokenCount)
+		req.Header.Set("Prefix-Hash", r.ID+":"+prompt)
+	}
+	resp, err := c.http.Do(req)
+	if err != nil {
+		return Answer{Err: err}
+	}
+	defer func() { _ = resp.Body.Close() }()
+	a.Status = resp.StatusCode
+	if resp.Header.Get("Content-Type") != "text/event-stream" {
+		body, err := io.ReadAll(resp.Body)
+		a.Body, a.Err, a.Complete = string(body), err, err == nil
+		return a
+	}
+	lines := bufio.NewScanner(resp.Body)
+	data := ""
+	for lines.Scan() {
+		switch line := lines.Text(); {
+		case strings.HasPrefix(line, "data: "):
+			data = strings.TrimPrefix(line, "data: ")
+		case line == "" && data != "":
+			a.Events = append(a.Events, data)
+			data = ""
+		}
+	}
+	a.Err = lines.Err()
+	a.Complete = a.Err == nil
+	return a
+}
