--- a/review/testdata/fleet2/client.go
+++ b/review/testdata/fleet2/client.go
@@ -17,9 +17,9 @@
 // Request is a client's request.
 type Request struct {
 	ID, Path, Key, TokenCount string
-	// Body is a body of the request's own if it is empty.
-	Body     string
-	Deadline time.Duration
+	// Body is a body of the request's own if it is empty. Accept is the media type that the client asks for; none if it is empty.
+	Body, Accept string
+	Deadline     time.Duration
 }
 
 // Answer is what the client got.
@@ -60,6 +60,9 @@
 	for name, value := range map[string]string{"Attempt-Id": r.ID, "Authorization": "Bearer " + r.Key, "Deadline-Ms": fmt.Sprint(r.Deadline.Milliseconds())} {
 		req.Header.Set(name, value)
 	}
+	if r.Accept != "" {
+		req.Header.Set("Accept", r.Accept)
+	}
 	if r.TokenCount != "" {
 		prompt, _, _ := strings.Cut(r.TokenCount, ",")
 		req.Header.Set("Model", "m")
--- a/review/testdata/fleet2/engine.go
+++ b/review/testdata/fleet2/engine.go
@@ -159,9 +159,12 @@
 	at := len(e.runs) - 1
 	e.mu.Unlock()
 	events, ended := int64(0), ""
-	if e.KVCapacity > 0 {
+	switch {
+	case e.KVCapacity > 0 && r.Header.Get("Accept") == JSON:
+		events, ended = e.generate(w, r, output)
+	case e.KVCapacity > 0:
 		events, ended = e.stream(w, r, (output+TokensPerEvent-1)/TokensPerEvent)
-	} else {
+	default:
 		ended = e.answer(w, r)
 	}
 	e.mu.Lock()
@@ -178,6 +181,25 @@
 	return prompt, output, err1 == nil && err2 == nil && prompt <= int64(capacity) && output <= int64(capacity)-prompt
 }
 
+// JSON is the media type of an answer that comes whole, with all of its output tokens.
+const JSON = "application/json"
+
+// generate makes a whole answer of a number of tokens.
+func (e *Engine) generate(w http.ResponseWriter, r *http.Request, tokens int64) (events int64, ended string) {
+	events = (tokens + TokensPerEvent - 1) / TokensPerEvent
+	select {
+	case <-r.Context().Done():
+		return 0, "left"
+	case <-time.After(e.FirstEvent + time.Duration(events)*e.EventGap):
+	}
+	w.Header().Set("Content-Type", JSON)
+	w.Header().Set("Engine-Stamp", "stamp-of-"+e.ID)
+	if _, err := fmt.Fprintf(w, `{"tokens":%d,"text":%q}`, tokens, strings.Repeat("word ", int(tokens))); err != nil {
+		return 0, "left"
+	}
+	return events, "done"
+}
+
 // answer sends the answer of a plain service.
 func (e *Engine) answer(w http.ResponseWriter, r *http.Request) string {
 	select {
