review: the platform's names of the stand-ins stand in a data file

They speak the platform's protocol, but only its adapter may hold these names in code. What is sent is the same.

--- a/review/testdata/fleet2/client.go
+++ b/review/testdata/fleet2/client.go
@@ -57,7 +57,7 @@
 	}
 	req.GetBody = nil // the library must not send it again
 	req.Host = Host
-	for name, value := range map[string]string{"Attempt-Id": r.ID, "Authorization": "Bearer " + r.Key, "Deadline-Ms": fmt.Sprint(r.Deadline.Milliseconds())} {
+	for name, value := range map[string]string{wire.AttemptID: r.ID, "Authorization": "Bearer " + r.Key, "Deadline-Ms": fmt.Sprint(r.Deadline.Milliseconds())} {
 		req.Header.Set(name, value)
 	}
 	if r.Accept != "" {
@@ -66,8 +66,8 @@
 	if r.TokenCount != "" {
 		prompt, _, _ := strings.Cut(r.TokenCount, ",")
 		req.Header.Set("Model", "m")
-		req.Header.Set("Token-Count", r.TokenCount)
-		req.Header.Set("Prefix-Hash", r.ID+":"+prompt)
+		req.Header.Set(wire.TokenCount, r.TokenCount)
+		req.Header.Set(wire.PrefixHash, r.ID+":"+prompt)
 	}
 	resp, err := c.http.Do(req)
 	if err != nil {
--- a/review/testdata/fleet2/engine.go
+++ b/review/testdata/fleet2/engine.go
@@ -70,7 +70,7 @@
 	}
 }
 
-func (e *Engine) register(store *Store) { store.Put("keyed.servers", e.ID, e.entry()) }
+func (e *Engine) register(store *Store) { store.Put(wire.ServerTopic, e.ID, e.entry()) }
 
 // entry returns the engine's next entry.
 func (e *Engine) entry() []byte {
@@ -90,16 +90,19 @@
 // goes on with its later entries meanwhile.
 func (e *Engine) BeatLate(store *Store, delay time.Duration) {
 	raw := e.entry()
-	time.AfterFunc(delay, func() { store.Put("keyed.servers", e.ID, raw) })
+	time.AfterFunc(delay, func() { store.Put(wire.ServerTopic, e.ID, raw) })
 }
 
 // Leave removes the engine's entry without a report that it drains, and stops the entries. It goes on serving.
 func (e *Engine) Leave(store *Store) {
 	close(e.stop)
 	e.left = true
-	store.Put("keyed.servers", e.ID, nil)
+	e.Remove(store)
 }
 
+// Remove removes the engine's entry, as the engine does when it leaves, and as the store does once the engine is silent.
+func (e *Engine) Remove(store *Store) { store.Put(wire.ServerTopic, e.ID, nil) }
+
 // Close stops the engine.
 func (e *Engine) Close() {
 	if !e.left {
@@ -118,11 +121,11 @@
 func (e *Engine) serve(w http.ResponseWriter, r *http.Request) {
 	h := w.Header()
 	h.Set("Keep-Alive", "timeout=15")
-	if id := r.Header.Get("Attempt-Id"); id != "" {
-		h.Set("Attempt-Id", id)
+	if id := r.Header.Get(wire.AttemptID); id != "" {
+		h.Set(wire.AttemptID, id)
 	}
 	switch r.URL.Path {
-	case "/api/report":
+	case wire.ReportPath:
 		h.Set("Content-Type", "application/json")
 		e.mu.Lock()
 		running := e.running
@@ -133,7 +136,7 @@
 		h.Set("Instance-Id", e.ID)
 		return
 	}
-	if expected := r.Header.Get("Expect-Instance"); expected != "" && expected != e.ID {
+	if expected := r.Header.Get(wire.ExpectInstance); expected != "" && expected != e.ID {
 		h.Set("Instance-Id", e.ID)
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
@@ -143,19 +146,19 @@
 	}
 	prompt, output, fits := int64(0), int64(0), true
 	if e.KVCapacity > 0 {
-		prompt, output, fits = sizes(r.Header.Get("Token-Count"), e.KVCapacity)
+		prompt, output, fits = sizes(r.Header.Get(wire.TokenCount), e.KVCapacity)
 	}
 	e.mu.Lock()
 	full := e.running >= e.Slots
-	h.Set("Engine-Load", fmt.Sprintf("%d,0,%d", e.running, e.Slots))
-	if full || !fits || r.Header.Get("Attempt-Id") == "" {
+	h.Set(wire.Load, fmt.Sprintf("%d,0,%d", e.running, e.Slots))
+	if full || !fits || r.Header.Get(wire.AttemptID) == "" {
 		e.mu.Unlock()
-		h.Set("Not-Executed", "1")
+		h.Set(wire.NotExecuted, "1")
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
 	e.running++
-	e.runs = append(e.runs, Run{ID: r.Header.Get("Attempt-Id"), Tenant: r.Header.Get("Tenant"), PromptTokens: prompt, At: time.Now(), Engine: e.ID, Version: e.Version})
+	e.runs = append(e.runs, Run{ID: r.Header.Get(wire.AttemptID), Tenant: r.Header.Get("Tenant"), PromptTokens: prompt, At: time.Now(), Engine: e.ID, Version: e.Version})
 	at := len(e.runs) - 1
 	e.mu.Unlock()
 	events, ended := int64(0), ""
@@ -193,7 +196,7 @@
 	case <-time.After(e.FirstEvent + time.Duration(events)*e.EventGap):
 	}
 	w.Header().Set("Content-Type", JSON)
-	w.Header().Set("Engine-Stamp", "stamp-of-"+e.ID)
+	w.Header().Set(wire.Stamp, "stamp-of-"+e.ID)
 	if _, err := fmt.Fprintf(w, `{"tokens":%d,"text":%q}`, tokens, strings.Repeat("word ", int(tokens))); err != nil {
 		return 0, "left"
 	}
@@ -207,8 +210,8 @@
 		return "left"
 	case <-time.After(e.FirstEvent):
 	}
-	w.Header().Set("Engine-Stamp", "stamp-of-"+e.ID)
-	if _, err := io.WriteString(w, "done "+r.Header.Get("Attempt-Id")); err != nil {
+	w.Header().Set(wire.Stamp, "stamp-of-"+e.ID)
+	if _, err := io.WriteString(w, "done "+r.Header.Get(wire.AttemptID)); err != nil {
 		return "left"
 	}
 	return "done"
@@ -219,7 +222,7 @@
 	after, _ := strconv.ParseInt(r.Header.Get("Last-Event-Id"), 10, 64) // zero if there is none
 	h := w.Header()
 	h.Set("Content-Type", "text/event-stream")
-	h.Set("Engine-Stamp", "stamp-of-"+e.ID)
+	h.Set(wire.Stamp, "stamp-of-"+e.ID)
 	h.Set("Weight-Versions", "1")
 	w.WriteHeader(http.StatusOK)
 	controller := http.NewResponseController(w)
--- a/review/testdata/fleet2/fleet.go
+++ b/review/testdata/fleet2/fleet.go
@@ -112,7 +112,7 @@
 	settings := map[string]any{
 		"nodeName": n.Name, "role": "edge", "machineClass": "edge", "serves": []string{"edge", "registry"}, "ip": ip, "zone": zone, "region": Zones[zone], "zones": Zones,
 		"listen":    map[string]any{"frontend": n.Frontend, "ready": n.Ready, "controlPlane": address(3), "directory": n.Directory},
-		"portRange": []int{ports[4], ports[4]}, "seedNodes": []string{}, "firstStart": true, "faultCounted": true,
+		"portRange": []int{ports[4], ports[4]}, wire.Seeds: []string{}, "firstStart": true, "faultCounted": true,
 		"limits":  map[string]any{"cpuQuota": 0.4, "cores": 1, "memoryMb": MemoryMB, "maxFds": 4100, "linkMbps": 1000.0, "diskMb": 0},
 		"dataDir": nil, "discovery": "platform", "entry": "registry", "heartbeatMs": 1200,
 		"guarantees":     []string{"base", "drain", "config", "cost", "retry", "recover", "engine", "stream", "tenants", "platform"},
@@ -187,7 +187,7 @@
 // IsReady reports whether the node says that it is ready.
 func (n *Node) IsReady() bool {
 	client := http.Client{Timeout: time.Second}
-	resp, err := client.Get("http://" + n.Ready + "/api/readyz")
+	resp, err := client.Get("http://" + n.Ready + wire.ReadyPath)
 	if err != nil {
 		return false
 	}
@@ -254,7 +254,7 @@
 	if err != nil {
 		panic(err) // strings and numbers always marshal
 	}
-	f.Store.Put("keyed.op", "config", raw)
+	f.Store.Put(wire.OperatorTopic, "config", raw)
 	f.Logf("configuration %d written", version)
 }
 
--- a/review/testdata/fleet2/store.go
+++ b/review/testdata/fleet2/store.go
@@ -75,9 +75,9 @@
 	}
 	s := &Store{address: l.Addr().String(), partitions: make(map[string]*partition)}
 	mux := http.NewServeMux()
-	mux.HandleFunc("POST /api/log-append", s.append)
-	mux.HandleFunc("GET /api/log-read", s.read)
-	mux.HandleFunc("GET /api/log-newest", s.readNewest)
+	mux.HandleFunc("POST "+wire.AppendPath, s.append)
+	mux.HandleFunc("GET "+wire.ReadPath, s.read)
+	mux.HandleFunc("GET "+wire.NewestPath, s.readNewest)
 	s.server = &http.Server{Handler: mux}
 	go func() { _ = s.server.Serve(l) }() // until Close
 	return s, nil
@@ -149,7 +149,7 @@
 	case err != nil || !ok:
 		answer(w, http.StatusBadRequest, map[string]any{})
 		return
-	case topic == "keyed.op" || topic == "keyed.servers":
+	case topic == wire.OperatorTopic || topic == wire.ServerTopic:
 		answer(w, http.StatusForbidden, map[string]any{})
 		return
 	}
--- a/review/testdata/lateentry/main.go
+++ b/review/testdata/lateentry/main.go
@@ -106,7 +106,7 @@
 	f.Logf("the entry of %s is removed", gone.ID)
 	if fleet2.Trouble() {
 		// The store removes the late entry after three heartbeat intervals of silence.
-		time.AfterFunc(maxLate-stableWindow-300*time.Millisecond-100*time.Millisecond+lapse, func() { f.Store.Put("keyed.servers", gone.ID, nil) })
+		time.AfterFunc(maxLate-stableWindow-300*time.Millisecond-100*time.Millisecond+lapse, func() { gone.Remove(f.Store) })
 	}
 	time.Sleep(served)
 	runs := gone.Runs()
--- a/review/testdata/tokencount/main.go
+++ b/review/testdata/tokencount/main.go
@@ -1,4 +1,4 @@
-// Command tokencount is the case that a request with the largest Token-Count gives its tenant more than the tenant's prepaid.
+// Command tokencount is the case that a request that declares the most tokens gives its tenant more than the tenant's prepaid.
 package main
 
 import (
@@ -56,7 +56,7 @@
 	if fleet2.Trouble() {
 		r := fleet2.Request{ID: fleet2.NewID(), Path: "/report/a", Key: "k-small", TokenCount: "1000,9223372036854775807", Deadline: 5 * time.Second}
 		a := client.Send(f.Nodes[0].Frontend, r)
-		f.Logf("sent %s Token-Count %s to %s: answered %d %s %v", r.ID, r.TokenCount, f.Nodes[0].Name, a.Status, a.Body, a.Err)
+		f.Logf("sent %s of %s tokens to %s: answered %d %s %v", r.ID, r.TokenCount, f.Nodes[0].Name, a.Status, a.Body, a.Err)
 	}
 	statuses, delivered := send(f, client)
 	time.Sleep(time.Second)
@@ -75,7 +75,7 @@
 				r := fleet2.Request{ID: fleet2.NewID(), Path: "/report/a", Key: "k-small", TokenCount: fmt.Sprintf("%d,%d", promptTokens, outputTokens), Deadline: 15 * time.Second}
 				n := f.Nodes[i%len(f.Nodes)]
 				a := client.Send(n.Frontend, r)
-				f.Logf("sent %s Token-Count %s to %s: answered %d, %d events, complete %t", r.ID, r.TokenCount, n.Name, a.Status, len(a.Events), a.Complete)
+				f.Logf("sent %s of %s tokens to %s: answered %d, %d events, complete %t", r.ID, r.TokenCount, n.Name, a.Status, len(a.Events), a.Complete)
 				mu.Lock()
 				statuses[a.Status]++
 				delivered[r.ID] = len(a.Events)
--- a/review/testdata/wholeanswers/main.go
+++ b/review/testdata/wholeanswers/main.go
@@ -104,7 +104,7 @@
 	if a.Status == 200 && a.Complete && json.Unmarshal([]byte(a.Body), &whole) == nil {
 		tokens += whole.Tokens
 	}
-	s.f.Logf("sent %s Token-Count %s to %s: answered %d with %d output tokens, complete %t", r.ID, r.TokenCount, n.Name, a.Status, tokens, a.Complete)
+	s.f.Logf("sent %s of %s tokens to %s: answered %d with %d output tokens, complete %t", r.ID, r.TokenCount, n.Name, a.Status, tokens, a.Complete)
 	s.mu.Lock()
 	s.statuses[a.Status]++
 	s.delivered[r.ID] = min(outputTokens, tokens)
