review case 7: the long bodies come within 0.2 s

Cause: in one run of ten with all bodies at once the process ended before more than one request had run, so that LOST's allowance of three held.

--- a/review/testdata/uploads/main.go
+++ b/review/testdata/uploads/main.go
@@ -19,6 +19,8 @@
 	// stableWindow is stableWindowMs.
 	stableWindow = 4 * time.Second
 	rounds       = 2
+	// gap is the time between two long requests, so that the first ones run while the last ones come in.
+	gap = 2 * time.Millisecond
 	// allowedLost is how many requests of kept connections may be lost.
 	allowedLost = 3
 )
@@ -119,7 +121,7 @@
 	statuses   map[int]int
 }
 
-// round has each client send a short request and then, on the connection that it keeps, a long one, all at the same time.
+// round has each client send a short request and then, on the connection that it keeps, a long one, all within 0.2 s.
 func (s *sender) round() {
 	var all, ready sync.WaitGroup
 	ready.Add(clients)
@@ -130,6 +132,7 @@
 			s.send(client, node, "")
 			ready.Done()
 			ready.Wait()
+			time.Sleep(time.Duration(i) * gap)
 			s.send(client, node, s.body)
 		})
 	}
