--- a/review/testdata/fleet2/client.go
+++ b/review/testdata/fleet2/client.go
@@ -11,6 +11,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync"
 	"time"
 )
 
@@ -43,8 +44,67 @@
 type Client struct{ http *http.Client }
 
 // NewClient returns a client.
-func NewClient() *Client {
-	return &Client{&http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64, IdleConnTimeout: 12 * time.Second, DialContext: (&net.Dialer{Timeout: time.Second}).DialContext}}}
+func NewClient() *Client { return NewClientOver(nil) }
+
+// NewClientOver returns a client whose requests cross a link; nil stands for one without a limit.
+func NewClientOver(l *Link) *Client {
+	dial := (&net.Dialer{Timeout: time.Second}).DialContext
+	return &Client{&http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64, IdleConnTimeout: 12 * time.Second,
+		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
+			c, err := dial(ctx, network, address)
+			if err != nil || l == nil {
+				return c, err
+			}
+			return &linkConn{c, l}, nil
+		}}}}
+}
+
+// Link is a node's link. All that clients send over it shares its bandwidth.
+type Link struct {
+	bytesPerSecond float64
+
+	mu sync.Mutex
+	// free is when all that was sent so far has crossed it.
+	free time.Time
+}
+
+// NewLink returns a link.
+func NewLink(mbps float64) *Link { return &Link{bytesPerSecond: mbps * 1e6 / 8} }
+
+// wait waits until a number of bytes has crossed the link.
+func (l *Link) wait(bytes int) {
+	l.mu.Lock()
+	now := time.Now()
+	if l.free.Before(now) {
+		l.free = now
+	}
+	l.free = l.free.Add(time.Duration(float64(bytes) / l.bytesPerSecond * float64(time.Second)))
+	left := l.free.Sub(now)
+	l.mu.Unlock()
+	time.Sleep(left)
+}
+
+// linkConn is a client's connection over a link.
+type linkConn struct {
+	net.Conn
+	link *Link
+}
+
+// linkChunk is how many bytes a connection sends at a time.
+const linkChunk = 16 << 10
+
+// Write sends what crosses the link in turn with the other connections.
+func (c *linkConn) Write(p []byte) (sent int, err error) {
+	for sent < len(p) {
+		chunk := p[sent:min(len(p), sent+linkChunk)]
+		c.link.wait(len(chunk))
+		n, err := c.Conn.Write(chunk)
+		sent += n
+		if err != nil {
+			return sent, err
+		}
+	}
+	return sent, nil
 }
 
 // Send sends a request to a node and reads the answer to its end.
--- a/review/testdata/uploads/main.go
+++ b/review/testdata/uploads/main.go
@@ -13,14 +13,17 @@
 )
 
 const (
-	// clients is the number of clients in the site file, bodyBytes just below maxBodyBytes of the configuration.
-	clients   = 92
+	// clients is how many clients send a long request at the same time: of the 92 in the site file. bodyBytes is just below
+	// maxBodyBytes of the configuration.
+	clients   = 54
 	bodyBytes = 4_194_304 - 304
 	// stableWindow is stableWindowMs.
 	stableWindow = 4 * time.Second
-	rounds       = 2
-	// gap is the time between two long requests, so that the first ones run while the last ones come in.
-	gap = 2 * time.Millisecond
+	rounds       = 3
+	// linkMbps is the bandwidth of a node's link. All long requests of a round cross one link in 1.8 s.
+	linkMbps = 1000
+	// Short requests come all the while, some 43 a second, as many as the site's clients send to this service.
+	shortSenders, shortPause = 16, 220 * time.Millisecond
 	// allowedLost is how many requests of kept connections may be lost.
 	allowedLost = 3
 )
@@ -70,11 +73,13 @@
 		time.Sleep(stableWindow + time.Second)
 	}
 	ended := watchMemory(f, left)
-	s := &sender{f: f, nodes: left, body: strings.Repeat("x", bodyBytes)}
+	s := newSender(f, left)
+	stop := s.sendShort()
 	for range rounds {
 		s.round()
 		time.Sleep(6 * time.Second) // the platform starts an ended process again, and it gets ready
 	}
+	stop()
 	return s.judge(engines, ended.Load())
 }
 
@@ -112,8 +117,9 @@
 // sender sends the clients' requests and keeps the IDs of those that ended without an answer.
 type sender struct {
 	f *fleet2.Fleet
-	// nodes are those that the registry names.
+	// nodes are those that the registry names, links their links.
 	nodes []*fleet2.Node
+	links []*fleet2.Link
 	body  string
 
 	mu         sync.Mutex
@@ -121,18 +127,55 @@
 	statuses   map[int]int
 }
 
-// round has each client send a short request and then, on the connection that it keeps, a long one, all within 0.2 s.
+func newSender(f *fleet2.Fleet, nodes []*fleet2.Node) *sender {
+	s := &sender{f: f, nodes: nodes, body: strings.Repeat("x", bodyBytes), statuses: make(map[int]int), unanswered: make(map[string]bool)}
+	for range nodes {
+		s.links = append(s.links, fleet2.NewLink(linkMbps))
+	}
+	return s
+}
+
+// client returns a client, and the node that it sends to.
+func (s *sender) client(number int) (*fleet2.Client, *fleet2.Node) {
+	at := number % len(s.nodes)
+	return fleet2.NewClientOver(s.links[at]), s.nodes[at]
+}
+
+// sendShort has clients send short requests, each on a connection that it keeps, until the returned function is called.
+func (s *sender) sendShort() (stop func()) {
+	ended := make(chan struct{})
+	var all sync.WaitGroup
+	for i := range shortSenders {
+		client, node := s.client(i)
+		all.Go(func() {
+			time.Sleep(time.Duration(i) * shortPause / shortSenders) // not all at the same time
+			for {
+				select {
+				case <-ended:
+					return
+				case <-time.After(shortPause):
+					s.send(client, node, "")
+				}
+			}
+		})
+	}
+	return func() {
+		close(ended)
+		all.Wait()
+	}
+}
+
+// round has each client send a short request and then, on the connection that it keeps, a long one, all at the same time.
 func (s *sender) round() {
 	var all, ready sync.WaitGroup
 	ready.Add(clients)
 	for i := range clients {
-		client, node := fleet2.NewClient(), s.nodes[i%len(s.nodes)]
+		client, node := s.client(i)
 		all.Go(func() {
 			time.Sleep(time.Duration(i) * 10 * time.Millisecond)
 			s.send(client, node, "")
 			ready.Done()
 			ready.Wait()
-			time.Sleep(time.Duration(i) * gap)
 			s.send(client, node, s.body)
 		})
 	}
@@ -145,9 +188,6 @@
 	s.f.Logf("sent %s with a body of %d bytes to %s: answered %d %q %v", r.ID, len(body), n.Name, a.Status, a.Body, a.Err)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.statuses == nil {
-		s.statuses, s.unanswered = make(map[int]int), make(map[string]bool)
-	}
 	s.statuses[a.Status]++
 	if a.Status == 0 {
 		s.unanswered[r.ID] = true
