gate: fail a package that died behind a listed failure

Cause: a package that panicked or ran out of time counted as broken only if none of its tests had failed before, so a listed failure in front of it hid all its tests that didn't run. Measured: TestPackageThatDiesBehindListedFailureFails fails without the change.

--- a/internal/ci/gate/gate_test.go
+++ b/internal/ci/gate/gate_test.go
@@ -77,3 +77,21 @@
 	is.True(ok)
 	is.True(strings.Contains(printed, "KNOWN RED (0 failed): rule CONFIG (a command): seen once; issue 4"))
 }
+
+// Guards against passing a package whose process died behind a listed failure, with all its tests that didn't run.
+func TestPackageThatDiesBehindListedFailureFails(t *testing.T) {
+	const listedFailure = onePassingTest + `{"Action":"fail","Package":"q","Test":"TestOld"}` + "\n"
+	const packageResult = `{"Action":"output","Package":"q","Output":"FAIL\tq\t1.0s\n"}` + "\n" + `{"Action":"fail","Package":"q"}` + "\n"
+	const testsEnded = `{"Action":"output","Package":"q","Output":"FAIL\n"}` + "\n"
+	const running = `{"Action":"output","Package":"q","Test":"TestRunning","Output":"panic: test timed out\n"}` + "\n"
+	is := is.New(t)
+	known := knownFailures{"TestOld (go test q): cause; issue 4"}
+	ok, printed := runGate(listedFailure+running+packageResult, known)
+	is.True(!ok)
+	is.True(strings.Contains(printed, "didn't end: TestRunning\npanic: test timed out\n"))
+	is.True(strings.Contains(printed, "FAILED: q ended before its tests"))
+	ok, _ = runGate(listedFailure+packageResult, known) // the listed test itself ended the process
+	is.True(!ok)
+	ok, _ = runGate(listedFailure+testsEnded+packageResult, known)
+	is.True(ok)
+}
--- a/internal/ci/gate/summary.go
+++ b/internal/ci/gate/summary.go
@@ -26,11 +26,21 @@
 	// failedPackages counts the failed tests of each failed package; 0 means that the
 	// package didn't build, panicked or timed out.
 	failedPackages map[string]int
-	output         map[testID][]string
+	// exits tells how far the process of each failed package came.
+	exits  map[string]processExit
+	output map[testID][]string
+}
+
+// processExit holds what the end of a failed package's output shows.
+type processExit struct {
+	// testsEnded means that the process itself printed its result, which it does once all tests have ended.
+	testsEnded bool
+	// reported means that "go test" printed the package's result.
+	reported bool
 }
 
 func newRunSummary() *runSummary {
-	return &runSummary{failedPackages: map[string]int{}, output: map[testID][]string{}}
+	return &runSummary{failedPackages: map[string]int{}, exits: map[string]processExit{}, output: map[testID][]string{}}
 }
 
 func (s *runSummary) addEvent(e testEvent) {
@@ -38,6 +48,9 @@
 	switch e.Action {
 	case "output", "build-output":
 		s.output[id] = append(s.output[id], e.Output)
+		if e.Test == "" {
+			s.addExit(e)
+		}
 	case "pass":
 		delete(s.output, id)
 		if e.Test == "" {
@@ -60,6 +73,13 @@
 	}
 }
 
+func (s *runSummary) addExit(e testEvent) {
+	exit := s.exits[e.Package]
+	exit.testsEnded = exit.testsEnded || e.Output == "FAIL\n"
+	exit.reported = exit.reported || strings.HasPrefix(e.Output, "FAIL\t")
+	s.exits[e.Package] = exit
+}
+
 // report prints the result and returns whether CI passes. Known failures come first: the output of
 // those that occurred, and one line for each. Unexpected failures come last with their full output, because readers see
 // the end of a long log first.
@@ -88,17 +108,22 @@
 		_, _ = fmt.Fprintf(w, "FAILED: %s\n", id.Test)
 	}
 	for _, name := range broken {
-		_, _ = fmt.Fprintf(w, "FAILED: %s without a failing test (build, panic or time limit)\n", name.Package)
+		cause := "without a failing test"
+		if s.failedPackages[name.Package] > 0 {
+			cause = "ended before its tests"
+		}
+		_, _ = fmt.Fprintf(w, "FAILED: %s %s (build, panic or time limit)\n", name.Package, cause)
 	}
 	_, _ = fmt.Fprintf(w, "%d passed, %d failed, %d skipped\n", s.passed, len(s.failed), s.skipped)
 	return len(unexpected)+len(broken) == 0 && s.passed > 0
 }
 
-// brokenPackages returns the packages that failed without a failing test, sorted by name.
+// brokenPackages returns the packages that failed without a failing test, or whose process ended before their tests, sorted
+// by name.
 func (s *runSummary) brokenPackages() []testID {
 	var broken []testID
 	for name, tests := range s.failedPackages {
-		if tests == 0 {
+		if exit := s.exits[name]; tests == 0 || exit.reported && !exit.testsEnded {
 			broken = append(broken, testID{Package: name})
 		}
 	}
@@ -111,7 +136,7 @@
 func (s *runSummary) unfinished(broken []testID) []testID {
 	var running []testID
 	for id := range s.output {
-		if id.Test != "" && slices.Contains(broken, testID{Package: id.Package}) {
+		if id.Test != "" && !slices.Contains(s.failed, id) && slices.Contains(broken, testID{Package: id.Package}) {
 			running = append(running, id)
 		}
 	}
