--- a/node/fleet_test.go
+++ b/node/fleet_test.go
@@ -238,6 +238,7 @@
 		nodes := f.startAll(3)
 		_, err := nodes[0].change(0, "c", accountChange("moorwatch", "a"))
 		is.NoErr(err)
+		synctest.Wait() // a record that no node had read would be lost with the log
 		f.log.SetDown(true)
 		f.log.SetRetention(1)
 		time.Sleep(5 * time.Minute)
