reach: test of regions awaits that the upstream accepts

Cause: the test counted connections before the upstream's listener had returned the one that the relay reported as open (regions_test.go: 1 != 0).

--- a/reach/regions_test.go
+++ b/reach/regions_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"testing"
+	"testing/synctest"
 
 	"github.com/matryer/is"
 
@@ -22,6 +23,7 @@
 		unlimited, err := dial(context.Background())
 		is.NoErr(err)
 		is.True(!PassesThrough(unlimited, onlyWest))
+		synctest.Wait() // the upstream accepts the connection after the relay reported it
 		before := u.connections(elsewhere.host)
 		_, err = dial(WithAllowedRegions(context.Background(), onlyWest))
 		is.True(err != nil)
