directory: judge entries of departed upstreams by the last one that counted

Cause: an entry was compared with the last one only while its upstream was listed. The store executed an earlier write of the engine behind the removal; for a departed upstream any entry of the same start time counted. Fix: one judge for listed and departed upstreams. Earlier and repeated numbers and older readings don't count, an earlier incarnation counts once a second entry follows or no write can be under way any more. An upstream that is back with its next entry is listed at once as before (TestEntryOfLivingUpstreamIsListed).

--- a/directory/departed.go
+++ b/directory/departed.go
@@ -37,16 +37,22 @@
 	}
 }
 
-// take removes an upstream and returns it; nil if it isn't remembered.
-func (d *departed) take(id string, now time.Duration) *Upstream {
+// find returns an upstream; nil if it isn't remembered.
+func (d *departed) find(id string, now time.Duration) *Upstream {
 	found, ok := d.byID[id]
-	delete(d.byID, id)
 	if !ok || now-found.at > maxDepartedAge {
 		return nil
 	}
 	return found.upstream
 }
 
+// take removes an upstream and returns it; nil if it isn't remembered.
+func (d *departed) take(id string, now time.Duration) *Upstream {
+	found := d.find(id, now)
+	delete(d.byID, id)
+	return found
+}
+
 // trim forgets those that departed first.
 func (d *departed) trim() {
 	ids := slices.SortedFunc(maps.Keys(d.byID), func(a, b string) int { return cmp.Compare(d.byID[a].at, d.byID[b].at) })
--- a/directory/table.go
+++ b/directory/table.go
@@ -39,6 +39,9 @@
 	// Ramp tells which upstreams that started are ramped up; nil if none is. It must not be changed once the table is
 	// in use.
 	Ramp RampPolicy
+	// OnDropped is called with each entry that may have been executed late and changed nothing; it may be nil. It must not
+	// be changed once the table is in use, and must not call the table.
+	OnDropped func(Dropped)
 
 	clock bootclock.Clock
 
@@ -107,7 +110,7 @@
 
 // Update is a change to one upstream's entry.
 type Update struct {
-	// Entry is the new entry; for a removed one only its ID.
+	// Entry is the new entry; for a removed one only its ID and the removal's offset.
 	Entry   Entry
 	Removed bool
 }
@@ -125,7 +128,7 @@
 		switch {
 		case !u.Removed:
 			changes[i] = t.put(u.Entry)
-		case t.remove(u.Entry.ID):
+		case t.remove(u.Entry.ID, u.Entry.Offset):
 			changes[i] = Left
 		}
 	}
@@ -138,22 +141,19 @@
 	old, exists := t.entries[e.ID]
 	known := old
 	if !exists {
-		known = t.departed.take(e.ID, now)
+		known = t.departed.find(e.ID, now)
 	}
 	u := &Upstream{Entry: e}
-	switch {
-	case known == nil:
+	if known == nil {
 		u.incarnations = newIncarnations(e, now)
-	case exists && e.isOutdated(old.Entry):
-		return Unchanged
-	case !known.incarnations.accept(e, known.Entry, now):
-		if !exists {
-			t.departed.add(known, now)
+	} else {
+		if v := known.incarnations.judge(e, known.Entry, !exists, now); v != accepted {
+			t.reportDropped(e, known.Entry, !exists, v)
+			return Unchanged
 		}
-		return Unchanged
-	default:
 		u.incarnations = known.incarnations
 	}
+	t.departed.take(e.ID, now)
 	replaced := known != nil && (e.StartedAt != known.StartedAt || e.Address != known.Address || e.Service != known.Service)
 	switch {
 	case known == nil:
@@ -189,22 +189,30 @@
 	}
 }
 
-func (t *Table) remove(id string) bool {
+func (t *Table) reportDropped(e, present Entry, departed bool, v verdict) {
+	if reason := reasons[v]; reason != "" && t.OnDropped != nil {
+		t.OnDropped(Dropped{Entry: e, Present: present, Departed: departed, Reason: reason})
+	}
+}
+
+// remove applies the removal of an entry that stands at an offset of the log; zero if that isn't known.
+func (t *Table) remove(id string, offset int64) bool {
 	old, exists := t.entries[id]
 	if !exists {
 		return false
 	}
 	now := t.clock.Now()
 	expiredWithStore := t.storeFailedAt != 0 && now-t.storeFailedAt < storeFailureWindow && old.State == Ready
+	removed := *old
+	removed.Offset = max(old.Offset, offset)
 	if !expiredWithStore {
-		t.depart(old, now)
+		t.depart(&removed, now)
 		return true
 	}
 	if old.StaleUntil == 0 {
-		stale := *old
-		stale.StaleUntil = now + staleTTL
-		t.entries[id] = &stale
+		removed.StaleUntil = now + staleTTL
 	}
+	t.entries[id] = &removed
 	return true
 }
 
@@ -226,7 +234,7 @@
 	}
 	for id := range t.entries {
 		if !present[id] {
-			t.remove(id)
+			t.remove(id, 0)
 		}
 	}
 	t.publish()
--- a/directory/upstream.go
+++ b/directory/upstream.go
@@ -34,9 +34,10 @@
 	Offset int64
 }
 
-// isOutdated reports whether e stands before old in the log, or was written before it by the same incarnation and executed late.
-func (e Entry) isOutdated(old Entry) bool {
-	return e.Offset < old.Offset || !e.isOther(old) && e.Sequence < old.Sequence
+// isBehind reports whether e, of the same incarnation as old, was written before old. Once the entry was removed, one that
+// stands behind the removal and repeats old's number is a late repetition as well: a living upstream goes on counting.
+func (e Entry) isBehind(old Entry, removed bool) bool {
+	return e.Sequence < old.Sequence || removed && e.Sequence == old.Sequence && e.Offset > old.Offset
 }
 
 // isOther reports whether both entries give a start time, and not the same one.
--- a/edgenode/node.go
+++ b/edgenode/node.go
@@ -86,6 +86,7 @@
 	n.directory.FirstOpen = n.firstOpen
 	n.directory.Warmup = (*warmupPolicy)(n)
 	n.directory.Ramp = n.rampStart
+	n.directory.OnDropped = n.logDropped
 	n.origins = n.newOrigins()
 	n.quarantine, n.spreader = n.newQuarantine()
 	loopsCtx, stop := context.WithCancel(context.WithoutCancel(ctx))
--- a/edgenode/upstreamhandler.go
+++ b/edgenode/upstreamhandler.go
@@ -32,7 +32,7 @@
 func (h *upstreamHandler) Apply(records []keyedlog.Record) {
 	updates := make([]directory.Update, len(records))
 	for i, r := range records {
-		updates[i] = directory.Update{Entry: directory.Entry{ID: r.Key}, Removed: true}
+		updates[i] = directory.Update{Entry: directory.Entry{ID: r.Key, Offset: r.Offset}, Removed: true}
 		if r.Deleted {
 			continue
 		}
@@ -58,6 +58,12 @@
 	h.node.deps.Events.Record(event.UpstreamListed, "upstream", e.ID, "service", e.Service, "address", e.Address, "version", e.Version, "left", change == directory.Left, "born", e.StartedAt, "sequence", e.Sequence)
 }
 
+// logDropped logs an entry that may have been executed late.
+func (n *Node) logDropped(d directory.Dropped) {
+	n.deps.Events.Record(event.EntryDropped, "upstream", d.ID, "reason", d.Reason, "born", d.StartedAt, "sequence", d.Sequence, "ready", d.State == directory.Ready,
+		"present_born", d.Present.StartedAt, "present_sequence", d.Present.Sequence, "departed", d.Departed)
+}
+
 func (h *upstreamHandler) decode(r keyedlog.Record) (directory.Entry, bool) {
 	e, err := h.node.deps.DecodeUpstream(r.Key, r.Value)
 	if err != nil {
--- a/event/describe.go
+++ b/event/describe.go
@@ -59,6 +59,7 @@
 	RequestFailed:      "The request failed with code {code}: {why}. Nothing is billed.",
 	CallerLeft:         "The caller disconnected before the response was complete; {tokens} tokens are billed.",
 	EventInvalid:       "{upstream} sent {bytes} bytes after event {after} that are not event {due}: {why}.",
+	EntryDropped:       "An entry of {upstream} ({reason}) was dropped: it may have been executed late.",
 	AnswerRejected:     "A response of {upstream} was invalid and was not accepted as complete: {why}.",
 	ShareGranted:       "The log granted this node {tokens} tokens of budget {budget}.",
 	TopUpInForce:       "Top-up {top_up} of {tokens} tokens for budget {budget} by {operator} took effect.",
