tcpconn, reach, upstream: an early answer cut by a reset isn't complete

What callers saw: a part of an answer as a whole one, in a 200 that ended in order, when an upstream answered an upload without a length and reset the connection while it was being written; orders among them. Cause: the system tells a connection's failure once. A write that learns of it leaves an orderly end to the next read. Fix: dialed connections keep a failure that a write learned of. Relays go on reading from an upstream that reads no more, and close towards the node only once that has read all; the embedded client reads an answer that came before its write failed. Whole early answers are passed on, through relays (cut before) and on the embedded path (lost before) as well.

--- a/reach/connecthandler.go
+++ b/reach/connecthandler.go
@@ -49,14 +49,46 @@
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
-		_, _ = io.Copy(upstream, fromNode) // whatever ended it, the node wants nothing more
-		Abort(upstream)
+		to := &recordingWriter{Writer: upstream}
+		_, _ = io.Copy(to, fromNode) // whatever ended it, the node wants nothing more
+		if !to.failed {
+			Abort(upstream)
+			return
+		}
+		_, _ = io.Copy(io.Discard, fromNode) // what the upstream sent before it stopped reading is still passed on
 	}()
 	err := copyFrames(node, upstream)
+	Abort(upstream)
 	if err != nil {
 		Abort(node)
 	} else {
-		_ = node.Close() // it has sent everything
+		closeDrained(node, done)
 	}
 	<-done
 }
+
+// maxDrainTime bounds for how long a node may take to read the last frame and close its connection.
+const maxDrainTime = 5 * time.Second
+
+// closeDrained closes a connection to a node in order, once the node has closed it. A socket that is closed with bytes unread resets
+// the connection and drops what is still to be sent, and a node that got an answer early may still be sending the request.
+func closeDrained(node net.Conn, drained <-chan struct{}) {
+	if half, ok := node.(interface{ CloseWrite() error }); ok && half.CloseWrite() == nil {
+		_ = node.SetReadDeadline(time.Now().Add(maxDrainTime)) // one that fails has ended
+		<-drained
+	}
+	_ = node.Close() // it has sent everything
+}
+
+// recordingWriter records whether a write failed.
+type recordingWriter struct {
+	io.Writer
+	failed bool
+}
+
+// Write implements io.Writer.
+func (w *recordingWriter) Write(p []byte) (int, error) {
+	n, err := w.Writer.Write(p)
+	w.failed = w.failed || err != nil
+	return n, err
+}
--- a/tcpconn/dial.go
+++ b/tcpconn/dial.go
@@ -34,7 +34,11 @@
 
 func dialWith(dialer *net.Dialer) DialFunc {
 	return func(ctx context.Context, address string) (net.Conn, error) {
-		return dialer.DialContext(ctx, "tcp", address)
+		c, err := dialer.DialContext(ctx, "tcp", address)
+		if err != nil {
+			return nil, err
+		}
+		return &dialedConn{TCPConn: c.(*net.TCPConn)}, nil
 	}
 }
 
--- a/tcpconn/meter.go
+++ b/tcpconn/meter.go
@@ -34,8 +34,8 @@
 func (m *Meter) Listener(l net.Listener) net.Listener { return &meteredListener{Listener: l, meter: m} }
 
 func (m *Meter) conn(c net.Conn) net.Conn {
-	if tcp, ok := c.(*net.TCPConn); ok {
-		return &meteredTCPConn{TCPConn: tcp, usage: usage{meter: m}}
+	if tcp, ok := c.(tcpSocket); ok {
+		return &meteredTCPConn{tcpSocket: tcp, usage: usage{meter: m}}
 	}
 	return &meteredConn{Conn: c, usage: usage{meter: m}}
 }
--- a/tcpconn/meteredconn.go
+++ b/tcpconn/meteredconn.go
@@ -3,24 +3,35 @@
 import (
 	"io"
 	"net"
+	"syscall"
 )
 
+// tcpSocket is a TCP connection, accepted or dialed.
+type tcpSocket interface {
+	net.Conn
+	syscall.Conn
+	CloseWrite() error
+	SetLinger(seconds int) error
+}
+
+var _, _ tcpSocket = (*net.TCPConn)(nil), (*dialedConn)(nil)
+
 // meteredTCPConn is a TCP connection whose bytes are counted.
 type meteredTCPConn struct {
-	*net.TCPConn
+	tcpSocket
 	usage
 }
 
 // Read implements net.Conn.
 func (c *meteredTCPConn) Read(p []byte) (int, error) {
-	n, err := c.TCPConn.Read(p)
+	n, err := c.tcpSocket.Read(p)
 	c.read(n)
 	return n, err
 }
 
 // Write implements net.Conn.
 func (c *meteredTCPConn) Write(p []byte) (int, error) {
-	n, err := c.TCPConn.Write(p)
+	n, err := c.tcpSocket.Write(p)
 	c.wrote(n)
 	return n, err
 }
--- a/upstream/conn.go
+++ b/upstream/conn.go
@@ -179,9 +179,17 @@
 	_, err := c.Conn.Write(message)
 	clear(c.pending)
 	c.pending = c.pending[:0]
+	if isClosedByPeer(err) && tcpconn.HasUnread(c.response.Conn) {
+		return nil // an answer that came before the request was read; whether it is whole shows in reading it
+	}
 	return err
 }
 
+// isClosedByPeer reports whether a write failed because the peer has closed or reset the connection.
+func isClosedByPeer(err error) bool {
+	return errors.Is(err, syscall.EPIPE) || errors.Is(err, syscall.ECONNRESET)
+}
+
 // checkUsable returns errStaleConn before the first byte of a request on a stale connection that has
 // served another one. That the upstream closed it meanwhile says nothing of the request, and bytes behind the last response belong to
 // none.
