httpwire, upstream: one check of the status for both paths

What callers saw (reported from other systems, seen here on the embedded path): 000 as 200, and 600, 999, 2000, 20 and 099 as they were. Cause: the HTTP library of the embedded path checks no range; the users' path had a check of its own. Fix: httpwire.CheckStatus, on the text of the status line, used by both. Such a response is a failure that may have run, and no crash under the request.

--- a/httpwire/exchange.go
+++ b/httpwire/exchange.go
@@ -91,12 +91,6 @@
 // maxUnmatchedBytes bounds the body, in bytes, of a response to another request that is skipped.
 const maxUnmatchedBytes = 1 << 20
 
-// The statuses of HTTP.
-const (
-	minStatus = 100
-	maxStatus = 599
-)
-
 func (resp *Response) receive(r *Request) error {
 	for range maxUnmatchedResponses + 1 {
 		resp.conn.head.begin()
@@ -105,8 +99,9 @@
 		if err != nil {
 			return resp.conn.head.classify(err)
 		}
-		if httpResp.StatusCode < minStatus || httpResp.StatusCode > maxStatus {
-			return resp.conn.head.classify(ErrInvalidStatus)
+		code, _, _ := strings.Cut(httpResp.Status, " ")
+		if err := CheckStatus(code); err != nil {
+			return resp.conn.head.classify(err)
 		}
 		if httpResp.StatusCode < http.StatusOK {
 			continue
--- a/httpwire/request.go
+++ b/httpwire/request.go
@@ -15,9 +15,6 @@
 // ErrUnmatchedResponses is returned if all responses were to other requests.
 var ErrUnmatchedResponses = errors.New("the connection carried only responses to other requests")
 
-// ErrInvalidStatus is returned for a response whose status is none of HTTP.
-var ErrInvalidStatus = errors.New("the response has no valid status")
-
 // Request is an HTTP request.
 type Request struct {
 	Method string
--- a/upstream/http.go
+++ b/upstream/http.go
@@ -14,6 +14,7 @@
 	"github.com/juju/errors"
 
 	operatorv1 "lavenderpin.dev/lavenderpin/api/operator/v1"
+	"lavenderpin.dev/lavenderpin/httpwire"
 	"lavenderpin.dev/lavenderpin/reach"
 	"lavenderpin.dev/lavenderpin/result"
 	"lavenderpin.dev/lavenderpin/tcpconn"
@@ -301,7 +302,11 @@
 		}
 		return unreachable
 	}
-	return result.New(result.UpstreamFailed, "%s: %v", to.GetName(), err).WithConnectionLost()
+	failed := result.New(result.UpstreamFailed, "%s: %v", to.GetName(), err)
+	if errors.Is(err, httpwire.ErrInvalidStatus) {
+		return failed // the connection held
+	}
+	return failed.WithConnectionLost()
 }
 
 // maxErrorBodyLength bounds, in bytes, what of an error response goes into the message.
--- a/upstream/responseconn.go
+++ b/upstream/responseconn.go
@@ -31,7 +31,9 @@
 type responseConn struct {
 	net.Conn
 	phase responsePhase
-	head  []byte
+	// headOnly is set if the response has no body, as one to HEAD.
+	headOnly bool
+	head     []byte
 	// out is what was made of bytes received and not read yet.
 	out []byte
 }
@@ -39,9 +41,7 @@
 // expectResponse tells that a request is sent: what is received next is the head of a response. One to HEAD has no body.
 func (c *responseConn) expectResponse(request []byte) {
 	c.phase, c.head, c.out = inHead, nil, nil
-	if bytes.HasPrefix(request, []byte("HEAD ")) {
-		c.phase = inBody
-	}
+	c.headOnly = bytes.HasPrefix(request, []byte("HEAD "))
 }
 
 // Read implements net.Conn.
@@ -91,32 +91,43 @@
 	case end < 0:
 		return err
 	}
-	c.handleHead(c.head[:end+len(headEnd)], c.head[end+len(headEnd):])
-	return nil // an error of the connection comes again
+	return c.handleHead(c.head[:end+len(headEnd)], c.head[end+len(headEnd):]) // an error of the connection comes again
 }
 
-// handleHead decides by the headers of a response how its body is framed.
-func (c *responseConn) handleHead(head, rest []byte) {
+// handleHead checks the status of a response, and decides by its headers how its body is framed.
+func (c *responseConn) handleHead(head, rest []byte) error {
 	c.head = nil
+	if err := httpwire.CheckStatus(statusCode(head)); err != nil {
+		return err
+	}
 	if bytes.HasPrefix(head, []byte("HTTP/1.1 1")) { // informational; the response follows
 		c.out, c.head = head, rest
-		return
+		return nil
 	}
 	lower := bytes.ToLower(head)
-	if bytes.Contains(lower, []byte("\r\ncontent-length:")) || bytes.Contains(lower, []byte("\r\ntransfer-encoding:")) || hasNoBody(head) {
+	if bytes.Contains(lower, []byte("\r\ncontent-length:")) || bytes.Contains(lower, []byte("\r\ntransfer-encoding:")) || c.headOnly || hasNoBody(head) {
 		c.phase, c.out = inBody, append(head, rest...)
-		return
+		return nil
 	}
 	status, headers, _ := bytes.Cut(head, []byte("\r\n"))
 	c.phase = inUnframed
 	c.out = fmt.Appendf(nil, "%s\r\nTransfer-Encoding: chunked\r\nConnection: close\r\n%s", status, headers)
 	c.addChunk(rest)
+	return nil
+}
+
+// statusCode returns the status code of a response as its status line holds it.
+func statusCode(head []byte) string {
+	line, _, _ := bytes.Cut(head, []byte("\r\n"))
+	_, rest, _ := bytes.Cut(line, []byte(" "))
+	code, _, _ := bytes.Cut(rest, []byte(" "))
+	return string(code)
 }
 
 // hasNoBody reports whether a response has no body by its status.
 func hasNoBody(head []byte) bool {
-	_, code, _ := bytes.Cut(head, []byte(" "))
-	return bytes.HasPrefix(code, []byte("204")) || bytes.HasPrefix(code, []byte("304"))
+	code := statusCode(head)
+	return code == "204" || code == "304"
 }
 
 // readUnframed reads a piece of an unframed body. Its end is that of the connection; a reset is an error.
