bodybuffer: answers of all requests share a bounded part of the memory

What callers saw (reported from other systems): a machine ran out of memory by bytes without end, and other clients' requests ended. Here one such answer was bounded, and nothing added them up: 256 KiB for each request of a node, 8 MiB for each call of the embedded fleet. Without memory left, a sound answer is passed on as it comes and one that may be passed on only whole fails; the first 4 KiB of each are free. Gauge body_memory_left_bytes.

--- a/cmd/lavenderedge/run.go
+++ b/cmd/lavenderedge/run.go
@@ -24,6 +24,7 @@
 	"github.com/juju/errors"
 
 	"lavenderpin.dev/lavenderpin/allotment"
+	"lavenderpin.dev/lavenderpin/bodybuffer"
 	"lavenderpin.dev/lavenderpin/bootclock"
 	"lavenderpin.dev/lavenderpin/edgenode"
 	"lavenderpin.dev/lavenderpin/event"
@@ -173,13 +174,14 @@
 	delay := p.newDelayMonitor(dial)
 	p.upstreams = platform.NewUpstreamClient(p.clock, p.paths.Dial, func() { dials.Add(1) })
 	p.crowding = p.newCrowding(delay, lag.Lag)
+	bodies := bodybuffer.NewPoolFor(int64(p.settings.Limits.MemoryMB * (1 << 20)))
 	node, err := edgenode.Start(startCtx, edgenode.Settings{
 		Node: p.settings.Node, Incarnation: incarnation, Start: start,
 		Address: p.settings.Frontend, Peer: p.peerAddress(), Capacity: capacityPercent(p.settings.Limits), DataCentre: p.settings.DataCentre, Region: p.settings.Region, Regions: p.settings.Regions,
 		Repeats:       repeats.Limits{Ratio: p.settings.Bounds.RetryBudgetRatio, Extra: p.settings.Bounds.RetryBudgetExtra, Window: p.settings.Bounds.RetryBudgetWindow},
 		WarmupOverage: p.settings.Bounds.WarmupOverage, WarmupSlack: p.settings.Bounds.WarmupSlack,
 	}, p.crowding.addTo(edgenode.Deps{
-		Clock: p.clock, WallClock: p.clocks().Wall, Upstreams: p.upstreams, Paths: p.paths, Lag: lag.Lag, LinkDelay: delay.OwnDelay, Lending: &lending.Client{Wire: p.peerClient}, Peers: &peerfetch.Client{HTTP: p.peerClient}, Origins: &streamorigin.Client{HTTP: p.peerClient}, Crashes: &quarantine.Client{HTTP: p.peerClient}, Events: p.events, Metrics: gateway.NewMetrics(p.publishMetrics),
+		Clock: p.clock, WallClock: p.clocks().Wall, Upstreams: p.upstreams, Paths: p.paths, Lag: lag.Lag, LinkDelay: delay.OwnDelay, Lending: &lending.Client{Wire: p.peerClient}, Peers: &peerfetch.Client{HTTP: p.peerClient}, Origins: &streamorigin.Client{HTTP: p.peerClient}, Crashes: &quarantine.Client{HTTP: p.peerClient}, Bodies: bodies, Events: p.events, Metrics: gateway.NewMetrics(p.publishMetrics),
 		Topics: edgenode.Topics{Operators: store.Operators(), Upstreams: store.Upstreams(), Presence: store.Topic("presence"), Streams: store.Topic(streamorigin.TopicName), Crashes: store.Topic(quarantine.CrashesTopicName), Blocks: store.Topic(quarantine.BlocksTopicName),
 			Spend: allotment.NewPartitions(store.Partitions("spend", p.settings.Store.Partitions), p.settings.Store.WritablePartitions()), Ledger: store.Topic("ledger"), Grants: store.Topic("grants")},
 		DecodeConfig: platform.DecodeConfig, DecodeEvacuation: platform.DecodeEvacuation, DecodeUpstream: platform.DecodeUpstream,
@@ -196,6 +198,7 @@
 	p.publish("upstream_paths", expvar.Func(func() any { return p.paths.Summary() }))
 	p.publish("path_changes", expvar.Func(func() any { return p.paths.Metrics().Values() }))
 	p.publish("upstream_limit_per_second", expvar.Func(func() any { return node.LimitedUpstreams() }))
+	p.publish(gateway.MetricBodyMemory, expvar.Func(func() any { return bodies.Left() }))
 	p.publish("evacuated_data_centres", expvar.Func(func() any { return node.EvacuatedDataCentres() }))
 	p.publish(gateway.MetricRamping, expvar.Func(func() any { return node.RampingUpstreams() }))
 	p.publish("upstream_work_ms", expvar.Func(func() any { return node.UnevenUpstreams() }))
--- a/edgenode/deps.go
+++ b/edgenode/deps.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"lavenderpin.dev/lavenderpin/allotment"
+	"lavenderpin.dev/lavenderpin/bodybuffer"
 	"lavenderpin.dev/lavenderpin/bootclock"
 	"lavenderpin.dev/lavenderpin/catalog"
 	"lavenderpin.dev/lavenderpin/directory"
@@ -75,6 +76,8 @@
 	LinkState     func() linkload.Link
 	// Crowded reports whether callers ask more of this node than its link or processor carries; nil if nobody is told.
 	Crowded func() bool
+	// Bodies holds the bodies of upstreams' responses; a pool of the default size if nil.
+	Bodies *bodybuffer.Pool
 	// Lending sends lending requests to other nodes.
 	Lending lending.Transport
 	// Crashes tells other nodes which upstreams crashed under which requests; if it is nil, each node counts for itself.
--- a/edgenode/node.go
+++ b/edgenode/node.go
@@ -108,7 +108,7 @@
 		Picker: picker,
 		Share:  n.share, Upstreams: deps.Upstreams, Events: deps.Events, Metrics: deps.Metrics, Origins: n.origins, Quarantine: n.quarantine,
 		Borrower:    lending.NewBorrower(deps.Lending, deps.Clock, settings.Incarnation, n.lenders),
-		AwaitTokens: n.awaitTokens, ReportUsage: n.report, LiveNodes: n.nodeCount, Senders: n.senders, SendPart: n.sendPart, RampStart: n.rampStart, AwaitReachable: n.awaitReachable, Lag: deps.Lag, LinkDelay: deps.LinkDelay, LinkAdmission: deps.LinkAdmission, LinkState: deps.LinkState, RetryLimits: settings.Repeats,
+		AwaitTokens: n.awaitTokens, ReportUsage: n.report, LiveNodes: n.nodeCount, Senders: n.senders, SendPart: n.sendPart, RampStart: n.rampStart, AwaitReachable: n.awaitReachable, Lag: deps.Lag, LinkDelay: deps.LinkDelay, LinkAdmission: deps.LinkAdmission, LinkState: deps.LinkState, RetryLimits: settings.Repeats, Bodies: deps.Bodies,
 		DataCentre: settings.DataCentre, Region: settings.Region, Regions: settings.Regions,
 	})
 	grantOptions := grantReadOptions
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -5,6 +5,7 @@
 	"sync/atomic"
 	"time"
 
+	"lavenderpin.dev/lavenderpin/bodybuffer"
 	"lavenderpin.dev/lavenderpin/catalog"
 	"lavenderpin.dev/lavenderpin/directory"
 	"lavenderpin.dev/lavenderpin/drain"
@@ -93,6 +94,8 @@
 	origin atomic.Pointer[streamorigin.Origin]
 	// fallback is an upstream's error response, forwarded if no other upstream does better.
 	fallback *bufferedResponse
+	// bodies hold what was read of responses; they are released with the call.
+	bodies []*bodybuffer.Buffer
 	outcome  string
 	stages   stages
 	// succeeded reports that the caller got a complete response without an error status.
@@ -238,6 +241,9 @@
 
 // settle settles the tokens that the request used and records its final event.
 func (c *call) settle() {
+	for _, b := range c.bodies {
+		b.Release()
+	}
 	used := c.used()
 	if c.reserved > 0 {
 		c.g.Share.Settle(c.account.Name, c.reserved, used)
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -7,6 +7,7 @@
 	"sync/atomic"
 	"time"
 
+	"lavenderpin.dev/lavenderpin/bodybuffer"
 	"lavenderpin.dev/lavenderpin/bootclock"
 	"lavenderpin.dev/lavenderpin/catalog"
 	"lavenderpin.dev/lavenderpin/directory"
@@ -61,7 +62,9 @@
 	// SendPart returns this node's part of the requests to the upstreams of a data centre.
 	SendPart func(dataCentre string) throttle.Part
 	// RampStart tells whether an upstream is ramped up when it recovers, and with what; it may be nil.
-	RampStart   directory.RampPolicy
+	RampStart directory.RampPolicy
+	// Bodies holds the bodies of responses until it is known whether they are whole; a pool of the default size if nil.
+	Bodies      *bodybuffer.Pool
 	RetryLimits repeats.Limits
 	DataCentre  string
 	Region      string
@@ -90,6 +93,9 @@
 
 // New returns a gateway.
 func New(settings Settings, deps Deps) *Gateway {
+	if deps.Bodies == nil {
+		deps.Bodies = bodybuffer.NewPool(bodybuffer.DefaultBytes)
+	}
 	return &Gateway{Deps: deps, settings: settings, retryBudgets: make(map[string]*repeats.Budget),
 		lateReads: latency.Late{Limit: lateRead, Interval: lateReadsInterval}}
 }
--- a/gateway/send.go
+++ b/gateway/send.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"time"
 
+	"lavenderpin.dev/lavenderpin/bodybuffer"
 	"lavenderpin.dev/lavenderpin/catalog"
 	"lavenderpin.dev/lavenderpin/directory"
 	"lavenderpin.dev/lavenderpin/event"
@@ -204,7 +205,8 @@
 }
 
 // maxBufferedBytes bounds a response, in bytes, that is read whole before any of it is forwarded.
-// Plain services respond with a few hundred bytes; a longer response is streamed.
+// Plain services respond with a few hundred bytes; a longer response is streamed, and one for which
+// the node has no memory left as well.
 const maxBufferedBytes = 256 << 10
 
 // forwardBuffered reads the whole response before the caller sees any of it, so that a truncated
@@ -221,10 +223,12 @@
 		c.g.Events.Record(event.AnswerRejected, "request", c.r.ID, "upstream", u.ID, "status", resp.Status, "length", resp.Length)
 		return mayHaveRun
 	}
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxBufferedBytes))
-	if err == nil && len(body) == maxBufferedBytes {
-		return c.forwardLarge(u, resp, body)
+	read, err := c.g.Bodies.Read(resp.Body, maxBufferedBytes)
+	c.bodies = append(c.bodies, read)
+	if err == nil && !read.Complete {
+		return c.forwardLarge(u, resp, read)
 	}
+	body := read.Bytes
 	if err != nil || resp.Length >= 0 && int64(len(body)) != resp.Length && !isHead {
 		c.recordFailure(u, false)
 		c.g.Events.Record(event.AnswerRejected, "request", c.r.ID, "upstream", u.ID, "status", resp.Status, "bytes", len(body), "error", err)
@@ -269,21 +273,24 @@
 const maxResponseBytes = 64 << 20
 
 // forwardLarge streams a response that is too large to buffer. Failures, and what nobody signed, are passed on only whole.
-func (c *call) forwardLarge(u *directory.Upstream, resp *Response, head []byte) sendResult {
+func (c *call) forwardLarge(u *directory.Upstream, resp *Response, read *bodybuffer.Buffer) sendResult {
+	headBytes := len(read.Bytes)
 	if c.responseStarted || !resp.Signed || resp.Status >= 500 {
 		c.recordFailure(u, false)
-		c.g.Events.Record(event.AnswerRejected, "request", c.r.ID, "upstream", u.ID, "status", resp.Status, "signed", resp.Signed, "bytes", len(head))
+		c.g.Events.Record(event.AnswerRejected, "request", c.r.ID, "upstream", u.ID, "status", resp.Status, "signed", resp.Signed, "bytes", headBytes, "short_of_memory", read.Short)
 		return mayHaveRun
 	}
 	c.responseStarted = true
 	c.sink.Start(resp.Status, resp.Header, resp.Length)
-	if err := c.sink.Write(head); err != nil {
+	err := c.sink.Write(read.Bytes)
+	read.Release()
+	if err != nil {
 		return mayHaveRun
 	}
-	rest := http.MaxBytesReader(nil, io.NopCloser(resp.Body), maxResponseBytes-int64(len(head)))
+	rest := http.MaxBytesReader(nil, io.NopCloser(resp.Body), maxResponseBytes-int64(headBytes))
 	if n, err := io.Copy(sinkWriter{c.sink}, rest); err != nil {
 		c.recordFailure(u, false)
-		c.g.Events.Record(event.AnswerRejected, "request", c.r.ID, "upstream", u.ID, "status", resp.Status, "bytes", len(head)+int(n), "error", err)
+		c.g.Events.Record(event.AnswerRejected, "request", c.r.ID, "upstream", u.ID, "status", resp.Status, "bytes", headBytes+int(n), "error", err)
 		return mayHaveRun
 	}
 	c.possibleRuns++
--- a/upstream/http.go
+++ b/upstream/http.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"io"
 	"net"
 	"time"
 
@@ -14,6 +13,7 @@
 	"github.com/juju/errors"
 
 	operatorv1 "lavenderpin.dev/lavenderpin/api/operator/v1"
+	"lavenderpin.dev/lavenderpin/bodybuffer"
 	"lavenderpin.dev/lavenderpin/httpwire"
 	"lavenderpin.dev/lavenderpin/reach"
 	"lavenderpin.dev/lavenderpin/result"
@@ -53,6 +53,8 @@
 	// may have run the first one: a work order would be filed twice. And a POST on a pooled
 	// connection that the upstream closed while idle would end as "outcome unknown".
 	unpooled *client.Client
+	// bodies holds the responses of plain services while they come.
+	bodies *bodybuffer.Pool
 }
 
 var _ Client = (*HTTPClient)(nil)
@@ -73,7 +75,7 @@
 	if err != nil {
 		return nil, errors.Annotate(err, "create upstream HTTP client")
 	}
-	return &HTTPClient{pooled: keepAlive, unpooled: unpooled}, nil
+	return &HTTPClient{pooled: keepAlive, unpooled: unpooled, bodies: bodybuffer.NewPool(bodybuffer.DefaultBytes)}, nil
 }
 
 func newClient(dial tcpconn.DialFunc, options ...config.ClientOption) (*client.Client, error) {
@@ -206,7 +208,7 @@
 	if lateErr := expiredError(to, response, r.NotAfter); lateErr != nil {
 		return CallResponse{}, lateErr
 	}
-	body, err := readResponse(ctx, response, maxResponseBytes)
+	body, err := readResponse(ctx, response, c.bodies, maxResponseBytes)
 	if err != nil {
 		return CallResponse{}, result.New(result.AnswerCut, "%s: %v", to.GetName(), err).WithConnectionLost()
 	}
@@ -220,15 +222,23 @@
 	}, nil
 }
 
+// errNoMemory is returned for an answer for which no memory is left.
+var errNoMemory = errors.New("no memory is left for the answer")
+
 // readResponse reads a complete response of bounded size: it is held in memory and passed between nodes. When ctx ends, or the
 // response is longer, the connection is closed: what is left of it may have no end.
-func readResponse(ctx context.Context, response *protocol.Response, limit int64) ([]byte, error) {
+func readResponse(ctx context.Context, response *protocol.Response, bodies *bodybuffer.Pool, limit int) ([]byte, error) {
 	if !response.IsBodyStream() {
 		return append([]byte(nil), response.Body()...), nil
 	}
 	stopWatching := disconnectAfter(ctx, response)
-	body, err := io.ReadAll(io.LimitReader(response.BodyStream(), limit+1))
-	if err == nil && int64(len(body)) > limit {
+	read, err := bodies.Read(response.BodyStream(), limit+1)
+	body := read.Bytes
+	read.Release() // only what is still being read counts
+	switch {
+	case err == nil && read.Short:
+		err = errNoMemory
+	case err == nil && len(body) > limit:
 		err = errors.Errorf("the answer has more than %d bytes", limit)
 	}
 	if stopWatching() && err == nil {
@@ -236,24 +246,27 @@
 	}
 	if err != nil {
 		disconnect(response)
-		return body[:min(int64(len(body)), limit)], err
+		return body[:min(len(body), limit)], err
 	}
 	return body, errors.Trace(response.CloseBodyStream())
 }
 
 // maxSkippedBytes bounds, in bytes, what is read of a response that isn't needed so that its connection can be used again.
 // The messages of errors are shorter.
-const maxSkippedBytes = 4 << 10
+const maxSkippedBytes = bodybuffer.FreeBytes - 1
+
+// noBodies is for responses of which no more is read than takes no memory of a pool.
+var noBodies = bodybuffer.NewPool(0)
 
 // discard releases a response. Its connection is closed if more of it is left than may be skipped: that may have no end.
 func discard(ctx context.Context, response *protocol.Response) {
-	_, _ = readResponse(ctx, response, maxSkippedBytes) // an error has closed the connection
+	_, _ = readResponse(ctx, response, noBodies, maxSkippedBytes) // an error has closed the connection
 	protocol.ReleaseResponse(response)
 }
 
 // readErrorBody reads the beginning of the body of an error response, for the message.
 func readErrorBody(ctx context.Context, response *protocol.Response) string {
-	body, _ := readResponse(ctx, response, maxErrorBodyLength) // what was read will do
+	body, _ := readResponse(ctx, response, noBodies, maxErrorBodyLength) // what was read will do
 	return string(body)
 }
 
