drain: orders that may outlast a stopping node are refused

What callers saw (reported from other systems): requests that may not be repeated, taken in a planned stop and cut at its end. Here an order was accepted by how long such orders usually take, or because nothing was known of them. Cause: one rule for all requests; a wrong guess costs more where nobody can find out whether a request has run. Fix: Window.AcceptsOnce on both paths: a limit must end before the node does; without a limit, the usual duration must be known. A refusal says that nothing ran. Evidence: TestOrdersThatMayOutlastNodeAreRefused (gateway, request) fails without the change; look-ups, streams and orders that certainly end in time are accepted as before. gofmt of gateway/call.go.

--- a/drain/window.go
+++ b/drain/window.go
@@ -21,9 +21,16 @@
 // while its caller couldn't have known of the shutdown: afterwards a refusal, which lets the
 // caller go to another node at once, costs it less than the risk of an answer that is cut.
 func (w Window) Accepts(now, limit, usual time.Duration) bool {
-	left := w.Left(now)
-	if limit > 0 && limit <= left {
-		return true
+	return limit > 0 && limit <= w.Left(now) || now < w.AddressesExpire && usual <= w.Left(now)
+}
+
+// AcceptsOnce is like Accepts for a request that may not be repeated. One with a limit is accepted only if it certainly ends in time:
+// nobody can find out whether a request that is cut has run, and a refusal costs its caller a try at another node. Without a limit
+// none certainly does, and to refuse them all would show each shutdown to all callers; such a request is refused if nothing is
+// known of how long it takes.
+func (w Window) AcceptsOnce(now, limit, usual time.Duration) bool {
+	if limit > 0 {
+		return limit <= w.Left(now)
 	}
-	return now < w.AddressesExpire && usual <= left
+	return usual > 0 && w.Accepts(now, limit, usual)
 }
--- a/drain/window_test.go
+++ b/drain/window_test.go
@@ -31,3 +31,28 @@
 		})
 	}
 }
+
+// Guards against accepting a request that may not be repeated and that the node's end may cut, and against refusing those that have no limit
+// although they usually end in time.
+func TestRequestsThatMayNotBeRepeatedEndInTime(t *testing.T) {
+	const second = time.Second
+	w := Window{AddressesExpire: 13 * second, End: 18 * second}
+	for _, c := range []struct {
+		name              string
+		now, limit, usual time.Duration
+		accepted          bool
+	}{
+		{"certainly ends in time", 11 * second, 7 * second, 20 * second, true},
+		{"certainly ends in time, its caller's address has expired", 14 * second, 4 * second, 0, true},
+		{"usually ends in time, may last longer", 11 * second, 7*second + 1, second, false},
+		{"no limit, usually ends in time", 11 * second, 0, 6 * second, true},
+		{"no limit, usually too long", 11 * second, 0, 8 * second, false},
+		{"no limit, nothing is known", 11 * second, 0, 0, false},
+		{"no limit, address expired", 13 * second, 0, second, false},
+		{"after the end", 19 * second, second, 0, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is.New(t).Equal(w.AcceptsOnce(c.now, c.limit, c.usual), c.accepted)
+		})
+	}
+}
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -95,9 +95,9 @@
 	// fallback is an upstream's error response, forwarded if no other upstream does better.
 	fallback *bufferedResponse
 	// bodies hold what was read of responses; they are released with the call.
-	bodies []*bodybuffer.Buffer
-	outcome  string
-	stages   stages
+	bodies  []*bodybuffer.Buffer
+	outcome string
+	stages  stages
 	// succeeded reports that the caller got a complete response without an error status.
 	succeeded bool
 }
--- a/gateway/drain.go
+++ b/gateway/drain.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"lavenderpin.dev/lavenderpin/catalog"
 	"lavenderpin.dev/lavenderpin/drain"
 )
 
@@ -22,7 +23,11 @@
 	if w == nil {
 		return false
 	}
-	return !w.Accepts(c.g.Clock.Now(), c.timeLeft(), c.g.durations.Usual(c.route.Name))
+	now, limit, usual := c.g.Clock.Now(), c.timeLeft(), c.g.durations.Usual(c.route.Name)
+	if c.route.Kind == catalog.NonIdempotent {
+		return !w.AcceptsOnce(now, limit, usual)
+	}
+	return !w.Accepts(now, limit, usual)
 }
 
 // drainLeft returns the time until a draining node ends open requests.
--- a/gateway/drain_test.go
+++ b/gateway/drain_test.go
@@ -63,6 +63,25 @@
 	is.Equal(tg.Events.Counts()[event.RequestRefused.Kind().Name], uint64(3))
 }
 
+// Guards against an order that is accepted late in a shutdown, since such orders are usually quick, and that the node's end cuts.
+func TestOrdersThatMayOutlastNodeAreRefused(t *testing.T) {
+	is := is.New(t)
+	tg := newTestGateway(10, answer)
+	tg.recordDurations("file", 10*time.Millisecond)
+	tg.recordDurations("read", 10*time.Millisecond)
+	tg.drainFor(time.Second, 3*time.Second) // requests take at most 4 s
+	refusal := tg.serve(context.Background(), "file").refusal
+	is.Equal(refusal.Code, result.Draining)
+	is.True(refusal.NotRun())
+	is.Equal(len(tg.upstreams.sent), 0)
+	is.Equal(tg.serve(context.Background(), "read").status, http.StatusOK) // may be repeated
+	short := tg.request("file")
+	short.TimeLeft = 2 * time.Second
+	sink := &recordingSink{}
+	tg.Serve(context.Background(), short, sink)
+	is.Equal(sink.status, http.StatusOK) // certainly ends in time
+}
+
 // Guards against error responses, which end at once, making a route look fast.
 func TestFailuresDoNotCountAsUsualDurations(t *testing.T) {
 	is := is.New(t)
--- a/request/call.go
+++ b/request/call.go
@@ -106,6 +106,9 @@
 	if p.call.Ticket != "" {
 		return s.refuseTicketIfDraining(p.kind())
 	}
+	if !p.rule.GetIdempotent() {
+		return s.refuseOnceIfDraining(ctx, p.kind())
+	}
 	return s.refuseIfDraining(ctx, p.kind())
 }
 
--- a/request/drain.go
+++ b/request/drain.go
@@ -74,6 +74,18 @@
 // refuseUnlessEnds refuses a request that may outlast the node, by how long such requests usually
 // take; zero if that isn't known.
 func (s *Server) refuseUnlessEnds(ctx context.Context, usual time.Duration) error {
+	return s.refuseUnless(ctx, drain.Window.Accepts, usual)
+}
+
+// refuseOnceIfDraining refuses a call that may not be repeated, of a kind that may outlast the node.
+func (s *Server) refuseOnceIfDraining(ctx context.Context, kind string) error {
+	return s.refuseUnless(ctx, drain.Window.AcceptsOnce, s.durations.Usual(kind))
+}
+
+// accepts is a method of drain.Window that decides about a request.
+type accepts func(w drain.Window, now, limit, usual time.Duration) bool
+
+func (s *Server) refuseUnless(ctx context.Context, accepts accepts, usual time.Duration) error {
 	d := s.drainState.Load()
 	if d == nil || d.window == nil && !d.refuseAll {
 		return nil
@@ -85,7 +97,7 @@
 	if deadline, limited := ctx.Deadline(); limited {
 		limit = deadline.Sub(s.Clock.Now())
 	}
-	if !d.window.Accepts(s.Clock.Since(d.start), limit, usual) {
+	if !accepts(*d.window, s.Clock.Since(d.start), limit, usual) {
 		return drain.Refusal()
 	}
 	return nil
--- a/request/drain_test.go
+++ b/request/drain_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 
@@ -42,6 +43,32 @@
 	is.Equal(result.CodeOf(err), result.Draining) // not queued
 }
 
+// Guards against calls that may not be repeated and that the node's end may cut, since calls of their kind are usually quick or nothing
+// is known of them.
+func TestOrdersThatMayOutlastNodeAreRefused(t *testing.T) {
+	is := is.New(t)
+	s, _ := newPlainFixture(t, 1)
+	n := s.newServer("a")
+	const left = time.Minute
+	call := func(method string, limit time.Duration) error {
+		ctx := t.Context()
+		if limit > 0 {
+			var cancel context.CancelFunc
+			ctx, cancel = context.WithDeadline(ctx, n.Clock.Now().Add(limit))
+			defer cancel()
+		}
+		_, err := n.Call(ctx, order(method, "order"))
+		return err
+	}
+	now := n.Clock.Now()
+	n.Drain(now.Add(left/2), now.Add(left))
+	is.Equal(result.CodeOf(call("POST", 0)), result.Draining)      // nothing is known
+	is.Equal(result.CodeOf(call("POST", 2*left)), result.Draining) // may be cut
+	is.True(result.From(call("POST", 2*left)).NotRun())
+	is.NoErr(call("POST", left/2)) // certainly ends in time
+	is.NoErr(call("GET", 2*left))  // may be repeated
+}
+
 // Guards against running a completion again for a caller that was told that it did not run.
 func TestCompletionCutByTheNodeIsNotReportedAsNotRun(t *testing.T) {
 	is := is.New(t)
