--- a/internal/rawpeer/early.go
+++ b/internal/rawpeer/early.go
@@ -26,21 +26,7 @@
 // NewEarly starts a peer that ends with the test and answers each request early. It returns its address.
 func NewEarly(t testing.TB, e Early) string {
 	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { _ = listener.Close() })
-	go func() {
-		for {
-			c, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			go e.serve(c.(*net.TCPConn))
-		}
-	}()
-	return listener.Addr().String()
+	return listen(t, e.serve)
 }
 
 func (e Early) serve(c *net.TCPConn) {
--- a/internal/rawpeer/peer.go
+++ b/internal/rawpeer/peer.go
@@ -30,22 +30,39 @@
 	// Closed is closed when a connection has ended.
 	Closed chan struct{}
 
-	listener net.Listener
-	script   func(n int64, r *http.Request) Answer
-	closed   sync.Once
+	script func(n int64, r *http.Request) Answer
+	closed sync.Once
 }
 
 // New starts a peer that ends with the test. The script is called with the number of the request.
 func New(t testing.TB, script func(n int64, r *http.Request) Answer) *Peer {
+	t.Helper()
+	p := &Peer{Closed: make(chan struct{}), script: script}
+	p.Address = listen(t, func(c *net.TCPConn) {
+		p.Conns.Add(1)
+		p.serve(c)
+	})
+	return p
+}
+
+// listen serves connections, each in a goroutine, until the test ends. It returns its address.
+func listen(t testing.TB, serve func(*net.TCPConn)) string {
 	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { _ = listener.Close() })
-	p := &Peer{Address: listener.Addr().String(), Closed: make(chan struct{}), listener: listener, script: script}
-	go p.accept()
-	return p
+	go func() {
+		for {
+			c, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go serve(c.(*net.TCPConn))
+		}
+	}()
+	return listener.Addr().String()
 }
 
 // Always starts a peer that answers all requests alike.
@@ -54,17 +71,6 @@
 	return New(t, func(int64, *http.Request) Answer { return a })
 }
 
-func (p *Peer) accept() {
-	for {
-		c, err := p.listener.Accept()
-		if err != nil {
-			return
-		}
-		p.Conns.Add(1)
-		go p.serve(c)
-	}
-}
-
 func (p *Peer) serve(c net.Conn) {
 	defer p.closed.Do(func() { close(p.Closed) })
 	defer func() { _ = c.Close() }()
