--- a/bodybuffer/buffer.go
+++ b/bodybuffer/buffer.go
@@ -5,7 +5,7 @@
 	"sync"
 )
 
-// FreeBytes is how much of each body takes nothing from the pool, so that short ones are read whole whatever others bring.
+// FreeBytes is how much of each body, in bytes, takes nothing from the pool, so that short ones are read whole whatever others bring.
 const FreeBytes = 4 << 10
 
 // Buffer is the beginning of a body, or all of it. Release must be called once it isn't used any more.
--- a/bodybuffer/pool.go
+++ b/bodybuffer/pool.go
@@ -2,7 +2,7 @@
 
 import "sync/atomic"
 
-// DefaultBytes is the size of a pool for a process whose memory isn't known.
+// DefaultBytes is the size of a pool, in bytes, for a process whose memory isn't known: eight of the longest answers that are held whole.
 const DefaultBytes = 64 << 20
 
 // memoryDivisor is the part of a process's memory that a pool may use: beside the bodies stand the requests, the connections, and
--- a/directory/incarnations.go
+++ b/directory/incarnations.go
@@ -2,7 +2,7 @@
 
 import "time"
 
-// maxWriteDelay is how late a write that got no answer may be executed.
+// maxWriteDelay is how late a write that got no answer may be executed: a store in trouble executes some several seconds late.
 const maxWriteDelay = 10 * time.Second
 
 // incarnations tells which entries of an upstream's ID are of the incarnation that lives, whether or not the upstream is listed.
--- a/directory/table.go
+++ b/directory/table.go
@@ -146,14 +146,13 @@
 	u := &Upstream{Entry: e}
 	if known == nil {
 		u.incarnations = newIncarnations(e, now)
-	} else {
-		if v := known.incarnations.judge(e, known.Entry, !exists, now); v != accepted {
-			t.reportDropped(e, known.Entry, !exists, v)
-			return Unchanged
-		}
+	} else if v := known.incarnations.judge(e, known.Entry, !exists, now); v == accepted {
 		u.incarnations = known.incarnations
+	} else {
+		t.reportDropped(e, known.Entry, !exists, v)
+		return Unchanged
 	}
-	t.departed.take(e.ID, now)
+	t.departed.take(e.ID, now) // it is listed from now on
 	replaced := known != nil && (e.StartedAt != known.StartedAt || e.Address != known.Address || e.Service != known.Service)
 	switch {
 	case known == nil:
--- a/event/upstream.go
+++ b/event/upstream.go
@@ -51,6 +51,6 @@
 	VersionUncertain:   {"VersionUncertain", "A stream began at an upstream that restarted since its entry: its version isn't known, and the stream goes on nowhere else."},
 	TokenBoundExceeded: {"TokenBoundExceeded", "An engine counted more tokens than its service declares; this node uses the byte-based bound until the declaration is changed."},
 	EventInvalid:       {"EventInvalid", "An upstream sent something in a stream that is not the next event of it; after is the last event before it, due the ID that was due, id its own (0 if it has none), why the check that it failed, bytes its length."},
-	EntryDropped:       {"EntryDropped", "An entry of an upstream changed nothing, since the store may have executed it late: reason tells by what, born and sequence are the entry's, present_born and present_sequence those of the last one that counted, departed whether that one is gone."},
+	EntryDropped:       {"EntryDropped", "An entry of an upstream changed nothing, since the store may have executed it late: reason tells why, born and sequence are the entry's, present_born and present_sequence those of the last one that counted, departed whether that one is gone."},
 	AnswerRejected:     {"AnswerRejected", "An upstream's response was truncated, for another request, or held something that isn't its next chunk; chunks is how many of the answer's chunks came before."},
 }
--- a/httpwire/status.go
+++ b/httpwire/status.go
@@ -8,6 +8,7 @@
 // ErrInvalidStatus is returned for a response whose status is none of HTTP.
 var ErrInvalidStatus = errors.New("the response has no valid status")
 
+// The statuses of HTTP.
 const (
 	statusDigits = 3
 	minStatus    = 100
--- a/request/drain.go
+++ b/request/drain.go
@@ -82,10 +82,11 @@
 	return s.refuseUnless(ctx, drain.Window.AcceptsOnce, s.durations.Usual(kind))
 }
 
-// accepts is a method of drain.Window that decides about a request.
-type accepts func(w drain.Window, now, limit, usual time.Duration) bool
+// windowRule is a method of drain.Window that tells whether to accept a request.
+type windowRule func(w drain.Window, now, limit, usual time.Duration) bool
 
-func (s *Server) refuseUnless(ctx context.Context, accepts accepts, usual time.Duration) error {
+// refuseUnless refuses a request during a shutdown unless a rule accepts it.
+func (s *Server) refuseUnless(ctx context.Context, accepts windowRule, usual time.Duration) error {
 	d := s.drainState.Load()
 	if d == nil || d.window == nil && !d.refuseAll {
 		return nil
