--- a/gateway/bodies_test.go
+++ b/gateway/bodies_test.go
@@ -5,7 +5,6 @@
 	"strings"
 	"sync"
 	"testing"
-	"time"
 
 	"github.com/matryer/is"
 
@@ -26,10 +25,12 @@
 // blockedSink is a caller that reads nothing until the request ends.
 type blockedSink struct {
 	*recordingSink
-	ctx context.Context
+	ctx     context.Context
+	blocked chan<- struct{}
 }
 
 func (s *blockedSink) Write([]byte) error {
+	s.blocked <- struct{}{}
 	<-s.ctx.Done()
 	return s.ctx.Err()
 }
@@ -48,12 +49,14 @@
 	tg.Bodies = bodybuffer.NewPool(size)
 	ctx, cancel := context.WithCancel(context.Background())
 	var open sync.WaitGroup
+	blocked := make(chan struct{}, long)
 	for range long {
-		open.Go(func() { tg.Serve(ctx, tg.request("file"), &blockedSink{&recordingSink{}, ctx}) })
+		open.Go(func() { tg.Serve(ctx, tg.request("file"), &blockedSink{&recordingSink{}, ctx, blocked}) })
 	}
-	for tg.Bodies.Left() >= bodybuffer.FreeBytes { // until they hold all of it
-		time.Sleep(time.Millisecond)
+	for range long { // all hold what they could get
+		<-blocked
 	}
+	is.True(tg.Bodies.Left() < 2*bodybuffer.FreeBytes) // one of them wanted no more than that
 	r, sink := tg.request("file"), &recordingSink{}
 	r.Body = []byte("short")
 	tg.Serve(context.Background(), r, sink)
--- a/gateway/drain_test.go
+++ b/gateway/drain_test.go
@@ -30,6 +30,14 @@
 	return newResponse(http.StatusOK, false, strings.NewReader("ok")), nil
 }
 
+// serveWithin serves a request whose caller waits for a time.
+func (tg *testGateway) serveWithin(route string, left time.Duration) *recordingSink {
+	r, sink := tg.request(route), &recordingSink{}
+	r.TimeLeft = left
+	tg.Serve(context.Background(), r, sink)
+	return sink
+}
+
 // recordDurations records enough requests of a route for an estimate.
 func (tg *testGateway) recordDurations(route string, took time.Duration) {
 	for range 8 {
@@ -55,11 +63,7 @@
 	tg.clock.Advance(time.Second) // addresses have expired
 	is.Equal(tg.serve(context.Background(), "read").refusal.Code, result.Draining)
 	is.Equal(tg.serve(context.Background(), "stream").refusal.Code, result.Draining)
-	short := tg.request("read")
-	short.TimeLeft = time.Second
-	sink := &recordingSink{}
-	tg.Serve(context.Background(), short, sink)
-	is.Equal(sink.status, http.StatusOK) // certainly ends in time
+	is.Equal(tg.serveWithin("read", time.Second).status, http.StatusOK) // certainly ends in time
 	is.Equal(tg.Events.Counts()[event.RequestRefused.Kind().Name], uint64(3))
 }
 
@@ -75,11 +79,7 @@
 	is.True(refusal.NotRun())
 	is.Equal(len(tg.upstreams.sent), 0)
 	is.Equal(tg.serve(context.Background(), "read").status, http.StatusOK) // may be repeated
-	short := tg.request("file")
-	short.TimeLeft = 2 * time.Second
-	sink := &recordingSink{}
-	tg.Serve(context.Background(), short, sink)
-	is.Equal(sink.status, http.StatusOK) // certainly ends in time
+	is.Equal(tg.serveWithin("file", 2*time.Second).status, http.StatusOK)  // certainly ends in time
 }
 
 // Guards against error responses, which end at once, making a route look fast.
